--- /dev/null
+++ b/Source/Coord/gsRendezvous.cxx
@@ -0,0 +1,35 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsRendezvous.h"
+
+#include <xxhash.h>
+
+std::uint64_t gsHashText(std::string_view text)
+{
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::uint64_t gsRendezvousWeight(std::string_view name, std::uint64_t key)
+{
+  return XXH3_64bits_withSeed(name.data(), name.size(), key);
+}
+
+std::optional<std::string> gsRendezvous(
+  std::vector<std::string_view> const& names, std::string_view key)
+{
+  std::uint64_t seed = gsHashText(key);
+  std::string_view best;
+  std::uint64_t bestWeight = 0;
+  for (std::string_view name : names) {
+    std::uint64_t weight = gsRendezvousWeight(name, seed);
+    // Equal weights are settled by name, so that all hosts agree.
+    if (best.empty() || weight > bestWeight ||
+        (weight == bestWeight && name < best)) {
+      best = name;
+      bestWeight = weight;
+    }
+  }
+  if (best.empty()) {
+    return std::nullopt;
+  }
+  return std::string(best);
+}
--- /dev/null
+++ b/Source/Core/gsEstimate.cxx
@@ -0,0 +1,47 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsEstimate.h"
+
+namespace {
+
+constexpr double DefaultTokens = 128;
+
+} // namespace
+
+void gsRollingMean::Add(double value)
+{
+  this->Set(value);
+  ++this->Samples;
+}
+
+double gsRollingMean::Value(double fallback) const
+{
+  if (this->Samples == 0) {
+    return fallback;
+  }
+  return boost::accumulators::rolling_mean(this->Set);
+}
+
+double gsEstimateTokens(gsEstimates const& estimates,
+                        std::string const& organisation,
+                        std::string const& templateName,
+                        std::uint32_t promptTokens)
+{
+  auto exact = estimates.Tokens.find({ organisation, templateName });
+  if (exact != estimates.Tokens.end()) {
+    return promptTokens + exact->second.Value(DefaultTokens);
+  }
+  auto general = estimates.TemplateTokens.find(templateName);
+  if (general != estimates.TemplateTokens.end()) {
+    return promptTokens + general->second.Value(DefaultTokens);
+  }
+  return promptTokens + DefaultTokens;
+}
+
+void gsLearn(gsEstimates& estimates, std::string const& organisation,
+             std::string const& templateName, double tokens, gsTime hold)
+{
+  estimates.Tokens[{ organisation, templateName }].Add(tokens);
+  estimates.TemplateTokens[templateName].Add(tokens);
+  estimates.Hold.Add(gsToSeconds(hold));
+  estimates.TemplateHold[templateName].Add(gsToSeconds(hold));
+}
--- /dev/null
+++ b/Source/Daemon/gradescaled.cxx
@@ -0,0 +1,69 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * The daemon: reads its settings, starts a node, and stops it on a signal.
+ */
+#include <csignal>
+#include <iostream>
+#include <string>
+
+#include <CLI/CLI.hpp>
+#include <curl/curl.h>
+
+#include "gsLog.h"
+#include "gsNode.h"
+#include "gsSettings.h"
+
+namespace {
+
+constexpr int ExitUsage = 2;
+constexpr int ExitFailed = 1;
+
+int Run(gsSettings settings)
+{
+  gsLogSetUp(gsLogLevelNamed(settings.LogLevel));
+  gsLoop loop;
+  gsNode node(loop, std::move(settings));
+  gsResult<bool> started = node.Start();
+  if (!started) {
+    std::cerr << "gradescaled: " << started.error().Message << '\n';
+    return ExitFailed;
+  }
+  gsSignalWatch term(loop, SIGTERM, [&node] { node.Stop(); });
+  gsSignalWatch interrupt(loop, SIGINT, [&node] { node.Stop(); });
+  loop.Run();
+  return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  CLI::App app("Routes language-model requests to upstreams by service level "
+               "and priority.",
+               "gradescaled");
+  std::string path;
+  bool check = false;
+  app.add_option("--settings", path, "Settings file: JSON with comments.")
+    ->required();
+  app.add_flag("--check", check, "Check the settings file and stop.");
+  app.set_version_flag("--version",
+                       std::string("gradescaled ") + GRADESCALE_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (CLI::ParseError const& error) {
+    return app.exit(error) == 0 ? 0 : ExitUsage;
+  }
+  gsResult<gsSettings> settings = gsSettingsFromFile(path);
+  if (!settings) {
+    std::cerr << "gradescaled: " << settings.error().Message << '\n';
+    return ExitUsage;
+  }
+  if (check) {
+    std::cout << path << ": the settings are valid.\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  return Run(std::move(settings.value()));
+}
--- /dev/null
+++ b/Source/Daemon/gsMetrics.cxx
@@ -0,0 +1,165 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsMetrics.h"
+
+#include <cstdio>
+
+namespace {
+
+constexpr gsTime Window = gsSeconds(60);
+constexpr std::size_t MinCurrent = 100;
+
+std::string Number(double value)
+{
+  char buffer[40];
+  std::snprintf(buffer, sizeof(buffer), "%.9g", value);
+  return buffer;
+}
+
+void Line(std::string& text, char const* name, char const* suffix,
+          std::string const& labels, double value)
+{
+  text += name;
+  text += suffix;
+  if (!labels.empty()) {
+    text += '{' + labels + '}';
+  }
+  text += ' ' + Number(value) + '\n';
+}
+
+char const* KindWord(gsMetricKind kind)
+{
+  switch (kind) {
+    case gsMetricKind::Counter:
+      return "counter";
+    case gsMetricKind::Gauge:
+      return "gauge";
+    case gsMetricKind::Summary:
+      break;
+  }
+  return "summary";
+}
+
+} // namespace
+
+std::vector<gsMetricInfo> const& gsMetricList()
+{
+  static std::vector<gsMetricInfo> const list{
+    { "gradescale_requests_total", gsMetricKind::Counter,
+      "Requests that ended, by class and result." },
+    { "gradescale_in_target_total", gsMetricKind::Counter,
+      "Whole answers whose first token and token gap were in target." },
+    { "gradescale_first_token_seconds", gsMetricKind::Summary,
+      "Time from a request's arrival to its first token." },
+    { "gradescale_wait_seconds", gsMetricKind::Summary,
+      "Time from a request's arrival to its grant." },
+    { "gradescale_tokens_total", gsMetricKind::Counter,
+      "Tokens relayed, by class and use: good or wasted." },
+    { "gradescale_refusals_total", gsMetricKind::Counter,
+      "Requests refused, by tier and cause." },
+    { "gradescale_retries_total", gsMetricKind::Counter,
+      "Attempts after the first, by whether the last may have run." },
+    { "gradescale_claims_total", gsMetricKind::Counter,
+      "Decisions on idempotency keys, by result." },
+    { "gradescale_open_requests", gsMetricKind::Gauge,
+      "Requests that this host holds." },
+    { "gradescale_queue", gsMetricKind::Gauge,
+      "Requests waiting in pools dispatched here, by pool and tier." },
+    { "gradescale_upstream_running", gsMetricKind::Gauge,
+      "Requests running by grants of this host, by upstream." },
+    { "gradescale_upstream_limit", gsMetricKind::Gauge,
+      "Limit of concurrent requests, by upstream." },
+    { "gradescale_upstream_healthy", gsMetricKind::Gauge,
+      "1 while the upstream may get work, else 0." },
+    { "gradescale_members", gsMetricKind::Gauge,
+      "Hosts as this host knows them, by state." },
+    { "gradescale_config_version", gsMetricKind::Gauge,
+      "Configuration version in force." },
+    { "gradescale_platform_errors_total", gsMetricKind::Counter,
+      "Operations that the platform did not answer." },
+    { "gradescale_peer_bytes_total", gsMetricKind::Counter,
+      "Bytes of frames to and from other hosts, by direction." },
+    { "gradescale_stalls_total", gsMetricKind::Counter,
+      "Times that this process was found to have stood still." },
+  };
+  return list;
+}
+
+std::string gsLabels(
+  std::vector<std::pair<char const*, std::string_view>> const& labels)
+{
+  std::string text;
+  for (auto const& [name, value] : labels) {
+    text += text.empty() ? "" : ",";
+    text += name;
+    text += "=\"";
+    text += value;
+    text += '"';
+  }
+  return text;
+}
+
+void gsMetrics::Count(char const* name, std::string const& labels, double by)
+{
+  this->Values[name][labels] += by;
+}
+
+void gsMetrics::Set(char const* name, std::string const& labels, double value)
+{
+  this->Values[name][labels] = value;
+}
+
+void gsMetrics::Clear(char const* name)
+{
+  this->Values.erase(name);
+}
+
+void gsMetrics::Observe(char const* name, std::string const& labels,
+                        gsTime value, gsTime now)
+{
+  Summary& summary = this->Summaries[name][labels];
+  if (!summary.Current || now - summary.Since > Window) {
+    summary.Last = std::move(summary.Current);
+    summary.Current = std::make_unique<QuantileSet>(
+      boost::accumulators::tag::extended_p_square::probabilities = Quantiles);
+    summary.Since = now;
+  }
+  double seconds = gsToSeconds(value);
+  (*summary.Current)(seconds);
+  summary.Sum += seconds;
+  ++summary.Count;
+}
+
+std::string gsMetrics::Text() const
+{
+  std::string text;
+  for (gsMetricInfo const& info : gsMetricList()) {
+    text += std::string("# HELP ") + info.Name + ' ' + info.Help + '\n';
+    text +=
+      std::string("# TYPE ") + info.Name + ' ' + KindWord(info.Kind) + '\n';
+    auto values = this->Values.find(info.Name);
+    if (values != this->Values.end()) {
+      for (auto const& [labels, value] : values->second) {
+        Line(text, info.Name, "", labels, value);
+      }
+    }
+    auto summaries = this->Summaries.find(info.Name);
+    if (summaries == this->Summaries.end()) {
+      continue;
+    }
+    for (auto const& [labels, summary] : summaries->second) {
+      bool few = boost::accumulators::count(*summary.Current) < MinCurrent;
+      QuantileSet const& set =
+        few && summary.Last ? *summary.Last : *summary.Current;
+      for (std::size_t i = 0; i < Quantiles.size(); ++i) {
+        std::string quantile = labels + (labels.empty() ? "" : ",") +
+                               "quantile=\"" + Number(Quantiles[i]) + '"';
+        Line(text, info.Name, "", quantile,
+             boost::accumulators::extended_p_square(set)[i]);
+      }
+      Line(text, info.Name, "_sum", labels, summary.Sum);
+      Line(text, info.Name, "_count", labels,
+           static_cast<double>(summary.Count));
+    }
+  }
+  return text;
+}
--- /dev/null
+++ b/Source/Daemon/gsNode.cxx
@@ -0,0 +1,557 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsNode.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "gsDocumentJson.h"
+#include "gsLog.h"
+#include "gsRendezvous.h"
+#include "gsSecret.h"
+#include "gsWireCodec.h"
+
+namespace {
+
+constexpr gsTime WatchPeriod = gsMilliseconds(100);
+/** Longer than this without a turn, and the process has stood still. */
+constexpr gsTime StallLimit = gsMilliseconds(1000);
+/** After a stall, grants wait at most so long for news from others. */
+constexpr gsTime FreshLimit = gsSeconds(1);
+constexpr gsTime ListPeriod = gsSeconds(5);
+constexpr gsTime ClaimTick = gsMilliseconds(5);
+constexpr gsTime StopTick = gsMilliseconds(50);
+constexpr std::size_t BytesPerKib = 1024;
+
+std::uint64_t WallMicros()
+{
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+/** A number for request ids that no other incarnation has. */
+std::uint64_t HostNumber(std::string const& host, std::uint64_t incarnation)
+{
+  return gsRendezvousWeight(host, incarnation);
+}
+
+std::uint64_t Micros(gsTime time)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
+}
+
+gsTime TimeOf(std::uint64_t micros)
+{
+  return gsTime(static_cast<std::int64_t>(micros));
+}
+
+} // namespace
+
+gsNode::gsNode(gsLoop& loop, gsSettings settings)
+  : Loop(loop)
+  , Settings(std::move(settings))
+  , Incarnation(WallMicros())
+  , Client(loop)
+  , WatchTimer(loop, [this] { this->Watch(); })
+  , ListTimer(loop, [this] { this->ListHosts(); })
+  , ClaimTimer(loop, [this] { this->SendClaims(); })
+  , StopTimer(loop, [this] { this->Stop(); })
+{
+  if (this->Settings.Platform.Memory) {
+    this->Platform = gsMakeMemoryPlatform(loop);
+  } else {
+    this->Platform =
+      gsMakeHttpPlatform(this->Client, { this->Settings.Platform.Address,
+                                         this->Settings.Platform.Token,
+                                         this->Settings.Platform.Timeout });
+  }
+  gsConfigStore::Hooks config;
+  config.OnChanged = [this] { this->OnDocument(); };
+  config.FetchFromPeer = [this](std::string const& peer, std::uint64_t above) {
+    if (gradescale::Frame* frame = this->Cluster->ToHost(peer)) {
+      frame->add_config_requests()->set_above_version(above);
+    }
+  };
+  config.OnPlatformError = [this](gsError const& error) {
+    this->Metrics.Count("gradescale_platform_errors_total");
+    gsLogLine("platform_error", gsLogLevel::Warn).With(error);
+  };
+  this->Config = std::make_unique<gsConfigStore>(
+    loop, this->Platform, this->Settings.Replica, std::move(config));
+  this->Cluster = std::make_unique<gsCluster>(
+    loop, this->Settings, this->Incarnation, this->ClusterEvents());
+  this->Dispatcher =
+    std::make_unique<gsDispatcher>(loop, this->Client, this->Settings,
+                                   this->Metrics, this->DispatcherHooks());
+  this->Gateway = std::make_unique<gsGateway>(
+    loop, this->Client, this->Settings, this->Metrics, this->Claims,
+    HostNumber(this->Settings.Host, this->Incarnation), this->GatewayHooks());
+  this->Operators = std::make_unique<gsOperatorApi>(
+    loop, gsOperatorParts{ this->Settings, *this->Config, *this->Cluster,
+                           *this->Dispatcher, *this->Gateway });
+}
+
+gsNode::~gsNode() = default;
+
+gsClusterEvents gsNode::ClusterEvents()
+{
+  gsClusterEvents events;
+  events.OnFrame = [this](std::string const& host, std::uint64_t link,
+                          gradescale::Frame const& frame) {
+    this->OnFrame(host, link, frame);
+  };
+  events.OnHostLost = [this](std::string const& host) {
+    this->Gateway->OnHostLost(host);
+  };
+  events.OnLinkDown = [this](std::uint64_t link) {
+    this->Dispatcher->LinkDown(link);
+  };
+  events.OnMembersChanged = [this] {
+    this->Dispatcher->RefreshLeaving();
+    this->Gateway->OnMembersChanged();
+  };
+  events.ConfigVersion = [this] { return this->Config->Version(); };
+  return events;
+}
+
+gsDispatcher::Hooks gsNode::DispatcherHooks()
+{
+  gsDispatcher::Hooks hooks;
+  hooks.OnGrant = [this](gsGrant const& grant) {
+    if (grant.Link == gsLocalLink) {
+      this->Gateway->OnGrant(this->Cluster->Self(), grant);
+    } else if (gradescale::Frame* frame = this->Cluster->OnLink(grant.Link)) {
+      gsToWire(grant, frame->add_grants());
+    }
+  };
+  hooks.OnRefusal = [this](gsRefusal const& refusal) {
+    if (refusal.Link == gsLocalLink) {
+      this->Gateway->OnRefusal(this->Cluster->Self(), refusal.Id,
+                               gsCauseWord(refusal.Cause), refusal.RetryAfter);
+    } else if (gradescale::Frame* frame =
+                 this->Cluster->OnLink(refusal.Link)) {
+      gsToWire(refusal, frame->add_refusals());
+    }
+  };
+  hooks.IsLeaving = [this](std::string const& upstream,
+                           std::string const& incarnation) {
+    return this->UpstreamLeaving(upstream, incarnation);
+  };
+  hooks.OnLeaving = [this](std::string const& upstream,
+                           std::string const& incarnation) {
+    this->Cluster->NoteLeaving(upstream, incarnation);
+  };
+  hooks.IsOurs = [this](std::string const& pool) {
+    return this->Cluster->DispatcherOf(this->Settings.Hall, pool) ==
+           this->Settings.Host;
+  };
+  return hooks;
+}
+
+gradescale::Frame* gsNode::WorkFrame(std::string const& host)
+{
+  return this->Cluster->ToHost(host);
+}
+
+gsGateway::Hooks gsNode::GatewayHooks()
+{
+  gsGateway::Hooks hooks;
+  auto local = [this](std::string const& host) {
+    return host == this->Settings.Host;
+  };
+  hooks.DispatcherOf = [this](std::string_view hall, std::string_view pool) {
+    return this->Cluster->DispatcherOf(hall, pool);
+  };
+  hooks.OtherHalls = [this] { return gsOtherHalls(this->Cluster->Members()); };
+  hooks.SendAsk = [this, local](std::string const& host, gsAsk const& ask) {
+    if (local(host)) {
+      this->Dispatcher->Ask(ask, gsLocalLink);
+    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+      gsToWire(ask, frame->add_asks());
+    }
+  };
+  hooks.SendWithdraw = [this, local](std::string const& host,
+                                     gsAsk const& ask) {
+    if (local(host)) {
+      this->Dispatcher->Withdraw(ask.Pool, ask.Id);
+    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+      gradescale::Withdraw* wire = frame->add_withdraws();
+      gsToWire(ask.Id, wire->mutable_id());
+      wire->set_pool(ask.Pool);
+    }
+  };
+  hooks.SendRunning = [this, local](std::string const& host, gsAsk const& ask,
+                                    std::string const& upstream) {
+    if (local(host)) {
+      this->Dispatcher->Adopt(ask, upstream, gsLocalLink);
+    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+      gradescale::Running* wire = frame->add_running();
+      gsToWire(ask, wire->mutable_ask());
+      wire->set_upstream(upstream);
+    }
+  };
+  hooks.SendProgress = [this, local](std::string const& host, gsAsk const& ask,
+                                     gsTime firstToken, gsTime gap) {
+    if (local(host)) {
+      this->Dispatcher->Progress(ask.Pool, ask.Id, firstToken, gap);
+    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+      gradescale::Progress* wire = frame->add_progress();
+      gsToWire(ask.Id, wire->mutable_id());
+      wire->set_pool(ask.Pool);
+      wire->set_first_token_us(Micros(firstToken));
+      wire->set_gap_us(Micros(gap));
+    }
+  };
+  hooks.SendRelease = [this, local](std::string const& host, gsAsk const& ask,
+                                    gsOutcome outcome,
+                                    gsMeasured const& measured) {
+    if (local(host)) {
+      this->Dispatcher->Release(ask.Pool, ask.Id, outcome, measured);
+    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+      gradescale::Release* wire = frame->add_releases();
+      gsToWire(ask.Id, wire->mutable_id());
+      wire->set_pool(ask.Pool);
+      wire->set_outcome(static_cast<std::uint32_t>(outcome));
+      wire->set_tokens(measured.Tokens);
+      wire->set_first_token_us(Micros(measured.FirstToken));
+      wire->set_gap_us(Micros(measured.TokenGap));
+      wire->set_duration_us(Micros(measured.Duration));
+    }
+  };
+  hooks.Expect = [this, local](std::string const& host, bool waiting) {
+    if (!local(host)) {
+      this->Cluster->Expect(host, waiting);
+    }
+  };
+  hooks.IsLeaving = [this](std::string const& upstream,
+                           std::string const& incarnation) {
+    return this->UpstreamLeaving(upstream, incarnation);
+  };
+  hooks.Ready = [this] { return this->Config->Ready(); };
+  hooks.Document = [this]() -> gsDocument const& {
+    return this->Config->Document();
+  };
+  return hooks;
+}
+
+gsResult<bool> gsNode::Start()
+{
+  // Decisions first, then the links' frames leave in the same turn.
+  this->Loop.BeforeWait([this] { this->BeforeWait(); });
+  gsResult<bool> cluster = this->Cluster->Start();
+  if (!cluster) {
+    return cluster.error();
+  }
+  gsHttpServerSettings callers;
+  callers.Address = this->Settings.Callers.Listen;
+  callers.MaxBody = this->Settings.Callers.MaxBodyKib * BytesPerKib;
+  callers.MaxHeader = this->Settings.Callers.MaxHeaderKib * BytesPerKib;
+  callers.MaxConnections =
+    static_cast<std::uint32_t>(this->Settings.Callers.MaxConnections);
+  callers.MaxConnectionsPerIp =
+    static_cast<std::uint32_t>(this->Settings.Callers.MaxConnectionsPerIp);
+  callers.ReceiveTimeout = this->Settings.Callers.ReceiveTimeout;
+  auto serve = [this](std::shared_ptr<gsHttpExchange> const& exchange) {
+    if (exchange->Path == "/metrics") {
+      this->Dispatcher->WriteGauges();
+    }
+    this->Gateway->OnExchange(exchange);
+  };
+  auto server = gsHttpServer::Start(this->Loop, callers, serve);
+  if (!server) {
+    return server.error();
+  }
+  this->CallerServer = std::move(server.value());
+
+  gsHttpServerSettings operators;
+  operators.Address = this->Settings.Operators.Listen;
+  constexpr std::size_t maxChange = 16U << 20U;
+  operators.MaxBody = maxChange;
+  auto operate = [this](std::shared_ptr<gsHttpExchange> const& exchange) {
+    this->Operators->OnExchange(exchange);
+  };
+  server = gsHttpServer::Start(this->Loop, operators, operate);
+  if (!server) {
+    return server.error();
+  }
+  this->OperatorServer = std::move(server.value());
+
+  this->Config->Start();
+  if (this->Settings.Document) {
+    gsJson change{ { "id", "first" },
+                   { "kind", "import" },
+                   { "document", gsToJson(*this->Settings.Document) } };
+    auto ignore = [](gsResult<gsChange> const& /*result*/) {};
+    this->Loop.Defer([this, text = change.dump(), ignore] {
+      this->Config->Submit(text, ignore);
+    });
+  }
+  this->LastWatch = gsLoop::Now();
+  this->WatchTimer.BeforeOthers();
+  this->WatchTimer.Every(WatchPeriod);
+  this->ClaimTimer.Every(ClaimTick);
+  this->ListTimer.Every(ListPeriod);
+  this->ListHosts();
+  gsLogLine("started")
+    .With("host", this->Settings.Host)
+    .With("hall", this->Settings.Hall)
+    .With("callers", this->Settings.Callers.Listen)
+    .With("operators", this->Settings.Operators.Listen)
+    .With("peers", this->Settings.Peers.Listen);
+  return true;
+}
+
+void gsNode::BeforeWait()
+{
+  this->Dispatcher->RunDirty();
+}
+
+void gsNode::OnDocument()
+{
+  this->Metrics.Set("gradescale_config_version", {},
+                    static_cast<double>(this->Config->Version()));
+  this->Dispatcher->TakeDocument(this->Config->Document());
+  this->Gateway->TakeDocument(this->Config->Document());
+}
+
+bool gsNode::UpstreamLeaving(std::string const& upstream,
+                             std::string const& incarnation) const
+{
+  gsUpstream const* entry =
+    gsFindByName(this->Config->Document().Upstreams, upstream);
+  bool listed = entry != nullptr && entry->State == gsUpstreamState::Active;
+  bool byPlatform =
+    std::find(this->ListedLeaving.begin(), this->ListedLeaving.end(),
+              upstream) != this->ListedLeaving.end();
+  return !listed || byPlatform ||
+         this->Cluster->IsLeaving(upstream, incarnation);
+}
+
+void gsNode::OnFrame(std::string const& host, std::uint64_t link,
+                     gradescale::Frame const& frame)
+{
+  this->Operators->NoteVersion(host, frame.config_version());
+  this->Config->HearVersion(host, frame.config_version());
+  this->OnConfigFrames(host, link, frame);
+  this->OnWork(host, link, frame);
+}
+
+void gsNode::OnConfigFrames(std::string const& host, std::uint64_t link,
+                            gradescale::Frame const& frame)
+{
+  for (gradescale::ConfigRequest const& request : frame.config_requests()) {
+    gradescale::Frame* answer = this->Cluster->OnLink(link);
+    if (answer == nullptr || !this->Config->Ready()) {
+      continue;
+    }
+    gradescale::ConfigReply* reply = answer->add_config_replies();
+    reply->set_version(request.above_version());
+    for (std::string const& change :
+         this->Config->ChangesAbove(request.above_version())) {
+      reply->add_changes(change);
+    }
+    if (reply->changes().empty()) {
+      reply->set_document(gsToJson(this->Config->Document()).dump());
+    }
+  }
+  for (gradescale::ConfigReply const& reply : frame.config_replies()) {
+    if (!reply.document().empty()) {
+      this->Config->TakeDocument(reply.document());
+    } else {
+      this->Config->TakeChanges(
+        reply.version(), { reply.changes().begin(), reply.changes().end() });
+    }
+  }
+  for (gradescale::VersionQuery const& query : frame.version_queries()) {
+    this->Operators->OnVersionQuery(link, query);
+  }
+  for (gradescale::VersionReply const& reply : frame.version_replies()) {
+    this->Operators->OnVersionReply(host, reply);
+  }
+}
+
+void gsNode::OnAsk(std::uint64_t link, gsAsk ask)
+{
+  std::string dispatcher =
+    this->Cluster->DispatcherOf(this->Settings.Hall, ask.Pool);
+  if (ask.Force || dispatcher == this->Settings.Host) {
+    this->Dispatcher->Ask(std::move(ask), link);
+    return;
+  }
+  if (gradescale::Frame* frame = this->Cluster->OnLink(link)) {
+    gradescale::Redirect* redirect = frame->add_redirects();
+    gsToWire(ask.Id, redirect->mutable_id());
+    redirect->set_dispatcher(dispatcher);
+  }
+}
+
+void gsNode::OnWork(std::string const& host, std::uint64_t link,
+                    gradescale::Frame const& frame)
+{
+  for (gradescale::Running const& running : frame.running()) {
+    this->Dispatcher->Adopt(gsFromWire(running.ask()), running.upstream(),
+                            link);
+  }
+  for (gradescale::Ask const& ask : frame.asks()) {
+    this->OnAsk(link, gsFromWire(ask));
+  }
+  for (gradescale::Withdraw const& withdraw : frame.withdraws()) {
+    this->Dispatcher->Withdraw(withdraw.pool(), gsFromWire(withdraw.id()));
+  }
+  for (gradescale::Progress const& progress : frame.progress()) {
+    this->Dispatcher->Progress(progress.pool(), gsFromWire(progress.id()),
+                               TimeOf(progress.first_token_us()),
+                               TimeOf(progress.gap_us()));
+  }
+  for (gradescale::Release const& release : frame.releases()) {
+    this->Dispatcher->Release(release.pool(), gsFromWire(release.id()),
+                              static_cast<gsOutcome>(release.outcome()),
+                              gsMeasuredFromWire(release));
+  }
+  for (gradescale::Grant const& wire : frame.grants()) {
+    gsGrant grant;
+    grant.Id = gsFromWire(wire.id());
+    grant.Pool = wire.pool();
+    grant.Upstream = wire.upstream();
+    grant.Address = wire.address();
+    grant.Incarnation = wire.incarnation();
+    grant.StartWithin = TimeOf(wire.start_within_us());
+    this->Gateway->OnGrant(host, grant);
+  }
+  for (gradescale::Refusal const& refusal : frame.refusals()) {
+    this->Gateway->OnRefusal(host, gsFromWire(refusal.id()), refusal.cause(),
+                             TimeOf(refusal.retry_after_us()));
+  }
+  for (gradescale::Redirect const& redirect : frame.redirects()) {
+    this->Gateway->OnRedirect(host, gsFromWire(redirect.id()),
+                              redirect.dispatcher());
+  }
+}
+
+/** Notices that the process stood still, before anything else is done. */
+void gsNode::Watch()
+{
+  gsTime now = gsLoop::Now();
+  gsTime gap = now - this->LastWatch;
+  this->LastWatch = now;
+  if (gap > StallLimit) {
+    this->OnStalled(gap);
+  }
+  this->ResumeIfFresh();
+  std::map<std::string, double> states;
+  for (gsMember const& member : this->Cluster->Members().Members) {
+    states[gsMemberStateWord(member.State)] += 1;
+  }
+  this->Metrics.Clear("gradescale_members");
+  for (auto const& [state, count] : states) {
+    this->Metrics.Set("gradescale_members", gsLabels({ { "state", state } }),
+                      count);
+  }
+  if (this->Cluster->Net() != nullptr) {
+    this->Metrics.Set("gradescale_peer_bytes_total", "direction=\"sent\"",
+                      static_cast<double>(this->Cluster->Net()->BytesSent()));
+    this->Metrics.Set(
+      "gradescale_peer_bytes_total", "direction=\"received\"",
+      static_cast<double>(this->Cluster->Net()->BytesReceived()));
+  }
+}
+
+void gsNode::OnStalled(gsTime gap)
+{
+  gsLogLine("stalled", gsLogLevel::Warn).With("for_ms", gap);
+  this->Metrics.Count("gradescale_stalls_total");
+  this->Stalled = true;
+  this->StalledAt = gsLoop::Now();
+  // What this host knew may be out of date: hear from others first.
+  this->Dispatcher->Pause(true);
+  this->Config->PollNow();
+  this->Cluster->ProbeNow();
+  this->Gateway->OnStalled();
+}
+
+void gsNode::ResumeIfFresh()
+{
+  if (!this->Stalled) {
+    return;
+  }
+  bool heard = this->Config->LastPolled() > this->StalledAt ||
+               this->Cluster->LastHeard() > this->StalledAt;
+  if (heard || gsLoop::Now() - this->StalledAt > FreshLimit) {
+    this->Stalled = false;
+    this->Dispatcher->Pause(false);
+  }
+}
+
+void gsNode::ListHosts()
+{
+  this->Platform.ListHosts([this](gsResult<gsHostList> const& result) {
+    if (!result) {
+      this->Metrics.Count("gradescale_platform_errors_total");
+      return;
+    }
+    std::vector<std::string> addresses;
+    for (gsListedHost const& row : result.value().Hosts) {
+      if (!row.Leaving && !row.Address.empty()) {
+        addresses.push_back(row.Address);
+      }
+    }
+    this->Cluster->Meet(std::move(addresses));
+    this->Operators->TakeHostList(result.value());
+    this->ListedLeaving = result.value().LeavingUpstreams;
+    this->Dispatcher->RefreshLeaving();
+  });
+}
+
+void gsNode::SendClaims()
+{
+  std::optional<gsClaimBatch> batch =
+    gsClaimsTick(this->Claims, gsLoop::Now());
+  if (!batch) {
+    return;
+  }
+  std::uint64_t number = batch->Number;
+  this->Platform.Transact(
+    batch->Ops, [this, number](gsPlatform::Results const& results) {
+      std::vector<gsClaimDecision> decisions;
+      if (results) {
+        gsClaimsAnswered(this->Claims, number, results.value(), decisions);
+      } else {
+        this->Metrics.Count("gradescale_platform_errors_total");
+        gsClaimsLost(this->Claims, number, decisions);
+      }
+      for (gsClaimDecision const& decision : decisions) {
+        this->Gateway->OnClaim(decision);
+      }
+    });
+}
+
+void gsNode::Stop()
+{
+  gsTime now = gsLoop::Now();
+  if (!this->Stopping) {
+    this->Stopping = true;
+    this->StopSince = now;
+    gsLogLine("stopping").With("open", std::uint64_t(this->Gateway->Open()));
+    this->Gateway->Drain();
+    this->CallerServer->CloseAfterAnswers(true);
+    this->Cluster->Leave();
+    this->StopTimer.Every(StopTick);
+  }
+  gsTime since = now - this->StopSince;
+  // Until the balancer has seen that this host is not ready, what it still
+  // sends here is served.
+  if (!this->Quiesced && since >= this->Settings.Stop.Unready) {
+    this->Quiesced = true;
+    this->CallerServer->Quiesce();
+  }
+  bool idle = this->Gateway->Open() == 0 &&
+              this->CallerServer->OpenExchanges() == 0 &&
+              this->Claims.Pending.empty() &&
+              this->Claims.Background.empty() && this->Claims.InFlight.empty();
+  bool over = since >= this->Settings.Stop.Longest;
+  if (this->Quiesced && (idle || over)) {
+    gsLogLine("stopped").With("cut", std::uint64_t(this->Gateway->Open()));
+    this->StopTimer.Stop();
+    this->Loop.Stop();
+  }
+}
--- /dev/null
+++ b/Source/Daemon/gsSettings.h
@@ -0,0 +1,92 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Settings of one daemon: a JSON file with comments. docs/OPERATIONS.md lists
+ * every field; each is checked when the file is read.
+ */
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gsDocument.h"
+#include "gsMembership.h"
+#include "gsPool.h"
+#include "gsReplica.h"
+
+struct gsSettings
+{
+  std::string Host;
+  std::string Hall;
+  std::string LogLevel = "info";
+
+  struct
+  {
+    std::string Listen;
+    std::uint64_t MaxBodyKib = 1024;
+    std::uint64_t MaxHeaderKib = 16;
+    std::uint64_t MaxAnswerKib = 8192;
+    std::uint64_t MaxConnections = 4096;
+    std::uint64_t MaxConnectionsPerIp = 4096;
+    gsTime ReceiveTimeout = gsSeconds(30);
+  } Callers;
+
+  struct
+  {
+    std::string Listen;
+    std::string Token;
+  } Operators;
+
+  struct
+  {
+    std::string Listen; ///< Empty for a system of one host.
+    std::string Announce;
+    std::string Token;
+    std::vector<std::string> Seeds;
+    std::map<std::string, std::string> Routes;
+  } Peers;
+
+  struct
+  {
+    bool Memory = false;
+    std::string Address;
+    std::string Token;
+    gsTime Timeout = gsMilliseconds(1500);
+  } Platform;
+
+  struct
+  {
+    gsTime ConnectTimeout = gsMilliseconds(1000);
+    gsTime StallTimeout = gsSeconds(20);
+    gsTime LoadPeriod = gsMilliseconds(500);
+    std::string LoadPath = "/load";
+  } Upstreams;
+
+  struct
+  {
+    double Share = 0.1;
+    double Burst = 10;
+  } Retry;
+
+  struct
+  {
+    gsTime Unready = gsMilliseconds(500);
+    gsTime Longest = gsSeconds(600);
+  } Stop;
+
+  gsPoolSettings Pool;
+  gsMembershipSettings Membership;
+  gsReplicaSettings Replica;
+  /** First document of a system with the memory platform. */
+  std::optional<gsDocument> Document;
+};
+
+/** Reads settings from text; source names it in errors. */
+gsResult<gsSettings> gsSettingsFromText(std::string_view text,
+                                        std::string_view source);
+
+/** Reads a settings file. */
+gsResult<gsSettings> gsSettingsFromFile(std::string const& path);
--- /dev/null
+++ b/Source/Daemon/gsWireCodec.cxx
@@ -0,0 +1,116 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsWireCodec.h"
+
+#include <algorithm>
+
+namespace {
+
+std::uint64_t Micros(gsTime time)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
+}
+
+gsTime Time(std::uint64_t micros)
+{
+  return gsTime(static_cast<std::int64_t>(micros));
+}
+
+} // namespace
+
+gsRequestId gsFromWire(gradescale::RequestId const& wire)
+{
+  return { wire.host(), wire.sequence(), wire.attempt() };
+}
+
+gsAsk gsFromWire(gradescale::Ask const& wire)
+{
+  // A tier beyond this cannot come from a checked document.
+  constexpr std::uint32_t maxTier = 255;
+  gsAsk ask;
+  ask.Id = gsFromWire(wire.id());
+  ask.Pool = wire.pool();
+  ask.Organisation = wire.organisation();
+  ask.Template = wire.template_name();
+  ask.Tier = std::min(wire.tier(), maxTier);
+  ask.Weight = wire.weight();
+  ask.PromptTokens = wire.prompt_tokens();
+  ask.Waited = Time(wire.waited_us());
+  ask.MaxWait = Time(wire.max_wait_us());
+  ask.Affinity = wire.affinity();
+  ask.FirstToken = Time(wire.target_first_token_us());
+  ask.TokenGap = Time(wire.target_gap_us());
+  ask.Avoid = wire.avoid();
+  ask.Force = wire.force();
+  return ask;
+}
+
+gsMember gsFromWire(gradescale::Member const& wire)
+{
+  gsMember member;
+  member.Host = wire.host();
+  member.Hall = wire.hall();
+  member.Address = wire.address();
+  member.Incarnation = wire.incarnation();
+  member.Refutation = wire.refutation();
+  member.State = static_cast<gsMemberState>(
+    std::min(wire.state(), static_cast<std::uint32_t>(gsMemberState::Dead)));
+  return member;
+}
+
+gsMeasured gsMeasuredFromWire(gradescale::Release const& wire)
+{
+  return { wire.tokens(), Time(wire.first_token_us()), Time(wire.gap_us()),
+           Time(wire.duration_us()) };
+}
+
+void gsToWire(gsRequestId const& id, gradescale::RequestId* wire)
+{
+  wire->set_host(id.Host);
+  wire->set_sequence(id.Sequence);
+  wire->set_attempt(id.Attempt);
+}
+
+void gsToWire(gsAsk const& ask, gradescale::Ask* wire)
+{
+  gsToWire(ask.Id, wire->mutable_id());
+  wire->set_pool(ask.Pool);
+  wire->set_organisation(ask.Organisation);
+  wire->set_template_name(ask.Template);
+  wire->set_tier(ask.Tier);
+  wire->set_weight(ask.Weight);
+  wire->set_prompt_tokens(ask.PromptTokens);
+  wire->set_waited_us(Micros(ask.Waited));
+  wire->set_max_wait_us(Micros(ask.MaxWait));
+  wire->set_affinity(ask.Affinity);
+  wire->set_target_first_token_us(Micros(ask.FirstToken));
+  wire->set_target_gap_us(Micros(ask.TokenGap));
+  wire->set_avoid(ask.Avoid);
+  wire->set_force(ask.Force);
+}
+
+void gsToWire(gsMember const& member, gradescale::Member* wire)
+{
+  wire->set_host(member.Host);
+  wire->set_hall(member.Hall);
+  wire->set_address(member.Address);
+  wire->set_incarnation(member.Incarnation);
+  wire->set_refutation(member.Refutation);
+  wire->set_state(static_cast<std::uint32_t>(member.State));
+}
+
+void gsToWire(gsGrant const& grant, gradescale::Grant* wire)
+{
+  gsToWire(grant.Id, wire->mutable_id());
+  wire->set_pool(grant.Pool);
+  wire->set_upstream(grant.Upstream);
+  wire->set_address(grant.Address);
+  wire->set_start_within_us(Micros(grant.StartWithin));
+  wire->set_incarnation(grant.Incarnation);
+}
+
+void gsToWire(gsRefusal const& refusal, gradescale::Refusal* wire)
+{
+  gsToWire(refusal.Id, wire->mutable_id());
+  wire->set_cause(gsCauseWord(refusal.Cause));
+  wire->set_retry_after_us(Micros(refusal.RetryAfter));
+}
--- /dev/null
+++ b/Source/Daemon/gsWireCodec.h
@@ -0,0 +1,21 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Conversions between the core's structs and the messages on the wire.
+ */
+#pragma once
+
+#include "Generated/gsPeer.pb.h"
+#include "gsMembership.h"
+#include "gsPool.h"
+
+gsRequestId gsFromWire(gradescale::RequestId const& wire);
+gsAsk gsFromWire(gradescale::Ask const& wire);
+gsMember gsFromWire(gradescale::Member const& wire);
+gsMeasured gsMeasuredFromWire(gradescale::Release const& wire);
+
+void gsToWire(gsRequestId const& id, gradescale::RequestId* wire);
+void gsToWire(gsAsk const& ask, gradescale::Ask* wire);
+void gsToWire(gsMember const& member, gradescale::Member* wire);
+void gsToWire(gsGrant const& grant, gradescale::Grant* wire);
+void gsToWire(gsRefusal const& refusal, gradescale::Refusal* wire);
--- /dev/null
+++ b/Source/Io/gsHttpClient.cxx
@@ -0,0 +1,327 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsHttpClient.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace {
+
+constexpr long BufferSize = 16384;
+constexpr std::size_t MaxSpare = 64;
+
+std::string_view Trim(std::string_view text)
+{
+  constexpr char const* blanks = " \t\r\n";
+  std::size_t first = text.find_first_not_of(blanks);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+int ToEvents(int what)
+{
+  switch (what) {
+    case CURL_POLL_IN:
+      return EV_READ;
+    case CURL_POLL_OUT:
+      return EV_WRITE;
+    case CURL_POLL_INOUT:
+      return EV_READ | EV_WRITE;
+    default:
+      return 0;
+  }
+}
+
+} // namespace
+
+/** State of one call; Call's callbacks may cancel the call itself. */
+struct gsHttpClient::Active
+{
+  std::uint64_t Number = 0;
+  gsCall Call;
+  CURL* Easy = nullptr;
+  curl_slist* HeaderList = nullptr;
+  gsHeaders Headers;
+  unsigned Status = 0;
+  bool Framed = false; ///< The answer says where it ends.
+  bool Sent = false;
+  bool Stopped = false; ///< BeforeSend said no.
+};
+
+gsHttpClient::gsHttpClient(gsLoop& loop)
+  : Loop(loop)
+  , Multi(curl_multi_init())
+  , Timer(loop, [this] { this->Act(CURL_SOCKET_TIMEOUT, 0); })
+{
+  curl_multi_setopt(this->Multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+  curl_multi_setopt(this->Multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(this->Multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
+  curl_multi_setopt(this->Multi, CURLMOPT_TIMERDATA, this);
+}
+
+gsHttpClient::~gsHttpClient()
+{
+  while (!this->Calls.empty()) {
+    this->Cancel(this->Calls.begin()->first);
+  }
+  for (CURL* easy : this->Spare) {
+    curl_easy_cleanup(easy);
+  }
+  curl_multi_cleanup(this->Multi);
+}
+
+CURL* gsHttpClient::TakeHandle()
+{
+  if (this->Spare.empty()) {
+    return curl_easy_init();
+  }
+  CURL* easy = this->Spare.back();
+  this->Spare.pop_back();
+  return easy;
+}
+
+void gsHttpClient::SetUp(CURL* easy, Active& active)
+{
+  gsCall& call = active.Call;
+  curl_easy_setopt(easy, CURLOPT_URL, call.Url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BufferSize);
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(call.ConnectTimeout.count() / 1000));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(call.TotalTimeout.count() / 1000));
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &active);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &active);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnPrerequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &active);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
+  if (call.Method != "GET") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.Method.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.Body.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(call.Body.size()));
+  }
+  active.HeaderList = curl_slist_append(nullptr, "Expect:");
+  active.HeaderList =
+    curl_slist_append(active.HeaderList, "Connection: close");
+  for (auto const& [name, value] : call.Headers) {
+    std::string line = name + ": " + value;
+    active.HeaderList = curl_slist_append(active.HeaderList, line.c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, active.HeaderList);
+}
+
+std::uint64_t gsHttpClient::Start(gsCall call)
+{
+  auto active = std::make_unique<Active>();
+  active->Number = this->Next++;
+  active->Call = std::move(call);
+  active->Easy = this->TakeHandle();
+  this->SetUp(active->Easy, *active);
+  std::uint64_t number = active->Number;
+  CURL* easy = active->Easy;
+  this->Calls[number] = std::move(active);
+  curl_multi_add_handle(this->Multi, easy);
+  return number;
+}
+
+void gsHttpClient::Cancel(std::uint64_t call)
+{
+  auto found = this->Calls.find(call);
+  if (found == this->Calls.end()) {
+    return;
+  }
+  std::unique_ptr<Active> active = std::move(found->second);
+  this->Calls.erase(found);
+  // A callback of this very handle may be running: remove it afterwards.
+  CURL* easy = active->Easy;
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, nullptr);
+  active->Call.BeforeSend = nullptr;
+  active->Call.OnHeaders = nullptr;
+  active->Call.OnData = nullptr;
+  active->Call.OnEnd = nullptr;
+  std::shared_ptr<Active> kept = std::move(active);
+  auto remove = [this, kept] {
+    curl_multi_remove_handle(this->Multi, kept->Easy);
+    curl_easy_cleanup(kept->Easy);
+    curl_slist_free_all(kept->HeaderList);
+  };
+  this->Loop.Defer(remove);
+}
+
+void gsHttpClient::Unpause(std::uint64_t call)
+{
+  auto found = this->Calls.find(call);
+  if (found != this->Calls.end()) {
+    curl_easy_pause(found->second->Easy, CURLPAUSE_CONT);
+  }
+}
+
+std::size_t gsHttpClient::OnBody(char* data, std::size_t size,
+                                 std::size_t count, void* active)
+{
+  auto* self = static_cast<Active*>(active);
+  std::size_t length = size * count;
+  if (self->Call.OnData && !self->Call.OnData({ data, length })) {
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  return length;
+}
+
+std::size_t gsHttpClient::OnHeader(char* data, std::size_t size,
+                                   std::size_t count, void* active)
+{
+  auto* self = static_cast<Active*>(active);
+  std::string_view line(data, size * count);
+  if (line.substr(0, 5) == "HTTP/") {
+    self->Headers.clear();
+    self->Framed = false;
+    return line.size();
+  }
+  std::size_t colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    std::string name(line.substr(0, colon));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    self->Framed =
+      self->Framed || name == "content-length" || name == "transfer-encoding";
+    self->Headers.emplace_back(std::move(name),
+                               std::string(Trim(line.substr(colon + 1))));
+    return line.size();
+  }
+  if (Trim(line).empty()) {
+    long status = 0;
+    curl_easy_getinfo(self->Easy, CURLINFO_RESPONSE_CODE, &status);
+    self->Status = static_cast<unsigned>(status);
+    constexpr unsigned firstFinal = 200;
+    if (self->Status >= firstFinal && self->Call.OnHeaders) {
+      self->Call.OnHeaders(self->Status, self->Headers);
+    }
+  }
+  return line.size();
+}
+
+int gsHttpClient::OnPrerequest(void* active, char* /*remote*/, char* /*local*/,
+                               int /*rport*/, int /*lport*/)
+{
+  auto* self = static_cast<Active*>(active);
+  if (self->Sent || (self->Call.BeforeSend && !self->Call.BeforeSend())) {
+    self->Stopped = !self->Sent;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  self->Sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+int gsHttpClient::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
+                           void* self, void* /*socketState*/)
+{
+  auto* client = static_cast<gsHttpClient*>(self);
+  if (what == CURL_POLL_REMOVE) {
+    client->Sockets.erase(socket);
+    return 0;
+  }
+  auto found = client->Sockets.find(socket);
+  if (found != client->Sockets.end()) {
+    found->second->Events(ToEvents(what));
+    return 0;
+  }
+  auto ready = [client, socket](int events) {
+    int mask = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
+               ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+    client->Act(socket, mask);
+  };
+  client->Sockets[socket] =
+    std::make_unique<gsIoWatch>(client->Loop, socket, ToEvents(what), ready);
+  return 0;
+}
+
+int gsHttpClient::OnTimer(CURLM* /*multi*/, long timeout, void* self)
+{
+  auto* client = static_cast<gsHttpClient*>(self);
+  if (timeout < 0) {
+    client->Timer.Stop();
+  } else {
+    client->Timer.Once(gsMilliseconds(timeout));
+  }
+  return 0;
+}
+
+void gsHttpClient::Act(curl_socket_t socket, int events)
+{
+  int running = 0;
+  curl_multi_socket_action(this->Multi, socket, events, &running);
+  this->Reap();
+}
+
+void gsHttpClient::Reap()
+{
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(this->Multi, &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      this->Finish(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+void gsHttpClient::Finish(CURL* easy, CURLcode code)
+{
+  char* raw = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &raw);
+  if (raw == nullptr) {
+    return; // Cancelled.
+  }
+  auto found = this->Calls.find(reinterpret_cast<Active*>(raw)->Number);
+  std::unique_ptr<Active> active = std::move(found->second);
+  this->Calls.erase(found);
+
+  gsCallEnd end;
+  end.Status = active->Status;
+  end.Sent = active->Sent;
+  end.Refused = !active->Sent && !active->Stopped;
+  constexpr unsigned noContent = 204;
+  bool framed = active->Framed || active->Status == noContent;
+  end.Whole = code == CURLE_OK && framed;
+  if (code != CURLE_OK) {
+    end.Error = std::string(curl_easy_strerror(code)) + ".";
+  } else if (!framed) {
+    end.Error = "The answer does not say where it ends.";
+  }
+  curl_multi_remove_handle(this->Multi, easy);
+  curl_slist_free_all(active->HeaderList);
+  if (this->Spare.size() < MaxSpare) {
+    curl_easy_reset(easy);
+    this->Spare.push_back(easy);
+  } else {
+    curl_easy_cleanup(easy);
+  }
+  if (active->Call.OnEnd) {
+    active->Call.OnEnd(end);
+  }
+}
+
+std::uint64_t gsFetch(gsHttpClient& client, gsCall call,
+                      std::function<void(gsAnswer const&)> done)
+{
+  auto answer = std::make_shared<gsAnswer>();
+  call.OnHeaders = [answer](unsigned /*status*/, gsHeaders const& headers) {
+    answer->Headers = headers;
+  };
+  call.OnData = [answer](std::string_view bytes) {
+    answer->Body.append(bytes);
+    return true;
+  };
+  call.OnEnd = [answer, done = std::move(done)](gsCallEnd const& end) {
+    answer->End = end;
+    done(*answer);
+  };
+  return client.Start(std::move(call));
+}
--- /dev/null
+++ b/Source/Io/gsHttpClient.h
@@ -0,0 +1,113 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * HTTP client on libcurl's multi interface, driven by the loop. Each call has
+ * a connection of its own that is never used again: an upstream that answers
+ * twice or late can then not reach another caller's answer, and the library
+ * has no reason to send a request a second time by itself.
+ */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <curl/curl.h>
+
+#include "gsHttpServer.h"
+#include "gsLoop.h"
+
+/** How a call ended. */
+struct gsCallEnd
+{
+  bool Whole = false;   ///< The answer came in whole.
+  bool Refused = false; ///< No connection was made; nothing was sent.
+  bool Sent = false;    ///< Bytes of the request may have left.
+  unsigned Status = 0;
+  std::string Error; ///< One sentence; empty when whole.
+};
+
+/** A call to make. */
+struct gsCall
+{
+  std::string Method = "GET";
+  std::string Url;
+  gsHeaders Headers;
+  std::string Body;
+  gsTime ConnectTimeout = gsMilliseconds(1000);
+  gsTime TotalTimeout{}; ///< Zero for none.
+
+  /**
+   * Called when the connection stands and before the first byte is sent; the
+   * call ends unsent when it returns false.
+   */
+  std::function<bool()> BeforeSend;
+  /** Called when all header lines of the answer have come. */
+  std::function<void(unsigned status, gsHeaders const& headers)> OnHeaders;
+  /** Called with parts of the body; false pauses until Unpause. */
+  std::function<bool(std::string_view bytes)> OnData;
+  std::function<void(gsCallEnd const& end)> OnEnd;
+};
+
+/** Runs calls. A call's callbacks come from the loop, never from Start. */
+class gsHttpClient
+{
+public:
+  explicit gsHttpClient(gsLoop& loop);
+  ~gsHttpClient();
+  gsHttpClient(gsHttpClient const&) = delete;
+  gsHttpClient& operator=(gsHttpClient const&) = delete;
+
+  /** Starts a call; the number names it. */
+  std::uint64_t Start(gsCall call);
+  /** Ends a call without further callbacks; its connection is closed. */
+  void Cancel(std::uint64_t call);
+  /** Goes on with a call whose OnData returned false. */
+  void Unpause(std::uint64_t call);
+
+  std::size_t Open() const { return this->Calls.size(); }
+
+private:
+  struct Active;
+
+  static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
+                            void* active);
+  static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
+                              void* active);
+  static int OnPrerequest(void* active, char* remote, char* local, int rport,
+                          int lport);
+  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* self,
+                      void* socketState);
+  static int OnTimer(CURLM* multi, long timeout, void* self);
+
+  void Act(curl_socket_t socket, int events);
+  void Reap();
+  void Finish(CURL* easy, CURLcode code);
+  CURL* TakeHandle();
+  void SetUp(CURL* easy, Active& active);
+
+  gsLoop& Loop;
+  CURLM* Multi;
+  gsTimer Timer;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Active>> Calls;
+  std::map<curl_socket_t, std::unique_ptr<gsIoWatch>> Sockets;
+  std::vector<CURL*> Spare; ///< Handles to be used again, reset.
+  std::uint64_t Next = 1;
+};
+
+/** A whole answer, for calls that are not streamed. */
+struct gsAnswer
+{
+  gsCallEnd End;
+  gsHeaders Headers;
+  std::string Body;
+};
+
+/** Makes a call and gathers the whole answer. */
+std::uint64_t gsFetch(gsHttpClient& client, gsCall call,
+                      std::function<void(gsAnswer const&)> done);
--- /dev/null
+++ b/Source/Io/gsHttpServer.cxx
@@ -0,0 +1,475 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsHttpServer.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <tuple>
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr std::size_t StreamBlock = 8192;
+constexpr std::size_t CompactAbove = 65536;
+constexpr int Backlog = 1024;
+constexpr gsTime SweepPeriod = gsSeconds(1);
+
+ssize_t ReadStream(void* context, std::uint64_t /*position*/, char* buffer,
+                   std::size_t size);
+
+} // namespace
+
+gsResult<std::pair<std::string, std::uint16_t>> gsSplitAddress(
+  std::string_view address)
+{
+  std::size_t colon = address.rfind(':');
+  std::uint16_t port = 0;
+  bool good = colon != std::string_view::npos;
+  if (good) {
+    char const* end = address.data() + address.size();
+    auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    good = parsed.ec == std::errc() && parsed.ptr == end;
+  }
+  std::string host(address.substr(0, good ? colon : 0));
+  in_addr ignored{};
+  if (!good || inet_pton(AF_INET, host.c_str(), &ignored) != 1) {
+    return gsError{ "bad_address",
+                    "'" + std::string(address) +
+                      "' is not an address; expected IP:port, such as "
+                      "127.0.0.1:8080.",
+                    "address", std::string(address) };
+  }
+  return std::make_pair(std::move(host), port);
+}
+
+gsHttpExchange::gsHttpExchange(gsHttpServer& server,
+                               MHD_Connection* connection)
+  : Server(&server)
+  , Connection(connection)
+{
+}
+
+gsHttpExchange::~gsHttpExchange()
+{
+  if (this->Response != nullptr) {
+    MHD_destroy_response(this->Response);
+  }
+}
+
+std::string_view gsHttpExchange::Header(char const* name) const
+{
+  if (this->Connection == nullptr) {
+    return {};
+  }
+  char const* value =
+    MHD_lookup_connection_value(this->Connection, MHD_HEADER_KIND, name);
+  return value == nullptr ? std::string_view() : std::string_view(value);
+}
+
+std::string_view gsHttpExchange::Query(char const* name) const
+{
+  if (this->Connection == nullptr) {
+    return {};
+  }
+  char const* value =
+    MHD_lookup_connection_value(this->Connection, MHD_GET_ARGUMENT_KIND, name);
+  return value == nullptr ? std::string_view() : std::string_view(value);
+}
+
+void gsHttpExchange::SetResponse(unsigned status, gsHeaders const& headers,
+                                 MHD_Response* response)
+{
+  this->Response = response;
+  this->Status = status;
+  for (auto const& [name, value] : headers) {
+    MHD_add_response_header(response, name.c_str(), value.c_str());
+  }
+  if (this->Server->Closing) {
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
+  this->Resume();
+}
+
+void gsHttpExchange::Respond(unsigned status, gsHeaders const& headers,
+                             std::string body)
+{
+  if (this->Response != nullptr || this->Connection == nullptr) {
+    return;
+  }
+  this->At = Phase::Ended;
+  this->SetResponse(status, headers,
+                    MHD_create_response_from_buffer(body.size(), body.data(),
+                                                    MHD_RESPMEM_MUST_COPY));
+}
+
+void gsHttpExchange::BeginStream(unsigned status, gsHeaders const& headers)
+{
+  if (this->Response != nullptr || this->Connection == nullptr) {
+    return;
+  }
+  this->At = Phase::Streaming;
+  this->SetResponse(status, headers,
+                    MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
+                                                      StreamBlock, &ReadStream,
+                                                      this, nullptr));
+}
+
+void gsHttpExchange::Write(std::string_view bytes)
+{
+  if (this->Connection == nullptr || this->At != Phase::Streaming) {
+    return;
+  }
+  this->Buffer.append(bytes);
+  this->Resume();
+}
+
+void gsHttpExchange::End()
+{
+  if (this->At == Phase::Streaming) {
+    this->At = Phase::Ended;
+    this->Resume();
+  }
+}
+
+void gsHttpExchange::Abort()
+{
+  if (this->At == Phase::Streaming) {
+    this->At = Phase::Aborted;
+    this->Resume();
+  }
+}
+
+void gsHttpExchange::Resume()
+{
+  if (this->Connection != nullptr && this->Suspended) {
+    this->Suspended = false;
+    MHD_resume_connection(this->Connection);
+    this->Server->RunSoon();
+  }
+}
+
+/** A suspended connection is not read by the library: look for its end. */
+void gsHttpExchange::WatchCaller()
+{
+  auto const* info = MHD_get_connection_info(
+    this->Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  int descriptor = info->connect_fd;
+  auto check = [this, descriptor](int /*events*/) {
+    char byte = 0;
+    ssize_t count = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+      this->Watch->Events(0); // The next request; its end can wait.
+      return;
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      return;
+    }
+    this->Watch->Events(0);
+    std::shared_ptr<gsHttpExchange> self = this->shared_from_this();
+    shutdown(descriptor, SHUT_RDWR);
+    if (this->At == Phase::Streaming || this->At == Phase::Handling) {
+      this->At = Phase::Aborted;
+    }
+    if (this->OnGone) {
+      std::exchange(this->OnGone, nullptr)();
+    }
+    this->Resume();
+  };
+  this->Watch = std::make_unique<gsIoWatch>(this->Server->Loop, descriptor,
+                                            EV_READ, check);
+}
+
+std::ptrdiff_t gsHttpExchange::StreamInto(char* buffer, std::size_t size)
+{
+  std::size_t ready = this->Buffer.size() - this->Read;
+  if (ready > 0) {
+    std::size_t count = std::min(ready, size);
+    std::memcpy(buffer, this->Buffer.data() + this->Read, count);
+    this->Read += count;
+    if (this->Read == this->Buffer.size()) {
+      this->Buffer.clear();
+      this->Read = 0;
+      if (this->OnDrained) {
+        this->Server->Loop.Defer([self = this->shared_from_this()] {
+          if (self->OnDrained && !self->Gone()) {
+            self->OnDrained();
+          }
+        });
+      }
+    } else if (this->Read > CompactAbove) {
+      this->Buffer.erase(0, this->Read);
+      this->Read = 0;
+    }
+    return static_cast<std::ptrdiff_t>(count);
+  }
+  if (this->At == Phase::Ended) {
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  }
+  if (this->At == Phase::Aborted) {
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  }
+  this->Suspended = true;
+  MHD_suspend_connection(this->Connection);
+  return 0;
+}
+
+namespace {
+
+ssize_t ReadStream(void* context, std::uint64_t /*position*/, char* buffer,
+                   std::size_t size)
+{
+  return static_cast<gsHttpExchange*>(context)->StreamInto(buffer, size);
+}
+
+} // namespace
+
+gsHttpServer::gsHttpServer(gsLoop& loop, gsHttpServerSettings settings,
+                           Handler handler)
+  : Loop(loop)
+  , Settings(std::move(settings))
+  , Handle(std::move(handler))
+{
+}
+
+gsResult<int> gsHttpServer::Listen()
+{
+  gsResult<std::pair<std::string, std::uint16_t>> split =
+    gsSplitAddress(this->Settings.Address);
+  if (!split) {
+    return split.error();
+  }
+  auto fail = [this](char const* what) {
+    return gsError{ "listen_failed",
+                    std::string(what) + " " + this->Settings.Address + ": " +
+                      std::strerror(errno) + ".",
+                    "listen", this->Settings.Address };
+  };
+  int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return fail("No socket for");
+  }
+  this->Listener = descriptor;
+  int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(split.value().second);
+  inet_pton(AF_INET, split.value().first.c_str(), &address.sin_addr);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (bind(descriptor, generic, sizeof(address)) != 0 ||
+      listen(descriptor, Backlog) != 0) {
+    return fail("Could not listen on");
+  }
+  socklen_t length = sizeof(address);
+  getsockname(descriptor, generic, &length);
+  this->BoundPort = ntohs(address.sin_port);
+  return descriptor;
+}
+
+gsResult<std::unique_ptr<gsHttpServer>> gsHttpServer::Start(
+  gsLoop& loop, gsHttpServerSettings settings, Handler handler)
+{
+  std::unique_ptr<gsHttpServer> server(
+    new gsHttpServer(loop, std::move(settings), std::move(handler)));
+  gsResult<int> listener = server->Listen();
+  if (!listener) {
+    return listener.error();
+  }
+  auto access = [](void* self, MHD_Connection* connection, char const* url,
+                   char const* method, char const* /*version*/,
+                   char const* data, std::size_t* size, void** context) {
+    return static_cast<MHD_Result>(static_cast<gsHttpServer*>(self)->OnRequest(
+      connection, url, method, data, size, context));
+  };
+  auto completed = [](void* self, MHD_Connection* /*connection*/,
+                      void** context, MHD_RequestTerminationCode /*how*/) {
+    static_cast<gsHttpServer*>(self)->OnCompleted(context);
+  };
+  auto connected = [](void* self, MHD_Connection* connection,
+                      void** /*context*/, MHD_ConnectionNotificationCode how) {
+    auto* that = static_cast<gsHttpServer*>(self);
+    if (how == MHD_CONNECTION_NOTIFY_STARTED) {
+      auto const* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      that->Links[connection] = { gsLoop::Now(), info->connect_fd, false };
+    } else {
+      that->Links.erase(connection);
+    }
+  };
+  gsHttpServerSettings const& chosen = server->Settings;
+  server->Daemon = MHD_start_daemon(
+    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, +access,
+    server.get(), MHD_OPTION_LISTEN_SOCKET, listener.value(),
+    MHD_OPTION_NOTIFY_COMPLETED,
+    static_cast<MHD_RequestCompletedCallback>(+completed), server.get(),
+    MHD_OPTION_NOTIFY_CONNECTION,
+    static_cast<MHD_NotifyConnectionCallback>(+connected), server.get(),
+    MHD_OPTION_CONNECTION_LIMIT, chosen.MaxConnections,
+    MHD_OPTION_PER_IP_CONNECTION_LIMIT, chosen.MaxConnectionsPerIp,
+    MHD_OPTION_CONNECTION_MEMORY_LIMIT, chosen.MaxHeader, MHD_OPTION_END);
+  if (server->Daemon == nullptr) {
+    return gsError{ "listen_failed",
+                    "The HTTP server on " + chosen.Address + " did not start.",
+                    "listen", chosen.Address };
+  }
+  auto const* info =
+    MHD_get_daemon_info(server->Daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  gsHttpServer* self = server.get();
+  server->Watch = std::make_unique<gsIoWatch>(
+    loop, info->epoll_fd, EV_READ, [self](int /*events*/) { self->Run(); });
+  server->Timer = std::make_unique<gsTimer>(loop, [self] { self->Run(); });
+  server->Sweep = std::make_unique<gsTimer>(loop, [self] { self->CutSlow(); });
+  server->Sweep->Every(SweepPeriod);
+  return server;
+}
+
+gsHttpServer::~gsHttpServer()
+{
+  *this->Alive = false;
+  if (this->Daemon != nullptr) {
+    MHD_stop_daemon(this->Daemon);
+  }
+}
+
+void gsHttpServer::Quiesce()
+{
+  MHD_quiesce_daemon(this->Daemon);
+  if (this->Listener >= 0) {
+    close(this->Listener);
+    this->Listener = -1;
+  }
+}
+
+void gsHttpServer::RunSoon()
+{
+  if (this->Scheduled) {
+    return;
+  }
+  this->Scheduled = true;
+  this->Loop.Defer([this, alive = this->Alive] {
+    if (*alive) {
+      this->Run();
+    }
+  });
+}
+
+void gsHttpServer::Run()
+{
+  this->Scheduled = false;
+  MHD_run(this->Daemon);
+  MHD_UNSIGNED_LONG_LONG timeout = 0;
+  if (MHD_get_timeout(this->Daemon, &timeout) != MHD_YES) {
+    this->Timer->Stop();
+  } else if (timeout == 0) {
+    this->RunSoon();
+  } else {
+    this->Timer->Once(gsMilliseconds(timeout));
+  }
+}
+
+/** Cuts connections whose request is too long in coming. */
+void gsHttpServer::CutSlow()
+{
+  gsTime now = gsLoop::Now();
+  for (auto& [connection, link] : this->Links) {
+    if (!link.Busy && now - link.Since > this->Settings.ReceiveTimeout) {
+      shutdown(link.Descriptor, SHUT_RDWR);
+    }
+  }
+}
+
+std::string gsHttpServer::PeerOf(MHD_Connection* connection)
+{
+  auto const* info =
+    MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  auto const* address =
+    reinterpret_cast<sockaddr_in const*>(info->client_addr);
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &address->sin_addr, text, sizeof(text));
+  return std::string(text) + ':' + std::to_string(ntohs(address->sin_port));
+}
+
+int gsHttpServer::OnRequest(MHD_Connection* connection, char const* url,
+                            char const* method, char const* data,
+                            std::size_t* size, void** context)
+{
+  if (*context == nullptr) {
+    auto* held = new std::shared_ptr<gsHttpExchange>(
+      std::make_shared<gsHttpExchange>(*this, connection));
+    (*held)->Method = method;
+    (*held)->Path = url;
+    *context = held;
+    ++this->Exchanges;
+    return MHD_YES;
+  }
+  auto& exchange = *static_cast<std::shared_ptr<gsHttpExchange>*>(*context);
+  if (*size > 0) {
+    bool fits = exchange->Body.size() + *size <= this->Settings.MaxBody;
+    if (!fits) {
+      exchange->TooLarge = true;
+      exchange->Body.clear();
+    } else if (!exchange->TooLarge) {
+      exchange->Body.append(data, *size);
+    }
+    *size = 0;
+    return MHD_YES;
+  }
+  if (exchange->At == gsHttpExchange::Phase::Receiving) {
+    exchange->At = gsHttpExchange::Phase::Handling;
+    exchange->Peer = PeerOf(connection);
+    this->Links[connection].Busy = true;
+    exchange->WatchCaller();
+    std::shared_ptr<gsHttpExchange> keep = exchange;
+    this->Handle(keep);
+  }
+  if (exchange->Response != nullptr) {
+    if (exchange->Queued) {
+      return MHD_YES;
+    }
+    exchange->Queued = true;
+    return MHD_queue_response(connection, exchange->Status,
+                              exchange->Response);
+  }
+  if (exchange->At == gsHttpExchange::Phase::Aborted) {
+    return MHD_NO;
+  }
+  exchange->Suspended = true;
+  MHD_suspend_connection(connection);
+  return MHD_YES;
+}
+
+void gsHttpServer::OnCompleted(void** context)
+{
+  if (*context == nullptr) {
+    return;
+  }
+  auto* held = static_cast<std::shared_ptr<gsHttpExchange>*>(*context);
+  *context = nullptr;
+  std::shared_ptr<gsHttpExchange> exchange = std::move(*held);
+  delete held;
+  --this->Exchanges;
+  auto link = this->Links.find(exchange->Connection);
+  if (link != this->Links.end()) {
+    link->second.Busy = false;
+    link->second.Since = gsLoop::Now();
+  }
+  exchange->Watch.reset();
+  exchange->Connection = nullptr;
+  bool whole =
+    exchange->At == gsHttpExchange::Phase::Ended && exchange->Buffered() == 0;
+  if (!whole && exchange->OnGone) {
+    // Not from within the library's own processing.
+    this->Loop.Defer([exchange] {
+      if (exchange->OnGone) {
+        std::exchange(exchange->OnGone, nullptr)();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/Source/Io/gsHttpServer.h
@@ -0,0 +1,171 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * HTTP server on libmicrohttpd, driven by the loop through its external epoll
+ * descriptor. Each request becomes an exchange that is answered whole or as a
+ * stream, at once or later.
+ */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gsLoop.h"
+
+struct MHD_Connection;
+struct MHD_Daemon;
+struct MHD_Response;
+
+using gsHeaders = std::vector<std::pair<std::string, std::string>>;
+
+struct gsHttpServerSettings
+{
+  std::string Address;                ///< IP:port; port 0 takes a free one.
+  std::size_t MaxBody = 1U << 20U;    ///< Bytes.
+  std::size_t MaxHeader = 16U << 10U; ///< Bytes a connection.
+  std::uint32_t MaxConnections = 4096;
+  std::uint32_t MaxConnectionsPerIp = 4096;
+  /** A request must have come in whole within this time. */
+  gsTime ReceiveTimeout = gsSeconds(30);
+};
+
+class gsHttpServer;
+
+/** One request and its answer. */
+class gsHttpExchange : public std::enable_shared_from_this<gsHttpExchange>
+{
+public:
+  std::string Method;
+  std::string Path;
+  std::string Body;
+  std::string Peer; ///< IP:port of the caller.
+  /** Set when the body was over the limit; it has been dropped. */
+  bool TooLarge = false;
+
+  /** Called once if the caller leaves before the answer is complete. */
+  std::function<void()> OnGone;
+  /** Called when a stream's buffer has been handed to the socket. */
+  std::function<void()> OnDrained;
+
+  gsHttpExchange(gsHttpServer& server, MHD_Connection* connection);
+  ~gsHttpExchange();
+  gsHttpExchange(gsHttpExchange const&) = delete;
+  gsHttpExchange& operator=(gsHttpExchange const&) = delete;
+
+  /** A request header's value; empty when there is none. */
+  std::string_view Header(char const* name) const;
+  /** A query parameter's value; empty when there is none. */
+  std::string_view Query(char const* name) const;
+
+  /** Answers as a whole. Later calls are ignored. */
+  void Respond(unsigned status, gsHeaders const& headers, std::string body);
+  /** Begins an answer of unknown length. */
+  void BeginStream(unsigned status, gsHeaders const& headers);
+  void Write(std::string_view bytes);
+  /** Ends a stream as complete. */
+  void End();
+  /** Cuts a stream, so that the caller sees that it is not complete. */
+  void Abort();
+
+  bool Began() const { return this->Response != nullptr; }
+  bool Gone() const { return this->Connection == nullptr; }
+  /** Bytes written and not yet handed to the socket. */
+  std::size_t Buffered() const { return this->Buffer.size() - this->Read; }
+
+  /** For the library's reader callback only. */
+  std::ptrdiff_t StreamInto(char* buffer, std::size_t size);
+
+private:
+  friend class gsHttpServer;
+  enum class Phase
+  {
+    Receiving,
+    Handling,
+    Streaming,
+    Ended,
+    Aborted
+  };
+
+  void SetResponse(unsigned status, gsHeaders const& headers,
+                   MHD_Response* response);
+  void Resume();
+  void WatchCaller();
+
+  gsHttpServer* Server;
+  MHD_Connection* Connection;
+  MHD_Response* Response = nullptr;
+  unsigned Status = 0;
+  Phase At = Phase::Receiving;
+  bool Suspended = false;
+  bool Queued = false;
+  std::string Buffer;
+  std::size_t Read = 0;
+  std::unique_ptr<gsIoWatch> Watch;
+};
+
+/** A listening server. */
+class gsHttpServer
+{
+public:
+  using Handler = std::function<void(std::shared_ptr<gsHttpExchange> const&)>;
+
+  static gsResult<std::unique_ptr<gsHttpServer>> Start(
+    gsLoop& loop, gsHttpServerSettings settings, Handler handler);
+  ~gsHttpServer();
+  gsHttpServer(gsHttpServer const&) = delete;
+  gsHttpServer& operator=(gsHttpServer const&) = delete;
+
+  /** Accepts no more connections; those that are open go on. */
+  void Quiesce();
+  /** Requests that have not been answered whole yet. */
+  std::size_t OpenExchanges() const { return this->Exchanges; }
+  /** Whether answers tell callers to close the connection. */
+  void CloseAfterAnswers(bool close) { this->Closing = close; }
+  std::uint16_t Port() const { return this->BoundPort; }
+
+private:
+  friend class gsHttpExchange;
+  struct Link
+  {
+    gsTime Since{}; ///< When the connection, or its last answer, ended.
+    int Descriptor = -1;
+    bool Busy = false;
+  };
+
+  gsHttpServer(gsLoop& loop, gsHttpServerSettings settings, Handler handler);
+  gsResult<int> Listen();
+  void RunSoon();
+  void Run();
+  void CutSlow();
+  int OnRequest(MHD_Connection* connection, char const* url,
+                char const* method, char const* data, std::size_t* size,
+                void** context);
+  void OnCompleted(void** context);
+  static std::string PeerOf(MHD_Connection* connection);
+
+  gsLoop& Loop;
+  gsHttpServerSettings Settings;
+  Handler Handle;
+  MHD_Daemon* Daemon = nullptr;
+  int Listener = -1;
+  std::uint16_t BoundPort = 0;
+  std::unique_ptr<gsIoWatch> Watch;
+  std::unique_ptr<gsTimer> Timer;
+  std::unique_ptr<gsTimer> Sweep;
+  std::map<MHD_Connection*, Link> Links;
+  bool Scheduled = false;
+  bool Closing = false;
+  std::size_t Exchanges = 0;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+/** Splits IP:port; an error names the text. */
+gsResult<std::pair<std::string, std::uint16_t>> gsSplitAddress(
+  std::string_view address);
--- /dev/null
+++ b/Source/Io/gsPeerNet.cxx
@@ -0,0 +1,370 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsPeerNet.h"
+
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include <grpcpp/grpcpp.h>
+#include <openssl/crypto.h>
+
+#include "Generated/gsPeer.grpc.pb.h"
+
+namespace {
+
+using gradescale::Frame;
+
+constexpr char const* TokenKey = "gradescale-token";
+constexpr int ReconnectMs = 100;
+constexpr int ReconnectMaxMs = 1000;
+constexpr int MaxFrameBytes = 64 << 20;
+
+bool SameToken(std::string const& expected, grpc::string_ref given)
+{
+  return expected.size() == given.size() &&
+         CRYPTO_memcmp(expected.data(), given.data(), given.size()) == 0;
+}
+
+/** What both ends of a link share; the stream itself is the subclass's. */
+struct LinkEnd
+{
+  std::uint64_t Number = 0;
+  std::string Address;
+  std::atomic<std::uint64_t>* Sent = nullptr;
+  std::atomic<std::uint64_t>* Received = nullptr;
+  std::function<void(std::uint64_t)> Arrived; ///< Any thread.
+  std::function<void(std::uint64_t)> Ended;   ///< Any thread.
+
+  std::mutex Mutex;
+  Frame Incoming; ///< Owned by the reader until Arrived, then by the loop.
+  // Guarded by Mutex.
+  Frame Writing;
+  bool Busy = false;
+  bool Closed = false;
+  // Used by the loop only.
+  Frame Next;
+  bool Dirty = false;
+
+  LinkEnd() = default;
+  virtual ~LinkEnd() = default;
+  LinkEnd(LinkEnd const&) = delete;
+  LinkEnd& operator=(LinkEnd const&) = delete;
+
+  virtual void BeginRead() = 0;
+  virtual void BeginWrite() = 0;
+  virtual void Close() = 0;
+
+  void Flush()
+  {
+    std::lock_guard<std::mutex> lock(this->Mutex);
+    if (this->Busy || this->Closed) {
+      return;
+    }
+    this->Busy = true;
+    this->Dirty = false;
+    this->Writing.Swap(&this->Next);
+    this->Next.Clear();
+    *this->Sent += this->Writing.ByteSizeLong();
+    this->BeginWrite();
+  }
+
+  void Continue()
+  {
+    std::lock_guard<std::mutex> lock(this->Mutex);
+    if (!this->Closed) {
+      this->BeginRead();
+    }
+  }
+
+  void ReadDone(bool good)
+  {
+    if (good) {
+      *this->Received += this->Incoming.ByteSizeLong();
+      this->Arrived(this->Number);
+      return;
+    }
+    std::lock_guard<std::mutex> lock(this->Mutex);
+    this->CloseLocked();
+  }
+
+  void WriteDone(bool good)
+  {
+    std::lock_guard<std::mutex> lock(this->Mutex);
+    this->Busy = false;
+    if (!good) {
+      this->CloseLocked();
+    }
+  }
+
+  void CloseLocked()
+  {
+    if (!this->Closed) {
+      this->Closed = true;
+      this->Close();
+    }
+  }
+};
+
+/** The end of the host that dialled. */
+struct Dialled final
+  : LinkEnd
+  , grpc::ClientBidiReactor<Frame, Frame>
+{
+  grpc::ClientContext Context;
+  std::shared_ptr<grpc::Channel> Channel;
+  std::unique_ptr<gradescale::Peer::Stub> Stub;
+
+  void Open()
+  {
+    this->Stub->async()->Link(&this->Context, this);
+    this->AddHold();
+    this->StartRead(&this->Incoming);
+    this->StartCall();
+  }
+  void BeginRead() override { this->StartRead(&this->Incoming); }
+  void BeginWrite() override { this->StartWrite(&this->Writing); }
+  void Close() override
+  {
+    this->Context.TryCancel();
+    this->RemoveHold();
+  }
+  void OnReadDone(bool good) override { this->ReadDone(good); }
+  void OnWriteDone(bool good) override { this->WriteDone(good); }
+  void OnDone(grpc::Status const& /*status*/) override
+  {
+    this->Ended(this->Number);
+  }
+};
+
+/** The end of the host that was dialled. */
+struct Accepted final
+  : LinkEnd
+  , grpc::ServerBidiReactor<Frame, Frame>
+{
+  void BeginRead() override { this->StartRead(&this->Incoming); }
+  void BeginWrite() override { this->StartWrite(&this->Writing); }
+  void Close() override { this->Finish(grpc::Status::OK); }
+  void OnReadDone(bool good) override { this->ReadDone(good); }
+  void OnWriteDone(bool good) override { this->WriteDone(good); }
+  void OnCancel() override
+  {
+    std::lock_guard<std::mutex> lock(this->Mutex);
+    this->CloseLocked();
+  }
+  void OnDone() override { this->Ended(this->Number); }
+};
+
+/** Refuses a caller without the token. */
+struct Rejected final : grpc::ServerBidiReactor<Frame, Frame>
+{
+  Rejected()
+  {
+    this->Finish(
+      grpc::Status(grpc::StatusCode::UNAUTHENTICATED, "Wrong peer token."));
+  }
+  void OnDone() override { delete this; }
+};
+
+} // namespace
+
+struct gsPeerNet::Impl final : gradescale::Peer::CallbackService
+{
+  gsLoop& Loop;
+  gsPeerNetSettings Settings;
+  gsPeerNetEvents Events;
+  std::unique_ptr<grpc::Server> Server;
+  std::atomic<std::uint64_t> Next{ 1 };
+  std::atomic<std::uint64_t> Sent{ 0 };
+  std::atomic<std::uint64_t> Received{ 0 };
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  // Used by the loop only.
+  std::unordered_map<std::uint64_t, LinkEnd*> Links;
+  std::unordered_map<std::string, std::uint64_t> ByAddress;
+
+  Impl(gsLoop& loop, gsPeerNetSettings settings, gsPeerNetEvents events)
+    : Loop(loop)
+    , Settings(std::move(settings))
+    , Events(std::move(events))
+  {
+  }
+
+  void SetUp(LinkEnd& link)
+  {
+    link.Number = this->Next++;
+    link.Sent = &this->Sent;
+    link.Received = &this->Received;
+    link.Arrived = [this](std::uint64_t number) {
+      this->Loop.Post([this, number, alive = this->Alive] {
+        if (*alive) {
+          this->Take(number);
+        }
+      });
+    };
+    link.Ended = [this, &link](std::uint64_t number) {
+      this->Loop.Post([this, number, &link, alive = this->Alive] {
+        if (*alive) {
+          this->Drop(number);
+        }
+        delete &link;
+      });
+    };
+  }
+
+  grpc::ServerBidiReactor<Frame, Frame>* Link(
+    grpc::CallbackServerContext* context) override
+  {
+    auto const& metadata = context->client_metadata();
+    auto token = metadata.find(TokenKey);
+    if (token == metadata.end() ||
+        !SameToken(this->Settings.Token, token->second)) {
+      return new Rejected;
+    }
+    auto* link = new Accepted;
+    this->SetUp(*link);
+    link->Address = context->peer();
+    this->Loop.Post([this, link, alive = this->Alive] {
+      if (*alive) {
+        this->Links[link->Number] = link;
+        link->Continue();
+      }
+    });
+    return link;
+  }
+
+  void Take(std::uint64_t number)
+  {
+    auto found = this->Links.find(number);
+    if (found == this->Links.end()) {
+      return;
+    }
+    auto* link = found->second;
+    Frame frame;
+    frame.Swap(&link->Incoming);
+    link->Continue();
+    this->Events.OnFrame(number, frame);
+  }
+
+  void Drop(std::uint64_t number)
+  {
+    auto found = this->Links.find(number);
+    if (found == this->Links.end()) {
+      return;
+    }
+    std::string address = found->second->Address;
+    this->Links.erase(found);
+    auto dialled = this->ByAddress.find(address);
+    if (dialled != this->ByAddress.end() && dialled->second == number) {
+      this->ByAddress.erase(dialled);
+    } else {
+      address.clear();
+    }
+    this->Events.OnDown(number, address);
+  }
+
+  void FlushAll()
+  {
+    for (auto& [number, link] : this->Links) {
+      if (link->Dirty) {
+        link->Flush();
+      }
+    }
+  }
+};
+
+gsPeerNet::gsPeerNet(std::unique_ptr<Impl> impl)
+  : State(std::move(impl))
+{
+}
+
+gsPeerNet::~gsPeerNet()
+{
+  *this->State->Alive = false;
+  for (auto& [number, link] : this->State->Links) {
+    std::lock_guard<std::mutex> lock(link->Mutex);
+    link->CloseLocked();
+  }
+  if (this->State->Server) {
+    constexpr int graceMs = 200;
+    this->State->Server->Shutdown(std::chrono::system_clock::now() +
+                                  std::chrono::milliseconds(graceMs));
+    this->State->Server->Wait();
+  }
+}
+
+gsResult<std::unique_ptr<gsPeerNet>> gsPeerNet::Start(
+  gsLoop& loop, gsPeerNetSettings settings, gsPeerNetEvents events)
+{
+  auto impl =
+    std::make_unique<Impl>(loop, std::move(settings), std::move(events));
+  std::string const& listen = impl->Settings.Listen;
+  if (!listen.empty()) {
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(listen, grpc::InsecureServerCredentials(), &port);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.SetMaxReceiveMessageSize(MaxFrameBytes);
+    builder.RegisterService(impl.get());
+    impl->Server = builder.BuildAndStart();
+    if (impl->Server == nullptr || port == 0) {
+      return gsError{ "listen_failed", "Could not listen on " + listen + ".",
+                      "listen", listen };
+    }
+  }
+  Impl* raw = impl.get();
+  loop.BeforeWait([raw, alive = raw->Alive] {
+    if (*alive) {
+      raw->FlushAll();
+    }
+  });
+  return std::unique_ptr<gsPeerNet>(new gsPeerNet(std::move(impl)));
+}
+
+std::uint64_t gsPeerNet::LinkTo(std::string const& address)
+{
+  auto found = this->State->ByAddress.find(address);
+  if (found != this->State->ByAddress.end()) {
+    return found->second;
+  }
+  auto route = this->State->Settings.Routes.find(address);
+  std::string const& target =
+    route == this->State->Settings.Routes.end() ? address : route->second;
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, ReconnectMs);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, ReconnectMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, ReconnectMaxMs);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  arguments.SetMaxReceiveMessageSize(MaxFrameBytes);
+  auto* link = new Dialled;
+  this->State->SetUp(*link);
+  link->Address = address;
+  link->Channel = grpc::CreateCustomChannel(
+    target, grpc::InsecureChannelCredentials(), arguments);
+  link->Stub = gradescale::Peer::NewStub(link->Channel);
+  link->Context.AddMetadata(TokenKey, this->State->Settings.Token);
+  this->State->Links[link->Number] = link;
+  this->State->ByAddress[address] = link->Number;
+  link->Open();
+  return link->Number;
+}
+
+gradescale::Frame* gsPeerNet::Outgoing(std::uint64_t link)
+{
+  auto found = this->State->Links.find(link);
+  if (found == this->State->Links.end()) {
+    return nullptr;
+  }
+  found->second->Dirty = true;
+  return &found->second->Next;
+}
+
+std::uint64_t gsPeerNet::BytesSent() const
+{
+  return this->State->Sent;
+}
+
+std::uint64_t gsPeerNet::BytesReceived() const
+{
+  return this->State->Received;
+}
--- /dev/null
+++ b/Source/Io/gsPeerNet.h
@@ -0,0 +1,72 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Links between entry hosts: one gRPC stream from each host to each peer that
+ * it needs. Frames to a link are merged while a write is under way. gRPC's
+ * threads hand frames over to the loop; a link reads its next frame only
+ * after the last one has been taken, so that the hand-over is bounded.
+ *
+ * This header and its source file are the only ones that include gRPC.
+ */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gsLoop.h"
+
+namespace gradescale {
+class Frame;
+}
+
+struct gsPeerNetSettings
+{
+  std::string Listen; ///< IP:port.
+  std::string Token;  ///< Shared by all hosts of the system.
+  /** Address to dial in place of the one that a peer announces. */
+  std::map<std::string, std::string> Routes;
+};
+
+/** Calls from the network into the daemon, all on the loop's thread. */
+struct gsPeerNetEvents
+{
+  /** A frame came in on a link; answers go to the same link. */
+  std::function<void(std::uint64_t link, gradescale::Frame const& frame)>
+    OnFrame;
+  /** A link is gone; what was sent on it may be lost. */
+  std::function<void(std::uint64_t link, std::string const& address)> OnDown;
+};
+
+/** All links of one host. */
+class gsPeerNet
+{
+public:
+  static gsResult<std::unique_ptr<gsPeerNet>> Start(gsLoop& loop,
+                                                    gsPeerNetSettings settings,
+                                                    gsPeerNetEvents events);
+  ~gsPeerNet();
+  gsPeerNet(gsPeerNet const&) = delete;
+  gsPeerNet& operator=(gsPeerNet const&) = delete;
+
+  /** The link to a peer's address, opened if there is none. */
+  std::uint64_t LinkTo(std::string const& address);
+
+  /**
+   * The frame that is next to be sent on a link, to be added to; nothing when
+   * the link is gone. It leaves before the loop next waits.
+   */
+  gradescale::Frame* Outgoing(std::uint64_t link);
+
+  /** Bytes of frames sent and received so far. */
+  std::uint64_t BytesSent() const;
+  std::uint64_t BytesReceived() const;
+
+private:
+  struct Impl;
+  explicit gsPeerNet(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> State;
+};
--- /dev/null
+++ b/Source/Io/gsPlatform.cxx
@@ -0,0 +1,243 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsPlatform.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr unsigned StatusOk = 200;
+
+char const* KindWord(gsTableOp::Kind kind)
+{
+  switch (kind) {
+    case gsTableOp::Kind::Insert:
+      return "insert";
+    case gsTableOp::Kind::Get:
+      return "get";
+    case gsTableOp::Kind::Replace:
+      return "replace";
+    case gsTableOp::Kind::Delete:
+      break;
+  }
+  return "delete";
+}
+
+gsResult<gsTableOp::Kind> KindNamed(std::string const& word)
+{
+  for (gsTableOp::Kind kind :
+       { gsTableOp::Kind::Insert, gsTableOp::Kind::Get,
+         gsTableOp::Kind::Replace, gsTableOp::Kind::Delete }) {
+    if (word == KindWord(kind)) {
+      return kind;
+    }
+  }
+  return gsError{
+    "bad_operation", "'" + word + "' is not a table operation.", "table", {}
+  };
+}
+
+gsError BadAnswer(std::string const& what, std::string const& peer)
+{
+  return gsError{ "platform_answer", what, "platform", peer };
+}
+
+gsResult<gsHostList> HostsFromJson(std::string const& text,
+                                   std::string const& peer)
+{
+  Json body = Json::parse(text, nullptr, false);
+  if (!body.is_object() || !body.contains("hosts")) {
+    return BadAnswer("The host list is not as expected.", peer);
+  }
+  gsHostList list;
+  for (Json const& row : body["hosts"]) {
+    gsListedHost host;
+    host.Host = row.value("host", "");
+    host.Hall = row.value("hall", "");
+    host.Address = row.value("address", "");
+    host.Leaving = row.value("leaving", false);
+    list.Hosts.push_back(std::move(host));
+  }
+  for (Json const& name : body.value("leaving_upstreams", Json::array())) {
+    list.LeavingUpstreams.push_back(name.get<std::string>());
+  }
+  return list;
+}
+
+gsError Unreached(gsAnswer const& answer, std::string const& peer)
+{
+  std::string what = answer.End.Whole
+                       ? "The platform answered with status " +
+                           std::to_string(answer.End.Status) + "."
+                       : "The platform gave no answer: " + answer.End.Error;
+  return gsError{ "platform_unavailable", what, "platform", peer };
+}
+
+} // namespace
+
+std::string gsOpsToJson(std::vector<gsTableOp> const& ops)
+{
+  Json list = Json::array();
+  for (gsTableOp const& op : ops) {
+    Json row{ { "op", KindWord(op.What) }, { "key", op.Key } };
+    if (op.What == gsTableOp::Kind::Insert ||
+        op.What == gsTableOp::Kind::Replace) {
+      row["value"] = op.Value;
+    }
+    if (op.What == gsTableOp::Kind::Replace ||
+        op.What == gsTableOp::Kind::Delete) {
+      row["expected"] = op.Expected;
+    }
+    list.push_back(std::move(row));
+  }
+  return Json{ { "ops", std::move(list) } }.dump();
+}
+
+gsResult<std::vector<gsTableOp>> gsOpsFromJson(std::string_view text)
+{
+  Json body = Json::parse(text, nullptr, false);
+  if (!body.is_object() || !body.contains("ops")) {
+    return gsError{
+      "bad_request", "Expected an object with 'ops'.", "table", {}
+    };
+  }
+  std::vector<gsTableOp> ops;
+  for (Json const& row : body["ops"]) {
+    gsResult<gsTableOp::Kind> kind = KindNamed(row.value("op", ""));
+    if (!kind) {
+      return kind.error();
+    }
+    ops.push_back({ kind.value(), row.value("key", ""), row.value("value", ""),
+                    row.value("expected", "") });
+  }
+  return ops;
+}
+
+std::string gsResultsToJson(std::vector<gsTableResult> const& results)
+{
+  Json list = Json::array();
+  for (gsTableResult const& result : results) {
+    Json row{ { "done", result.Done } };
+    if (result.Current) {
+      row["current"] = *result.Current;
+    }
+    list.push_back(std::move(row));
+  }
+  return Json{ { "results", std::move(list) } }.dump();
+}
+
+gsResult<std::vector<gsTableResult>> gsResultsFromJson(std::string_view text)
+{
+  Json body = Json::parse(text, nullptr, false);
+  if (!body.is_object() || !body.contains("results")) {
+    return BadAnswer("The results are not as expected.", {});
+  }
+  std::vector<gsTableResult> results;
+  for (Json const& row : body["results"]) {
+    gsTableResult result;
+    result.Done = row.value("done", false);
+    if (row.contains("current")) {
+      result.Current = row["current"].get<std::string>();
+    }
+    results.push_back(std::move(result));
+  }
+  return results;
+}
+
+gsPlatform gsMakeHttpPlatform(gsHttpClient& client,
+                              gsHttpPlatformSettings settings)
+{
+  gsPlatform platform;
+  auto make = [settings](char const* method, char const* path) {
+    gsCall call;
+    call.Method = method;
+    call.Url = "http://" + settings.Address + path;
+    call.Headers = { { "Authorization", "Bearer " + settings.Token },
+                     { "Content-Type", "application/json" } };
+    call.TotalTimeout = settings.Timeout;
+    return call;
+  };
+  std::string peer = settings.Address;
+  platform.Transact = [&client, make, peer](
+                        std::vector<gsTableOp> const& ops,
+                        std::function<void(gsPlatform::Results const&)> done) {
+    gsCall call = make("POST", "/table");
+    call.Body = gsOpsToJson(ops);
+    std::size_t count = ops.size();
+    gsFetch(client, std::move(call),
+            [done = std::move(done), peer, count](gsAnswer const& answer) {
+              if (!answer.End.Whole || answer.End.Status != StatusOk) {
+                done(Unreached(answer, peer));
+                return;
+              }
+              gsPlatform::Results results = gsResultsFromJson(answer.Body);
+              if (results && results.value().size() != count) {
+                done(BadAnswer("The number of results is wrong.", peer));
+                return;
+              }
+              done(results);
+            });
+  };
+  platform.ListHosts =
+    [&client, make,
+     peer](std::function<void(gsResult<gsHostList> const&)> done) {
+      gsFetch(client, make("GET", "/hosts"),
+              [done = std::move(done), peer](gsAnswer const& answer) {
+                if (!answer.End.Whole || answer.End.Status != StatusOk) {
+                  done(Unreached(answer, peer));
+                  return;
+                }
+                done(HostsFromJson(answer.Body, peer));
+              });
+    };
+  return platform;
+}
+
+std::vector<gsTableResult> gsApplyToTable(
+  std::map<std::string, std::string>& table, std::vector<gsTableOp> const& ops)
+{
+  std::vector<gsTableResult> results;
+  for (gsTableOp const& op : ops) {
+    gsTableResult result;
+    auto row = table.find(op.Key);
+    bool matches = row != table.end() && row->second == op.Expected;
+    if (op.What == gsTableOp::Kind::Insert && row == table.end()) {
+      table[op.Key] = op.Value;
+      result.Done = true;
+    } else if (op.What == gsTableOp::Kind::Replace && matches) {
+      row->second = op.Value;
+      result.Done = true;
+    } else if (op.What == gsTableOp::Kind::Delete && matches) {
+      table.erase(row);
+      result.Done = true;
+    }
+    row = table.find(op.Key);
+    if (row != table.end()) {
+      result.Current = row->second;
+    }
+    results.push_back(std::move(result));
+  }
+  return results;
+}
+
+gsPlatform gsMakeMemoryPlatform(gsLoop& loop)
+{
+  auto table = std::make_shared<std::map<std::string, std::string>>();
+  gsPlatform platform;
+  platform.Transact =
+    [&loop, table](std::vector<gsTableOp> const& ops,
+                   std::function<void(gsPlatform::Results const&)> done) {
+      std::vector<gsTableResult> results = gsApplyToTable(*table, ops);
+      loop.Defer([done = std::move(done), results = std::move(results)] {
+        done(results);
+      });
+    };
+  platform.ListHosts =
+    [&loop](std::function<void(gsResult<gsHostList> const&)> done) {
+      loop.Defer([done = std::move(done)] { done(gsHostList{}); });
+    };
+  return platform;
+}
--- /dev/null
+++ b/Tests/StandIns/gsStandInProxy.cxx
@@ -0,0 +1,354 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * TCP proxy that injects faults. It carries any number of links, each from a
+ * port of its own to a target. POST /control takes
+ *   {"links": ["NAME" or "PREFIX*", ...],
+ *    "mode": "pass" | "cut" | "hole", "delay_ms": N, "break_after": N}.
+ * cut closes what is open and refuses what is new; hole keeps connections and
+ * carries nothing; break_after closes the next connection that has carried so
+ * many bytes towards the target.
+ */
+#include <cstring>
+#include <deque>
+#include <fstream>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "gsStandIn.h"
+
+namespace {
+
+constexpr std::size_t ChunkSize = 65536;
+
+sockaddr_in AddressOf(std::string const& text)
+{
+  auto split = gsSplitAddress(text);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(split.value().second);
+  inet_pton(AF_INET, split.value().first.c_str(), &address.sin_addr);
+  return address;
+}
+
+int NewSocket()
+{
+  int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  return descriptor;
+}
+
+struct Link;
+
+/** Bytes on their way from one socket to the other. */
+struct Direction
+{
+  std::deque<std::pair<gsTime, std::string>> Chunks;
+  std::size_t Offset = 0; ///< Of the first chunk, already written.
+  bool Ended = false;     ///< The source has no more.
+  bool Closed = false;    ///< The end has been passed on.
+};
+
+struct Connection
+{
+  gsLoop& Loop;
+  Link& Owner;
+  int Sockets[2] = { -1, -1 }; ///< Caller's and target's.
+  std::unique_ptr<gsIoWatch> Watches[2];
+  Direction Ways[2]; ///< 0: towards the target.
+  std::unique_ptr<gsTimer> Timer;
+  std::size_t Carried = 0; ///< Bytes towards the target.
+  bool Dead = false;
+
+  Connection(gsLoop& loop, Link& owner, int caller, int target);
+  ~Connection();
+  Connection(Connection const&) = delete;
+  Connection& operator=(Connection const&) = delete;
+  void Update();
+  void OnReady(int side, int events);
+  void ReadFrom(int side);
+  void WriteTo(int side);
+  void Kill();
+};
+
+struct Link
+{
+  gsLoop& Loop;
+  std::string Name;
+  std::string Target;
+  std::string Mode = "pass";
+  gsTime Delay{};
+  std::size_t BreakAfter = 0;
+  int Listener = -1;
+  std::unique_ptr<gsIoWatch> Watch;
+  std::list<std::unique_ptr<Connection>> Connections;
+
+  Link(gsLoop& loop, std::string name, std::string const& listenAt,
+       std::string target);
+  void Accept();
+  void Apply(gsJson const& control);
+  void Reap();
+};
+
+Connection::Connection(gsLoop& loop, Link& owner, int caller, int target)
+  : Loop(loop)
+  , Owner(owner)
+{
+  this->Sockets[0] = caller;
+  this->Sockets[1] = target;
+  for (int side = 0; side < 2; ++side) {
+    this->Watches[side] = std::make_unique<gsIoWatch>(
+      loop, this->Sockets[side], EV_READ,
+      [this, side](int events) { this->OnReady(side, events); });
+  }
+  this->Timer = std::make_unique<gsTimer>(loop, [this] { this->Update(); });
+}
+
+Connection::~Connection()
+{
+  for (int side = 0; side < 2; ++side) {
+    this->Watches[side].reset();
+    close(this->Sockets[side]);
+  }
+}
+
+void Connection::Kill()
+{
+  if (this->Dead) {
+    return;
+  }
+  this->Dead = true;
+  for (int side = 0; side < 2; ++side) {
+    this->Watches[side]->Events(0);
+    linger hard{ 1, 0 };
+    setsockopt(this->Sockets[side], SOL_SOCKET, SO_LINGER, &hard,
+               sizeof(hard));
+    shutdown(this->Sockets[side], SHUT_RDWR);
+  }
+  this->Loop.Defer([link = &this->Owner] { link->Reap(); });
+}
+
+void Connection::OnReady(int side, int events)
+{
+  if ((events & EV_READ) != 0) {
+    this->ReadFrom(side);
+  }
+  if (!this->Dead) {
+    this->Update();
+  }
+}
+
+void Connection::ReadFrom(int side)
+{
+  std::string chunk(ChunkSize, '\0');
+  ssize_t count = recv(this->Sockets[side], chunk.data(), chunk.size(), 0);
+  if (count < 0 && (errno == EAGAIN || errno == ENOTCONN)) {
+    return;
+  }
+  if (count < 0) {
+    this->Kill();
+    return;
+  }
+  if (count == 0) {
+    this->Ways[side].Ended = true;
+    return;
+  }
+  chunk.resize(static_cast<std::size_t>(count));
+  if (side == 0) {
+    this->Carried += chunk.size();
+  }
+  this->Ways[side].Chunks.emplace_back(gsLoop::Now() + this->Owner.Delay,
+                                       std::move(chunk));
+}
+
+void Connection::WriteTo(int side)
+{
+  Direction& way = this->Ways[1 - side];
+  gsTime now = gsLoop::Now();
+  while (!way.Chunks.empty() && way.Chunks.front().first <= now) {
+    std::string const& chunk = way.Chunks.front().second;
+    ssize_t count = send(this->Sockets[side], chunk.data() + way.Offset,
+                         chunk.size() - way.Offset, MSG_NOSIGNAL);
+    if (count < 0) {
+      if (errno != EAGAIN && errno != ENOTCONN) {
+        this->Kill();
+      }
+      return;
+    }
+    way.Offset += static_cast<std::size_t>(count);
+    if (way.Offset == chunk.size()) {
+      way.Chunks.pop_front();
+      way.Offset = 0;
+    }
+  }
+  if (way.Chunks.empty() && way.Ended && !way.Closed) {
+    way.Closed = true;
+    shutdown(this->Sockets[side], SHUT_WR);
+  }
+}
+
+void Connection::Update()
+{
+  if (this->Owner.Mode == "hole") {
+    this->Watches[0]->Events(0);
+    this->Watches[1]->Events(0);
+    return;
+  }
+  std::size_t& limit = this->Owner.BreakAfter;
+  if (limit > 0 && this->Carried >= limit) {
+    this->WriteTo(1);
+    limit = 0;
+    this->Kill();
+    return;
+  }
+  gsTime now = gsLoop::Now();
+  for (int side = 0; side < 2 && !this->Dead; ++side) {
+    this->WriteTo(side);
+  }
+  if (this->Dead) {
+    return;
+  }
+  if (this->Ways[0].Closed && this->Ways[1].Closed) {
+    this->Kill();
+    return;
+  }
+  gsTime next{};
+  for (int side = 0; side < 2; ++side) {
+    Direction const& out = this->Ways[1 - side];
+    int events = this->Ways[side].Ended ? 0 : EV_READ;
+    if (!out.Chunks.empty()) {
+      if (out.Chunks.front().first <= now) {
+        events |= EV_WRITE;
+      } else if (next.count() == 0 || out.Chunks.front().first < next) {
+        next = out.Chunks.front().first;
+      }
+    }
+    this->Watches[side]->Events(events);
+  }
+  if (next.count() > 0) {
+    this->Timer->Once(next - now);
+  }
+}
+
+Link::Link(gsLoop& loop, std::string name, std::string const& listenAt,
+           std::string target)
+  : Loop(loop)
+  , Name(std::move(name))
+  , Target(std::move(target))
+{
+  this->Listener = NewSocket();
+  sockaddr_in address = AddressOf(listenAt);
+  if (bind(this->Listener, reinterpret_cast<sockaddr*>(&address),
+           sizeof(address)) != 0 ||
+      listen(this->Listener, SOMAXCONN) != 0) {
+    std::cerr << "Could not listen on " << listenAt << ".\n";
+    std::exit(1);
+  }
+  this->Watch = std::make_unique<gsIoWatch>(loop, this->Listener, EV_READ,
+                                            [this](int) { this->Accept(); });
+}
+
+void Link::Accept()
+{
+  int caller =
+    accept4(this->Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (caller < 0) {
+    return;
+  }
+  if (this->Mode == "cut") {
+    linger hard{ 1, 0 };
+    setsockopt(caller, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    close(caller);
+    return;
+  }
+  int on = 1;
+  setsockopt(caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  int target = NewSocket();
+  sockaddr_in address = AddressOf(this->Target);
+  connect(target, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  this->Connections.push_back(
+    std::make_unique<Connection>(this->Loop, *this, caller, target));
+}
+
+void Link::Apply(gsJson const& control)
+{
+  this->Mode = control.value("mode", this->Mode);
+  this->Delay =
+    gsMilliseconds(control.value("delay_ms", this->Delay.count() / 1000));
+  this->BreakAfter = control.value("break_after", this->BreakAfter);
+  for (auto& connection : this->Connections) {
+    if (this->Mode == "cut") {
+      connection->Kill();
+    } else if (!connection->Dead) {
+      connection->Update();
+    }
+  }
+}
+
+void Link::Reap()
+{
+  this->Connections.remove_if(
+    [](std::unique_ptr<Connection> const& one) { return one->Dead; });
+}
+
+bool Matches(std::string const& pattern, std::string const& name)
+{
+  if (!pattern.empty() && pattern.back() == '*') {
+    return name.compare(0, pattern.size() - 1, pattern, 0,
+                        pattern.size() - 1) == 0;
+  }
+  return pattern == name;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  CLI::App app("TCP proxy that injects faults.");
+  std::string listenAt;
+  std::string file;
+  app.add_option("--listen", listenAt, "IP:port for control.")->required();
+  app
+    .add_option("--links", file,
+                "JSON file: {NAME: {\"listen\": ..., \"target\": ...}}.")
+    ->required();
+  CLI11_PARSE(app, argc, argv);
+  gsLoop loop;
+  std::list<Link> links;
+  std::ifstream stream(file);
+  gsJson const table = gsJson::parse(stream);
+  for (auto const& [name, row] : table.items()) {
+    links.emplace_back(loop, name, row["listen"].get<std::string>(),
+                       row["target"].get<std::string>());
+  }
+  auto control = [&links](std::shared_ptr<gsHttpExchange> const& exchange) {
+    gsJson body = gsJson::parse(exchange->Body, nullptr, false);
+    int changed = 0;
+    gsJson const patterns = body.is_object() && body.contains("links")
+                              ? body["links"]
+                              : gsJson::array();
+    for (gsJson const& pattern : patterns) {
+      for (Link& link : links) {
+        if (Matches(pattern.get<std::string>(), link.Name)) {
+          link.Apply(body);
+          ++changed;
+        }
+      }
+    }
+    gsAnswerJson(*exchange, { { "changed", changed } });
+  };
+  return gsServe(loop, listenAt, control);
+}
