--- a/Source/Core/gsDocumentJson.cxx
+++ b/Source/Core/gsDocumentJson.cxx
@@ -137,7 +137,7 @@
   return row;
 }
 
-gsError Invalid(std::string message, std::string_view source)
+gsError Invalid(std::string const& message, std::string_view source)
 {
   return gsError{ "invalid", std::string(source) + ": " + message, "check",
                   std::string(source) };
@@ -309,7 +309,7 @@
 
   void Run(std::size_t kind)
   {
-    std::string const word = ChangeKinds[kind];
+    std::string const& word = ChangeKinds[kind];
     if (word == "import") {
       gsDocument given;
       this->Fields.Object("document",
--- a/Source/Core/gsFields.cxx
+++ b/Source/Core/gsFields.cxx
@@ -166,7 +166,7 @@
 }
 
 std::string gsFields::Text(std::string const& name,
-                           std::optional<std::string> fallback)
+                           std::optional<std::string> const& fallback)
 {
   gsJson const* value = this->Take(name, !fallback, "a text");
   if (value == nullptr) {
@@ -274,7 +274,7 @@
 }
 
 std::string gsFields::Address(std::string const& name,
-                              std::optional<std::string> fallback)
+                              std::optional<std::string> const& fallback)
 {
   constexpr char const* expected = "an address IP:port";
   gsJson const* value = this->Take(name, !fallback, expected);
--- a/Source/Core/gsFields.h
+++ b/Source/Core/gsFields.h
@@ -50,7 +50,7 @@
 
   /** A text; without a fallback the field is required. */
   std::string Text(std::string const& name,
-                   std::optional<std::string> fallback = std::nullopt);
+                   std::optional<std::string> const& fallback = std::nullopt);
   double Number(std::string const& name, gsRange range,
                 std::optional<double> fallback = std::nullopt);
   std::uint64_t Whole(std::string const& name, gsRange range,
@@ -64,8 +64,9 @@
                      std::vector<std::string> const& words,
                      std::optional<std::size_t> fallback = std::nullopt);
   /** An IP:port address. */
-  std::string Address(std::string const& name,
-                      std::optional<std::string> fallback = std::nullopt);
+  std::string Address(
+    std::string const& name,
+    std::optional<std::string> const& fallback = std::nullopt);
   std::vector<std::string> Texts(std::string const& name);
 
   /** Reads a nested object; a missing one is read as empty. */
--- a/Source/Daemon/gsGateway.cxx
+++ b/Source/Daemon/gsGateway.cxx
@@ -206,6 +206,7 @@
   }
   gsResult<gsOrganisation const*> organisation = this->Authenticate(*exchange);
   if (!organisation) {
+    gsLogLine("reject").With(organisation.error());
     gsRespondError(*exchange, StatusFor(organisation.error()),
                    organisation.error(), gsRan::No);
     return;
@@ -931,7 +932,7 @@
 }
 
 void gsGateway::AttemptFailed(Held const& request, gsOutcome outcome,
-                              gsRan ran, gsError error)
+                              gsRan ran, gsError const& error)
 {
   this->Release(request, outcome);
   gsFailedAttempt attempt;
--- a/Source/Daemon/gsGateway.h
+++ b/Source/Daemon/gsGateway.h
@@ -176,7 +176,7 @@
   void CutSlowCaller(Held const& request);
   void Release(Held const& request, gsOutcome outcome);
   void AttemptFailed(Held const& request, gsOutcome outcome, gsRan ran,
-                     gsError error);
+                     gsError const& error);
   void CheckStalls();
 
   void FinishWhole(Held const& request);
--- a/Source/Daemon/gsNode.cxx
+++ b/Source/Daemon/gsNode.cxx
@@ -227,7 +227,9 @@
                            std::string const& incarnation) {
     return this->UpstreamLeaving(upstream, incarnation);
   };
-  hooks.Ready = [this] { return this->Config->Ready(); };
+  hooks.Ready = [this] {
+    return this->Config->Ready() && !this->Settings.Document;
+  };
   hooks.Document = [this]() -> gsDocument const& {
     return this->Config->Document();
   };
@@ -277,15 +279,6 @@
   this->OperatorServer = std::move(server.value());
 
   this->Config->Start();
-  if (this->Settings.Document) {
-    gsJson change{ { "id", "first" },
-                   { "kind", "import" },
-                   { "document", gsToJson(*this->Settings.Document) } };
-    auto ignore = [](gsResult<gsChange> const& /*result*/) {};
-    this->Loop.Defer([this, text = change.dump(), ignore] {
-      this->Config->Submit(text, ignore);
-    });
-  }
   this->LastWatch = gsLoop::Now();
   this->WatchTimer.BeforeOthers();
   this->WatchTimer.Every(WatchPeriod);
@@ -306,8 +299,25 @@
   this->Dispatcher->RunDirty();
 }
 
+/** Commits the settings' document as the first change. */
+void gsNode::SubmitFirstDocument()
+{
+  gsJson change{ { "id", "first" },
+                 { "kind", "import" },
+                 { "document", gsToJson(*this->Settings.Document) } };
+  this->Settings.Document.reset();
+  this->Config->Submit(change.dump(), [](gsResult<gsChange> const& result) {
+    if (!result) {
+      gsLogLine("change_refused", gsLogLevel::Error).With(result.error());
+    }
+  });
+}
+
 void gsNode::OnDocument()
 {
+  if (this->Settings.Document) {
+    this->Loop.Defer([this] { this->SubmitFirstDocument(); });
+  }
   this->Metrics.Set("gradescale_config_version", {},
                     static_cast<double>(this->Config->Version()));
   this->Dispatcher->TakeDocument(this->Config->Document());
--- a/Source/Daemon/gsNode.h
+++ b/Source/Daemon/gsNode.h
@@ -48,6 +48,7 @@
                       gradescale::Frame const& frame);
   void OnAsk(std::uint64_t link, gsAsk ask);
   void OnDocument();
+  void SubmitFirstDocument();
   void BeforeWait();
   void Watch();
   void OnStalled(gsTime gap);
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -90,8 +90,8 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BufferSize);
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.Reuse ? 0L : 1L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.Reuse ? 0L : 1L);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.ConnectTimeout.count() / 1000));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
@@ -110,10 +110,14 @@
                      static_cast<curl_off_t>(call.Body.size()));
   }
   active.HeaderList = curl_slist_append(nullptr, "Expect:");
-  active.HeaderList =
-    curl_slist_append(active.HeaderList, "Connection: close");
+  if (!call.Reuse) {
+    active.HeaderList =
+      curl_slist_append(active.HeaderList, "Connection: close");
+  }
   for (auto const& [name, value] : call.Headers) {
-    std::string line = name + ": " + value;
+    std::string line = name;
+    line += ": ";
+    line += value;
     active.HeaderList = curl_slist_append(active.HeaderList, line.c_str());
   }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, active.HeaderList);
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -1,10 +1,11 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /**
  * \file
- * HTTP client on libcurl's multi interface, driven by the loop. Each call has
- * a connection of its own that is never used again: an upstream that answers
- * twice or late can then not reach another caller's answer, and the library
- * has no reason to send a request a second time by itself.
+ * HTTP client on libcurl's multi interface, driven by the loop. Unless a call
+ * says otherwise it has a connection of its own that is never used again: an
+ * upstream that answers twice or late can then not reach another caller's
+ * answer, and the library has no reason to send a request a second time by
+ * itself.
  */
 #pragma once
 
@@ -41,6 +42,8 @@
   std::string Body;
   gsTime ConnectTimeout = gsMilliseconds(1000);
   gsTime TotalTimeout{}; ///< Zero for none.
+  /** Allows a kept connection; only for what may be sent twice. */
+  bool Reuse = false;
 
   /**
    * Called when the connection stands and before the first byte is sent; the
--- a/Source/Io/gsPeerNet.cxx
+++ b/Source/Io/gsPeerNet.cxx
@@ -20,7 +20,7 @@
 constexpr int ReconnectMaxMs = 1000;
 constexpr int MaxFrameBytes = 64 << 20;
 
-bool SameToken(std::string const& expected, grpc::string_ref given)
+bool SameToken(std::string const& expected, grpc::string_ref const& given)
 {
   return expected.size() == given.size() &&
          CRYPTO_memcmp(expected.data(), given.data(), given.size()) == 0;
--- a/Source/Io/gsPlatform.cxx
+++ b/Source/Io/gsPlatform.cxx
@@ -148,7 +148,7 @@
 }
 
 gsPlatform gsMakeHttpPlatform(gsHttpClient& client,
-                              gsHttpPlatformSettings settings)
+                              gsHttpPlatformSettings const& settings)
 {
   gsPlatform platform;
   auto make = [settings](char const* method, char const* path) {
@@ -158,6 +158,7 @@
     call.Headers = { { "Authorization", "Bearer " + settings.Token },
                      { "Content-Type", "application/json" } };
     call.TotalTimeout = settings.Timeout;
+    call.Reuse = true;
     return call;
   };
   std::string peer = settings.Address;
--- a/Source/Io/gsPlatform.h
+++ b/Source/Io/gsPlatform.h
@@ -56,7 +56,7 @@
 
 /** The platform's service over HTTP. */
 gsPlatform gsMakeHttpPlatform(gsHttpClient& client,
-                              gsHttpPlatformSettings settings);
+                              gsHttpPlatformSettings const& settings);
 
 /** Applies operations to a table in memory, in order. */
 std::vector<gsTableResult> gsApplyToTable(
--- a/Source/Tool/gsTable.cxx
+++ b/Source/Tool/gsTable.cxx
@@ -7,6 +7,7 @@
                           std::vector<std::vector<std::string>> const& rows)
 {
   std::vector<std::size_t> widths;
+  widths.reserve(heading.size());
   for (std::string const& cell : heading) {
     widths.push_back(cell.size());
   }
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -92,6 +92,7 @@
   std::vector<std::vector<std::string>> cells;
   for (gsJson const& row : rows) {
     std::vector<std::string> line;
+    line.reserve(fields.size());
     for (std::string const& field : fields) {
       line.push_back(row.contains(field) ? Cell(row[field]) : "-");
     }
@@ -188,8 +189,8 @@
 {
 public:
   template<typename T>
-  void Add(CLI::App* command, std::string const& option, std::string field,
-           std::string const& help)
+  void Add(CLI::App* command, std::string const& option,
+           std::string const& field, std::string const& help)
   {
     command->add_option_function<T>(
       option, [this, field](T const& value) { this->Values[field] = value; },
@@ -423,7 +424,7 @@
   SendOptions Send;
 
   CLI::App* Add(CLI::App* parent, char const* name, char const* help,
-                std::function<int()> run)
+                std::function<int()> const& run)
   {
     CLI::App* command = parent->add_subcommand(name, help);
     command->callback([this, run] { this->Chosen = run; });
@@ -641,8 +642,9 @@
 /** Adds a proposal to the parser's error about an unknown word. */
 void ProposeCommand(CLI::App const& app, int argc, char const* const* argv)
 {
-  std::vector<std::string> names;
   std::vector<CLI::App const*> known = app.get_subcommands({});
+  std::vector<std::string> names;
+  names.reserve(known.size());
   for (CLI::App const* command : known) {
     names.push_back(command->get_name());
   }
--- a/Tests/StandIns/gsStandInProxy.cxx
+++ b/Tests/StandIns/gsStandInProxy.cxx
@@ -300,8 +300,8 @@
 
 void Link::Reap()
 {
-  this->Connections.remove_if(
-    [](std::unique_ptr<Connection> const& one) { return one->Dead; });
+  static_cast<void>(this->Connections.remove_if(
+    [](std::unique_ptr<Connection> const& one) { return one->Dead; }));
 }
 
 bool Matches(std::string const& pattern, std::string const& name)
