--- a/Tests/Failure/gsTestSystem.cxx
+++ b/Tests/Failure/gsTestSystem.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <stdexcept>
@@ -214,9 +215,11 @@
     }
   }
   Process& process = this->Processes[name];
+  gsJson callers{ { "listen", process.Address } };
+  callers.update(this->Plan.Callers);
   return { { "host", name },
            { "hall", hall },
-           { "callers", { { "listen", process.Address } } },
+           { "callers", callers },
            { "operators",
              { { "listen", process.Operators }, { "token", Token } } },
            { "peers",
@@ -589,6 +592,45 @@
   return {};
 }
 
+std::string gsTestSystem::CallersAddress(std::string const& host) const
+{
+  return this->Processes.at(host).Address;
+}
+
+std::string gsTestSystem::OperatorsAddress(std::string const& host) const
+{
+  return this->Processes.at(host).Operators;
+}
+
+std::string gsTestSystem::PeersAddress(std::string const& host) const
+{
+  return this->PeerAddress.at(host);
+}
+
+std::pair<std::string, int> gsTestSystem::Tool(
+  std::vector<std::string> arguments)
+{
+  namespace bp = boost::process;
+  std::string file = this->Directory + "/tool.out";
+  std::remove(file.c_str());
+  bp::child child(Program("gradescale"), bp::args(arguments),
+                  (bp::std_out & bp::std_err) > file, bp::std_in < bp::null);
+  child.wait();
+  std::ifstream stream(file);
+  std::string text((std::istreambuf_iterator<char>(stream)),
+                   std::istreambuf_iterator<char>());
+  return { text, child.exit_code() };
+}
+
+std::string gsTestSystem::Metrics(std::string const& host)
+{
+  gsCall call;
+  call.Url = "http://" + this->CallersAddress(host) + "/metrics";
+  gsReplyPtr reply = this->Start(std::move(call));
+  this->RunUntil([&] { return reply->Done; });
+  return reply->Body;
+}
+
 std::vector<std::string> gsTestSystem::HostNames() const
 {
   return this->Hosts;
--- a/Tests/Failure/gsTestSystem.h
+++ b/Tests/Failure/gsTestSystem.h
@@ -38,7 +38,8 @@
                                  { { "name", "bronze" } } });
   /** Merged into each template made for each tier. */
   gsJson Template = gsJson::object();
-  gsJson Queue = gsJson::object(); ///< The settings' "queue".
+  gsJson Queue = gsJson::object();   ///< The settings' "queue".
+  gsJson Callers = gsJson::object(); ///< Merged into their "callers".
 };
 
 /** One answer as the caller sees it. */
@@ -134,6 +135,14 @@
 
   /** Host that dispatches the pool, as the given host sees it. */
   std::string DispatcherOf(std::string const& host, std::string const& pool);
+  /** Where a host listens: for callers, operators or peers. */
+  std::string CallersAddress(std::string const& host) const;
+  std::string OperatorsAddress(std::string const& host) const;
+  std::string PeersAddress(std::string const& host) const;
+  /** Runs the command-line tool to its end; its output and exit code. */
+  std::pair<std::string, int> Tool(std::vector<std::string> arguments);
+  /** The metrics page of a host. */
+  std::string Metrics(std::string const& host);
   std::vector<std::string> HostNames() const;
   std::vector<std::string> HostsOf(std::string const& hall) const;
   std::vector<std::string> UpstreamNames() const;
