Daemon: Read callers' requests in a module of their own

Change: gsRequestReader reads (whose, which class, what is sent), gsHeldRequest is the row, gsHttpStatus.h has the codes. No behaviour changes.

--- a/Source/Daemon/gsGateway.cxx
+++ b/Source/Daemon/gsGateway.cxx
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gsDispatcher.h"
+#include "gsHttpStatus.h"
 #include "gsLog.h"
 #include "gsRendezvous.h"
 #include "gsSecret.h"
@@ -15,20 +16,6 @@
 
 using Json = nlohmann::json;
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusUnauthorized = 401;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusWrongMethod = 405;
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusTooLarge = 413;
-constexpr unsigned StatusTooMany = 429;
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-
-constexpr std::string_view ServicePrefix = "/v1/services/";
-constexpr std::size_t AffinityPrefix = 256;
-constexpr std::size_t BytesPerToken = 4;
 constexpr std::size_t BytesPerKib = 1024;
 constexpr std::size_t MaxKeyLength = 256;
 constexpr std::size_t MaxBuffered = 1U << 18U;
@@ -48,19 +35,19 @@
 unsigned StatusFor(gsError const& error)
 {
   if (error.Code == "unknown_key" || error.Code == "missing_key") {
-    return StatusUnauthorized;
+    return gsStatusUnauthorized;
   }
   if (error.Code == "body_too_large") {
-    return StatusTooLarge;
+    return gsStatusTooLarge;
   }
   if (error.Code == "unknown_template" || error.Code == "unknown_service" ||
       error.Code == "unknown_path") {
-    return StatusNotFound;
+    return gsStatusNotFound;
   }
   if (error.Code == "wrong_method") {
-    return StatusWrongMethod;
+    return gsStatusWrongMethod;
   }
-  return StatusBadRequest;
+  return gsStatusBadRequest;
 }
 
 std::string_view HeaderOf(gsHeaders const& headers, std::string_view name)
@@ -86,27 +73,6 @@
   return good ? tokens->get<std::uint64_t>() : 0;
 }
 
-/** What the requests that belong together have in common. */
-std::uint64_t AffinityOf(gsHttpExchange const& exchange,
-                         std::string const& organisation, Json const* body)
-{
-  std::string_view given = exchange.Header("Gradescale-Context");
-  if (!given.empty()) {
-    return gsHashText(organisation + FieldMark + std::string(given));
-  }
-  if (body == nullptr) {
-    return 0;
-  }
-  std::string lead;
-  if (body->contains("prompt")) {
-    lead = (*body)["prompt"].dump();
-  } else if (body->contains("messages") && (*body)["messages"].is_array() &&
-             !(*body)["messages"].empty()) {
-    lead = (*body)["messages"][0].dump();
-  }
-  return gsHashText(organisation + FieldMark + lead.substr(0, AffinityPrefix));
-}
-
 gsRan RanOf(gsHeldRequest const& request)
 {
   return request.MayHaveRun ? gsRan::Unknown : gsRan::No;
@@ -153,6 +119,7 @@
   , Call(std::move(hooks))
   , StallTimer(loop, [this] { this->CheckStalls(); })
   , HostNumber(hostNumber)
+  , Reader(hostNumber, settings.Callers.MaxBodyKib)
 {
   this->Budget.Share = settings.Retry.Share;
   this->Budget.Most = settings.Retry.Burst;
@@ -160,26 +127,17 @@
   this->StallTimer.Every(StallSweep);
 }
 
-void gsGateway::TakeDocument(gsDocument const& document)
-{
-  this->Keys.clear();
-  for (gsOrganisation const& row : document.Organisations) {
-    for (std::string const& hash : row.KeyHashes) {
-      this->Keys[hash] = { hash, row.Name };
-    }
-  }
-}
-
 void gsGateway::OnExchange(std::shared_ptr<gsHttpExchange> const& exchange)
 {
   bool get = exchange->Method == "GET";
   if (exchange->Path == "/healthz" && get) {
-    exchange->Respond(StatusOk, { { "Content-Type", "text/plain" } }, "ok\n");
+    exchange->Respond(gsStatusOk, { { "Content-Type", "text/plain" } },
+                      "ok\n");
     return;
   }
   if (exchange->Path == "/readyz" && get) {
     bool ready = this->Call.Ready() && !this->Draining;
-    exchange->Respond(ready ? StatusOk : StatusUnavailable,
+    exchange->Respond(ready ? gsStatusOk : gsStatusUnavailable,
                       { { "Content-Type", "text/plain" } },
                       ready ? "ready\n" : "not ready\n");
     return;
@@ -187,7 +145,7 @@
   if (exchange->Path == "/metrics" && get) {
     this->Metrics.Set("gradescale_open_requests", {},
                       static_cast<double>(this->Requests.size()));
-    exchange->Respond(StatusOk,
+    exchange->Respond(gsStatusOk,
                       { { "Content-Type", "text/plain; version=0.0.4" } },
                       this->Metrics.Text());
     return;
@@ -199,19 +157,20 @@
 {
   if (!this->Call.Ready()) {
     gsRespondError(
-      *exchange, StatusUnavailable,
+      *exchange, gsStatusUnavailable,
       Bad("not_ready", "This host has no configuration yet.", "accept"),
       gsRan::No, ShortRetryAfter);
     return;
   }
-  gsResult<gsOrganisation const*> organisation = this->Authenticate(*exchange);
+  gsResult<gsOrganisation const*> organisation =
+    this->Reader.Authenticate(*exchange);
   if (!organisation) {
     gsLogLine("reject").With(organisation.error());
     gsRespondError(*exchange, StatusFor(organisation.error()),
                    organisation.error(), gsRan::No);
     return;
   }
-  gsResult<Held> prepared = this->Prepare(exchange, *organisation.value());
+  gsResult<Held> prepared = this->Reader.Read(exchange, *organisation.value());
   if (!prepared) {
     gsLogLine("reject")
       .With("organisation", organisation.value()->Name)
@@ -224,178 +183,13 @@
   this->Begin(prepared.value());
 }
 
-gsResult<gsOrganisation const*> gsGateway::Authenticate(
-  gsHttpExchange const& exchange) const
-{
-  constexpr std::string_view scheme = "Bearer ";
-  std::string_view header = exchange.Header("Authorization");
-  if (header.substr(0, scheme.size()) != scheme) {
-    return gsError{ "missing_key",
-                    "The request has no 'Authorization: Bearer KEY' header.",
-                    "authenticate", exchange.Peer };
-  }
-  std::string hash = gsSha256(header.substr(scheme.size()));
-  auto entry = this->Keys.find(hash);
-  gsOrganisation const* organisation = nullptr;
-  if (entry != this->Keys.end() && gsSameSecret(entry->second.Hash, hash)) {
-    organisation = gsFindByName(this->Call.Document().Organisations,
-                                entry->second.Organisation);
-  }
-  if (organisation == nullptr) {
-    return gsError{ "unknown_key", "The key is not known here.",
-                    "authenticate", exchange.Peer };
-  }
-  return organisation;
-}
-
-gsResult<std::string> gsGateway::TemplateFor(gsHttpExchange const& exchange,
-                                             std::string const& service) const
-{
-  std::string_view given = exchange.Header("Gradescale-Class");
-  if (!given.empty()) {
-    return std::string(given);
-  }
-  gsDocument const& document = this->Call.Document();
-  if (gsFindByName(document.Templates, service) != nullptr) {
-    return service;
-  }
-  for (gsTemplate const& row : document.Templates) {
-    if (row.Service == service) {
-      return row.Name;
-    }
-  }
-  return gsError{ "unknown_template",
-                  "No template serves '" + service +
-                    "'; name one in the header Gradescale-Class.",
-                  "resolve",
-                  {} };
-}
-
-gsResult<bool> gsGateway::PrepareModel(gsHeldRequest& request,
-                                       gsOrganisation const& organisation)
-{
-  gsHttpExchange& exchange = *request.Exchange;
-  if (exchange.Method != "POST") {
-    return Bad("wrong_method", exchange.Path + " takes POST only.", "parse");
-  }
-  Json body = Json::parse(exchange.Body, nullptr, false);
-  if (!body.is_object()) {
-    return Bad("bad_json", "The body is not a JSON object.", "parse");
-  }
-  auto model = body.find("model");
-  if (model == body.end() || !model->is_string()) {
-    return Bad("bad_request", "The field 'model' is missing or not a text.",
-               "parse");
-  }
-  auto stream = body.find("stream");
-  if (stream != body.end() && !stream->is_boolean()) {
-    return Bad("bad_request", "The field 'stream' is not true or false.",
-               "parse");
-  }
-  request.Stream = stream != body.end() && stream->get<bool>();
-  gsResult<std::string> name =
-    this->TemplateFor(exchange, model->get<std::string>());
-  if (!name) {
-    return name.error();
-  }
-  gsResult<gsClass> resolved =
-    gsResolveClass(this->Call.Document(), organisation, name.value());
-  if (!resolved) {
-    return resolved.error();
-  }
-  request.Class = resolved.value();
-  body["model"] = request.Class.Service;
-  // Engines serve lower numbers first; a caller does not choose its own.
-  body["priority"] = request.Class.Tier;
-  auto limit = body.find("max_tokens");
-  if (limit == body.end() || !limit->is_number_unsigned() ||
-      limit->get<std::uint64_t>() > request.Class.MaxTokens) {
-    body["max_tokens"] = request.Class.MaxTokens;
-  }
-  request.Ask.Affinity = AffinityOf(exchange, organisation.Name, &body);
-  request.Body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
-  exchange.Body.clear();
-  request.Path = exchange.Path;
-  request.ContentType = "application/json";
-  return true;
-}
-
-gsResult<bool> gsGateway::PrepareService(gsHeldRequest& request,
-                                         gsOrganisation const& organisation)
-{
-  gsHttpExchange& exchange = *request.Exchange;
-  std::string rest = exchange.Path.substr(ServicePrefix.size());
-  std::size_t slash = rest.find('/');
-  std::string service = rest.substr(0, slash);
-  gsResult<std::string> name = this->TemplateFor(exchange, service);
-  if (!name) {
-    return name.error();
-  }
-  gsResult<gsClass> resolved =
-    gsResolveClass(this->Call.Document(), organisation, name.value());
-  if (!resolved) {
-    return resolved.error();
-  }
-  request.Class = resolved.value();
-  if (request.Class.Service != service) {
-    return Bad("unknown_service",
-               "Template '" + name.value() + "' does not serve '" + service +
-                 "'.",
-               "resolve");
-  }
-  request.Path = slash == std::string::npos ? "/" : rest.substr(slash);
-  request.Ask.Affinity = AffinityOf(exchange, organisation.Name, nullptr);
-  request.ContentType = std::string(exchange.Header("Content-Type"));
-  request.Body = std::move(exchange.Body);
-  return true;
-}
-
-gsResult<gsGateway::Held> gsGateway::Prepare(
-  std::shared_ptr<gsHttpExchange> const& exchange,
-  gsOrganisation const& organisation)
-{
-  if (exchange->TooLarge) {
-    return Bad("body_too_large",
-               "The body is over the limit of " +
-                 std::to_string(this->Settings.Callers.MaxBodyKib) + " KiB.",
-               "receive");
-  }
-  auto request = std::make_shared<gsHeldRequest>();
-  request->Exchange = exchange;
-  request->Method = exchange->Method;
-  request->Arrived = gsLoop::Now();
-  std::string const& path = exchange->Path;
-  gsResult<bool> prepared =
-    Bad("unknown_path", "There is nothing at " + path + ".", "route");
-  if (path == "/v1/chat/completions" || path == "/v1/completions") {
-    prepared = this->PrepareModel(*request, organisation);
-  } else if (path.compare(0, ServicePrefix.size(), ServicePrefix) == 0) {
-    prepared = this->PrepareService(*request, organisation);
-  }
-  if (!prepared) {
-    return prepared.error();
-  }
-  gsAsk& ask = request->Ask;
-  ask.Id = { this->HostNumber, this->NextSequence++, 0 };
-  ask.Organisation = organisation.Name;
-  ask.Template = request->Class.Template;
-  ask.Tier = request->Class.Tier;
-  ask.Weight = organisation.Share;
-  ask.PromptTokens =
-    static_cast<std::uint32_t>(request->Body.size() / BytesPerToken);
-  ask.MaxWait = request->Class.MaxWait;
-  ask.FirstToken = request->Class.FirstToken;
-  ask.TokenGap = request->Class.TokenGap;
-  return request;
-}
-
 void gsGateway::Begin(Held const& request)
 {
   gsHttpExchange& exchange = *request->Exchange;
   std::string_view key = exchange.Header("Idempotency-Key");
   if (key.size() > MaxKeyLength) {
     gsRespondError(
-      exchange, StatusBadRequest,
+      exchange, gsStatusBadRequest,
       Bad("bad_request", "The Idempotency-Key is too long.", "parse"),
       gsRan::No);
     return;
@@ -449,7 +243,7 @@
   request->ClaimKey.clear();
   if (decision.Result == gsClaimResult::Unavailable) {
     this->FinishError(
-      request, StatusUnavailable,
+      request, gsStatusUnavailable,
       Bad("platform_unavailable",
           "The key could not be claimed; the request was not run.", "claim"),
       PlatformRetryAfter);
@@ -463,7 +257,7 @@
         "claim");
   request->MayHaveRun = true;
   gsHttpExchange& exchange = *request->Exchange;
-  gsRespondError(exchange, StatusConflict, error,
+  gsRespondError(exchange, gsStatusConflict, error,
                  ran ? gsRan::Yes : gsRan::Unknown, {},
                  gsFormatId(request->Ask.Id));
   this->Settle(request, gsRan::Unknown, "duplicate");
@@ -627,7 +421,7 @@
     this->AskIn(request, this->Settings.Hall);
     return;
   }
-  this->FinishError(request, StatusUnavailable,
+  this->FinishError(request, gsStatusUnavailable,
                     Bad(cause == "no_upstream" ? "no_upstream" : "overloaded",
                         "The request was given up: " + cause + ".", "queue"),
                     retryAfter);
@@ -798,7 +592,7 @@
     return false;
   }
   request->LastProgress = gsLoop::Now();
-  bool events = request->Stream && request->Status == StatusOk;
+  bool events = request->Stream && request->Status == gsStatusOk;
   if (events) {
     std::string whole = request->Scanner.Feed(bytes);
     if (!whole.empty()) {
@@ -814,7 +608,7 @@
   if (request->Answer.size() > limit || request->Scanner.TooLong()) {
     this->Client.Cancel(std::exchange(request->Call, 0));
     this->Release(request, gsOutcome::Failed);
-    this->FinishError(request, StatusBadGateway,
+    this->FinishError(request, gsStatusBadGateway,
                       gsError{ "answer_too_large",
                                "The upstream's answer is over the limit.",
                                "receive", request->Grant.Address },
@@ -831,11 +625,11 @@
     request->FirstTokenAt = request->LastProgress;
     request->Body = std::string(); // It will not be sent again.
     exchange.BeginStream(
-      StatusOk, { { "Content-Type", "text/event-stream" },
-                  { "Cache-Control", "no-cache" },
-                  { "Gradescale-Ran", gsRanWord(gsRan::Yes) },
-                  { "Gradescale-Request", gsFormatId(request->Ask.Id) },
-                  { "Gradescale-Upstream", request->Grant.Upstream } });
+      gsStatusOk, { { "Content-Type", "text/event-stream" },
+                    { "Cache-Control", "no-cache" },
+                    { "Gradescale-Ran", gsRanWord(gsRan::Yes) },
+                    { "Gradescale-Request", gsFormatId(request->Ask.Id) },
+                    { "Gradescale-Upstream", request->Grant.Upstream } });
   }
   exchange.Write(events);
   this->NoteProgress(request, false);
@@ -880,11 +674,11 @@
 {
   request->Call = 0;
   std::string const& peer = request->Grant.Address;
-  bool events = request->Stream && request->Status == StatusOk;
+  bool events = request->Stream && request->Status == gsStatusOk;
   bool whole =
     end.Whole && !request->Mismatch && (!events || request->Scanner.Done());
   constexpr unsigned firstServerError = 500;
-  bool overloaded = request->Status == StatusTooMany;
+  bool overloaded = request->Status == gsStatusTooMany;
   if (whole && request->Status < firstServerError && !overloaded) {
     this->FinishWhole(request);
     return;
@@ -969,7 +763,7 @@
     this->AskAgain(request);
     return;
   }
-  this->FinishError(request, StatusBadGateway, error, {});
+  this->FinishError(request, gsStatusBadGateway, error, {});
 }
 
 void gsGateway::CountWaste(gsHeldRequest const& request)
@@ -983,7 +777,7 @@
 {
   gsTime now = gsLoop::Now();
   gsHttpExchange& exchange = *request->Exchange;
-  bool events = request->Stream && request->Status == StatusOk;
+  bool events = request->Stream && request->Status == gsStatusOk;
   std::uint64_t tokens =
     events ? request->Scanner.Events() : UsageTokens(request->Answer);
   if (events) {
--- a/Source/Daemon/gsGateway.h
+++ b/Source/Daemon/gsGateway.h
@@ -22,59 +22,9 @@
 #include "gsHttpServer.h"
 #include "gsMetrics.h"
 #include "gsPool.h"
+#include "gsRequestReader.h"
 #include "gsRetry.h"
 #include "gsSettings.h"
-#include "gsSseScanner.h"
-
-/** One request held by this host. */
-struct gsHeldRequest
-{
-  enum class Step
-  {
-    Claiming,
-    Waiting, ///< Asked a dispatcher.
-    Sending, ///< Granted; the call to the upstream is under way.
-    Ended
-  };
-
-  std::shared_ptr<gsHttpExchange> Exchange;
-  gsAsk Ask; ///< As last asked; its id's attempt rises.
-  gsClass Class;
-  std::string Path; ///< At the upstream.
-  std::string Method;
-  std::string ContentType;
-  std::string Body;
-  bool Stream = false;
-  Step At = Step::Claiming;
-  gsTime Arrived{};
-
-  std::string ClaimKey; ///< Empty when the request has no claim.
-  std::string ClaimValue;
-
-  std::string Hall;       ///< Whose pool was asked.
-  std::string Dispatcher; ///< Host that was asked.
-  std::vector<std::string> TriedHalls;
-  bool Redirected = false;
-
-  gsGrant Grant;
-  gsTime GrantedAt{};
-  std::uint64_t Call = 0;
-  std::uint32_t Sends = 0; ///< Attempts whose bytes may have left.
-  bool MayHaveRun = false; ///< Of any attempt so far.
-  bool SentNow = false;    ///< Bytes of this attempt may have left.
-  bool CallerHasBytes = false;
-  unsigned Status = 0;
-  gsHeaders Headers;
-  std::string Answer; ///< Gathered when not streamed.
-  gsSseScanner Scanner;
-  gsTime SentAt{};
-  gsTime FirstTokenAt{};
-  gsTime LastProgress{};
-  gsTime LastReport{};
-  std::uint64_t ReportedEvents = 0;
-  bool Mismatch = false; ///< The upstream named another request.
-  bool Paused = false;   ///< The caller reads slowly.
-};
 
 class gsGateway
 {
@@ -114,7 +64,10 @@
   void OnExchange(std::shared_ptr<gsHttpExchange> const& exchange);
 
   /** Rebuilds what is looked up by key. */
-  void TakeDocument(gsDocument const& document);
+  void TakeDocument(gsDocument const& document)
+  {
+    this->Reader.TakeDocument(document);
+  }
 
   void OnGrant(std::string const& host, gsGrant const& grant);
   void OnRefusal(std::string const& host, gsRequestId const& id,
@@ -135,25 +88,9 @@
   std::size_t Open() const { return this->Requests.size(); }
 
 private:
-  using Held = std::shared_ptr<gsHeldRequest>;
-
-  struct KeyEntry
-  {
-    std::string Hash;
-    std::string Organisation;
-  };
+  using Held = gsHeldRequestPtr;
 
   void Accept(std::shared_ptr<gsHttpExchange> const& exchange);
-  gsResult<gsOrganisation const*> Authenticate(
-    gsHttpExchange const& exchange) const;
-  gsResult<Held> Prepare(std::shared_ptr<gsHttpExchange> const& exchange,
-                         gsOrganisation const& organisation);
-  gsResult<bool> PrepareModel(gsHeldRequest& request,
-                              gsOrganisation const& organisation);
-  gsResult<bool> PrepareService(gsHeldRequest& request,
-                                gsOrganisation const& organisation);
-  gsResult<std::string> TemplateFor(gsHttpExchange const& exchange,
-                                    std::string const& service) const;
   void Begin(Held const& request);
   void Claim(Held const& request, std::string_view key);
   void AskIn(Held const& request, std::string const& hall);
@@ -196,10 +133,9 @@
   Hooks Call;
   gsTimer StallTimer;
   std::uint64_t HostNumber;
-  std::uint64_t NextSequence = 1;
+  gsRequestReader Reader;
   gsRetryBudget Budget;
   std::unordered_map<std::uint64_t, Held> Requests; ///< By sequence.
-  std::unordered_map<std::string, KeyEntry> Keys;   ///< By hash.
   /** Requests that wait at each dispatcher. */
   std::unordered_map<std::string, std::uint32_t> WaitingAt;
   bool Draining = false;
--- a/Source/Daemon/gsOperatorApi.cxx
+++ b/Source/Daemon/gsOperatorApi.cxx
@@ -4,20 +4,12 @@
 #include <algorithm>
 
 #include "gsDocumentJson.h"
+#include "gsHttpStatus.h"
 #include "gsLog.h"
 #include "gsSecret.h"
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusAccepted = 202;
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusUnauthorized = 401;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusTooLarge = 413;
-constexpr unsigned StatusUnavailable = 503;
-
 constexpr gsTime AskPeriod = gsMilliseconds(100);
 constexpr gsTime FollowTime = gsSeconds(30);
 constexpr std::string_view ChangePrefix = "/v1/changes/";
@@ -43,15 +35,15 @@
 unsigned StatusFor(gsError const& error)
 {
   if (error.Code == "conflict") {
-    return StatusConflict;
+    return gsStatusConflict;
   }
   if (error.Code == "not_known" || error.Code == "not_ready") {
-    return StatusUnavailable;
+    return gsStatusUnavailable;
   }
   if (error.Code == "unknown_upstream") {
-    return StatusNotFound;
+    return gsStatusNotFound;
   }
-  return StatusBadRequest;
+  return gsStatusBadRequest;
 }
 
 char const* HealthWord(gsHealth health)
@@ -109,14 +101,14 @@
                gsSameSecret(header.substr(scheme.size()),
                             this->Parts.Settings.Operators.Token);
   if (!known) {
-    RespondError(*exchange, StatusUnauthorized,
+    RespondError(*exchange, gsStatusUnauthorized,
                  { "unknown_token",
                    "The operators' token is missing or wrong.", "authenticate",
                    exchange->Peer });
     return;
   }
   if (exchange->TooLarge) {
-    RespondError(*exchange, StatusTooLarge,
+    RespondError(*exchange, gsStatusTooLarge,
                  { "body_too_large", "The body is over the limit.", "receive",
                    exchange->Peer });
     return;
@@ -125,7 +117,7 @@
   if (exchange->Method == "GET" && path == "/v1/status") {
     this->ShowStatus(*exchange);
   } else if (exchange->Method == "GET" && path == "/v1/config") {
-    Respond(*exchange, StatusOk, gsToJson(this->Parts.Config.Document()));
+    Respond(*exchange, gsStatusOk, gsToJson(this->Parts.Config.Document()));
   } else if (exchange->Method == "POST" && path == "/v1/changes") {
     this->TakeChange(exchange);
   } else if (exchange->Method == "GET" &&
@@ -133,7 +125,7 @@
     this->ShowChange(*exchange, path.substr(ChangePrefix.size()));
   } else {
     RespondError(
-      *exchange, StatusNotFound,
+      *exchange, gsStatusNotFound,
       { "unknown_path",
         "There is nothing at " + exchange->Method + " " + path + ".", "route",
         exchange->Peer });
@@ -312,7 +304,7 @@
     row["dispatcher"] = dispatcher;
     pools.push_back(std::move(row));
   }
-  Respond(exchange, StatusOk,
+  Respond(exchange, gsStatusOk,
           { { "host", table.Self.Host },
             { "hall", table.Self.Hall },
             { "ready", this->Parts.Config.Ready() },
@@ -354,7 +346,7 @@
       .With("summary", change.Summary);
     gsJson state = this->ChangeState(change);
     bool accepted = state["state"] == "accepted";
-    Respond(*exchange, accepted ? StatusOk : StatusAccepted, state);
+    Respond(*exchange, accepted ? gsStatusOk : gsStatusAccepted, state);
   };
   this->Parts.Config.Submit(std::move(exchange->Body), done);
 }
@@ -363,7 +355,7 @@
 {
   gsChange const* change = gsFindChange(this->Parts.Config.Document(), id);
   if (change == nullptr) {
-    RespondError(exchange, StatusNotFound,
+    RespondError(exchange, gsStatusNotFound,
                  { "unknown_change",
                    "No change with the id '" + id +
                      "' is known here, or it is too long ago.",
@@ -371,5 +363,5 @@
                    {} });
     return;
   }
-  Respond(exchange, StatusOk, this->ChangeState(*change));
+  Respond(exchange, gsStatusOk, this->ChangeState(*change));
 }
