--- a/Source/Daemon/gsDispatcher.cxx
+++ b/Source/Daemon/gsDispatcher.cxx
@@ -208,8 +208,8 @@
 void gsDispatcher::Progress(std::string const& pool, gsRequestId const& id,
                             gsTime firstToken, gsTime gap)
 {
+  // Limits move with the next tick; a tick for each report would cost more.
   gsObserve(this->PoolOf(pool), id, firstToken, gap);
-  this->Touch(pool);
 }
 
 void gsDispatcher::Release(std::string const& pool, gsRequestId const& id,
--- a/Source/Daemon/gsGateway.cxx
+++ b/Source/Daemon/gsGateway.cxx
@@ -21,6 +21,7 @@
 constexpr std::size_t MaxBuffered = 1U << 18U;
 constexpr gsTime StallSweep = gsMilliseconds(200);
 constexpr gsTime ReportPeriod = gsSeconds(1);
+constexpr std::size_t MaxReportsPerSecond = 50;
 constexpr gsTime PlatformRetryAfter = gsSeconds(5);
 constexpr gsTime ShortRetryAfter = gsSeconds(1);
 constexpr std::size_t MaxSpills = 2;
@@ -640,7 +641,11 @@
   gsTime now = request->LastProgress;
   std::uint64_t events = request->Scanner.Events();
   bool first = request->ReportedEvents == 0 && events > 0;
-  if (!first && !last && now - request->LastReport < ReportPeriod) {
+  // So many reports a second at the most, however many streams there are.
+  auto crowd =
+    static_cast<std::int64_t>(this->Requests.size() / MaxReportsPerSecond);
+  gsTime period = ReportPeriod * (1 + crowd);
+  if (!first && !last && now - request->LastReport < period) {
     return;
   }
   gsTime gap{};
--- a/Tests/Failure/gsTestAnswers.cxx
+++ b/Tests/Failure/gsTestAnswers.cxx
@@ -69,11 +69,11 @@
   for (Sent const& one : sent) {
     gsReply const& reply = *one.Reply;
     std::string content = reply.Content();
-    bool looksWhole = reply.Whole && reply.Status == 200 &&
-                      (!one.Stream || reply.StreamEnded());
-    if (looksWhole) {
+    // The transfer's own end makes an answer look whole, to any client.
+    if (reply.Whole && reply.Status == 200) {
       ++good;
       EXPECT_EQ(content, Expected(one.Content));
+      EXPECT_TRUE(!one.Stream || reply.StreamEnded());
     } else if (reply.Status == 200) {
       EXPECT_EQ(Expected(one.Content).compare(0, content.size(), content), 0)
         << content;
--- a/Tests/StandIns/gsStandInUpstream.cxx
+++ b/Tests/StandIns/gsStandInUpstream.cxx
@@ -231,6 +231,12 @@
       this->Remove(run);
       return true;
     }
+    if (mode == "no_end" && run->Stream) {
+      // A proper end of the transfer in the middle of the answer.
+      run->Caller->End();
+      this->Remove(run);
+      return true;
+    }
     return mode == "stall";
   }
 
@@ -261,9 +267,7 @@
   {
     ++this->Account[run->Content].Finished;
     if (run->Stream) {
-      if (this->Set.Mode != "no_end") {
-        run->Caller->Write("data: [DONE]\n\n");
-      }
+      run->Caller->Write("data: [DONE]\n\n");
       if (this->Set.Mode == "twice") {
         run->Caller->Write(Event("another's") + "data: [DONE]\n\n");
       }
