--- a/Tests/Failure/gsTestAnswers.cxx
+++ b/Tests/Failure/gsTestAnswers.cxx
@@ -123,6 +123,14 @@
   std::vector<Sent> sent = SendMany(system, 400, GetParam());
   ASSERT_TRUE(system.RunUntil([&] { return AllDone(sent); }, 60));
   EXPECT_GT(CheckAll(system, sent), 100);
+  if (std::string("wrong_id") != GetParam()) {
+    return;
+  }
+  // An answer that names another request is not relayed, whatever it says.
+  for (Sent const& one : sent) {
+    EXPECT_FALSE(one.Reply->Good() && (one.Reply->Upstream == upstreams[0] ||
+                                       one.Reply->Upstream == upstreams[1]));
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(Modes, FaultyAnswers,
