--- a/Source/Daemon/gsNode.cxx
+++ b/Source/Daemon/gsNode.cxx
@@ -149,11 +149,6 @@
   return hooks;
 }
 
-gradescale::Frame* gsNode::WorkFrame(std::string const& host)
-{
-  return this->Cluster->ToHost(host);
-}
-
 gsGateway::Hooks gsNode::GatewayHooks()
 {
   gsGateway::Hooks hooks;
@@ -167,7 +162,7 @@
   hooks.SendAsk = [this, local](std::string const& host, gsAsk const& ask) {
     if (local(host)) {
       this->Dispatcher->Ask(ask, gsLocalLink);
-    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+    } else if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
       gsToWire(ask, frame->add_asks());
     }
   };
@@ -175,7 +170,7 @@
                                      gsAsk const& ask) {
     if (local(host)) {
       this->Dispatcher->Withdraw(ask.Pool, ask.Id);
-    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+    } else if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
       gradescale::Withdraw* wire = frame->add_withdraws();
       gsToWire(ask.Id, wire->mutable_id());
       wire->set_pool(ask.Pool);
@@ -185,7 +180,7 @@
                                     std::string const& upstream) {
     if (local(host)) {
       this->Dispatcher->Adopt(ask, upstream, gsLocalLink);
-    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+    } else if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
       gradescale::Running* wire = frame->add_running();
       gsToWire(ask, wire->mutable_ask());
       wire->set_upstream(upstream);
@@ -195,7 +190,7 @@
                                      gsTime firstToken, gsTime gap) {
     if (local(host)) {
       this->Dispatcher->Progress(ask.Pool, ask.Id, firstToken, gap);
-    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+    } else if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
       gradescale::Progress* wire = frame->add_progress();
       gsToWire(ask.Id, wire->mutable_id());
       wire->set_pool(ask.Pool);
@@ -208,7 +203,7 @@
                                     gsMeasured const& measured) {
     if (local(host)) {
       this->Dispatcher->Release(ask.Pool, ask.Id, outcome, measured);
-    } else if (gradescale::Frame* frame = this->WorkFrame(host)) {
+    } else if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
       gradescale::Release* wire = frame->add_releases();
       gsToWire(ask.Id, wire->mutable_id());
       wire->set_pool(ask.Pool);
--- a/Source/Daemon/gsNode.h
+++ b/Source/Daemon/gsNode.h
@@ -57,7 +57,6 @@
   void SendClaims();
   bool UpstreamLeaving(std::string const& upstream,
                        std::string const& incarnation) const;
-  gradescale::Frame* WorkFrame(std::string const& host);
 
   gsLoop& Loop;
   gsSettings Settings;
