Http: Never send a call that was cancelled

A host that woke from a freeze cancelled calls whose connection did not stand yet. Cancel drops the callbacks at once and removes the call before the loop next waits; if the connection came to stand in between, the call was sent without being asked.

Ruled out: the attempt state (it was 'not sent' and true when looked at) and the dispatcher's stale grants (ignored, seen in the log).

Change: a cancelled call is stopped right before its first byte. The benchmark loops are written so that the linter accepts them.

--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -46,7 +46,8 @@
   unsigned Status = 0;
   bool Framed = false; ///< The answer says where it ends.
   bool Sent = false;
-  bool Stopped = false; ///< BeforeSend said no.
+  bool Stopped = false;   ///< BeforeSend said no.
+  bool Cancelled = false; ///< Nothing of it may be sent any more.
 };
 
 gsHttpClient::gsHttpClient(gsLoop& loop)
@@ -148,6 +149,8 @@
   // A callback of this very handle may be running: remove it afterwards.
   CURL* easy = active->Easy;
   curl_easy_setopt(easy, CURLOPT_PRIVATE, nullptr);
+  // Its connection may come to stand before that; it must not be used.
+  active->Cancelled = true;
   active->Call.BeforeSend = nullptr;
   active->Call.OnHeaders = nullptr;
   active->Call.OnData = nullptr;
@@ -217,7 +220,8 @@
                                int /*rport*/, int /*lport*/)
 {
   auto* self = static_cast<Active*>(active);
-  if (self->Sent || (self->Call.BeforeSend && !self->Call.BeforeSend())) {
+  if (self->Cancelled || self->Sent ||
+      (self->Call.BeforeSend && !self->Call.BeforeSend())) {
     self->Stopped = !self->Sent;
     return CURL_PREREQFUNC_ABORT;
   }
--- a/Tests/Bench/gsCoreBench.cxx
+++ b/Tests/Bench/gsCoreBench.cxx
@@ -57,7 +57,7 @@
   for (auto const& [id, row] : pool.Running) {
     running.push_back(id);
   }
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     now += gsTime(100);
     gsRelease(pool, running.front(), gsOutcome::Whole, {}, now, out);
     running.pop_front();
@@ -102,7 +102,7 @@
   gsRandom random(1);
   gsTime now = gsSeconds(1);
   std::uint64_t messages = 0;
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     for (int tick = 0; tick < 20; ++tick) {
       now += gsMilliseconds(50);
       gsMembershipOutput out;
@@ -160,7 +160,7 @@
   gsDocument document = BigDocument(state.range(0), state.range(1));
   std::uint64_t number = 0;
   std::size_t size = 0;
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     gsJson change{ { "id", std::to_string(number++) },
                    { "kind", "set_organisation" },
                    { "organisation", gsToJson(document.Organisations[0]) } };
@@ -184,7 +184,7 @@
   gsClaims claims;
   gsTime now = gsSeconds(1);
   std::vector<gsClaimDecision> out;
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     for (std::int64_t i = 0; i < state.range(0); ++i) {
       gsClaimAdd(claims, "claim/" + std::string(64, 'a'), std::string(80, 'v'),
                  1);
@@ -211,7 +211,7 @@
   grant.Address = "10.0.0.1:8000";
   grant.Incarnation = std::string(32, 'f');
   std::size_t size = 0;
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     gradescale::Frame frame;
     gsToWire(ask, frame.add_asks());
     gsToWire(grant, frame.add_grants());
@@ -239,7 +239,7 @@
     hosts.push_back("host-" + std::to_string(i));
   }
   std::vector<std::string_view> names(hosts.begin(), hosts.end());
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(gsRendezvous(names, "model-name@hall-name"));
   }
 }
