Routing: Share open work between hosts, and close kept connections at a stop

A stream begun before SIGTERM does not tell its caller to close; the connection stayed and brought a further request up to seven seconds later, which the end of the grace time cut. Ruled out: the balancer, the listening socket (closed at 2.6 s). Change: once stopping, a connection is closed for sending after its answer, and what crosses the close is not read on. The library also aborted the process when it ended with suspended connections: they are resumed first. Change: hosts report open work to a relay of their hall; relays tell each other and their hall (Source/Coord/gsLoadExchange); an engine's memory is a limit.

--- /dev/null
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -0,0 +1,185 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsLoadExchange.h"
+
+#include <algorithm>
+#include <set>
+
+#include "gsRendezvous.h"
+
+namespace {
+
+constexpr std::string_view RelayKey = "load-relay";
+
+void Add(gsLoadMap& sum, gsLoadMap const& loads)
+{
+  for (auto const& [upstream, load] : loads) {
+    gsUpstreamLoad& total = sum[upstream];
+    total.Running += load.Running;
+    total.ReadTokens += load.ReadTokens;
+    total.MemoryTokens += load.MemoryTokens;
+  }
+}
+
+bool Fresh(gsLoadExchange const& exchange, gsHeardLoad const& heard,
+           gsTime now)
+{
+  return now - heard.At <= exchange.Settings.Memory;
+}
+
+/** Work of this hall's hosts, one of them left out. */
+gsLoadMap HallWithout(gsLoadExchange const& exchange, gsLoadMap const& own,
+                      std::string_view without, gsTime now)
+{
+  gsLoadMap sum;
+  if (without != exchange.Self) {
+    sum = own;
+  }
+  for (auto const& [host, heard] : exchange.Heard) {
+    bool counts = heard.Report.Scope == gsLoadScope::Host &&
+                  heard.Hall == exchange.Hall && host != without &&
+                  Fresh(exchange, heard, now);
+    if (counts) {
+      Add(sum, heard.Report.Loads);
+    }
+  }
+  return sum;
+}
+
+/** Work of the other halls, by the last word of each hall's relay. */
+gsLoadMap OtherHalls(gsLoadExchange const& exchange, gsTime now)
+{
+  std::map<std::string_view, gsHeardLoad const*> newest;
+  for (auto const& [host, heard] : exchange.Heard) {
+    bool counts = heard.Report.Scope == gsLoadScope::Hall &&
+                  heard.Hall != exchange.Hall && Fresh(exchange, heard, now);
+    if (!counts) {
+      continue;
+    }
+    gsHeardLoad const*& best = newest[heard.Hall];
+    if (best == nullptr || heard.At > best->At) {
+      best = &heard;
+    }
+  }
+  gsLoadMap sum;
+  for (auto const& [hall, heard] : newest) {
+    Add(sum, heard->Report.Loads);
+  }
+  return sum;
+}
+
+/** Adds a report unless the host was told the same a short while ago. */
+void Tell(gsLoadExchange& exchange, std::string const& host, gsLoadScope scope,
+          gsLoadMap loads, gsTime now, std::vector<gsLoadMessage>& out)
+{
+  gsToldLoad& told = exchange.Told[host];
+  bool due = now - told.At >= exchange.Settings.Refresh;
+  if (!due && told.Loads == loads) {
+    return;
+  }
+  told.Loads = loads;
+  told.At = now;
+  out.push_back({ host, { scope, std::move(loads) } });
+}
+
+void Forget(gsLoadExchange& exchange, gsTime now)
+{
+  for (auto row = exchange.Heard.begin(); row != exchange.Heard.end();) {
+    bool fresh = Fresh(exchange, row->second, now);
+    row = fresh ? std::next(row) : exchange.Heard.erase(row);
+  }
+}
+
+} // namespace
+
+char const* gsLoadScopeWord(gsLoadScope scope)
+{
+  switch (scope) {
+    case gsLoadScope::Host:
+      return "host";
+    case gsLoadScope::Hall:
+      return "hall";
+    case gsLoadScope::Others:
+      break;
+  }
+  return "others";
+}
+
+std::string gsLoadRelay(std::vector<gsLoadMember> const& members,
+                        std::string_view hall)
+{
+  std::vector<std::string_view> hosts;
+  for (gsLoadMember const& member : members) {
+    if (member.Hall == hall) {
+      hosts.push_back(member.Host);
+    }
+  }
+  return gsRendezvous(hosts, RelayKey).value_or(std::string());
+}
+
+void gsLoadHear(gsLoadExchange& exchange, std::string_view host,
+                std::string_view hall, gsLoadReport report, gsTime now)
+{
+  gsHeardLoad& heard = exchange.Heard[std::string(host)];
+  heard.Hall = hall;
+  heard.Report = std::move(report);
+  heard.At = now;
+}
+
+std::vector<gsLoadMessage> gsLoadTick(gsLoadExchange& exchange,
+                                      std::vector<gsLoadMember> const& members,
+                                      gsLoadMap const& own, gsTime now)
+{
+  std::vector<gsLoadMessage> out;
+  Forget(exchange, now);
+  std::string relay = gsLoadRelay(members, exchange.Hall);
+  if (relay != exchange.Self) {
+    if (!relay.empty()) {
+      Tell(exchange, relay, gsLoadScope::Host, own, now, out);
+    }
+    return out;
+  }
+  gsLoadMap others = OtherHalls(exchange, now);
+  std::set<std::string_view> halls;
+  for (gsLoadMember const& member : members) {
+    if (member.Hall != exchange.Hall) {
+      halls.insert(member.Hall);
+      continue;
+    }
+    if (member.Host == exchange.Self) {
+      continue;
+    }
+    gsLoadMap all = HallWithout(exchange, own, member.Host, now);
+    Add(all, others);
+    Tell(exchange, std::string(member.Host), gsLoadScope::Others,
+         std::move(all), now, out);
+  }
+  gsLoadMap hall = HallWithout(exchange, own, {}, now);
+  for (std::string_view other : halls) {
+    Tell(exchange, gsLoadRelay(members, other), gsLoadScope::Hall, hall, now,
+         out);
+  }
+  return out;
+}
+
+gsLoadMap gsLoadOfOthers(gsLoadExchange const& exchange, gsTime now)
+{
+  gsHeardLoad const* told = nullptr;
+  gsTime relayed{};
+  for (auto const& [host, heard] : exchange.Heard) {
+    bool newer = told == nullptr || heard.At > told->At;
+    if (heard.Report.Scope == gsLoadScope::Others && newer &&
+        Fresh(exchange, heard, now)) {
+      told = &heard;
+    }
+    if (heard.Report.Scope == gsLoadScope::Host) {
+      relayed = std::max(relayed, heard.At);
+    }
+  }
+  // As a relay it has heard it all itself, and nobody tells it.
+  if (told != nullptr && told->At > relayed) {
+    return told->Report.Loads;
+  }
+  gsLoadMap sum = HallWithout(exchange, {}, exchange.Self, now);
+  Add(sum, OtherHalls(exchange, now));
+  return sum;
+}
--- /dev/null
+++ b/Source/Coord/gsLoadExchange.h
@@ -0,0 +1,121 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * How hosts tell each other the open work at the upstreams. Each host reports
+ * its own to one relay of its hall, chosen by rendezvous hashing; relays tell
+ * each other their halls' sums, and tell each host of their hall what all
+ * others have open. So a host that is no relay sends and hears one report a
+ * period, however many hosts there are, and a relay's cost grows with its
+ * hall alone. A report is only a hint: what is old is not counted, and a
+ * relay that dies is replaced as soon as membership chooses another.
+ *
+ * The state is one plain struct; time is handed in, reports to be sent come
+ * out.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gsTypes.h"
+
+/** Open work at one upstream. */
+struct gsUpstreamLoad
+{
+  std::uint32_t Running = 0;
+  std::uint32_t ReadTokens = 0;   ///< Of prompts, still to be read.
+  std::uint32_t MemoryTokens = 0; ///< Held by running requests.
+
+  friend bool operator==(gsUpstreamLoad const& a, gsUpstreamLoad const& b)
+  {
+    return a.Running == b.Running && a.ReadTokens == b.ReadTokens &&
+           a.MemoryTokens == b.MemoryTokens;
+  }
+};
+
+/** By a hash of the upstream's id; upstreams without work are left out. */
+using gsLoadMap = std::map<std::uint32_t, gsUpstreamLoad>;
+
+/** Whose work a report counts. */
+enum class gsLoadScope : std::uint32_t
+{
+  Host = 0,  ///< The sender's own.
+  Hall = 1,  ///< Of all hosts of the sender's hall.
+  Others = 2 ///< Of all hosts but the receiver.
+};
+
+char const* gsLoadScopeWord(gsLoadScope scope);
+
+struct gsLoadReport
+{
+  gsLoadScope Scope = gsLoadScope::Host;
+  gsLoadMap Loads;
+};
+
+/** What was last heard from one host. */
+struct gsHeardLoad
+{
+  std::string Hall;
+  gsLoadReport Report;
+  gsTime At{};
+};
+
+/** What was last told to one host. */
+struct gsToldLoad
+{
+  gsLoadMap Loads;
+  gsTime At{};
+};
+
+struct gsLoadSettings
+{
+  /** Unchanged reports are repeated so often. */
+  gsTime Refresh = gsSeconds(1);
+  /** Reports are not believed any longer than this. */
+  gsTime Memory = gsMilliseconds(2500);
+};
+
+struct gsLoadExchange
+{
+  gsLoadSettings Settings;
+  std::string Self;
+  std::string Hall;
+  std::map<std::string, gsHeardLoad> Heard; ///< By host.
+  std::map<std::string, gsToldLoad> Told;   ///< By host.
+};
+
+/** A host that takes part. */
+struct gsLoadMember
+{
+  std::string_view Host;
+  std::string_view Hall;
+};
+
+/** A report to be sent. */
+struct gsLoadMessage
+{
+  std::string To;
+  gsLoadReport Report;
+};
+
+/** The host through which a hall's reports run; empty if it has none. */
+std::string gsLoadRelay(std::vector<gsLoadMember> const& members,
+                        std::string_view hall);
+
+/** Takes a report of another host in. */
+void gsLoadHear(gsLoadExchange& exchange, std::string_view host,
+                std::string_view hall, gsLoadReport report, gsTime now);
+
+/**
+ * Reports that are due, with the sender's own work as it is now. Members are
+ * all live hosts, this one included.
+ */
+std::vector<gsLoadMessage> gsLoadTick(gsLoadExchange& exchange,
+                                      std::vector<gsLoadMember> const& members,
+                                      gsLoadMap const& own, gsTime now);
+
+/** Work of all other hosts, as far as it is known. */
+gsLoadMap gsLoadOfOthers(gsLoadExchange const& exchange, gsTime now);
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -241,6 +241,22 @@
   return missing * fleet.Settings.AgainTokens;
 }
 
+/** What an engine costs whose memory would not do: it preempts others. */
+double FullCost(gsFleet const& fleet, gsFleetRow const& row,
+                gsPlacementAsk const& ask, gsTime now)
+{
+  if (ask.UpstreamMemory == 0) {
+    return 0;
+  }
+  double taken = static_cast<double>(gsWorkAt(fleet, row, now).MemoryTokens +
+                                     ask.PromptTokens + ask.AnswerTokens);
+  double limit =
+    fleet.Settings.MemoryShare * static_cast<double>(ask.UpstreamMemory);
+  return taken <= limit
+           ? 0
+           : fleet.Settings.FullTokens + std::max(0.0, taken - limit);
+}
+
 } // namespace
 
 gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
@@ -269,6 +285,7 @@
     std::uint32_t toRead = gsTokensToRead(fleet, row, ask, now);
     double cost = CostOf(fleet, row, toRead, choice.UsualFailShare, now);
     cost += AgainCost(fleet, row, ask, choice, toRead) + tie(random);
+    cost += FullCost(fleet, row, ask, now);
     if (!InGroup(row, choice)) {
       cost += fleet.Settings.OtherGroupTokens;
     }
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -108,6 +108,10 @@
   /** Prompts longer than so many tight ones are long. */
   double LongFactor = 4;
   bool Groups = true;
+  /** Cost of an engine whose memory the request would fill. */
+  double FullTokens = 100000;
+  /** Share of an engine's memory that requests may take together. */
+  double MemoryShare = 0.85;
   gsTime PartMemory = gsSeconds(20);
   gsTime OthersMemory = gsSeconds(2); ///< Older words are not believed.
   std::size_t PartsMost = 2000;       ///< Remembered for each upstream.
@@ -132,6 +136,8 @@
   std::uint32_t PromptTokens = 0;
   std::uint32_t AnswerTokens = 0;
   bool Tight = false; ///< A stream whose pauses must be short.
+  /** Memory of one upstream, tokens; 0 when it is not known. */
+  std::uint64_t UpstreamMemory = 0;
   /** Ids of upstreams that this request was sent to already. */
   std::vector<std::string> const* Tried = nullptr;
 };
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -223,6 +223,11 @@
   ask.AnswerTokens = request->Caller.AnswerTokens;
   ask.Tried = &request->Tried;
   ask.Tight = request->Route->Tight;
+  gsRouteService const* service =
+    gsFindService(*request->Table, request->Service);
+  if (service != nullptr && service->Engine) {
+    ask.UpstreamMemory = service->Engine->MemoryTokens;
+  }
   if (request->Sends == 0) {
     gsNoteDemand(this->Fleet, ask, now);
   }
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -67,9 +67,12 @@
   , Incarnation(WallMicros())
   , Client(loop)
   , TickTimer(loop, [this] { this->Tick(); })
+  , LoadTimer(loop, [this] { this->TellLoads(); })
   , StopTimer(loop, [this] { this->Stop(); })
 {
   this->Fleet.Settings.Hall = this->Settings.Hall;
+  this->Loads.Self = this->Settings.Host;
+  this->Loads.Hall = this->Settings.Hall;
   gsTableWatchSettings watch;
   watch.Platform = this->Settings.Platform.Address;
   watch.Wait = this->Settings.Routing.WatchWait;
@@ -118,6 +121,7 @@
   this->LastTick = gsLoop::Now();
   this->TickTimer.BeforeOthers();
   this->TickTimer.Every(TickPeriod);
+  this->LoadTimer.Every(this->Settings.Routing.LoadPeriod);
   gsLogLine("started")
     .With("host", this->Settings.Host)
     .With("hall", this->Settings.Hall)
@@ -180,6 +184,7 @@
                           gradescale::Frame const& frame)
 {
   this->HearVersion(host, frame.config_version());
+  this->HearLoads(host, frame);
   for (gradescale::TableNews const& news : frame.table_news()) {
     gsTableWatch* watch = this->WatchOf(news.table());
     if (watch == nullptr) {
@@ -254,6 +259,78 @@
   }
 }
 
+/** Reports open work, as far as it has changed. */
+void gsRouteNode::TellLoads()
+{
+  gsLoadMap own;
+  for (gsFleetRow const& row : this->Fleet.Rows) {
+    if (row.Own.Running > 0) {
+      own[row.Hash] = { row.Own.Running,
+                        static_cast<std::uint32_t>(row.Own.ReadTokens),
+                        static_cast<std::uint32_t>(row.Own.MemoryTokens) };
+    }
+  }
+  gsMembership const& table = this->Cluster->Members();
+  std::vector<gsLoadMember> members{ { table.Self.Host, table.Self.Hall } };
+  for (gsMember const& member : table.Members) {
+    if (member.State == gsMemberState::Alive) {
+      members.push_back({ member.Host, member.Hall });
+    }
+  }
+  gsTime now = gsLoop::Now();
+  for (gsLoadMessage const& message :
+       gsLoadTick(this->Loads, members, own, now)) {
+    gradescale::Frame* frame = this->Cluster->ToHost(message.To);
+    if (frame == nullptr) {
+      continue;
+    }
+    gradescale::LoadReport* report = frame->add_load_reports();
+    report->set_scope(static_cast<std::uint32_t>(message.Report.Scope));
+    for (auto const& [upstream, load] : message.Report.Loads) {
+      gradescale::UpstreamLoad* wire = report->add_loads();
+      wire->set_upstream(upstream);
+      wire->set_running(load.Running);
+      wire->set_read_tokens(load.ReadTokens);
+      wire->set_memory_tokens(load.MemoryTokens);
+    }
+  }
+  this->ApplyLoads(now);
+}
+
+void gsRouteNode::HearLoads(std::string const& host,
+                            gradescale::Frame const& frame)
+{
+  gsMember const* member = gsFindMember(this->Cluster->Members(), host);
+  if (member == nullptr || frame.load_reports().empty()) {
+    return;
+  }
+  gsTime now = gsLoop::Now();
+  for (gradescale::LoadReport const& wire : frame.load_reports()) {
+    gsLoadReport report;
+    report.Scope = static_cast<gsLoadScope>(wire.scope());
+    for (gradescale::UpstreamLoad const& load : wire.loads()) {
+      report.Loads[load.upstream()] = { load.running(), load.read_tokens(),
+                                        load.memory_tokens() };
+    }
+    gsLoadHear(this->Loads, host, member->Hall, std::move(report), now);
+  }
+  this->ApplyLoads(now);
+}
+
+void gsRouteNode::ApplyLoads(gsTime now)
+{
+  gsLoadMap others = gsLoadOfOthers(this->Loads, now);
+  for (gsFleetRow& row : this->Fleet.Rows) {
+    auto load = others.find(row.Hash);
+    gsUpstreamLoad known;
+    if (load != others.end()) {
+      known = load->second;
+    }
+    row.Others = { known.Running, known.ReadTokens, known.MemoryTokens };
+    row.OthersAt = now;
+  }
+}
+
 void gsRouteNode::OnRoutes()
 {
   auto const& rows = this->Routes->Present();
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -17,6 +17,7 @@
 #include "gsFleet.h"
 #include "gsHttpClient.h"
 #include "gsHttpServer.h"
+#include "gsLoadExchange.h"
 #include "gsMetrics.h"
 #include "gsRouteGateway.h"
 #include "gsSettings.h"
@@ -58,6 +59,9 @@
                gradescale::Frame const& frame);
   void HearVersion(std::string const& host, std::uint64_t version);
   void AskBehind(gsTime now);
+  void TellLoads();
+  void HearLoads(std::string const& host, gradescale::Frame const& frame);
+  void ApplyLoads(gsTime now);
   gsTableWatch* WatchOf(std::string_view table);
   std::uint64_t Version() const;
   void OnRoutes();
@@ -85,7 +89,9 @@
   std::unique_ptr<gsRouteGateway> Gateway;
   std::unique_ptr<gsHttpServer> CallerServer;
   std::unique_ptr<gsHttpServer> OperatorServer;
+  gsLoadExchange Loads;
   gsTimer TickTimer;
+  gsTimer LoadTimer;
   gsTimer StopTimer;
   std::shared_ptr<gsRouteTable const> Table;
   std::unordered_map<std::string, Behind> BehindPeers;
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -147,6 +147,8 @@
     routing.WatchWait =
       inner.Millis("watch_wait_ms", PeriodRange, routing.WatchWait);
     routing.Silence = inner.Millis("silence_ms", PeriodRange, routing.Silence);
+    routing.LoadPeriod =
+      inner.Millis("load_period_ms", PeriodRange, routing.LoadPeriod);
     routing.RetryAfter =
       inner.Millis("retry_after_ms", PeriodRange, routing.RetryAfter);
   });
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -80,6 +80,7 @@
     gsTime WatchWait = gsMilliseconds(2000);
     gsTime Silence = gsMilliseconds(700);
     gsTime RetryAfter = gsMilliseconds(300);
+    gsTime LoadPeriod = gsMilliseconds(50);
   } Routing;
 
   struct
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -318,7 +318,9 @@
     if (how == MHD_CONNECTION_NOTIFY_STARTED) {
       auto const* info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-      that->Links[connection] = { gsLoop::Now(), info->connect_fd, false };
+      Link& link = that->Links[connection];
+      link.Since = gsLoop::Now();
+      link.Descriptor = info->connect_fd;
     } else {
       that->Links.erase(connection);
     }
@@ -356,6 +358,14 @@
 {
   *this->Alive = false;
   if (this->Daemon != nullptr) {
+    // The library cannot stop while connections are suspended.
+    for (auto& [connection, link] : this->Links) {
+      if (link.Open != nullptr && link.Open->Suspended) {
+        link.Open->At = gsHttpExchange::Phase::Aborted;
+        link.Open->Suspended = false;
+        MHD_resume_connection(connection);
+      }
+    }
     MHD_stop_daemon(this->Daemon);
   }
 }
@@ -378,8 +388,9 @@
 void gsHttpServer::CloseIdle()
 {
   for (auto& [connection, link] : this->Links) {
-    if (!link.Busy) {
-      shutdown(link.Descriptor, SHUT_RDWR);
+    if (!link.Busy && !link.Shut) {
+      link.Shut = true;
+      shutdown(link.Descriptor, SHUT_WR);
     }
   }
 }
@@ -453,8 +464,10 @@
     exchange->At = gsHttpExchange::Phase::Receiving;
     exchange->Method = method;
     exchange->Path = url;
-    this->Links[connection].Since = exchange->Since;
-    return MHD_YES;
+    Link& link = this->Links[connection];
+    link.Since = exchange->Since;
+    // It crossed the close and could not be answered: it is not read on.
+    return link.Shut ? MHD_NO : MHD_YES;
   }
   if (*size > 0) {
     bool fits = exchange->Body.size() + *size <= this->Settings.MaxBody;
@@ -471,6 +484,7 @@
     exchange->At = gsHttpExchange::Phase::Handling;
     exchange->Peer = PeerOf(connection);
     this->Links[connection].Busy = true;
+    this->Links[connection].Open = exchange.get();
     exchange->WatchCaller();
     std::shared_ptr<gsHttpExchange> keep = exchange;
     this->Handle(keep);
@@ -504,7 +518,13 @@
   auto link = this->Links.find(exchange->Connection);
   if (link != this->Links.end()) {
     link->second.Busy = false;
+    link->second.Open = nullptr;
     link->second.Since = gsLoop::Now();
+    if (this->Closing && !link->second.Shut) {
+      // Its answer may have begun before callers were told to close.
+      link->second.Shut = true;
+      shutdown(link->second.Descriptor, SHUT_WR);
+    }
   }
   exchange->Watch.reset();
   exchange->Connection = nullptr;
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -146,6 +146,8 @@
     gsTime Since{}; ///< When the connection, or its last answer, ended.
     int Descriptor = -1;
     bool Busy = false;
+    bool Shut = false; ///< Closed for sending; takes no more requests.
+    gsHttpExchange* Open = nullptr; ///< The request that is being answered.
   };
 
   gsHttpServer(gsLoop& loop, gsHttpServerSettings settings, Handler handler);
--- /dev/null
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -0,0 +1,224 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/** \file Choosing an upstream. */
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "gsFleet.h"
+
+namespace {
+
+constexpr gsTime Now = gsSeconds(100);
+
+gsListedUpstream Listed(std::string const& id, std::string const& hall = "a")
+{
+  gsListedUpstream upstream;
+  upstream.Id = id;
+  upstream.Service = "model";
+  upstream.Address = "127.0.0.1:1";
+  upstream.Hall = hall;
+  upstream.Slots = 8;
+  return upstream;
+}
+
+gsFleet MakeFleet(int upstreams)
+{
+  gsFleet fleet;
+  fleet.Settings.Hall = "a";
+  std::vector<gsListedUpstream> listed;
+  for (int i = 0; i < upstreams; ++i) {
+    listed.push_back(Listed("u" + std::to_string(i)));
+  }
+  gsFleetTake(fleet, listed);
+  return fleet;
+}
+
+gsPlacementAsk Plain()
+{
+  gsPlacementAsk ask;
+  ask.Service = "model";
+  return ask;
+}
+
+std::string Chosen(gsFleet& fleet, gsPlacementAsk const& ask)
+{
+  gsRandom random(1);
+  gsPlacement placement = gsPlace(fleet, ask, Now, random);
+  return placement.Row == nullptr ? "none" : placement.Row->Listed.Id;
+}
+
+} // namespace
+
+TEST(Fleet, WhatIsLearnedStaysWhileTheUpstreamIsListed)
+{
+  gsFleet fleet = MakeFleet(2);
+  gsFleetFind(fleet, "u1")->Own.Running = 3;
+  gsFleetTake(fleet, { Listed("u1"), Listed("u2") });
+  EXPECT_EQ(gsFleetFind(fleet, "u0"), nullptr);
+  EXPECT_EQ(gsFleetFind(fleet, "u1")->Own.Running, 3U);
+  EXPECT_EQ(gsFleetFind(fleet, "u2")->Own.Running, 0U);
+}
+
+TEST(Fleet, ALeavingUpstreamGetsNothing)
+{
+  gsFleet fleet = MakeFleet(2);
+  gsListedUpstream leaving = Listed("u0");
+  leaving.Leaving = true;
+  gsFleetTake(fleet, { leaving, Listed("u1") });
+  gsFleetFind(fleet, "u1")->Own.Running = 100;
+  EXPECT_EQ(Chosen(fleet, Plain()), "u1");
+  gsFleetTake(fleet, { leaving });
+  EXPECT_EQ(Chosen(fleet, Plain()), "none");
+}
+
+TEST(Fleet, AnUpstreamThatWasTriedIsNotTriedAgain)
+{
+  gsFleet fleet = MakeFleet(2);
+  std::vector<std::string> tried{ "u0" };
+  gsPlacementAsk ask = Plain();
+  ask.Tried = &tried;
+  EXPECT_EQ(Chosen(fleet, ask), "u1");
+  tried.push_back("u1");
+  EXPECT_EQ(Chosen(fleet, ask), "none");
+}
+
+TEST(Fleet, OtherHostsWorkCountsUntilItIsOld)
+{
+  gsFleet fleet = MakeFleet(2);
+  gsFleetRow* row = gsFleetFind(fleet, "u0");
+  row->Others.ReadTokens = 50000;
+  row->OthersAt = Now;
+  EXPECT_EQ(Chosen(fleet, Plain()), "u1");
+  gsFleetFind(fleet, "u1")->Own.ReadTokens = 1000;
+  EXPECT_EQ(Chosen(fleet, Plain()), "u1");
+  row->OthersAt = Now - fleet.Settings.OthersMemory - gsMilliseconds(1);
+  EXPECT_EQ(Chosen(fleet, Plain()), "u0");
+}
+
+TEST(Fleet, AnUnreachableUpstreamIsAvoidedForALittleLongerEachTime)
+{
+  gsFleet fleet = MakeFleet(1);
+  gsFleetRow* row = gsFleetFind(fleet, "u0");
+  gsNoteUnreachable(*row, Now);
+  gsTime first = row->AvoidUntil - Now;
+  EXPECT_EQ(Chosen(fleet, Plain()), "none");
+  gsNoteUnreachable(*row, Now);
+  EXPECT_GT(row->AvoidUntil - Now, first);
+  gsNoteHeard(*row, Now);
+  EXPECT_EQ(Chosen(fleet, Plain()), "u0");
+}
+
+TEST(Fleet, FailuresThatAllHaveAreNotHeldAgainstOne)
+{
+  gsFleet fleet = MakeFleet(3);
+  for (gsFleetRow& row : fleet.Rows) {
+    for (int i = 0; i < 20; ++i) {
+      gsNoteOutcome(row, i % 7 == 0, Now);
+    }
+  }
+  gsFleetFind(fleet, "u0")->Own.Running = 0;
+  gsFleetFind(fleet, "u1")->Own.Running = 5;
+  gsFleetFind(fleet, "u2")->Own.Running = 5;
+  EXPECT_EQ(Chosen(fleet, Plain()), "u0");
+  for (int i = 0; i < 20; ++i) {
+    gsNoteOutcome(*gsFleetFind(fleet, "u0"), true, Now);
+  }
+  EXPECT_NE(Chosen(fleet, Plain()), "u0");
+}
+
+TEST(Fleet, ASubjectStaysWhereItIsCachedUntilTheWaitCostsMore)
+{
+  gsFleet fleet = MakeFleet(4);
+  std::vector<gsPromptPart> parts{ { 1, 500 }, { 2, 5000 }, { 3, 600 } };
+  gsPlacementAsk ask = Plain();
+  ask.Parts = &parts;
+  ask.PromptTokens = 6100;
+  std::string home = Chosen(fleet, ask);
+  gsNoteParts(fleet, *gsFleetFind(fleet, home), parts, Now);
+  gsFleetFind(fleet, home)->Own.ReadTokens = 10000;
+  parts[2].Name = 4; // Another request about the same subject.
+  EXPECT_EQ(Chosen(fleet, ask), home);
+  gsFleetFind(fleet, home)->Own.ReadTokens = 100000;
+  EXPECT_NE(Chosen(fleet, ask), home);
+}
+
+TEST(Fleet, HostsThatKnowNothingOfEachOtherAgreeOnASubject)
+{
+  std::vector<gsPromptPart> parts{ { 1, 500 }, { 2, 5000 }, { 3, 600 } };
+  gsPlacementAsk ask = Plain();
+  ask.Parts = &parts;
+  ask.PromptTokens = 6100;
+  std::set<std::string> homes;
+  for (unsigned seed = 0; seed < 10; ++seed) {
+    gsFleet fleet = MakeFleet(8);
+    gsRandom random(seed);
+    homes.insert(gsPlace(fleet, ask, Now, random).Row->Listed.Id);
+  }
+  EXPECT_EQ(homes.size(), 1U);
+}
+
+TEST(Fleet, LongPromptsAndTightStreamsGetEnginesApart)
+{
+  gsFleet fleet = MakeFleet(8);
+  gsPlacementAsk tight = Plain();
+  tight.Tight = true;
+  tight.PromptTokens = 800;
+  gsPlacementAsk reading = Plain();
+  reading.PromptTokens = 12000;
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 0U);
+  for (int i = 0; i < 50; ++i) {
+    gsNoteDemand(fleet, tight, Now);
+    gsNoteDemand(fleet, tight, Now);
+    gsNoteDemand(fleet, tight, Now);
+    if (i % 5 == 0) {
+      gsNoteDemand(fleet, reading, Now);
+    }
+  }
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 4U);
+  std::set<std::string> forTight;
+  std::set<std::string> forLong;
+  gsRandom random(3);
+  for (int i = 0; i < 200; ++i) {
+    gsFleetRow& one = *gsPlace(fleet, tight, Now, random).Row;
+    one.Own.Running += 1;
+    forTight.insert(one.Listed.Id);
+    gsFleetRow& two = *gsPlace(fleet, reading, Now, random).Row;
+    two.Own.Running += 1;
+    forLong.insert(two.Listed.Id);
+  }
+  EXPECT_EQ(forTight.size(), 4U);
+  EXPECT_EQ(forLong.size(), 4U);
+  for (std::string const& id : forTight) {
+    EXPECT_EQ(forLong.count(id), 0U) << id;
+  }
+}
+
+TEST(Fleet, AVeryLongPromptOfATightRouteGoesToTheLongEngines)
+{
+  gsFleet fleet = MakeFleet(4);
+  gsPlacementAsk ask = Plain();
+  ask.Tight = true;
+  ask.PromptTokens = 1000;
+  for (int i = 0; i < 20; ++i) {
+    gsNoteDemand(fleet, ask, Now);
+  }
+  EXPECT_EQ(gsGroupOf(fleet, ask), gsFleetGroup::Tight);
+  ask.PromptTokens = 20000;
+  EXPECT_EQ(gsGroupOf(fleet, ask), gsFleetGroup::Long);
+}
+
+TEST(Fleet, AnEngineWhoseMemoryIsTakenGetsNoMore)
+{
+  gsFleet fleet = MakeFleet(2);
+  std::vector<gsPromptPart> parts{ { 1, 500 }, { 2, 5000 }, { 3, 600 } };
+  gsPlacementAsk ask = Plain();
+  ask.Parts = &parts;
+  ask.PromptTokens = 6100;
+  ask.UpstreamMemory = 100000;
+  std::string home = Chosen(fleet, ask);
+  gsFleetFind(fleet, home)->Own.MemoryTokens = 70000;
+  EXPECT_EQ(Chosen(fleet, ask), home);
+  gsFleetFind(fleet, home)->Others.MemoryTokens = 12000;
+  gsFleetFind(fleet, home)->OthersAt = Now;
+  EXPECT_NE(Chosen(fleet, ask), home);
+}
--- /dev/null
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -0,0 +1,141 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/** \file Hosts that tell each other their open work. */
+#include <map>
+#include <set>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "gsLoadExchange.h"
+
+namespace {
+
+/** Hosts whose reports arrive at once, unless they are down. */
+struct Net
+{
+  std::map<std::string, gsLoadExchange> Hosts;
+  std::map<std::string, gsLoadMap> Own;
+  std::set<std::string> Down;
+  std::size_t Messages = 0;
+
+  void Add(std::string const& host, std::string const& hall)
+  {
+    gsLoadExchange& exchange = this->Hosts[host];
+    exchange.Self = host;
+    exchange.Hall = hall;
+  }
+
+  std::vector<gsLoadMember> Members() const
+  {
+    std::vector<gsLoadMember> members;
+    for (auto const& [host, exchange] : this->Hosts) {
+      if (this->Down.count(host) == 0) {
+        members.push_back({ host, exchange.Hall });
+      }
+    }
+    return members;
+  }
+
+  void Tick(gsTime now)
+  {
+    std::vector<gsLoadMember> members = this->Members();
+    for (auto& [host, exchange] : this->Hosts) {
+      if (this->Down.count(host) != 0) {
+        continue;
+      }
+      for (gsLoadMessage const& message :
+           gsLoadTick(exchange, members, this->Own[host], now)) {
+        ++this->Messages;
+        if (this->Down.count(message.To) == 0) {
+          gsLoadHear(this->Hosts[message.To], host, exchange.Hall,
+                     message.Report, now);
+        }
+      }
+    }
+  }
+
+  std::uint32_t Seen(std::string const& host, gsTime now)
+  {
+    return gsLoadOfOthers(this->Hosts[host], now)[7].Running;
+  }
+};
+
+Net ThreeHalls(int hostsEach)
+{
+  Net net;
+  for (char const* hall : { "a", "b", "c" }) {
+    for (int i = 0; i < hostsEach; ++i) {
+      net.Add(std::string(hall) + std::to_string(i), hall);
+    }
+  }
+  return net;
+}
+
+constexpr gsTime Period = gsMilliseconds(50);
+
+} // namespace
+
+TEST(LoadExchange, EveryHostLearnsTheWorkOfAllOthers)
+{
+  Net net = ThreeHalls(4);
+  std::uint32_t total = 0;
+  std::uint32_t next = 1;
+  for (auto& [host, exchange] : net.Hosts) {
+    net.Own[host][7] = { next, 10 * next, 100 * next };
+    total += next++;
+  }
+  gsTime now = gsSeconds(10);
+  for (int i = 0; i < 4; ++i) {
+    net.Tick(now += Period);
+  }
+  for (auto const& [host, own] : net.Own) {
+    EXPECT_EQ(net.Seen(host, now), total - own.at(7).Running) << host;
+  }
+}
+
+TEST(LoadExchange, ARelaysSuccessorTakesOver)
+{
+  Net net = ThreeHalls(3);
+  for (auto& [host, exchange] : net.Hosts) {
+    net.Own[host][7] = { 1, 0, 0 };
+  }
+  gsTime now = gsSeconds(10);
+  for (int i = 0; i < 4; ++i) {
+    net.Tick(now += Period);
+  }
+  std::string relay = gsLoadRelay(net.Members(), "a");
+  net.Down.insert(relay);
+  // What the dead relay had open is counted no longer than a report lives.
+  for (int i = 0; i < 70; ++i) {
+    net.Tick(now += Period);
+  }
+  for (auto const& [host, exchange] : net.Hosts) {
+    if (host != relay) {
+      EXPECT_EQ(net.Seen(host, now), 7U) << host;
+    }
+  }
+}
+
+TEST(LoadExchange, WhatIsOldIsNotBelieved)
+{
+  Net net = ThreeHalls(2);
+  net.Own["a0"][7] = { 5, 0, 0 };
+  net.Own["a1"][7] = { 5, 0, 0 };
+  gsTime now = gsSeconds(10);
+  for (int i = 0; i < 4; ++i) {
+    net.Tick(now += Period);
+  }
+  EXPECT_EQ(net.Seen("b0", now), 10U);
+  EXPECT_EQ(net.Seen("b0", now + gsSeconds(10)), 0U);
+}
+
+TEST(LoadExchange, IdleHostsSayLittle)
+{
+  Net net = ThreeHalls(10);
+  gsTime now = gsSeconds(10);
+  for (int i = 0; i < 200; ++i) { // Ten seconds.
+    net.Tick(now += Period);
+  }
+  // One report a second to the relay, one from it, and between relays.
+  EXPECT_LE(net.Messages, 11U * (2 * 27 + 6));
+}
--- /dev/null
+++ b/Tests/Unit/gsTestRouteTable.cxx
@@ -0,0 +1,105 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/** \file Looking routes, keys and urgencies up. */
+#include <gtest/gtest.h>
+
+#include "gsRouteTable.h"
+
+namespace {
+
+gsRoute MakeRoute(std::string name, std::string host, std::string prefix)
+{
+  gsRoute route;
+  route.Name = std::move(name);
+  route.Host = std::move(host);
+  route.Prefix = std::move(prefix);
+  route.Shares = { { "model", 1.0 } };
+  return route;
+}
+
+std::string Found(gsRouteTable const& table, std::string_view host,
+                  std::string_view path)
+{
+  gsRoute const* route = gsFindRoute(table, host, path);
+  return route == nullptr ? "none" : route->Name;
+}
+
+} // namespace
+
+TEST(RouteTable, TheLongestPrefixOfTheHostWins)
+{
+  gsRouteTable table;
+  table.Routes = { MakeRoute("root", "one.example", "/"),
+                   MakeRoute("a", "one.example", "/a/"),
+                   MakeRoute("ab", "one.example", "/a/b/"),
+                   MakeRoute("other", "two.example", "/a/") };
+  gsIndexRoutes(table);
+  EXPECT_EQ(Found(table, "one.example", "/a/b/c"), "ab");
+  EXPECT_EQ(Found(table, "one.example", "/a/b"), "a");
+  EXPECT_EQ(Found(table, "one.example", "/ab/c"), "root");
+  EXPECT_EQ(Found(table, "ONE.example:8080", "/a/b/?q=/x/"), "ab");
+  EXPECT_EQ(Found(table, "one.example", "/?x=/a/b/"), "root");
+  EXPECT_EQ(Found(table, "two.example", "/a/b/c"), "other");
+  EXPECT_EQ(Found(table, "two.example", "/b/c"), "none");
+  EXPECT_EQ(Found(table, "three.example", "/a/"), "none");
+  EXPECT_EQ(Found(table, "one.example", ""), "none");
+}
+
+TEST(RouteTable, SharesFollowTheirWeights)
+{
+  gsRoute route;
+  route.Shares = { { "old", 90 }, { "new", 10 } };
+  EXPECT_EQ(gsPickShare(route, 0.0), "old");
+  EXPECT_EQ(gsPickShare(route, 0.899), "old");
+  EXPECT_EQ(gsPickShare(route, 0.901), "new");
+  EXPECT_EQ(gsPickShare(route, 1.0), "new");
+}
+
+TEST(RouteTable, KeysBelongToOneOrganisation)
+{
+  gsRouteTable table;
+  table.Organisations = { { "club", { "k1", "k2" }, {} },
+                          { "school", { "k3" }, 1 } };
+  gsIndexRoutes(table);
+  ASSERT_NE(gsFindKey(table, "k2"), nullptr);
+  EXPECT_EQ(gsFindKey(table, "k2")->Name, "club");
+  EXPECT_EQ(gsFindKey(table, "k3")->Name, "school");
+  EXPECT_EQ(gsFindKey(table, "k4"), nullptr);
+  EXPECT_EQ(gsFindKey(table, ""), nullptr);
+}
+
+TEST(RouteTable, TheOrganisationsPriorityGoesBeforeTheRoutes)
+{
+  gsRouteTable table;
+  table.Routes = { MakeRoute("lookup", "h", "/l/"),
+                   MakeRoute("review", "h", "/r/") };
+  table.Routes[1].Priority = 2;
+  table.Organisations = { { "first", { "k" }, 0 }, { "second", { "m" }, 1 } };
+  gsIndexRoutes(table);
+  gsRouteOrganisation const& first = table.Organisations[0];
+  gsRouteOrganisation const& second = table.Organisations[1];
+  std::uint32_t firstLookup = gsUrgencyOf(table, table.Routes[0], &first);
+  std::uint32_t firstReview = gsUrgencyOf(table, table.Routes[1], &first);
+  std::uint32_t secondLookup = gsUrgencyOf(table, table.Routes[0], &second);
+  std::uint32_t secondReview = gsUrgencyOf(table, table.Routes[1], &second);
+  EXPECT_LT(firstLookup, firstReview);
+  EXPECT_LT(firstReview, secondLookup);
+  EXPECT_LT(secondLookup, secondReview);
+}
+
+TEST(RouteTable, TightPausesAreJudgedBesideTheServicesLongest)
+{
+  gsRouteTable table;
+  table.Routes = { MakeRoute("review", "h", "/r/"),
+                   MakeRoute("lookup", "h", "/l/"),
+                   MakeRoute("plain", "h", "/p/") };
+  for (gsRoute& route : table.Routes) {
+    route.Events = true;
+  }
+  table.Routes[0].GapTarget = gsMilliseconds(600);
+  table.Routes[1].GapTarget = gsMilliseconds(150);
+  table.Routes[2].Events = false;
+  gsIndexRoutes(table);
+  EXPECT_FALSE(table.Routes[0].Tight);
+  EXPECT_TRUE(table.Routes[1].Tight);
+  EXPECT_FALSE(table.Routes[2].Tight);
+}
