Routing: Agree between hosts on slow engines and on the groups' border

Cause: pauses of captions came from a third of the engines (37 to 73 % late there, 0 to 5 % on the others): they are 1.3 times slower. And hosts did not agree on the border between the groups, nor on the ranks, so long prompts and tight streams met at the engines near it. Change: waiting costs little while a request can be in target; the least pause between an engine's events is measured and its least over all hosts is shared with the load reports, as is the demand of each kind; slow engines are for long prompts first; the border moves only when demand clearly has.

--- a/Source/Coord/gsLoadExchange.cxx
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -10,13 +10,21 @@
 
 constexpr std::string_view RelayKey = "load-relay";
 
-void Add(gsLoadMap& sum, gsLoadMap const& loads)
+void Add(gsSystemLoad& sum, gsSystemLoad const& part)
 {
-  for (auto const& [upstream, load] : loads) {
-    gsUpstreamLoad& total = sum[upstream];
+  for (auto const& [service, demand] : part.Services) {
+    gsServiceDemand& total = sum.Services[service];
+    total.Long += demand.Long;
+    total.Tight += demand.Tight;
+  }
+  for (auto const& [upstream, load] : part.Upstreams) {
+    gsUpstreamLoad& total = sum.Upstreams[upstream];
     total.Running += load.Running;
     total.ReadTokens += load.ReadTokens;
     total.MemoryTokens += load.MemoryTokens;
+    bool faster = load.PaceMicros != 0 && (total.PaceMicros == 0 ||
+                                           load.PaceMicros < total.PaceMicros);
+    total.PaceMicros = faster ? load.PaceMicros : total.PaceMicros;
   }
 }
 
@@ -27,10 +35,11 @@
 }
 
 /** Work of this hall's hosts, one of them left out. */
-gsLoadMap HallWithout(gsLoadExchange const& exchange, gsLoadMap const& own,
-                      std::string_view without, gsTime now)
+gsSystemLoad HallWithout(gsLoadExchange const& exchange,
+                         gsSystemLoad const& own, std::string_view without,
+                         gsTime now)
 {
-  gsLoadMap sum;
+  gsSystemLoad sum;
   if (without != exchange.Self) {
     sum = own;
   }
@@ -39,14 +48,14 @@
                   heard.Hall == exchange.Hall && host != without &&
                   Fresh(exchange, heard, now);
     if (counts) {
-      Add(sum, heard.Report.Loads);
+      Add(sum, heard.Report.Load);
     }
   }
   return sum;
 }
 
 /** Work of the other halls, by the last word of each hall's relay. */
-gsLoadMap OtherHalls(gsLoadExchange const& exchange, gsTime now)
+gsSystemLoad OtherHalls(gsLoadExchange const& exchange, gsTime now)
 {
   std::map<std::string_view, gsHeardLoad const*> newest;
   for (auto const& [host, heard] : exchange.Heard) {
@@ -60,25 +69,25 @@
       best = &heard;
     }
   }
-  gsLoadMap sum;
+  gsSystemLoad sum;
   for (auto const& [hall, heard] : newest) {
-    Add(sum, heard->Report.Loads);
+    Add(sum, heard->Report.Load);
   }
   return sum;
 }
 
 /** Adds a report unless the host was told the same a short while ago. */
 void Tell(gsLoadExchange& exchange, std::string const& host, gsLoadScope scope,
-          gsLoadMap loads, gsTime now, std::vector<gsLoadMessage>& out)
+          gsSystemLoad load, gsTime now, std::vector<gsLoadMessage>& out)
 {
   gsToldLoad& told = exchange.Told[host];
   bool due = now - told.At >= exchange.Settings.Refresh;
-  if (!due && told.Loads == loads) {
+  if (!due && told.Load == load) {
     return;
   }
-  told.Loads = loads;
+  told.Load = load;
   told.At = now;
-  out.push_back({ host, { scope, std::move(loads) } });
+  out.push_back({ host, { scope, std::move(load) } });
 }
 
 void Forget(gsLoadExchange& exchange, gsTime now)
@@ -127,7 +136,7 @@
 
 std::vector<gsLoadMessage> gsLoadTick(gsLoadExchange& exchange,
                                       std::vector<gsLoadMember> const& members,
-                                      gsLoadMap const& own, gsTime now)
+                                      gsSystemLoad const& own, gsTime now)
 {
   std::vector<gsLoadMessage> out;
   Forget(exchange, now);
@@ -138,7 +147,7 @@
     }
     return out;
   }
-  gsLoadMap others = OtherHalls(exchange, now);
+  gsSystemLoad others = OtherHalls(exchange, now);
   std::set<std::string_view> halls;
   for (gsLoadMember const& member : members) {
     if (member.Hall != exchange.Hall) {
@@ -148,12 +157,12 @@
     if (member.Host == exchange.Self) {
       continue;
     }
-    gsLoadMap all = HallWithout(exchange, own, member.Host, now);
+    gsSystemLoad all = HallWithout(exchange, own, member.Host, now);
     Add(all, others);
     Tell(exchange, std::string(member.Host), gsLoadScope::Others,
          std::move(all), now, out);
   }
-  gsLoadMap hall = HallWithout(exchange, own, {}, now);
+  gsSystemLoad hall = HallWithout(exchange, own, {}, now);
   for (std::string_view other : halls) {
     Tell(exchange, gsLoadRelay(members, other), gsLoadScope::Hall, hall, now,
          out);
@@ -161,7 +170,7 @@
   return out;
 }
 
-gsLoadMap gsLoadOfOthers(gsLoadExchange const& exchange, gsTime now)
+gsSystemLoad gsLoadOfOthers(gsLoadExchange const& exchange, gsTime now)
 {
   gsHeardLoad const* told = nullptr;
   gsTime relayed{};
@@ -177,9 +186,9 @@
   }
   // As a relay it has heard it all itself, and nobody tells it.
   if (told != nullptr && told->At > relayed) {
-    return told->Report.Loads;
+    return told->Report.Load;
   }
-  gsLoadMap sum = HallWithout(exchange, {}, exchange.Self, now);
+  gsSystemLoad sum = HallWithout(exchange, {}, exchange.Self, now);
   Add(sum, OtherHalls(exchange, now));
   return sum;
 }
--- a/Source/Coord/gsLoadExchange.h
+++ b/Source/Coord/gsLoadExchange.h
@@ -28,15 +28,32 @@
   std::uint32_t Running = 0;
   std::uint32_t ReadTokens = 0;   ///< Of prompts, still to be read.
   std::uint32_t MemoryTokens = 0; ///< Held by running requests.
+  /** Least pause between events that any host has measured; 0 for none. */
+  std::uint32_t PaceMicros = 0;
 
   friend bool operator==(gsUpstreamLoad const& a, gsUpstreamLoad const& b)
   {
     return a.Running == b.Running && a.ReadTokens == b.ReadTokens &&
-           a.MemoryTokens == b.MemoryTokens;
+           a.MemoryTokens == b.MemoryTokens && a.PaceMicros == b.PaceMicros;
   }
 };
 
-/** By a hash of the upstream's id; upstreams without work are left out. */
+/** Work that a service was lately asked for, tokens. */
+struct gsServiceDemand
+{
+  std::uint32_t Long = 0;
+  std::uint32_t Tight = 0;
+
+  friend bool operator==(gsServiceDemand const& a, gsServiceDemand const& b)
+  {
+    return a.Long == b.Long && a.Tight == b.Tight;
+  }
+};
+
+/** By a hash of the service's name. */
+using gsDemandMap = std::map<std::uint32_t, gsServiceDemand>;
+
+/** By a hash of the upstream's id; those with nothing to say are left out. */
 using gsLoadMap = std::map<std::uint32_t, gsUpstreamLoad>;
 
 /** Whose work a report counts. */
@@ -49,10 +66,22 @@
 
 char const* gsLoadScopeWord(gsLoadScope scope);
 
+/** Open work and demand, of whatever hosts a report counts. */
+struct gsSystemLoad
+{
+  gsLoadMap Upstreams;
+  gsDemandMap Services;
+
+  friend bool operator==(gsSystemLoad const& a, gsSystemLoad const& b)
+  {
+    return a.Upstreams == b.Upstreams && a.Services == b.Services;
+  }
+};
+
 struct gsLoadReport
 {
   gsLoadScope Scope = gsLoadScope::Host;
-  gsLoadMap Loads;
+  gsSystemLoad Load;
 };
 
 /** What was last heard from one host. */
@@ -66,7 +95,7 @@
 /** What was last told to one host. */
 struct gsToldLoad
 {
-  gsLoadMap Loads;
+  gsSystemLoad Load;
   gsTime At{};
 };
 
@@ -115,7 +144,7 @@
  */
 std::vector<gsLoadMessage> gsLoadTick(gsLoadExchange& exchange,
                                       std::vector<gsLoadMember> const& members,
-                                      gsLoadMap const& own, gsTime now);
+                                      gsSystemLoad const& own, gsTime now);
 
 /** Work of all other hosts, as far as it is known. */
-gsLoadMap gsLoadOfOthers(gsLoadExchange const& exchange, gsTime now);
+gsSystemLoad gsLoadOfOthers(gsLoadExchange const& exchange, gsTime now);
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -3,11 +3,19 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "gsRendezvous.h"
 
 namespace {
 
+constexpr double PaceQuantile = 0.2;
+constexpr double PaceStep = 0.03;
+constexpr std::uint32_t MinPaceSamples = 40;
+/** Times the pace of the fastest above which an engine is slow. */
+constexpr double SlowFactor = 1.18;
+/** Engines by which the groups' border must be off before it moves. */
+constexpr double BorderSlack = 0.8;
 constexpr gsTime DemandHalfLife = gsSeconds(4);
 constexpr double PromptSmoothing = 0.05;
 constexpr double FailSmoothing = 0.25;
@@ -67,13 +75,26 @@
   return rows.empty() ? 0 : sum / static_cast<double>(rows.size());
 }
 
+/** What waiting for the engine to read costs: little while in target. */
+double WaitCost(gsFleetSettings const& settings, double tokens,
+                double targetTokens)
+{
+  if (targetTokens <= 0) {
+    return tokens;
+  }
+  double early = std::min(tokens, settings.TargetShare * targetTokens);
+  return settings.EarlyWeight * early + settings.LateWeight * (tokens - early);
+}
+
 /** What an upstream would cost this request, in tokens. */
 double CostOf(gsFleet const& fleet, gsFleetRow const& row,
-              std::uint32_t toRead, double usualFailShare, gsTime now)
+              gsPlacementAsk const& ask, std::uint32_t toRead,
+              double usualFailShare, gsTime now)
 {
   gsFleetSettings const& settings = fleet.Settings;
   gsOpenWork work = gsWorkAt(fleet, row, now);
-  double cost = static_cast<double>(work.ReadTokens) + toRead;
+  double cost = WaitCost(
+    settings, static_cast<double>(work.ReadTokens) + toRead, ask.TargetTokens);
   cost += settings.RunningTokens * work.Running;
   if (work.Running >= row.Listed.Slots) {
     cost += settings.QueuedTokens * (1.0 + work.Running - row.Listed.Slots);
@@ -85,6 +106,32 @@
   return cost + settings.FailTokens * std::max(0.0, excess);
 }
 
+bool IsSlow(gsFleetRow const& row, double fastest)
+{
+  return gsPaceOf(row) > SlowFactor * fastest;
+}
+
+void RankRows(gsFleet& fleet, std::vector<std::size_t>& members)
+{
+  double fastest = std::numeric_limits<double>::max();
+  for (std::size_t index : members) {
+    double pace = gsPaceOf(fleet.Rows[index]);
+    fastest = pace > 0 ? std::min(fastest, pace) : fastest;
+  }
+  std::sort(members.begin(), members.end(),
+            [&fleet, fastest](std::size_t a, std::size_t b) {
+              gsFleetRow const& one = fleet.Rows[a];
+              gsFleetRow const& two = fleet.Rows[b];
+              bool slowOne = IsSlow(one, fastest);
+              bool slowTwo = IsSlow(two, fastest);
+              return slowOne != slowTwo ? slowOne : one.Hash < two.Hash;
+            });
+  std::uint32_t rank = 0;
+  for (std::size_t index : members) {
+    fleet.Rows[index].Rank = rank++;
+  }
+}
+
 } // namespace
 
 char const* gsPlacementWord(gsPlacementCause cause)
@@ -126,14 +173,7 @@
     fleet.ByService[entry.Service].push_back(i);
   }
   for (auto& [service, members] : fleet.ByService) {
-    std::sort(members.begin(), members.end(),
-              [&fleet](std::size_t a, std::size_t b) {
-                return fleet.Rows[a].Hash < fleet.Rows[b].Hash;
-              });
-    std::uint32_t rank = 0;
-    for (std::size_t index : members) {
-      fleet.Rows[index].Rank = rank++;
-    }
+    RankRows(fleet, members);
   }
 }
 
@@ -283,7 +323,7 @@
     }
     ++best.Candidates;
     std::uint32_t toRead = gsTokensToRead(fleet, row, ask, now);
-    double cost = CostOf(fleet, row, toRead, choice.UsualFailShare, now);
+    double cost = CostOf(fleet, row, ask, toRead, choice.UsualFailShare, now);
     cost += AgainCost(fleet, row, ask, choice, toRead) + tie(random);
     cost += FullCost(fleet, row, ask, now);
     if (!InGroup(row, choice)) {
@@ -348,21 +388,56 @@
   return isLong ? gsFleetGroup::Long : gsFleetGroup::Tight;
 }
 
-std::uint32_t gsLongEngines(gsFleet const& fleet, std::string_view service)
+double gsPaceOf(gsFleetRow const& row)
 {
-  auto rows = fleet.ByService.find(std::string(service));
-  auto demand = fleet.Demand.find(std::string(service));
-  if (!fleet.Settings.Groups || rows == fleet.ByService.end() ||
-      demand == fleet.Demand.end()) {
-    return 0;
+  double own = row.PaceSamples >= MinPaceSamples ? row.Pace : 0;
+  if (own <= 0 || row.OthersPace <= 0) {
+    return std::max(own, row.OthersPace);
   }
-  double count = static_cast<double>(rows->second.size());
-  double total = demand->second.Long + demand->second.Tight;
-  if (demand->second.Long <= 0 || demand->second.Tight <= 0 || count < 2) {
-    return 0;
+  return std::min(own, row.OthersPace);
+}
+
+void gsNotePause(gsFleetRow& row, gsTime pause)
+{
+  double millis = gsToSeconds(pause) * 1e3;
+  if (row.PaceSamples == 0) {
+    row.Pace = millis;
+  }
+  ++row.PaceSamples;
+  double below = millis < row.Pace ? 1 : 0;
+  row.Pace *= 1 + PaceStep * (PaceQuantile - below);
+}
+
+void gsArrangeGroups(gsFleet& fleet, gsTime now)
+{
+  for (auto& [service, demand] : fleet.Demand) {
+    auto rows = fleet.ByService.find(service);
+    if (rows == fleet.ByService.end()) {
+      continue;
+    }
+    RankRows(fleet, rows->second);
+    Decay(demand, now);
+    double count = static_cast<double>(rows->second.size());
+    double forLong = demand.Long + demand.OthersLong;
+    double forTight = demand.Tight + demand.OthersTight;
+    if (forLong < 1 || forTight < 1 || count < 2) {
+      demand.LongEngines = 0;
+      continue;
+    }
+    double engines = count * forLong / (forLong + forTight);
+    bool moved = std::abs(engines - demand.LongEngines) > BorderSlack;
+    if (moved || demand.LongEngines == 0 || demand.LongEngines >= count) {
+      demand.LongEngines = static_cast<std::uint32_t>(
+        std::clamp(std::round(engines), 1.0, count - 1));
+    }
   }
-  double engines = std::round(count * demand->second.Long / total);
-  return static_cast<std::uint32_t>(std::clamp(engines, 1.0, count - 1));
+}
+
+std::uint32_t gsLongEngines(gsFleet const& fleet, std::string_view service)
+{
+  auto demand = fleet.Demand.find(std::string(service));
+  bool none = !fleet.Settings.Groups || demand == fleet.Demand.end();
+  return none ? 0 : demand->second.LongEngines;
 }
 
 char const* gsFleetGroupWord(gsFleetGroup group)
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -66,6 +66,11 @@
   double Tight = 0;       ///< Tokens.
   double TightPrompt = 0; ///< Smoothed length of a tight prompt, tokens.
   gsTime At{};
+  /** The same of all other hosts, by their last word. */
+  double OthersLong = 0;
+  double OthersTight = 0;
+  /** Engines for long prompts; moves only when demand clearly has. */
+  std::uint32_t LongEngines = 0;
 };
 
 /** An upstream's row. */
@@ -73,10 +78,11 @@
 {
   gsListedUpstream Listed;
   std::uint32_t Hash = 0; ///< Of the id; names it between hosts.
-  std::uint32_t Rank = 0; ///< Among its service's rows, by hash.
-  gsOpenWork Own;         ///< Attempts of this host; exact.
-  gsOpenWork Others;      ///< Of all other hosts, by their last word.
-  gsTime OthersAt{};      ///< When that word came.
+  /** Among its service's rows: slow engines first, then by hash. */
+  std::uint32_t Rank = 0;
+  gsOpenWork Own;    ///< Attempts of this host; exact.
+  gsOpenWork Others; ///< Of all other hosts, by their last word.
+  gsTime OthersAt{}; ///< When that word came.
   /** Gets nothing until then, after it was not reachable. */
   gsTime AvoidUntil{};
   std::uint32_t Unreachable = 0; ///< Times in a row.
@@ -85,8 +91,13 @@
   gsTime FailAt{};
   gsTime LastHeard{};             ///< Last byte of any answer.
   gsTime KeepIdle = gsSeconds(4); ///< Longest rest of a kept connection.
-  /** Smoothed time from sending to the first byte over the best in use. */
-  double FirstMillis = 0;
+  /**
+   * Low quantile of the pauses between an engine's events, milliseconds: how
+   * fast it is when nothing holds it up. Zero until it has sent some.
+   */
+  double Pace = 0;
+  std::uint32_t PaceSamples = 0;
+  double OthersPace = 0; ///< Least that another host has measured.
   /** Parts read there by this host's requests, newest last. */
   std::unordered_map<std::uint64_t, gsTime> Parts;
 };
@@ -103,6 +114,11 @@
   double AgainTokens = 4;
   /** Cost of an engine that is for the other kind. */
   double OtherGroupTokens = 30000;
+  /** Cost of a token that waits, while the request can be in target. */
+  double EarlyWeight = 0.2;
+  /** Cost of a token that waits beyond TargetShare of the target. */
+  double LateWeight = 3;
+  double TargetShare = 0.5;
   /** Answer tokens weigh so many prompt tokens of an engine's time. */
   double AnswerWeight = 4;
   /** Prompts longer than so many tight ones are long. */
@@ -136,6 +152,8 @@
   std::uint32_t PromptTokens = 0;
   std::uint32_t AnswerTokens = 0;
   bool Tight = false; ///< A stream whose pauses must be short.
+  /** Tokens that an engine reads within the target; 0 when not known. */
+  double TargetTokens = 0;
   /** Memory of one upstream, tokens; 0 when it is not known. */
   std::uint64_t UpstreamMemory = 0;
   /** Ids of upstreams that this request was sent to already. */
@@ -183,6 +201,18 @@
 /** The group that a request belongs to. */
 gsFleetGroup gsGroupOf(gsFleet const& fleet, gsPlacementAsk const& ask);
 
+/** The pace that any host has measured; zero when none has. */
+double gsPaceOf(gsFleetRow const& row);
+
+/** Notes a pause between two events of an engine's stream. */
+void gsNotePause(gsFleetRow& row, gsTime pause);
+
+/**
+ * Orders each service's engines and settles how many are for long prompts.
+ * To be run a few times a second.
+ */
+void gsArrangeGroups(gsFleet& fleet, gsTime now);
+
 /** How many of a service's engines are for long prompts; 0 for no groups. */
 std::uint32_t gsLongEngines(gsFleet const& fleet, std::string_view service);
 
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -223,6 +223,8 @@
   ask.AnswerTokens = request->Caller.AnswerTokens;
   ask.Tried = &request->Tried;
   ask.Tight = request->Route->Tight;
+  ask.TargetTokens =
+    gsToSeconds(request->Route->Target) * 1e3 / this->Caller.MillisPerToken();
   gsRouteService const* service =
     gsFindService(*request->Table, request->Service);
   if (service != nullptr && service->Engine) {
@@ -253,6 +255,9 @@
     .With("others_age_ms", now - row.OthersAt)
     .With("read_tokens", placement.ReadTokens)
     .With("group", gsFleetGroupWord(placement.Group))
+    .With("rank", row.Rank)
+    .With("long_engines", gsLongEngines(this->Fleet, request->Service))
+    .With("pace", static_cast<std::uint64_t>(gsPaceOf(row)))
     .With("cost", static_cast<std::uint64_t>(std::max(0.0, placement.Cost)));
   request->Tried.push_back(row.Listed.Id);
   this->Caller.Start(request, placement);
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -3,12 +3,15 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include <sys/stat.h>
 
 #include "gsHttpStatus.h"
 #include "gsLog.h"
+#include "gsRendezvous.h"
+#include "gsWireCodec.h"
 
 namespace {
 
@@ -21,6 +24,7 @@
 constexpr gsTime SettingsPeriod = gsSeconds(1);
 /** Callers may rest as long as the limit says; the cut comes after it. */
 constexpr gsTime IdleMargin = gsSeconds(2);
+constexpr double MicrosPerMilli = 1000;
 constexpr std::size_t BytesPerKib = 1024;
 
 std::uint64_t WallMicros()
@@ -43,6 +47,25 @@
          static_cast<std::uint64_t>(status.st_ino);
 }
 
+std::uint32_t ServiceHash(std::string const& service)
+{
+  return static_cast<std::uint32_t>(gsHashText(service));
+}
+
+/** Rounded, so that small changes are no news to other hosts. */
+std::uint32_t CoarseTokens(double tokens)
+{
+  constexpr double step = 5000;
+  return static_cast<std::uint32_t>(std::round(tokens / step) * step);
+}
+
+std::uint32_t CoarsePace(double millis)
+{
+  constexpr double step = 0.5;
+  return static_cast<std::uint32_t>(std::round(millis / step) * step *
+                                    MicrosPerMilli);
+}
+
 gsRouteGatewaySettings GatewaySettings(gsSettings const& settings)
 {
   gsRouteGatewaySettings gateway;
@@ -259,17 +282,29 @@
   }
 }
 
-/** Reports open work, as far as it has changed. */
-void gsRouteNode::TellLoads()
+/** What this host adds to the system's load. */
+gsSystemLoad gsRouteNode::OwnLoad() const
 {
-  gsLoadMap own;
+  gsSystemLoad own;
   for (gsFleetRow const& row : this->Fleet.Rows) {
-    if (row.Own.Running > 0) {
-      own[row.Hash] = { row.Own.Running,
-                        static_cast<std::uint32_t>(row.Own.ReadTokens),
-                        static_cast<std::uint32_t>(row.Own.MemoryTokens) };
+    std::uint32_t pace = CoarsePace(gsPaceOf(row));
+    if (row.Own.Running > 0 || pace > 0) {
+      own.Upstreams[row.Hash] = {
+        row.Own.Running, static_cast<std::uint32_t>(row.Own.ReadTokens),
+        static_cast<std::uint32_t>(row.Own.MemoryTokens), pace
+      };
     }
   }
+  for (auto const& [service, demand] : this->Fleet.Demand) {
+    own.Services[ServiceHash(service)] = { CoarseTokens(demand.Long),
+                                           CoarseTokens(demand.Tight) };
+  }
+  return own;
+}
+
+/** Reports the load, as far as it has changed. */
+void gsRouteNode::TellLoads()
+{
   gsMembership const& table = this->Cluster->Members();
   std::vector<gsLoadMember> members{ { table.Self.Host, table.Self.Hall } };
   for (gsMember const& member : table.Members) {
@@ -279,22 +314,13 @@
   }
   gsTime now = gsLoop::Now();
   for (gsLoadMessage const& message :
-       gsLoadTick(this->Loads, members, own, now)) {
-    gradescale::Frame* frame = this->Cluster->ToHost(message.To);
-    if (frame == nullptr) {
-      continue;
-    }
-    gradescale::LoadReport* report = frame->add_load_reports();
-    report->set_scope(static_cast<std::uint32_t>(message.Report.Scope));
-    for (auto const& [upstream, load] : message.Report.Loads) {
-      gradescale::UpstreamLoad* wire = report->add_loads();
-      wire->set_upstream(upstream);
-      wire->set_running(load.Running);
-      wire->set_read_tokens(load.ReadTokens);
-      wire->set_memory_tokens(load.MemoryTokens);
+       gsLoadTick(this->Loads, members, this->OwnLoad(), now)) {
+    if (gradescale::Frame* frame = this->Cluster->ToHost(message.To)) {
+      gsToWire(message.Report, frame->add_load_reports());
     }
   }
   this->ApplyLoads(now);
+  gsArrangeGroups(this->Fleet, now);
 }
 
 void gsRouteNode::HearLoads(std::string const& host,
@@ -306,28 +332,30 @@
   }
   gsTime now = gsLoop::Now();
   for (gradescale::LoadReport const& wire : frame.load_reports()) {
-    gsLoadReport report;
-    report.Scope = static_cast<gsLoadScope>(wire.scope());
-    for (gradescale::UpstreamLoad const& load : wire.loads()) {
-      report.Loads[load.upstream()] = { load.running(), load.read_tokens(),
-                                        load.memory_tokens() };
-    }
-    gsLoadHear(this->Loads, host, member->Hall, std::move(report), now);
+    gsLoadHear(this->Loads, host, member->Hall, gsFromWire(wire), now);
   }
   this->ApplyLoads(now);
 }
 
 void gsRouteNode::ApplyLoads(gsTime now)
 {
-  gsLoadMap others = gsLoadOfOthers(this->Loads, now);
+  gsSystemLoad others = gsLoadOfOthers(this->Loads, now);
   for (gsFleetRow& row : this->Fleet.Rows) {
-    auto load = others.find(row.Hash);
+    auto load = others.Upstreams.find(row.Hash);
     gsUpstreamLoad known;
-    if (load != others.end()) {
+    if (load != others.Upstreams.end()) {
       known = load->second;
     }
     row.Others = { known.Running, known.ReadTokens, known.MemoryTokens };
     row.OthersAt = now;
+    if (known.PaceMicros > 0) {
+      row.OthersPace = known.PaceMicros / MicrosPerMilli;
+    }
+  }
+  for (auto& [service, demand] : this->Fleet.Demand) {
+    gsServiceDemand const& known = others.Services[ServiceHash(service)];
+    demand.OthersLong = known.Long;
+    demand.OthersTight = known.Tight;
   }
 }
 
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -59,6 +59,7 @@
                gradescale::Frame const& frame);
   void HearVersion(std::string const& host, std::uint64_t version);
   void AskBehind(gsTime now);
+  gsSystemLoad OwnLoad() const;
   void TellLoads();
   void HearLoads(std::string const& host, gradescale::Frame const& frame);
   void ApplyLoads(gsTime now);
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -189,8 +189,11 @@
     std::string events = attempt.Events.Feed(bytes);
     if (!events.empty()) {
       if (attempt.LastEventAt.count() != 0) {
-        attempt.LongestGap =
-          std::max(attempt.LongestGap, now - attempt.LastEventAt);
+        gsTime pause = now - attempt.LastEventAt;
+        attempt.LongestGap = std::max(attempt.LongestGap, pause);
+        if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.UpstreamId)) {
+          gsNotePause(*row, pause);
+        }
       }
       attempt.LastEventAt = now;
       this->Events.OnEvents(request, std::move(events));
--- a/Source/Daemon/gsWireCodec.cxx
+++ b/Source/Daemon/gsWireCodec.cxx
@@ -116,3 +116,38 @@
   wire->set_cause(gsCauseWord(refusal.Cause));
   wire->set_retry_after_us(Micros(refusal.RetryAfter));
 }
+
+gsLoadReport gsFromWire(gradescale::LoadReport const& wire)
+{
+  gsLoadReport report;
+  report.Scope = static_cast<gsLoadScope>(wire.scope());
+  for (gradescale::UpstreamLoad const& load : wire.loads()) {
+    report.Load.Upstreams[load.upstream()] = {
+      load.running(), load.read_tokens(), load.memory_tokens(), load.pace_us()
+    };
+  }
+  for (gradescale::ServiceDemand const& demand : wire.demands()) {
+    report.Load.Services[demand.service()] = { demand.long_tokens(),
+                                               demand.tight_tokens() };
+  }
+  return report;
+}
+
+void gsToWire(gsLoadReport const& report, gradescale::LoadReport* wire)
+{
+  wire->set_scope(static_cast<std::uint32_t>(report.Scope));
+  for (auto const& [upstream, load] : report.Load.Upstreams) {
+    gradescale::UpstreamLoad* entry = wire->add_loads();
+    entry->set_upstream(upstream);
+    entry->set_running(load.Running);
+    entry->set_read_tokens(load.ReadTokens);
+    entry->set_memory_tokens(load.MemoryTokens);
+    entry->set_pace_us(load.PaceMicros);
+  }
+  for (auto const& [service, demand] : report.Load.Services) {
+    gradescale::ServiceDemand* entry = wire->add_demands();
+    entry->set_service(service);
+    entry->set_long_tokens(demand.Long);
+    entry->set_tight_tokens(demand.Tight);
+  }
+}
--- a/Source/Daemon/gsWireCodec.h
+++ b/Source/Daemon/gsWireCodec.h
@@ -6,16 +6,19 @@
 #pragma once
 
 #include "Generated/gsPeer.pb.h"
+#include "gsLoadExchange.h"
 #include "gsMembership.h"
 #include "gsPool.h"
 
 gsRequestId gsFromWire(gradescale::RequestId const& wire);
 gsAsk gsFromWire(gradescale::Ask const& wire);
 gsMember gsFromWire(gradescale::Member const& wire);
+gsLoadReport gsFromWire(gradescale::LoadReport const& wire);
 gsMeasured gsMeasuredFromWire(gradescale::Release const& wire);
 
 void gsToWire(gsRequestId const& id, gradescale::RequestId* wire);
 void gsToWire(gsAsk const& ask, gradescale::Ask* wire);
 void gsToWire(gsMember const& member, gradescale::Member* wire);
 void gsToWire(gsGrant const& grant, gradescale::Grant* wire);
+void gsToWire(gsLoadReport const& report, gradescale::LoadReport* wire);
 void gsToWire(gsRefusal const& refusal, gradescale::Refusal* wire);
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -174,6 +174,7 @@
       gsNoteDemand(fleet, reading, Now);
     }
   }
+  gsArrangeGroups(fleet, Now);
   EXPECT_EQ(gsLongEngines(fleet, "model"), 4U);
   std::set<std::string> forTight;
   std::set<std::string> forLong;
@@ -193,6 +194,49 @@
   }
 }
 
+TEST(Fleet, SlowEnginesAreForLongPrompts)
+{
+  gsFleet fleet = MakeFleet(6);
+  for (gsFleetRow& row : fleet.Rows) {
+    bool slow = row.Listed.Id == "u2" || row.Listed.Id == "u4";
+    for (int i = 0; i < 400; ++i) {
+      double usual = slow ? 26 : 20;
+      double millis = i % 3 == 0 ? 5 * usual : usual + i % 2;
+      gsNotePause(row, gsFromSeconds(millis / 1e3));
+    }
+  }
+  gsArrangeGroups(fleet, Now);
+  gsPlacementAsk ask = Plain();
+  ask.PromptTokens = 1000;
+  gsNoteDemand(fleet, ask, Now);
+  ask.Tight = true;
+  gsNoteDemand(fleet, ask, Now);
+  gsArrangeGroups(fleet, Now);
+  EXPECT_LT(gsFleetFind(fleet, "u2")->Rank, 2U);
+  EXPECT_LT(gsFleetFind(fleet, "u4")->Rank, 2U);
+}
+
+TEST(Fleet, TheBorderOfTheGroupsMovesOnlyWhenDemandClearlyHas)
+{
+  gsFleet fleet = MakeFleet(10);
+  gsDemand& demand = fleet.Demand["model"];
+  demand.At = Now;
+  demand.Long = 50000;
+  demand.Tight = 50000;
+  gsArrangeGroups(fleet, Now);
+  EXPECT_EQ(demand.LongEngines, 5U);
+  demand.Long = 56000;
+  demand.Tight = 44000;
+  gsArrangeGroups(fleet, Now);
+  EXPECT_EQ(demand.LongEngines, 5U);
+  demand.OthersLong = 100000;
+  gsArrangeGroups(fleet, Now);
+  EXPECT_EQ(demand.LongEngines, 8U);
+  demand.OthersLong = 0;
+  gsArrangeGroups(fleet, Now);
+  EXPECT_EQ(demand.LongEngines, 6U);
+}
+
 TEST(Fleet, AVeryLongPromptOfATightRouteGoesToTheLongEngines)
 {
   gsFleet fleet = MakeFleet(4);
--- a/Tests/Unit/gsTestLoadExchange.cxx
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -14,7 +14,7 @@
 struct Net
 {
   std::map<std::string, gsLoadExchange> Hosts;
-  std::map<std::string, gsLoadMap> Own;
+  std::map<std::string, gsSystemLoad> Own;
   std::set<std::string> Down;
   std::size_t Messages = 0;
 
@@ -56,7 +56,7 @@
 
   std::uint32_t Seen(std::string const& host, gsTime now)
   {
-    return gsLoadOfOthers(this->Hosts[host], now)[7].Running;
+    return gsLoadOfOthers(this->Hosts[host], now).Upstreams[7].Running;
   }
 };
 
@@ -81,7 +81,7 @@
   std::uint32_t total = 0;
   std::uint32_t next = 1;
   for (auto& [host, exchange] : net.Hosts) {
-    net.Own[host][7] = { next, 10 * next, 100 * next };
+    net.Own[host].Upstreams[7] = { next, 10 * next, 100 * next };
     total += next++;
   }
   gsTime now = gsSeconds(10);
@@ -89,7 +89,8 @@
     net.Tick(now += Period);
   }
   for (auto const& [host, own] : net.Own) {
-    EXPECT_EQ(net.Seen(host, now), total - own.at(7).Running) << host;
+    EXPECT_EQ(net.Seen(host, now), total - own.Upstreams.at(7).Running)
+      << host;
   }
 }
 
@@ -97,7 +98,7 @@
 {
   Net net = ThreeHalls(3);
   for (auto& [host, exchange] : net.Hosts) {
-    net.Own[host][7] = { 1, 0, 0 };
+    net.Own[host].Upstreams[7] = { 1, 0, 0 };
   }
   gsTime now = gsSeconds(10);
   for (int i = 0; i < 4; ++i) {
@@ -119,8 +120,8 @@
 TEST(LoadExchange, WhatIsOldIsNotBelieved)
 {
   Net net = ThreeHalls(2);
-  net.Own["a0"][7] = { 5, 0, 0 };
-  net.Own["a1"][7] = { 5, 0, 0 };
+  net.Own["a0"].Upstreams[7] = { 5, 0, 0 };
+  net.Own["a1"].Upstreams[7] = { 5, 0, 0 };
   gsTime now = gsSeconds(10);
   for (int i = 0; i < 4; ++i) {
     net.Tick(now += Period);
