Routing: Move the groups' border slowly, and make the weights settings

Cause: shared parts were read again because the border followed ten-second bursts and took subjects along with the engines that changed sides. Change: demand is remembered over 10 s in place of 4, the border moves at 1.2 engines; the weights of the choice are settings (placement.*).

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -15,8 +15,8 @@
 /** Times the pace of the fastest above which an engine is slow. */
 constexpr double SlowFactor = 1.18;
 /** Engines by which the groups' border must be off before it moves. */
-constexpr double BorderSlack = 0.8;
-constexpr gsTime DemandHalfLife = gsSeconds(4);
+constexpr double BorderSlack = 1.2;
+constexpr gsTime DemandHalfLife = gsSeconds(10);
 constexpr double PromptSmoothing = 0.05;
 constexpr double FailSmoothing = 0.25;
 /** Failures above the mean that are put down to chance. */
@@ -35,15 +35,6 @@
          std::find(list->begin(), list->end(), id) != list->end();
 }
 
-/** The part that hosts agree on to keep together: the last shared one. */
-std::uint64_t SubjectOf(gsPlacementAsk const& ask)
-{
-  if (ask.Parts == nullptr || ask.Parts->size() < 2) {
-    return 0;
-  }
-  return (*ask.Parts)[ask.Parts->size() - 2].Name;
-}
-
 std::uint32_t SharedTokens(gsPlacementAsk const& ask)
 {
   std::uint32_t tokens = 0;
@@ -177,6 +168,14 @@
   }
 }
 
+std::uint64_t gsSubjectOf(gsPlacementAsk const& ask)
+{
+  if (ask.Parts == nullptr || ask.Parts->size() < 2) {
+    return 0;
+  }
+  return (*ask.Parts)[ask.Parts->size() - 2].Name;
+}
+
 gsFleetRow* gsFleetFind(gsFleet& fleet, std::string_view id)
 {
   auto found = fleet.ById.find(std::string(id));
@@ -245,7 +244,7 @@
                                gsPlacementAsk const& ask, Choice const& choice,
                                gsTime now)
 {
-  std::uint64_t subject = SubjectOf(ask);
+  std::uint64_t subject = gsSubjectOf(ask);
   if (subject == 0) {
     return nullptr;
   }
@@ -278,7 +277,7 @@
     // Other hosts send the same subject there.
     missing *= 1 - PreferredShare;
   }
-  return missing * fleet.Settings.AgainTokens;
+  return missing * fleet.Settings.AgainWeight;
 }
 
 /** What an engine costs whose memory would not do: it preempts others. */
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -111,7 +111,7 @@
   double FailTokens = 20000;   ///< Cost of an upstream that always fails.
   double QueuedTokens = 1500;  ///< Cost of each request above the slots.
   /** Cost of reading a shared token that another engine holds, above 1. */
-  double AgainTokens = 4;
+  double AgainWeight = 4;
   /** Cost of an engine that is for the other kind. */
   double OtherGroupTokens = 30000;
   /** Cost of a token that waits, while the request can be in target. */
@@ -195,6 +195,9 @@
 gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
                     gsRandom& random);
 
+/** The part by which requests are kept together: the last shared one. */
+std::uint64_t gsSubjectOf(gsPlacementAsk const& ask);
+
 /** Counts a new request towards the sizes of the groups. */
 void gsNoteDemand(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now);
 
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -93,6 +93,7 @@
   , LoadTimer(loop, [this] { this->TellLoads(); })
   , StopTimer(loop, [this] { this->Stop(); })
 {
+  this->Fleet.Settings = this->Settings.Placement;
   this->Fleet.Settings.Hall = this->Settings.Hall;
   this->Loads.Self = this->Settings.Host;
   this->Loads.Hall = this->Settings.Hall;
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -96,6 +96,31 @@
     fields.Millis("start_within_ms", PeriodRange, pool.StartWithin);
 }
 
+void ReadPlacement(gsFields& fields, gsSettings& settings)
+{
+  constexpr gsRange weights{ 0, 10'000'000 };
+  gsFleetSettings& placement = settings.Placement;
+  auto weight = [&fields, weights](char const* name, double& value) {
+    value = fields.Number(name, weights, value);
+  };
+  weight("running_tokens", placement.RunningTokens);
+  weight("other_hall_tokens", placement.OtherHallTokens);
+  weight("fail_tokens", placement.FailTokens);
+  weight("queued_tokens", placement.QueuedTokens);
+  weight("again_weight", placement.AgainWeight);
+  weight("other_group_tokens", placement.OtherGroupTokens);
+  weight("early_weight", placement.EarlyWeight);
+  weight("late_weight", placement.LateWeight);
+  weight("full_tokens", placement.FullTokens);
+  placement.TargetShare =
+    fields.Number("target_share", ShareRange, placement.TargetShare);
+  placement.MemoryShare =
+    fields.Number("memory_share", ShareRange, placement.MemoryShare);
+  placement.Groups = fields.Flag("groups", placement.Groups);
+  placement.PartMemory =
+    fields.Millis("part_memory_ms", PeriodRange, placement.PartMemory);
+}
+
 void ReadMembership(gsFields& fields, gsSettings& settings)
 {
   gsMembershipSettings& membership = settings.Membership;
@@ -142,6 +167,8 @@
     settings.Retry.BurstOfAll =
       inner.Number("burst_of_all", { 0, 1'000'000 }, 0);
   });
+  fields.Object("placement",
+                [&](gsFields& inner) { ReadPlacement(inner, settings); });
   fields.Object("routing", [&](gsFields& inner) {
     auto& routing = settings.Routing;
     routing.WatchWait =
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gsDocument.h"
+#include "gsFleet.h"
 #include "gsMembership.h"
 #include "gsPool.h"
 #include "gsReplica.h"
@@ -83,6 +84,9 @@
     gsTime LoadPeriod = gsMilliseconds(50);
   } Routing;
 
+  /** Choice of an upstream in the routed mode; Hall is set from above. */
+  gsFleetSettings Placement;
+
   struct
   {
     gsTime Unready = gsMilliseconds(500);
