Routing: Rank urgency by the route first, and keep subjects where they are

Cause 1: TIER. With urgency ranked by the organisation's and then the route's priority, requests of a higher route were preempted by lower routes of another organisation. Ruled out: overcommitted memory (a strict limit of 0.85 and 0.6 of it did not end it). Change: the route ranks first, the organisation within it. Change: reading again weighs 100 in place of 4, waiting late 1 in place of 3.

--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -111,13 +111,13 @@
   double FailTokens = 20000;   ///< Cost of an upstream that always fails.
   double QueuedTokens = 1500;  ///< Cost of each request above the slots.
   /** Cost of reading a shared token that another engine holds, above 1. */
-  double AgainWeight = 4;
+  double AgainWeight = 100;
   /** Cost of an engine that is for the other kind. */
   double OtherGroupTokens = 30000;
   /** Cost of a token that waits, while the request can be in target. */
   double EarlyWeight = 0.2;
   /** Cost of a token that waits beyond TargetShare of the target. */
-  double LateWeight = 3;
+  double LateWeight = 1;
   double TargetShare = 0.5;
   /** Answer tokens weigh so many prompt tokens of an engine's time. */
   double AnswerWeight = 4;
@@ -125,9 +125,9 @@
   double LongFactor = 4;
   bool Groups = true;
   /** Cost of an engine whose memory the request would fill. */
-  double FullTokens = 100000;
+  double FullTokens = 5000;
   /** Share of an engine's memory that requests may take together. */
-  double MemoryShare = 0.85;
+  double MemoryShare = 0.95;
   gsTime PartMemory = gsSeconds(20);
   gsTime OthersMemory = gsSeconds(2); ///< Older words are not believed.
   std::size_t PartsMost = 2000;       ///< Remembered for each upstream.
--- a/Source/Core/gsRouteTable.cxx
+++ b/Source/Core/gsRouteTable.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 #include <set>
 
 namespace {
@@ -25,6 +26,10 @@
   return plain;
 }
 
+/** Of an organisation that has none. */
+constexpr std::uint32_t LowestPriority =
+  std::numeric_limits<std::uint32_t>::max();
+
 /** Pauses below this share of a service's longest are tight. */
 constexpr double TightShare = 0.5;
 
@@ -51,10 +56,10 @@
 {
   std::set<std::pair<std::uint32_t, std::uint32_t>> pairs;
   for (gsRoute const& route : table.Routes) {
-    pairs.emplace(route.Priority, route.Priority);
+    pairs.emplace(route.Priority, LowestPriority);
     for (gsRouteOrganisation const& organisation : table.Organisations) {
-      pairs.emplace(organisation.Priority.value_or(route.Priority),
-                    route.Priority);
+      pairs.emplace(route.Priority,
+                    organisation.Priority.value_or(LowestPriority));
     }
   }
   table.Urgencies.assign(pairs.begin(), pairs.end());
@@ -86,12 +91,12 @@
 std::uint32_t gsUrgencyOf(gsRouteTable const& table, gsRoute const& route,
                           gsRouteOrganisation const* organisation)
 {
-  std::uint32_t first = route.Priority;
+  std::uint32_t second = LowestPriority;
   if (organisation != nullptr) {
-    first = organisation->Priority.value_or(route.Priority);
+    second = organisation->Priority.value_or(LowestPriority);
   }
   auto place = std::lower_bound(table.Urgencies.begin(), table.Urgencies.end(),
-                                std::make_pair(first, route.Priority));
+                                std::make_pair(route.Priority, second));
   return static_cast<std::uint32_t>(place - table.Urgencies.begin());
 }
 
--- a/Source/Core/gsRouteTable.h
+++ b/Source/Core/gsRouteTable.h
@@ -90,7 +90,7 @@
   std::unordered_map<std::string, std::size_t> RouteIndex;
   std::unordered_map<std::string, std::size_t> KeyIndex;
   std::unordered_map<std::string, std::size_t> ServiceIndex;
-  /** Pairs of an organisation's and a route's priority, ascending. */
+  /** Pairs of a route's and an organisation's priority, ascending. */
   std::vector<std::pair<std::uint32_t, std::uint32_t>> Urgencies;
 };
 
@@ -117,8 +117,8 @@
 
 /**
  * Urgency of a request towards an upstream, 0 for the most urgent: the rank
- * of its organisation's and then its route's priority among all pairs that
- * the table allows.
+ * of its route's and then its organisation's priority among all pairs that
+ * the table allows. A request is never put behind one of a lower route.
  */
 std::uint32_t gsUrgencyOf(gsRouteTable const& table, gsRoute const& route,
                           gsRouteOrganisation const* organisation);
