Tests: Prove the routed mode on real processes with stand-ins

Change: stand-ins for the platform's store and its runners, a system of real processes with every link through the fault-injecting proxy, and ten tests: a calm pass, the store silent at a start, a host without configuration, a leaving upstream and a removed key while the store is silent to a host, a forgotten history, a planned stop, a caller that leaves, a killed runner, all hosts killed.

--- /dev/null
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -0,0 +1,443 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsRoutedSystem.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <boost/process/args.hpp>
+#include <boost/process/io.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr gsTime CallTimeout = gsSeconds(30);
+constexpr gsTime RouteTimeout = gsSeconds(6);
+
+std::string Program(std::string const& name)
+{
+  std::string build = GRADESCALE_BUILD_DIR;
+  bool standIn = name.compare(0, 9, "gsStandIn") == 0;
+  return build + (standIn ? "/Tests/StandIns/" : "/Source/") + name;
+}
+
+gsJson RouteJson(std::string const& name, std::string const& kind,
+                 int attempts)
+{
+  return { { "name", name },
+           { "host", "service.example" },
+           { "path_prefix", "/" + name + "/" },
+           { "kind", kind },
+           { "timeout_ms", RouteTimeout.count() / 1000 },
+           { "target_latency_ms", 300 },
+           { "priority", 0 },
+           { "service", "model" },
+           { "max_attempts", attempts },
+           { "resume_streams", name == "resume" },
+           { "gap_aim_ms", kind == "streaming" ? 150 : 0 } };
+}
+
+} // namespace
+
+gsRoutedSystem::gsRoutedSystem(gsRoutedPlan plan)
+  : Plan(plan)
+  , Client(std::make_unique<gsHttpClient>(Loop))
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  char folder[] = "/tmp/gradescale-routed-XXXXXX";
+  if (mkdtemp(folder) == nullptr) {
+    throw std::runtime_error("no temporary folder");
+  }
+  this->Folder = folder;
+  Process& store = this->Processes["store"];
+  store.Address = this->NewAddress();
+  store.Arguments = { Program("gsStandInStore"), "--listen", store.Address };
+  for (int i = 0; i < plan.Runners; ++i) {
+    std::string name = "runner" + std::to_string(i);
+    Process& runner = this->Processes[name];
+    runner.Address = this->NewAddress();
+    this->RunnerLinks[name] = this->Link("up:" + name, runner.Address);
+    this->RunnerNames.push_back(name);
+  }
+  for (int i = 0; i < plan.Hosts; ++i) {
+    std::string name = "host" + std::to_string(i);
+    Process& host = this->Processes[name];
+    host.Address = this->NewAddress();
+    host.Operators = this->NewAddress();
+    this->PeerAddress[name] = this->NewAddress();
+    this->HostNames.push_back(name);
+  }
+  for (std::string const& name : this->HostNames) {
+    std::string file = this->Folder + "/" + name + ".json";
+    std::ofstream(file) << this->Settings(name).dump(2);
+    this->Processes[name].Arguments = { Program("gradescaled"), "--settings",
+                                        file };
+  }
+  Process& proxy = this->Processes["proxy"];
+  proxy.Address = this->NewAddress();
+  std::string links = this->Folder + "/links.json";
+  std::ofstream(links) << this->LinkTable.dump(2);
+  proxy.Arguments = { Program("gsStandInProxy"), "--listen", proxy.Address,
+                      "--links", links };
+  for (int descriptor : this->Held) {
+    close(descriptor);
+  }
+  this->Launch("proxy");
+  this->Launch("store");
+  this->RunUntil([&] {
+    return this->Fetch("POST", "http://" + store.Address + "/control",
+                       { { "mode", "pass" } }) == 200;
+  });
+  this->Configure({ "key-one", "key-two" });
+  for (std::string const& name : this->RunnerNames) {
+    this->Restart(name);
+  }
+  for (std::string const& name : this->HostNames) {
+    this->Launch(name);
+  }
+  for (std::string const& name : this->HostNames) {
+    this->WaitReady(name);
+  }
+}
+
+gsRoutedSystem::~gsRoutedSystem()
+{
+  for (auto& [name, process] : this->Processes) {
+    if (process.Child.valid()) {
+      std::error_code ignored;
+      kill(process.Child.id(), SIGCONT);
+      process.Child.terminate(ignored);
+      process.Child.wait(ignored);
+    }
+  }
+  if (std::getenv("GRADESCALE_KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(this->Folder, ignored);
+  }
+}
+
+/** A free address; it stays reserved until the processes start. */
+std::string gsRoutedSystem::NewAddress()
+{
+  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  socklen_t length = sizeof(address);
+  if (bind(descriptor, generic, length) != 0 ||
+      getsockname(descriptor, generic, &length) != 0) {
+    throw std::runtime_error("no free address");
+  }
+  this->Held.push_back(descriptor);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+std::string gsRoutedSystem::Link(std::string const& name,
+                                 std::string const& target)
+{
+  std::string address = this->NewAddress();
+  this->LinkTable[name] = { { "listen", address }, { "target", target } };
+  return address;
+}
+
+gsJson gsRoutedSystem::Settings(std::string const& host)
+{
+  gsJson routes = gsJson::object();
+  gsJson seeds = gsJson::array();
+  for (auto const& [other, address] : this->PeerAddress) {
+    if (other != host) {
+      routes[address] = this->Link("peer:" + host + ">" + other, address);
+      seeds.push_back(address);
+    }
+  }
+  Process const& process = this->Processes[host];
+  return {
+    { "host", host },
+    { "hall", "north" },
+    { "callers", { { "listen", process.Address } } },
+    { "operators", { { "listen", process.Operators }, { "token", "none" } } },
+    { "peers",
+      { { "listen", this->PeerAddress[host] },
+        { "token", "peers" },
+        { "seeds", seeds },
+        { "routes", routes } } },
+    { "platform",
+      { { "kind", "table" },
+        { "address",
+          this->Link("store:" + host, this->Processes["store"].Address) } } },
+    { "upstreams", { { "connect_timeout_ms", 300 } } },
+    { "routing", { { "watch_wait_ms", 1000 } } },
+    { "stop",
+      { { "unready_ms", 300 }, { "longest_ms", 8000 }, { "margin_ms", 400 } } }
+  };
+}
+
+void gsRoutedSystem::Launch(std::string const& name)
+{
+  namespace bp = boost::process;
+  Process& process = this->Processes.at(name);
+  std::string log = this->Folder + "/" + name + "." +
+                    std::to_string(process.Starts++) + ".log";
+  std::vector<std::string> arguments(process.Arguments.begin() + 1,
+                                     process.Arguments.end());
+  process.Child =
+    bp::child(process.Arguments[0], bp::args(arguments),
+              (bp::std_out & bp::std_err) > log, bp::std_in < bp::null);
+}
+
+bool gsRoutedSystem::RunUntil(std::function<bool()> const& holds,
+                              double seconds)
+{
+  gsTime end = gsLoop::Now() + gsFromSeconds(seconds);
+  while (!holds()) {
+    if (gsLoop::Now() > end) {
+      return false;
+    }
+    this->RunFor(0.005);
+  }
+  return true;
+}
+
+void gsRoutedSystem::RunFor(double seconds)
+{
+  gsTimer timer(this->Loop, [this] { this->Loop.Stop(); });
+  timer.Once(gsFromSeconds(seconds));
+  this->Loop.Run();
+}
+
+unsigned gsRoutedSystem::Fetch(std::string const& method,
+                               std::string const& url, gsJson const& body)
+{
+  gsCall call;
+  call.Method = method;
+  call.Url = url;
+  call.Body = body.is_null() ? std::string() : body.dump();
+  call.ConnectTimeout = gsMilliseconds(500);
+  call.TotalTimeout = gsMilliseconds(2000);
+  bool done = false;
+  unsigned status = 0;
+  std::uint64_t number =
+    gsFetch(*this->Client, std::move(call), [&](gsAnswer const& answer) {
+      done = true;
+      status = answer.End.Status;
+    });
+  if (!this->RunUntil([&] { return done; }, 3)) {
+    this->Client->Cancel(number);
+  }
+  return status;
+}
+
+gsRoutedReplyPtr gsRoutedSystem::Send(std::string const& host,
+                                      std::string const& route,
+                                      std::string const& key)
+{
+  auto reply = std::make_shared<gsRoutedReply>();
+  reply->Id = "q" + std::to_string(this->NextId++);
+  reply->Route = route;
+  reply->Host = host;
+  reply->Sent = gsLoop::Now();
+  gsCall call;
+  call.Method = route == "safe" ? "GET" : "POST";
+  call.Url = "http://" + this->Processes.at(host).Address + "/" + route + "/x";
+  call.Body = route == "safe" ? "" : "body of " + reply->Id;
+  call.TotalTimeout = CallTimeout;
+  call.Headers = { { "Host", "service.example" },
+                   { "Gradescale-Attempt-Id", reply->Id },
+                   { "Gradescale-Deadline-Ms", "8000" },
+                   { "Authorization", "Token " + key } };
+  call.OnHeaders = [reply](unsigned status, gsHeaders const& headers) {
+    reply->Status = status;
+    for (auto const& [name, value] : headers) {
+      reply->Signed = reply->Signed || name == "gradescale-response-signature";
+    }
+  };
+  call.OnData = [reply](std::string_view bytes) {
+    reply->Body.append(bytes);
+    return true;
+  };
+  call.OnEnd = [reply](gsCallEnd const& end) {
+    reply->Done = true;
+    reply->Whole = end.Whole;
+    reply->Ended = gsLoop::Now();
+  };
+  reply->Call = this->Client->Start(std::move(call));
+  return reply;
+}
+
+gsRoutedReplyPtr gsRoutedSystem::SendAndWait(std::string const& host,
+                                             std::string const& route,
+                                             std::string const& key)
+{
+  gsRoutedReplyPtr reply = this->Send(host, route, key);
+  this->RunUntil([&] { return reply->Done; });
+  return reply;
+}
+
+void gsRoutedSystem::Leave(gsRoutedReplyPtr const& reply)
+{
+  this->Client->Cancel(reply->Call);
+  reply->Done = true;
+}
+
+void gsRoutedSystem::Configure(std::vector<std::string> const& keys)
+{
+  gsJson value{ { "version", ++this->ConfigVersion },
+                { "routes",
+                  { RouteJson("plain", "non_idempotent", 1),
+                    RouteJson("safe", "idempotent", 2),
+                    RouteJson("stream", "streaming", 1),
+                    RouteJson("resume", "streaming", 2) } },
+                { "services", { { { "name", "model" } } } },
+                { "tenants",
+                  { { { "name", "club" }, { "api_keys", keys } } } } };
+  this->Fetch("POST", "http://" + this->Processes.at("store").Address + "/put",
+              { { "table", "op" }, { "key", "config" }, { "value", value } });
+}
+
+void gsRoutedSystem::List(std::string const& runner, bool leaving)
+{
+  gsJson value{ { "service", "model" },
+                { "address", this->RunnerLinks.at(runner) },
+                { "zone", "north" },
+                { "capacity_slots", 32 },
+                { "state", leaving ? "draining" : "ready" } };
+  this->Fetch("POST", "http://" + this->Processes.at("store").Address + "/put",
+              { { "table", "servers" },
+                { "key", this->RunnerIds.at(runner) },
+                { "value", value } });
+}
+
+void gsRoutedSystem::Unlist(std::string const& runner)
+{
+  this->Fetch(
+    "POST", "http://" + this->Processes.at("store").Address + "/remove",
+    { { "table", "servers" }, { "key", this->RunnerIds.at(runner) } });
+}
+
+void gsRoutedSystem::Control(std::string const& process, gsJson const& body)
+{
+  this->Fetch("POST",
+              "http://" + this->Processes.at(process).Address + "/control",
+              body);
+}
+
+void gsRoutedSystem::Links(std::vector<std::string> const& patterns,
+                           gsJson const& body)
+{
+  gsJson all = body;
+  all["links"] = patterns;
+  this->Control("proxy", all);
+}
+
+void gsRoutedSystem::Signal(std::string const& process, int signal)
+{
+  kill(this->Processes.at(process).Child.id(), signal);
+}
+
+bool gsRoutedSystem::Running(std::string const& process)
+{
+  std::error_code ignored;
+  return this->Processes.at(process).Child.running(ignored);
+}
+
+void gsRoutedSystem::Restart(std::string const& process)
+{
+  Process& entry = this->Processes.at(process);
+  if (entry.Child.valid()) {
+    entry.Child.wait();
+  }
+  bool runner = this->RunnerLinks.count(process) != 0;
+  if (runner) {
+    if (this->RunnerIds.count(process) != 0) {
+      this->Unlist(process);
+    }
+    this->RunnerIds[process] = process + "-" + std::to_string(entry.Starts);
+    entry.Arguments = { Program("gsStandInRunner"),
+                        "--listen",
+                        entry.Address,
+                        "--id",
+                        this->RunnerIds[process],
+                        "--events",
+                        std::to_string(this->Plan.Events),
+                        "--gap-ms",
+                        std::to_string(this->Plan.GapMs),
+                        "--work-ms",
+                        std::to_string(this->Plan.WorkMs) };
+  }
+  this->Launch(process);
+  if (runner) {
+    this->RunUntil([&] {
+      return this->Fetch("POST", "http://" + entry.Address + "/control",
+                         { { "cut", 0 } }) == 200;
+    });
+    this->List(process, false);
+  }
+}
+
+bool gsRoutedSystem::Ready(std::string const& host)
+{
+  return this->Fetch(
+           "GET", "http://" + this->Processes.at(host).Operators + "/readyz",
+           {}) == 200;
+}
+
+void gsRoutedSystem::WaitReady(std::string const& host, double seconds)
+{
+  if (!this->RunUntil([&] { return this->Ready(host); }, seconds)) {
+    throw std::runtime_error(host + " is not ready");
+  }
+}
+
+std::map<std::string, int> gsRoutedSystem::Runs() const
+{
+  std::map<std::string, int> runs;
+  for (std::string const& runner : this->RunnerNames) {
+    for (int start = 0; start < this->Processes.at(runner).Starts; ++start) {
+      std::ifstream log(this->Folder + "/" + runner + "." +
+                        std::to_string(start) + ".log");
+      std::string word;
+      std::string id;
+      while (log >> word >> id) {
+        runs[id] += word == "run" ? 1 : 0;
+      }
+    }
+  }
+  return runs;
+}
+
+std::size_t gsRoutedSystem::RunsOf(std::string const& runner) const
+{
+  std::size_t count = 0;
+  for (int start = 0; start < this->Processes.at(runner).Starts; ++start) {
+    std::ifstream log(this->Folder + "/" + runner + "." +
+                      std::to_string(start) + ".log");
+    std::string line;
+    while (std::getline(log, line)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+std::string gsRoutedSystem::Expected(gsRoutedReply const& reply) const
+{
+  if (reply.Route != "stream" && reply.Route != "resume") {
+    return "answer to " + reply.Id;
+  }
+  std::string body;
+  for (int i = 1; i <= this->Plan.Events; ++i) {
+    std::string number = std::to_string(i);
+    body.append("id: ").append(number).append("\ndata: ").append(reply.Id);
+    body.append(":").append(number).append("\n\n");
+  }
+  return body;
+}
--- /dev/null
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -0,0 +1,137 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * A whole system of the routed mode as real processes on loopback: a store,
+ * runners, entry hosts, and a fault-injecting proxy on every link between
+ * them. The program that owns it is the callers and the operator. It ends
+ * only the processes that it has started, by their ids.
+ */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/process/child.hpp>
+#include <nlohmann/json.hpp>
+
+#include "gsHttpClient.h"
+#include "gsLoop.h"
+
+using gsJson = nlohmann::json;
+
+/** What the system is made of. */
+struct gsRoutedPlan
+{
+  int Hosts = 3;
+  int Runners = 3;
+  int Events = 10; ///< Of a stream.
+  int GapMs = 10;  ///< Between them.
+  int WorkMs = 10; ///< Of other requests.
+};
+
+/** A request of a caller, and all that the caller saw of its answer. */
+struct gsRoutedReply
+{
+  std::string Id;
+  std::string Route;
+  std::string Host;
+  bool Done = false;
+  bool Whole = false;
+  unsigned Status = 0;
+  bool Signed = false;
+  std::string Body;
+  std::uint64_t Call = 0;
+  gsTime Sent{};
+  gsTime Ended{};
+
+  bool Good() const
+  {
+    return this->Done && this->Whole && this->Status == 200;
+  }
+};
+
+using gsRoutedReplyPtr = std::shared_ptr<gsRoutedReply>;
+
+class gsRoutedSystem
+{
+public:
+  explicit gsRoutedSystem(gsRoutedPlan plan);
+  ~gsRoutedSystem();
+  gsRoutedSystem(gsRoutedSystem const&) = delete;
+  gsRoutedSystem& operator=(gsRoutedSystem const&) = delete;
+
+  bool RunUntil(std::function<bool()> const& holds, double seconds = 20);
+  void RunFor(double seconds);
+
+  /** Sends on a route: plain (once), safe, stream (once) or resume. */
+  gsRoutedReplyPtr Send(std::string const& host, std::string const& route,
+                        std::string const& key = "key-one");
+  gsRoutedReplyPtr SendAndWait(std::string const& host,
+                               std::string const& route,
+                               std::string const& key = "key-one");
+  void Leave(gsRoutedReplyPtr const& reply);
+
+  /** Writes the next version of the configuration with these keys. */
+  void Configure(std::vector<std::string> const& keys);
+  /** Writes a runner's row. */
+  void List(std::string const& runner, bool leaving);
+  void Unlist(std::string const& runner);
+  /** A call to a stand-in's control. */
+  void Control(std::string const& process, gsJson const& body);
+  /** Faults on links; see gsStandInProxy. */
+  void Links(std::vector<std::string> const& patterns, gsJson const& body);
+
+  /** Sends a signal to a process that this object has started. */
+  void Signal(std::string const& process, int signal);
+  bool Running(std::string const& process);
+  /** Starts a process that has ended; a runner gets a new id. */
+  void Restart(std::string const& process);
+  bool Ready(std::string const& host);
+  void WaitReady(std::string const& host, double seconds = 20);
+
+  std::vector<std::string> const& Hosts() const { return this->HostNames; }
+  std::vector<std::string> const& Runners() const { return this->RunnerNames; }
+  /** How often each request has been run, by the runners' own words. */
+  std::map<std::string, int> Runs() const;
+  /** Runs of one runner's incarnations together. */
+  std::size_t RunsOf(std::string const& runner) const;
+  /** What the caller of a whole answer should have got. */
+  std::string Expected(gsRoutedReply const& reply) const;
+  std::string const& Directory() const { return this->Folder; }
+
+private:
+  struct Process
+  {
+    std::vector<std::string> Arguments;
+    boost::process::child Child;
+    std::string Address;
+    std::string Operators;
+    int Starts = 0;
+  };
+
+  std::string NewAddress();
+  std::string Link(std::string const& name, std::string const& target);
+  void Launch(std::string const& name);
+  gsJson Settings(std::string const& host);
+  unsigned Fetch(std::string const& method, std::string const& url,
+                 gsJson const& body);
+
+  gsRoutedPlan Plan;
+  std::string Folder;
+  gsLoop Loop;
+  std::unique_ptr<gsHttpClient> Client;
+  std::map<std::string, Process> Processes;
+  std::vector<std::string> HostNames;
+  std::vector<std::string> RunnerNames;
+  std::map<std::string, std::string> RunnerLinks; ///< Address for the rows.
+  std::map<std::string, std::string> RunnerIds;   ///< Of the incarnation.
+  std::map<std::string, std::string> PeerAddress;
+  gsJson LinkTable = gsJson::object();
+  std::vector<int> Held; ///< Sockets that keep addresses free until used.
+  std::uint64_t ConfigVersion = 0;
+  std::uint64_t NextId = 1;
+};
--- /dev/null
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -0,0 +1,201 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * The whole path of the routed mode on real processes behind the
+ * fault-injecting proxy.
+ */
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+#include "gsRoutedSystem.h"
+
+namespace {
+
+char const* const Routes[] = { "plain", "safe", "stream", "resume" };
+
+/** All of them whole, their own, and run exactly once. */
+void ExpectServed(gsRoutedSystem const& system,
+                  std::vector<gsRoutedReplyPtr> const& replies)
+{
+  std::map<std::string, int> runs = system.Runs();
+  for (gsRoutedReplyPtr const& reply : replies) {
+    EXPECT_TRUE(reply->Good()) << reply->Id << ' ' << reply->Status;
+    EXPECT_TRUE(reply->Signed) << reply->Id;
+    EXPECT_EQ(reply->Body, system.Expected(*reply));
+    EXPECT_EQ(runs[reply->Id], 1) << reply->Id;
+  }
+}
+
+bool AllDone(std::vector<gsRoutedReplyPtr> const& replies)
+{
+  bool done = true;
+  for (gsRoutedReplyPtr const& reply : replies) {
+    done = done && reply->Done;
+  }
+  return done;
+}
+
+} // namespace
+
+TEST(Routed, ACalmPassIsServedWholeByEveryHost)
+{
+  gsRoutedSystem system({});
+  std::vector<gsRoutedReplyPtr> replies;
+  for (int i = 0; i < 25; ++i) {
+    for (std::string const& host : system.Hosts()) {
+      for (char const* route : Routes) {
+        replies.push_back(system.Send(host, route));
+      }
+    }
+    system.RunFor(0.02);
+  }
+  ASSERT_TRUE(system.RunUntil([&] { return AllDone(replies); }));
+  ExpectServed(system, replies);
+}
+
+TEST(Routed, AHostThatStartsWhileTheStoreIsSilentLearnsFromOthers)
+{
+  gsRoutedSystem system({});
+  system.Control("store", { { "mode", "silent" } });
+  system.Signal("host0", SIGKILL);
+  system.Restart("host0");
+  system.WaitReady("host0");
+  gsRoutedReplyPtr reply = system.SendAndWait("host0", "plain");
+  ExpectServed(system, { reply });
+}
+
+TEST(Routed, AHostWithoutConfigurationPromisesThatNothingRan)
+{
+  gsRoutedSystem system({});
+  system.Control("store", { { "mode", "silent" } });
+  system.Links({ "peer:*" }, { { "mode", "cut" } });
+  system.Signal("host0", SIGKILL);
+  system.Restart("host0");
+  gsRoutedReplyPtr reply;
+  ASSERT_TRUE(system.RunUntil([&] {
+    reply = system.SendAndWait("host0", "plain");
+    return reply->Status != 0;
+  }));
+  EXPECT_EQ(reply->Status, 503U);
+  EXPECT_FALSE(system.Ready("host0"));
+  EXPECT_EQ(system.Runs().count(reply->Id), 0U);
+}
+
+TEST(Routed, AHostTurnedAwayByTheStoreHearsOfALeavingUpstream)
+{
+  gsRoutedSystem system({});
+  system.Links({ "store:host0" }, { { "mode", "hole" } });
+  system.RunFor(0.3);
+  system.List("runner0", true);
+  system.RunFor(2.5);
+  std::size_t before = system.RunsOf("runner0");
+  std::vector<gsRoutedReplyPtr> replies;
+  for (int i = 0; i < 20; ++i) {
+    replies.push_back(system.SendAndWait("host0", "plain"));
+  }
+  ExpectServed(system, replies);
+  EXPECT_EQ(system.RunsOf("runner0"), before);
+}
+
+TEST(Routed, AChangeReachesAHostThatTheStoreIsSilentTo)
+{
+  gsRoutedSystem system({});
+  system.Links({ "store:host1" }, { { "mode", "hole" } });
+  system.RunFor(0.3);
+  system.Configure({ "key-one", "key-three" });
+  system.RunFor(2.5);
+  for (std::string const& host : system.Hosts()) {
+    EXPECT_EQ(system.SendAndWait(host, "plain", "key-two")->Status, 401U);
+    EXPECT_TRUE(system.SendAndWait(host, "plain", "key-three")->Good());
+  }
+}
+
+TEST(Routed, AForgottenHistoryLosesNoChange)
+{
+  gsRoutedSystem system({});
+  for (int i = 0; i < 5; ++i) {
+    std::string key = "key-" + std::to_string(i);
+    system.Configure({ key });
+    system.Control("store", { { "mode", "forget" } });
+    system.RunFor(0.5);
+    EXPECT_TRUE(system.SendAndWait("host0", "plain", key)->Good()) << i;
+  }
+}
+
+TEST(Routed, APlannedStopFinishesWhatItHoldsAndTakesNothingLate)
+{
+  gsRoutedPlan plan;
+  plan.Events = 60;
+  plan.GapMs = 20;
+  gsRoutedSystem system(plan);
+  std::vector<gsRoutedReplyPtr> replies;
+  for (int i = 0; i < 10; ++i) {
+    replies.push_back(system.Send("host0", "stream"));
+  }
+  system.RunFor(0.2);
+  system.Signal("host0", SIGTERM);
+  ASSERT_TRUE(system.RunUntil([&] { return !system.Ready("host0"); }, 2));
+  ASSERT_TRUE(system.RunUntil([&] { return AllDone(replies); }));
+  ExpectServed(system, replies);
+  EXPECT_TRUE(system.RunUntil([&] { return !system.Running("host0"); }, 5));
+}
+
+TEST(Routed, ACallerThatLeavesFreesTheUpstream)
+{
+  gsRoutedPlan plan;
+  plan.Events = 1000;
+  gsRoutedSystem system(plan);
+  std::vector<gsRoutedReplyPtr> replies;
+  for (int i = 0; i < 40; ++i) {
+    replies.push_back(system.Send("host0", "stream"));
+  }
+  ASSERT_TRUE(system.RunUntil([&] { return system.Runs().size() == 40; }));
+  for (gsRoutedReplyPtr const& reply : replies) {
+    system.Leave(reply);
+  }
+  system.RunFor(0.5);
+  // Each runner takes 32 at once: these fit only if the others have ended.
+  std::vector<gsRoutedReplyPtr> next;
+  for (int i = 0; i < 90; ++i) {
+    next.push_back(system.Send("host1", "stream"));
+  }
+  system.RunFor(0.5);
+  for (gsRoutedReplyPtr const& reply : next) {
+    EXPECT_NE(reply->Status, 503U);
+  }
+}
+
+TEST(Routed, AKilledRunnersStreamsGoOnElsewhere)
+{
+  gsRoutedPlan plan;
+  plan.Events = 50;
+  plan.GapMs = 20;
+  gsRoutedSystem system(plan);
+  std::vector<gsRoutedReplyPtr> replies;
+  for (int i = 0; i < 6; ++i) {
+    replies.push_back(system.Send("host0", "resume"));
+  }
+  system.RunFor(0.3);
+  system.Signal("runner1", SIGKILL);
+  ASSERT_TRUE(system.RunUntil([&] { return AllDone(replies); }));
+  for (gsRoutedReplyPtr const& reply : replies) {
+    EXPECT_TRUE(reply->Good());
+    EXPECT_EQ(reply->Body, system.Expected(*reply));
+  }
+}
+
+TEST(Routed, AllHostsKilledAtOnceServeAgain)
+{
+  gsRoutedSystem system({});
+  for (std::string const& host : system.Hosts()) {
+    system.Signal(host, SIGKILL);
+  }
+  for (std::string const& host : system.Hosts()) {
+    system.Restart(host);
+  }
+  for (std::string const& host : system.Hosts()) {
+    system.WaitReady(host, 5);
+    EXPECT_TRUE(system.SendAndWait(host, "plain")->Good());
+  }
+}
--- /dev/null
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -0,0 +1,189 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Stand-in for one of the users' runners, as far as the routed mode meets it.
+ * Each request that it runs is one line "run ID" on standard output, written
+ * before anything else is done. /stream/ and /resume/ answer with events
+ * "ID:NUMBER" from 1, or from after Last-Event-Id, to --events; all other
+ * paths with one text. POST /control takes {"cut": N}: so many of the next
+ * answers break off.
+ */
+#include <memory>
+#include <set>
+#include <string>
+
+#include <CLI/CLI.hpp>
+
+#include "gsStandIn.h"
+
+namespace {
+
+using Exchange = std::shared_ptr<gsHttpExchange>;
+
+struct Options
+{
+  std::string Listen;
+  std::string Id;
+  int Events = 10;
+  int GapMs = 10;
+  int WorkMs = 10;
+  int Most = 32; ///< Requests at once.
+};
+
+class Runner;
+
+/** One request that runs. */
+struct Run : std::enable_shared_from_this<Run>
+{
+  Runner& Owner;
+  Exchange Call;
+  std::string Id;
+  int Next = 1;
+  bool Cut = false;
+  gsTimer Timer;
+
+  Run(Runner& owner, Exchange call, std::string id);
+  void Begin();
+  void Step();
+  void End();
+};
+
+class Runner
+{
+public:
+  Runner(gsLoop& loop, Options options)
+    : Loop(loop)
+    , Chosen(std::move(options))
+  {
+  }
+
+  void OnExchange(Exchange const& exchange)
+  {
+    if (exchange->Path == "/control") {
+      this->Cuts = gsJson::parse(exchange->Body).value("cut", 0);
+      gsAnswerJson(*exchange, gsJson::object());
+      return;
+    }
+    std::string id(exchange->Header("Gradescale-Attempt-Id"));
+    gsHeaders refusal{ { "Gradescale-Attempt-Id", id },
+                       { "Gradescale-Not-Executed", "1" } };
+    std::string expected(exchange->Header("Gradescale-Expect-Instance"));
+    if (!expected.empty() && expected != this->Chosen.Id) {
+      exchange->Respond(421, refusal, "");
+      return;
+    }
+    if (id.empty() ||
+        this->Running.size() >= static_cast<std::size_t>(this->Chosen.Most)) {
+      exchange->Respond(id.empty() ? 400 : 503, refusal, "");
+      return;
+    }
+    std::cout << "run " << id << std::endl;
+    auto run = std::make_shared<Run>(*this, exchange, id);
+    this->Running.insert(run);
+    exchange->OnGone = [run] { run->End(); };
+    run->Begin();
+  }
+
+  gsLoop& Loop;
+  Options Chosen;
+  std::set<std::shared_ptr<Run>> Running;
+  int Cuts = 0;
+};
+
+Run::Run(Runner& owner, Exchange call, std::string id)
+  : Owner(owner)
+  , Call(std::move(call))
+  , Id(std::move(id))
+  , Timer(owner.Loop, [this] { this->Step(); })
+{
+}
+
+void Run::Begin()
+{
+  if (this->Owner.Cuts > 0) {
+    --this->Owner.Cuts;
+    this->Cut = true;
+  }
+  bool events = this->Call->Path.rfind("/stream/", 0) == 0 ||
+                this->Call->Path.rfind("/resume/", 0) == 0;
+  if (!events) {
+    this->Next = -1;
+    this->Timer.Once(gsMilliseconds(this->Owner.Chosen.WorkMs));
+    return;
+  }
+  std::string last(this->Call->Header("Last-Event-Id"));
+  if (!last.empty()) {
+    this->Next = std::stoi(last) + 1;
+  }
+  this->Call->BeginStream(
+    200, { { "Gradescale-Attempt-Id", this->Id },
+           { "Gradescale-Response-Signature", this->Owner.Chosen.Id },
+           { "Content-Type", "text/event-stream" } });
+  this->Timer.Once(gsMilliseconds(this->Owner.Chosen.GapMs));
+}
+
+void Run::Step()
+{
+  if (this->Next < 0) {
+    if (this->Cut) {
+      this->Call->BeginStream(
+        200, { { "Gradescale-Attempt-Id", this->Id },
+               { "Gradescale-Response-Signature", this->Owner.Chosen.Id } });
+      this->Call->Write("answer");
+      this->Call->Abort();
+    } else {
+      this->Call->Respond(
+        200,
+        { { "Gradescale-Attempt-Id", this->Id },
+          { "Gradescale-Response-Signature", this->Owner.Chosen.Id } },
+        "answer to " + this->Id);
+    }
+    this->End();
+    return;
+  }
+  if (this->Next > this->Owner.Chosen.Events) {
+    this->Call->End();
+    this->End();
+    return;
+  }
+  std::string event = "id: " + std::to_string(this->Next) +
+                      "\ndata: " + this->Id + ":" +
+                      std::to_string(this->Next) + "\n\n";
+  if (this->Cut && this->Next > this->Owner.Chosen.Events / 2) {
+    this->Call->Write(event.substr(0, event.size() / 2));
+    this->Call->Abort();
+    this->End();
+    return;
+  }
+  this->Call->Write(event);
+  ++this->Next;
+  this->Timer.Once(gsMilliseconds(this->Owner.Chosen.GapMs));
+}
+
+void Run::End()
+{
+  std::shared_ptr<Run> self = this->shared_from_this();
+  this->Timer.Stop();
+  this->Call->OnGone = nullptr;
+  this->Owner.Loop.Defer([self] { self->Owner.Running.erase(self); });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  CLI::App app("Stand-in for a runner.");
+  Options options;
+  app.add_option("--listen", options.Listen, "IP:port.")->required();
+  app.add_option("--id", options.Id, "Of this incarnation.")->required();
+  app.add_option("--events", options.Events, "Of a stream.");
+  app.add_option("--gap-ms", options.GapMs, "Between events.");
+  app.add_option("--work-ms", options.WorkMs, "Of other requests.");
+  app.add_option("--most", options.Most, "Requests at once.");
+  CLI11_PARSE(app, argc, argv);
+  gsLoop loop;
+  Runner runner(loop, options);
+  return gsServe(loop, options.Listen, [&runner](Exchange const& exchange) {
+    runner.OnExchange(exchange);
+  });
+}
--- /dev/null
+++ b/Tests/StandIns/gsStandInStore.cxx
@@ -0,0 +1,227 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Stand-in for the users' platform's store, as far as the routed mode uses
+ * it: reading a table and watching it. Its own calls are POST /put
+ * {"table", "key", "value": JSON}, POST /remove {"table", "key"}, both
+ * answered with the row's version, and POST /control
+ * {"mode": "pass" | "silent" | "busy" | "forget"}; forget drops the history
+ * once, so that every watch gets 410.
+ */
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+#include <openssl/evp.h>
+
+#include "gsStandIn.h"
+
+namespace {
+
+using Exchange = std::shared_ptr<gsHttpExchange>;
+
+struct Row
+{
+  std::string Value; ///< Base64.
+  std::uint64_t Version = 0;
+  bool Gone = false;
+};
+
+struct Waiter
+{
+  Exchange Call;
+  std::string Table;
+  std::uint64_t After = 0;
+  gsTime Until{};
+};
+
+std::string Encode(std::string const& bytes)
+{
+  std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  int length =
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                    reinterpret_cast<unsigned char const*>(bytes.data()),
+                    static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(length));
+  return text;
+}
+
+class Store
+{
+public:
+  explicit Store(gsLoop& loop)
+    : Timer(loop, [this] { this->Expire(); })
+  {
+    constexpr gsTime period = gsMilliseconds(20);
+    this->Timer.Every(period);
+  }
+
+  void OnExchange(Exchange const& exchange)
+  {
+    if (exchange->Path == "/control") {
+      this->Control(gsJson::parse(exchange->Body)["mode"]);
+      gsAnswerJson(*exchange, gsJson::object());
+    } else if (exchange->Path == "/put" || exchange->Path == "/remove") {
+      this->Write(*exchange, exchange->Path == "/remove");
+    } else if (this->Mode == "silent") {
+      this->Lost.push_back(exchange);
+    } else if (this->Mode == "busy") {
+      gsAnswerJson(*exchange, gsJson::object(), 503);
+    } else if (exchange->Path == "/api/rows-get") {
+      this->Read(*exchange);
+    } else if (exchange->Path == "/api/rows-feed") {
+      this->Watch(exchange);
+    } else {
+      gsAnswerJson(*exchange, gsJson::object(), 404);
+    }
+  }
+
+private:
+  static gsJson RowJson(std::string const& table, std::string const& key,
+                        Row const& row)
+  {
+    gsJson json{ { "table", table },
+                 { "part", "" },
+                 { "tls_key", key },
+                 { "ver", row.Version } };
+    if (row.Gone) {
+      json["gone"] = true;
+    } else {
+      json["value"] = row.Value;
+    }
+    return json;
+  }
+
+  gsJson Above(std::string const& table, std::uint64_t after, bool gone) const
+  {
+    gsJson rows = gsJson::array();
+    auto found = this->Tables.find(table);
+    if (found == this->Tables.end()) {
+      return rows;
+    }
+    for (auto const& [key, row] : found->second) {
+      if (row.Version > after && (gone || !row.Gone)) {
+        rows.push_back(RowJson(table, key, row));
+      }
+    }
+    std::sort(rows.begin(), rows.end(), [](auto const& a, auto const& b) {
+      return a["ver"] < b["ver"];
+    });
+    return rows;
+  }
+
+  void Control(std::string const& mode)
+  {
+    if (mode == "forget") {
+      this->Oldest = this->Version;
+      for (Waiter const& waiter : this->Waiters) {
+        gsAnswerJson(*waiter.Call, gsJson::object(), 410);
+      }
+      this->Waiters.clear();
+      return;
+    }
+    this->Mode = mode;
+    if (mode == "silent") {
+      for (Waiter const& waiter : this->Waiters) {
+        this->Lost.push_back(waiter.Call);
+      }
+      this->Waiters.clear();
+    }
+  }
+
+  void Write(gsHttpExchange& exchange, bool remove)
+  {
+    gsJson body = gsJson::parse(exchange.Body);
+    Row& row = this->Tables[body["table"]][body["key"]];
+    row.Version = ++this->Version;
+    row.Gone = remove;
+    row.Value = remove ? std::string() : Encode(body["value"].dump());
+    gsAnswerJson(exchange, { { "ver", this->Version } });
+    this->Notify();
+  }
+
+  void Read(gsHttpExchange& exchange) const
+  {
+    gsAnswerJson(
+      exchange,
+      { { "records",
+          this->Above(std::string(exchange.Query("table")), 0, false) },
+        { "more", false },
+        { "ver", this->Version },
+        { "now_ms", 1 } });
+  }
+
+  void Watch(Exchange const& exchange)
+  {
+    Waiter waiter;
+    waiter.Call = exchange;
+    waiter.Table = exchange->Query("table");
+    waiter.After = std::stoull(std::string(exchange->Query("after")));
+    waiter.Until =
+      gsLoop::Now() +
+      gsMilliseconds(std::stoull(std::string(exchange->Query("wait_ms"))));
+    if (waiter.After < this->Oldest) {
+      gsAnswerJson(*exchange, gsJson::object(), 410);
+      return;
+    }
+    this->Waiters.push_back(waiter);
+    this->Notify();
+  }
+
+  void Notify()
+  {
+    std::vector<Waiter> waiting;
+    for (Waiter& waiter : this->Waiters) {
+      gsJson rows = this->Above(waiter.Table, waiter.After, true);
+      if (rows.empty()) {
+        waiting.push_back(std::move(waiter));
+        continue;
+      }
+      gsAnswerJson(
+        *waiter.Call,
+        { { "records", rows }, { "ver", this->Version }, { "now_ms", 1 } });
+    }
+    this->Waiters = std::move(waiting);
+  }
+
+  void Expire()
+  {
+    std::vector<Waiter> waiting;
+    for (Waiter& waiter : this->Waiters) {
+      if (waiter.Until > gsLoop::Now()) {
+        waiting.push_back(std::move(waiter));
+        continue;
+      }
+      gsAnswerJson(*waiter.Call, { { "records", gsJson::array() },
+                                   { "ver", this->Version },
+                                   { "now_ms", 1 } });
+    }
+    this->Waiters = std::move(waiting);
+  }
+
+  gsTimer Timer;
+  std::string Mode = "pass";
+  std::map<std::string, std::map<std::string, Row>> Tables;
+  std::uint64_t Version = 0;
+  std::uint64_t Oldest = 0; ///< Watches from before it get 410.
+  std::vector<Waiter> Waiters;
+  std::vector<Exchange> Lost; ///< Never answered.
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  CLI::App app("Stand-in for the platform's store.");
+  std::string listen;
+  app.add_option("--listen", listen, "IP:port.")->required();
+  CLI11_PARSE(app, argc, argv);
+  gsLoop loop;
+  Store store(loop);
+  return gsServe(loop, listen, [&store](Exchange const& exchange) {
+    store.OnExchange(exchange);
+  });
+}
