Log: Write to standard output, bounded, and never wait for the reader

Cause: the users ask for logs on standard output whose volume is bounded and which never block; lines went to standard error and a full pipe stopped the process. Ruled out: a thread that writes (its turns cost processor time). Change: a line is written if the output takes it without waiting and the burst is within 2,000 lines a second; others are dropped, and their number is logged when there is room.

--- a/Source/Io/gsLog.cxx
+++ b/Source/Io/gsLog.cxx
@@ -1,7 +1,13 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsLog.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdio>
+#include <utility>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
@@ -55,6 +61,70 @@
   text += '"';
 }
 
+/** Bounds what is written in a burst, and never waits for the reader. */
+class Gate
+{
+public:
+  /** Whether a line may be written now; counts it if not. */
+  bool Pass()
+  {
+    auto now = std::chrono::steady_clock::now();
+    double seconds = std::chrono::duration<double>(now - this->Last).count();
+    this->Last = now;
+    this->Saved = std::min(Burst, this->Saved + seconds * PerSecond);
+    if (this->Saved < 1 || !Writable()) {
+      ++this->Dropped;
+      return false;
+    }
+    this->Saved -= 1;
+    return true;
+  }
+
+  /** Lines dropped since it was last asked. */
+  std::uint64_t TakeDropped() { return std::exchange(this->Dropped, 0); }
+
+private:
+  static constexpr double PerSecond = 2000;
+  static constexpr double Burst = 4000;
+
+  /** A line is shorter than what a writable pipe takes at once. */
+  static bool Writable()
+  {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+  }
+
+  std::chrono::steady_clock::time_point Last =
+    std::chrono::steady_clock::now();
+  double Saved = Burst;
+  std::uint64_t Dropped = 0;
+};
+
+Gate& TheGate()
+{
+  static Gate gate;
+  return gate;
+}
+
+/** Longest line; a pipe takes as much without waiting. */
+constexpr std::size_t LongestLine = 3900;
+
+void WriteLine(gsLogLevel level, std::string& text)
+{
+  if (!TheGate().Pass()) {
+    return;
+  }
+  std::uint64_t dropped = TheGate().TakeDropped();
+  if (dropped > 0) {
+    Logger()->forcedLog(log4cxx::Level::getWarn(),
+                        "event=log_dropped lines=" + std::to_string(dropped));
+  }
+  if (text.size() > LongestLine) {
+    text.resize(LongestLine);
+  }
+  Logger()->forcedLog(LevelOf(level), text);
+}
+
 } // namespace
 
 void gsLogSetUp(gsLogLevel least)
@@ -62,7 +132,7 @@
   log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
     LOG4CXX_STR("ts=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p %m%n")));
   log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
-    layout, log4cxx::ConsoleAppender::getSystemErr()));
+    layout, log4cxx::ConsoleAppender::getSystemOut()));
   log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
@@ -98,7 +168,7 @@
 gsLogLine::~gsLogLine()
 {
   if (this->Enabled) {
-    Logger()->forcedLog(LevelOf(this->Level), this->Text);
+    WriteLine(this->Level, this->Text);
   }
 }
 
--- a/Source/Io/gsLog.h
+++ b/Source/Io/gsLog.h
@@ -2,7 +2,9 @@
 /**
  * \file
  * Logs by log4cxx: one line of key=value pairs for each event, to standard
- * error. Values with spaces or quotes are quoted.
+ * output. Values with spaces or quotes are quoted. What is written in a burst
+ * is bounded, and a reader that does not read is never waited for: lines that
+ * find no room are dropped, and their number is logged when there is room.
  */
 #pragma once
 
