Coordination: Let two hosts a hall watch the platform and tell the others

Ruled out: longer waits (calls follow the changes). Change: two hosts a hall, by rendezvous hashing, watch and push what changes to their hall; each frame says how old a watcher's tables are; a host that hears of no up-to-date watcher for 0.9 s watches for itself. Large changes are not pushed; each host reads them.

--- a/Source/Coord/gsRendezvous.cxx
+++ b/Source/Coord/gsRendezvous.cxx
@@ -1,6 +1,8 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsRendezvous.h"
 
+#include <algorithm>
+
 #include <xxhash.h>
 
 std::uint64_t gsHashText(std::string_view text)
@@ -33,3 +35,19 @@
   }
   return std::string(best);
 }
+
+std::vector<std::string> gsRendezvousFirst(
+  std::vector<std::string_view> const& names, std::string_view key,
+  std::size_t count)
+{
+  std::uint64_t seed = gsHashText(key);
+  std::vector<std::string_view> ordered = names;
+  std::sort(ordered.begin(), ordered.end(),
+            [seed](std::string_view a, std::string_view b) {
+              std::uint64_t weightA = gsRendezvousWeight(a, seed);
+              std::uint64_t weightB = gsRendezvousWeight(b, seed);
+              return weightA != weightB ? weightA > weightB : a < b;
+            });
+  ordered.resize(std::min(count, ordered.size()));
+  return { ordered.begin(), ordered.end() };
+}
--- a/Source/Coord/gsRendezvous.h
+++ b/Source/Coord/gsRendezvous.h
@@ -22,3 +22,8 @@
 /** The winner among the names, or nothing when there are none. */
 std::optional<std::string> gsRendezvous(
   std::vector<std::string_view> const& names, std::string_view key);
+
+/** The given number of names with the highest weights, the highest first. */
+std::vector<std::string> gsRendezvousFirst(
+  std::vector<std::string_view> const& names, std::string_view key,
+  std::size_t count);
--- /dev/null
+++ b/Source/Coord/gsWatchDuty.h
@@ -0,0 +1,69 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Which hosts watch the platform for their hall. A few hosts a hall, chosen by
+ * rendezvous hashing, watch its tables and tell the others; their number does
+ * not grow with the hall. A host that hears of no watcher whose tables are up
+ * to date watches for itself, so nothing depends on any one of them. Halls of
+ * no more hosts than watchers are not changed by this.
+ *
+ * The state is one plain struct; time is handed in.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gsTypes.h"
+
+/** Whether a host watches, and why. */
+enum class gsWatchState
+{
+  Assigned,  ///< It is one of its hall's watchers.
+  Uncovered, ///< It hears of no watcher that is up to date.
+  Covered    ///< It does not watch.
+};
+
+char const* gsWatchStateWord(gsWatchState state);
+
+struct gsWatchDutySettings
+{
+  std::size_t Watchers = 2; ///< Of each hall.
+  /** A watcher that has been silent for so long covers nobody. */
+  gsTime Patience = gsMilliseconds(900);
+  /** Tables that are older cover nobody. */
+  gsTime MostAge = gsMilliseconds(2600);
+  /** A host stops watching after it has been covered for so long. */
+  gsTime Settle = gsSeconds(2);
+};
+
+/** What was last heard from a watcher. */
+struct gsHeardWatcher
+{
+  gsTime At{};
+  gsTime Age{}; ///< Of its tables, at that time.
+};
+
+struct gsWatchDuty
+{
+  gsWatchDutySettings Settings;
+  std::string Self;
+  std::map<std::string, gsHeardWatcher> Heard; ///< Of the same hall.
+  gsWatchState State = gsWatchState::Uncovered;
+  gsTime CoveredSince{}; ///< Zero while not covered.
+};
+
+/** Notes that a host of the same hall watches, and how old its tables are. */
+void gsDutyHear(gsWatchDuty& duty, std::string_view host, gsTime age,
+                gsTime now);
+
+/**
+ * Settles whether this host watches; hallHosts are the live hosts of its hall,
+ * this one included.
+ */
+gsWatchState gsDutyDecide(gsWatchDuty& duty,
+                          std::vector<std::string_view> const& hallHosts,
+                          gsTime now);
--- a/Source/Daemon/gsCluster.h
+++ b/Source/Daemon/gsCluster.h
@@ -36,6 +36,8 @@
   std::function<void()> OnMembersChanged;
   /** Version in force here, for the frames' headers. */
   std::function<std::uint64_t()> ConfigVersion;
+  /** Written into all frames when set; see the field of the same name. */
+  std::function<std::uint32_t()> TablesAge;
 };
 
 class gsCluster
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -20,7 +20,13 @@
 constexpr gsTime StallLimit = gsMilliseconds(1000);
 constexpr gsTime StopTick = gsMilliseconds(50);
 /** A watch usually brings by itself what another host has; wait that long. */
-constexpr gsTime BehindPatience = gsMilliseconds(200);
+constexpr gsTime BehindPatience = gsMilliseconds(300);
+/** A watcher's sign of life to its hall. */
+constexpr gsTime BeatPeriod = gsMilliseconds(400);
+/** A watch's answer may be later than its wait by as much. */
+constexpr gsTime AgeMargin = gsMilliseconds(600);
+/** Larger changes are not sent to all hosts of a hall; bytes. */
+constexpr std::size_t PushLimit = 16384;
 constexpr gsTime SettingsPeriod = gsSeconds(1);
 /** Callers may rest as long as the limit says; the cut comes after it. */
 constexpr gsTime IdleMargin = gsSeconds(2);
@@ -47,6 +53,20 @@
          static_cast<std::uint64_t>(status.st_ino);
 }
 
+void AddNews(gradescale::Frame& frame, std::string const& table,
+             std::vector<gsTableRow> const& rows)
+{
+  gradescale::TableNews* news = frame.add_table_news();
+  news->set_table(table);
+  for (gsTableRow const& row : rows) {
+    gradescale::TableRow* wire = news->add_rows();
+    wire->set_key(row.Key);
+    wire->set_value(row.Value);
+    wire->set_version(row.Version);
+    wire->set_removed(row.Removed);
+  }
+}
+
 std::uint32_t ServiceHash(std::string const& service)
 {
   return static_cast<std::uint32_t>(gsHashText(service));
@@ -95,6 +115,8 @@
 {
   this->Fleet.Settings = this->Settings.Placement;
   this->Fleet.Settings.Hall = this->Settings.Hall;
+  this->Duty.Self = this->Settings.Host;
+  this->Duty.Settings.MostAge = this->Settings.Routing.WatchWait + AgeMargin;
   this->Loads.Self = this->Settings.Host;
   this->Loads.Hall = this->Settings.Hall;
   gsTableWatchSettings watch;
@@ -126,6 +148,7 @@
   events.OnLinkDown = [](std::uint64_t /*link*/) {};
   events.OnMembersChanged = [this] { this->ApplySettings(); };
   events.ConfigVersion = [this] { return this->Version(); };
+  events.TablesAge = [this] { return this->TablesAge(); };
   return events;
 }
 
@@ -209,17 +232,40 @@
 {
   this->HearVersion(host, frame.config_version());
   this->HearLoads(host, frame);
+  this->HearNews(host, frame);
+  this->AnswerQueries(link, frame);
+}
+
+void gsRouteNode::HearNews(std::string const& host,
+                           gradescale::Frame const& frame)
+{
+  gsMember const* member = gsFindMember(this->Cluster->Members(), host);
+  bool sameHall = member != nullptr && member->Hall == this->Settings.Hall;
+  if (sameHall && frame.tables_age_ms() > 0) {
+    gsDutyHear(this->Duty, host, gsMilliseconds(frame.tables_age_ms()),
+               gsLoop::Now());
+  }
   for (gradescale::TableNews const& news : frame.table_news()) {
     gsTableWatch* watch = this->WatchOf(news.table());
     if (watch == nullptr) {
       continue;
     }
+    if (news.rows().empty()) {
+      // Too large to be sent to all: each reads it for itself.
+      watch->ReadOnce();
+      continue;
+    }
     std::vector<gsTableRow> rows;
     for (gradescale::TableRow const& row : news.rows()) {
       rows.push_back({ row.key(), row.value(), row.version(), row.removed() });
     }
     watch->Learn(rows, host);
   }
+}
+
+void gsRouteNode::AnswerQueries(std::uint64_t link,
+                                gradescale::Frame const& frame)
+{
   for (gradescale::TableQuery const& query : frame.table_queries()) {
     gsTableWatch const* watch = this->WatchOf(query.table());
     gradescale::Frame* answer =
@@ -227,14 +273,86 @@
     if (answer == nullptr || !watch->Known()) {
       continue;
     }
-    gradescale::TableNews* news = answer->add_table_news();
-    news->set_table(query.table());
-    for (gsTableRow const& row : watch->Above(query.above_version())) {
-      gradescale::TableRow* wire = news->add_rows();
-      wire->set_key(row.Key);
-      wire->set_value(row.Value);
-      wire->set_version(row.Version);
-      wire->set_removed(row.Removed);
+    std::vector<gsTableRow> rows = watch->Above(query.above_version());
+    if (!rows.empty()) {
+      AddNews(*answer, query.table(), rows);
+    }
+  }
+}
+
+std::vector<std::string> gsRouteNode::HallHosts() const
+{
+  std::vector<std::string> hosts;
+  for (gsMember const& member : this->Cluster->Members().Members) {
+    bool counts = member.Hall == this->Settings.Hall &&
+                  member.State != gsMemberState::Dead;
+    if (counts) {
+      hosts.push_back(member.Host);
+    }
+  }
+  return hosts;
+}
+
+/** Tells the hall what has changed since it was last told. */
+void gsRouteNode::PushNews(gsTableWatch const& watch, std::string const& table,
+                           std::uint64_t& pushed)
+{
+  std::vector<gsTableRow> rows = watch.Above(pushed);
+  pushed = watch.Version();
+  if (this->Duty.State != gsWatchState::Assigned || rows.empty()) {
+    return;
+  }
+  std::size_t bytes = 0;
+  for (gsTableRow const& row : rows) {
+    bytes += row.Key.size() + row.Value.size();
+  }
+  if (bytes > PushLimit) {
+    rows.clear();
+  }
+  for (std::string const& host : this->HallHosts()) {
+    if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
+      AddNews(*frame, table, rows);
+    }
+  }
+}
+
+/** Time since both tables were last known to be up to date, for frames. */
+std::uint32_t gsRouteNode::TablesAge() const
+{
+  gsTime answered =
+    std::min(this->Routes->LastAnswer(), this->Upstreams->LastAnswer());
+  if (this->Duty.State != gsWatchState::Assigned || answered.count() == 0) {
+    return 0;
+  }
+  auto age =
+    std::chrono::duration_cast<gsMilliseconds>(gsLoop::Now() - answered);
+  return static_cast<std::uint32_t>(age.count()) + 1;
+}
+
+/** Begins or ends watching the platform, and tells the hall of it. */
+void gsRouteNode::DecideDuty(gsTime now)
+{
+  gsWatchState before = this->Duty.State;
+  std::vector<std::string_view> alive =
+    gsAliveHosts(this->Cluster->Members(), this->Settings.Hall);
+  gsWatchState state = gsDutyDecide(this->Duty, alive, now);
+  if (state != before) {
+    gsLogLine("watch_duty")
+      .With("state", gsWatchStateWord(state))
+      .With("before", gsWatchStateWord(before))
+      .With("hall_hosts", std::uint64_t(alive.size()));
+  }
+  for (gsTableWatch* watch : { this->Routes.get(), this->Upstreams.get() }) {
+    if (state != before && state == gsWatchState::Covered) {
+      watch->Pause();
+    } else if (state != gsWatchState::Covered) {
+      watch->Resume();
+    }
+  }
+  if (state == gsWatchState::Assigned && now - this->LastBeat >= BeatPeriod) {
+    this->LastBeat = now;
+    for (std::string const& host : this->HallHosts()) {
+      this->Cluster->ToHost(host); // The header alone says what is needed.
     }
   }
 }
@@ -362,6 +480,8 @@
 
 void gsRouteNode::OnRoutes()
 {
+  this->PushNews(*this->Routes, this->Adapter.Tables.Routes,
+                 this->RoutesPushed);
   auto const& rows = this->Routes->Present();
   auto row = rows.find(this->Adapter.Tables.RoutesKey);
   if (row == rows.end()) {
@@ -401,6 +521,8 @@
 
 void gsRouteNode::OnUpstreams()
 {
+  this->PushNews(*this->Upstreams, this->Adapter.Tables.Upstreams,
+                 this->UpstreamsPushed);
   std::vector<gsListedUpstream> listed;
   std::size_t leaving = 0;
   for (auto const& [id, row] : this->Upstreams->Present()) {
@@ -474,6 +596,7 @@
   if (gap > StallLimit) {
     this->OnStalled(gap);
   }
+  this->DecideDuty(now);
   this->AskBehind(now);
   if (now - this->LastLook >= SettingsPeriod) {
     this->LastLook = now;
@@ -486,8 +609,12 @@
 {
   gsLogLine("stalled", gsLogLevel::Warn).With("for_ms", gap);
   this->Metrics.Count("gradescale_stalls_total");
-  this->Routes->Refresh("stalled");
-  this->Upstreams->Refresh("stalled");
+  for (gsTableWatch* watch : { this->Routes.get(), this->Upstreams.get() }) {
+    watch->Resume();
+    watch->Refresh("stalled");
+  }
+  this->Duty.State = gsWatchState::Uncovered;
+  this->Duty.Heard.clear();
   this->Cluster->ProbeNow();
 }
 
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -22,6 +22,7 @@
 #include "gsRouteGateway.h"
 #include "gsSettings.h"
 #include "gsTableWatch.h"
+#include "gsWatchDuty.h"
 
 class gsRouteNode
 {
@@ -60,6 +61,13 @@
   void HearVersion(std::string const& host, std::uint64_t version);
   void AskBehind(gsTime now);
   gsSystemLoad OwnLoad() const;
+  void HearNews(std::string const& host, gradescale::Frame const& frame);
+  void AnswerQueries(std::uint64_t link, gradescale::Frame const& frame);
+  void PushNews(gsTableWatch const& watch, std::string const& table,
+                std::uint64_t& pushed);
+  void DecideDuty(gsTime now);
+  std::uint32_t TablesAge() const;
+  std::vector<std::string> HallHosts() const;
   void TellLoads();
   void HearLoads(std::string const& host, gradescale::Frame const& frame);
   void ApplyLoads(gsTime now);
@@ -91,6 +99,10 @@
   std::unique_ptr<gsHttpServer> CallerServer;
   std::unique_ptr<gsHttpServer> OperatorServer;
   gsLoadExchange Loads;
+  gsWatchDuty Duty;
+  std::uint64_t RoutesPushed = 0;    ///< Version told to the hall.
+  std::uint64_t UpstreamsPushed = 0; ///< Version told to the hall.
+  gsTime LastBeat{};                 ///< Of a watcher to its hall.
   gsTimer TickTimer;
   gsTimer LoadTimer;
   gsTimer StopTimer;
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -38,6 +38,31 @@
   this->Read({});
 }
 
+void gsTableWatch::Pause()
+{
+  this->Paused = true;
+  this->Retry.Stop();
+  if (this->Call != 0) {
+    this->Client.Cancel(std::exchange(this->Call, 0));
+  }
+}
+
+void gsTableWatch::Resume()
+{
+  if (this->Paused) {
+    this->Paused = false;
+    this->Refresh("resumed");
+  }
+}
+
+void gsTableWatch::ReadOnce()
+{
+  if (this->Paused && this->Call == 0) {
+    this->Retry.Stop();
+    this->Read({});
+  }
+}
+
 void gsTableWatch::Refresh(char const* cause)
 {
   gsLogLine("table_refresh")
@@ -136,6 +161,9 @@
 void gsTableWatch::Await()
 {
   this->ForgetRemoved();
+  if (this->Paused) {
+    return;
+  }
   gsCall call =
     this->Adapter.WatchTable(this->Settings.Platform, this->Settings.Table,
                              this->Cursor, this->Settings.Wait);
@@ -248,6 +276,9 @@
     return;
   }
   this->Filled = true;
+  if (this->Paused) {
+    this->Retry.Stop();
+  }
   gsLogLine("table_learned")
     .With("table", this->Settings.Table)
     .With("from", peer)
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -47,6 +47,14 @@
   /** Begins with a read of the whole table. */
   void Start();
 
+  /** Stops watching; the copy stays, and is kept up by Learn. */
+  void Pause();
+  /** Watches again, after a read of the whole table. */
+  void Resume();
+  /** Reads the table once while watching is paused, unless a read is under
+   * way. */
+  void ReadOnce();
+
   /** Gives up the call under way and reads the whole table at once. */
   void Refresh(char const* cause);
 
@@ -96,4 +104,5 @@
   gsTime Delay{};
   bool Filled = false;
   bool Silent = false; ///< The loss has been logged.
+  bool Paused = false; ///< Reads are not followed by a watch.
 };
