--- a/Tests/Route/gsScriptedUpstream.cxx
+++ b/Tests/Route/gsScriptedUpstream.cxx
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <cstdlib>
 #include <sstream>
+#include <stdexcept>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -129,8 +130,10 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   auto* generic = reinterpret_cast<sockaddr*>(&address);
-  bind(this->Listener, generic, sizeof(address));
-  listen(this->Listener, SOMAXCONN);
+  if (bind(this->Listener, generic, sizeof(address)) != 0 ||
+      listen(this->Listener, SOMAXCONN) != 0) {
+    throw std::runtime_error("no free address");
+  }
   socklen_t length = sizeof(address);
   getsockname(this->Listener, generic, &length);
   this->Bound = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -26,6 +26,7 @@
   gsFleet fleet;
   fleet.Settings.Hall = "a";
   std::vector<gsListedUpstream> listed;
+  listed.reserve(static_cast<std::size_t>(upstreams));
   for (int i = 0; i < upstreams; ++i) {
     listed.push_back(Listed("u" + std::to_string(i)));
   }
