--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -155,7 +155,9 @@
   gsJson seeds = gsJson::array();
   for (auto const& [other, address] : this->PeerAddress) {
     if (other != host) {
-      routes[address] = this->Link("peer:" + host + ">" + other, address);
+      std::string link = "peer:";
+      link.append(host).append(">").append(other);
+      routes[address] = this->Link(link, address);
       seeds.push_back(address);
     }
   }
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -91,6 +91,7 @@
   system.RunFor(2.5);
   std::size_t before = system.RunsOf("runner0");
   std::vector<gsRoutedReplyPtr> replies;
+  replies.reserve(20);
   for (int i = 0; i < 20; ++i) {
     replies.push_back(system.SendAndWait("host0", "plain"));
   }
@@ -131,6 +132,7 @@
   plan.GapMs = 20;
   gsRoutedSystem system(plan);
   std::vector<gsRoutedReplyPtr> replies;
+  replies.reserve(10);
   for (int i = 0; i < 10; ++i) {
     replies.push_back(system.Send("host0", "stream"));
   }
@@ -148,6 +150,7 @@
   plan.Events = 1000;
   gsRoutedSystem system(plan);
   std::vector<gsRoutedReplyPtr> replies;
+  replies.reserve(40);
   for (int i = 0; i < 40; ++i) {
     replies.push_back(system.Send("host0", "stream"));
   }
@@ -158,6 +161,7 @@
   system.RunFor(0.5);
   // Each runner takes 32 at once: these fit only if the others have ended.
   std::vector<gsRoutedReplyPtr> next;
+  next.reserve(90);
   for (int i = 0; i < 90; ++i) {
     next.push_back(system.Send("host1", "stream"));
   }
@@ -174,6 +178,7 @@
   plan.GapMs = 20;
   gsRoutedSystem system(plan);
   std::vector<gsRoutedReplyPtr> replies;
+  replies.reserve(6);
   for (int i = 0; i < 6; ++i) {
     replies.push_back(system.Send("host0", "resume"));
   }
--- a/Tests/Unit/gsTestWatchDuty.cxx
+++ b/Tests/Unit/gsTestWatchDuty.cxx
@@ -13,6 +13,7 @@
 std::vector<std::string> Names(int count)
 {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     names.push_back("h" + std::to_string(i));
   }
