Daemon: Split the callers' side of the own interface

Cause: gsGateway.cxx (899 lines) held everything between a caller and an upstream.

Change: asking for a turn is gsPoolAsker now, carrying a grant out gsGrantCaller (send, read, relay, report), and the gateway (435 lines) keeps admission, claims, repeats and final answers. What the three share stands in gsGatewayHooks.h. No behaviour changes.

--- a/Source/Daemon/gsGateway.h
+++ b/Source/Daemon/gsGateway.h
@@ -2,26 +2,25 @@
 /**
  * \file
  * The callers' side of a host. It holds each request from its arrival to its
- * final answer: authenticates it, claims its idempotency key, asks the pool's
- * dispatcher, sends it to the granted upstream and relays the answer. What
- * was run, and whether a request may be sent again, is decided here alone.
+ * final answer: authenticates it, claims its idempotency key, has it asked for
+ * (gsPoolAsker) and carried out (gsGrantCaller), and answers. What was run,
+ * and whether a request may be sent again, is decided here alone.
  */
 #pragma once
 
-#include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_map>
-#include <vector>
 
 #include "gsClaims.h"
 #include "gsDocument.h"
+#include "gsGatewayHooks.h"
+#include "gsGrantCaller.h"
 #include "gsHttpClient.h"
 #include "gsHttpServer.h"
 #include "gsMetrics.h"
 #include "gsPool.h"
+#include "gsPoolAsker.h"
 #include "gsRequestReader.h"
 #include "gsRetry.h"
 #include "gsSettings.h"
@@ -29,33 +28,7 @@
 class gsGateway
 {
 public:
-  struct Hooks
-  {
-    /** The host that dispatches a hall's pool; empty when there is none. */
-    std::function<std::string(std::string_view hall, std::string_view pool)>
-      DispatcherOf;
-    /** Other halls that can be asked now. */
-    std::function<std::vector<std::string>()> OtherHalls;
-    std::function<void(std::string const& host, gsAsk const& ask)> SendAsk;
-    std::function<void(std::string const& host, gsAsk const& ask)>
-      SendWithdraw;
-    std::function<void(std::string const& host, gsAsk const& ask,
-                       std::string const& upstream)>
-      SendRunning;
-    std::function<void(std::string const& host, gsAsk const& ask,
-                       gsTime firstToken, gsTime gap)>
-      SendProgress;
-    std::function<void(std::string const& host, gsAsk const& ask,
-                       gsOutcome outcome, gsMeasured const& measured)>
-      SendRelease;
-    /** Whether hosts with waiting asks shall be watched. */
-    std::function<void(std::string const& host, bool waiting)> Expect;
-    std::function<bool(std::string const& upstream,
-                       std::string const& incarnation)>
-      IsLeaving;
-    std::function<bool()> Ready;
-    std::function<gsDocument const&()> Document;
-  };
+  using Hooks = gsGatewayHooks;
 
   gsGateway(gsLoop& loop, gsHttpClient& client, gsSettings const& settings,
             gsMetrics& metrics, gsClaims& claims, std::uint64_t hostNumber,
@@ -69,19 +42,9 @@
     this->Reader.TakeDocument(document);
   }
 
-  void OnGrant(std::string const& host, gsGrant const& grant);
-  void OnRefusal(std::string const& host, gsRequestId const& id,
-                 std::string const& cause, gsTime retryAfter);
-  void OnRedirect(std::string const& host, gsRequestId const& id,
-                  std::string const& dispatcher);
   void OnClaim(gsClaimDecision const& decision);
-
-  /** Asks anew what waits at a host that does not answer any more. */
-  void OnHostLost(std::string const& host);
-  /** Moves requests to the dispatchers of the current members. */
-  void OnMembersChanged();
-  /** After this process stood still: what was granted before is void. */
-  void OnStalled();
+  /** What dispatchers answer, and what becomes of hosts, goes there. */
+  gsPoolAsker& Waiting() { return this->Asker; }
 
   /** Takes no new requests. */
   void Drain() { this->Draining = true; }
@@ -93,28 +56,12 @@
   void Accept(std::shared_ptr<gsHttpExchange> const& exchange);
   void Begin(Held const& request);
   void Claim(Held const& request, std::string_view key);
-  void AskIn(Held const& request, std::string const& hall);
-  void AskAt(Held const& request, std::string const& host, bool force);
-  void AskAgain(Held const& request);
-  void StopWaiting(gsHeldRequest& request);
-  void SpillOrGiveUp(Held const& request, std::string const& cause,
-                     gsTime retryAfter);
-  bool Spill(Held const& request);
-  void TakeBack(Held const& request);
-
-  void Send(Held const& request);
-  bool MaySend(gsHeldRequest& request) const;
-  void OnAnswerHeaders(Held const& request, unsigned status,
-                       gsHeaders const& headers);
-  bool OnAnswerData(Held const& request, std::string_view bytes);
-  void OnAnswerEnd(Held const& request, gsCallEnd const& end);
-  void Relay(Held const& request, std::string const& events);
-  void NoteProgress(Held const& request, bool last);
+  gsGrantCallerEvents CallerEvents();
+  void OnGranted(Held const& request);
+  void GiveUp(Held const& request, std::string const& cause,
+              gsTime retryAfter);
   void CutSlowCaller(Held const& request);
-  void Release(Held const& request, gsOutcome outcome);
-  void AttemptFailed(Held const& request, gsOutcome outcome, gsRan ran,
-                     gsError const& error);
-  void CheckStalls();
+  void AttemptFailed(Held const& request, gsGrantFailure const& failure);
 
   void FinishWhole(Held const& request);
   void FinishError(Held const& request, unsigned status, gsError const& error,
@@ -123,21 +70,15 @@
   void Settle(Held const& request, gsRan ran, char const* result);
   void CountWaste(gsHeldRequest const& request);
 
-  Held Find(gsRequestId const& id) const;
-
-  gsLoop& Loop;
-  gsHttpClient& Client;
   gsSettings const& Settings;
   gsMetrics& Metrics;
   gsClaims& Claims;
   Hooks Call;
-  gsTimer StallTimer;
-  std::uint64_t HostNumber;
+  gsHeldRequests Requests;
+  gsPoolAsker Asker;
+  gsGrantCaller Caller;
   gsRequestReader Reader;
   gsRetryBudget Budget;
-  std::unordered_map<std::uint64_t, Held> Requests; ///< By sequence.
-  /** Requests that wait at each dispatcher. */
-  std::unordered_map<std::string, std::uint32_t> WaitingAt;
   bool Draining = false;
 };
 
--- a/Source/Daemon/gsHeldRequest.h
+++ b/Source/Daemon/gsHeldRequest.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "gsDocument.h"
@@ -63,3 +64,8 @@
   bool Mismatch = false; ///< The upstream named another request.
   bool Paused = false;   ///< The caller reads slowly.
 };
+
+using gsHeldRequestPtr = std::shared_ptr<gsHeldRequest>;
+
+/** All requests that a host holds, by the sequence of their ids. */
+using gsHeldRequests = std::unordered_map<std::uint64_t, gsHeldRequestPtr>;
--- a/Source/Daemon/gsNode.cxx
+++ b/Source/Daemon/gsNode.cxx
@@ -102,14 +102,14 @@
     this->OnFrame(host, link, frame);
   };
   events.OnHostLost = [this](std::string const& host) {
-    this->Gateway->OnHostLost(host);
+    this->Gateway->Waiting().OnHostLost(host);
   };
   events.OnLinkDown = [this](std::uint64_t link) {
     this->Dispatcher->LinkDown(link);
   };
   events.OnMembersChanged = [this] {
     this->Dispatcher->RefreshLeaving();
-    this->Gateway->OnMembersChanged();
+    this->Gateway->Waiting().OnMembersChanged();
   };
   events.ConfigVersion = [this] { return this->Config->Version(); };
   return events;
@@ -120,15 +120,15 @@
   gsDispatcher::Hooks hooks;
   hooks.OnGrant = [this](gsGrant const& grant) {
     if (grant.Link == gsLocalLink) {
-      this->Gateway->OnGrant(this->Cluster->Self(), grant);
+      this->Gateway->Waiting().OnGrant(this->Cluster->Self(), grant);
     } else if (gradescale::Frame* frame = this->Cluster->OnLink(grant.Link)) {
       gsToWire(grant, frame->add_grants());
     }
   };
   hooks.OnRefusal = [this](gsRefusal const& refusal) {
     if (refusal.Link == gsLocalLink) {
-      this->Gateway->OnRefusal(this->Cluster->Self(), refusal.Id,
-                               gsCauseWord(refusal.Cause), refusal.RetryAfter);
+      this->Gateway->Waiting().OnRefusal(
+        refusal.Id, gsCauseWord(refusal.Cause), refusal.RetryAfter);
     } else if (gradescale::Frame* frame =
                  this->Cluster->OnLink(refusal.Link)) {
       gsToWire(refusal, frame->add_refusals());
@@ -431,15 +431,16 @@
     grant.Address = wire.address();
     grant.Incarnation = wire.incarnation();
     grant.StartWithin = TimeOf(wire.start_within_us());
-    this->Gateway->OnGrant(host, grant);
+    this->Gateway->Waiting().OnGrant(host, grant);
   }
   for (gradescale::Refusal const& refusal : frame.refusals()) {
-    this->Gateway->OnRefusal(host, gsFromWire(refusal.id()), refusal.cause(),
-                             TimeOf(refusal.retry_after_us()));
+    this->Gateway->Waiting().OnRefusal(gsFromWire(refusal.id()),
+                                       refusal.cause(),
+                                       TimeOf(refusal.retry_after_us()));
   }
   for (gradescale::Redirect const& redirect : frame.redirects()) {
-    this->Gateway->OnRedirect(host, gsFromWire(redirect.id()),
-                              redirect.dispatcher());
+    this->Gateway->Waiting().OnRedirect(gsFromWire(redirect.id()),
+                                        redirect.dispatcher());
   }
 }
 
@@ -481,7 +482,7 @@
   this->Dispatcher->Pause(true);
   this->Config->PollNow();
   this->Cluster->ProbeNow();
-  this->Gateway->OnStalled();
+  this->Gateway->Waiting().OnStalled();
 }
 
 void gsNode::ResumeIfFresh()
--- a/Source/Daemon/gsRequestReader.h
+++ b/Source/Daemon/gsRequestReader.h
@@ -15,8 +15,6 @@
 #include "gsHeldRequest.h"
 #include "gsHttpServer.h"
 
-using gsHeldRequestPtr = std::shared_ptr<gsHeldRequest>;
-
 class gsRequestReader
 {
 public:
