Coordination: Ask a silent platform by one host more after the other

Three causes in the code: when the platform was silent to all, every host of a hall watched and retried on its own; each change cost a watch of its own at every watcher; in the first seconds duty changed hands with each host that came up, a whole read each time.

Change: hosts that are not assigned begin to watch one after the other, 250 ms apart, in the order of rendezvous hashing; the first that reaches the platform tells the hall as an assigned watcher does, and of two such the first in the order stays. After changes the next watch waits 150 ms, so several come at once. A host that has just started leaves watching to others for 2.5 s; it still reads both tables at once.

Ruled out: longer holds of a watch.

Test: AHostStopsWatchingOnceItIsCoveredForAWhile now begins once the host's turn has come, and hears from an assigned host; what it checks is the same.

--- a/Source/Coord/gsWatchDuty.h
+++ b/Source/Coord/gsWatchDuty.h
@@ -3,9 +3,11 @@
  * \file
  * Which hosts watch the platform for their hall. A few hosts a hall, chosen by
  * rendezvous hashing, watch its tables and tell the others; their number does
- * not grow with the hall. A host that hears of no watcher whose tables are up
- * to date watches for itself, so nothing depends on any one of them. Halls of
- * no more hosts than watchers are not changed by this.
+ * not grow with the hall. When no watcher's tables are up to date, the other
+ * hosts begin to watch one after the other, so that nothing depends on any one
+ * of them, and yet a platform that is silent to all is not asked by all; the
+ * first of them that reaches it covers the rest. Halls of no more hosts than
+ * watchers are not changed by this.
  *
  * The state is one plain struct; time is handed in.
  */
@@ -39,7 +41,9 @@
   /** A host stops watching after it has been covered for so long. */
   gsTime Settle = gsMilliseconds(500);
   /** After its start a host waits so long for others before it watches. */
-  gsTime StartPatience = gsMilliseconds(1200);
+  gsTime StartPatience = gsMilliseconds(2500);
+  /** Between the beginnings of two hosts that are not assigned. */
+  gsTime Step = gsMilliseconds(250);
 };
 
 /** What was last heard from a watcher. */
@@ -57,7 +61,8 @@
   /** A host starts as if covered; it reads the tables once by itself. */
   gsWatchState State = gsWatchState::Covered;
   gsTime Started{};
-  gsTime CoveredSince{}; ///< Zero while not covered.
+  gsTime CoveredSince{};   ///< Zero while not covered.
+  gsTime UncoveredSince{}; ///< Zero while covered.
 };
 
 /** Notes that a host of the same hall watches, and how old its tables are. */
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -321,7 +321,7 @@
 {
   gsTableNews news = watch.NewsAbove(pushed);
   pushed = watch.CompleteTo();
-  if (this->Duty.State != gsWatchState::Assigned || news.Rows.empty()) {
+  if (this->Duty.State == gsWatchState::Covered || news.Rows.empty()) {
     return;
   }
   for (std::string const& host : this->HallHosts()) {
@@ -352,7 +352,7 @@
 {
   gsTime answered =
     std::min(this->Routes->LastAnswer(), this->Upstreams->LastAnswer());
-  if (this->Duty.State != gsWatchState::Assigned || answered.count() == 0) {
+  if (this->Duty.State == gsWatchState::Covered || answered.count() == 0) {
     return 0;
   }
   auto age =
@@ -380,7 +380,7 @@
       watch->Resume(state == gsWatchState::Assigned);
     }
   }
-  if (state == gsWatchState::Assigned && now - this->LastBeat >= BeatPeriod) {
+  if (state != gsWatchState::Covered && now - this->LastBeat >= BeatPeriod) {
     this->LastBeat = now;
     for (std::string const& host : this->HallHosts()) {
       this->Cluster->ToHost(host); // The header alone says what is needed.
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -24,6 +24,7 @@
   , Settings(std::move(settings))
   , Changed(std::move(onChange))
   , Retry(loop, [this] { this->Read({}); })
+  , Gathered(loop, [this] { this->Await(); })
   , Settled(loop, [this] { this->Refresh("returns_over"); })
 {
 }
@@ -44,7 +45,7 @@
 void gsTableWatch::Pause()
 {
   this->Paused = true;
-  this->Retry.Stop();
+  this->StopTimers();
   if (this->Call != 0) {
     this->Client.Cancel(std::exchange(this->Call, 0));
   }
@@ -62,11 +63,18 @@
 void gsTableWatch::ReadOnce()
 {
   if (this->Paused && this->Call == 0) {
-    this->Retry.Stop();
+    this->StopTimers();
     this->Read({});
   }
 }
 
+/** Stops what would begin the next call. */
+void gsTableWatch::StopTimers()
+{
+  this->Retry.Stop();
+  this->Gathered.Stop();
+}
+
 void gsTableWatch::Refresh(char const* cause)
 {
   gsLogLine("table_refresh")
@@ -76,7 +84,7 @@
   if (this->Call != 0) {
     this->Client.Cancel(std::exchange(this->Call, 0));
   }
-  this->Retry.Stop();
+  this->StopTimers();
   this->Read({});
 }
 
@@ -207,7 +215,11 @@
   if (changed) {
     this->Changed();
   }
-  this->Await();
+  if (read.Page->Rows.empty()) {
+    this->Await();
+  } else {
+    this->Gathered.Once(this->Settings.Gather);
+  }
 }
 
 void gsTableWatch::NoteAnswered()
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -38,6 +38,8 @@
   gsTime Patience = gsMilliseconds(600);
   gsTime RetryFirst = gsMilliseconds(100);
   gsTime RetryMost = gsMilliseconds(500);
+  /** After changes the next watch waits so long, to bring several at once. */
+  gsTime Gather = gsMilliseconds(150);
   /** Removed rows are remembered so long, to be told to other hosts. */
   gsTime RemovedMemory = gsSeconds(60);
   /**
@@ -105,6 +107,7 @@
   void OnRead(gsAnswer const& answer);
   void FinishRead(std::uint64_t version);
   void Await();
+  void StopTimers();
   void OnAwaited(gsAnswer const& answer);
   void Make(gsCall call, void (gsTableWatch::*done)(gsAnswer const&));
   void RetryLater(gsTableAnswer const& answer, char const* step);
@@ -120,7 +123,8 @@
   gsTableWatchSettings Settings;
   std::function<void()> Changed;
   gsTimer Retry;
-  gsTimer Settled; ///< Ends the time that lapsed rows have to come back.
+  gsTimer Gathered; ///< Begins the watch that follows changes.
+  gsTimer Settled;  ///< Ends the time that lapsed rows have to come back.
   Rows Live;
   std::map<std::string, std::pair<gsTableRow, gsTime>> Gone;
   std::vector<gsTableRow> Reading; ///< Pages of the read under way.
--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -79,15 +79,36 @@
     } else if (watch && this->HistoryGone) {
       this->HistoryGone = false;
       exchange->Respond(410, {}, "{}");
-    } else if (watch) {
+    } else if (watch && !this->AnswerBehind(*exchange)) {
       this->Waiting.push_back(exchange);
+    } else if (watch) {
+      return;
     } else {
       exchange->Respond(200, {}, this->Stale.value_or(this->State()).dump());
     }
   }
 
+  /** Answers a watch that lacks changes, unless it is not to hear of any. */
+  bool AnswerBehind(gsHttpExchange& exchange)
+  {
+    std::uint64_t after = std::stoull(std::string(exchange.Query("after")));
+    if (this->Deaf || after >= this->Version) {
+      return false;
+    }
+    Json rows = Json::array();
+    for (Json const& row : this->Log) {
+      if (row["ver"] > after) {
+        rows.push_back(row);
+      }
+    }
+    exchange.Respond(
+      200, {}, Json{ { "records", rows }, { "ver", this->Version } }.dump());
+    return true;
+  }
+
   void Changed(Json const& row)
   {
+    this->Log.push_back(row);
     if (this->Deaf || this->Silent) {
       return;
     }
@@ -114,6 +135,7 @@
 private:
   std::unique_ptr<gsHttpServer> Server;
   std::map<std::string, Json> Rows;
+  std::vector<Json> Log; ///< All changes, oldest first.
   std::uint64_t Version = 0;
   std::vector<std::shared_ptr<gsHttpExchange>> Waiting;
   std::vector<std::shared_ptr<gsHttpExchange>> Lost;
@@ -142,6 +164,7 @@
     settings.Patience = gsMilliseconds(100);
     settings.RetryFirst = gsMilliseconds(20);
     settings.RetryMost = gsMilliseconds(50);
+    settings.Gather = gsMilliseconds(60);
     settings.AwayAfter = gsMilliseconds(500);
     settings.ReturnPatience = gsMilliseconds(400);
     this->Watch =
@@ -190,6 +213,22 @@
   EXPECT_EQ(this->Platform.Reads, 1);
 }
 
+// Each change was answered by a call of its own, and each call is counted.
+TEST_F(TableWatch, ChangesInQuickSuccessionAreGathered)
+{
+  this->Begin();
+  ASSERT_TRUE(this->Bench.RunUntil([&] { return this->Platform.Watched(); }));
+  int before = this->Platform.Watches;
+  constexpr int changes = 10;
+  for (int i = 0; i < changes; ++i) {
+    this->Platform.Put("row" + std::to_string(i), "MQ==");
+    this->Bench.RunFor(0.01);
+  }
+  EXPECT_TRUE(this->Becomes("row0", "1"));
+  EXPECT_TRUE(this->Becomes("row9", "1", 0.3));
+  EXPECT_LE(this->Platform.Watches - before, 4);
+}
+
 TEST_F(TableWatch, AnEmptyTableIsKnownToo)
 {
   this->Begin();
--- a/Tests/Unit/gsTestWatchDuty.cxx
+++ b/Tests/Unit/gsTestWatchDuty.cxx
@@ -1,5 +1,6 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /** \file Who watches the platform for a hall. */
+#include <algorithm>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -39,6 +40,34 @@
   return duty;
 }
 
+/** A duty for each host, all of them covered until now. */
+std::vector<gsWatchDuty> AllCovered(std::vector<std::string> const& names)
+{
+  std::vector<gsWatchDuty> duties(names.size());
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    duties[i].Self = names[i];
+  }
+  return duties;
+}
+
+std::string FirstAssigned(std::vector<std::string> const& names)
+{
+  for (gsWatchDuty& duty : AllCovered(names)) {
+    if (gsDutyDecide(duty, Views(names), Begin) == gsWatchState::Assigned) {
+      return duty.Self;
+    }
+  }
+  return {};
+}
+
+std::size_t CountWatching(std::vector<gsWatchDuty> const& duties)
+{
+  return static_cast<std::size_t>(
+    std::count_if(duties.begin(), duties.end(), [](gsWatchDuty const& duty) {
+      return duty.State != gsWatchState::Covered;
+    }));
+}
+
 } // namespace
 
 TEST(WatchDuty, AFewHostsAreAssignedHoweverLargeTheHall)
@@ -61,13 +90,17 @@
 {
   std::vector<std::string> names = Names(10);
   gsWatchDuty duty = NotAssigned(names);
-  gsTime now = Begin;
+  // Its turn to watch without being assigned comes at the latest then.
+  gsTime start = Begin + duty.Settings.Step * 10;
+  gsDutyDecide(duty, Views(names), start);
+  gsTime now = start;
   EXPECT_EQ(duty.State, gsWatchState::Uncovered);
+  std::string watcher = FirstAssigned(names);
   for (int i = 0; i < 12; ++i) {
     now += gsMilliseconds(50);
-    gsDutyHear(duty, "w", gsMilliseconds(500), now);
+    gsDutyHear(duty, watcher, gsMilliseconds(500), now);
     gsWatchState state = gsDutyDecide(duty, Views(names), now);
-    gsTime covered = now - Begin - gsMilliseconds(50);
+    gsTime covered = now - start - gsMilliseconds(50);
     bool early = covered < duty.Settings.Settle;
     EXPECT_EQ(state == gsWatchState::Uncovered, early) << i;
   }
@@ -91,6 +124,53 @@
   EXPECT_EQ(gsDutyDecide(duty, Views(names), silent), gsWatchState::Covered);
 }
 
+// While the platform was silent to all, every host of a hall asked it again
+// and again, and each call was counted.
+TEST(WatchDuty, ASilentPlatformIsAskedByOneHostMoreAfterTheOther)
+{
+  std::vector<std::string> names = Names(20);
+  std::vector<gsWatchDuty> duties = AllCovered(names);
+  gsTime step = duties[0].Settings.Step;
+  gsTime tick = gsMilliseconds(10);
+  std::size_t before = 0;
+  for (gsTime at{}; at <= step * 18; at += tick) {
+    for (gsWatchDuty& duty : duties) {
+      gsDutyDecide(duty, Views(names), Begin + at);
+    }
+    std::size_t watching = CountWatching(duties);
+    EXPECT_LE(watching, before + (before == 0 ? 3 : 1)) << at.count();
+    before = watching;
+  }
+  // In the end nobody depends on another's reaching it.
+  EXPECT_EQ(before, names.size());
+}
+
+TEST(WatchDuty, TheFirstThatReachesThePlatformCoversTheOthers)
+{
+  std::vector<std::string> names = Names(20);
+  std::vector<gsWatchDuty> duties = AllCovered(names);
+  gsTime now = Begin;
+  for (int i = 0; i < 400; ++i) {
+    now += gsMilliseconds(10);
+    std::vector<std::string> reaches;
+    for (gsWatchDuty& duty : duties) {
+      gsWatchState state = gsDutyDecide(duty, Views(names), now);
+      if (state == gsWatchState::Uncovered) {
+        reaches.push_back(duty.Self);
+      }
+    }
+    for (gsWatchDuty& duty : duties) {
+      for (std::string const& host : reaches) {
+        if (host != duty.Self) {
+          gsDutyHear(duty, host, gsMilliseconds(100), now);
+        }
+      }
+    }
+  }
+  // The two that are assigned are blind; one more watches, and stays.
+  EXPECT_EQ(CountWatching(duties), 3U);
+}
+
 TEST(WatchDuty, AHostThatHasJustStartedWaitsForOthersFirst)
 {
   gsWatchDuty duty;
