Tests: Soak the routed mode with seeded faults, and check the promises

What was missing: tests of real processes bring one fault at a time. The users ask for a randomized soak whose seeds name the whole plan.

Change: ./bootstrap soak runs hosts, runners, store and proxy as processes on loopback under traffic on kept connections, and carries out a seeded plan of stops, kills, freezes, cut, mute and slow links, silent, busy and forgetful stores, drained and killed runners, changes of keys and of settings, in series and overlapping. The checker judges what callers and runners saw (MIXED, ORDER, TWICE, BUDGET, REFUSED, UNASKED, LOST, DENIED, CONFIG, DRAIN, RECOVER); bounds bind hosts only where no fault concerned them. A failure prints seed, plan, contradictions and the command that repeats it. The proxy learns to carry nothing back; runners say when they ran what.

Also: the attempt's and the placement's log lines are written when they are decided, not when the function ends, so that they stand before the end line.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -75,6 +75,27 @@
   return gsLabels({ { "class", request.Route->Name }, { "result", result } });
 }
 
+void LogAttempt(gsRoutedRequest const& request, gsAttemptResult const& result,
+                bool again)
+{
+  gsAttempt const& attempt = *request.Attempt;
+  gsLogLine line("attempt");
+  line.With("request", request.Caller.Id)
+    .With("upstream", attempt.UpstreamId)
+    .With("address", attempt.Address)
+    .With("end", gsAttemptEndWord(result.End))
+    .With("status", result.Status)
+    .With("took_ms", gsLoop::Now() - attempt.Started)
+    .With("again", again);
+  if (attempt.FirstByteAt.count() != 0) {
+    line.With("first_ms", attempt.FirstByteAt - attempt.SentAt)
+      .With("longest_gap_ms", attempt.LongestGap);
+  }
+  if (!result.Detail.empty()) {
+    line.With("detail", result.Detail);
+  }
+}
+
 } // namespace
 
 gsRouteGateway::gsRouteGateway(gsLoop& loop, gsHttpClient& client,
@@ -235,37 +256,47 @@
     gsNoteDemand(this->Fleet, ask, now);
   }
   gsPlacement placement = gsPlace(this->Fleet, ask, now, this->Random);
+  this->LogPlacement(*request, ask, placement);
+  if (placement.Row == nullptr) {
+    this->Refuse(request, gsPlacementWord(placement.Cause));
+    return;
+  }
+  request->Tried.push_back(placement.Row->Listed.Id);
+  this->Caller.Start(request, placement);
+}
+
+void gsRouteGateway::LogPlacement(gsRoutedRequest const& request,
+                                  gsPlacementAsk const& ask,
+                                  gsPlacement const& placement) const
+{
   gsLogLine line("place");
-  line.With("request", request->Caller.Id)
-    .With("route", request->Route->Name)
-    .With("version", request->Table->Version)
-    .With("organisation", request->Organisation)
-    .With("priority", request->Priority)
-    .With("service", request->Service)
-    .With("attempt", request->Sends + 1)
+  line.With("request", request.Caller.Id)
+    .With("route", request.Route->Name)
+    .With("version", request.Table->Version)
+    .With("organisation", request.Organisation)
+    .With("priority", request.Priority)
+    .With("service", request.Service)
+    .With("attempt", request.Sends + 1)
     .With("cause", gsPlacementWord(placement.Cause))
     .With("candidates", placement.Candidates);
   if (placement.Row == nullptr) {
-    this->Refuse(request, gsPlacementWord(placement.Cause));
     return;
   }
   gsFleetRow const& row = *placement.Row;
   line.With("upstream", row.Listed.Id)
     .With("own_running", row.Own.Running)
     .With("others_running", row.Others.Running)
-    .With("others_age_ms", now - row.OthersAt)
+    .With("others_age_ms", gsLoop::Now() - row.OthersAt)
     .With("read_tokens", placement.ReadTokens)
     .With("subject", gsSubjectOf(ask))
-    .With("stream", request->Route->Events)
-    .With("target_ms", request->Route->Target)
-    .With("gap_target_ms", request->Route->GapTarget)
+    .With("stream", request.Route->Events)
+    .With("target_ms", request.Route->Target)
+    .With("gap_target_ms", request.Route->GapTarget)
     .With("group", gsFleetGroupWord(placement.Group))
     .With("rank", row.Rank)
-    .With("long_engines", gsLongEngines(this->Fleet, request->Service))
+    .With("long_engines", gsLongEngines(this->Fleet, request.Service))
     .With("pace", static_cast<std::uint64_t>(gsPaceOf(row)))
     .With("cost", static_cast<std::uint64_t>(std::max(0.0, placement.Cost)));
-  request->Tried.push_back(row.Listed.Id);
-  this->Caller.Start(request, placement);
 }
 
 void gsRouteGateway::OnEvents(Held const& request, std::string const& events)
@@ -309,27 +340,11 @@
   if (request->Ended) {
     return;
   }
-  gsAttempt const& attempt = *request->Attempt;
   bool ran =
     result.End == gsAttemptEnd::Whole || result.End == gsAttemptEnd::Broken;
   request->MayHaveRun = request->MayHaveRun || ran;
-  gsTime now = gsLoop::Now();
   bool again = this->MayTryAgain(*request, result);
-  gsLogLine line("attempt");
-  line.With("request", request->Caller.Id)
-    .With("upstream", attempt.UpstreamId)
-    .With("address", attempt.Address)
-    .With("end", gsAttemptEndWord(result.End))
-    .With("status", result.Status)
-    .With("took_ms", now - attempt.Started)
-    .With("again", again);
-  if (attempt.FirstByteAt.count() != 0) {
-    line.With("first_ms", attempt.FirstByteAt - attempt.SentAt)
-      .With("longest_gap_ms", attempt.LongestGap);
-  }
-  if (!result.Detail.empty()) {
-    line.With("detail", result.Detail);
-  }
+  LogAttempt(*request, result, again);
   if (again) {
     this->Metrics.Count("gradescale_retries_total",
                         gsLabels({ { "may_have_run", ran ? "yes" : "no" } }));
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -59,6 +59,8 @@
   gsResult<bool> Authenticate(gsRoutedRequest& request) const;
   void Begin(Held const& request);
   void Place(Held const& request);
+  void LogPlacement(gsRoutedRequest const& request, gsPlacementAsk const& ask,
+                    gsPlacement const& placement) const;
   void OnEvents(Held const& request, std::string const& events);
   void WaitForCaller(Held const& request);
   void OnAttemptEnd(Held const& request, gsAttemptResult const& result);
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -141,6 +141,14 @@
   return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
+/** By the number at the end of the process's name. */
+std::string gsRoutedSystem::HallOf(std::string const& process) const
+{
+  std::size_t digit = process.find_first_of("0123456789");
+  int number = std::stoi(process.substr(digit)) % this->Plan.Halls;
+  return number == 0 ? "north" : "south" + std::to_string(number);
+}
+
 std::string gsRoutedSystem::Link(std::string const& name,
                                  std::string const& target)
 {
@@ -164,7 +172,7 @@
   Process const& process = this->Processes[host];
   return {
     { "host", host },
-    { "hall", "north" },
+    { "hall", this->HallOf(host) },
     { "callers", { { "listen", process.Address } } },
     { "operators", { { "listen", process.Operators }, { "token", "none" } } },
     { "peers",
@@ -246,12 +254,14 @@
   reply->Id = "q" + std::to_string(this->NextId++);
   reply->Route = route;
   reply->Host = host;
+  reply->Key = key;
   reply->Sent = gsLoop::Now();
   gsCall call;
   call.Method = route == "safe" ? "GET" : "POST";
   call.Url = "http://" + this->Processes.at(host).Address + "/" + route + "/x";
   call.Body = route == "safe" ? "" : "body of " + reply->Id;
   call.TotalTimeout = CallTimeout;
+  call.Reuse = this->Plan.KeepConnections;
   call.Headers = { { "Host", "service.example" },
                    { "Gradescale-Attempt-Id", reply->Id },
                    { "Gradescale-Deadline-Ms", "8000" },
@@ -260,6 +270,9 @@
     reply->Status = status;
     for (auto const& [name, value] : headers) {
       reply->Signed = reply->Signed || name == "gradescale-response-signature";
+      if (name == "retry-after") {
+        reply->RetryAfter = value;
+      }
     }
   };
   call.OnData = [reply](std::string_view bytes) {
@@ -288,6 +301,8 @@
 {
   this->Client->Cancel(reply->Call);
   reply->Done = true;
+  reply->Left = true;
+  reply->Ended = gsLoop::Now();
 }
 
 void gsRoutedSystem::Configure(std::vector<std::string> const& keys)
@@ -309,7 +324,7 @@
 {
   gsJson value{ { "service", "model" },
                 { "address", this->RunnerLinks.at(runner) },
-                { "zone", "north" },
+                { "zone", this->HallOf(runner) },
                 { "capacity_slots", 32 },
                 { "state", leaving ? "draining" : "ready" } };
   this->Fetch("POST", "http://" + this->Processes.at("store").Address + "/put",
@@ -340,6 +355,17 @@
   this->Control("proxy", all);
 }
 
+void gsRoutedSystem::ChangeSettings(std::string const& host, int retryBurst)
+{
+  std::string file = this->Folder + "/" + host + ".json";
+  std::ifstream old(file);
+  gsJson settings = gsJson::parse(old);
+  settings["retry"] = { { "burst", retryBurst } };
+  std::string next = file + ".next";
+  std::ofstream(next) << settings.dump(2);
+  std::filesystem::rename(next, file);
+}
+
 void gsRoutedSystem::Signal(std::string const& process, int signal)
 {
   kill(this->Processes.at(process).Child.id(), signal);
@@ -399,33 +425,41 @@
   }
 }
 
-std::map<std::string, int> gsRoutedSystem::Runs() const
+std::vector<gsRoutedRun> gsRoutedSystem::AllRuns() const
 {
-  std::map<std::string, int> runs;
+  std::vector<gsRoutedRun> runs;
   for (std::string const& runner : this->RunnerNames) {
     for (int start = 0; start < this->Processes.at(runner).Starts; ++start) {
-      std::ifstream log(this->Folder + "/" + runner + "." +
-                        std::to_string(start) + ".log");
+      std::string number = std::to_string(start);
+      std::ifstream log(this->Folder + "/" + runner + "." + number + ".log");
       std::string word;
-      std::string id;
-      while (log >> word >> id) {
-        runs[id] += word == "run" ? 1 : 0;
+      gsRoutedRun run;
+      run.Runner = runner + "-" + number;
+      std::int64_t micros = 0;
+      while (log >> word >> run.Request >> micros) {
+        run.At = gsTime(micros);
+        runs.push_back(run);
       }
     }
   }
   return runs;
 }
 
+std::map<std::string, int> gsRoutedSystem::Runs() const
+{
+  std::map<std::string, int> count;
+  for (gsRoutedRun const& run : this->AllRuns()) {
+    ++count[run.Request];
+  }
+  return count;
+}
+
 std::size_t gsRoutedSystem::RunsOf(std::string const& runner) const
 {
   std::size_t count = 0;
-  for (int start = 0; start < this->Processes.at(runner).Starts; ++start) {
-    std::ifstream log(this->Folder + "/" + runner + "." +
-                      std::to_string(start) + ".log");
-    std::string line;
-    while (std::getline(log, line)) {
-      ++count;
-    }
+  std::string incarnations = runner + "-";
+  for (gsRoutedRun const& run : this->AllRuns()) {
+    count += run.Runner.rfind(incarnations, 0) == 0 ? 1 : 0;
   }
   return count;
 }
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -28,9 +28,20 @@
 {
   int Hosts = 3;
   int Runners = 3;
+  int Halls = 1;   ///< Hosts and runners belong to them in turn.
   int Events = 10; ///< Of a stream.
   int GapMs = 10;  ///< Between them.
   int WorkMs = 10; ///< Of other requests.
+  /** Callers send on kept connections, until the process is gone. */
+  bool KeepConnections = false;
+};
+
+/** A request that a runner began to run. */
+struct gsRoutedRun
+{
+  std::string Request;
+  std::string Runner; ///< Id of the incarnation.
+  gsTime At{};
 };
 
 /** A request of a caller, and all that the caller saw of its answer. */
@@ -39,10 +50,13 @@
   std::string Id;
   std::string Route;
   std::string Host;
+  std::string Key;
   bool Done = false;
+  bool Left = false; ///< The caller left before the end.
   bool Whole = false;
   unsigned Status = 0;
   bool Signed = false;
+  std::string RetryAfter;
   std::string Body;
   std::uint64_t Call = 0;
   gsTime Sent{};
@@ -85,6 +99,9 @@
   /** Faults on links; see gsStandInProxy. */
   void Links(std::vector<std::string> const& patterns, gsJson const& body);
 
+  /** Writes a host's settings file anew, with a changed retry budget. */
+  void ChangeSettings(std::string const& host, int retryBurst);
+
   /** Sends a signal to a process that this object has started. */
   void Signal(std::string const& process, int signal);
   bool Running(std::string const& process);
@@ -95,7 +112,14 @@
 
   std::vector<std::string> const& Hosts() const { return this->HostNames; }
   std::vector<std::string> const& Runners() const { return this->RunnerNames; }
-  /** How often each request has been run, by the runners' own words. */
+  /** Id of a runner's present incarnation. */
+  std::string const& IdOf(std::string const& runner) const
+  {
+    return this->RunnerIds.at(runner);
+  }
+  /** What the runners have run, by their own words. */
+  std::vector<gsRoutedRun> AllRuns() const;
+  /** How often each request has been run. */
   std::map<std::string, int> Runs() const;
   /** Runs of one runner's incarnations together. */
   std::size_t RunsOf(std::string const& runner) const;
@@ -114,6 +138,7 @@
   };
 
   std::string NewAddress();
+  std::string HallOf(std::string const& process) const;
   std::string Link(std::string const& name, std::string const& target);
   void Launch(std::string const& name);
   gsJson Settings(std::string const& host);
--- /dev/null
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -0,0 +1,272 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsSoakCheck.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iterator>
+#include <optional>
+#include <utility>
+
+namespace {
+
+/** A host is in touch when nothing has concerned it for so long. */
+constexpr gsTime InTouch = gsSeconds(3);
+/** From an acknowledged change until hosts in touch act by it. */
+constexpr gsTime ChangeBound = gsMilliseconds(2500);
+/** The callers' deadline, and what a final answer may be late. */
+constexpr gsTime AnswerBound = gsMilliseconds(8000 + 1500);
+/** A refusal is answered at once: all runners tried, and some time. */
+constexpr gsTime RefusalBound = gsMilliseconds(2500);
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Unauthorized = 401;
+constexpr unsigned Forbidden = 403;
+constexpr unsigned NotFound = 404;
+
+bool IsPromise(unsigned status)
+{
+  constexpr unsigned promises[] = { 503, 429, 408, 421 };
+  return std::find(std::begin(promises), std::end(promises), status) !=
+         std::end(promises);
+}
+
+bool MayRepeat(gsRoutedReply const& reply)
+{
+  return reply.Route == "safe" || reply.Route == "resume";
+}
+
+std::size_t MostRuns(gsRoutedReply const& reply)
+{
+  return MayRepeat(reply) ? 2 : 1;
+}
+
+/** Whether anything of these scopes concerned a host between two times. */
+bool Troubled(gsSoakRecord const& record, std::vector<gsSoakScope> const& of,
+              std::string const& host, gsTime from, gsTime to)
+{
+  return std::any_of(
+    record.Troubles.begin(), record.Troubles.end(),
+    [&](gsSoakTrouble const& trouble) {
+      bool concerns = trouble.Host.empty() || trouble.Host == host;
+      bool counts = std::find(of.begin(), of.end(), trouble.Scope) != of.end();
+      return concerns && counts && trouble.From <= to && trouble.To >= from;
+    });
+}
+
+/** When a host was told to stop, if nothing else concerned it. */
+std::optional<gsTime> PlannedStop(gsSoakRecord const& record,
+                                  std::string const& host, gsTime from,
+                                  gsTime to)
+{
+  std::optional<gsTime> stop;
+  for (gsSoakTrouble const& trouble : record.Troubles) {
+    bool concerns = trouble.Scope == gsSoakScope::Host &&
+                    (trouble.Host.empty() || trouble.Host == host) &&
+                    trouble.From <= to && trouble.To >= from;
+    if (concerns && !trouble.Planned) {
+      return std::nullopt;
+    }
+    if (concerns) {
+      stop = trouble.From;
+    }
+  }
+  return stop;
+}
+
+class Checker
+{
+public:
+  explicit Checker(gsSoakRecord const& record)
+    : Record(record)
+  {
+    for (gsRoutedRun const& run : record.Runs) {
+      this->RunsOf[run.Request].push_back(&run);
+    }
+    for (gsRoutedReplyPtr const& reply : record.Replies) {
+      this->ReplyOf[reply->Id] = reply.get();
+    }
+  }
+
+  std::vector<gsSoakBreach> Run()
+  {
+    for (gsRoutedReplyPtr const& reply : this->Record.Replies) {
+      this->CheckBody(*reply);
+      this->CheckRuns(*reply);
+      this->CheckAnswered(*reply);
+      this->CheckRefusal(*reply);
+      this->CheckKeys(*reply);
+    }
+    this->CheckUnasked();
+    this->CheckLeavings();
+    return std::move(this->Breaches);
+  }
+
+private:
+  void Add(char const* promise, std::string const& request, std::string detail)
+  {
+    this->Breaches.push_back({ promise, request, std::move(detail) });
+  }
+
+  std::size_t CountRuns(gsRoutedReply const& reply) const
+  {
+    auto found = this->RunsOf.find(reply.Id);
+    return found == this->RunsOf.end() ? 0 : found->second.size();
+  }
+
+  void CheckBody(gsRoutedReply const& reply)
+  {
+    if (reply.Status != Ok) {
+      return;
+    }
+    std::string expected = this->Record.Expected(reply);
+    if (!reply.Whole || reply.Left) {
+      bool begins = expected.compare(0, reply.Body.size(), reply.Body) == 0;
+      if (!begins) {
+        this->Add("MIXED", reply.Id, "The part that came is not its own.");
+      }
+      return;
+    }
+    if (!reply.Signed) {
+      this->Add("MIXED", reply.Id, "A success without a signature.");
+    }
+    if (reply.Body != expected) {
+      this->Add(reply.Route == "plain" || reply.Route == "safe" ? "MIXED"
+                                                                : "ORDER",
+                reply.Id, "The whole answer is not its own: " + reply.Body);
+    }
+  }
+
+  void CheckRuns(gsRoutedReply const& reply)
+  {
+    std::size_t runs = this->CountRuns(reply);
+    if (runs > MostRuns(reply)) {
+      this->Add(MayRepeat(reply) ? "BUDGET" : "TWICE", reply.Id,
+                "It ran " + std::to_string(runs) + " times.");
+    }
+    if (runs > 0 && reply.Done && !reply.Left && IsPromise(reply.Status)) {
+      this->Add("REFUSED", reply.Id,
+                "It ran, and was answered with " +
+                  std::to_string(reply.Status) + ".");
+    }
+  }
+
+  void CheckAnswered(gsRoutedReply const& reply)
+  {
+    if (reply.Left) {
+      return;
+    }
+    gsTime ended = reply.Done ? reply.Ended : reply.Sent + AnswerBound;
+    if (!this->MustAnswer(reply, ended)) {
+      return;
+    }
+    if (!reply.Done || reply.Ended - reply.Sent > AnswerBound) {
+      this->Add("LOST", reply.Id, "No final answer in time.");
+    } else if (reply.Status == 0) {
+      this->Add("LOST", reply.Id, "The connection closed without an answer.");
+    } else if (!reply.Whole &&
+               !Troubled(this->Record, { gsSoakScope::Upstreams }, reply.Host,
+                         reply.Sent - InTouch, ended)) {
+      this->Add("LOST", reply.Id,
+                "The answer broke off though its runners were well.");
+    }
+  }
+
+  /** Whether the host that was asked had to answer. */
+  bool MustAnswer(gsRoutedReply const& reply, gsTime ended) const
+  {
+    gsTime since = reply.Sent - gsMilliseconds(500);
+    if (!Troubled(this->Record, { gsSoakScope::Host }, reply.Host, since,
+                  ended)) {
+      return true;
+    }
+    std::optional<gsTime> stop =
+      PlannedStop(this->Record, reply.Host, reply.Sent - InTouch, ended);
+    // Later ones may cross the close, if they are not passed on.
+    return stop && (reply.Sent < *stop - gsMilliseconds(100) ||
+                    this->CountRuns(reply) > 0);
+  }
+
+  void CheckRefusal(gsRoutedReply const& reply)
+  {
+    constexpr unsigned unavailable = 503;
+    if (!reply.Done || reply.Left || reply.Status != unavailable) {
+      return;
+    }
+    if (std::atof(reply.RetryAfter.c_str()) <= 0) {
+      this->Add("REFUSED", reply.Id, "It does not say when to come back.");
+    }
+    bool hostWell = !Troubled(this->Record, { gsSoakScope::Host }, reply.Host,
+                              reply.Sent - InTouch, reply.Ended);
+    if (hostWell && reply.Ended - reply.Sent > RefusalBound) {
+      this->Add("REFUSED", reply.Id, "The refusal was held back.");
+    }
+  }
+
+  void CheckKeys(gsRoutedReply const& reply)
+  {
+    std::vector<std::string> const& lasting = this->Record.LastingKeys;
+    bool lasts =
+      std::find(lasting.begin(), lasting.end(), reply.Key) != lasting.end();
+    bool denied = reply.Status == Unauthorized || reply.Status == Forbidden ||
+                  reply.Status == NotFound;
+    if (lasts && denied) {
+      this->Add("DENIED", reply.Id,
+                "Every configuration allows it, and it got " +
+                  std::to_string(reply.Status) + ".");
+    }
+    for (gsSoakNotice const& revoked : this->Record.Revoked) {
+      bool bound = reply.Key == revoked.Name &&
+                   reply.Sent > revoked.At + ChangeBound &&
+                   this->WasInTouch(reply.Host, revoked.At, reply.Sent);
+      if (bound && this->CountRuns(reply) > 0) {
+        this->Add("CONFIG", reply.Id,
+                  "It ran with a key that had been taken away.");
+      }
+    }
+  }
+
+  /** Whether nothing kept a host from hearing of a change in time. */
+  bool WasInTouch(std::string const& host, gsTime change, gsTime until) const
+  {
+    return !Troubled(this->Record, { gsSoakScope::Host, gsSoakScope::Store },
+                     host, std::min(change, until - InTouch) - InTouch, until);
+  }
+
+  void CheckUnasked()
+  {
+    for (auto const& [id, runs] : this->RunsOf) {
+      if (this->ReplyOf.count(id) == 0) {
+        this->Add("UNASKED", id, "A runner ran what no caller sent.");
+      }
+    }
+  }
+
+  void CheckLeavings()
+  {
+    for (gsRoutedRun const& run : this->Record.Runs) {
+      auto reply = this->ReplyOf.find(run.Request);
+      for (gsSoakNotice const& leaving : this->Record.Leavings) {
+        bool late = run.Runner == leaving.Name &&
+                    run.At > leaving.At + ChangeBound &&
+                    reply != this->ReplyOf.end();
+        if (late &&
+            this->WasInTouch(reply->second->Host, leaving.At, run.At)) {
+          this->Add("DRAIN", run.Request,
+                    "It reached " + run.Runner + " after its leaving.");
+        }
+      }
+    }
+  }
+
+  gsSoakRecord const& Record;
+  std::map<std::string, std::vector<gsRoutedRun const*>> RunsOf;
+  std::map<std::string, gsRoutedReply const*> ReplyOf;
+  std::vector<gsSoakBreach> Breaches;
+};
+
+} // namespace
+
+std::vector<gsSoakBreach> gsCheckSoak(gsSoakRecord const& record)
+{
+  return Checker(record).Run();
+}
--- /dev/null
+++ b/Tests/Soak/gsSoakPlan.cxx
@@ -0,0 +1,107 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsSoakPlan.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <random>
+
+namespace {
+
+constexpr gsTime FirstStep = gsMilliseconds(2500);
+/** Faults end, and the system is looked at, in the last seconds. */
+constexpr gsTime Calm = gsSeconds(4);
+
+struct Kind
+{
+  gsSoakAction Action;
+  int Weight;
+  bool Lasts;
+};
+
+constexpr std::array<Kind, 20> Kinds{ {
+  { gsSoakAction::StopHost, 4, false },
+  { gsSoakAction::KillHost, 3, false },
+  { gsSoakAction::FreezeHost, 2, true },
+  { gsSoakAction::KillAllHosts, 1, false },
+  { gsSoakAction::KillRunner, 3, true },
+  { gsSoakAction::DrainRunner, 4, false },
+  { gsSoakAction::FreezeRunner, 2, true },
+  { gsSoakAction::CutAnswers, 3, false },
+  { gsSoakAction::CutRunnerLink, 2, true },
+  { gsSoakAction::MuteRunnerLink, 2, true },
+  { gsSoakAction::DelayRunnerLink, 2, true },
+  { gsSoakAction::CutStoreLink, 2, true },
+  { gsSoakAction::HoleStoreLink, 2, true },
+  { gsSoakAction::MuteStoreLink, 2, true },
+  { gsSoakAction::SilentStore, 2, true },
+  { gsSoakAction::BusyStore, 2, true },
+  { gsSoakAction::ForgetfulStore, 2, false },
+  { gsSoakAction::CutPeerLinks, 2, true },
+  { gsSoakAction::ChangeConfiguration, 5, false },
+  { gsSoakAction::ChangeSettings, 2, false },
+} };
+
+bool ConcernsRunner(gsSoakAction action)
+{
+  return action >= gsSoakAction::KillRunner &&
+         action <= gsSoakAction::DelayRunnerLink;
+}
+
+} // namespace
+
+char const* gsSoakActionWord(gsSoakAction action)
+{
+  constexpr std::array<char const*, Kinds.size()> words{
+    "stop_host",        "kill_host",         "freeze_host",
+    "kill_all_hosts",   "kill_runner",       "drain_runner",
+    "freeze_runner",    "cut_answers",       "cut_runner_link",
+    "mute_runner_link", "delay_runner_link", "cut_store_link",
+    "hole_store_link",  "mute_store_link",   "silent_store",
+    "busy_store",       "forgetful_store",   "cut_peer_links",
+    "configuration",    "settings"
+  };
+  return words.at(static_cast<std::size_t>(action));
+}
+
+gsSoakPlan gsMakeSoakPlan(std::uint64_t seed, gsTime length, int hosts,
+                          int runners)
+{
+  gsSoakPlan plan;
+  plan.Seed = seed;
+  plan.Length = length;
+  plan.Hosts = hosts;
+  plan.Runners = runners;
+  std::mt19937_64 random(seed);
+  std::array<double, Kinds.size()> weights{};
+  std::transform(Kinds.begin(), Kinds.end(), weights.begin(),
+                 [](Kind const& kind) { return kind.Weight; });
+  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+  std::uniform_real_distribution<double> pause(0.05, 2.0);
+  std::uniform_real_distribution<double> duration(0.3, 5.0);
+  gsTime at = FirstStep;
+  while (at < length - Calm) {
+    Kind const& kind = Kinds.at(pick(random));
+    int targets = ConcernsRunner(kind.Action) ? runners : hosts;
+    gsSoakStep step;
+    step.At = at;
+    step.Action = kind.Action;
+    step.Target = std::uniform_int_distribution<int>(0, targets - 1)(random);
+    if (kind.Lasts) {
+      gsTime most = length - Calm - at;
+      step.For = std::min(most, gsFromSeconds(duration(random)));
+    }
+    plan.Steps.push_back(step);
+    at += gsFromSeconds(pause(random));
+  }
+  return plan;
+}
+
+std::string gsSoakStepText(gsSoakStep const& step)
+{
+  char text[96];
+  std::snprintf(text, sizeof(text), "%7.3f s %s %d for %.3f s",
+                gsToSeconds(step.At), gsSoakActionWord(step.Action),
+                step.Target, gsToSeconds(step.For));
+  return text;
+}
--- /dev/null
+++ b/Tests/Soak/gsSoakPlan.h
@@ -0,0 +1,64 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * What a soak does to a system and when. A seed names the whole plan: the
+ * same seed gives the same steps, in series and overlapping.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "gsTypes.h"
+
+/** A fault or planned work. */
+enum class gsSoakAction
+{
+  StopHost,     ///< SIGTERM, and a new start after its end.
+  KillHost,     ///< SIGKILL, and a new start.
+  FreezeHost,   ///< SIGSTOP for a while.
+  KillAllHosts, ///< All at once, and new starts.
+  KillRunner,
+  DrainRunner, ///< Listed as leaving, then stopped, then replaced.
+  FreezeRunner,
+  CutAnswers, ///< Some of the runner's next answers break off.
+  CutRunnerLink,
+  MuteRunnerLink, ///< Nothing comes back from the runner.
+  DelayRunnerLink,
+  CutStoreLink,  ///< Of one host: connections are reset.
+  HoleStoreLink, ///< Of one host: nothing is carried.
+  MuteStoreLink, ///< Of one host: nothing comes back.
+  SilentStore,
+  BusyStore,
+  ForgetfulStore, ///< Drops its history, once.
+  CutPeerLinks,   ///< Between one host and all others.
+  ChangeConfiguration,
+  ChangeSettings ///< A new settings file, and SIGHUP.
+};
+
+char const* gsSoakActionWord(gsSoakAction action);
+
+struct gsSoakStep
+{
+  gsTime At{}; ///< From the beginning of traffic.
+  gsSoakAction Action = gsSoakAction::KillHost;
+  int Target = 0; ///< Number of the host or runner.
+  gsTime For{};   ///< Zero for what has no duration.
+};
+
+struct gsSoakPlan
+{
+  std::uint64_t Seed = 0;
+  gsTime Length = gsSeconds(20);
+  int Hosts = 3;
+  int Runners = 4;
+  std::vector<gsSoakStep> Steps; ///< By time.
+};
+
+/** The plan of a seed; the last seconds are without new steps. */
+gsSoakPlan gsMakeSoakPlan(std::uint64_t seed, gsTime length, int hosts,
+                          int runners);
+
+/** One line for a step. */
+std::string gsSoakStepText(gsSoakStep const& step);
--- /dev/null
+++ b/Tests/Soak/gsSoakTool.cxx
@@ -0,0 +1,47 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Runs soaks with given or fresh seeds; ends with 1 if a promise was broken.
+ */
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include <CLI/CLI.hpp>
+
+#include "gsSoak.h"
+
+int main(int argc, char** argv)
+{
+  CLI::App app("Fault soak of the routed mode on real processes.");
+  std::uint64_t seed = 0;
+  double seconds = 25;
+  int hosts = 3;
+  int runners = 4;
+  int count = 1;
+  bool quiet = false;
+  app.add_option("--seed", seed, "First seed; without it a fresh one.");
+  app.add_option("--seconds", seconds, "Length of each run.")
+    ->check(CLI::Range(8.0, 3600.0));
+  app.add_option("--hosts", hosts, "Entry hosts.")->check(CLI::Range(2, 24));
+  app.add_option("--runners", runners, "Runners.")->check(CLI::Range(2, 24));
+  app.add_option("--count", count, "Runs, each with the next seed.");
+  app.add_flag("--quiet", quiet, "Verdicts only.");
+  CLI11_PARSE(app, argc, argv);
+  if (seed == 0) {
+    constexpr std::uint64_t range = 1'000'000;
+    seed = 1 + std::random_device()() % range;
+  }
+  int broken = 0;
+  for (int i = 0; i < count; ++i) {
+    gsSoakPlan plan = gsMakeSoakPlan(seed + static_cast<std::uint64_t>(i),
+                                     gsFromSeconds(seconds), hosts, runners);
+    std::ostringstream unseen;
+    gsSoakResult result =
+      gsRunSoak(plan, quiet ? static_cast<std::ostream&>(unseen) : std::cout);
+    gsPrintSoak(plan, result, std::cout);
+    std::cout.flush();
+    broken += result.Breaches.empty() ? 0 : 1;
+  }
+  return broken == 0 ? 0 : 1;
+}
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -115,7 +115,7 @@
 TEST(Routed, AForgottenHistoryLosesNoChange)
 {
   gsRoutedSystem system({});
-  system.RunFor(1.5); // Hosts that have just started do not watch yet.
+  system.RunFor(3); // Hosts that have just started do not watch yet.
   for (int i = 0; i < 5; ++i) {
     std::string key = "key-" + std::to_string(i);
     system.Configure({ key });
--- /dev/null
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -0,0 +1,241 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * The soak's plan and checker, and short soaks whose seeds are kept.
+ */
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "gsSoak.h"
+
+namespace {
+
+constexpr gsTime Start = gsSeconds(100);
+
+/** A run in which one request was served whole. */
+class SoakCheck : public testing::Test
+{
+protected:
+  SoakCheck()
+  {
+    this->Record.LastingKeys = { "key-one" };
+    this->Record.Expected = [](gsRoutedReply const& reply) {
+      return "answer to " + reply.Id;
+    };
+    this->Reply = this->Add("q1", "plain");
+    this->Ran("q1");
+  }
+
+  gsRoutedReplyPtr Add(std::string const& id, std::string const& route)
+  {
+    auto reply = std::make_shared<gsRoutedReply>();
+    reply->Id = id;
+    reply->Route = route;
+    reply->Host = "host0";
+    reply->Key = "key-one";
+    reply->Done = true;
+    reply->Whole = true;
+    reply->Status = 200;
+    reply->Signed = true;
+    reply->Body = "answer to " + id;
+    reply->Sent = Start;
+    reply->Ended = Start + gsMilliseconds(50);
+    this->Record.Replies.push_back(reply);
+    return reply;
+  }
+
+  void Ran(std::string const& id, std::string const& runner = "runner0-0",
+           gsTime at = Start)
+  {
+    this->Record.Runs.push_back({ id, runner, at });
+  }
+
+  void Harm(gsSoakScope scope, bool planned = false)
+  {
+    gsSoakTrouble trouble;
+    trouble.Scope = scope;
+    trouble.Host = "host0";
+    trouble.Planned = planned;
+    trouble.From = Start + gsMilliseconds(10);
+    trouble.To = Start + gsMilliseconds(200);
+    this->Record.Troubles.push_back(trouble);
+  }
+
+  /** Promises found broken, joined. */
+  std::string Broken() const
+  {
+    std::string names;
+    for (gsSoakBreach const& breach : gsCheckSoak(this->Record)) {
+      names += breach.Promise + ' ';
+    }
+    return names;
+  }
+
+  gsSoakRecord Record;
+  gsRoutedReplyPtr Reply;
+};
+
+} // namespace
+
+TEST_F(SoakCheck, AServedRequestBreaksNothing)
+{
+  EXPECT_EQ(this->Broken(), "");
+}
+
+TEST_F(SoakCheck, AnotherRequestsAnswerIsCaught)
+{
+  this->Reply->Body = "answer to q2";
+  EXPECT_EQ(this->Broken(), "MIXED ");
+}
+
+TEST_F(SoakCheck, ASuccessWithoutSignatureIsCaught)
+{
+  this->Reply->Signed = false;
+  EXPECT_EQ(this->Broken(), "MIXED ");
+}
+
+TEST_F(SoakCheck, ACutAnswerThatLooksWholeIsCaught)
+{
+  this->Reply->Body = "answer";
+  EXPECT_EQ(this->Broken(), "MIXED ");
+}
+
+TEST_F(SoakCheck, AStreamWithoutAPieceIsCaught)
+{
+  this->Reply->Route = "stream";
+  this->Reply->Body = "answer q1";
+  EXPECT_EQ(this->Broken(), "ORDER ");
+}
+
+TEST_F(SoakCheck, ASecondRunIsCaught)
+{
+  this->Ran("q1", "runner1-0");
+  EXPECT_EQ(this->Broken(), "TWICE ");
+}
+
+TEST_F(SoakCheck, ARepeatableRequestMayRunTwiceButNotThrice)
+{
+  this->Reply->Route = "safe";
+  this->Ran("q1", "runner1-0");
+  EXPECT_EQ(this->Broken(), "");
+  this->Ran("q1", "runner2-0");
+  EXPECT_EQ(this->Broken(), "BUDGET ");
+}
+
+TEST_F(SoakCheck, ARefusalOfWhatRanIsCaught)
+{
+  this->Reply->Status = 503;
+  this->Reply->RetryAfter = "0.3";
+  EXPECT_EQ(this->Broken(), "REFUSED ");
+}
+
+TEST_F(SoakCheck, ARefusalHasToSayWhenToComeBackAndToComeAtOnce)
+{
+  this->Record.Runs.clear();
+  this->Reply->Status = 503;
+  EXPECT_EQ(this->Broken(), "REFUSED ");
+  this->Reply->RetryAfter = "0.3";
+  EXPECT_EQ(this->Broken(), "");
+  this->Reply->Ended = Start + gsSeconds(7);
+  EXPECT_EQ(this->Broken(), "REFUSED ");
+}
+
+TEST_F(SoakCheck, ARunThatNobodyAskedForIsCaught)
+{
+  this->Ran("q7");
+  EXPECT_EQ(this->Broken(), "UNASKED ");
+}
+
+TEST_F(SoakCheck, ARequestWithoutAnAnswerIsCaughtUnlessItsHostWasHarmed)
+{
+  this->Reply->Status = 0;
+  this->Reply->Whole = false;
+  EXPECT_EQ(this->Broken(), "LOST ");
+  this->Harm(gsSoakScope::Store);
+  EXPECT_EQ(this->Broken(), "LOST ");
+  this->Harm(gsSoakScope::Host);
+  EXPECT_EQ(this->Broken(), "");
+}
+
+TEST_F(SoakCheck, APlannedStopExcusesNoRequestThatRan)
+{
+  this->Reply->Status = 0;
+  this->Reply->Whole = false;
+  this->Harm(gsSoakScope::Host, true);
+  EXPECT_EQ(this->Broken(), "LOST ");
+  this->Record.Runs.clear(); // It crossed the close.
+  EXPECT_EQ(this->Broken(), "");
+}
+
+TEST_F(SoakCheck, ABrokenAnswerIsCaughtUnlessARunnerWasHarmed)
+{
+  this->Reply->Whole = false;
+  this->Reply->Body = "answer";
+  EXPECT_EQ(this->Broken(), "LOST ");
+  this->Harm(gsSoakScope::Upstreams);
+  EXPECT_EQ(this->Broken(), "");
+}
+
+TEST_F(SoakCheck, ADeniedKeyIsCaught)
+{
+  this->Record.Runs.clear();
+  this->Reply->Status = 401;
+  EXPECT_EQ(this->Broken(), "DENIED ");
+}
+
+TEST_F(SoakCheck, ARunWithAKeyTakenAwayIsCaughtOnceTheBoundIsOver)
+{
+  this->Reply->Key = "key-two";
+  this->Record.Revoked.push_back({ "key-two", Start - gsSeconds(2) });
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Revoked[0].At = Start - gsSeconds(4);
+  EXPECT_EQ(this->Broken(), "CONFIG ");
+  this->Harm(gsSoakScope::Store);
+  this->Record.Troubles[0].From = Start - gsSeconds(3);
+  EXPECT_EQ(this->Broken(), "");
+}
+
+TEST_F(SoakCheck, ARunAtARunnerThatLeftIsCaughtOnceTheBoundIsOver)
+{
+  this->Record.Leavings.push_back({ "runner0-0", Start - gsSeconds(2) });
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Leavings[0].At = Start - gsSeconds(4);
+  EXPECT_EQ(this->Broken(), "DRAIN ");
+  this->Record.Leavings[0].Name = "runner0-1";
+  EXPECT_EQ(this->Broken(), "");
+}
+
+TEST(SoakPlan, ASeedNamesTheWholePlan)
+{
+  gsSoakPlan one = gsMakeSoakPlan(7, gsSeconds(60), 3, 4);
+  gsSoakPlan two = gsMakeSoakPlan(7, gsSeconds(60), 3, 4);
+  gsSoakPlan other = gsMakeSoakPlan(8, gsSeconds(60), 3, 4);
+  auto text = [](gsSoakPlan const& plan) {
+    std::string lines;
+    for (gsSoakStep const& step : plan.Steps) {
+      lines += gsSoakStepText(step) + '\n';
+    }
+    return lines;
+  };
+  EXPECT_GT(one.Steps.size(), 30U);
+  EXPECT_EQ(text(one), text(two));
+  EXPECT_NE(text(one), text(other));
+}
+
+/** Seeds that once failed, each with its cause, and one that did not. */
+class KeptSoak : public testing::TestWithParam<std::uint64_t>
+{};
+
+TEST_P(KeptSoak, BreaksNoPromise)
+{
+  gsSoakPlan plan = gsMakeSoakPlan(this->GetParam(), gsSeconds(20), 3, 4);
+  std::ostringstream story;
+  gsSoakResult result = gsRunSoak(plan, story);
+  std::ostringstream verdict;
+  gsPrintSoak(plan, result, verdict);
+  EXPECT_TRUE(result.Breaches.empty()) << verdict.str() << story.str();
+  EXPECT_GT(result.Served, result.Requests / 2) << verdict.str();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, KeptSoak, testing::Values(1));
--- a/Tests/StandIns/gsStandInProxy.cxx
+++ b/Tests/StandIns/gsStandInProxy.cxx
@@ -4,10 +4,12 @@
  * TCP proxy that injects faults. It carries any number of links, each from a
  * port of its own to a target. POST /control takes
  *   {"links": ["NAME" or "PREFIX*", ...],
- *    "mode": "pass" | "cut" | "hole", "delay_ms": N, "break_after": N}.
+ *    "mode": "pass" | "cut" | "hole" | "mute", "delay_ms": N,
+ *    "break_after": N}.
  * cut closes what is open and refuses what is new; hole keeps connections and
- * carries nothing; break_after closes the next connection that has carried so
- * many bytes towards the target.
+ * carries nothing; mute carries nothing back from the target; break_after
+ * closes the next connection that has carried so many bytes towards the
+ * target.
  */
 #include <cstring>
 #include <deque>
@@ -215,7 +217,8 @@
     return;
   }
   gsTime now = gsLoop::Now();
-  for (int side = 0; side < 2 && !this->Dead; ++side) {
+  bool mute = this->Owner.Mode == "mute";
+  for (int side = mute ? 1 : 0; side < 2 && !this->Dead; ++side) {
     this->WriteTo(side);
   }
   if (this->Dead) {
@@ -228,8 +231,9 @@
   gsTime next{};
   for (int side = 0; side < 2; ++side) {
     Direction const& out = this->Ways[1 - side];
-    int events = this->Ways[side].Ended ? 0 : EV_READ;
-    if (!out.Chunks.empty()) {
+    bool held = mute && side == 1;
+    int events = this->Ways[side].Ended || held ? 0 : EV_READ;
+    if (!out.Chunks.empty() && !(mute && side == 0)) {
       if (out.Chunks.front().first <= now) {
         events |= EV_WRITE;
       } else if (next.count() == 0 || out.Chunks.front().first < next) {
--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -2,11 +2,11 @@
 /**
  * \file
  * Stand-in for one of the users' runners, as far as the routed mode meets it.
- * Each request that it runs is one line "run ID" on standard output, written
- * before anything else is done. /stream/ and /resume/ answer with events
- * "ID:NUMBER" from 1, or from after Last-Event-Id, to --events; all other
- * paths with one text. POST /control takes {"cut": N}: so many of the next
- * answers break off.
+ * Each request that it runs is one line "run ID MICROSECONDS" on standard
+ * output, by the monotonic clock, written before anything else is done.
+ * /stream/ and /resume/ answer with events "ID:NUMBER" from 1, or from after
+ * Last-Event-Id, to --events; all other paths with one text. POST /control
+ * takes {"cut": N}: so many of the next answers break off.
  */
 #include <memory>
 #include <set>
@@ -77,7 +77,7 @@
       exchange->Respond(id.empty() ? 400 : 503, refusal, "");
       return;
     }
-    std::cout << "run " << id << std::endl;
+    std::cout << "run " << id << ' ' << gsLoop::Now().count() << std::endl;
     auto run = std::make_shared<Run>(*this, exchange, id);
     this->Running.insert(run);
     exchange->OnGone = [run] { run->End(); };
