Coordination: Let one host decide for all how engines are divided

Hosts disagreed: one engine had rank 80 at some and 20 at others, as each host called engines slow by the least pace that it had heard of, and moved the groups' border by its own history.

Ruled out: load (cost of waiting is far below that of reading again); candidates (90 at all hosts).

Change: one host, chosen by rendezvous hashing, decides which engines are slow and where the border lies, with a version that rises; decisions travel with the load reports, and the newest is adopted everywhere. Slow is measured against the fastest tenth instead of the one fastest, and ends below another factor than it begins. A successor keeps what it cannot judge yet. A pace that another host knows better is not reported. Reports to one host come no more often than 5 ms for each host of the hall, so a relay of 57 hosts sends as many as one of 20.

Tests: 21 of fleet and load exchange pass; two new ones of each.

--- a/Source/Coord/gsLoadExchange.cxx
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -9,9 +9,16 @@
 namespace {
 
 constexpr std::string_view RelayKey = "load-relay";
+constexpr std::string_view DecisionKey = "engine-arrangement";
 
 void Add(gsSystemLoad& sum, gsSystemLoad const& part)
 {
+  for (auto const& [service, arrangement] : part.Arrangements) {
+    gsEngineArrangement& newest = sum.Arrangements[service];
+    if (arrangement.Version > newest.Version) {
+      newest = arrangement;
+    }
+  }
   for (auto const& [service, demand] : part.Services) {
     gsServiceDemand& total = sum.Services[service];
     total.Long += demand.Long;
@@ -76,6 +83,23 @@
   return sum;
 }
 
+/** Least time between two reports to one host. */
+gsTime Gap(gsLoadExchange const& exchange,
+           std::vector<gsLoadMember> const& members)
+{
+  auto hosts = std::count_if(members.begin(), members.end(),
+                             [&exchange](gsLoadMember const& member) {
+                               return member.Hall == exchange.Hall;
+                             });
+  return exchange.Settings.GapOfEach * hosts;
+}
+
+bool MayTell(gsLoadExchange& exchange, std::string const& host, gsTime gap,
+             gsTime now)
+{
+  return now - exchange.Told[host].At >= gap;
+}
+
 /** Adds a report unless the host was told the same a short while ago. */
 void Tell(gsLoadExchange& exchange, std::string const& host, gsLoadScope scope,
           gsSystemLoad load, gsTime now, std::vector<gsLoadMessage>& out)
@@ -125,6 +149,17 @@
   return gsRendezvous(hosts, RelayKey).value_or(std::string());
 }
 
+bool gsLoadDecides(std::vector<gsLoadMember> const& members,
+                   std::string_view host)
+{
+  std::vector<std::string_view> hosts;
+  hosts.reserve(members.size());
+  for (gsLoadMember const& member : members) {
+    hosts.push_back(member.Host);
+  }
+  return gsRendezvous(hosts, DecisionKey) == host;
+}
+
 void gsLoadHear(gsLoadExchange& exchange, std::string_view host,
                 std::string_view hall, gsLoadReport report, gsTime now)
 {
@@ -140,9 +175,10 @@
 {
   std::vector<gsLoadMessage> out;
   Forget(exchange, now);
+  gsTime gap = Gap(exchange, members);
   std::string relay = gsLoadRelay(members, exchange.Hall);
   if (relay != exchange.Self) {
-    if (!relay.empty()) {
+    if (!relay.empty() && MayTell(exchange, relay, gap, now)) {
       Tell(exchange, relay, gsLoadScope::Host, own, now, out);
     }
     return out;
@@ -154,18 +190,20 @@
       halls.insert(member.Hall);
       continue;
     }
-    if (member.Host == exchange.Self) {
+    std::string host(member.Host);
+    if (member.Host == exchange.Self || !MayTell(exchange, host, gap, now)) {
       continue;
     }
     gsSystemLoad all = HallWithout(exchange, own, member.Host, now);
     Add(all, others);
-    Tell(exchange, std::string(member.Host), gsLoadScope::Others,
-         std::move(all), now, out);
+    Tell(exchange, host, gsLoadScope::Others, std::move(all), now, out);
   }
   gsSystemLoad hall = HallWithout(exchange, own, {}, now);
   for (std::string_view other : halls) {
-    Tell(exchange, gsLoadRelay(members, other), gsLoadScope::Hall, hall, now,
-         out);
+    std::string host = gsLoadRelay(members, other);
+    if (MayTell(exchange, host, gap, now)) {
+      Tell(exchange, host, gsLoadScope::Hall, hall, now, out);
+    }
   }
   return out;
 }
--- a/Source/Coord/gsLoadExchange.h
+++ b/Source/Coord/gsLoadExchange.h
@@ -56,6 +56,27 @@
 /** By a hash of the upstream's id; those with nothing to say are left out. */
 using gsLoadMap = std::map<std::uint32_t, gsUpstreamLoad>;
 
+/**
+ * How a service's engines are divided, as one host has decided for all. Hosts
+ * that decided each for itself would send one subject to several engines.
+ */
+struct gsEngineArrangement
+{
+  std::uint64_t Version = 0;     ///< Rises with each decision; 0 for none yet.
+  std::uint32_t LongEngines = 0; ///< For long prompts; 0 for no division.
+  std::vector<std::uint32_t> Slow; ///< Hashes of slow engines, ascending.
+
+  friend bool operator==(gsEngineArrangement const& a,
+                         gsEngineArrangement const& b)
+  {
+    return a.Version == b.Version && a.LongEngines == b.LongEngines &&
+           a.Slow == b.Slow;
+  }
+};
+
+/** By a hash of the service's name. */
+using gsArrangementMap = std::map<std::uint32_t, gsEngineArrangement>;
+
 /** Whose work a report counts. */
 enum class gsLoadScope : std::uint32_t
 {
@@ -71,10 +92,12 @@
 {
   gsLoadMap Upstreams;
   gsDemandMap Services;
+  gsArrangementMap Arrangements; ///< The newest known; not a sum.
 
   friend bool operator==(gsSystemLoad const& a, gsSystemLoad const& b)
   {
-    return a.Upstreams == b.Upstreams && a.Services == b.Services;
+    return a.Upstreams == b.Upstreams && a.Services == b.Services &&
+           a.Arrangements == b.Arrangements;
   }
 };
 
@@ -105,6 +128,11 @@
   gsTime Refresh = gsSeconds(1);
   /** Reports are not believed any longer than this. */
   gsTime Memory = gsMilliseconds(2500);
+  /**
+   * One host is told no more often than this for each host of the hall, so
+   * that a relay sends as many reports however large its hall is.
+   */
+  gsTime GapOfEach = gsMilliseconds(5);
 };
 
 struct gsLoadExchange
@@ -134,6 +162,10 @@
 std::string gsLoadRelay(std::vector<gsLoadMember> const& members,
                         std::string_view hall);
 
+/** Whether a host decides how engines are divided, for all hosts. */
+bool gsLoadDecides(std::vector<gsLoadMember> const& members,
+                   std::string_view host);
+
 /** Takes a report of another host in. */
 void gsLoadHear(gsLoadExchange& exchange, std::string_view host,
                 std::string_view hall, gsLoadReport report, gsTime now);
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -12,10 +12,16 @@
 constexpr double PaceQuantile = 0.2;
 constexpr double PaceStep = 0.03;
 constexpr std::uint32_t MinPaceSamples = 40;
-/** Times the pace of the fastest above which an engine is slow. */
+/** Times the pace of the fast above which an engine becomes slow, */
 constexpr double SlowFactor = 1.18;
-/** Engines by which the groups' border must be off before it moves. */
+/** and below which it is slow no longer. */
+constexpr double FastFactor = 1.1;
+/** Share of the engines that may be faster than those called fast. */
+constexpr double FastShare = 0.1;
+/** By how much the groups' border must be off before it moves: engines, */
 constexpr double BorderSlack = 1.2;
+/** and as a share of all. */
+constexpr double BorderSlackShare = 0.03;
 constexpr gsTime DemandHalfLife = gsSeconds(10);
 constexpr double PromptSmoothing = 0.05;
 constexpr double FailSmoothing = 0.25;
@@ -97,24 +103,23 @@
   return cost + settings.FailTokens * std::max(0.0, excess);
 }
 
-bool IsSlow(gsFleetRow const& row, double fastest)
+bool IsSlow(gsEngineArrangement const& arrangement, gsFleetRow const& row)
 {
-  return gsPaceOf(row) > SlowFactor * fastest;
+  return std::binary_search(arrangement.Slow.begin(), arrangement.Slow.end(),
+                            row.Hash);
 }
 
-void RankRows(gsFleet& fleet, std::vector<std::size_t>& members)
+/** Orders a service's rows: slow engines first, then by hash. */
+void RankRows(gsFleet& fleet, std::string const& service,
+              std::vector<std::size_t>& members)
 {
-  double fastest = std::numeric_limits<double>::max();
-  for (std::size_t index : members) {
-    double pace = gsPaceOf(fleet.Rows[index]);
-    fastest = pace > 0 ? std::min(fastest, pace) : fastest;
-  }
+  gsEngineArrangement const& arrangement = fleet.Arrangements[service];
   std::sort(members.begin(), members.end(),
-            [&fleet, fastest](std::size_t a, std::size_t b) {
+            [&fleet, &arrangement](std::size_t a, std::size_t b) {
               gsFleetRow const& one = fleet.Rows[a];
               gsFleetRow const& two = fleet.Rows[b];
-              bool slowOne = IsSlow(one, fastest);
-              bool slowTwo = IsSlow(two, fastest);
+              bool slowOne = IsSlow(arrangement, one);
+              bool slowTwo = IsSlow(arrangement, two);
               return slowOne != slowTwo ? slowOne : one.Hash < two.Hash;
             });
   std::uint32_t rank = 0;
@@ -164,7 +169,7 @@
     fleet.ByService[entry.Service].push_back(i);
   }
   for (auto& [service, members] : fleet.ByService) {
-    RankRows(fleet, members);
+    RankRows(fleet, service, members);
   }
 }
 
@@ -407,36 +412,110 @@
   row.Pace *= 1 + PaceStep * (PaceQuantile - below);
 }
 
-void gsArrangeGroups(gsFleet& fleet, gsTime now)
+namespace {
+
+/** Pace of the fast among these engines; zero when none is known. */
+double FastPace(gsFleet const& fleet, std::vector<std::size_t> const& members)
+{
+  std::vector<double> paces;
+  paces.reserve(members.size());
+  for (std::size_t index : members) {
+    double pace = gsPaceOf(fleet.Rows[index]);
+    if (pace > 0) {
+      paces.push_back(pace);
+    }
+  }
+  if (paces.empty()) {
+    return 0;
+  }
+  auto faster =
+    static_cast<std::ptrdiff_t>(FastShare * static_cast<double>(paces.size()));
+  std::nth_element(paces.begin(), paces.begin() + faster, paces.end());
+  return paces[static_cast<std::size_t>(faster)];
+}
+
+std::vector<std::uint32_t> DecideSlow(gsFleet const& fleet,
+                                      std::vector<std::size_t> const& members,
+                                      gsEngineArrangement const& before)
+{
+  double fast = FastPace(fleet, members);
+  std::vector<std::uint32_t> slow;
+  for (std::size_t index : members) {
+    gsFleetRow const& row = fleet.Rows[index];
+    bool wasSlow = IsSlow(before, row);
+    double pace = gsPaceOf(row);
+    double factor = wasSlow ? FastFactor : SlowFactor;
+    // A host that has just begun to decide keeps what it can not judge yet.
+    bool isSlow = pace > 0 ? pace > factor * fast : wasSlow;
+    if (isSlow) {
+      slow.push_back(row.Hash);
+    }
+  }
+  std::sort(slow.begin(), slow.end());
+  return slow;
+}
+
+/** Engines for long prompts; moves only when demand clearly has. */
+std::uint32_t DecideLongEngines(gsDemand const& demand, double count,
+                                std::uint32_t before)
+{
+  double forLong = demand.Long + demand.OthersLong;
+  double forTight = demand.Tight + demand.OthersTight;
+  if (forLong < 1 || forTight < 1 || count < 2) {
+    return 0;
+  }
+  double engines = count * forLong / (forLong + forTight);
+  double slack = std::max(BorderSlack, BorderSlackShare * count);
+  bool moved = std::abs(engines - before) > slack;
+  if (!moved && before != 0 && before < count) {
+    return before;
+  }
+  return static_cast<std::uint32_t>(
+    std::clamp(std::round(engines), 1.0, count - 1));
+}
+
+} // namespace
+
+void gsDecideArrangements(gsFleet& fleet, gsTime now)
 {
   for (auto& [service, demand] : fleet.Demand) {
     auto rows = fleet.ByService.find(service);
     if (rows == fleet.ByService.end()) {
       continue;
     }
-    RankRows(fleet, rows->second);
     Decay(demand, now);
-    double count = static_cast<double>(rows->second.size());
-    double forLong = demand.Long + demand.OthersLong;
-    double forTight = demand.Tight + demand.OthersTight;
-    if (forLong < 1 || forTight < 1 || count < 2) {
-      demand.LongEngines = 0;
-      continue;
-    }
-    double engines = count * forLong / (forLong + forTight);
-    bool moved = std::abs(engines - demand.LongEngines) > BorderSlack;
-    if (moved || demand.LongEngines == 0 || demand.LongEngines >= count) {
-      demand.LongEngines = static_cast<std::uint32_t>(
-        std::clamp(std::round(engines), 1.0, count - 1));
+    gsEngineArrangement& known = fleet.Arrangements[service];
+    gsEngineArrangement next = known;
+    next.Slow = DecideSlow(fleet, rows->second, known);
+    next.LongEngines = DecideLongEngines(
+      demand, static_cast<double>(rows->second.size()), known.LongEngines);
+    if (!(next == known)) {
+      ++next.Version;
+      known = std::move(next);
+      RankRows(fleet, service, rows->second);
     }
   }
 }
 
+void gsAdoptArrangement(gsFleet& fleet, std::string const& service,
+                        gsEngineArrangement const& arrangement)
+{
+  gsEngineArrangement& known = fleet.Arrangements[service];
+  if (arrangement.Version <= known.Version) {
+    return;
+  }
+  known = arrangement;
+  auto rows = fleet.ByService.find(service);
+  if (rows != fleet.ByService.end()) {
+    RankRows(fleet, service, rows->second);
+  }
+}
+
 std::uint32_t gsLongEngines(gsFleet const& fleet, std::string_view service)
 {
-  auto demand = fleet.Demand.find(std::string(service));
-  bool none = !fleet.Settings.Groups || demand == fleet.Demand.end();
-  return none ? 0 : demand->second.LongEngines;
+  auto known = fleet.Arrangements.find(std::string(service));
+  bool none = !fleet.Settings.Groups || known == fleet.Arrangements.end();
+  return none ? 0 : known->second.LongEngines;
 }
 
 char const* gsFleetGroupWord(gsFleetGroup group)
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gsLoadExchange.h"
 #include "gsTypes.h"
 
 /** A part of a prompt; parts with the same name are the same text. */
@@ -69,8 +70,6 @@
   /** The same of all other hosts, by their last word. */
   double OthersLong = 0;
   double OthersTight = 0;
-  /** Engines for long prompts; moves only when demand clearly has. */
-  std::uint32_t LongEngines = 0;
 };
 
 /** An upstream's row. */
@@ -142,6 +141,8 @@
   /** Rows by service; rebuilt with ById whenever rows come or go. */
   std::unordered_map<std::string, std::vector<std::size_t>> ByService;
   std::unordered_map<std::string, gsDemand> Demand; ///< By service.
+  /** How each service's engines are divided, as last decided by any host. */
+  std::unordered_map<std::string, gsEngineArrangement> Arrangements;
 };
 
 /** A request as far as the choice is concerned. */
@@ -211,10 +212,14 @@
 void gsNotePause(gsFleetRow& row, gsTime pause);
 
 /**
- * Orders each service's engines and settles how many are for long prompts.
- * To be run a few times a second.
+ * Decides, for all hosts, which engines of each service are slow and how many
+ * are for long prompts. To be run a few times a second by one host.
  */
-void gsArrangeGroups(gsFleet& fleet, gsTime now);
+void gsDecideArrangements(gsFleet& fleet, gsTime now);
+
+/** Takes a decision of another host, if it is newer than what is known. */
+void gsAdoptArrangement(gsFleet& fleet, std::string const& service,
+                        gsEngineArrangement const& arrangement);
 
 /** How many of a service's engines are for long prompts; 0 for no groups. */
 std::uint32_t gsLongEngines(gsFleet const& fleet, std::string_view service);
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -98,6 +98,14 @@
                                     MicrosPerMilli);
 }
 
+/** The pace that others need to hear of; zero if they know a lower one. */
+std::uint32_t TellPace(gsFleetRow const& row)
+{
+  double pace = gsPaceOf(row);
+  bool lowest = row.OthersPace <= 0 || pace < row.OthersPace;
+  return lowest ? CoarsePace(pace) : 0;
+}
+
 gsRouteGatewaySettings GatewaySettings(gsSettings const& settings)
 {
   gsRouteGatewaySettings gateway;
@@ -444,7 +452,7 @@
 {
   gsSystemLoad own;
   for (gsFleetRow const& row : this->Fleet.Rows) {
-    std::uint32_t pace = CoarsePace(gsPaceOf(row));
+    std::uint32_t pace = TellPace(row);
     if (row.Own.Running > 0 || pace > 0) {
       own.Upstreams[row.Hash] = {
         row.Own.Running, static_cast<std::uint32_t>(row.Own.ReadTokens),
@@ -456,6 +464,11 @@
     own.Services[ServiceHash(service)] = { CoarseTokens(demand.Long),
                                            CoarseTokens(demand.Tight) };
   }
+  for (auto const& [service, arrangement] : this->Fleet.Arrangements) {
+    if (arrangement.Version > 0) {
+      own.Arrangements[ServiceHash(service)] = arrangement;
+    }
+  }
   return own;
 }
 
@@ -477,7 +490,9 @@
     }
   }
   this->ApplyLoads(now);
-  gsArrangeGroups(this->Fleet, now);
+  if (gsLoadDecides(members, this->Settings.Host)) {
+    gsDecideArrangements(this->Fleet, now);
+  }
 }
 
 void gsRouteNode::HearLoads(std::string const& host,
@@ -514,6 +529,12 @@
     demand.OthersLong = known.Long;
     demand.OthersTight = known.Tight;
   }
+  for (auto const& [service, rows] : this->Fleet.ByService) {
+    auto decided = others.Arrangements.find(ServiceHash(service));
+    if (decided != others.Arrangements.end()) {
+      gsAdoptArrangement(this->Fleet, service, decided->second);
+    }
+  }
 }
 
 void gsRouteNode::OnRoutes()
--- a/Source/Daemon/gsWireCodec.cxx
+++ b/Source/Daemon/gsWireCodec.cxx
@@ -130,6 +130,12 @@
     report.Load.Services[demand.service()] = { demand.long_tokens(),
                                                demand.tight_tokens() };
   }
+  for (gradescale::EngineArrangement const& entry : wire.arrangements()) {
+    report.Load.Arrangements[entry.service()] = { entry.version(),
+                                                  entry.long_engines(),
+                                                  { entry.slow().begin(),
+                                                    entry.slow().end() } };
+  }
   return report;
 }
 
@@ -150,4 +156,12 @@
     entry->set_long_tokens(demand.Long);
     entry->set_tight_tokens(demand.Tight);
   }
+  for (auto const& [service, arrangement] : report.Load.Arrangements) {
+    gradescale::EngineArrangement* entry = wire->add_arrangements();
+    entry->set_service(service);
+    entry->set_version(arrangement.Version);
+    entry->set_long_engines(arrangement.LongEngines);
+    entry->mutable_slow()->Add(arrangement.Slow.begin(),
+                               arrangement.Slow.end());
+  }
 }
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -177,7 +177,7 @@
       gsNoteDemand(fleet, reading, Now);
     }
   }
-  gsArrangeGroups(fleet, Now);
+  gsDecideArrangements(fleet, Now);
   EXPECT_EQ(gsLongEngines(fleet, "model"), 4U);
   std::set<std::string> forTight;
   std::set<std::string> forLong;
@@ -208,13 +208,13 @@
       gsNotePause(row, gsFromSeconds(millis / 1e3));
     }
   }
-  gsArrangeGroups(fleet, Now);
+  gsDecideArrangements(fleet, Now);
   gsPlacementAsk ask = Plain();
   ask.PromptTokens = 1000;
   gsNoteDemand(fleet, ask, Now);
   ask.Tight = true;
   gsNoteDemand(fleet, ask, Now);
-  gsArrangeGroups(fleet, Now);
+  gsDecideArrangements(fleet, Now);
   EXPECT_LT(gsFleetFind(fleet, "u2")->Rank, 2U);
   EXPECT_LT(gsFleetFind(fleet, "u4")->Rank, 2U);
 }
@@ -226,18 +226,69 @@
   demand.At = Now;
   demand.Long = 50000;
   demand.Tight = 50000;
-  gsArrangeGroups(fleet, Now);
-  EXPECT_EQ(demand.LongEngines, 5U);
+  gsDecideArrangements(fleet, Now);
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 5U);
   demand.Long = 56000;
   demand.Tight = 44000;
-  gsArrangeGroups(fleet, Now);
-  EXPECT_EQ(demand.LongEngines, 5U);
+  gsDecideArrangements(fleet, Now);
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 5U);
   demand.OthersLong = 100000;
-  gsArrangeGroups(fleet, Now);
-  EXPECT_EQ(demand.LongEngines, 8U);
+  gsDecideArrangements(fleet, Now);
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 8U);
   demand.OthersLong = 0;
-  gsArrangeGroups(fleet, Now);
-  EXPECT_EQ(demand.LongEngines, 6U);
+  gsDecideArrangements(fleet, Now);
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 6U);
+}
+
+// Each host called other engines slow, by what it had measured itself, so one
+// subject had as many homes as there were opinions.
+TEST(Fleet, HostsThatMeasureDifferentlyAgreeByAdoptingOneDecision)
+{
+  gsFleet decides = MakeFleet(20);
+  gsFleet adopts = MakeFleet(20);
+  for (gsFleet* fleet : { &decides, &adopts }) {
+    gsDemand& demand = fleet->Demand["model"];
+    demand.At = Now;
+    demand.Long = 50000;
+    demand.Tight = fleet == &decides ? 50000 : 90000;
+    std::size_t number = fleet == &decides ? 0 : 3;
+    for (gsFleetRow& row : fleet->Rows) {
+      row.OthersPace = ++number % 4 == 0 ? 30 : 20;
+    }
+    gsDecideArrangements(*fleet, Now);
+  }
+  EXPECT_NE(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
+  gsEngineArrangement decided = decides.Arrangements["model"];
+  decided.Version += 1;
+  gsAdoptArrangement(adopts, "model", decided);
+  EXPECT_EQ(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
+  for (gsFleetRow const& row : decides.Rows) {
+    EXPECT_EQ(row.Rank, gsFleetFind(adopts, row.Listed.Id)->Rank);
+  }
+  // An older word changes nothing.
+  gsEngineArrangement old = decided;
+  old.Version -= 1;
+  old.LongEngines = 1;
+  gsAdoptArrangement(adopts, "model", old);
+  EXPECT_EQ(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
+}
+
+TEST(Fleet, ASuccessorKeepsWhatItCanNotJudgeYet)
+{
+  gsFleet fleet = MakeFleet(10);
+  fleet.Demand["model"].At = Now;
+  gsEngineArrangement decided;
+  decided.Version = 7;
+  decided.Slow = { fleet.Rows[4].Hash };
+  gsAdoptArrangement(fleet, "model", decided);
+  gsDecideArrangements(fleet, Now);
+  EXPECT_EQ(fleet.Rows[4].Rank, 0U);
+  for (gsFleetRow& row : fleet.Rows) {
+    row.OthersPace = 20;
+  }
+  gsDecideArrangements(fleet, Now);
+  EXPECT_TRUE(fleet.Arrangements["model"].Slow.empty());
+  EXPECT_GT(fleet.Arrangements["model"].Version, 7U);
 }
 
 TEST(Fleet, AVeryLongPromptOfATightRouteGoesToTheLongEngines)
--- a/Tests/Unit/gsTestLoadExchange.cxx
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -140,3 +140,57 @@
   // One report a second to the relay, one from it, and between relays.
   EXPECT_LE(net.Messages, 11U * (2 * 27 + 6));
 }
+
+TEST(LoadExchange, OneHostDecidesAndItsNewestWordReachesAll)
+{
+  Net net;
+  for (char const* hall : { "north", "south", "west" }) {
+    for (int i = 0; i < 4; ++i) {
+      net.Add(std::string(hall) + std::to_string(i), hall);
+    }
+  }
+  std::vector<gsLoadMember> members = net.Members();
+  std::string decider;
+  for (auto const& [host, exchange] : net.Hosts) {
+    if (gsLoadDecides(members, host)) {
+      EXPECT_EQ(decider, "");
+      decider = host;
+    }
+  }
+  ASSERT_NE(decider, "");
+  gsTime now = gsSeconds(10);
+  for (std::uint64_t version = 1; version <= 3; ++version) {
+    net.Own[decider].Arrangements[9] = { version, 5, { 1, 2 } };
+    for (int i = 0; i < 4; ++i) {
+      now += gsMilliseconds(50);
+      net.Tick(now);
+    }
+    for (auto const& [host, exchange] : net.Hosts) {
+      gsSystemLoad others = gsLoadOfOthers(exchange, now);
+      bool heard = others.Arrangements[9].Version == version;
+      EXPECT_TRUE(heard || host == decider) << host;
+    }
+  }
+}
+
+TEST(LoadExchange, ARelaySendsNoMoreInALargerHall)
+{
+  std::vector<std::size_t> messages;
+  for (int size : { 20, 57 }) {
+    Net net;
+    for (int i = 0; i < size; ++i) {
+      net.Add("host" + std::to_string(i), "north");
+    }
+    gsTime now = gsSeconds(10);
+    for (int tick = 0; tick < 200; ++tick) {
+      now += gsMilliseconds(50);
+      for (auto& [host, own] : net.Own) {
+        own.Upstreams[7].Running += 1;
+      }
+      net.Tick(now);
+    }
+    messages.push_back(net.Messages);
+  }
+  EXPECT_LE(static_cast<double>(messages[1]),
+            1.2 * static_cast<double>(messages[0]));
+}
