Daemon: Split the wiring of the routed mode, and share connections among hosts

Slow engines are judged every 4 s, the border every 2 s, and not before one second of demand; each change is logged as event=arrangement. A host opens at one upstream no more attempts than its share of the connections that the upstream accepts; when all shares are used the refusal says no_connection.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -15,7 +15,7 @@
 /** Times the pace of the fast above which an engine becomes slow, */
 constexpr double SlowFactor = 1.18;
 /** and below which it is slow no longer. */
-constexpr double FastFactor = 1.1;
+constexpr double FastFactor = 1.06;
 /** Share of the engines that may be faster than those called fast. */
 constexpr double FastShare = 0.1;
 /** By how much the groups' border must be off before it moves: engines, */
@@ -32,6 +32,10 @@
 constexpr std::uint32_t MaxAvoidDoublings = 3;
 /** Ties are broken within so many tokens, so that hosts do not herd. */
 constexpr double TieTokens = 30;
+/** Share of an upstream's connections that all hosts use together, */
+constexpr double ConnectionUse = 0.9;
+/** and what one host may use in any case. */
+constexpr std::uint32_t LeastConnections = 2;
 /** How sure it is that the preferred upstream holds a shared part. */
 constexpr double PreferredShare = 0.8;
 
@@ -141,6 +145,8 @@
       return "least_loaded";
     case gsPlacementCause::NoUpstream:
       return "no_upstream";
+    case gsPlacementCause::NoConnection:
+      return "no_connection";
     case gsPlacementCause::Unreachable:
       break;
   }
@@ -173,6 +179,16 @@
   }
 }
 
+std::uint32_t gsConnectionShare(std::uint32_t accepted, std::size_t hosts)
+{
+  if (accepted == 0) {
+    return 0;
+  }
+  double share = ConnectionUse * accepted /
+                 static_cast<double>(std::max<std::size_t>(hosts, 1));
+  return std::max(LeastConnections, static_cast<std::uint32_t>(share));
+}
+
 std::uint64_t gsSubjectOf(gsPlacementAsk const& ask)
 {
   if (ask.Parts == nullptr || ask.Parts->size() < 2) {
@@ -228,10 +244,26 @@
   std::uint32_t LongEngines = 0;
 };
 
+bool HasConnection(gsFleetRow const& row, gsPlacementAsk const& ask)
+{
+  return ask.MostOwn == 0 || row.Own.Running < ask.MostOwn;
+}
+
 bool MayGet(gsFleetRow const& row, gsPlacementAsk const& ask, gsTime now)
 {
-  return !row.Listed.Leaving && row.AvoidUntil <= now &&
-         !Contains(ask.Tried, row.Listed.Id);
+  return HasConnection(row, ask) && !row.Listed.Leaving &&
+         row.AvoidUntil <= now && !Contains(ask.Tried, row.Listed.Id);
+}
+
+/** Why none can be chosen, with one more that cannot. */
+gsPlacementCause CauseAgainst(gsFleetRow const& row, gsPlacementAsk const& ask,
+                              gsTime now, gsPlacementCause before)
+{
+  if (row.Listed.Leaving || Contains(ask.Tried, row.Listed.Id)) {
+    return before;
+  }
+  return row.AvoidUntil > now ? gsPlacementCause::Unreachable
+                              : gsPlacementCause::NoConnection;
 }
 
 bool InGroup(gsFleetRow const& row, Choice const& choice)
@@ -321,8 +353,9 @@
   for (std::size_t index : rows->second) {
     gsFleetRow& row = fleet.Rows[index];
     if (!MayGet(row, ask, now)) {
-      bool unreachable = best.Row == nullptr && row.AvoidUntil > now;
-      best.Cause = unreachable ? gsPlacementCause::Unreachable : best.Cause;
+      if (best.Row == nullptr) {
+        best.Cause = CauseAgainst(row, ask, now, best.Cause);
+      }
       continue;
     }
     ++best.Candidates;
@@ -366,6 +399,9 @@
   }
   gsDemand& demand = fleet.Demand[std::string(ask.Service)];
   Decay(demand, now);
+  if (demand.Since.count() == 0) {
+    demand.Since = now;
+  }
   double work =
     ask.PromptTokens + fleet.Settings.AnswerWeight * ask.AnswerTokens;
   if (!ask.Tight) {
@@ -414,6 +450,11 @@
 
 namespace {
 
+bool Due(gsTime last, gsTime period, gsTime now)
+{
+  return last.count() == 0 || now - last >= period;
+}
+
 /** Pace of the fast among these engines; zero when none is known. */
 double FastPace(gsFleet const& fleet, std::vector<std::size_t> const& members)
 {
@@ -478,6 +519,7 @@
 
 void gsDecideArrangements(gsFleet& fleet, gsTime now)
 {
+  gsFleetSettings const& settings = fleet.Settings;
   for (auto& [service, demand] : fleet.Demand) {
     auto rows = fleet.ByService.find(service);
     if (rows == fleet.ByService.end()) {
@@ -486,9 +528,16 @@
     Decay(demand, now);
     gsEngineArrangement& known = fleet.Arrangements[service];
     gsEngineArrangement next = known;
-    next.Slow = DecideSlow(fleet, rows->second, known);
-    next.LongEngines = DecideLongEngines(
-      demand, static_cast<double>(rows->second.size()), known.LongEngines);
+    if (Due(demand.SlowAt, settings.SlowPeriod, now)) {
+      demand.SlowAt = now;
+      next.Slow = DecideSlow(fleet, rows->second, known);
+    }
+    bool young = now - demand.Since < settings.DemandPatience;
+    if (!young && Due(demand.BorderAt, settings.BorderPeriod, now)) {
+      demand.BorderAt = now;
+      next.LongEngines = DecideLongEngines(
+        demand, static_cast<double>(rows->second.size()), known.LongEngines);
+    }
     if (!(next == known)) {
       ++next.Version;
       known = std::move(next);
@@ -497,18 +546,19 @@
   }
 }
 
-void gsAdoptArrangement(gsFleet& fleet, std::string const& service,
+bool gsAdoptArrangement(gsFleet& fleet, std::string const& service,
                         gsEngineArrangement const& arrangement)
 {
   gsEngineArrangement& known = fleet.Arrangements[service];
   if (arrangement.Version <= known.Version) {
-    return;
+    return false;
   }
   known = arrangement;
   auto rows = fleet.ByService.find(service);
   if (rows != fleet.ByService.end()) {
     RankRows(fleet, service, rows->second);
   }
+  return true;
 }
 
 std::uint32_t gsLongEngines(gsFleet const& fleet, std::string_view service)
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -70,6 +70,9 @@
   /** The same of all other hosts, by their last word. */
   double OthersLong = 0;
   double OthersTight = 0;
+  gsTime Since{};    ///< Of the first request; zero before it.
+  gsTime BorderAt{}; ///< When this host last decided on the border,
+  gsTime SlowAt{};   ///< and on slow engines.
 };
 
 /** An upstream's row. */
@@ -127,6 +130,12 @@
   double FullTokens = 5000;
   /** Share of an engine's memory that requests may take together. */
   double MemoryShare = 0.95;
+  /** Demand is known well enough to divide engines by it after so long. */
+  gsTime DemandPatience = gsMilliseconds(1000);
+  /** The border moves no more often than this, */
+  gsTime BorderPeriod = gsSeconds(2);
+  /** and slow engines are judged no more often: each time subjects move. */
+  gsTime SlowPeriod = gsSeconds(4);
   gsTime PartMemory = gsSeconds(20);
   gsTime OthersMemory = gsSeconds(2); ///< Older words are not believed.
   std::size_t PartsMost = 2000;       ///< Remembered for each upstream.
@@ -157,6 +166,8 @@
   double TargetTokens = 0;
   /** Memory of one upstream, tokens; 0 when it is not known. */
   std::uint64_t UpstreamMemory = 0;
+  /** Attempts that this host may have open at one upstream; 0 for any. */
+  std::uint32_t MostOwn = 0;
   /** Ids of upstreams that this request was sent to already. */
   std::vector<std::string> const* Tried = nullptr;
 };
@@ -164,11 +175,12 @@
 /** Why a request can or cannot be placed. */
 enum class gsPlacementCause
 {
-  Cached,      ///< The upstream has read part of the prompt before.
-  Preferred,   ///< All hosts prefer it for the request's subject.
-  LeastLoaded, ///< The cheapest of all.
-  NoUpstream,  ///< The service has none that may get work.
-  Unreachable  ///< It has some, and none can be reached for now.
+  Cached,       ///< The upstream has read part of the prompt before.
+  Preferred,    ///< All hosts prefer it for the request's subject.
+  LeastLoaded,  ///< The cheapest of all.
+  NoUpstream,   ///< The service has none that may get work.
+  NoConnection, ///< This host's share of connections is used up at all.
+  Unreachable   ///< It has some, and none can be reached for now.
 };
 
 char const* gsPlacementWord(gsPlacementCause cause);
@@ -196,6 +208,12 @@
 gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
                     gsRandom& random);
 
+/**
+ * This host's share of the connections that an upstream accepts of all hosts
+ * together; 0 when the upstream sets no limit.
+ */
+std::uint32_t gsConnectionShare(std::uint32_t accepted, std::size_t hosts);
+
 /** The part by which requests are kept together: the last shared one. */
 std::uint64_t gsSubjectOf(gsPlacementAsk const& ask);
 
@@ -217,8 +235,11 @@
  */
 void gsDecideArrangements(gsFleet& fleet, gsTime now);
 
-/** Takes a decision of another host, if it is newer than what is known. */
-void gsAdoptArrangement(gsFleet& fleet, std::string const& service,
+/**
+ * Takes a decision of another host, if it is newer than what is known; true
+ * if it is.
+ */
+bool gsAdoptArrangement(gsFleet& fleet, std::string const& service,
                         gsEngineArrangement const& arrangement);
 
 /** How many of a service's engines are for long prompts; 0 for no groups. */
--- a/Source/Core/gsStory.cxx
+++ b/Source/Core/gsStory.cxx
@@ -178,6 +178,9 @@
   if (result == "unreachable") {
     return "None of its service's upstreams could be reached.";
   }
+  if (result == "no_connection") {
+    return "The host's share of connections was in use at all upstreams.";
+  }
   if (result == "not_executed") {
     return "The upstream turned it away without running it.";
   }
--- /dev/null
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -0,0 +1,165 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsLoadSharing.h"
+
+#include <cmath>
+#include <vector>
+
+#include "gsLog.h"
+#include "gsLoop.h"
+#include "gsRendezvous.h"
+#include "gsWireCodec.h"
+
+namespace {
+
+constexpr double MicrosPerMilli = 1000;
+
+std::uint32_t ServiceHash(std::string const& service)
+{
+  return static_cast<std::uint32_t>(gsHashText(service));
+}
+
+/** Rounded, so that small changes are no news to other hosts. */
+std::uint32_t CoarseTokens(double tokens)
+{
+  constexpr double step = 5000;
+  return static_cast<std::uint32_t>(std::round(tokens / step) * step);
+}
+
+std::uint32_t CoarsePace(double millis)
+{
+  constexpr double step = 0.5;
+  return static_cast<std::uint32_t>(std::round(millis / step) * step *
+                                    MicrosPerMilli);
+}
+
+/** The pace that others need to hear of; zero if they know a lower one. */
+std::uint32_t TellPace(gsFleetRow const& row)
+{
+  double pace = gsPaceOf(row);
+  bool lowest = row.OthersPace <= 0 || pace < row.OthersPace;
+  return lowest ? CoarsePace(pace) : 0;
+}
+
+void LogArrangement(std::string const& service,
+                    gsEngineArrangement const& arrangement, char const* cause)
+{
+  gsLogLine("arrangement")
+    .With("service", service)
+    .With("cause", cause)
+    .With("version", arrangement.Version)
+    .With("long_engines", arrangement.LongEngines)
+    .With("slow_engines", std::uint64_t(arrangement.Slow.size()));
+}
+
+} // namespace
+
+gsLoadSharing::gsLoadSharing(gsFleet& fleet, gsSettings const& settings)
+  : Fleet(fleet)
+  , Settings(settings)
+{
+  this->Exchange.Self = settings.Host;
+  this->Exchange.Hall = settings.Hall;
+}
+
+/** What this host adds to the system's load. */
+gsSystemLoad gsLoadSharing::Own() const
+{
+  gsSystemLoad own;
+  for (gsFleetRow const& row : this->Fleet.Rows) {
+    std::uint32_t pace = TellPace(row);
+    if (row.Own.Running > 0 || pace > 0) {
+      own.Upstreams[row.Hash] = {
+        row.Own.Running, static_cast<std::uint32_t>(row.Own.ReadTokens),
+        static_cast<std::uint32_t>(row.Own.MemoryTokens), pace
+      };
+    }
+  }
+  for (auto const& [service, demand] : this->Fleet.Demand) {
+    own.Services[ServiceHash(service)] = { CoarseTokens(demand.Long),
+                                           CoarseTokens(demand.Tight) };
+  }
+  for (auto const& [service, arrangement] : this->Fleet.Arrangements) {
+    if (arrangement.Version > 0) {
+      own.Arrangements[ServiceHash(service)] = arrangement;
+    }
+  }
+  return own;
+}
+
+/** Reports the load, as far as it has changed. */
+void gsLoadSharing::Tell()
+{
+  gsMembership const& table = this->Cluster->Members();
+  std::vector<gsLoadMember> members{ { table.Self.Host, table.Self.Hall } };
+  for (gsMember const& member : table.Members) {
+    if (member.State == gsMemberState::Alive) {
+      members.push_back({ member.Host, member.Hall });
+    }
+  }
+  gsTime now = gsLoop::Now();
+  for (gsLoadMessage const& message :
+       gsLoadTick(this->Exchange, members, this->Own(), now)) {
+    if (gradescale::Frame* frame = this->Cluster->ToHost(message.To)) {
+      gsToWire(message.Report, frame->add_load_reports());
+    }
+  }
+  this->Apply(now);
+  if (gsLoadDecides(members, this->Settings.Host)) {
+    this->Decide(now);
+  }
+}
+
+void gsLoadSharing::Hear(std::string const& host,
+                         gradescale::Frame const& frame)
+{
+  gsMember const* member = gsFindMember(this->Cluster->Members(), host);
+  if (member == nullptr || frame.load_reports().empty()) {
+    return;
+  }
+  gsTime now = gsLoop::Now();
+  for (gradescale::LoadReport const& wire : frame.load_reports()) {
+    gsLoadHear(this->Exchange, host, member->Hall, gsFromWire(wire), now);
+  }
+  this->Apply(now);
+}
+
+void gsLoadSharing::Apply(gsTime now)
+{
+  gsSystemLoad others = gsLoadOfOthers(this->Exchange, now);
+  for (gsFleetRow& row : this->Fleet.Rows) {
+    auto load = others.Upstreams.find(row.Hash);
+    gsUpstreamLoad known;
+    if (load != others.Upstreams.end()) {
+      known = load->second;
+    }
+    row.Others = { known.Running, known.ReadTokens, known.MemoryTokens };
+    row.OthersAt = now;
+    if (known.PaceMicros > 0) {
+      row.OthersPace = known.PaceMicros / MicrosPerMilli;
+    }
+  }
+  for (auto& [service, demand] : this->Fleet.Demand) {
+    gsServiceDemand const& known = others.Services[ServiceHash(service)];
+    demand.OthersLong = known.Long;
+    demand.OthersTight = known.Tight;
+  }
+  for (auto const& [service, rows] : this->Fleet.ByService) {
+    auto decided = others.Arrangements.find(ServiceHash(service));
+    if (decided != others.Arrangements.end() &&
+        gsAdoptArrangement(this->Fleet, service, decided->second)) {
+      LogArrangement(service, decided->second, "adopted");
+    }
+  }
+}
+
+/** Decides for all hosts, and logs what has changed. */
+void gsLoadSharing::Decide(gsTime now)
+{
+  auto before = this->Fleet.Arrangements;
+  gsDecideArrangements(this->Fleet, now);
+  for (auto const& [service, arrangement] : this->Fleet.Arrangements) {
+    if (!(arrangement == before[service])) {
+      LogArrangement(service, arrangement, "decided");
+    }
+  }
+}
--- /dev/null
+++ b/Source/Daemon/gsLoadSharing.h
@@ -0,0 +1,40 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Tells other hosts of this host's open work, demand and measured paces, and
+ * puts theirs into the upstreams' rows. One host decides for all how engines
+ * are divided.
+ */
+#pragma once
+
+#include <string>
+
+#include "gsCluster.h"
+#include "gsFleet.h"
+#include "gsLoadExchange.h"
+#include "gsSettings.h"
+
+class gsLoadSharing
+{
+public:
+  /** The fleet and the settings outlive this. */
+  gsLoadSharing(gsFleet& fleet, gsSettings const& settings);
+
+  /** The cluster outlives this. */
+  void Start(gsCluster& cluster) { this->Cluster = &cluster; }
+
+  /** Takes in the reports of a frame of another host. */
+  void Hear(std::string const& host, gradescale::Frame const& frame);
+  /** Reports the load, as far as it has changed; run many times a second. */
+  void Tell();
+
+private:
+  gsSystemLoad Own() const;
+  void Apply(gsTime now);
+  void Decide(gsTime now);
+
+  gsFleet& Fleet;
+  gsSettings const& Settings;
+  gsCluster* Cluster = nullptr; ///< Set by Start.
+  gsLoadExchange Exchange;
+};
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -249,6 +249,9 @@
     gsToSeconds(request->Route->Target) * 1e3 / this->Caller.MillisPerToken();
   gsRouteService const* service =
     gsFindService(*request->Table, request->Service);
+  if (service != nullptr) {
+    ask.MostOwn = gsConnectionShare(service->MaxConnections, this->Hosts);
+  }
   if (service != nullptr && service->Engine) {
     ask.UpstreamMemory = service->Engine->MemoryTokens;
   }
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -49,6 +49,8 @@
 
   /** Repeats that one service's upstreams may be given by this host. */
   void LimitRetries(double burst) { this->Settings.RetryBurst = burst; }
+  /** Hosts that share the upstreams, this one included. */
+  void ShareAmong(std::size_t hosts) { this->Hosts = hosts; }
 
   std::size_t Open() const { return this->Requests.size(); }
 
@@ -88,4 +90,5 @@
   std::unordered_map<std::uint64_t, Held> Requests;       ///< By sequence.
   std::unordered_map<std::string, gsRetryBudget> Budgets; ///< By service.
   std::uint64_t NextSequence = 1;
+  std::size_t Hosts = 1; ///< That share the upstreams; at least 1.
 };
--- /dev/null
+++ b/Source/Daemon/gsTableSync.cxx
@@ -0,0 +1,314 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsTableSync.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "gsLog.h"
+
+namespace {
+
+/** A watch usually brings by itself what another host has; wait that long. */
+constexpr gsTime BehindPatience = gsMilliseconds(300);
+/** A watcher's sign of life to its hall. */
+constexpr gsTime BeatPeriod = gsMilliseconds(400);
+/** A watch's answer may be later than its wait by as much. */
+constexpr gsTime AgeMargin = gsMilliseconds(900);
+/** Larger changes are not sent to all hosts of a hall; bytes. */
+constexpr std::size_t PushLimit = 16384;
+
+bool IsLarge(gsTableNews const& news)
+{
+  std::size_t bytes = 0;
+  for (gsTableRow const& row : news.Rows) {
+    bytes += row.Key.size() + row.Value.size();
+  }
+  return bytes > PushLimit;
+}
+
+void AddNews(gradescale::Frame& frame, std::string const& table,
+             gsTableNews const& news)
+{
+  gradescale::TableNews* wire = frame.add_table_news();
+  wire->set_table(table);
+  wire->set_above_version(news.Above);
+  wire->set_version(news.Version);
+  wire->set_whole(news.Whole);
+  for (gsTableRow const& row : news.Rows) {
+    gradescale::TableRow* entry = wire->add_rows();
+    entry->set_key(row.Key);
+    entry->set_value(row.Value);
+    entry->set_version(row.Version);
+    entry->set_removed(row.Removed);
+  }
+}
+
+} // namespace
+
+gsTableSync::gsTableSync(gsLoop& loop, gsHttpClient& client,
+                         gsAdapter const& adapter, gsSettings const& settings,
+                         gsTableSyncEvents events)
+  : Adapter(adapter)
+  , Settings(settings)
+  , Events(std::move(events))
+{
+  this->Duty.Self = settings.Host;
+  this->Duty.Settings.MostAge = settings.Routing.WatchWait + AgeMargin;
+  gsTableWatchSettings watch;
+  watch.Platform = settings.Platform.Address;
+  watch.Wait = settings.Routing.WatchWait;
+  watch.Table = adapter.Tables.Routes;
+  this->Routes =
+    std::make_unique<gsTableWatch>(loop, client, adapter, watch, [this] {
+      this->PushNews(*this->Routes, this->Adapter.Tables.Routes,
+                     this->RoutesPushed);
+      this->Events.OnRoutes();
+    });
+  watch.Table = adapter.Tables.Upstreams;
+  this->Upstreams =
+    std::make_unique<gsTableWatch>(loop, client, adapter, watch, [this] {
+      this->PushNews(*this->Upstreams, this->Adapter.Tables.Upstreams,
+                     this->UpstreamsPushed);
+      this->Events.OnUpstreams();
+    });
+}
+
+void gsTableSync::Start(gsCluster& cluster)
+{
+  this->Cluster = &cluster;
+  this->Duty.Started = gsLoop::Now();
+  this->Routes->Start();
+  this->Upstreams->Start();
+}
+
+std::uint64_t gsTableSync::Version() const
+{
+  return std::max(this->Routes->Version(), this->Upstreams->Version());
+}
+
+std::uint64_t gsTableSync::Calls() const
+{
+  return this->Routes->Calls() + this->Upstreams->Calls();
+}
+
+void gsTableSync::Hear(std::string const& host, std::uint64_t link,
+                       gradescale::Frame const& frame)
+{
+  this->HearVersions(host, frame);
+  this->HearNews(host, frame);
+  this->AnswerQueries(link, frame);
+}
+
+void gsTableSync::Tick(gsTime now)
+{
+  this->DecideDuty(now);
+  this->AskBehind(now);
+}
+
+void gsTableSync::OnStalled()
+{
+  for (gsTableWatch* watch : { this->Routes.get(), this->Upstreams.get() }) {
+    watch->Resume(false);
+    watch->Refresh("stalled");
+  }
+  this->Duty.State = gsWatchState::Uncovered;
+  this->Duty.Heard.clear();
+}
+
+gsTableWatch* gsTableSync::WatchOf(std::string_view table)
+{
+  if (table == this->Adapter.Tables.Routes) {
+    return this->Routes.get();
+  }
+  return table == this->Adapter.Tables.Upstreams ? this->Upstreams.get()
+                                                 : nullptr;
+}
+
+void gsTableSync::HearNews(std::string const& host,
+                           gradescale::Frame const& frame)
+{
+  gsMember const* member = gsFindMember(this->Cluster->Members(), host);
+  bool sameHall = member != nullptr && member->Hall == this->Settings.Hall;
+  if (sameHall && frame.tables_age_ms() > 0) {
+    gsDutyHear(this->Duty, host, gsMilliseconds(frame.tables_age_ms()),
+               gsLoop::Now());
+  }
+  for (gradescale::TableNews const& news : frame.table_news()) {
+    this->LearnNews(host, news);
+  }
+}
+
+void gsTableSync::LearnNews(std::string const& host,
+                            gradescale::TableNews const& wire)
+{
+  gsTableWatch* watch = this->WatchOf(wire.table());
+  if (watch == nullptr) {
+    return;
+  }
+  if (wire.too_large()) {
+    watch->ReadOnce();
+    return;
+  }
+  gsTableNews news;
+  news.Above = wire.above_version();
+  news.Version = wire.version();
+  news.Whole = wire.whole();
+  for (gradescale::TableRow const& row : wire.rows()) {
+    news.Rows.push_back(
+      { row.key(), row.value(), row.version(), row.removed() });
+  }
+  if (!watch->Learn(news, host)) {
+    this->AskFor(host, wire.table());
+  }
+}
+
+void gsTableSync::AnswerQueries(std::uint64_t link,
+                                gradescale::Frame const& frame)
+{
+  for (gradescale::TableQuery const& query : frame.table_queries()) {
+    gsTableWatch const* watch = this->WatchOf(query.table());
+    gradescale::Frame* answer =
+      watch != nullptr ? this->Cluster->OnLink(link) : nullptr;
+    if (answer != nullptr && watch->Known()) {
+      AddNews(*answer, query.table(), watch->NewsAbove(query.above_version()));
+    }
+  }
+}
+
+std::vector<std::string> gsTableSync::HallHosts() const
+{
+  std::vector<std::string> hosts;
+  for (gsMember const& member : this->Cluster->Members().Members) {
+    bool counts = member.Hall == this->Settings.Hall &&
+                  member.State != gsMemberState::Dead;
+    if (counts) {
+      hosts.push_back(member.Host);
+    }
+  }
+  return hosts;
+}
+
+/** Tells the hall what has changed since it was last told. */
+void gsTableSync::PushNews(gsTableWatch const& watch, std::string const& table,
+                           std::uint64_t& pushed)
+{
+  gsTableNews news = watch.NewsAbove(pushed);
+  pushed = watch.CompleteTo();
+  if (this->Duty.State == gsWatchState::Covered || news.Rows.empty()) {
+    return;
+  }
+  for (std::string const& host : this->HallHosts()) {
+    gradescale::Frame* frame = this->Cluster->ToHost(host);
+    if (frame != nullptr && IsLarge(news)) {
+      gradescale::TableNews* notice = frame->add_table_news();
+      notice->set_table(table);
+      notice->set_too_large(true);
+    } else if (frame != nullptr) {
+      AddNews(*frame, table, news);
+    }
+  }
+}
+
+void gsTableSync::FillHeader(gradescale::Frame& frame) const
+{
+  frame.set_tables_age_ms(this->TablesAge());
+  if (frame.table_versions().empty()) {
+    frame.add_table_versions(0);
+    frame.add_table_versions(0);
+  }
+  frame.set_table_versions(0, this->Routes->Version());
+  frame.set_table_versions(1, this->Upstreams->Version());
+}
+
+/** Time since both tables were last known to be up to date, for frames. */
+std::uint32_t gsTableSync::TablesAge() const
+{
+  gsTime answered =
+    std::min(this->Routes->LastAnswer(), this->Upstreams->LastAnswer());
+  if (this->Duty.State == gsWatchState::Covered || answered.count() == 0) {
+    return 0;
+  }
+  auto age =
+    std::chrono::duration_cast<gsMilliseconds>(gsLoop::Now() - answered);
+  return static_cast<std::uint32_t>(age.count()) + 1;
+}
+
+/** Begins or ends watching the platform, and tells the hall of it. */
+void gsTableSync::DecideDuty(gsTime now)
+{
+  gsWatchState before = this->Duty.State;
+  std::vector<std::string_view> alive =
+    gsAliveHosts(this->Cluster->Members(), this->Settings.Hall);
+  gsWatchState state = gsDutyDecide(this->Duty, alive, now);
+  if (state != before) {
+    gsLogLine("watch_duty")
+      .With("state", gsWatchStateWord(state))
+      .With("before", gsWatchStateWord(before))
+      .With("hall_hosts", std::uint64_t(alive.size()));
+  }
+  for (gsTableWatch* watch : { this->Routes.get(), this->Upstreams.get() }) {
+    if (state != before && state == gsWatchState::Covered) {
+      watch->Pause();
+    } else if (state != gsWatchState::Covered) {
+      watch->Resume(state == gsWatchState::Assigned);
+    }
+  }
+  if (state != gsWatchState::Covered && now - this->LastBeat >= BeatPeriod) {
+    this->LastBeat = now;
+    for (std::string const& host : this->HallHosts()) {
+      this->Cluster->ToHost(host); // The header alone says what is needed.
+    }
+  }
+}
+
+bool gsTableSync::IsBehind(Shown const& shown) const
+{
+  return shown.Routes > this->Routes->CompleteTo() ||
+         shown.Upstreams > this->Upstreams->CompleteTo();
+}
+
+void gsTableSync::HearVersions(std::string const& host,
+                               gradescale::Frame const& frame)
+{
+  constexpr int tables = 2;
+  if (frame.table_versions_size() != tables) {
+    return;
+  }
+  Shown& shown = this->Peers[host];
+  shown.Routes = frame.table_versions(0);
+  shown.Upstreams = frame.table_versions(1);
+  if (!this->IsBehind(shown)) {
+    shown.BehindSince = gsTime{};
+  } else if (shown.BehindSince.count() == 0) {
+    shown.BehindSince = gsLoop::Now();
+  }
+}
+
+void gsTableSync::AskFor(std::string const& host, std::string const& table)
+{
+  if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
+    gradescale::TableQuery* query = frame->add_table_queries();
+    query->set_table(table);
+    query->set_above_version(this->WatchOf(table)->CompleteTo());
+  }
+}
+
+/** Asks hosts that have had newer rows for a while. */
+void gsTableSync::AskBehind(gsTime now)
+{
+  for (auto& [host, shown] : this->Peers) {
+    bool due = shown.BehindSince.count() != 0 &&
+               now - shown.BehindSince >= BehindPatience;
+    if (!due) {
+      continue;
+    }
+    shown.BehindSince = this->IsBehind(shown) ? now : gsTime{};
+    if (shown.Routes > this->Routes->CompleteTo()) {
+      this->AskFor(host, this->Adapter.Tables.Routes);
+    }
+    if (shown.Upstreams > this->Upstreams->CompleteTo()) {
+      this->AskFor(host, this->Adapter.Tables.Upstreams);
+    }
+  }
+}
--- /dev/null
+++ b/Source/Daemon/gsTableSync.h
@@ -0,0 +1,91 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Keeps a host's copies of the platform's tables up: watches them when it is
+ * this host's duty, tells the hall what has changed, learns from other hosts
+ * and asks them for what it has missed.
+ */
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "gsAdapter.h"
+#include "gsCluster.h"
+#include "gsHttpClient.h"
+#include "gsSettings.h"
+#include "gsTableWatch.h"
+#include "gsWatchDuty.h"
+
+struct gsTableSyncEvents
+{
+  std::function<void()> OnRoutes;    ///< The table of routes has changed.
+  std::function<void()> OnUpstreams; ///< The table of upstreams has changed.
+};
+
+class gsTableSync
+{
+public:
+  /** The adapter and the settings outlive this. */
+  gsTableSync(gsLoop& loop, gsHttpClient& client, gsAdapter const& adapter,
+              gsSettings const& settings, gsTableSyncEvents events);
+
+  /** Reads both tables; the cluster outlives this. */
+  void Start(gsCluster& cluster);
+
+  /** Takes in what a frame of another host tells of the tables. */
+  void Hear(std::string const& host, std::uint64_t link,
+            gradescale::Frame const& frame);
+  /** Tells in a frame's header which changes this host has. */
+  void FillHeader(gradescale::Frame& frame) const;
+
+  /** To be run several times a second. */
+  void Tick(gsTime now);
+  /** What was known before the process stood still may be out of date. */
+  void OnStalled();
+
+  gsTableWatch const& RouteRows() const { return *this->Routes; }
+  gsTableWatch const& UpstreamRows() const { return *this->Upstreams; }
+  /** Of the last change of any table that this host has. */
+  std::uint64_t Version() const;
+  /** Made to the platform so far. */
+  std::uint64_t Calls() const;
+
+private:
+  /** Last changes of the tables that another host has shown. */
+  struct Shown
+  {
+    std::uint64_t Routes = 0;
+    std::uint64_t Upstreams = 0;
+    gsTime BehindSince{}; ///< Zero while this host has them all.
+  };
+
+  gsTableWatch* WatchOf(std::string_view table);
+  void HearVersions(std::string const& host, gradescale::Frame const& frame);
+  void HearNews(std::string const& host, gradescale::Frame const& frame);
+  void LearnNews(std::string const& host, gradescale::TableNews const& wire);
+  void AnswerQueries(std::uint64_t link, gradescale::Frame const& frame);
+  void PushNews(gsTableWatch const& watch, std::string const& table,
+                std::uint64_t& pushed);
+  void DecideDuty(gsTime now);
+  std::uint32_t TablesAge() const;
+  std::vector<std::string> HallHosts() const;
+  bool IsBehind(Shown const& shown) const;
+  void AskFor(std::string const& host, std::string const& table);
+  void AskBehind(gsTime now);
+
+  gsAdapter const& Adapter;
+  gsSettings const& Settings;
+  gsTableSyncEvents Events;
+  gsCluster* Cluster = nullptr; ///< Set by Start.
+  std::unique_ptr<gsTableWatch> Routes;
+  std::unique_ptr<gsTableWatch> Upstreams;
+  gsWatchDuty Duty;
+  std::uint64_t RoutesPushed = 0;    ///< Version told to the hall.
+  std::uint64_t UpstreamsPushed = 0; ///< Version told to the hall.
+  gsTime LastBeat{};                 ///< Of a watcher to its hall.
+  std::unordered_map<std::string, Shown> Peers;
+};
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -177,7 +177,7 @@
       gsNoteDemand(fleet, reading, Now);
     }
   }
-  gsDecideArrangements(fleet, Now);
+  gsDecideArrangements(fleet, Now + gsMilliseconds(1100));
   EXPECT_EQ(gsLongEngines(fleet, "model"), 4U);
   std::set<std::string> forTight;
   std::set<std::string> forLong;
@@ -223,20 +223,25 @@
 {
   gsFleet fleet = MakeFleet(10);
   gsDemand& demand = fleet.Demand["model"];
-  demand.At = Now;
+  gsTime now = Now;
+  auto decideLater = [&fleet, &demand, &now] {
+    now += fleet.Settings.BorderPeriod;
+    demand.At = now; // Nothing decays here.
+    gsDecideArrangements(fleet, now);
+  };
   demand.Long = 50000;
   demand.Tight = 50000;
-  gsDecideArrangements(fleet, Now);
+  decideLater();
   EXPECT_EQ(gsLongEngines(fleet, "model"), 5U);
   demand.Long = 56000;
   demand.Tight = 44000;
-  gsDecideArrangements(fleet, Now);
+  decideLater();
   EXPECT_EQ(gsLongEngines(fleet, "model"), 5U);
   demand.OthersLong = 100000;
-  gsDecideArrangements(fleet, Now);
+  decideLater();
   EXPECT_EQ(gsLongEngines(fleet, "model"), 8U);
   demand.OthersLong = 0;
-  gsDecideArrangements(fleet, Now);
+  decideLater();
   EXPECT_EQ(gsLongEngines(fleet, "model"), 6U);
 }
 
@@ -273,6 +278,30 @@
   EXPECT_EQ(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
 }
 
+TEST(Fleet, DecisionsAreNotMadeOftenNorBeforeDemandIsKnown)
+{
+  gsFleet fleet = MakeFleet(10);
+  gsPlacementAsk ask = Plain();
+  ask.PromptTokens = 1000;
+  gsNoteDemand(fleet, ask, Now);
+  ask.Tight = true;
+  gsNoteDemand(fleet, ask, Now);
+  gsDecideArrangements(fleet, Now + gsMilliseconds(100));
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 0U);
+  std::uint64_t before = fleet.Arrangements["model"].Version;
+  for (int i = 0; i < 100; ++i) {
+    gsTime now = Now + gsSeconds(2) + gsMilliseconds(50) * i;
+    for (std::size_t k = 0; k < fleet.Rows.size(); ++k) {
+      fleet.Rows[k].OthersPace = (i + k) % 3 == 0 ? 30 : 20;
+    }
+    fleet.Demand["model"].OthersLong = i % 2 == 0 ? 0 : 100000;
+    gsDecideArrangements(fleet, now);
+  }
+  // In five seconds.
+  EXPECT_LE(fleet.Arrangements["model"].Version - before, 5U);
+  EXPECT_GE(fleet.Arrangements["model"].Version - before, 1U);
+}
+
 TEST(Fleet, ASuccessorKeepsWhatItCanNotJudgeYet)
 {
   gsFleet fleet = MakeFleet(10);
@@ -286,7 +315,7 @@
   for (gsFleetRow& row : fleet.Rows) {
     row.OthersPace = 20;
   }
-  gsDecideArrangements(fleet, Now);
+  gsDecideArrangements(fleet, Now + fleet.Settings.SlowPeriod);
   EXPECT_TRUE(fleet.Arrangements["model"].Slow.empty());
   EXPECT_GT(fleet.Arrangements["model"].Version, 7U);
 }
@@ -318,3 +347,24 @@
   gsFleetFind(fleet, "u0")->OthersAt = Now;
   EXPECT_EQ(Chosen(fleet, ask), "u1");
 }
+
+TEST(Fleet, HostsShareTheConnectionsThatAnUpstreamAccepts)
+{
+  EXPECT_EQ(gsConnectionShare(0, 9), 0U);
+  EXPECT_EQ(gsConnectionShare(310, 9), 31U);
+  EXPECT_EQ(gsConnectionShare(310, 340), 2U);
+  EXPECT_EQ(gsConnectionShare(310, 0), 279U);
+  gsFleet fleet = MakeFleet(2);
+  gsPlacementAsk ask = Plain();
+  ask.MostOwn = 3;
+  fleet.Rows[0].Own.Running = 3;
+  gsRandom random(1);
+  for (int i = 0; i < 3; ++i) {
+    gsFleetRow* row = gsPlace(fleet, ask, Now, random).Row;
+    ASSERT_EQ(row, &fleet.Rows[1]);
+    row->Own.Running += 1;
+  }
+  gsPlacement none = gsPlace(fleet, ask, Now, random);
+  EXPECT_EQ(none.Row, nullptr);
+  EXPECT_EQ(none.Cause, gsPlacementCause::NoConnection);
+}
