Routing: Let a subject leave an engine where it would miss its target

A subject never left its engine: reading its shared parts again cost 100 a token, queueing 1,500 a request.

Change: the cost of a choice includes what it costs to miss the target, by the tokens to be read and the slots taken there, with how long an attempt holds a slot measured for each group. Below 0.7 of the target it is nothing.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -24,6 +24,11 @@
 constexpr double BorderSlackShare = 0.03;
 constexpr gsTime DemandHalfLife = gsSeconds(10);
 constexpr double PromptSmoothing = 0.05;
+constexpr double HoldSmoothing = 0.05;
+/** Expected first token, as a share of the target, from which on a miss is
+ * thought possible, and at which it is thought sure. */
+constexpr double MissFrom = 0.7;
+constexpr double MissSure = 1.3;
 constexpr double FailSmoothing = 0.25;
 /** Failures above the mean that are put down to chance. */
 constexpr double FailTolerance = 0.2;
@@ -242,6 +247,8 @@
   gsFleetRow const* Preferred = nullptr; ///< Of the request's subject.
   gsFleetGroup Group = gsFleetGroup::Any;
   std::uint32_t LongEngines = 0;
+  double HoldLong = 0;  ///< See gsDemand.
+  double HoldTight = 0; ///< See gsDemand.
 };
 
 bool HasConnection(gsFleetRow const& row, gsPlacementAsk const& ask)
@@ -317,6 +324,37 @@
   return missing * fleet.Settings.AgainWeight;
 }
 
+/** Time until the first token, as a share of the target; zero if unknown. */
+double ExpectedShare(gsFleet const& fleet, gsFleetRow const& row,
+                     gsPlacementAsk const& ask, Choice const& choice,
+                     std::uint32_t toRead, gsTime now)
+{
+  if (ask.TargetTokens <= 0 || ask.TokenMillis <= 0) {
+    return 0;
+  }
+  gsOpenWork work = gsWorkAt(fleet, row, now);
+  double slots = std::max(1U, row.Listed.Slots);
+  double queued = std::max(0.0, work.Running + 1.0 - slots);
+  bool isLong = row.Rank < choice.LongEngines;
+  double hold = isLong ? choice.HoldLong : choice.HoldTight;
+  double wait = queued * hold / slots / ask.TokenMillis;
+  double tokens = static_cast<double>(work.ReadTokens) + toRead;
+  return (tokens + wait) / ask.TargetTokens;
+}
+
+/** What it costs that the answer may begin beyond its target. */
+double MissCost(gsFleet const& fleet, gsFleetRow const& row,
+                gsPlacementAsk const& ask, Choice const& choice,
+                std::uint32_t toRead, gsTime now)
+{
+  double share = ExpectedShare(fleet, row, ask, choice, toRead, now);
+  double chance =
+    std::clamp((share - MissFrom) / (MissSure - MissFrom), 0.0, 1.0);
+  // Of several that surely miss, the one that misses least is the best.
+  double beyond = std::max(0.0, share - MissSure);
+  return fleet.Settings.MissTokens * (chance + beyond / MissSure);
+}
+
 /** What an engine costs whose memory would not do: it preempts others. */
 double FullCost(gsFleet const& fleet, gsFleetRow const& row,
                 gsPlacementAsk const& ask, gsTime now)
@@ -347,6 +385,11 @@
   choice.UsualFailShare = MeanFailShare(fleet, rows->second, now);
   choice.Group = gsGroupOf(fleet, ask);
   choice.LongEngines = gsLongEngines(fleet, ask.Service);
+  auto demand = fleet.Demand.find(std::string(ask.Service));
+  if (demand != fleet.Demand.end()) {
+    choice.HoldLong = demand->second.HoldLong;
+    choice.HoldTight = demand->second.HoldTight;
+  }
   choice.Preferred = PreferredFor(fleet, rows->second, ask, choice, now);
   best.Group = choice.LongEngines == 0 ? gsFleetGroup::Any : choice.Group;
   std::uniform_real_distribution<double> tie(0, TieTokens);
@@ -363,6 +406,7 @@
     double cost = CostOf(fleet, row, ask, toRead, choice.UsualFailShare, now);
     cost += AgainCost(fleet, row, ask, choice, toRead) + tie(random);
     cost += FullCost(fleet, row, ask, now);
+    cost += MissCost(fleet, row, ask, choice, toRead, now);
     if (!InGroup(row, choice)) {
       cost += fleet.Settings.OtherGroupTokens;
     }
@@ -592,6 +636,16 @@
   }
 }
 
+void gsNoteHold(gsFleet& fleet, gsFleetRow const& row, gsTime held)
+{
+  std::string const& service = row.Listed.Service;
+  bool isLong = row.Rank < gsLongEngines(fleet, service);
+  gsDemand& demand = fleet.Demand[service];
+  double& hold = isLong ? demand.HoldLong : demand.HoldTight;
+  double millis = gsToSeconds(held) * 1e3;
+  hold += (hold == 0 ? 1 : HoldSmoothing) * (millis - hold);
+}
+
 double gsFailShare(gsFleetRow const& row, gsTime now)
 {
   double halves = gsToSeconds(now - row.FailAt) / gsToSeconds(FailHalfLife);
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -70,6 +70,12 @@
   /** The same of all other hosts, by their last word. */
   double OthersLong = 0;
   double OthersTight = 0;
+  /**
+   * How long an attempt holds a slot of an engine for long prompts, and of any
+   * other; smoothed, milliseconds, zero until one has ended.
+   */
+  double HoldLong = 0;
+  double HoldTight = 0;
   gsTime Since{};    ///< Of the first request; zero before it.
   gsTime BorderAt{}; ///< When this host last decided on the border,
   gsTime SlowAt{};   ///< and on slow engines.
@@ -128,6 +134,8 @@
   bool Groups = true;
   /** Cost of an engine whose memory the request would fill. */
   double FullTokens = 5000;
+  /** Cost of an answer that would surely begin beyond its target. */
+  double MissTokens = 450000;
   /** Share of an engine's memory that requests may take together. */
   double MemoryShare = 0.95;
   /** Demand is known well enough to divide engines by it after so long. */
@@ -164,6 +172,8 @@
   bool Tight = false; ///< A stream whose pauses must be short.
   /** Tokens that an engine reads within the target; 0 when not known. */
   double TargetTokens = 0;
+  /** Milliseconds that an engine takes to read a token. */
+  double TokenMillis = 0;
   /** Memory of one upstream, tokens; 0 when it is not known. */
   std::uint64_t UpstreamMemory = 0;
   /** Attempts that this host may have open at one upstream; 0 for any. */
@@ -256,6 +266,9 @@
 void gsNoteParts(gsFleet const& fleet, gsFleetRow& row,
                  std::vector<gsPromptPart> const& parts, gsTime now);
 
+/** Notes for how long an attempt that ended whole held a slot. */
+void gsNoteHold(gsFleet& fleet, gsFleetRow const& row, gsTime held);
+
 /** Notes how an attempt ended at an upstream. */
 void gsNoteOutcome(gsFleetRow& row, bool failed, gsTime now);
 
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -245,8 +245,9 @@
   ask.AnswerTokens = request->Caller.AnswerTokens;
   ask.Tried = &request->Tried;
   ask.Tight = request->Route->Tight;
+  ask.TokenMillis = this->Caller.MillisPerToken();
   ask.TargetTokens =
-    gsToSeconds(request->Route->Target) * 1e3 / this->Caller.MillisPerToken();
+    gsToSeconds(request->Route->Target) * 1e3 / ask.TokenMillis;
   gsRouteService const* service =
     gsFindService(*request->Table, request->Service);
   if (service != nullptr) {
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -112,6 +112,7 @@
   weight("early_weight", placement.EarlyWeight);
   weight("late_weight", placement.LateWeight);
   weight("full_tokens", placement.FullTokens);
+  weight("miss_tokens", placement.MissTokens);
   placement.TargetShare =
     fields.Number("target_share", ShareRange, placement.TargetShare);
   placement.MemoryShare =
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -311,6 +311,9 @@
     if (attempt.Sent) {
       gsNoteOutcome(*row, failed, now);
     }
+    if (result.End == gsAttemptEnd::Whole) {
+      gsNoteHold(this->Fleet, *row, now - attempt.SentAt);
+    }
   }
   this->Events.OnEnd(request, result);
 }
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -368,3 +368,34 @@
   EXPECT_EQ(none.Row, nullptr);
   EXPECT_EQ(none.Cause, gsPlacementCause::NoConnection);
 }
+
+// A subject's requests queued at its engine while others had free slots; on a
+// day of high load, half of the tight requests began beyond their target.
+TEST(Fleet, ASubjectLeavesAnEngineWhereItWouldMissItsTarget)
+{
+  gsFleet fleet = MakeFleet(6);
+  std::vector<gsPromptPart> parts{ { 1, 50 }, { 2, 148 }, { 3, 430 } };
+  gsPlacementAsk ask = Plain();
+  ask.Parts = &parts;
+  ask.PromptTokens = 628;
+  ask.TokenMillis = 0.015;
+  ask.TargetTokens = 250 / ask.TokenMillis;
+  gsRandom random(1);
+  gsFleetRow& home = *gsPlace(fleet, ask, Now, random).Row;
+  gsNoteParts(fleet, home, parts, Now);
+  for (int i = 0; i < 40; ++i) {
+    gsNoteHold(fleet, home, gsMilliseconds(1200));
+  }
+  home.Own.Running = home.Listed.Slots - 1;
+  EXPECT_EQ(gsPlace(fleet, ask, Now, random).Row, &home);
+  home.Others.Running = 4;
+  home.OthersAt = Now;
+  gsFleetRow* next = gsPlace(fleet, ask, Now, random).Row;
+  EXPECT_NE(next, &home);
+  // All are as full: it stays where its parts are.
+  for (gsFleetRow& row : fleet.Rows) {
+    row.Own.Running = row.Listed.Slots + 3;
+  }
+  home.Others.Running = 0;
+  EXPECT_EQ(gsPlace(fleet, ask, Now, random).Row, &home);
+}
