Routing: Keep long prompts off tight engines, and decide by how many engines there are

Change: a long prompt pays 600,000 for an engine of tight streams; divisions are decided every 30 ms for each engine of the service (0.3 s for 9 engines, 3.4 s for 112), without hysteresis. Soak: requests that must not repeat have two attempts in the configuration, so that only the rule keeps them from it.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -12,10 +12,8 @@
 constexpr double PaceQuantile = 0.2;
 constexpr double PaceStep = 0.03;
 constexpr std::uint32_t MinPaceSamples = 40;
-/** Times the pace of the fast above which an engine becomes slow, */
+/** Times the pace of the fast above which an engine is slow. */
 constexpr double SlowFactor = 1.18;
-/** and below which it is slow no longer. */
-constexpr double FastFactor = 1.06;
 /** Share of the engines that may be faster than those called fast. */
 constexpr double FastShare = 0.1;
 /** By how much the groups' border must be off before it moves: engines, */
@@ -355,6 +353,12 @@
   return fleet.Settings.MissTokens * (chance + beyond / MissSure);
 }
 
+double OtherGroupCost(gsFleetSettings const& settings, Choice const& choice)
+{
+  bool holdsUp = choice.Group == gsFleetGroup::Long;
+  return settings.OtherGroupTokens + (holdsUp ? settings.HoldUpTokens : 0);
+}
+
 /** What an engine costs whose memory would not do: it preempts others. */
 double FullCost(gsFleet const& fleet, gsFleetRow const& row,
                 gsPlacementAsk const& ask, gsTime now)
@@ -408,7 +412,7 @@
     cost += FullCost(fleet, row, ask, now);
     cost += MissCost(fleet, row, ask, choice, toRead, now);
     if (!InGroup(row, choice)) {
-      cost += fleet.Settings.OtherGroupTokens;
+      cost += OtherGroupCost(fleet.Settings, choice);
     }
     if (best.Row == nullptr || cost < best.Cost) {
       bool cached = toRead < ask.PromptTokens;
@@ -494,11 +498,6 @@
 
 namespace {
 
-bool Due(gsTime last, gsTime period, gsTime now)
-{
-  return last.count() == 0 || now - last >= period;
-}
-
 /** Pace of the fast among these engines; zero when none is known. */
 double FastPace(gsFleet const& fleet, std::vector<std::size_t> const& members)
 {
@@ -529,9 +528,8 @@
     gsFleetRow const& row = fleet.Rows[index];
     bool wasSlow = IsSlow(before, row);
     double pace = gsPaceOf(row);
-    double factor = wasSlow ? FastFactor : SlowFactor;
     // A host that has just begun to decide keeps what it can not judge yet.
-    bool isSlow = pace > 0 ? pace > factor * fast : wasSlow;
+    bool isSlow = pace > 0 ? pace > SlowFactor * fast : wasSlow;
     if (isSlow) {
       slow.push_back(row.Hash);
     }
@@ -570,15 +568,16 @@
       continue;
     }
     Decay(demand, now);
+    gsTime gap = settings.DecisionGapOfEach *
+                 static_cast<std::int64_t>(rows->second.size());
+    if (now - demand.DecidedAt < gap) {
+      continue;
+    }
+    demand.DecidedAt = now;
     gsEngineArrangement& known = fleet.Arrangements[service];
     gsEngineArrangement next = known;
-    if (Due(demand.SlowAt, settings.SlowPeriod, now)) {
-      demand.SlowAt = now;
-      next.Slow = DecideSlow(fleet, rows->second, known);
-    }
-    bool young = now - demand.Since < settings.DemandPatience;
-    if (!young && Due(demand.BorderAt, settings.BorderPeriod, now)) {
-      demand.BorderAt = now;
+    next.Slow = DecideSlow(fleet, rows->second, known);
+    if (now - demand.Since >= settings.DemandPatience) {
       next.LongEngines = DecideLongEngines(
         demand, static_cast<double>(rows->second.size()), known.LongEngines);
     }
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -76,9 +76,8 @@
    */
   double HoldLong = 0;
   double HoldTight = 0;
-  gsTime Since{};    ///< Of the first request; zero before it.
-  gsTime BorderAt{}; ///< When this host last decided on the border,
-  gsTime SlowAt{};   ///< and on slow engines.
+  gsTime Since{};     ///< Of the first request; zero before it.
+  gsTime DecidedAt{}; ///< When this host last decided how to divide engines.
 };
 
 /** An upstream's row. */
@@ -120,8 +119,10 @@
   double QueuedTokens = 1500;  ///< Cost of each request above the slots.
   /** Cost of reading a shared token that another engine holds, above 1. */
   double AgainWeight = 100;
-  /** Cost of an engine that is for the other kind. */
+  /** Cost of an engine that is for the other kind, */
   double OtherGroupTokens = 30000;
+  /** and, for a long prompt, of holding up the tight streams there. */
+  double HoldUpTokens = 600000;
   /** Cost of a token that waits, while the request can be in target. */
   double EarlyWeight = 0.2;
   /** Cost of a token that waits beyond TargetShare of the target. */
@@ -139,11 +140,13 @@
   /** Share of an engine's memory that requests may take together. */
   double MemoryShare = 0.95;
   /** Demand is known well enough to divide engines by it after so long. */
-  gsTime DemandPatience = gsMilliseconds(1000);
-  /** The border moves no more often than this, */
-  gsTime BorderPeriod = gsSeconds(2);
-  /** and slow engines are judged no more often: each time subjects move. */
-  gsTime SlowPeriod = gsSeconds(4);
+  gsTime DemandPatience = gsMilliseconds(300);
+  /**
+   * Each change of the division moves subjects; the more engines there are,
+   * the more of them cross the border each time. So it is decided no more
+   * often than after this time for each engine.
+   */
+  gsTime DecisionGapOfEach = gsMilliseconds(30);
   gsTime PartMemory = gsSeconds(20);
   gsTime OthersMemory = gsSeconds(2); ///< Older words are not believed.
   std::size_t PartsMost = 2000;       ///< Remembered for each upstream.
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -113,6 +113,7 @@
   weight("late_weight", placement.LateWeight);
   weight("full_tokens", placement.FullTokens);
   weight("miss_tokens", placement.MissTokens);
+  weight("hold_up_tokens", placement.HoldUpTokens);
   placement.TargetShare =
     fields.Number("target_share", ShareRange, placement.TargetShare);
   placement.MemoryShare =
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -309,9 +309,9 @@
 {
   gsJson value{ { "version", ++this->ConfigVersion },
                 { "routes",
-                  { RouteJson("plain", "non_idempotent", 1),
+                  { RouteJson("plain", "non_idempotent", 2),
                     RouteJson("safe", "idempotent", 2),
-                    RouteJson("stream", "streaming", 1),
+                    RouteJson("stream", "streaming", 2),
                     RouteJson("resume", "streaming", 2) } },
                 { "services", { { { "name", "model" } } } },
                 { "tenants",
