--- a/Source/Core/gsLogRecord.cxx
+++ b/Source/Core/gsLogRecord.cxx
@@ -40,15 +40,20 @@
   return at;
 }
 
-/** The host that a collector named before the line: its first word. */
+bool IsSeparator(char c)
+{
+  return IsSpace(c) || c == ':' || c == '|';
+}
+
+/** The host that a collector named before the line: the last word there. */
 std::string HostBefore(std::string_view prefix)
 {
-  prefix = Trim(prefix);
-  std::string_view word = prefix.substr(0, prefix.find(' '));
-  while (!word.empty() && (word.back() == ':' || word.back() == '|')) {
-    word.remove_suffix(1);
+  while (!prefix.empty() && IsSeparator(prefix.back())) {
+    prefix.remove_suffix(1);
   }
-  return std::string(word);
+  std::size_t space = prefix.find_last_of(" \t");
+  bool only = space == std::string_view::npos;
+  return std::string(only ? prefix : prefix.substr(space + 1));
 }
 
 /** Takes a value off the front of a text, and its quotes off the value. */
