Routing: Count an engine that turns work away as full, and tell the others

Hosts had lost power at 9.2 s; the engine went on with their requests, whose load nobody told any more. Turning away changed nothing in the choice, so the subjects' hosts sent the next ones there.

Ruled out: avoiding the engine altogether for a while (it takes work again as soon as a slot is free, and holds the subjects' parts).

Change: an engine that turned an attempt away with 503 or 429 counts as having all slots taken for half a second, here and in the load that is told to others.

Test AnEngineThatTurnsWorkAwayCountsAsFullForAWhile is new; 19 of the fleet pass.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -31,6 +31,8 @@
 /** Failures above the mean that are put down to chance. */
 constexpr double FailTolerance = 0.2;
 constexpr gsTime FailHalfLife = gsSeconds(3);
+/** How long an upstream that has turned work away counts as full. */
+constexpr gsTime FullMemory = gsMilliseconds(500);
 constexpr gsTime AvoidBase = gsMilliseconds(400);
 constexpr std::uint32_t MaxAvoidDoublings = 3;
 /** Ties are broken within so many tokens, so that hosts do not herd. */
@@ -206,9 +208,18 @@
   return found == fleet.ById.end() ? nullptr : &fleet.Rows[found->second];
 }
 
-gsOpenWork gsWorkAt(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
+gsOpenWork gsOwnWork(gsFleetRow const& row, gsTime now)
 {
   gsOpenWork work = row.Own;
+  if (now < row.FullUntil) {
+    work.Running += row.Listed.Slots;
+  }
+  return work;
+}
+
+gsOpenWork gsWorkAt(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
+{
+  gsOpenWork work = gsOwnWork(row, now);
   if (now - row.OthersAt <= fleet.Settings.OthersMemory) {
     work.Running += row.Others.Running;
     work.ReadTokens += row.Others.ReadTokens;
@@ -661,6 +672,11 @@
   }
 }
 
+void gsNoteTurnedAway(gsFleetRow& row, gsTime now)
+{
+  row.FullUntil = now + FullMemory;
+}
+
 void gsNoteUnreachable(gsFleetRow& row, gsTime now)
 {
   std::uint32_t doublings = std::min(row.Unreachable, MaxAvoidDoublings);
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -93,6 +93,8 @@
   /** Gets nothing until then, after it was not reachable. */
   gsTime AvoidUntil{};
   std::uint32_t Unreachable = 0; ///< Times in a row.
+  /** It has turned work away lately, and counts as full until then. */
+  gsTime FullUntil{};
   /** Share of failed attempts, smoothed; decays with time. */
   double FailShare = 0;
   gsTime FailAt{};
@@ -275,6 +277,15 @@
 /** Notes how an attempt ended at an upstream. */
 void gsNoteOutcome(gsFleetRow& row, bool failed, gsTime now);
 
+/**
+ * Notes that an upstream has turned an attempt away: it holds work that no
+ * host has told of, such as that of hosts that are gone.
+ */
+void gsNoteTurnedAway(gsFleetRow& row, gsTime now);
+
+/** This host's work at an upstream, as other hosts should count it. */
+gsOpenWork gsOwnWork(gsFleetRow const& row, gsTime now);
+
 /** Notes that an upstream could not be reached. */
 void gsNoteUnreachable(gsFleetRow& row, gsTime now);
 
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -62,15 +62,16 @@
 }
 
 /** What this host adds to the system's load. */
-gsSystemLoad gsLoadSharing::Own() const
+gsSystemLoad gsLoadSharing::Own(gsTime now) const
 {
   gsSystemLoad own;
   for (gsFleetRow const& row : this->Fleet.Rows) {
     std::uint32_t pace = TellPace(row);
-    if (row.Own.Running > 0 || pace > 0) {
+    gsOpenWork work = gsOwnWork(row, now);
+    if (work.Running > 0 || pace > 0) {
       own.Upstreams[row.Hash] = {
-        row.Own.Running, static_cast<std::uint32_t>(row.Own.ReadTokens),
-        static_cast<std::uint32_t>(row.Own.MemoryTokens), pace
+        work.Running, static_cast<std::uint32_t>(work.ReadTokens),
+        static_cast<std::uint32_t>(work.MemoryTokens), pace
       };
     }
   }
@@ -98,7 +99,7 @@
   }
   gsTime now = gsLoop::Now();
   for (gsLoadMessage const& message :
-       gsLoadTick(this->Exchange, members, this->Own(), now)) {
+       gsLoadTick(this->Exchange, members, this->Own(now), now)) {
     if (gradescale::Frame* frame = this->Cluster->ToHost(message.To)) {
       gsToWire(message.Report, frame->add_load_reports());
     }
--- a/Source/Daemon/gsLoadSharing.h
+++ b/Source/Daemon/gsLoadSharing.h
@@ -29,7 +29,7 @@
   void Tell();
 
 private:
-  gsSystemLoad Own() const;
+  gsSystemLoad Own(gsTime now) const;
   void Apply(gsTime now);
   void Decide(gsTime now);
 
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -311,6 +311,12 @@
     if (attempt.Sent) {
       gsNoteOutcome(*row, failed, now);
     }
+    bool full = result.End == gsAttemptEnd::NotExecuted &&
+                (result.Status == gsStatusUnavailable ||
+                 result.Status == gsStatusTooMany);
+    if (full) {
+      gsNoteTurnedAway(*row, now);
+    }
     if (result.End == gsAttemptEnd::Whole) {
       gsNoteHold(this->Fleet, *row, now - attempt.SentAt);
     }
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -399,3 +399,26 @@
   home.Others.Running = 0;
   EXPECT_EQ(gsPlace(fleet, ask, Now, random).Row, &home);
 }
+
+// An engine held work of hosts that had lost power, turned away all that its
+// subjects' hosts sent there, and was sent the next.
+TEST(Fleet, AnEngineThatTurnsWorkAwayCountsAsFullForAWhile)
+{
+  gsFleet fleet = MakeFleet(6);
+  std::vector<gsPromptPart> parts{ { 1, 50 }, { 2, 148 }, { 3, 430 } };
+  gsPlacementAsk ask = Plain();
+  ask.Parts = &parts;
+  ask.PromptTokens = 628;
+  ask.TokenMillis = 0.015;
+  ask.TargetTokens = 250 / ask.TokenMillis;
+  gsRandom random(1);
+  gsFleetRow& home = *gsPlace(fleet, ask, Now, random).Row;
+  gsNoteHold(fleet, home, gsMilliseconds(4000));
+  gsNoteTurnedAway(home, Now);
+  EXPECT_NE(gsPlace(fleet, ask, Now, random).Row, &home);
+  // Other hosts are told so too.
+  EXPECT_EQ(gsOwnWork(home, Now).Running, home.Listed.Slots);
+  gsTime later = Now + gsSeconds(1);
+  EXPECT_EQ(gsOwnWork(home, later).Running, 0U);
+  EXPECT_EQ(gsPlace(fleet, ask, later, random).Row, &home);
+}
