--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -431,10 +431,12 @@
   for (std::string const& runner : this->RunnerNames) {
     for (int start = 0; start < this->Processes.at(runner).Starts; ++start) {
       std::string number = std::to_string(start);
-      std::ifstream log(this->Folder + "/" + runner + "." + number + ".log");
+      std::string file = this->Folder;
+      file.append("/").append(runner).append(".").append(number);
+      std::ifstream log(file.append(".log"));
       std::string word;
       gsRoutedRun run;
-      run.Runner = runner + "-" + number;
+      run.Runner.append(runner).append("-").append(number);
       std::int64_t micros = 0;
       while (log >> word >> run.Request >> micros) {
         run.At = gsTime(micros);
--- a/Tests/Soak/gsSoak.cxx
+++ b/Tests/Soak/gsSoak.cxx
@@ -380,7 +380,8 @@
     std::vector<std::string> links{ "peer:" + host + ">*" };
     for (std::string const& other : this->System.Hosts()) {
       if (other != host) {
-        links.push_back("peer:" + other + ">" + host);
+        std::string link = "peer:";
+        links.push_back(link.append(other).append(">").append(host));
       }
     }
     this->HarmLinks(links, { { "mode", "hole" } },
