Coordination: Hold no removal back where other hosts kept the tables up

A host that began to watch because its hall's watchers had stopped took the time since its own last read, long ago as others had kept it up, for a silence of the platform, and held removals back for two seconds; since hosts that are not assigned tell the hall what they read, the others got them late too.

Ruled out: the gathering of changes (150 ms) and the order in which hosts begin to watch (0.25 s a host) alone, which do not add up to the bound.

Change: the silence is counted from the latest time at which any host of the hall said that its tables were up to date.

--- a/Source/Coord/gsWatchDuty.cxx
+++ b/Source/Coord/gsWatchDuty.cxx
@@ -55,6 +55,15 @@
   duty.Heard[std::string(host)] = { now, age };
 }
 
+gsTime gsDutyFreshAt(gsWatchDuty const& duty)
+{
+  gsTime latest{};
+  for (auto const& [host, heard] : duty.Heard) {
+    latest = std::max(latest, heard.At - heard.Age);
+  }
+  return latest;
+}
+
 gsWatchState gsDutyDecide(gsWatchDuty& duty,
                           std::vector<std::string_view> const& hallHosts,
                           gsTime now)
--- a/Source/Coord/gsWatchDuty.h
+++ b/Source/Coord/gsWatchDuty.h
@@ -69,6 +69,12 @@
 void gsDutyHear(gsWatchDuty& duty, std::string_view host, gsTime age,
                 gsTime now);
 
+/**
+ * The latest time at which any host of the hall, by its word, had tables that
+ * were up to date; zero if none has said so.
+ */
+gsTime gsDutyFreshAt(gsWatchDuty const& duty);
+
 /**
  * Settles whether this host watches; hallHosts are the live hosts of its hall,
  * this one included.
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -109,7 +109,7 @@
 void gsTableSync::OnStalled()
 {
   for (gsTableWatch* watch : { this->Routes.get(), this->Upstreams.get() }) {
-    watch->Resume(false);
+    watch->Resume({});
     watch->Refresh("stalled");
   }
   this->Duty.State = gsWatchState::Uncovered;
@@ -251,7 +251,7 @@
     if (state != before && state == gsWatchState::Covered) {
       watch->Pause();
     } else if (state != gsWatchState::Covered) {
-      watch->Resume(state == gsWatchState::Assigned);
+      watch->Resume(gsDutyFreshAt(this->Duty));
     }
   }
   if (state != gsWatchState::Covered && now - this->LastBeat >= BeatPeriod) {
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -51,11 +51,11 @@
   }
 }
 
-void gsTableWatch::Resume(bool keptUp)
+void gsTableWatch::Resume(gsTime keptUp)
 {
   if (this->Paused) {
     this->Paused = false;
-    this->KeptUp = keptUp ? gsLoop::Now() : this->KeptUp;
+    this->KeptUp = std::max(this->KeptUp, keptUp);
     this->Refresh("resumed");
   }
 }
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -69,11 +69,10 @@
   /** Stops watching; the copy stays, and is kept up by Learn. */
   void Pause();
   /**
-   * Watches, after a read of the whole table. Until now the copy was kept up
-   * by other hosts, or else nothing was heard of the platform since its last
-   * answer.
+   * Watches, after a read of the whole table. Other hosts have kept the copy
+   * up until the given time; zero if none has.
    */
-  void Resume(bool keptUp);
+  void Resume(gsTime keptUp);
   /** Reads the table once while watching is paused, unless a read is under
    * way. */
   void ReadOnce();
--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -175,7 +175,7 @@
   void Begin()
   {
     this->Watch->Start();
-    this->Watch->Resume(true);
+    this->Watch->Resume(gsLoop::Now());
   }
 
   std::string Value(std::string const& key) const
@@ -299,6 +299,20 @@
   EXPECT_EQ(this->Value("a"), "2");
 }
 
+// A host that other hosts had kept up took the time since its own last read
+// for a silence of the platform, and held a removal back beyond the bound.
+TEST_F(TableWatch, AHostThatOthersKeptUpHoldsNoRemovalBack)
+{
+  this->Platform.Put("a", "MQ==");
+  this->Begin();
+  ASSERT_TRUE(this->Becomes("a", "1"));
+  this->Watch->Pause();
+  this->Bench.RunFor(0.8);
+  this->Platform.Remove("a");
+  this->Watch->Resume(gsLoop::Now() - gsMilliseconds(100));
+  EXPECT_TRUE(this->Becomes("a", "none", 0.2));
+}
+
 TEST_F(TableWatch, AShortSilenceHoldsNoRemovalBack)
 {
   this->Platform.Put("a", "MQ==");
--- a/Tests/Unit/gsTestWatchDuty.cxx
+++ b/Tests/Unit/gsTestWatchDuty.cxx
@@ -200,3 +200,12 @@
   }
   EXPECT_EQ(assigned, 20);
 }
+
+TEST(WatchDuty, TellsWhenTablesWereLastUpToDate)
+{
+  gsWatchDuty duty;
+  EXPECT_EQ(gsDutyFreshAt(duty), gsTime{});
+  gsDutyHear(duty, "a", gsMilliseconds(300), Begin);
+  gsDutyHear(duty, "b", gsMilliseconds(2000), Begin + gsSeconds(1));
+  EXPECT_EQ(gsDutyFreshAt(duty), Begin - gsMilliseconds(300));
+}
