Routing: Divide engines also for services that the deciding host was not asked for

The host that decides knew demand only of services that requests had come to it for; with none of them it never divided that service's engines, for all hosts. And the time of day since the epoch was written twice, in both nodes.

Ruled out: letting only hosts with demand decide; hosts would not agree on who decides.

Change: what other hosts were asked for makes a service's demand known; a prompt is called long only once the length of tight ones has been seen. The time of day stands in gsLoop.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -472,6 +472,21 @@
   demand.TightPrompt += step * (ask.PromptTokens - demand.TightPrompt);
 }
 
+void gsNoteOthersDemand(gsFleet& fleet, std::string const& service,
+                        gsServiceDemand const& others, gsTime now)
+{
+  bool none = others.Long == 0 && others.Tight == 0;
+  if (none && fleet.Demand.count(service) == 0) {
+    return;
+  }
+  gsDemand& demand = fleet.Demand[service];
+  demand.OthersLong = others.Long;
+  demand.OthersTight = others.Tight;
+  if (!none && demand.Since.count() == 0) {
+    demand.Since = now;
+  }
+}
+
 gsFleetGroup gsGroupOf(gsFleet const& fleet, gsPlacementAsk const& ask)
 {
   if (ask.PromptTokens == 0) {
@@ -482,7 +497,7 @@
   }
   auto demand = fleet.Demand.find(std::string(ask.Service));
   bool isLong =
-    demand != fleet.Demand.end() &&
+    demand != fleet.Demand.end() && demand->second.TightPrompt > 0 &&
     ask.PromptTokens > fleet.Settings.LongFactor * demand->second.TightPrompt;
   return isLong ? gsFleetGroup::Long : gsFleetGroup::Tight;
 }
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -76,7 +76,7 @@
    */
   double HoldLong = 0;
   double HoldTight = 0;
-  gsTime Since{};     ///< Of the first request; zero before it.
+  gsTime Since{};     ///< Of the first request of any host; zero before.
   gsTime DecidedAt{}; ///< When this host last decided how to divide engines.
 };
 
@@ -235,6 +235,10 @@
 /** Counts a new request towards the sizes of the groups. */
 void gsNoteDemand(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now);
 
+/** Takes in what all other hosts were asked for, by their last word. */
+void gsNoteOthersDemand(gsFleet& fleet, std::string const& service,
+                        gsServiceDemand const& others, gsTime now);
+
 /** The group that a request belongs to. */
 gsFleetGroup gsGroupOf(gsFleet const& fleet, gsPlacementAsk const& ask);
 
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -139,12 +139,9 @@
       row.OthersPace = known.PaceMicros / MicrosPerMilli;
     }
   }
-  for (auto& [service, demand] : this->Fleet.Demand) {
-    gsServiceDemand const& known = others.Services[ServiceHash(service)];
-    demand.OthersLong = known.Long;
-    demand.OthersTight = known.Tight;
-  }
   for (auto const& [service, rows] : this->Fleet.ByService) {
+    gsNoteOthersDemand(this->Fleet, service,
+                       others.Services[ServiceHash(service)], now);
     auto decided = others.Arrangements.find(ServiceHash(service));
     if (decided != others.Arrangements.end() &&
         gsAdoptArrangement(this->Fleet, service, decided->second)) {
--- a/Source/Daemon/gsNode.cxx
+++ b/Source/Daemon/gsNode.cxx
@@ -23,13 +23,6 @@
 constexpr gsTime StopTick = gsMilliseconds(50);
 constexpr std::size_t BytesPerKib = 1024;
 
-std::uint64_t WallMicros()
-{
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 /** A number for request ids that no other incarnation has. */
 std::uint64_t HostNumber(std::string const& host, std::uint64_t incarnation)
 {
@@ -51,7 +44,7 @@
 gsNode::gsNode(gsLoop& loop, gsSettings settings)
   : Loop(loop)
   , Settings(std::move(settings))
-  , Incarnation(WallMicros())
+  , Incarnation(gsWallMicros())
   , Client(loop)
   , WatchTimer(loop, [this] { this->Watch(); })
   , ListTimer(loop, [this] { this->ListHosts(); })
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -21,13 +21,6 @@
 constexpr gsTime IdleMargin = gsSeconds(2);
 constexpr std::size_t BytesPerKib = 1024;
 
-std::uint64_t WallMicros()
-{
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 /** A number that changes whenever the file does; zero if there is none. */
 std::uint64_t StampOf(std::string const& path)
 {
@@ -62,7 +55,7 @@
   , SettingsPath(std::move(settingsPath))
   , SettingsStamp(StampOf(this->SettingsPath))
   , Adapter(std::move(adapter))
-  , Incarnation(WallMicros())
+  , Incarnation(gsWallMicros())
   , Client(loop)
   , Loads(this->Fleet, this->Settings)
   , TickTimer(loop, [this] { this->Tick(); })
--- a/Source/Io/gsLoop.cxx
+++ b/Source/Io/gsLoop.cxx
@@ -1,6 +1,8 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsLoop.h"
 
+#include <chrono>
+
 #include <utility>
 
 gsLoop::gsLoop()
@@ -96,6 +98,13 @@
   ev_idle_start(this->Loop, &this->Idle);
 }
 
+std::uint64_t gsWallMicros()
+{
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
 gsTimer::gsTimer(gsLoop& loop, gsLoop::Callback callback)
   : Loop(loop)
   , Fire(std::move(callback))
--- a/Source/Io/gsLoop.h
+++ b/Source/Io/gsLoop.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -58,6 +59,9 @@
   std::vector<Callback> Hooks;
 };
 
+/** Time of day since the epoch, microseconds; it may jump. */
+std::uint64_t gsWallMicros();
+
 /** A timer; stops when it is destroyed. */
 class gsTimer
 {
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -422,3 +422,19 @@
   EXPECT_EQ(gsOwnWork(home, later).Running, 0U);
   EXPECT_EQ(gsPlace(fleet, ask, later, random).Row, &home);
 }
+
+// The host that decides may itself not have been asked for a service.
+TEST(Fleet, AServiceThatOnlyOtherHostsWereAskedForIsDividedToo)
+{
+  gsFleet fleet = MakeFleet(8);
+  gsNoteOthersDemand(fleet, "model", {}, Now);
+  EXPECT_EQ(fleet.Demand.count("model"), 0U);
+  gsNoteOthersDemand(fleet, "model", { 50000, 50000 }, Now);
+  gsDecideArrangements(fleet, Now + gsSeconds(1));
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 4U);
+  // What a long prompt is stays open until a tight one was seen.
+  gsPlacementAsk ask = Plain();
+  ask.Tight = true;
+  ask.PromptTokens = 800;
+  EXPECT_EQ(gsGroupOf(fleet, ask), gsFleetGroup::Tight);
+}
