Tests: Keep the handling of processes in one place

Cause: gsTestSystem and gsRoutedSystem each held the same code for free addresses, links of the proxy, starting, logging and ending processes, and the failure tests had a second reader of log lines beside gsReadLogLine.

Ruled out: one class for both systems; what they are made of differs.

Change: gsTestProcesses (Tests/Processes) holds that code; tests read logs with gsReadLogLine. A field that a line lacks is now an empty text that the same assertions refuse, where it was an exception.

--- a/Tests/Failure/gsTestConfiguration.cxx
+++ b/Tests/Failure/gsTestConfiguration.cxx
@@ -33,7 +33,8 @@
   for (std::string const& host : system.HostNames()) {
     std::uint64_t last = 0;
     for (auto const& line : system.Log(host, "config_in_force")) {
-      std::uint64_t version = std::stoull(line.at("version"));
+      std::uint64_t version =
+        std::stoull(std::string(gsFieldOf(line, "version")));
       EXPECT_GE(version, last) << host;
       last = version;
     }
--- a/Tests/Failure/gsTestSystem.cxx
+++ b/Tests/Failure/gsTestSystem.cxx
@@ -4,16 +4,13 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
 #include <fstream>
+#include <optional>
 #include <stdexcept>
+#include <utility>
 
-#include <arpa/inet.h>
 #include <boost/process/args.hpp>
 #include <boost/process/io.hpp>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "gsSecret.h"
 
@@ -22,13 +19,6 @@
 constexpr char const* Token = "operators";
 constexpr gsTime CallTimeout = gsSeconds(60);
 
-std::string Program(std::string const& name)
-{
-  std::string build = GRADESCALE_BUILD_DIR;
-  bool standIn = name.compare(0, 9, "gsStandIn") == 0;
-  return build + (standIn ? "/Tests/StandIns/" : "/Source/") + name;
-}
-
 std::string HeaderOf(gsHeaders const& headers, std::string const& name)
 {
   for (auto const& [key, value] : headers) {
@@ -75,116 +65,38 @@
                      [](gsReplyPtr const& reply) { return reply->Done; });
 }
 
-std::map<std::string, std::string> gsParseLogLine(std::string const& line)
-{
-  std::map<std::string, std::string> fields;
-  std::size_t at = 0;
-  while (at < line.size()) {
-    std::size_t equals = line.find('=', at);
-    if (equals == std::string::npos) {
-      break;
-    }
-    std::string name = line.substr(at, equals - at);
-    std::string value;
-    std::size_t next = equals + 1;
-    bool quoted = next < line.size() && line[next] == '"';
-    if (quoted) {
-      for (++next; next < line.size() && line[next] != '"'; ++next) {
-        next += line[next] == '\\' ? 1 : 0;
-        value += line[next];
-      }
-      ++next;
-    } else {
-      std::size_t end = std::min(line.find(' ', next), line.size());
-      value = line.substr(next, end - next);
-      next = end;
-    }
-    fields[name] = value;
-    at = next + 1;
-  }
-  return fields;
-}
-
 gsTestSystem::gsTestSystem(gsTestPlan plan)
   : Plan(std::move(plan))
   , Client(std::make_unique<gsHttpClient>(this->Loop))
+  , Processes("gradescale-test")
 {
-  std::signal(SIGPIPE, SIG_IGN);
-  char directory[] = "/tmp/gradescale-test-XXXXXX";
-  this->Directory = mkdtemp(directory);
   this->AddPlatformAndUpstreams();
   this->AddHosts();
-  this->WriteLinks();
-  for (int socket : this->Held) {
-    close(socket);
-  }
-  for (auto const& [name, process] : this->Processes) {
-    this->Launch(name);
+  this->Processes.AddProxy();
+  this->Processes.ReleaseAddresses();
+  for (std::string const& name : this->Processes.Names()) {
+    this->Processes.Launch(name);
   }
   this->Configure();
 }
 
-gsTestSystem::~gsTestSystem()
-{
-  for (auto& [name, process] : this->Processes) {
-    if (process.Child.valid()) {
-      std::error_code ignored;
-      kill(process.Child.id(), SIGCONT);
-      process.Child.terminate(ignored);
-      process.Child.wait(ignored);
-    }
-  }
-  if (std::getenv("GRADESCALE_KEEP_LOGS") == nullptr) {
-    std::string command = "rm -rf " + this->Directory;
-    if (std::system(command.c_str()) != 0) {
-      std::perror("rm");
-    }
-  }
-}
-
-/** A free address; it stays reserved until the processes start. */
-std::string gsTestSystem::NewAddress()
-{
-  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  int on = 1;
-  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  socklen_t length = sizeof(address);
-  if (bind(descriptor, generic, length) != 0 ||
-      getsockname(descriptor, generic, &length) != 0) {
-    throw std::runtime_error("no free address");
-  }
-  this->Held.push_back(descriptor);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
-/** Adds a link of the proxy; the result is where to connect. */
-std::string gsTestSystem::Link(std::string const& name,
-                               std::string const& target)
-{
-  std::string address = this->NewAddress();
-  this->LinkTable[name] = { { "listen", address }, { "target", target } };
-  return address;
-}
+gsTestSystem::~gsTestSystem() = default;
 
 void gsTestSystem::AddPlatformAndUpstreams()
 {
-  Process& platform = this->Processes["platform"];
-  platform.Address = this->NewAddress();
-  platform.Arguments = { Program("gsStandInPlatform"), "--listen",
+  gsTestProcess& platform = this->Processes["platform"];
+  platform.Address = this->Processes.NewAddress();
+  platform.Arguments = { gsTestProgram("gsStandInPlatform"), "--listen",
                          platform.Address };
   for (std::string const& hall : this->Plan.Halls) {
     for (int i = 0; i < this->Plan.Engines + this->Plan.Plains; ++i) {
       bool engine = i < this->Plan.Engines;
       std::string name = hall + (engine ? "-engine" : "-plain") +
                          std::to_string(engine ? i : i - this->Plan.Engines);
-      Process& process = this->Processes[name];
-      process.Address = this->NewAddress();
+      gsTestProcess& process = this->Processes[name];
+      process.Address = this->Processes.NewAddress();
       process.Hall = hall;
-      process.Arguments = { Program("gsStandInUpstream"),
+      process.Arguments = { gsTestProgram("gsStandInUpstream"),
                             "--listen",
                             process.Address,
                             "--kind",
@@ -201,9 +113,10 @@
           { "hall", hall },
           { "service", engine ? "model" : "cards" },
           { "kind", engine ? "engine" : "plain" },
-          { "address", this->Plan.DirectUpstreams
-                         ? process.Address
-                         : this->Link("up:" + name, process.Address) },
+          { "address",
+            this->Plan.DirectUpstreams
+              ? process.Address
+              : this->Processes.Link("up:" + name, process.Address) },
           { "slots", this->Plan.Slots },
           { "max_slots", this->Plan.Slots } });
     }
@@ -220,11 +133,11 @@
       link += name;
       link += '>';
       link += other;
-      routes[address] = this->Link(link, address);
+      routes[address] = this->Processes.Link(link, address);
       seeds.push_back(address);
     }
   }
-  Process& process = this->Processes[name];
+  gsTestProcess& process = this->Processes[name];
   gsJson callers{ { "listen", process.Address } };
   callers.update(this->Plan.Callers);
   return { { "host", name },
@@ -239,8 +152,9 @@
                { "routes", routes } } },
            { "platform",
              { { "kind", "http" },
-               { "address", this->Link("platform:" + name,
-                                       this->Processes["platform"].Address) },
+               { "address",
+                 this->Processes.Link("platform:" + name,
+                                      this->Processes["platform"].Address) },
                { "timeout_ms", 500 } } },
            { "upstreams", { { "stall_timeout_ms", 2000 } } },
            { "queue", this->Plan.Queue },
@@ -253,45 +167,22 @@
     for (int i = 0; i < this->Plan.Hosts; ++i) {
       std::string name =
         hall + "-" + std::string(1, static_cast<char>('a' + i));
-      Process& process = this->Processes[name];
+      gsTestProcess& process = this->Processes[name];
       process.Hall = hall;
-      process.Address = this->NewAddress();
-      process.Operators = this->NewAddress();
-      this->PeerAddress[name] = this->NewAddress();
+      process.Address = this->Processes.NewAddress();
+      process.Operators = this->Processes.NewAddress();
+      this->PeerAddress[name] = this->Processes.NewAddress();
       this->Hosts.push_back(name);
     }
   }
   for (std::string const& name : this->Hosts) {
-    Process& process = this->Processes[name];
-    std::string file = this->Directory + "/" + name + ".json";
+    gsTestProcess& process = this->Processes[name];
+    std::string file = this->Processes.Folder() + "/" + name + ".json";
     std::ofstream(file) << this->Settings(process.Hall, name).dump(2);
-    process.Arguments = { Program("gradescaled"), "--settings", file };
+    process.Arguments = { gsTestProgram("gradescaled"), "--settings", file };
   }
 }
 
-void gsTestSystem::WriteLinks()
-{
-  std::string file = this->Directory + "/links.json";
-  Process& proxy = this->Processes["proxy"];
-  proxy.Address = this->NewAddress();
-  std::ofstream(file) << this->LinkTable.dump(2);
-  proxy.Arguments = { Program("gsStandInProxy"), "--listen", proxy.Address,
-                      "--links", file };
-}
-
-void gsTestSystem::Launch(std::string const& name)
-{
-  namespace bp = boost::process;
-  Process& process = this->Processes.at(name);
-  std::string log = this->Directory + "/" + name + "." +
-                    std::to_string(process.Starts++) + ".log";
-  std::vector<std::string> arguments(process.Arguments.begin() + 1,
-                                     process.Arguments.end());
-  process.Child =
-    bp::child(process.Arguments[0], bp::args(arguments),
-              (bp::std_out & bp::std_err) > log, bp::std_in < bp::null);
-}
-
 void gsTestSystem::Configure()
 {
   gsJson templates = gsJson::array();
@@ -401,7 +292,7 @@
   if (!request.Idempotency.empty()) {
     call.Headers.emplace_back("Idempotency-Key", request.Idempotency);
   }
-  std::string base = "http://" + this->Processes.at(request.Host).Address;
+  std::string base = "http://" + this->Processes.At(request.Host).Address;
   if (request.Service.empty()) {
     gsJson message{ { "role", "user" }, { "content", request.Content } };
     call.Url = base + "/v1/chat/completions";
@@ -436,7 +327,7 @@
 {
   gsCall call;
   call.Method = method;
-  call.Url = "http://" + this->Processes.at(host).Operators + path;
+  call.Url = "http://" + this->Processes.At(host).Operators + path;
   call.Headers = { { "Authorization", std::string("Bearer ") + Token } };
   call.Body = body.is_null() ? "" : body.dump();
   return this->Start(std::move(call));
@@ -491,7 +382,7 @@
 void gsTestSystem::Control(std::string const& process, gsJson const& body)
 {
   this->Fetch("POST",
-              "http://" + this->Processes.at(process).Address + "/control",
+              "http://" + this->Processes.At(process).Address + "/control",
               body);
 }
 
@@ -508,7 +399,7 @@
                                 std::string const& mode)
 {
   std::vector<std::string> names;
-  for (auto const& [name, row] : this->LinkTable.items()) {
+  for (auto const& [name, row] : this->Processes.Links().items()) {
     bool there = name.find("peer:" + one) == 0 &&
                  name.find(">" + other) != std::string::npos;
     bool back = name.find("peer:" + other) == 0 &&
@@ -523,14 +414,14 @@
 gsJson gsTestSystem::Account(std::string const& upstream)
 {
   return this->Fetch(
-    "GET", "http://" + this->Processes.at(upstream).Address + "/account",
+    "GET", "http://" + this->Processes.At(upstream).Address + "/account",
     {})["runs"];
 }
 
 int gsTestSystem::MostRunning(std::string const& upstream)
 {
   return this->Fetch(
-    "GET", "http://" + this->Processes.at(upstream).Address + "/account",
+    "GET", "http://" + this->Processes.At(upstream).Address + "/account",
     {})["most_running"];
 }
 
@@ -549,34 +440,33 @@
 void gsTestSystem::Kill(std::string const& process)
 {
   std::error_code ignored;
-  this->Processes.at(process).Child.terminate(ignored);
-  this->Processes.at(process).Child.wait(ignored);
+  this->Processes.At(process).Child.terminate(ignored);
+  this->Processes.At(process).Child.wait(ignored);
 }
 
 void gsTestSystem::Freeze(std::string const& process)
 {
-  kill(this->Processes.at(process).Child.id(), SIGSTOP);
+  this->Processes.Signal(process, SIGSTOP);
 }
 
 void gsTestSystem::Thaw(std::string const& process)
 {
-  kill(this->Processes.at(process).Child.id(), SIGCONT);
+  this->Processes.Signal(process, SIGCONT);
 }
 
 void gsTestSystem::Terminate(std::string const& process)
 {
-  kill(this->Processes.at(process).Child.id(), SIGTERM);
+  this->Processes.Signal(process, SIGTERM);
 }
 
 bool gsTestSystem::Running(std::string const& process)
 {
-  std::error_code ignored;
-  return this->Processes.at(process).Child.running(ignored);
+  return this->Processes.Running(process);
 }
 
 void gsTestSystem::Restart(std::string const& process)
 {
-  this->Launch(process);
+  this->Processes.Launch(process);
 }
 
 void gsTestSystem::WaitReady(std::string const& host, double seconds)
@@ -589,7 +479,7 @@
       }
       if (!reply || reply->Done) {
         gsCall call;
-        call.Url = "http://" + this->Processes.at(host).Address + "/readyz";
+        call.Url = "http://" + this->Processes.At(host).Address + "/readyz";
         reply = this->Start(std::move(call));
       }
       return false;
@@ -629,12 +519,12 @@
 
 std::string gsTestSystem::CallersAddress(std::string const& host) const
 {
-  return this->Processes.at(host).Address;
+  return this->Processes.At(host).Address;
 }
 
 std::string gsTestSystem::OperatorsAddress(std::string const& host) const
 {
-  return this->Processes.at(host).Operators;
+  return this->Processes.At(host).Operators;
 }
 
 std::string gsTestSystem::PeersAddress(std::string const& host) const
@@ -646,9 +536,9 @@
   std::vector<std::string> arguments)
 {
   namespace bp = boost::process;
-  std::string file = this->Directory + "/tool.out";
+  std::string file = this->Processes.Folder() + "/tool.out";
   std::remove(file.c_str());
-  bp::child child(Program("gradescale"), bp::args(arguments),
+  bp::child child(gsTestProgram("gradescale"), bp::args(arguments),
                   (bp::std_out & bp::std_err) > file, bp::std_in < bp::null);
   child.wait();
   std::ifstream stream(file);
@@ -675,7 +565,7 @@
 {
   std::vector<std::string> hosts;
   for (std::string const& host : this->Hosts) {
-    if (this->Processes.at(host).Hall == hall) {
+    if (this->Processes.At(host).Hall == hall) {
       hosts.push_back(host);
     }
   }
@@ -687,19 +577,19 @@
   return this->Upstreams;
 }
 
-std::vector<std::map<std::string, std::string>> gsTestSystem::Log(
-  std::string const& process, std::string const& event) const
+std::vector<gsLogRecord> gsTestSystem::Log(std::string const& process,
+                                           std::string const& event) const
 {
-  std::vector<std::map<std::string, std::string>> lines;
-  for (int start = 0; start < this->Processes.at(process).Starts; ++start) {
-    std::ifstream file(this->Directory + "/" + process + "." +
-                       std::to_string(start) + ".log");
+  std::vector<gsLogRecord> records;
+  for (std::string const& log : this->Processes.LogsOf(process)) {
+    std::ifstream file(log);
     std::string line;
     while (std::getline(file, line)) {
-      if (line.find(" event=" + event + " ") != std::string::npos) {
-        lines.push_back(gsParseLogLine(line));
+      std::optional<gsLogRecord> record = gsReadLogLine(line);
+      if (record && record->Event == event) {
+        records.push_back(std::move(*record));
       }
     }
   }
-  return lines;
+  return records;
 }
--- a/Tests/Failure/gsTestSystem.h
+++ b/Tests/Failure/gsTestSystem.h
@@ -13,13 +13,10 @@
 #include <string>
 #include <vector>
 
-#include <boost/process/child.hpp>
-#include <nlohmann/json.hpp>
-
 #include "gsHttpClient.h"
+#include "gsLogRecord.h"
 #include "gsLoop.h"
-
-using gsJson = nlohmann::json;
+#include "gsTestProcesses.h"
 
 /** What the system is made of. */
 struct gsTestPlan
@@ -155,44 +152,24 @@
   std::vector<std::string> HostsOf(std::string const& hall) const;
   std::vector<std::string> UpstreamNames() const;
   /** Lines of a process's log with this event. */
-  std::vector<std::map<std::string, std::string>> Log(
-    std::string const& process, std::string const& event) const;
+  std::vector<gsLogRecord> Log(std::string const& process,
+                               std::string const& event) const;
 
 private:
-  struct Process
-  {
-    std::vector<std::string> Arguments;
-    boost::process::child Child;
-    std::string Address; ///< Of control, account or callers.
-    std::string Operators;
-    std::string Hall;
-    int Starts = 0;
-  };
-
   void AddPlatformAndUpstreams();
   void AddHosts();
-  void WriteLinks();
   void Configure();
-  void Launch(std::string const& name);
-  std::string NewAddress();
-  std::string Link(std::string const& name, std::string const& target);
   gsJson Settings(std::string const& hall, std::string const& name);
   gsReplyPtr Start(gsCall call);
   gsJson Fetch(std::string const& method, std::string const& url,
                gsJson const& body);
 
   gsTestPlan Plan;
-  std::string Directory;
   gsLoop Loop;
   std::unique_ptr<gsHttpClient> Client;
-  std::map<std::string, Process> Processes;
+  gsTestProcesses Processes; ///< Ended before the rest goes.
   std::vector<std::string> Hosts;
   std::vector<std::string> Upstreams;
   gsJson UpstreamRows = gsJson::array();
-  gsJson LinkTable = gsJson::object();
   std::map<std::string, std::string> PeerAddress;
-  std::vector<int> Held; ///< Sockets that keep addresses free until used.
 };
-
-/** The names of a log line's fields and their values. */
-std::map<std::string, std::string> gsParseLogLine(std::string const& line);
--- a/Tests/Failure/gsTestTiers.cxx
+++ b/Tests/Failure/gsTestTiers.cxx
@@ -16,11 +16,12 @@
   for (std::string const& host : system.HostNames()) {
     for (auto const& line : system.Log(host, "refuse")) {
       ++refusals;
-      std::string const& cause = line.at("cause");
+      std::string_view cause = gsFieldOf(line, "cause");
       if (cause == "expired") {
-        EXPECT_EQ(line.at("lower_granted"), "0") << host;
+        EXPECT_EQ(gsFieldOf(line, "lower_granted"), "0") << host;
       } else if (cause != "no_upstream") {
-        EXPECT_EQ(line.at("lower_waiting"), "0") << host << " " << cause;
+        EXPECT_EQ(gsFieldOf(line, "lower_waiting"), "0")
+          << host << " " << cause;
       }
     }
   }
--- /dev/null
+++ b/Tests/Processes/gsTestProcesses.cxx
@@ -0,0 +1,142 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsTestProcesses.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <boost/process/args.hpp>
+#include <boost/process/io.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+std::string gsTestProgram(std::string const& name)
+{
+  std::string build = GRADESCALE_BUILD_DIR;
+  bool standIn = name.rfind("gsStandIn", 0) == 0;
+  return build + (standIn ? "/Tests/StandIns/" : "/Source/") + name;
+}
+
+gsTestProcesses::gsTestProcesses(std::string const& prefix)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string folder = "/tmp/" + prefix + "-XXXXXX";
+  if (mkdtemp(folder.data()) == nullptr) {
+    throw std::runtime_error("no temporary folder");
+  }
+  this->Directory = folder;
+}
+
+gsTestProcesses::~gsTestProcesses()
+{
+  for (auto& [name, process] : this->Table) {
+    if (process.Child.valid()) {
+      std::error_code ignored;
+      kill(process.Child.id(), SIGCONT);
+      process.Child.terminate(ignored);
+      process.Child.wait(ignored);
+    }
+  }
+  this->ReleaseAddresses();
+  if (std::getenv("GRADESCALE_KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(this->Directory, ignored);
+  }
+}
+
+std::string gsTestProcesses::NewAddress()
+{
+  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  socklen_t length = sizeof(address);
+  if (bind(descriptor, generic, length) != 0 ||
+      getsockname(descriptor, generic, &length) != 0) {
+    throw std::runtime_error("no free address");
+  }
+  this->Held.push_back(descriptor);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+void gsTestProcesses::ReleaseAddresses()
+{
+  for (int descriptor : this->Held) {
+    close(descriptor);
+  }
+  this->Held.clear();
+}
+
+std::string gsTestProcesses::Link(std::string const& name,
+                                  std::string const& target)
+{
+  std::string address = this->NewAddress();
+  this->LinkTable[name] = { { "listen", address }, { "target", target } };
+  return address;
+}
+
+void gsTestProcesses::AddProxy()
+{
+  std::string file = this->Directory + "/links.json";
+  std::ofstream(file) << this->LinkTable.dump(2);
+  gsTestProcess& proxy = this->Table["proxy"];
+  proxy.Address = this->NewAddress();
+  proxy.Arguments = { gsTestProgram("gsStandInProxy"), "--listen",
+                      proxy.Address, "--links", file };
+}
+
+std::vector<std::string> gsTestProcesses::Names() const
+{
+  std::vector<std::string> names;
+  names.reserve(this->Table.size());
+  for (auto const& [name, process] : this->Table) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::string gsTestProcesses::LogOf(std::string const& name, int start) const
+{
+  std::string file = this->Directory;
+  file.append("/").append(name).append(".");
+  return file.append(std::to_string(start)).append(".log");
+}
+
+std::vector<std::string> gsTestProcesses::LogsOf(std::string const& name) const
+{
+  std::vector<std::string> logs;
+  for (int start = 0; start < this->At(name).Starts; ++start) {
+    logs.push_back(this->LogOf(name, start));
+  }
+  return logs;
+}
+
+void gsTestProcesses::Launch(std::string const& name)
+{
+  namespace bp = boost::process;
+  gsTestProcess& process = this->Table.at(name);
+  std::string log = this->LogOf(name, process.Starts++);
+  std::vector<std::string> arguments(process.Arguments.begin() + 1,
+                                     process.Arguments.end());
+  process.Child =
+    bp::child(process.Arguments[0], bp::args(arguments),
+              (bp::std_out & bp::std_err) > log, bp::std_in < bp::null);
+}
+
+void gsTestProcesses::Signal(std::string const& name, int signal)
+{
+  kill(this->Table.at(name).Child.id(), signal);
+}
+
+bool gsTestProcesses::Running(std::string const& name)
+{
+  std::error_code ignored;
+  return this->Table.at(name).Child.running(ignored);
+}
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -1,32 +1,15 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsRoutedSystem.h"
 
-#include <csignal>
-#include <cstdio>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
 
-#include <arpa/inet.h>
-#include <boost/process/args.hpp>
-#include <boost/process/io.hpp>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 namespace {
 
 constexpr gsTime CallTimeout = gsSeconds(30);
 constexpr gsTime RouteTimeout = gsSeconds(6);
 
-std::string Program(std::string const& name)
-{
-  std::string build = GRADESCALE_BUILD_DIR;
-  bool standIn = name.compare(0, 9, "gsStandIn") == 0;
-  return build + (standIn ? "/Tests/StandIns/" : "/Source/") + name;
-}
-
 gsJson RouteJson(std::string const& name, std::string const& kind,
                  int attempts)
 {
@@ -48,50 +31,16 @@
 gsRoutedSystem::gsRoutedSystem(gsRoutedPlan plan)
   : Plan(plan)
   , Client(std::make_unique<gsHttpClient>(Loop))
+  , Processes("gradescale-routed")
 {
-  std::signal(SIGPIPE, SIG_IGN);
-  char folder[] = "/tmp/gradescale-routed-XXXXXX";
-  if (mkdtemp(folder) == nullptr) {
-    throw std::runtime_error("no temporary folder");
-  }
-  this->Folder = folder;
-  Process& store = this->Processes["store"];
-  store.Address = this->NewAddress();
-  store.Arguments = { Program("gsStandInStore"), "--listen", store.Address };
-  for (int i = 0; i < plan.Runners; ++i) {
-    std::string name = "runner" + std::to_string(i);
-    Process& runner = this->Processes[name];
-    runner.Address = this->NewAddress();
-    this->RunnerLinks[name] = this->Link("up:" + name, runner.Address);
-    this->RunnerNames.push_back(name);
-  }
-  for (int i = 0; i < plan.Hosts; ++i) {
-    std::string name = "host" + std::to_string(i);
-    Process& host = this->Processes[name];
-    host.Address = this->NewAddress();
-    host.Operators = this->NewAddress();
-    this->PeerAddress[name] = this->NewAddress();
-    this->HostNames.push_back(name);
-  }
-  for (std::string const& name : this->HostNames) {
-    std::string file = this->Folder + "/" + name + ".json";
-    std::ofstream(file) << this->Settings(name).dump(2);
-    this->Processes[name].Arguments = { Program("gradescaled"), "--settings",
-                                        file };
-  }
-  Process& proxy = this->Processes["proxy"];
-  proxy.Address = this->NewAddress();
-  std::string links = this->Folder + "/links.json";
-  std::ofstream(links) << this->LinkTable.dump(2);
-  proxy.Arguments = { Program("gsStandInProxy"), "--listen", proxy.Address,
-                      "--links", links };
-  for (int descriptor : this->Held) {
-    close(descriptor);
-  }
-  this->Launch("proxy");
-  this->Launch("store");
+  this->AddProcesses();
+  this->Processes.AddProxy();
+  this->Processes.ReleaseAddresses();
+  this->Processes.Launch("proxy");
+  this->Processes.Launch("store");
   this->RunUntil([&] {
-    return this->Fetch("POST", "http://" + store.Address + "/control",
+    std::string store = this->Processes.At("store").Address;
+    return this->Fetch("POST", "http://" + store + "/control",
                        { { "mode", "pass" } }) == 200;
   });
   this->Configure({ "key-one", "key-two" });
@@ -99,80 +48,75 @@
     this->Restart(name);
   }
   for (std::string const& name : this->HostNames) {
-    this->Launch(name);
+    this->Processes.Launch(name);
   }
   for (std::string const& name : this->HostNames) {
     this->WaitReady(name);
   }
 }
 
-gsRoutedSystem::~gsRoutedSystem()
+gsRoutedSystem::~gsRoutedSystem() = default;
+
+void gsRoutedSystem::AddProcesses()
 {
-  for (auto& [name, process] : this->Processes) {
-    if (process.Child.valid()) {
-      std::error_code ignored;
-      kill(process.Child.id(), SIGCONT);
-      process.Child.terminate(ignored);
-      process.Child.wait(ignored);
-    }
+  gsTestProcess& store = this->Processes["store"];
+  store.Address = this->Processes.NewAddress();
+  store.Arguments = { gsTestProgram("gsStandInStore"), "--listen",
+                      store.Address };
+  for (int i = 0; i < this->Plan.Runners; ++i) {
+    std::string name = "runner" + std::to_string(i);
+    gsTestProcess& runner = this->Processes[name];
+    runner.Address = this->Processes.NewAddress();
+    runner.Hall = this->HallOf(i);
+    this->RunnerLinks[name] =
+      this->Processes.Link("up:" + name, runner.Address);
+    this->RunnerNames.push_back(name);
   }
-  if (std::getenv("GRADESCALE_KEEP_LOGS") == nullptr) {
-    std::error_code ignored;
-    std::filesystem::remove_all(this->Folder, ignored);
+  for (int i = 0; i < this->Plan.Hosts; ++i) {
+    std::string name = "host" + std::to_string(i);
+    gsTestProcess& host = this->Processes[name];
+    host.Address = this->Processes.NewAddress();
+    host.Operators = this->Processes.NewAddress();
+    host.Hall = this->HallOf(i);
+    this->PeerAddress[name] = this->Processes.NewAddress();
+    this->HostNames.push_back(name);
   }
-}
-
-/** A free address; it stays reserved until the processes start. */
-std::string gsRoutedSystem::NewAddress()
-{
-  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  int on = 1;
-  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  socklen_t length = sizeof(address);
-  if (bind(descriptor, generic, length) != 0 ||
-      getsockname(descriptor, generic, &length) != 0) {
-    throw std::runtime_error("no free address");
+  for (std::string const& name : this->HostNames) {
+    std::string file = this->SettingsFile(name);
+    std::ofstream(file) << this->Settings(name).dump(2);
+    this->Processes[name].Arguments = { gsTestProgram("gradescaled"),
+                                        "--settings", file };
   }
-  this->Held.push_back(descriptor);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
-/** By the number at the end of the process's name. */
-std::string gsRoutedSystem::HallOf(std::string const& process) const
+std::string gsRoutedSystem::SettingsFile(std::string const& host) const
 {
-  std::size_t digit = process.find_first_of("0123456789");
-  int number = std::stoi(process.substr(digit)) % this->Plan.Halls;
-  return number == 0 ? "north" : "south" + std::to_string(number);
+  return this->Processes.Folder() + "/" + host + ".json";
 }
 
-std::string gsRoutedSystem::Link(std::string const& name,
-                                 std::string const& target)
+/** Of the host or runner with this number. */
+std::string gsRoutedSystem::HallOf(int number) const
 {
-  std::string address = this->NewAddress();
-  this->LinkTable[name] = { { "listen", address }, { "target", target } };
-  return address;
+  int hall = number % this->Plan.Halls;
+  return hall == 0 ? "north" : "south" + std::to_string(hall);
 }
 
 gsJson gsRoutedSystem::Settings(std::string const& host)
 {
+  gsTestProcess const& process = this->Processes.At(host);
   gsJson routes = gsJson::object();
   gsJson seeds = gsJson::array();
   for (auto const& [other, address] : this->PeerAddress) {
     if (other != host) {
       std::string link = "peer:";
       link.append(host).append(">").append(other);
-      routes[address] = this->Link(link, address);
+      routes[address] = this->Processes.Link(link, address);
       seeds.push_back(address);
     }
   }
-  Process const& process = this->Processes[host];
   return {
     { "host", host },
-    { "hall", this->HallOf(host) },
+    { "hall", process.Hall },
     { "callers", { { "listen", process.Address } } },
     { "operators", { { "listen", process.Operators }, { "token", "none" } } },
     { "peers",
@@ -183,7 +127,8 @@
     { "platform",
       { { "kind", "table" },
         { "address",
-          this->Link("store:" + host, this->Processes["store"].Address) } } },
+          this->Processes.Link("store:" + host,
+                               this->Processes.At("store").Address) } } },
     { "upstreams", { { "connect_timeout_ms", 300 } } },
     { "routing", { { "watch_wait_ms", 1000 } } },
     { "stop",
@@ -191,19 +136,6 @@
   };
 }
 
-void gsRoutedSystem::Launch(std::string const& name)
-{
-  namespace bp = boost::process;
-  Process& process = this->Processes.at(name);
-  std::string log = this->Folder + "/" + name + "." +
-                    std::to_string(process.Starts++) + ".log";
-  std::vector<std::string> arguments(process.Arguments.begin() + 1,
-                                     process.Arguments.end());
-  process.Child =
-    bp::child(process.Arguments[0], bp::args(arguments),
-              (bp::std_out & bp::std_err) > log, bp::std_in < bp::null);
-}
-
 bool gsRoutedSystem::RunUntil(std::function<bool()> const& holds,
                               double seconds)
 {
@@ -258,7 +190,7 @@
   reply->Sent = gsLoop::Now();
   gsCall call;
   call.Method = route == "safe" ? "GET" : "POST";
-  call.Url = "http://" + this->Processes.at(host).Address + "/" + route + "/x";
+  call.Url = "http://" + this->Processes.At(host).Address + "/" + route + "/x";
   call.Body = route == "safe" ? "" : "body of " + reply->Id;
   call.TotalTimeout = CallTimeout;
   call.Reuse = this->Plan.KeepConnections;
@@ -316,7 +248,7 @@
                 { "services", { { { "name", "model" } } } },
                 { "tenants",
                   { { { "name", "club" }, { "api_keys", keys } } } } };
-  this->Fetch("POST", "http://" + this->Processes.at("store").Address + "/put",
+  this->Fetch("POST", "http://" + this->Processes.At("store").Address + "/put",
               { { "table", "op" }, { "key", "config" }, { "value", value } });
 }
 
@@ -324,10 +256,10 @@
 {
   gsJson value{ { "service", "model" },
                 { "address", this->RunnerLinks.at(runner) },
-                { "zone", this->HallOf(runner) },
+                { "zone", this->Processes.At(runner).Hall },
                 { "capacity_slots", 32 },
                 { "state", leaving ? "draining" : "ready" } };
-  this->Fetch("POST", "http://" + this->Processes.at("store").Address + "/put",
+  this->Fetch("POST", "http://" + this->Processes.At("store").Address + "/put",
               { { "table", "servers" },
                 { "key", this->RunnerIds.at(runner) },
                 { "value", value } });
@@ -336,14 +268,14 @@
 void gsRoutedSystem::Unlist(std::string const& runner)
 {
   this->Fetch(
-    "POST", "http://" + this->Processes.at("store").Address + "/remove",
+    "POST", "http://" + this->Processes.At("store").Address + "/remove",
     { { "table", "servers" }, { "key", this->RunnerIds.at(runner) } });
 }
 
 void gsRoutedSystem::Control(std::string const& process, gsJson const& body)
 {
   this->Fetch("POST",
-              "http://" + this->Processes.at(process).Address + "/control",
+              "http://" + this->Processes.At(process).Address + "/control",
               body);
 }
 
@@ -357,7 +289,7 @@
 
 void gsRoutedSystem::ChangeSettings(std::string const& host, int retryBurst)
 {
-  std::string file = this->Folder + "/" + host + ".json";
+  std::string file = this->SettingsFile(host);
   std::ifstream old(file);
   gsJson settings = gsJson::parse(old);
   settings["retry"] = { { "burst", retryBurst } };
@@ -368,18 +300,17 @@
 
 void gsRoutedSystem::Signal(std::string const& process, int signal)
 {
-  kill(this->Processes.at(process).Child.id(), signal);
+  this->Processes.Signal(process, signal);
 }
 
 bool gsRoutedSystem::Running(std::string const& process)
 {
-  std::error_code ignored;
-  return this->Processes.at(process).Child.running(ignored);
+  return this->Processes.Running(process);
 }
 
 void gsRoutedSystem::Restart(std::string const& process)
 {
-  Process& entry = this->Processes.at(process);
+  gsTestProcess& entry = this->Processes.At(process);
   if (entry.Child.valid()) {
     entry.Child.wait();
   }
@@ -389,7 +320,7 @@
       this->Unlist(process);
     }
     this->RunnerIds[process] = process + "-" + std::to_string(entry.Starts);
-    entry.Arguments = { Program("gsStandInRunner"),
+    entry.Arguments = { gsTestProgram("gsStandInRunner"),
                         "--listen",
                         entry.Address,
                         "--id",
@@ -401,7 +332,7 @@
                         "--work-ms",
                         std::to_string(this->Plan.WorkMs) };
   }
-  this->Launch(process);
+  this->Processes.Launch(process);
   if (runner) {
     this->RunUntil([&] {
       return this->Fetch("POST", "http://" + entry.Address + "/control",
@@ -414,7 +345,7 @@
 bool gsRoutedSystem::Ready(std::string const& host)
 {
   return this->Fetch(
-           "GET", "http://" + this->Processes.at(host).Operators + "/readyz",
+           "GET", "http://" + this->Processes.At(host).Operators + "/readyz",
            {}) == 200;
 }
 
@@ -429,14 +360,12 @@
 {
   std::vector<gsRoutedRun> runs;
   for (std::string const& runner : this->RunnerNames) {
-    for (int start = 0; start < this->Processes.at(runner).Starts; ++start) {
-      std::string number = std::to_string(start);
-      std::string file = this->Folder;
-      file.append("/").append(runner).append(".").append(number);
-      std::ifstream log(file.append(".log"));
+    int start = 0;
+    for (std::string const& file : this->Processes.LogsOf(runner)) {
+      std::ifstream log(file);
       std::string word;
       gsRoutedRun run;
-      run.Runner.append(runner).append("-").append(number);
+      run.Runner.append(runner).append("-").append(std::to_string(start++));
       std::int64_t micros = 0;
       while (log >> word >> run.Request >> micros) {
         run.At = gsTime(micros);
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -15,13 +15,9 @@
 #include <string>
 #include <vector>
 
-#include <boost/process/child.hpp>
-#include <nlohmann/json.hpp>
-
 #include "gsHttpClient.h"
 #include "gsLoop.h"
-
-using gsJson = nlohmann::json;
+#include "gsTestProcesses.h"
 
 /** What the system is made of. */
 struct gsRoutedPlan
@@ -125,38 +121,24 @@
   std::size_t RunsOf(std::string const& runner) const;
   /** What the caller of a whole answer should have got. */
   std::string Expected(gsRoutedReply const& reply) const;
-  std::string const& Directory() const { return this->Folder; }
 
 private:
-  struct Process
-  {
-    std::vector<std::string> Arguments;
-    boost::process::child Child;
-    std::string Address;
-    std::string Operators;
-    int Starts = 0;
-  };
-
-  std::string NewAddress();
-  std::string HallOf(std::string const& process) const;
-  std::string Link(std::string const& name, std::string const& target);
-  void Launch(std::string const& name);
+  void AddProcesses();
+  std::string SettingsFile(std::string const& host) const;
+  std::string HallOf(int number) const;
   gsJson Settings(std::string const& host);
   unsigned Fetch(std::string const& method, std::string const& url,
                  gsJson const& body);
 
   gsRoutedPlan Plan;
-  std::string Folder;
   gsLoop Loop;
   std::unique_ptr<gsHttpClient> Client;
-  std::map<std::string, Process> Processes;
+  gsTestProcesses Processes; ///< Ended before the rest goes.
   std::vector<std::string> HostNames;
   std::vector<std::string> RunnerNames;
   std::map<std::string, std::string> RunnerLinks; ///< Address for the rows.
   std::map<std::string, std::string> RunnerIds;   ///< Of the incarnation.
   std::map<std::string, std::string> PeerAddress;
-  gsJson LinkTable = gsJson::object();
-  std::vector<int> Held; ///< Sockets that keep addresses free until used.
   std::uint64_t ConfigVersion = 0;
   std::uint64_t NextId = 1;
 };
