Coordination: Take only unanswered calls for a silence of the platform

A host is uncovered when its watchers' tables are older than 2.9 s, which was just the time after which a silence counted; and hosts that had not asked since their start counted that as one.

Ruled out: a longer time after which a silence counts; it would let go of rows that lapsed in outages of 4 s.

Change: rows have time to return only if calls had no answer, counted from the latest time at which any host of the hall was up to date.

--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -225,8 +225,8 @@
 void gsTableWatch::NoteAnswered()
 {
   gsTime now = gsLoop::Now();
-  bool wasAway =
-    this->KeptUp.count() != 0 && now - this->KeptUp > this->Settings.AwayAfter;
+  bool wasAway = this->Silent && this->KeptUp.count() != 0 &&
+                 now - this->KeptUp > this->Settings.AwayAfter;
   if (wasAway) {
     this->ReturnsUntil = now + this->Settings.ReturnPatience;
     this->Settled.Once(this->Settings.ReturnPatience);
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -43,9 +43,9 @@
   /** Removed rows are remembered so long, to be told to other hosts. */
   gsTime RemovedMemory = gsSeconds(60);
   /**
-   * After so long without an answer rows may have lapsed because the platform
-   * was away, though what they tell of lives. An answer that comes within its
-   * wait is no such silence.
+   * After calls without an answer, and so long since the copy was last known
+   * to be up to date, rows may have lapsed because the platform was away,
+   * though what they tell of lives. Time in which nobody asked is no silence.
    */
   gsTime AwayAfter = gsMilliseconds(2900);
   /** Such rows have so long after the platform's return to come back. */
@@ -138,6 +138,6 @@
   gsTime ReturnsUntil{}; ///< No removal is taken from the platform until then.
   gsTime Delay{};
   bool Filled = false;
-  bool Silent = false; ///< The loss has been logged.
+  bool Silent = false; ///< Calls have had no answer since the last one.
   bool Paused = false; ///< Reads are not followed by a watch.
 };
--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -299,9 +299,10 @@
   EXPECT_EQ(this->Value("a"), "2");
 }
 
-// A host that other hosts had kept up took the time since its own last read
-// for a silence of the platform, and held a removal back beyond the bound.
-TEST_F(TableWatch, AHostThatOthersKeptUpHoldsNoRemovalBack)
+// A host that had not watched, as others did, took the time since its own last
+// read for a silence of the platform, and held a removal back beyond the
+// bound.
+TEST_F(TableWatch, TimeInWhichAHostDidNotAskIsNoSilence)
 {
   this->Platform.Put("a", "MQ==");
   this->Begin();
@@ -309,7 +310,23 @@
   this->Watch->Pause();
   this->Bench.RunFor(0.8);
   this->Platform.Remove("a");
-  this->Watch->Resume(gsLoop::Now() - gsMilliseconds(100));
+  this->Watch->Resume({});
+  EXPECT_TRUE(this->Becomes("a", "none", 0.2));
+}
+
+TEST_F(TableWatch, ASilenceBeginsWhereOtherHostsWereLastUpToDate)
+{
+  this->Platform.Put("a", "MQ==");
+  this->Begin();
+  ASSERT_TRUE(this->Becomes("a", "1"));
+  this->Watch->Pause();
+  this->Bench.RunFor(0.8);
+  this->Platform.Remove("a");
+  // Others had an answer a moment ago; its own first calls are turned away.
+  this->Platform.Busy = true;
+  this->Watch->Resume(gsLoop::Now());
+  this->Bench.RunFor(0.1);
+  this->Platform.Busy = false;
   EXPECT_TRUE(this->Becomes("a", "none", 0.2));
 }
 
