Routing: Give each subject an order of engines of its own

Change: an engine that is not a subject's home and holds nothing of it costs up to 100,000 tokens more, in an order of the subject's own, so what leaves one engine spreads over others, and the same subject goes to the same one.

Test: ASubjectStaysWhereItIsCachedUntilTheWaitCostsMore adds that cost to the wait from which on the subject leaves; it still checks both sides of it.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -370,6 +370,21 @@
   return settings.OtherGroupTokens + (holdsUp ? settings.HoldUpTokens : 0);
 }
 
+/** The place of an engine in a subject's own order of all but its home. */
+double SpreadCost(gsFleet const& fleet, gsFleetRow const& row,
+                  gsPlacementAsk const& ask, Choice const& choice, bool cached)
+{
+  bool isHome = &row == choice.Preferred;
+  if (choice.Preferred == nullptr || isHome || cached) {
+    return 0;
+  }
+  constexpr double most =
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  auto weight =
+    static_cast<double>(gsRendezvousWeight(row.Listed.Id, gsSubjectOf(ask)));
+  return fleet.Settings.SpreadTokens * (1 - weight / most);
+}
+
 /** What an engine costs whose memory would not do: it preempts others. */
 double FullCost(gsFleet const& fleet, gsFleetRow const& row,
                 gsPlacementAsk const& ask, gsTime now)
@@ -422,6 +437,7 @@
     cost += AgainCost(fleet, row, ask, choice, toRead) + tie(random);
     cost += FullCost(fleet, row, ask, now);
     cost += MissCost(fleet, row, ask, choice, toRead, now);
+    cost += SpreadCost(fleet, row, ask, choice, toRead < ask.PromptTokens);
     if (!InGroup(row, choice)) {
       cost += OtherGroupCost(fleet.Settings, choice);
     }
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -139,6 +139,12 @@
   double FullTokens = 5000;
   /** Cost of an answer that would surely begin beyond its target. */
   double MissTokens = 450000;
+  /**
+   * Engines that hold nothing of a subject cost up to so much, in an order of
+   * the subject's own. Without it all hosts send what leaves its engine to the
+   * one that their view, some tenths of a second old, shows as the emptiest.
+   */
+  double SpreadTokens = 100000;
   /** Share of an engine's memory that requests may take together. */
   double MemoryShare = 0.95;
   /** Demand is known well enough to divide engines by it after so long. */
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -114,6 +114,7 @@
   weight("full_tokens", placement.FullTokens);
   weight("miss_tokens", placement.MissTokens);
   weight("hold_up_tokens", placement.HoldUpTokens);
+  weight("spread_tokens", placement.SpreadTokens);
   placement.TargetShare =
     fields.Number("target_share", ShareRange, placement.TargetShare);
   placement.MemoryShare =
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -1,5 +1,6 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /** \file Choosing an upstream. */
+#include <map>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -139,9 +140,12 @@
   gsFleetFind(fleet, home)->Own.ReadTokens = 10000;
   parts[2].Name = 4; // Another request about the same subject.
   EXPECT_EQ(Chosen(fleet, ask), home);
-  // To read the shared parts again costs AgainWeight times their tokens.
+  // To read the shared parts again costs AgainWeight times their tokens, and
+  // an engine that holds none of them up to SpreadTokens.
   gsFleetFind(fleet, home)->Own.ReadTokens =
-    static_cast<std::uint64_t>(fleet.Settings.AgainWeight * 5500) + 10000;
+    static_cast<std::uint64_t>(fleet.Settings.AgainWeight * 5500 +
+                               fleet.Settings.SpreadTokens) +
+    10000;
   EXPECT_NE(Chosen(fleet, ask), home);
 }
 
@@ -438,3 +442,42 @@
   ask.PromptTokens = 800;
   EXPECT_EQ(gsGroupOf(fleet, ask), gsFleetGroup::Tight);
 }
+
+// Within 0.2 s, 28 hosts sent what left its engine to the one engine that all
+// of them saw half empty, and it turned the next ones away.
+TEST(Fleet, WhatLeavesItsEngineGoesToDifferentOnes)
+{
+  gsFleet fleet = MakeFleet(20);
+  gsPlacementAsk ask = Plain();
+  ask.PromptTokens = 628;
+  ask.TokenMillis = 0.015;
+  ask.TargetTokens = 250 / ask.TokenMillis;
+  gsRandom random(1);
+  for (gsFleetRow& row : fleet.Rows) {
+    gsNoteHold(fleet, row, gsMilliseconds(1200));
+    row.Others.Running = 5;
+    row.OthersAt = Now;
+  }
+  fleet.Rows[7].Others.Running = 0; // As it was, for all hosts.
+  std::map<std::string, int> chosen;
+  std::map<std::uint64_t, std::set<std::string>> homes;
+  for (std::uint64_t i = 0; i < 60; ++i) {
+    std::uint64_t subject = 100 + i % 30;
+    std::vector<gsPromptPart> parts{ { 1, 50 }, { subject, 148 }, { i, 430 } };
+    ask.Parts = &parts;
+    gsFleetRow& home = *gsPlace(fleet, ask, Now, random).Row;
+    gsTime full = home.FullUntil;
+    gsNoteTurnedAway(home, Now);
+    std::string next = gsPlace(fleet, ask, Now, random).Row->Listed.Id;
+    home.FullUntil = full;
+    ++chosen[next];
+    homes[subject].insert(next);
+  }
+  for (auto const& [id, times] : chosen) {
+    EXPECT_LE(times, 12) << id;
+  }
+  // One subject goes to the same one each time: its parts are read there.
+  for (auto const& [subject, ids] : homes) {
+    EXPECT_EQ(ids.size(), 1U) << subject;
+  }
+}
