--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -443,7 +443,7 @@
   EXPECT_EQ(gsGroupOf(fleet, ask), gsFleetGroup::Tight);
 }
 
-// Within 0.2 s, 28 hosts sent what left its engine to the one engine that all
+// Within 0.2 s, 21 hosts sent what left its engine to the one engine that all
 // of them saw half empty, and it turned the next ones away.
 TEST(Fleet, WhatLeavesItsEngineGoesToDifferentOnes)
 {
