--- a/Tests/Processes/gsTestProcesses.cxx
+++ b/Tests/Processes/gsTestProcesses.cxx
@@ -111,8 +111,10 @@
 
 std::vector<std::string> gsTestProcesses::LogsOf(std::string const& name) const
 {
+  int starts = this->At(name).Starts;
   std::vector<std::string> logs;
-  for (int start = 0; start < this->At(name).Starts; ++start) {
+  logs.reserve(static_cast<std::size_t>(starts));
+  for (int start = 0; start < starts; ++start) {
     logs.push_back(this->LogOf(name, start));
   }
   return logs;
