Routing: Let the border between groups of engines follow demand

Engines were divided only 3.4 s after the start, as a try before demand was known counted as a decision: 84 and 74 streams of the first two windows had too long pauses beside long prompts. Demand was halved in 10 s, so a burst of tight streams from 11 s to 16 s met 83 of 112 engines still held for long prompts, which had 320 of 1,000 slots in use, while 550 tight streams shared 29 engines (first event late: 181 and 270 in the worst window). An answer's token counted as four of a prompt whatever an engine's slots. And what left its engine went to any engine that held the parts which all subjects share, not to the next in its own order.

Change: the first division is made as soon as demand is known, the next ones after 0.25 s and 7 ms for each engine; slow engines are judged as rarely as before. Demand halves in 2 s. A token of an answer weighs as the step that an engine shares among its slots.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -20,7 +20,6 @@
 constexpr double BorderSlack = 1.2;
 /** and as a share of all. */
 constexpr double BorderSlackShare = 0.03;
-constexpr gsTime DemandHalfLife = gsSeconds(10);
 constexpr double PromptSmoothing = 0.05;
 constexpr double HoldSmoothing = 0.05;
 /** Expected first token, as a share of the target, from which on a miss is
@@ -52,6 +51,9 @@
 
 std::uint32_t SharedTokens(gsPlacementAsk const& ask)
 {
+  if (ask.Parts == nullptr) {
+    return 0;
+  }
   std::uint32_t tokens = 0;
   for (std::size_t i = 0; i + 1 < ask.Parts->size(); ++i) {
     tokens += (*ask.Parts)[i].Tokens;
@@ -372,10 +374,11 @@
 
 /** The place of an engine in a subject's own order of all but its home. */
 double SpreadCost(gsFleet const& fleet, gsFleetRow const& row,
-                  gsPlacementAsk const& ask, Choice const& choice, bool cached)
+                  gsPlacementAsk const& ask, Choice const& choice,
+                  bool holdsSubject)
 {
   bool isHome = &row == choice.Preferred;
-  if (choice.Preferred == nullptr || isHome || cached) {
+  if (choice.Preferred == nullptr || isHome || holdsSubject) {
     return 0;
   }
   constexpr double most =
@@ -437,7 +440,10 @@
     cost += AgainCost(fleet, row, ask, choice, toRead) + tie(random);
     cost += FullCost(fleet, row, ask, now);
     cost += MissCost(fleet, row, ask, choice, toRead, now);
-    cost += SpreadCost(fleet, row, ask, choice, toRead < ask.PromptTokens);
+    // All engines soon hold the parts that all subjects share; what counts is
+    // whether one holds the subject's own too.
+    bool holds = toRead + SharedTokens(ask) <= ask.PromptTokens;
+    cost += SpreadCost(fleet, row, ask, choice, holds);
     if (!InGroup(row, choice)) {
       cost += OtherGroupCost(fleet.Settings, choice);
     }
@@ -456,15 +462,26 @@
 
 namespace {
 
-void Decay(gsDemand& demand, gsTime now)
+void Decay(gsDemand& demand, gsTime halfLife, gsTime now)
 {
-  double halves = gsToSeconds(now - demand.At) / gsToSeconds(DemandHalfLife);
+  double halves = gsToSeconds(now - demand.At) / gsToSeconds(halfLife);
   double keep = std::exp2(-std::max(0.0, halves));
   demand.Long *= keep;
   demand.Tight *= keep;
   demand.At = now;
 }
 
+/** How long a request keeps one of the service's engines busy, in tokens. */
+double WorkOf(gsFleet const& fleet, gsPlacementAsk const& ask)
+{
+  auto rows = fleet.ByService.find(std::string(ask.Service));
+  bool none = rows == fleet.ByService.end() || rows->second.empty();
+  double slots =
+    none ? 1 : std::max(1U, fleet.Rows[rows->second.front()].Listed.Slots);
+  return ask.PromptTokens +
+         fleet.Settings.StepTokens / slots * ask.AnswerTokens;
+}
+
 } // namespace
 
 void gsNoteDemand(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now)
@@ -473,12 +490,11 @@
     return;
   }
   gsDemand& demand = fleet.Demand[std::string(ask.Service)];
-  Decay(demand, now);
+  Decay(demand, fleet.Settings.DemandHalfLife, now);
   if (demand.Since.count() == 0) {
     demand.Since = now;
   }
-  double work =
-    ask.PromptTokens + fleet.Settings.AnswerWeight * ask.AnswerTokens;
+  double work = WorkOf(fleet, ask);
   if (!ask.Tight) {
     demand.Long += work;
     return;
@@ -601,6 +617,24 @@
 
 } // namespace
 
+namespace {
+
+/** Whether it is time to decide anew how a service's engines are divided. */
+bool DecisionIsDue(gsFleetSettings const& settings, gsDemand const& demand,
+                   gsEngineArrangement const& known, std::size_t engines,
+                   gsTime now)
+{
+  bool demandIsKnown = now - demand.Since >= settings.DemandPatience;
+  if (demandIsKnown && known.LongEngines == 0) {
+    return true;
+  }
+  gsTime gap = settings.DecisionGap +
+               settings.DecisionGapOfEach * static_cast<std::int64_t>(engines);
+  return now - demand.DecidedAt >= gap;
+}
+
+} // namespace
+
 void gsDecideArrangements(gsFleet& fleet, gsTime now)
 {
   gsFleetSettings const& settings = fleet.Settings;
@@ -609,19 +643,23 @@
     if (rows == fleet.ByService.end()) {
       continue;
     }
-    Decay(demand, now);
-    gsTime gap = settings.DecisionGapOfEach *
-                 static_cast<std::int64_t>(rows->second.size());
-    if (now - demand.DecidedAt < gap) {
+    Decay(demand, settings.DemandHalfLife, now);
+    std::size_t engines = rows->second.size();
+    gsEngineArrangement& known = fleet.Arrangements[service];
+    if (!DecisionIsDue(settings, demand, known, engines, now)) {
       continue;
     }
     demand.DecidedAt = now;
-    gsEngineArrangement& known = fleet.Arrangements[service];
     gsEngineArrangement next = known;
-    next.Slow = DecideSlow(fleet, rows->second, known);
+    gsTime slowGap =
+      settings.SlowGapOfEach * static_cast<std::int64_t>(engines);
+    if (now - demand.SlowAt >= slowGap) {
+      demand.SlowAt = now;
+      next.Slow = DecideSlow(fleet, rows->second, known);
+    }
     if (now - demand.Since >= settings.DemandPatience) {
       next.LongEngines = DecideLongEngines(
-        demand, static_cast<double>(rows->second.size()), known.LongEngines);
+        demand, static_cast<double>(engines), known.LongEngines);
     }
     if (!(next == known)) {
       ++next.Version;
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -77,7 +77,8 @@
   double HoldLong = 0;
   double HoldTight = 0;
   gsTime Since{};     ///< Of the first request of any host; zero before.
-  gsTime DecidedAt{}; ///< When this host last decided how to divide engines.
+  gsTime DecidedAt{}; ///< When this host last decided how to divide engines,
+  gsTime SlowAt{};    ///< and which of them are slow.
 };
 
 /** An upstream's row. */
@@ -130,8 +131,11 @@
   /** Cost of a token that waits beyond TargetShare of the target. */
   double LateWeight = 1;
   double TargetShare = 0.5;
-  /** Answer tokens weigh so many prompt tokens of an engine's time. */
-  double AnswerWeight = 4;
+  /**
+   * A step of an engine makes one token of each request that it runs, and
+   * takes as long as reading so many prompt tokens.
+   */
+  double StepTokens = 240;
   /** Prompts longer than so many tight ones are long. */
   double LongFactor = 4;
   bool Groups = true;
@@ -149,12 +153,17 @@
   double MemoryShare = 0.95;
   /** Demand is known well enough to divide engines by it after so long. */
   gsTime DemandPatience = gsMilliseconds(300);
+  /** Long enough for a steady border, short enough to follow a burst. */
+  gsTime DemandHalfLife = gsSeconds(2);
   /**
    * Each change of the division moves subjects; the more engines there are,
    * the more of them cross the border each time. So it is decided no more
-   * often than after this time for each engine.
+   * often than after the first time and the second for each engine, and which
+   * engines are slow no more often than after the third for each.
    */
-  gsTime DecisionGapOfEach = gsMilliseconds(30);
+  gsTime DecisionGap = gsMilliseconds(250);
+  gsTime DecisionGapOfEach = gsMilliseconds(7);
+  gsTime SlowGapOfEach = gsMilliseconds(30);
   gsTime PartMemory = gsSeconds(20);
   gsTime OthersMemory = gsSeconds(2); ///< Older words are not believed.
   std::size_t PartsMost = 2000;       ///< Remembered for each upstream.
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -481,3 +481,98 @@
     EXPECT_EQ(ids.size(), 1U) << subject;
   }
 }
+
+// Until the first division was made, long prompts held up tight streams: it
+// came 3.4 s late with 112 engines, as the attempt before demand was known
+// counted as a decision.
+TEST(Fleet, EnginesAreDividedAsSoonAsDemandIsKnown)
+{
+  gsFleet fleet = MakeFleet(112);
+  gsPlacementAsk ask = Plain();
+  ask.PromptTokens = 1000;
+  gsNoteDemand(fleet, ask, Now);
+  ask.Tight = true;
+  gsNoteDemand(fleet, ask, Now);
+  gsDecideArrangements(fleet, Now + gsMilliseconds(50));
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 0U);
+  gsDecideArrangements(fleet, Now + fleet.Settings.DemandPatience);
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 56U);
+}
+
+// A burst of tight streams found the engines as the burst of long prompts
+// before it had left them.
+TEST(Fleet, TheBorderFollowsABurstWithinTwoSeconds)
+{
+  gsFleet fleet = MakeFleet(100);
+  gsPlacementAsk reading = Plain();
+  reading.PromptTokens = 8000;
+  gsPlacementAsk tight = Plain();
+  tight.PromptTokens = 2000;
+  tight.Tight = true;
+  gsTime now = Now;
+  auto playFor = [&](gsTime length, int longs, int tights) {
+    for (gsTime end = now + length; now < end; now += gsMilliseconds(100)) {
+      for (int i = 0; i < longs; ++i) {
+        gsNoteDemand(fleet, reading, now);
+      }
+      for (int i = 0; i < tights; ++i) {
+        gsNoteDemand(fleet, tight, now);
+      }
+      gsDecideArrangements(fleet, now);
+    }
+  };
+  playFor(gsSeconds(10), 4, 4);
+  EXPECT_NEAR(gsLongEngines(fleet, "model"), 80, 4);
+  playFor(gsSeconds(4), 1, 12);
+  EXPECT_LT(gsLongEngines(fleet, "model"), 45U);
+}
+
+// A token of an answer costs an engine a step that it shares with all that
+// run there; engines with few slots have few to share it with.
+TEST(Fleet, AnswersWeighMoreWhereFewRunTogether)
+{
+  auto longEngines = [](std::uint32_t slots) {
+    gsFleet fleet;
+    std::vector<gsListedUpstream> listed;
+    for (int i = 0; i < 100; ++i) {
+      listed.push_back(Listed("u" + std::to_string(i)));
+      listed.back().Slots = slots;
+    }
+    gsFleetTake(fleet, listed);
+    gsPlacementAsk reading = Plain();
+    reading.PromptTokens = 4000;
+    gsNoteDemand(fleet, reading, Now);
+    gsPlacementAsk telling = Plain();
+    telling.PromptTokens = 800;
+    telling.AnswerTokens = 400;
+    telling.Tight = true;
+    gsNoteDemand(fleet, telling, Now);
+    gsDecideArrangements(fleet, Now + gsSeconds(1));
+    return gsLongEngines(fleet, "model");
+  };
+  // 240 tokens a step: 800 + 400 * 240 / 12 and 800 + 400 * 240 / 60.
+  EXPECT_EQ(longEngines(12), 31U);
+  EXPECT_EQ(longEngines(60), 63U);
+}
+
+// Subjects that left their engine went to whichever held what all prompts
+// begin with, not to the next in their own order.
+TEST(Fleet, WhatAllSubjectsShareMakesNoEngineTheNextInOrder)
+{
+  gsFleet fleet = MakeFleet(20);
+  std::vector<gsPromptPart> parts{ { 1, 10 }, { 2, 5000 }, { 3, 600 } };
+  gsPlacementAsk ask = Plain();
+  ask.Parts = &parts;
+  ask.PromptTokens = 5610;
+  std::string home = Chosen(fleet, ask);
+  gsFleetFind(fleet, home)->Own.ReadTokens = 10'000'000;
+  std::string next = Chosen(fleet, ask);
+  ASSERT_NE(next, home);
+  std::vector<gsPromptPart> others{ { 1, 10 }, { 7, 4000 } };
+  for (gsFleetRow& row : fleet.Rows) {
+    if (row.Listed.Id != next) {
+      gsNoteParts(fleet, row, others, Now);
+    }
+  }
+  EXPECT_EQ(Chosen(fleet, ask), next);
+}
