Routing: Let engines take cached parts of prompts from each other

The platform's engines hand cached parts over when a request names the engine that has them, at about a fourteenth of the price.

Change: a placement names a holder: who is known to hold the parts, else the subject's home, the home before the last change of the division, the next in its order. Reading again weighs a tenth where parts can be handed over. The configuration says whether a service's engines do that.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -120,6 +120,26 @@
                             row.Hash);
 }
 
+gsFleetGroup GroupUnder(gsEngineArrangement const& arrangement,
+                        gsFleetRow const& row)
+{
+  if (arrangement.LongEngines == 0) {
+    return gsFleetGroup::Any;
+  }
+  return row.Rank < arrangement.LongEngines ? gsFleetGroup::Long
+                                            : gsFleetGroup::Tight;
+}
+
+/** Notes the groups that engines are in, as the division is to change. */
+void NoteGroupsBefore(gsFleet& fleet, gsEngineArrangement const& arrangement,
+                      std::vector<std::size_t> const& members)
+{
+  for (std::size_t index : members) {
+    gsFleetRow& row = fleet.Rows[index];
+    row.GroupBefore = GroupUnder(arrangement, row);
+  }
+}
+
 /** Orders a service's rows: slow engines first, then by hash. */
 void RankRows(gsFleet& fleet, std::string const& service,
               std::vector<std::size_t>& members)
@@ -168,6 +188,9 @@
     gsFleetRow row;
     if (gsFleetRow* known = gsFleetFind(fleet, entry.Id)) {
       row = std::move(*known);
+      if (!row.GroupBefore) {
+        row.GroupBefore = GroupUnder(fleet.Arrangements[entry.Service], row);
+      }
     }
     row.Listed = entry;
     row.Hash = static_cast<std::uint32_t>(gsRendezvousWeight(entry.Id, 0));
@@ -293,23 +316,19 @@
   return isLong == (choice.Group == gsFleetGroup::Long);
 }
 
-/** The upstream on which all hosts agree for the request's subject. */
-gsFleetRow const* PreferredFor(gsFleet const& fleet,
+/** The first in a subject's order of those that a predicate lets pass. */
+template<typename Predicate>
+gsFleetRow const* FirstInOrder(gsFleet const& fleet,
                                std::vector<std::size_t> const& rows,
-                               gsPlacementAsk const& ask, Choice const& choice,
-                               gsTime now)
+                               std::uint64_t subject, Predicate const& counts)
 {
-  std::uint64_t subject = gsSubjectOf(ask);
-  if (subject == 0) {
-    return nullptr;
-  }
   gsFleetRow const* best = nullptr;
   std::uint64_t bestWeight = 0;
   for (std::size_t index : rows) {
     gsFleetRow const& row = fleet.Rows[index];
     std::uint64_t weight = gsRendezvousWeight(row.Listed.Id, subject);
     bool better = best == nullptr || weight > bestWeight;
-    if (better && MayGet(row, ask, now) && InGroup(row, choice)) {
+    if (better && counts(row)) {
       best = &row;
       bestWeight = weight;
     }
@@ -317,6 +336,40 @@
   return best;
 }
 
+/** The upstream on which all hosts agree for the request's subject. */
+gsFleetRow const* PreferredFor(gsFleet const& fleet,
+                               std::vector<std::size_t> const& rows,
+                               gsPlacementAsk const& ask, Choice const& choice,
+                               gsTime now)
+{
+  std::uint64_t subject = gsSubjectOf(ask);
+  if (subject == 0) {
+    return nullptr;
+  }
+  return FirstInOrder(fleet, rows, subject, [&](gsFleetRow const& row) {
+    return MayGet(row, ask, now) && InGroup(row, choice);
+  });
+}
+
+/** The one that was preferred before the last change of the division. */
+gsFleetRow const* PreferredBefore(gsFleet const& fleet,
+                                  std::vector<std::size_t> const& rows,
+                                  gsPlacementAsk const& ask,
+                                  Choice const& choice, gsTime now)
+{
+  return FirstInOrder(fleet, rows, gsSubjectOf(ask),
+                      [&](gsFleetRow const& row) {
+                        bool fits = row.GroupBefore == gsFleetGroup::Any ||
+                                    row.GroupBefore == choice.Group;
+                        return fits && row.AvoidUntil <= now;
+                      });
+}
+
+bool IsMovable(gsFleetSettings const& settings, gsPlacementAsk const& ask)
+{
+  return ask.MayMove && SharedTokens(ask) >= settings.MinMovedTokens;
+}
+
 /** What reading shared parts a further time costs, in tokens. */
 double AgainCost(gsFleet const& fleet, gsFleetRow const& row,
                  gsPlacementAsk const& ask, Choice const& choice,
@@ -332,7 +385,9 @@
     // Other hosts send the same subject there.
     missing *= 1 - PreferredShare;
   }
-  return missing * fleet.Settings.AgainWeight;
+  bool movable = IsMovable(fleet.Settings, ask);
+  return missing *
+         (movable ? fleet.Settings.MovedWeight : fleet.Settings.AgainWeight);
 }
 
 /** Time until the first token, as a share of the target; zero if unknown. */
@@ -366,6 +421,43 @@
   return fleet.Settings.MissTokens * (chance + beyond / MissSure);
 }
 
+bool HoldsShared(gsFleet const& fleet, gsFleetRow const& row,
+                 gsPlacementAsk const& ask, gsTime now)
+{
+  std::uint32_t toRead = gsTokensToRead(fleet, row, ask, now);
+  return toRead + SharedTokens(ask) <= ask.PromptTokens;
+}
+
+/** The engine from which the chosen one may take the shared parts. */
+gsFleetRow const* HolderFor(gsFleet const& fleet,
+                            std::vector<std::size_t> const& rows,
+                            gsPlacementAsk const& ask, Choice const& choice,
+                            gsFleetRow const& chosen, gsTime now)
+{
+  bool movable = choice.Preferred != nullptr && IsMovable(fleet.Settings, ask);
+  if (!movable || HoldsShared(fleet, chosen, ask, now)) {
+    return nullptr;
+  }
+  for (std::size_t index : rows) {
+    gsFleetRow const& row = fleet.Rows[index];
+    if (row.AvoidUntil <= now && HoldsShared(fleet, row, ask, now)) {
+      return &row;
+    }
+  }
+  if (&chosen != choice.Preferred) {
+    return choice.Preferred;
+  }
+  gsFleetRow const* before = PreferredBefore(fleet, rows, ask, choice, now);
+  if (before != nullptr && before != &chosen) {
+    return before;
+  }
+  // What its home could not take has gone to the next in its order.
+  return FirstInOrder(
+    fleet, rows, gsSubjectOf(ask), [&](gsFleetRow const& row) {
+      return &row != &chosen && InGroup(row, choice) && row.AvoidUntil <= now;
+    });
+}
+
 double OtherGroupCost(gsFleetSettings const& settings, Choice const& choice)
 {
   bool holdsUp = choice.Group == gsFleetGroup::Long;
@@ -457,6 +549,14 @@
                                               : gsPlacementCause::LeastLoaded;
     }
   }
+  if (best.Row != nullptr) {
+    best.Holder = HolderFor(fleet, rows->second, ask, choice, *best.Row, now);
+  }
+  if (best.Holder != nullptr) {
+    best.ReadTokens = std::min(
+      best.ReadTokens,
+      ask.PromptTokens - std::min(ask.PromptTokens, SharedTokens(ask)));
+  }
   return best;
 }
 
@@ -662,6 +762,7 @@
         demand, static_cast<double>(engines), known.LongEngines);
     }
     if (!(next == known)) {
+      NoteGroupsBefore(fleet, known, rows->second);
       ++next.Version;
       known = std::move(next);
       RankRows(fleet, service, rows->second);
@@ -676,8 +777,11 @@
   if (arrangement.Version <= known.Version) {
     return false;
   }
-  known = arrangement;
   auto rows = fleet.ByService.find(service);
+  if (rows != fleet.ByService.end()) {
+    NoteGroupsBefore(fleet, known, rows->second);
+  }
+  known = arrangement;
   if (rows != fleet.ByService.end()) {
     RankRows(fleet, service, rows->second);
   }
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -88,6 +89,11 @@
   std::uint32_t Hash = 0; ///< Of the id; names it between hosts.
   /** Among its service's rows: slow engines first, then by hash. */
   std::uint32_t Rank = 0;
+  /**
+   * Group that the engine was in before the last change of the division;
+   * absent for one that was not listed then.
+   */
+  std::optional<gsFleetGroup> GroupBefore;
   gsOpenWork Own;    ///< Attempts of this host; exact.
   gsOpenWork Others; ///< Of all other hosts, by their last word.
   gsTime OthersAt{}; ///< When that word came.
@@ -122,6 +128,10 @@
   double QueuedTokens = 1500;  ///< Cost of each request above the slots.
   /** Cost of reading a shared token that another engine holds, above 1. */
   double AgainWeight = 100;
+  /** The same where that engine can hand it over. */
+  double MovedWeight = 10;
+  /** Fewer shared tokens than this are not worth the handing over. */
+  std::uint32_t MinMovedTokens = 64;
   /** Cost of an engine that is for the other kind, */
   double OtherGroupTokens = 30000;
   /** and, for a long prompt, of holding up the tight streams there. */
@@ -194,6 +204,8 @@
   double TargetTokens = 0;
   /** Milliseconds that an engine takes to read a token. */
   double TokenMillis = 0;
+  /** Engines take cached parts of prompts from each other. */
+  bool MayMove = false;
   /** Memory of one upstream, tokens; 0 when it is not known. */
   std::uint64_t UpstreamMemory = 0;
   /** Attempts that this host may have open at one upstream; 0 for any. */
@@ -219,7 +231,10 @@
 {
   gsFleetRow* Row = nullptr; ///< Null when there is none.
   gsPlacementCause Cause = gsPlacementCause::NoUpstream;
-  std::uint32_t ReadTokens = 0; ///< Of the prompt, not cached there.
+  /** It probably holds the shared parts that Row lacks; null for none. */
+  gsFleetRow const* Holder = nullptr;
+  std::uint32_t ReadTokens = 0; ///< Of the prompt, neither there nor handed
+                                ///< over.
   double Cost = 0;              ///< Tokens.
   std::uint32_t Candidates = 0;
   gsFleetGroup Group = gsFleetGroup::Any; ///< That the request belongs to.
--- a/Source/Core/gsRouteTable.h
+++ b/Source/Core/gsRouteTable.h
@@ -52,6 +52,7 @@
 {
   std::uint32_t Slots = 0;        ///< Requests that run at once.
   std::uint64_t MemoryTokens = 0; ///< Shared by running and cached prompts.
+  bool HandsOver = false; ///< Engines take cached parts from each other.
 };
 
 struct gsRouteService
--- a/Source/Daemon/gsAdapter.h
+++ b/Source/Daemon/gsAdapter.h
@@ -47,6 +47,8 @@
   gsTime DeadlineLeft{};
   std::uint32_t Urgency = 0;              ///< 0 is the most urgent.
   std::optional<std::uint64_t> LastEvent; ///< To take a stream up after it.
+  /** Address of an engine that hands cached parts over; empty for none. */
+  std::string TakeFrom;
 };
 
 /** The head of an upstream's answer. */
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -255,6 +255,7 @@
   }
   if (service != nullptr && service->Engine) {
     ask.UpstreamMemory = service->Engine->MemoryTokens;
+    ask.MayMove = service->Engine->HandsOver;
   }
   if (request->Sends == 0) {
     gsNoteDemand(this->Fleet, ask, now);
@@ -287,6 +288,9 @@
     return;
   }
   gsFleetRow const& row = *placement.Row;
+  if (placement.Holder != nullptr) {
+    line.With("take_from", placement.Holder->Listed.Id);
+  }
   line.With("upstream", row.Listed.Id)
     .With("own_running", row.Own.Running)
     .With("others_running", row.Others.Running)
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -108,6 +108,7 @@
   weight("fail_tokens", placement.FailTokens);
   weight("queued_tokens", placement.QueuedTokens);
   weight("again_weight", placement.AgainWeight);
+  weight("moved_weight", placement.MovedWeight);
   weight("other_group_tokens", placement.OtherGroupTokens);
   weight("early_weight", placement.EarlyWeight);
   weight("late_weight", placement.LateWeight);
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -77,14 +77,15 @@
   row.Own.Running += 1;
   row.Own.ReadTokens += attempt->ReadTokens;
   row.Own.MemoryTokens += attempt->MemoryTokens;
-  gsCall call = this->MakeCall(request, row);
+  gsCall call = this->MakeCall(request, placement);
   request->Attempt = std::move(attempt);
   request->Attempt->Call = this->Client.Start(std::move(call));
 }
 
 gsCall gsUpstreamCaller::MakeCall(gsRoutedRequestPtr const& request,
-                                  gsFleetRow const& row)
+                                  gsPlacement const& placement)
 {
+  gsFleetRow const& row = *placement.Row;
   gsCallerRequest const& caller = request->Caller;
   gsTime until = std::min(request->DeadlineAt, request->TimeoutAt);
   gsAttemptFacts facts;
@@ -93,6 +94,9 @@
   facts.DeadlineLeft = until - gsLoop::Now();
   facts.Urgency = request->Priority;
   facts.LastEvent = request->LastEvent;
+  if (placement.Holder != nullptr) {
+    facts.TakeFrom = placement.Holder->Listed.Address;
+  }
 
   gsCall call;
   call.Method = caller.Method;
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -52,7 +52,8 @@
   double MillisPerToken() const { return this->TokenMillis; }
 
 private:
-  gsCall MakeCall(gsRoutedRequestPtr const& request, gsFleetRow const& row);
+  gsCall MakeCall(gsRoutedRequestPtr const& request,
+                  gsPlacement const& placement);
   bool MaySend(gsRoutedRequest& request);
   void OnHeaders(gsRoutedRequestPtr const& request, unsigned status,
                  gsHeaders const& headers);
--- a/Tests/Route/gsTestPlatformAdapter.cxx
+++ b/Tests/Route/gsTestPlatformAdapter.cxx
@@ -22,7 +22,8 @@
   "services": [
     { "name": "model", "health_path": "/health", "max_conns": 310,
       "inference_engine": { "capacity_slots": 48,
-                            "kv_capacity_tokens": 532839 } },
+                            "kv_capacity_tokens": 532839,
+                            "migrations": true } },
     { "name": "old", "max_conns": 110 } ],
   "limits": { "max_header_bytes": 8000, "max_body_bytes": 100,
               "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
@@ -77,6 +78,7 @@
   EXPECT_EQ(card.Shares[1].Service, "new");
   ASSERT_TRUE(table.Services[0].Engine.has_value());
   EXPECT_EQ(table.Services[0].Engine->MemoryTokens, 532839U);
+  EXPECT_TRUE(table.Services[0].Engine->HandsOver);
   EXPECT_FALSE(table.Services[1].Engine.has_value());
   EXPECT_EQ(table.Limits.BodyBytes, 100U);
   ASSERT_EQ(table.Organisations.size(), 1U);
@@ -167,6 +169,10 @@
   EXPECT_EQ(HeaderOf(headers, "Gradescale-Deadline-Ms"), "1499");
   EXPECT_EQ(HeaderOf(headers, "Gradescale-Request-Urgency"), "9");
   EXPECT_EQ(HeaderOf(headers, "Last-Event-Id"), "4");
+  EXPECT_EQ(HeaderOf(headers, "Kv-Fetch"), "none");
+  facts.TakeFrom = "10.0.0.1:90";
+  headers = gsMakeAdapter().AttemptHeaders(request, facts);
+  EXPECT_EQ(HeaderOf(headers, "Kv-Fetch"), "10.0.0.1:90");
 }
 
 TEST(PlatformAdapter, ReadsTheHeadOfAnAnswer)
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -576,3 +576,97 @@
   }
   EXPECT_EQ(Chosen(fleet, ask), next);
 }
+
+namespace {
+
+/** A fleet, and a request of a subject whose engines hand parts over. */
+struct HandOver
+{
+  explicit HandOver(int upstreams)
+    : Fleet(MakeFleet(upstreams))
+  {
+    this->Ask.Parts = &this->Parts;
+    this->Ask.PromptTokens = 6100;
+    this->Ask.MayMove = true;
+  }
+
+  gsPlacement Place()
+  {
+    gsRandom random(1);
+    return gsPlace(this->Fleet, this->Ask, Now, random);
+  }
+
+  std::vector<gsPromptPart> Parts{ { 1, 500 }, { 2, 5000 }, { 3, 600 } };
+  gsFleet Fleet;
+  gsPlacementAsk Ask = Plain();
+};
+
+} // namespace
+
+// Each subject that changed its engine was read again there.
+TEST(Fleet, WhatLeavesItsEngineTakesItsPartsFromThere)
+{
+  HandOver one(6);
+  gsFleetRow* home = one.Place().Row;
+  home->Own.ReadTokens = 10'000'000;
+  gsPlacement placed = one.Place();
+  ASSERT_NE(placed.Row, home);
+  EXPECT_EQ(placed.Holder, home);
+  EXPECT_EQ(placed.ReadTokens, 600U);
+  gsNoteParts(one.Fleet, *placed.Row, one.Parts, Now);
+  EXPECT_EQ(one.Place().Row, placed.Row);
+  EXPECT_EQ(one.Place().Holder, nullptr);
+}
+
+TEST(Fleet, AHomeThatIsNotKnownToHoldASubjectTakesItFromTheNextInOrder)
+{
+  HandOver one(6);
+  gsFleetRow* home = one.Place().Row;
+  home->Own.ReadTokens = 10'000'000;
+  gsFleetRow const* next = one.Place().Row;
+  home->Own.ReadTokens = 0;
+  EXPECT_EQ(one.Place().Row, home);
+  EXPECT_EQ(one.Place().Holder, next);
+}
+
+TEST(Fleet, AfterAChangeOfTheDivisionPartsComeFromTheEngineBefore)
+{
+  HandOver one(20);
+  gsEngineArrangement arrangement;
+  arrangement.Version = 1;
+  arrangement.LongEngines = 12;
+  gsAdoptArrangement(one.Fleet, "model", arrangement);
+  int changed = 0;
+  for (std::uint64_t subject = 100; subject < 150; ++subject) {
+    one.Parts[1].Name = subject;
+    arrangement.Version += 1;
+    arrangement.LongEngines = 12;
+    gsAdoptArrangement(one.Fleet, "model", arrangement);
+    gsFleetRow const* before = one.Place().Row;
+    arrangement.Version += 1;
+    arrangement.LongEngines = 6;
+    gsAdoptArrangement(one.Fleet, "model", arrangement);
+    gsPlacement placed = one.Place();
+    if (placed.Row != before) {
+      ++changed;
+      EXPECT_EQ(placed.Holder, before);
+    }
+  }
+  EXPECT_GE(changed, 10);
+}
+
+TEST(Fleet, PartsAreTakenOnlyWhereEnginesHandThemOverAndItPays)
+{
+  HandOver one(6);
+  gsFleetRow* home = one.Place().Row;
+  home->Own.ReadTokens = 10'000'000;
+  gsNoteUnreachable(*home, Now);
+  gsFleetRow const* holder = one.Place().Holder;
+  EXPECT_NE(holder, home);
+  gsNoteHeard(*home, Now);
+  one.Ask.MayMove = false;
+  EXPECT_EQ(one.Place().Holder, nullptr);
+  one.Ask.MayMove = true;
+  one.Parts = { { 1, 20 }, { 2, 30 }, { 3, 6050 } };
+  EXPECT_EQ(one.Place().Holder, nullptr);
+}
