Coordination: Leave a hall that cannot be reached as a whole

Ruled out: one more back-off for each engine, since every host pays for each engine once all the same; a shorter connection time alone, since a request still pays it each time.

Change: when two upstreams of another hall cannot be reached and none of it is heard, the hall is taken to be cut off. One request at a time tries it again, after 0.4 s to 1.6 s. Hosts tell it in their own hall with the load reports; those that were told do not try for themselves. Nothing is taken over from engines there. Any sign of life ends it.

--- a/Source/Coord/gsLoadExchange.cxx
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -13,6 +13,7 @@
 
 void Add(gsSystemLoad& sum, gsSystemLoad const& part)
 {
+  sum.CutOffHalls.insert(part.CutOffHalls.begin(), part.CutOffHalls.end());
   for (auto const& [service, arrangement] : part.Arrangements) {
     gsEngineArrangement& newest = sum.Arrangements[service];
     if (arrangement.Version > newest.Version) {
@@ -80,6 +81,8 @@
   for (auto const& [hall, heard] : newest) {
     Add(sum, heard->Report.Load);
   }
+  // What other halls cannot reach says nothing of this one.
+  sum.CutOffHalls.clear();
   return sum;
 }
 
--- a/Source/Coord/gsLoadExchange.h
+++ b/Source/Coord/gsLoadExchange.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -93,11 +94,13 @@
   gsLoadMap Upstreams;
   gsDemandMap Services;
   gsArrangementMap Arrangements; ///< The newest known; not a sum.
+  /** Hashes of halls that hosts of the same hall cannot reach; not a sum. */
+  std::set<std::uint32_t> CutOffHalls;
 
   friend bool operator==(gsSystemLoad const& a, gsSystemLoad const& b)
   {
     return a.Upstreams == b.Upstreams && a.Services == b.Services &&
-           a.Arrangements == b.Arrangements;
+           a.Arrangements == b.Arrangements && a.CutOffHalls == b.CutOffHalls;
   }
 };
 
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -290,21 +290,26 @@
   return ask.MostOwn == 0 || row.Own.Running < ask.MostOwn;
 }
 
-bool MayGet(gsFleetRow const& row, gsPlacementAsk const& ask, gsTime now)
+bool MayGet(gsFleet const& fleet, gsFleetRow const& row,
+            gsPlacementAsk const& ask, gsTime now)
 {
   return HasConnection(row, ask) && !row.Listed.Leaving &&
-         row.AvoidUntil <= now && !Contains(ask.Tried, row.Listed.Id);
+         row.AvoidUntil <= now && !Contains(ask.Tried, row.Listed.Id) &&
+         gsHallMayTry(fleet.Halls, row.Listed.Hall, now);
 }
 
 /** Why none can be chosen, with one more that cannot. */
-gsPlacementCause CauseAgainst(gsFleetRow const& row, gsPlacementAsk const& ask,
-                              gsTime now, gsPlacementCause before)
+gsPlacementCause CauseAgainst(gsFleet const& fleet, gsFleetRow const& row,
+                              gsPlacementAsk const& ask, gsTime now,
+                              gsPlacementCause before)
 {
   if (row.Listed.Leaving || Contains(ask.Tried, row.Listed.Id)) {
     return before;
   }
-  return row.AvoidUntil > now ? gsPlacementCause::Unreachable
-                              : gsPlacementCause::NoConnection;
+  bool unreachable =
+    row.AvoidUntil > now || !gsHallMayTry(fleet.Halls, row.Listed.Hall, now);
+  return unreachable ? gsPlacementCause::Unreachable
+                     : gsPlacementCause::NoConnection;
 }
 
 bool InGroup(gsFleetRow const& row, Choice const& choice)
@@ -347,10 +352,17 @@
     return nullptr;
   }
   return FirstInOrder(fleet, rows, subject, [&](gsFleetRow const& row) {
-    return MayGet(row, ask, now) && InGroup(row, choice);
+    return MayGet(fleet, row, ask, now) && InGroup(row, choice);
   });
 }
 
+/** Whether other engines may take parts from it, as far as is known. */
+bool CanHandOver(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
+{
+  return row.AvoidUntil <= now &&
+         !gsHallIsCutOff(fleet.Halls, row.Listed.Hall);
+}
+
 /** The one that was preferred before the last change of the division. */
 gsFleetRow const* PreferredBefore(gsFleet const& fleet,
                                   std::vector<std::size_t> const& rows,
@@ -361,7 +373,7 @@
                       [&](gsFleetRow const& row) {
                         bool fits = row.GroupBefore == gsFleetGroup::Any ||
                                     row.GroupBefore == choice.Group;
-                        return fits && row.AvoidUntil <= now;
+                        return fits && CanHandOver(fleet, row, now);
                       });
 }
 
@@ -440,7 +452,7 @@
   }
   for (std::size_t index : rows) {
     gsFleetRow const& row = fleet.Rows[index];
-    if (row.AvoidUntil <= now && HoldsShared(fleet, row, ask, now)) {
+    if (CanHandOver(fleet, row, now) && HoldsShared(fleet, row, ask, now)) {
       return &row;
     }
   }
@@ -452,10 +464,11 @@
     return before;
   }
   // What its home could not take has gone to the next in its order.
-  return FirstInOrder(
-    fleet, rows, gsSubjectOf(ask), [&](gsFleetRow const& row) {
-      return &row != &chosen && InGroup(row, choice) && row.AvoidUntil <= now;
-    });
+  return FirstInOrder(fleet, rows, gsSubjectOf(ask),
+                      [&](gsFleetRow const& row) {
+                        return &row != &chosen && InGroup(row, choice) &&
+                               CanHandOver(fleet, row, now);
+                      });
 }
 
 double OtherGroupCost(gsFleetSettings const& settings, Choice const& choice)
@@ -506,6 +519,7 @@
   if (rows == fleet.ByService.end()) {
     return best;
   }
+  gsNoteHallsHeard(fleet);
   Choice choice;
   choice.UsualFailShare = MeanFailShare(fleet, rows->second, now);
   choice.Group = gsGroupOf(fleet, ask);
@@ -520,9 +534,9 @@
   std::uniform_real_distribution<double> tie(0, TieTokens);
   for (std::size_t index : rows->second) {
     gsFleetRow& row = fleet.Rows[index];
-    if (!MayGet(row, ask, now)) {
+    if (!MayGet(fleet, row, ask, now)) {
       if (best.Row == nullptr) {
-        best.Cause = CauseAgainst(row, ask, now, best.Cause);
+        best.Cause = CauseAgainst(fleet, row, ask, now, best.Cause);
       }
       continue;
     }
@@ -550,6 +564,8 @@
     }
   }
   if (best.Row != nullptr) {
+    gsHallNoteTry(fleet.Halls, fleet.Settings.HallReach, best.Row->Listed.Hall,
+                  now);
     best.Holder = HolderFor(fleet, rows->second, ask, choice, *best.Row, now);
   }
   if (best.Holder != nullptr) {
@@ -863,3 +879,32 @@
   row.Unreachable = 0;
   row.AvoidUntil = gsTime{};
 }
+
+bool gsNoteNoConnection(gsFleet& fleet, gsFleetRow& row, gsTime now)
+{
+  gsNoteUnreachable(row, now);
+  if (row.Listed.Hall == fleet.Settings.Hall) {
+    return false;
+  }
+  gsNoteHallsHeard(fleet);
+  return gsHallNoteFailure(fleet.Halls, fleet.Settings.HallReach,
+                           row.Listed.Hall, row.Listed.Id, now);
+}
+
+void gsNoteHallsHeard(gsFleet& fleet)
+{
+  for (auto const& [hall, reach] : fleet.Halls) {
+    if (reach.Failed.empty()) {
+      continue;
+    }
+    gsTime heard{};
+    for (gsFleetRow const& row : fleet.Rows) {
+      heard = row.Listed.Hall == hall ? std::max(heard, row.LastHeard) : heard;
+    }
+    if (gsHallNoteHeard(fleet.Halls, hall, heard)) {
+      for (gsFleetRow& row : fleet.Rows) {
+        row.AvoidUntil = row.Listed.Hall == hall ? gsTime{} : row.AvoidUntil;
+      }
+    }
+  }
+}
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -18,6 +18,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gsHallReach.h"
 #include "gsLoadExchange.h"
 #include "gsTypes.h"
 
@@ -177,6 +178,7 @@
   gsTime PartMemory = gsSeconds(20);
   gsTime OthersMemory = gsSeconds(2); ///< Older words are not believed.
   std::size_t PartsMost = 2000;       ///< Remembered for each upstream.
+  gsHallReachSettings HallReach;
 };
 
 /** All upstreams. */
@@ -190,6 +192,7 @@
   std::unordered_map<std::string, gsDemand> Demand; ///< By service.
   /** How each service's engines are divided, as last decided by any host. */
   std::unordered_map<std::string, gsEngineArrangement> Arrangements;
+  gsHallReaches Halls; ///< Which other halls can be reached.
 };
 
 /** A request as far as the choice is concerned. */
@@ -323,6 +326,15 @@
 /** Notes that an upstream could not be reached. */
 void gsNoteUnreachable(gsFleetRow& row, gsTime now);
 
+/**
+ * The same, and what it says of the upstream's hall; true if that is taken to
+ * be cut off from now on.
+ */
+bool gsNoteNoConnection(gsFleet& fleet, gsFleetRow& row, gsTime now);
+
+/** Notes for all halls whether an upstream there was heard from again. */
+void gsNoteHallsHeard(gsFleet& fleet);
+
 /** Notes bytes of an answer. */
 void gsNoteHeard(gsFleetRow& row, gsTime now);
 
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -13,9 +13,10 @@
 
 constexpr double MicrosPerMilli = 1000;
 
-std::uint32_t ServiceHash(std::string const& service)
+/** Names a service or a hall between hosts. */
+std::uint32_t NameHash(std::string const& name)
 {
-  return static_cast<std::uint32_t>(gsHashText(service));
+  return static_cast<std::uint32_t>(gsHashText(name));
 }
 
 /** Rounded, so that small changes are no news to other hosts. */
@@ -76,12 +77,17 @@
     }
   }
   for (auto const& [service, demand] : this->Fleet.Demand) {
-    own.Services[ServiceHash(service)] = { CoarseTokens(demand.Long),
-                                           CoarseTokens(demand.Tight) };
+    own.Services[NameHash(service)] = { CoarseTokens(demand.Long),
+                                        CoarseTokens(demand.Tight) };
   }
   for (auto const& [service, arrangement] : this->Fleet.Arrangements) {
     if (arrangement.Version > 0) {
-      own.Arrangements[ServiceHash(service)] = arrangement;
+      own.Arrangements[NameHash(service)] = arrangement;
+    }
+  }
+  for (auto const& [hall, reach] : this->Fleet.Halls) {
+    if (reach.Unreachable) {
+      own.CutOffHalls.insert(NameHash(hall));
     }
   }
   return own;
@@ -124,9 +130,23 @@
   this->Apply(now);
 }
 
+/** Takes in which halls other hosts of this hall cannot reach. */
+void gsLoadSharing::ApplyHalls(std::set<std::uint32_t> const& cutOff)
+{
+  std::set<std::string, std::less<>> told;
+  for (gsFleetRow const& row : this->Fleet.Rows) {
+    bool isOwn = row.Listed.Hall == this->Settings.Hall;
+    if (!isOwn && cutOff.count(NameHash(row.Listed.Hall)) != 0) {
+      told.insert(row.Listed.Hall);
+    }
+  }
+  gsHallNoteTold(this->Fleet.Halls, told);
+}
+
 void gsLoadSharing::Apply(gsTime now)
 {
   gsSystemLoad others = gsLoadOfOthers(this->Exchange, now);
+  this->ApplyHalls(others.CutOffHalls);
   for (gsFleetRow& row : this->Fleet.Rows) {
     auto load = others.Upstreams.find(row.Hash);
     gsUpstreamLoad known;
@@ -141,8 +161,8 @@
   }
   for (auto const& [service, rows] : this->Fleet.ByService) {
     gsNoteOthersDemand(this->Fleet, service,
-                       others.Services[ServiceHash(service)], now);
-    auto decided = others.Arrangements.find(ServiceHash(service));
+                       others.Services[NameHash(service)], now);
+    auto decided = others.Arrangements.find(NameHash(service));
     if (decided != others.Arrangements.end() &&
         gsAdoptArrangement(this->Fleet, service, decided->second)) {
       LogArrangement(service, decided->second, "adopted");
--- a/Source/Daemon/gsLoadSharing.h
+++ b/Source/Daemon/gsLoadSharing.h
@@ -7,6 +7,9 @@
  */
 #pragma once
 
+#include <cstdint>
+#include <set>
+
 #include <string>
 
 #include "gsCluster.h"
@@ -31,6 +34,7 @@
 private:
   gsSystemLoad Own(gsTime now) const;
   void Apply(gsTime now);
+  void ApplyHalls(std::set<std::uint32_t> const& cutOff);
   void Decide(gsTime now);
 
   gsFleet& Fleet;
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gsHttpStatus.h"
+#include "gsLog.h"
 
 namespace {
 
@@ -286,8 +287,11 @@
     result.Detail = end.Refused ? "No connection to the upstream: " + end.Error
                                 : "The choice was void before it was used.";
     gsFleetRow* row = gsFleetFind(this->Fleet, attempt.UpstreamId);
-    if (end.Refused && row != nullptr) {
-      gsNoteUnreachable(*row, gsLoop::Now());
+    if (end.Refused && row != nullptr &&
+        gsNoteNoConnection(this->Fleet, *row, gsLoop::Now())) {
+      gsLogLine("hall_unreachable", gsLogLevel::Warn)
+        .With("hall", row->Listed.Hall)
+        .With("upstream", row->Listed.Id);
     }
   } else if (!end.Whole) {
     result.Detail = "The upstream's answer broke off: " + end.Error;
--- a/Source/Daemon/gsWireCodec.cxx
+++ b/Source/Daemon/gsWireCodec.cxx
@@ -136,6 +136,8 @@
                                                   { entry.slow().begin(),
                                                     entry.slow().end() } };
   }
+  report.Load.CutOffHalls = { wire.cut_off_halls().begin(),
+                              wire.cut_off_halls().end() };
   return report;
 }
 
@@ -164,4 +166,7 @@
     entry->mutable_slow()->Add(arrangement.Slow.begin(),
                                arrangement.Slow.end());
   }
+  for (std::uint32_t hall : report.Load.CutOffHalls) {
+    wire->add_cut_off_halls(hall);
+  }
 }
--- a/Tests/Unit/gsTestLoadExchange.cxx
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -173,6 +173,25 @@
   }
 }
 
+TEST(LoadExchange, AHallThatOneHostCannotReachIsToldInItsOwnHallAlone)
+{
+  Net net = ThreeHalls(4);
+  net.Own["a1"].CutOffHalls = { 77 };
+  gsTime now = gsSeconds(10);
+  for (int i = 0; i < 4; ++i) {
+    net.Tick(now += Period);
+  }
+  for (auto const& [host, exchange] : net.Hosts) {
+    bool knows = gsLoadOfOthers(exchange, now).CutOffHalls.count(77) != 0;
+    EXPECT_EQ(knows, exchange.Hall == "a" && host != "a1") << host;
+  }
+  net.Own["a1"].CutOffHalls.clear();
+  for (int i = 0; i < 4; ++i) {
+    net.Tick(now += Period);
+  }
+  EXPECT_TRUE(gsLoadOfOthers(net.Hosts["a2"], now).CutOffHalls.empty());
+}
+
 TEST(LoadExchange, ARelaySendsNoMoreInALargerHall)
 {
   std::vector<std::size_t> messages;
