Core: Split the choice of an upstream and the division of engines from the fleet

Cause: gsFleet.cxx had grown to 910 lines and held three things: what is known of upstreams, how one is chosen, and how engines are divided between kinds of requests. Its tests stood in one file of 700 lines.

Ruled out: splitting gsFleetRow too; all three read it.

Change: gsPlacement holds the choice, gsDivision the division; nothing else than the place of the code and three names changed. The tests follow, and share their fleets in gsFleetCases.h.

--- /dev/null
+++ b/Source/Core/gsDivision.cxx
@@ -0,0 +1,291 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsDivision.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace {
+
+/** Times the pace of the fast above which an engine is slow. */
+constexpr double SlowFactor = 1.18;
+/** Share of the engines that may be faster than those called fast. */
+constexpr double FastShare = 0.1;
+/** By how much the groups' border must be off before it moves: engines, */
+constexpr double BorderSlack = 1.2;
+/** and as a share of all. */
+constexpr double BorderSlackShare = 0.03;
+constexpr double PromptSmoothing = 0.05;
+constexpr double HoldSmoothing = 0.05;
+
+bool IsSlow(gsEngineArrangement const& arrangement, gsFleetRow const& row)
+{
+  return std::binary_search(arrangement.Slow.begin(), arrangement.Slow.end(),
+                            row.Hash);
+}
+
+/** Notes the groups that engines are in, as the division is to change. */
+void NoteGroupsBefore(gsFleet& fleet, gsEngineArrangement const& arrangement,
+                      std::vector<std::size_t> const& members)
+{
+  for (std::size_t index : members) {
+    gsFleetRow& row = fleet.Rows[index];
+    row.GroupBefore = gsGroupUnder(arrangement, row);
+  }
+}
+
+void Decay(gsDemand& demand, gsTime halfLife, gsTime now)
+{
+  double halves = gsToSeconds(now - demand.At) / gsToSeconds(halfLife);
+  double keep = std::exp2(-std::max(0.0, halves));
+  demand.Long *= keep;
+  demand.Tight *= keep;
+  demand.At = now;
+}
+
+/** How long a request keeps one of the service's engines busy, in tokens. */
+double WorkOf(gsFleet const& fleet, gsPlacementAsk const& ask)
+{
+  auto rows = fleet.ByService.find(std::string(ask.Service));
+  bool none = rows == fleet.ByService.end() || rows->second.empty();
+  double slots =
+    none ? 1 : std::max(1U, fleet.Rows[rows->second.front()].Listed.Slots);
+  return ask.PromptTokens +
+         fleet.Settings.StepTokens / slots * ask.AnswerTokens;
+}
+
+/** Pace of the fast among these engines; zero when none is known. */
+double FastPace(gsFleet const& fleet, std::vector<std::size_t> const& members)
+{
+  std::vector<double> paces;
+  paces.reserve(members.size());
+  for (std::size_t index : members) {
+    double pace = gsPaceOf(fleet.Rows[index]);
+    if (pace > 0) {
+      paces.push_back(pace);
+    }
+  }
+  if (paces.empty()) {
+    return 0;
+  }
+  auto faster =
+    static_cast<std::ptrdiff_t>(FastShare * static_cast<double>(paces.size()));
+  std::nth_element(paces.begin(), paces.begin() + faster, paces.end());
+  return paces[static_cast<std::size_t>(faster)];
+}
+
+std::vector<std::uint32_t> DecideSlow(gsFleet const& fleet,
+                                      std::vector<std::size_t> const& members,
+                                      gsEngineArrangement const& before)
+{
+  double fast = FastPace(fleet, members);
+  std::vector<std::uint32_t> slow;
+  for (std::size_t index : members) {
+    gsFleetRow const& row = fleet.Rows[index];
+    bool wasSlow = IsSlow(before, row);
+    double pace = gsPaceOf(row);
+    // A host that has just begun to decide keeps what it can not judge yet.
+    bool isSlow = pace > 0 ? pace > SlowFactor * fast : wasSlow;
+    if (isSlow) {
+      slow.push_back(row.Hash);
+    }
+  }
+  std::sort(slow.begin(), slow.end());
+  return slow;
+}
+
+/** Engines for long prompts; moves only when demand clearly has. */
+std::uint32_t DecideLongEngines(gsDemand const& demand, double count,
+                                std::uint32_t before)
+{
+  double forLong = demand.Long + demand.OthersLong;
+  double forTight = demand.Tight + demand.OthersTight;
+  if (forLong < 1 || forTight < 1 || count < 2) {
+    return 0;
+  }
+  double engines = count * forLong / (forLong + forTight);
+  double slack = std::max(BorderSlack, BorderSlackShare * count);
+  bool moved = std::abs(engines - before) > slack;
+  if (!moved && before != 0 && before < count) {
+    return before;
+  }
+  return static_cast<std::uint32_t>(
+    std::clamp(std::round(engines), 1.0, count - 1));
+}
+
+/** Whether it is time to decide anew how a service's engines are divided. */
+bool DecisionIsDue(gsFleetSettings const& settings, gsDemand const& demand,
+                   gsEngineArrangement const& known, std::size_t engines,
+                   gsTime now)
+{
+  bool demandIsKnown = now - demand.Since >= settings.DemandPatience;
+  if (demandIsKnown && known.LongEngines == 0) {
+    return true;
+  }
+  gsTime gap = settings.DecisionGap +
+               settings.DecisionGapOfEach * static_cast<std::int64_t>(engines);
+  return now - demand.DecidedAt >= gap;
+}
+
+} // namespace
+
+char const* gsFleetGroupWord(gsFleetGroup group)
+{
+  switch (group) {
+    case gsFleetGroup::Long:
+      return "long";
+    case gsFleetGroup::Tight:
+      return "tight";
+    case gsFleetGroup::Any:
+      break;
+  }
+  return "any";
+}
+
+gsFleetGroup gsGroupUnder(gsEngineArrangement const& arrangement,
+                          gsFleetRow const& row)
+{
+  if (arrangement.LongEngines == 0) {
+    return gsFleetGroup::Any;
+  }
+  return row.Rank < arrangement.LongEngines ? gsFleetGroup::Long
+                                            : gsFleetGroup::Tight;
+}
+
+/** Orders a service's rows: slow engines first, then by hash. */
+void gsRankEngines(gsFleet& fleet, std::string const& service,
+                   std::vector<std::size_t>& members)
+{
+  gsEngineArrangement const& arrangement = fleet.Arrangements[service];
+  std::sort(members.begin(), members.end(),
+            [&fleet, &arrangement](std::size_t a, std::size_t b) {
+              gsFleetRow const& one = fleet.Rows[a];
+              gsFleetRow const& two = fleet.Rows[b];
+              bool slowOne = IsSlow(arrangement, one);
+              bool slowTwo = IsSlow(arrangement, two);
+              return slowOne != slowTwo ? slowOne : one.Hash < two.Hash;
+            });
+  std::uint32_t rank = 0;
+  for (std::size_t index : members) {
+    fleet.Rows[index].Rank = rank++;
+  }
+}
+
+void gsNoteDemand(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now)
+{
+  if (ask.PromptTokens == 0) {
+    return;
+  }
+  gsDemand& demand = fleet.Demand[std::string(ask.Service)];
+  Decay(demand, fleet.Settings.DemandHalfLife, now);
+  if (demand.Since.count() == 0) {
+    demand.Since = now;
+  }
+  double work = WorkOf(fleet, ask);
+  if (!ask.Tight) {
+    demand.Long += work;
+    return;
+  }
+  demand.Tight += work;
+  double step = demand.TightPrompt == 0 ? 1 : PromptSmoothing;
+  demand.TightPrompt += step * (ask.PromptTokens - demand.TightPrompt);
+}
+
+void gsNoteOthersDemand(gsFleet& fleet, std::string const& service,
+                        gsServiceDemand const& others, gsTime now)
+{
+  bool none = others.Long == 0 && others.Tight == 0;
+  if (none && fleet.Demand.count(service) == 0) {
+    return;
+  }
+  gsDemand& demand = fleet.Demand[service];
+  demand.OthersLong = others.Long;
+  demand.OthersTight = others.Tight;
+  if (!none && demand.Since.count() == 0) {
+    demand.Since = now;
+  }
+}
+
+gsFleetGroup gsGroupOf(gsFleet const& fleet, gsPlacementAsk const& ask)
+{
+  if (ask.PromptTokens == 0) {
+    return gsFleetGroup::Any;
+  }
+  if (!ask.Tight) {
+    return gsFleetGroup::Long;
+  }
+  auto demand = fleet.Demand.find(std::string(ask.Service));
+  bool isLong =
+    demand != fleet.Demand.end() && demand->second.TightPrompt > 0 &&
+    ask.PromptTokens > fleet.Settings.LongFactor * demand->second.TightPrompt;
+  return isLong ? gsFleetGroup::Long : gsFleetGroup::Tight;
+}
+
+void gsNoteHold(gsFleet& fleet, gsFleetRow const& row, gsTime held)
+{
+  std::string const& service = row.Listed.Service;
+  bool isLong = row.Rank < gsLongEngines(fleet, service);
+  gsDemand& demand = fleet.Demand[service];
+  double& hold = isLong ? demand.HoldLong : demand.HoldTight;
+  double millis = gsToSeconds(held) * 1e3;
+  hold += (hold == 0 ? 1 : HoldSmoothing) * (millis - hold);
+}
+
+void gsDecideArrangements(gsFleet& fleet, gsTime now)
+{
+  gsFleetSettings const& settings = fleet.Settings;
+  for (auto& [service, demand] : fleet.Demand) {
+    auto rows = fleet.ByService.find(service);
+    if (rows == fleet.ByService.end()) {
+      continue;
+    }
+    Decay(demand, settings.DemandHalfLife, now);
+    std::size_t engines = rows->second.size();
+    gsEngineArrangement& known = fleet.Arrangements[service];
+    if (!DecisionIsDue(settings, demand, known, engines, now)) {
+      continue;
+    }
+    demand.DecidedAt = now;
+    gsEngineArrangement next = known;
+    gsTime slowGap =
+      settings.SlowGapOfEach * static_cast<std::int64_t>(engines);
+    if (now - demand.SlowAt >= slowGap) {
+      demand.SlowAt = now;
+      next.Slow = DecideSlow(fleet, rows->second, known);
+    }
+    if (now - demand.Since >= settings.DemandPatience) {
+      next.LongEngines = DecideLongEngines(
+        demand, static_cast<double>(engines), known.LongEngines);
+    }
+    if (!(next == known)) {
+      NoteGroupsBefore(fleet, known, rows->second);
+      ++next.Version;
+      known = std::move(next);
+      gsRankEngines(fleet, service, rows->second);
+    }
+  }
+}
+
+bool gsAdoptArrangement(gsFleet& fleet, std::string const& service,
+                        gsEngineArrangement const& arrangement)
+{
+  gsEngineArrangement& known = fleet.Arrangements[service];
+  if (arrangement.Version <= known.Version) {
+    return false;
+  }
+  auto rows = fleet.ByService.find(service);
+  if (rows != fleet.ByService.end()) {
+    NoteGroupsBefore(fleet, known, rows->second);
+  }
+  known = arrangement;
+  if (rows != fleet.ByService.end()) {
+    gsRankEngines(fleet, service, rows->second);
+  }
+  return true;
+}
+
+std::uint32_t gsLongEngines(gsFleet const& fleet, std::string_view service)
+{
+  auto known = fleet.Arrangements.find(std::string(service));
+  bool none = !fleet.Settings.Groups || known == fleet.Arrangements.end();
+  return none ? 0 : known->second.LongEngines;
+}
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -1,12 +1,12 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /**
  * \file
- * The upstreams as one host sees them, and the choice of one for a request.
- * A row holds what the platform lists of an upstream and what this host has
- * learned of it: its own open attempts exactly, the other hosts' by their
- * last word, failures, and which prompt parts it has read lately. The choice
- * is a cost in tokens of prompt that would be read before the request's first
- * token. Nothing here reads a clock or does I/O.
+ * The upstreams as one host sees them. A row holds what the platform lists of
+ * an upstream and what this host has learned of it: its own open attempts
+ * exactly, the other hosts' by their last word, failures, and which prompt
+ * parts it has read lately. gsPlacement chooses one for a request, gsDivision
+ * divides them between kinds of requests. Nothing here reads a clock or does
+ * I/O.
  */
 #pragma once
 
@@ -60,8 +60,6 @@
   Tight ///< For streams that do not.
 };
 
-char const* gsFleetGroupWord(gsFleetGroup group);
-
 /** Work that a service was lately asked for; sums that decay with time. */
 struct gsDemand
 {
@@ -195,54 +193,6 @@
   gsHallReaches Halls; ///< Which other halls can be reached.
 };
 
-/** A request as far as the choice is concerned. */
-struct gsPlacementAsk
-{
-  std::string_view Service;
-  std::vector<gsPromptPart> const* Parts = nullptr;
-  std::uint32_t PromptTokens = 0;
-  std::uint32_t AnswerTokens = 0;
-  bool Tight = false; ///< A stream whose pauses must be short.
-  /** Tokens that an engine reads within the target; 0 when not known. */
-  double TargetTokens = 0;
-  /** Milliseconds that an engine takes to read a token. */
-  double TokenMillis = 0;
-  /** Engines take cached parts of prompts from each other. */
-  bool MayMove = false;
-  /** Memory of one upstream, tokens; 0 when it is not known. */
-  std::uint64_t UpstreamMemory = 0;
-  /** Attempts that this host may have open at one upstream; 0 for any. */
-  std::uint32_t MostOwn = 0;
-  /** Ids of upstreams that this request was sent to already. */
-  std::vector<std::string> const* Tried = nullptr;
-};
-
-/** Why a request can or cannot be placed. */
-enum class gsPlacementCause
-{
-  Cached,       ///< The upstream has read part of the prompt before.
-  Preferred,    ///< All hosts prefer it for the request's subject.
-  LeastLoaded,  ///< The cheapest of all.
-  NoUpstream,   ///< The service has none that may get work.
-  NoConnection, ///< This host's share of connections is used up at all.
-  Unreachable   ///< It has some, and none can be reached for now.
-};
-
-char const* gsPlacementWord(gsPlacementCause cause);
-
-struct gsPlacement
-{
-  gsFleetRow* Row = nullptr; ///< Null when there is none.
-  gsPlacementCause Cause = gsPlacementCause::NoUpstream;
-  /** It probably holds the shared parts that Row lacks; null for none. */
-  gsFleetRow const* Holder = nullptr;
-  std::uint32_t ReadTokens = 0; ///< Of the prompt, neither there nor handed
-                                ///< over.
-  double Cost = 0;              ///< Tokens.
-  std::uint32_t Candidates = 0;
-  gsFleetGroup Group = gsFleetGroup::Any; ///< That the request belongs to.
-};
-
 /**
  * Takes the platform's whole list. Rows that stay keep what was learned; rows
  * that are gone are forgotten.
@@ -252,65 +202,19 @@
 /** The row of an upstream; null when it is gone. */
 gsFleetRow* gsFleetFind(gsFleet& fleet, std::string_view id);
 
-/** Chooses an upstream; the random source breaks ties between hosts. */
-gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
-                    gsRandom& random);
-
-/**
- * This host's share of the connections that an upstream accepts of all hosts
- * together; 0 when the upstream sets no limit.
- */
-std::uint32_t gsConnectionShare(std::uint32_t accepted, std::size_t hosts);
-
-/** The part by which requests are kept together: the last shared one. */
-std::uint64_t gsSubjectOf(gsPlacementAsk const& ask);
-
-/** Counts a new request towards the sizes of the groups. */
-void gsNoteDemand(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now);
-
-/** Takes in what all other hosts were asked for, by their last word. */
-void gsNoteOthersDemand(gsFleet& fleet, std::string const& service,
-                        gsServiceDemand const& others, gsTime now);
-
-/** The group that a request belongs to. */
-gsFleetGroup gsGroupOf(gsFleet const& fleet, gsPlacementAsk const& ask);
-
 /** The pace that any host has measured; zero when none has. */
 double gsPaceOf(gsFleetRow const& row);
 
 /** Notes a pause between two events of an engine's stream. */
 void gsNotePause(gsFleetRow& row, gsTime pause);
 
-/**
- * Decides, for all hosts, which engines of each service are slow and how many
- * are for long prompts. To be run a few times a second by one host.
- */
-void gsDecideArrangements(gsFleet& fleet, gsTime now);
-
-/**
- * Takes a decision of another host, if it is newer than what is known; true
- * if it is.
- */
-bool gsAdoptArrangement(gsFleet& fleet, std::string const& service,
-                        gsEngineArrangement const& arrangement);
-
-/** How many of a service's engines are for long prompts; 0 for no groups. */
-std::uint32_t gsLongEngines(gsFleet const& fleet, std::string_view service);
-
 /** Work at an upstream by this host and, as last heard, all others. */
 gsOpenWork gsWorkAt(gsFleet const& fleet, gsFleetRow const& row, gsTime now);
 
-/** Prompt tokens that the upstream would have to read. */
-std::uint32_t gsTokensToRead(gsFleet const& fleet, gsFleetRow const& row,
-                             gsPlacementAsk const& ask, gsTime now);
-
 /** Notes that an upstream has read a prompt. */
 void gsNoteParts(gsFleet const& fleet, gsFleetRow& row,
                  std::vector<gsPromptPart> const& parts, gsTime now);
 
-/** Notes for how long an attempt that ended whole held a slot. */
-void gsNoteHold(gsFleet& fleet, gsFleetRow const& row, gsTime held);
-
 /** Notes how an attempt ended at an upstream. */
 void gsNoteOutcome(gsFleetRow& row, bool failed, gsTime now);
 
--- /dev/null
+++ b/Source/Core/gsPlacement.h
@@ -0,0 +1,83 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * The choice of an upstream for one request: the one that costs least, in
+ * tokens of prompt that would be read before the request's first token.
+ * Nothing here reads a clock or does I/O.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gsFleet.h"
+
+/** A request as far as the choice is concerned. */
+struct gsPlacementAsk
+{
+  std::string_view Service;
+  std::vector<gsPromptPart> const* Parts = nullptr;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t AnswerTokens = 0;
+  bool Tight = false; ///< A stream whose pauses must be short.
+  /** Tokens that an engine reads within the target; 0 when not known. */
+  double TargetTokens = 0;
+  /** Milliseconds that an engine takes to read a token. */
+  double TokenMillis = 0;
+  /** Engines take cached parts of prompts from each other. */
+  bool MayMove = false;
+  /** Memory of one upstream, tokens; 0 when it is not known. */
+  std::uint64_t UpstreamMemory = 0;
+  /** Attempts that this host may have open at one upstream; 0 for any. */
+  std::uint32_t MostOwn = 0;
+  /** Ids of upstreams that this request was sent to already. */
+  std::vector<std::string> const* Tried = nullptr;
+};
+
+/** Why a request can or cannot be placed. */
+enum class gsPlacementCause
+{
+  Cached,       ///< The upstream has read part of the prompt before.
+  Preferred,    ///< All hosts prefer it for the request's subject.
+  LeastLoaded,  ///< The cheapest of all.
+  NoUpstream,   ///< The service has none that may get work.
+  NoConnection, ///< This host's share of connections is used up at all.
+  Unreachable   ///< It has some, and none can be reached for now.
+};
+
+char const* gsPlacementWord(gsPlacementCause cause);
+
+struct gsPlacement
+{
+  gsFleetRow* Row = nullptr; ///< Null when there is none.
+  gsPlacementCause Cause = gsPlacementCause::NoUpstream;
+  /** It probably holds the shared parts that Row lacks; null for none. */
+  gsFleetRow const* Holder = nullptr;
+  std::uint32_t ReadTokens = 0; ///< Of the prompt, neither there nor handed
+                                ///< over.
+  double Cost = 0;              ///< Tokens.
+  std::uint32_t Candidates = 0;
+  gsFleetGroup Group = gsFleetGroup::Any; ///< That the request belongs to.
+};
+
+/** Chooses an upstream; the random source breaks ties between hosts. */
+gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
+                    gsRandom& random);
+
+/**
+ * This host's share of the connections that an upstream accepts of all hosts
+ * together; 0 when the upstream sets no limit.
+ */
+std::uint32_t gsConnectionShare(std::uint32_t accepted, std::size_t hosts);
+
+/** The part by which requests are kept together: the last shared one. */
+std::uint64_t gsSubjectOf(gsPlacementAsk const& ask);
+
+/** Tokens of the parts that the prompt shares with others. */
+std::uint32_t gsSharedTokens(gsPlacementAsk const& ask);
+
+/** Prompt tokens that the upstream would have to read. */
+std::uint32_t gsTokensToRead(gsFleet const& fleet, gsFleetRow const& row,
+                             gsPlacementAsk const& ask, gsTime now);
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gsDivision.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
 
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gsDivision.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
 
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -11,8 +11,8 @@
 #include <string>
 
 #include "gsAdapter.h"
-#include "gsFleet.h"
 #include "gsHttpClient.h"
+#include "gsPlacement.h"
 #include "gsRoutedRequest.h"
 
 struct gsUpstreamCallerSettings
--- /dev/null
+++ b/Tests/Unit/gsTestDivision.cxx
@@ -0,0 +1,273 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/** \file Dividing engines between long prompts and tight streams. */
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "gsDivision.h"
+#include "gsFleetCases.h"
+
+using namespace gsFleetCases;
+
+TEST(Division, LongPromptsAndTightStreamsGetEnginesApart)
+{
+  gsFleet fleet = MakeFleet(8);
+  gsPlacementAsk tight = Plain();
+  tight.Tight = true;
+  tight.PromptTokens = 800;
+  gsPlacementAsk reading = Plain();
+  reading.PromptTokens = 12000;
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 0U);
+  for (int i = 0; i < 50; ++i) {
+    gsNoteDemand(fleet, tight, Now);
+    gsNoteDemand(fleet, tight, Now);
+    gsNoteDemand(fleet, tight, Now);
+    if (i % 5 == 0) {
+      gsNoteDemand(fleet, reading, Now);
+    }
+  }
+  gsDecideArrangements(fleet, Now + gsMilliseconds(1100));
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 4U);
+  std::set<std::string> forTight;
+  std::set<std::string> forLong;
+  gsRandom random(3);
+  for (int i = 0; i < 200; ++i) {
+    gsFleetRow& one = *gsPlace(fleet, tight, Now, random).Row;
+    one.Own.Running += 1;
+    forTight.insert(one.Listed.Id);
+    gsFleetRow& two = *gsPlace(fleet, reading, Now, random).Row;
+    two.Own.Running += 1;
+    forLong.insert(two.Listed.Id);
+  }
+  EXPECT_EQ(forTight.size(), 4U);
+  EXPECT_EQ(forLong.size(), 4U);
+  for (std::string const& id : forTight) {
+    EXPECT_EQ(forLong.count(id), 0U) << id;
+  }
+}
+
+TEST(Division, SlowEnginesAreForLongPrompts)
+{
+  gsFleet fleet = MakeFleet(6);
+  for (gsFleetRow& row : fleet.Rows) {
+    bool slow = row.Listed.Id == "u2" || row.Listed.Id == "u4";
+    for (int i = 0; i < 400; ++i) {
+      double usual = slow ? 26 : 20;
+      double millis = i % 3 == 0 ? 5 * usual : usual + i % 2;
+      gsNotePause(row, gsFromSeconds(millis / 1e3));
+    }
+  }
+  gsDecideArrangements(fleet, Now);
+  gsPlacementAsk ask = Plain();
+  ask.PromptTokens = 1000;
+  gsNoteDemand(fleet, ask, Now);
+  ask.Tight = true;
+  gsNoteDemand(fleet, ask, Now);
+  gsDecideArrangements(fleet, Now);
+  EXPECT_LT(gsFleetFind(fleet, "u2")->Rank, 2U);
+  EXPECT_LT(gsFleetFind(fleet, "u4")->Rank, 2U);
+}
+
+TEST(Division, TheBorderOfTheGroupsMovesOnlyWhenDemandClearlyHas)
+{
+  gsFleet fleet = MakeFleet(10);
+  gsDemand& demand = fleet.Demand["model"];
+  gsTime now = Now;
+  auto decideLater = [&fleet, &demand, &now] {
+    now += gsSeconds(1);
+    demand.At = now; // Nothing decays here.
+    gsDecideArrangements(fleet, now);
+  };
+  demand.Long = 50000;
+  demand.Tight = 50000;
+  decideLater();
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 5U);
+  demand.Long = 56000;
+  demand.Tight = 44000;
+  decideLater();
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 5U);
+  demand.OthersLong = 100000;
+  decideLater();
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 8U);
+  demand.OthersLong = 0;
+  decideLater();
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 6U);
+}
+
+// Each host called other engines slow, by what it had measured itself, so one
+// subject had as many homes as there were opinions.
+TEST(Division, HostsThatMeasureDifferentlyAgreeByAdoptingOneDecision)
+{
+  gsFleet decides = MakeFleet(20);
+  gsFleet adopts = MakeFleet(20);
+  for (gsFleet* fleet : { &decides, &adopts }) {
+    gsDemand& demand = fleet->Demand["model"];
+    demand.At = Now;
+    demand.Long = 50000;
+    demand.Tight = fleet == &decides ? 50000 : 90000;
+    std::size_t number = fleet == &decides ? 0 : 3;
+    for (gsFleetRow& row : fleet->Rows) {
+      row.OthersPace = ++number % 4 == 0 ? 30 : 20;
+    }
+    gsDecideArrangements(*fleet, Now);
+  }
+  EXPECT_NE(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
+  gsEngineArrangement decided = decides.Arrangements["model"];
+  decided.Version += 1;
+  gsAdoptArrangement(adopts, "model", decided);
+  EXPECT_EQ(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
+  for (gsFleetRow const& row : decides.Rows) {
+    EXPECT_EQ(row.Rank, gsFleetFind(adopts, row.Listed.Id)->Rank);
+  }
+  // An older word changes nothing.
+  gsEngineArrangement old = decided;
+  old.Version -= 1;
+  old.LongEngines = 1;
+  gsAdoptArrangement(adopts, "model", old);
+  EXPECT_EQ(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
+}
+
+TEST(Division, DecisionsAreNotMadeOftenNorBeforeDemandIsKnown)
+{
+  gsFleet fleet = MakeFleet(10);
+  gsPlacementAsk ask = Plain();
+  ask.PromptTokens = 1000;
+  gsNoteDemand(fleet, ask, Now);
+  ask.Tight = true;
+  gsNoteDemand(fleet, ask, Now);
+  gsDecideArrangements(fleet, Now + gsMilliseconds(100));
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 0U);
+  std::uint64_t before = fleet.Arrangements["model"].Version;
+  for (int i = 0; i < 100; ++i) {
+    gsTime now = Now + gsSeconds(2) + gsMilliseconds(50) * i;
+    for (std::size_t k = 0; k < fleet.Rows.size(); ++k) {
+      fleet.Rows[k].OthersPace = (i + k) % 3 == 0 ? 30 : 20;
+    }
+    fleet.Demand["model"].OthersLong = i % 2 == 0 ? 0 : 100000;
+    gsDecideArrangements(fleet, now);
+  }
+  // In five seconds, of ten engines.
+  EXPECT_LE(fleet.Arrangements["model"].Version - before, 18U);
+  EXPECT_GE(fleet.Arrangements["model"].Version - before, 1U);
+}
+
+TEST(Division, ASuccessorKeepsWhatItCanNotJudgeYet)
+{
+  gsFleet fleet = MakeFleet(10);
+  fleet.Demand["model"].At = Now;
+  gsEngineArrangement decided;
+  decided.Version = 7;
+  decided.Slow = { fleet.Rows[4].Hash };
+  gsAdoptArrangement(fleet, "model", decided);
+  gsDecideArrangements(fleet, Now);
+  EXPECT_EQ(fleet.Rows[4].Rank, 0U);
+  for (gsFleetRow& row : fleet.Rows) {
+    row.OthersPace = 20;
+  }
+  gsDecideArrangements(fleet, Now + gsSeconds(1));
+  EXPECT_TRUE(fleet.Arrangements["model"].Slow.empty());
+  EXPECT_GT(fleet.Arrangements["model"].Version, 7U);
+}
+
+TEST(Division, AVeryLongPromptOfATightRouteGoesToTheLongEngines)
+{
+  gsFleet fleet = MakeFleet(4);
+  gsPlacementAsk ask = Plain();
+  ask.Tight = true;
+  ask.PromptTokens = 1000;
+  for (int i = 0; i < 20; ++i) {
+    gsNoteDemand(fleet, ask, Now);
+  }
+  EXPECT_EQ(gsGroupOf(fleet, ask), gsFleetGroup::Tight);
+  ask.PromptTokens = 20000;
+  EXPECT_EQ(gsGroupOf(fleet, ask), gsFleetGroup::Long);
+}
+
+// The host that decides may itself not have been asked for a service.
+TEST(Division, AServiceThatOnlyOtherHostsWereAskedForIsDividedToo)
+{
+  gsFleet fleet = MakeFleet(8);
+  gsNoteOthersDemand(fleet, "model", {}, Now);
+  EXPECT_EQ(fleet.Demand.count("model"), 0U);
+  gsNoteOthersDemand(fleet, "model", { 50000, 50000 }, Now);
+  gsDecideArrangements(fleet, Now + gsSeconds(1));
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 4U);
+  // What a long prompt is stays open until a tight one was seen.
+  gsPlacementAsk ask = Plain();
+  ask.Tight = true;
+  ask.PromptTokens = 800;
+  EXPECT_EQ(gsGroupOf(fleet, ask), gsFleetGroup::Tight);
+}
+
+// Until the first division was made, long prompts held up tight streams: it
+// came 3.4 s late with 112 engines, as the attempt before demand was known
+// counted as a decision.
+TEST(Division, EnginesAreDividedAsSoonAsDemandIsKnown)
+{
+  gsFleet fleet = MakeFleet(112);
+  gsPlacementAsk ask = Plain();
+  ask.PromptTokens = 1000;
+  gsNoteDemand(fleet, ask, Now);
+  ask.Tight = true;
+  gsNoteDemand(fleet, ask, Now);
+  gsDecideArrangements(fleet, Now + gsMilliseconds(50));
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 0U);
+  gsDecideArrangements(fleet, Now + fleet.Settings.DemandPatience);
+  EXPECT_EQ(gsLongEngines(fleet, "model"), 56U);
+}
+
+// A burst of tight streams found the engines as the burst of long prompts
+// before it had left them.
+TEST(Division, TheBorderFollowsABurstWithinTwoSeconds)
+{
+  gsFleet fleet = MakeFleet(100);
+  gsPlacementAsk reading = Plain();
+  reading.PromptTokens = 8000;
+  gsPlacementAsk tight = Plain();
+  tight.PromptTokens = 2000;
+  tight.Tight = true;
+  gsTime now = Now;
+  auto playFor = [&](gsTime length, int longs, int tights) {
+    for (gsTime end = now + length; now < end; now += gsMilliseconds(100)) {
+      for (int i = 0; i < longs; ++i) {
+        gsNoteDemand(fleet, reading, now);
+      }
+      for (int i = 0; i < tights; ++i) {
+        gsNoteDemand(fleet, tight, now);
+      }
+      gsDecideArrangements(fleet, now);
+    }
+  };
+  playFor(gsSeconds(10), 4, 4);
+  EXPECT_NEAR(gsLongEngines(fleet, "model"), 80, 4);
+  playFor(gsSeconds(4), 1, 12);
+  EXPECT_LT(gsLongEngines(fleet, "model"), 45U);
+}
+
+// A token of an answer costs an engine a step that it shares with all that
+// run there; engines with few slots have few to share it with.
+TEST(Division, AnswersWeighMoreWhereFewRunTogether)
+{
+  auto longEngines = [](std::uint32_t slots) {
+    gsFleet fleet;
+    std::vector<gsListedUpstream> listed;
+    for (int i = 0; i < 100; ++i) {
+      listed.push_back(Listed("u" + std::to_string(i)));
+      listed.back().Slots = slots;
+    }
+    gsFleetTake(fleet, listed);
+    gsPlacementAsk reading = Plain();
+    reading.PromptTokens = 4000;
+    gsNoteDemand(fleet, reading, Now);
+    gsPlacementAsk telling = Plain();
+    telling.PromptTokens = 800;
+    telling.AnswerTokens = 400;
+    telling.Tight = true;
+    gsNoteDemand(fleet, telling, Now);
+    gsDecideArrangements(fleet, Now + gsSeconds(1));
+    return gsLongEngines(fleet, "model");
+  };
+  // 240 tokens a step: 800 + 400 * 240 / 12 and 800 + 400 * 240 / 60.
+  EXPECT_EQ(longEngines(12), 31U);
+  EXPECT_EQ(longEngines(60), 63U);
+}
--- a/Tests/Unit/gsTestHallReach.cxx
+++ b/Tests/Unit/gsTestHallReach.cxx
@@ -2,26 +2,15 @@
 /** \file Whether other halls can be reached. */
 #include <gtest/gtest.h>
 
-#include "gsFleet.h"
+#include "gsFleetCases.h"
 #include "gsHallReach.h"
 
-namespace {
-
-constexpr gsTime Now = gsSeconds(100);
+using namespace gsFleetCases;
 
-gsListedUpstream Listed(std::string const& id, std::string const& hall)
-{
-  gsListedUpstream upstream;
-  upstream.Id = id;
-  upstream.Service = "model";
-  upstream.Address = "127.0.0.1:1";
-  upstream.Hall = hall;
-  upstream.Slots = 8;
-  return upstream;
-}
+namespace {
 
 /** Two engines in the own hall, which are busy, and four in the other. */
-gsFleet MakeFleet()
+gsFleet TwoHalls()
 {
   gsFleet fleet;
   fleet.Settings.Hall = "own";
@@ -48,7 +37,7 @@
 // come, as each host found out for each engine anew.
 TEST(HallReach, FailuresOfTwoUpstreamsStandForTheirHall)
 {
-  gsFleet fleet = MakeFleet();
+  gsFleet fleet = TwoHalls();
   EXPECT_FALSE(gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f1"), Now));
   EXPECT_EQ(HallChosen(fleet, Now), "far");
   EXPECT_TRUE(gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f2"), Now));
@@ -57,7 +46,7 @@
 
 TEST(HallReach, OneRequestAtATimeTriesTheHallAgain)
 {
-  gsFleet fleet = MakeFleet();
+  gsFleet fleet = TwoHalls();
   gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f1"), Now);
   gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f2"), Now);
   gsTime later = Now + fleet.Settings.HallReach.RetryFirst;
@@ -70,7 +59,7 @@
 
 TEST(HallReach, AHallOfWhichSomeAreHeardIsNotCutOff)
 {
-  gsFleet fleet = MakeFleet();
+  gsFleet fleet = TwoHalls();
   gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f1"), Now);
   gsNoteHeard(*gsFleetFind(fleet, "f3"), Now + gsMilliseconds(1));
   gsTime later = Now + gsMilliseconds(2);
@@ -80,7 +69,7 @@
 
 TEST(HallReach, TheOwnHallIsNeverGivenUp)
 {
-  gsFleet fleet = MakeFleet();
+  gsFleet fleet = TwoHalls();
   gsNoteNoConnection(fleet, *gsFleetFind(fleet, "o1"), Now);
   gsNoteNoConnection(fleet, *gsFleetFind(fleet, "o2"), Now);
   EXPECT_FALSE(gsHallIsCutOff(fleet.Halls, "own"));
@@ -88,7 +77,7 @@
 
 TEST(HallReach, AHostThatWasToldDoesNotTryForItself)
 {
-  gsFleet fleet = MakeFleet();
+  gsFleet fleet = TwoHalls();
   gsHallNoteTold(fleet.Halls, { "far" });
   EXPECT_EQ(HallChosen(fleet, Now), "own");
   EXPECT_EQ(HallChosen(fleet, Now + gsSeconds(10)), "own");
@@ -98,7 +87,7 @@
 
 TEST(HallReach, NothingIsTakenOverFromAnEngineOfAHallThatIsCutOff)
 {
-  gsFleet fleet = MakeFleet();
+  gsFleet fleet = TwoHalls();
   std::vector<gsPromptPart> parts{ { 1, 500 }, { 2, 5000 }, { 3, 600 } };
   gsNoteParts(fleet, *gsFleetFind(fleet, "f1"), parts, Now);
   gsPlacementAsk ask;
