--- a/Source/Core/gsDivision.cxx
+++ b/Source/Core/gsArrangement.cxx
@@ -1,5 +1,5 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
-#include "gsDivision.h"
+#include "gsArrangement.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "gsDivision.h"
+#include "gsArrangement.h"
 #include "gsRendezvous.h"
 
 namespace {
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -4,9 +4,9 @@
  * The upstreams as one host sees them. A row holds what the platform lists of
  * an upstream and what this host has learned of it: its own open attempts
  * exactly, the other hosts' by their last word, failures, and which prompt
- * parts it has read lately. gsPlacement chooses one for a request, gsDivision
- * divides them between kinds of requests. Nothing here reads a clock or does
- * I/O.
+ * parts it has read lately. gsPlacement chooses one for a request,
+ * gsArrangement divides them between kinds of requests. Nothing here reads a
+ * clock or does I/O.
  */
 #pragma once
 
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "gsDivision.h"
+#include "gsArrangement.h"
 #include "gsRendezvous.h"
 
 namespace {
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <vector>
 
-#include "gsDivision.h"
+#include "gsArrangement.h"
 #include "gsLog.h"
 #include "gsLoop.h"
 #include "gsRendezvous.h"
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -8,7 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "gsDivision.h"
+#include "gsArrangement.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
 
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "gsDivision.h"
+#include "gsArrangement.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
 
--- a/Tests/Unit/gsTestDivision.cxx
+++ b/Tests/Unit/gsTestArrangement.cxx
@@ -4,12 +4,12 @@
 
 #include <gtest/gtest.h>
 
-#include "gsDivision.h"
+#include "gsArrangement.h"
 #include "gsFleetCases.h"
 
 using namespace gsFleetCases;
 
-TEST(Division, LongPromptsAndTightStreamsGetEnginesApart)
+TEST(Arrangement, LongPromptsAndTightStreamsGetEnginesApart)
 {
   gsFleet fleet = MakeFleet(8);
   gsPlacementAsk tight = Plain();
@@ -46,7 +46,7 @@
   }
 }
 
-TEST(Division, SlowEnginesAreForLongPrompts)
+TEST(Arrangement, SlowEnginesAreForLongPrompts)
 {
   gsFleet fleet = MakeFleet(6);
   for (gsFleetRow& row : fleet.Rows) {
@@ -68,7 +68,7 @@
   EXPECT_LT(gsFleetFind(fleet, "u4")->Rank, 2U);
 }
 
-TEST(Division, TheBorderOfTheGroupsMovesOnlyWhenDemandClearlyHas)
+TEST(Arrangement, TheBorderOfTheGroupsMovesOnlyWhenDemandClearlyHas)
 {
   gsFleet fleet = MakeFleet(10);
   gsDemand& demand = fleet.Demand["model"];
@@ -96,7 +96,7 @@
 
 // Each host called other engines slow, by what it had measured itself, so one
 // subject had as many homes as there were opinions.
-TEST(Division, HostsThatMeasureDifferentlyAgreeByAdoptingOneDecision)
+TEST(Arrangement, HostsThatMeasureDifferentlyAgreeByAdoptingOneDecision)
 {
   gsFleet decides = MakeFleet(20);
   gsFleet adopts = MakeFleet(20);
@@ -127,7 +127,7 @@
   EXPECT_EQ(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
 }
 
-TEST(Division, DecisionsAreNotMadeOftenNorBeforeDemandIsKnown)
+TEST(Arrangement, DecisionsAreNotMadeOftenNorBeforeDemandIsKnown)
 {
   gsFleet fleet = MakeFleet(10);
   gsPlacementAsk ask = Plain();
@@ -151,7 +151,7 @@
   EXPECT_GE(fleet.Arrangements["model"].Version - before, 1U);
 }
 
-TEST(Division, ASuccessorKeepsWhatItCanNotJudgeYet)
+TEST(Arrangement, ASuccessorKeepsWhatItCanNotJudgeYet)
 {
   gsFleet fleet = MakeFleet(10);
   fleet.Demand["model"].At = Now;
@@ -169,7 +169,7 @@
   EXPECT_GT(fleet.Arrangements["model"].Version, 7U);
 }
 
-TEST(Division, AVeryLongPromptOfATightRouteGoesToTheLongEngines)
+TEST(Arrangement, AVeryLongPromptOfATightRouteGoesToTheLongEngines)
 {
   gsFleet fleet = MakeFleet(4);
   gsPlacementAsk ask = Plain();
@@ -184,7 +184,7 @@
 }
 
 // The host that decides may itself not have been asked for a service.
-TEST(Division, AServiceThatOnlyOtherHostsWereAskedForIsDividedToo)
+TEST(Arrangement, AServiceThatOnlyOtherHostsWereAskedForIsDividedToo)
 {
   gsFleet fleet = MakeFleet(8);
   gsNoteOthersDemand(fleet, "model", {}, Now);
@@ -202,7 +202,7 @@
 // Until the first division was made, long prompts held up tight streams: it
 // came 3.4 s late with 112 engines, as the attempt before demand was known
 // counted as a decision.
-TEST(Division, EnginesAreDividedAsSoonAsDemandIsKnown)
+TEST(Arrangement, EnginesAreDividedAsSoonAsDemandIsKnown)
 {
   gsFleet fleet = MakeFleet(112);
   gsPlacementAsk ask = Plain();
@@ -218,7 +218,7 @@
 
 // A burst of tight streams found the engines as the burst of long prompts
 // before it had left them.
-TEST(Division, TheBorderFollowsABurstWithinTwoSeconds)
+TEST(Arrangement, TheBorderFollowsABurstWithinTwoSeconds)
 {
   gsFleet fleet = MakeFleet(100);
   gsPlacementAsk reading = Plain();
@@ -246,7 +246,7 @@
 
 // A token of an answer costs an engine a step that it shares with all that
 // run there; engines with few slots have few to share it with.
-TEST(Division, AnswersWeighMoreWhereFewRunTogether)
+TEST(Arrangement, AnswersWeighMoreWhereFewRunTogether)
 {
   auto longEngines = [](std::uint32_t slots) {
     gsFleet fleet;
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -5,7 +5,7 @@
 
 #include <gtest/gtest.h>
 
-#include "gsDivision.h"
+#include "gsArrangement.h"
 #include "gsFleetCases.h"
 
 using namespace gsFleetCases;
