Coordination: Forget that a hall was cut off when nobody tries it

Cause: found by reading the change as a newcomer: a host that has nothing to send to a hall never tries it again, and so kept all hosts of its own hall from one that is back, for as long as it lived. Such hosts are those that the balancer gives no callers.

Ruled out: probing by health checks; they have a price, and without requests nothing is lost.

Change: without a failure for 4 s, over twice the longest time between two tries, the hall is taken to be reachable; also looked at with each load report.

--- a/Source/Coord/gsHallReach.cxx
+++ b/Source/Coord/gsHallReach.cxx
@@ -16,6 +16,7 @@
     reach.FirstFailure = now;
   }
   reach.Failed.emplace(upstream);
+  reach.LastFailure = now;
   bool begins =
     !reach.Unreachable && reach.Failed.size() >= settings.MinFailures;
   if (begins) {
@@ -40,6 +41,17 @@
   return was;
 }
 
+void gsHallForget(gsHallReaches& halls, gsHallReachSettings const& settings,
+                  gsTime now)
+{
+  for (auto& [hall, reach] : halls) {
+    if (now - reach.LastFailure > settings.Belief) {
+      reach.Failed.clear();
+      reach.Unreachable = false;
+    }
+  }
+}
+
 void gsHallNoteTold(gsHallReaches& halls,
                     std::set<std::string, std::less<>> const& told)
 {
--- a/Source/Coord/gsHallReach.h
+++ b/Source/Coord/gsHallReach.h
@@ -29,6 +29,8 @@
   gsTime RetryFirst = gsMilliseconds(400);
   /** and the longest that it grows to. */
   gsTime RetryMost = gsMilliseconds(1600);
+  /** A hall that nobody has tried for so long is not taken to be cut off. */
+  gsTime Belief = gsSeconds(4);
 };
 
 /** What is known of one hall. */
@@ -36,7 +38,8 @@
 {
   /** Upstreams to which no connection was had; cleared by any sign of life. */
   std::set<std::string> Failed;
-  gsTime FirstFailure{};    ///< Of those in Failed.
+  gsTime FirstFailure{}; ///< Of those in Failed.
+  gsTime LastFailure{};
   bool Unreachable = false; ///< By this host's own failures.
   gsTime RetryAt{};         ///< When it may be tried again, if unreachable.
   gsTime RetryDelay{};
@@ -60,6 +63,14 @@
 bool gsHallNoteHeard(gsHallReaches& halls, std::string_view hall,
                      gsTime heardAt);
 
+/**
+ * Forgets failures that are old: a host that has nothing to send there would
+ * else never learn that a hall is back, and would keep all hosts of its own
+ * hall from it.
+ */
+void gsHallForget(gsHallReaches& halls, gsHallReachSettings const& settings,
+                  gsTime now);
+
 /** Takes in the halls that other hosts of this hall cannot reach. */
 void gsHallNoteTold(gsHallReaches& halls,
                     std::set<std::string, std::less<>> const& told);
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -159,13 +159,14 @@
   if (row.Listed.Hall == fleet.Settings.Hall) {
     return false;
   }
-  gsNoteHallsHeard(fleet);
+  gsRefreshHalls(fleet, now);
   return gsHallNoteFailure(fleet.Halls, fleet.Settings.HallReach,
                            row.Listed.Hall, row.Listed.Id, now);
 }
 
-void gsNoteHallsHeard(gsFleet& fleet)
+void gsRefreshHalls(gsFleet& fleet, gsTime now)
 {
+  gsHallForget(fleet.Halls, fleet.Settings.HallReach, now);
   for (auto const& [hall, reach] : fleet.Halls) {
     if (reach.Failed.empty()) {
       continue;
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -236,8 +236,11 @@
  */
 bool gsNoteNoConnection(gsFleet& fleet, gsFleetRow& row, gsTime now);
 
-/** Notes for all halls whether an upstream there was heard from again. */
-void gsNoteHallsHeard(gsFleet& fleet);
+/**
+ * Looks whether halls that are taken to be cut off were heard from again, or
+ * were not tried for long. To be run now and then, also without requests.
+ */
+void gsRefreshHalls(gsFleet& fleet, gsTime now);
 
 /** Notes bytes of an answer. */
 void gsNoteHeard(gsFleetRow& row, gsTime now);
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -385,7 +385,7 @@
   if (rows == fleet.ByService.end()) {
     return best;
   }
-  gsNoteHallsHeard(fleet);
+  gsRefreshHalls(fleet, now);
   Choice choice;
   choice.UsualFailShare = MeanFailShare(fleet, rows->second, now);
   choice.Group = gsGroupOf(fleet, ask);
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -105,6 +105,7 @@
     }
   }
   gsTime now = gsLoop::Now();
+  gsRefreshHalls(this->Fleet, now);
   for (gsLoadMessage const& message :
        gsLoadTick(this->Exchange, members, this->Own(now), now)) {
     if (gradescale::Frame* frame = this->Cluster->ToHost(message.To)) {
--- a/Tests/Unit/gsTestHallReach.cxx
+++ b/Tests/Unit/gsTestHallReach.cxx
@@ -113,3 +113,31 @@
   EXPECT_FALSE(gsHallNoteFailure(halls, settings, "far", "f2", later));
   EXPECT_TRUE(gsHallNoteFailure(halls, settings, "far", "f3", later));
 }
+
+// A host without requests would never try again, and would keep all others of
+// its hall from the one that is back.
+TEST(HallReach, AHallThatNobodyTriesIsNotGivenUpForGood)
+{
+  gsFleet fleet = TwoHalls();
+  gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f1"), Now);
+  gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f2"), Now);
+  gsTime belief = fleet.Settings.HallReach.Belief;
+  gsRefreshHalls(fleet, Now + belief);
+  EXPECT_TRUE(gsHallIsCutOff(fleet.Halls, "far"));
+  gsRefreshHalls(fleet, Now + belief + gsMilliseconds(1));
+  EXPECT_FALSE(gsHallIsCutOff(fleet.Halls, "far"));
+}
+
+TEST(HallReach, AHallThatIsTriedInVainStaysGivenUp)
+{
+  gsFleet fleet = TwoHalls();
+  gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f1"), Now);
+  gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f2"), Now);
+  gsTime now = Now;
+  for (int i = 0; i < 10; ++i) {
+    now += gsSeconds(2);
+    gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f3"), now);
+    gsRefreshHalls(fleet, now);
+    EXPECT_TRUE(gsHallIsCutOff(fleet.Halls, "far"));
+  }
+}
