Tool: Tell where requests lose their targets

Cause: explain tells one request's story; which requests, seconds and engines lose the most had to be counted by hand from logs. gradescale losses counts from the logs of all hosts, and shows for the longest pauses of streams what their engine read meanwhile. Reading log files is shared with explain.

--- a/Source/Tool/gsExplain.cxx
+++ b/Source/Tool/gsExplain.cxx
@@ -1,46 +1,14 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsExplain.h"
 
-#include <fstream>
 #include <iomanip>
-#include <iostream>
-#include <utility>
+#include <ostream>
 
 #include <nlohmann/json.hpp>
 
-namespace {
-
-constexpr std::string_view StandardInput = "-";
+#include "gsLogFiles.h"
 
-/** "logs/edge-1.log" -> "edge-1". */
-std::string HostOf(std::string const& file)
-{
-  if (file == StandardInput) {
-    return {};
-  }
-  std::string name = file.substr(file.find_last_of('/') + 1);
-  return name.substr(0, name.find_last_of('.'));
-}
-
-/** Adds a log's records; the number of lines that were a daemon's. */
-std::size_t ReadLog(std::istream& log, std::string const& host,
-                    gsStoryReader& reader)
-{
-  std::size_t understood = 0;
-  std::string line;
-  while (std::getline(log, line)) {
-    std::optional<gsLogRecord> record = gsReadLogLine(line);
-    if (!record) {
-      continue;
-    }
-    ++understood;
-    if (record->Host.empty()) {
-      record->Host = host;
-    }
-    gsStoryTake(reader, std::move(*record));
-  }
-  return understood;
-}
+namespace {
 
 double MillisSince(gsLogRecord const& record, gsLogRecord const& first)
 {
@@ -54,23 +22,17 @@
 {
   gsStoryReader reader;
   reader.Request = request;
-  std::size_t understood = 0;
-  for (std::string const& file : files) {
-    if (file == StandardInput) {
-      understood += ReadLog(std::cin, HostOf(file), reader);
-      continue;
-    }
-    std::ifstream log(file);
-    if (!log) {
-      return gsError{ "unreadable", file + ": the file cannot be read.",
-                      "read", file };
-    }
-    understood += ReadLog(log, HostOf(file), reader);
+  gsResult<std::size_t> understood =
+    gsReadLogFiles(files, [&reader](gsLogRecord const& record) {
+      gsStoryTake(reader, record);
+    });
+  if (!understood) {
+    return understood.error();
   }
   gsStory story = gsStoryTell(reader);
   if (story.Named == 0) {
     return gsError{ "unknown_request",
-                    "None of " + std::to_string(understood) +
+                    "None of " + std::to_string(understood.value()) +
                       " log lines names request " + request + ".",
                     "explain",
                     {} };
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -17,6 +17,7 @@
 
 #include "gsDocumentJson.h"
 #include "gsExplain.h"
+#include "gsLosses.h"
 #include "gsRestClient.h"
 #include "gsSecret.h"
 #include "gsTable.h"
@@ -422,6 +423,7 @@
   std::string Path;
   std::string Key;
   std::vector<std::string> Files{ "-" };
+  std::size_t Pauses = 20; ///< Streams that losses shows.
   Assignments Assigned;
   SendOptions Send;
 
@@ -639,6 +641,30 @@
                         "Logs of the hosts; - or none: standard input.");
   }
 
+  void AddLosses()
+  {
+    CLI::App* losses = this->Add(
+      &this->App, "losses",
+      "Tell where requests lose their targets, from the logs of all hosts.",
+      [this]() -> int {
+        gsResult<gsLossReport> report =
+          gsLossesFromFiles(this->Files, this->Pauses);
+        if (!report) {
+          return Fail(report.error());
+        }
+        if (WantsJson(this->Shared)) {
+          gsPrintLossesJson(report.value(), std::cout);
+        } else {
+          gsPrintLosses(report.value(), std::cout);
+        }
+        return gsToolOk;
+      });
+    losses->add_option("files", this->Files,
+                       "Logs of the hosts; - or none: standard input.");
+    losses->add_option("--pauses", this->Pauses,
+                       "Streams with long pauses to show.");
+  }
+
   void AddSend()
   {
     CLI::App* send = this->Add(&this->App, "send", "Send a request.",
@@ -701,6 +727,7 @@
   commands.AddChanges();
   commands.AddSend();
   commands.AddExplain();
+  commands.AddLosses();
   try {
     commands.App.parse(argc, argv);
   } catch (CLI::ParseError const& error) {
