Routing: Expect a subject's home to hold what other hosts had read there

Cause: a host counted only what its own requests had read. With 87 hosts it knows little of a subject, took the home for an engine that holds nothing, predicted a miss of the target from the whole prompt (9,200 tokens against 600 ms) and left it for an engine that it knew to hold the parts which all subjects share.

Change: the tokens that count for the wait and for the target leave out shared parts that the home holds with the known probability, or that are handed over.

Test: AHomeIsNotLeftForAnEngineThat..., failed without the change.

--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -23,6 +23,8 @@
 constexpr std::uint32_t LeastConnections = 2;
 /** How sure it is that the preferred upstream holds a shared part. */
 constexpr double PreferredShare = 0.8;
+/** Share of the time to read parts that is saved when they are handed over. */
+constexpr double HandedOverShare = 0.8;
 
 /** What all candidates of one choice have in common. */
 struct Choice
@@ -180,6 +182,26 @@
   return ask.MayMove && gsSharedTokens(ask) >= settings.MinMovedTokens;
 }
 
+/**
+ * Tokens that the upstream will probably read: not those of shared parts that
+ * other hosts have had read there, or that another engine can hand over.
+ */
+std::uint32_t ExpectedRead(gsFleet const& fleet, gsFleetRow const& row,
+                           gsPlacementAsk const& ask, Choice const& choice,
+                           std::uint32_t toRead)
+{
+  std::uint32_t shared = gsSharedTokens(ask);
+  std::uint32_t cached = ask.PromptTokens - toRead;
+  double missing = shared - std::min(shared, cached);
+  double saved = 0;
+  if (&row == choice.Preferred) {
+    saved = PreferredShare;
+  } else if (IsMovable(fleet.Settings, ask) && choice.Preferred != nullptr) {
+    saved = PreferredShare * HandedOverShare;
+  }
+  return toRead - static_cast<std::uint32_t>(saved * missing);
+}
+
 /** What reading shared parts a further time costs, in tokens. */
 double AgainCost(gsFleet const& fleet, gsFleetRow const& row,
                  gsPlacementAsk const& ask, Choice const& choice,
@@ -408,10 +430,12 @@
     }
     ++best.Candidates;
     std::uint32_t toRead = gsTokensToRead(fleet, row, ask, now);
-    double cost = CostOf(fleet, row, ask, toRead, choice.UsualFailShare, now);
+    std::uint32_t expected = ExpectedRead(fleet, row, ask, choice, toRead);
+    double cost =
+      CostOf(fleet, row, ask, expected, choice.UsualFailShare, now);
     cost += AgainCost(fleet, row, ask, choice, toRead) + tie(random);
     cost += FullCost(fleet, row, ask, now);
-    cost += MissCost(fleet, row, ask, choice, toRead, now);
+    cost += MissCost(fleet, row, ask, choice, expected, now);
     // All engines soon hold the parts that all subjects share; what counts is
     // whether one holds the subject's own too.
     bool holds = toRead + gsSharedTokens(ask) <= ask.PromptTokens;
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -366,3 +366,29 @@
   one.Parts = { { 1, 20 }, { 2, 30 }, { 3, 6050 } };
   EXPECT_EQ(one.Place().Holder, nullptr);
 }
+
+// Each host has sent few of a subject's requests. It took the home for an
+// engine that holds nothing, thought the target missed there, and left it for
+// one that it knew to hold the parts that all subjects share: with 87 hosts a
+// subject was sent to five engines in the median.
+TEST(Fleet, AHomeIsNotLeftForAnEngineThatHoldsOnlyWhatAllSubjectsShare)
+{
+  for (bool mayMove : { false, true }) {
+    HandOver one(40);
+    one.Parts = { { 1, 2500 }, { 2, 3800 }, { 3, 2900 } };
+    one.Ask.PromptTokens = 9200;
+    one.Ask.MayMove = mayMove;
+    gsFleetRow const* home = one.Place().Row;
+    for (gsFleetRow& row : one.Fleet.Rows) {
+      if (&row != home) {
+        gsNoteParts(one.Fleet, row, { { 1, 2500 } }, Now);
+      }
+    }
+    one.Ask.TokenMillis = 0.05;
+    one.Ask.TargetTokens = 10000;
+    EXPECT_EQ(one.Place().Row, home);
+    // It is left where the target is missed even if it holds the subject.
+    gsFleetFind(one.Fleet, home->Listed.Id)->Own.ReadTokens = 40000;
+    EXPECT_NE(one.Place().Row, home);
+  }
+}
