Routing: Divide engines by predicted pauses, in place of a share of targets

Change: gsInterference learns, for each service, the time of a token and of an event and the pauses of a busy engine, and predicts which prompts make the tightest streams miss their target and which streams suffer. Where the targets of such prompts leave room for fewer than four of them (600 ms against some 240), they have their homes on engines of their own but may go to all, and the border moves only by a fifth of the engines.

Ruled out, as trials measured worse (docs/POLICY.md): a border for prompts whose own part is long, homes of all others on any engine, the preference for fast engines alone, all of these before homes were expected to hold parts.

--- a/Source/Core/gsArrangement.cxx
+++ b/Source/Core/gsArrangement.cxx
@@ -6,15 +6,19 @@
 
 namespace {
 
-/** Times the pace of the fast above which an engine is slow. */
+/** Times the pace of the fast above which an engine is slow, */
 constexpr double SlowFactor = 1.18;
+/** and below which one that was is slow no longer. */
+constexpr double FastFactor = 1.1;
 /** Share of the engines that may be faster than those called fast. */
 constexpr double FastShare = 0.1;
 /** By how much the groups' border must be off before it moves: engines, */
 constexpr double BorderSlack = 1.2;
 /** and as a share of all. */
 constexpr double BorderSlackShare = 0.03;
-constexpr double PromptSmoothing = 0.05;
+/** The same share where long prompts may go to all engines: there, to move the
+ * border costs more than to keep it. */
+constexpr double PressedSlackShare = 0.2;
 constexpr double HoldSmoothing = 0.05;
 
 bool IsSlow(gsEngineArrangement const& arrangement, gsFleetRow const& row)
@@ -84,7 +88,8 @@
     bool wasSlow = IsSlow(before, row);
     double pace = gsPaceOf(row);
     // A host that has just begun to decide keeps what it can not judge yet.
-    bool isSlow = pace > 0 ? pace > SlowFactor * fast : wasSlow;
+    double limit = (wasSlow ? FastFactor : SlowFactor) * fast;
+    bool isSlow = pace > 0 ? pace > limit : wasSlow;
     if (isSlow) {
       slow.push_back(row.Hash);
     }
@@ -95,7 +100,7 @@
 
 /** Engines for long prompts; moves only when demand clearly has. */
 std::uint32_t DecideLongEngines(gsDemand const& demand, double count,
-                                std::uint32_t before)
+                                double slackShare, std::uint32_t before)
 {
   double forLong = demand.Long + demand.OthersLong;
   double forTight = demand.Tight + demand.OthersTight;
@@ -103,7 +108,7 @@
     return 0;
   }
   double engines = count * forLong / (forLong + forTight);
-  double slack = std::max(BorderSlack, BorderSlackShare * count);
+  double slack = std::max(BorderSlack, slackShare * count);
   bool moved = std::abs(engines - before) > slack;
   if (!moved && before != 0 && before < count) {
     return before;
@@ -180,14 +185,8 @@
   if (demand.Since.count() == 0) {
     demand.Since = now;
   }
-  double work = WorkOf(fleet, ask);
-  if (!ask.Tight) {
-    demand.Long += work;
-    return;
-  }
-  demand.Tight += work;
-  double step = demand.TightPrompt == 0 ? 1 : PromptSmoothing;
-  demand.TightPrompt += step * (ask.PromptTokens - demand.TightPrompt);
+  bool isLong = ask.Group == gsFleetGroup::Long;
+  (isLong ? demand.Long : demand.Tight) += WorkOf(fleet, ask);
 }
 
 void gsNoteOthersDemand(gsFleet& fleet, std::string const& service,
@@ -205,21 +204,6 @@
   }
 }
 
-gsFleetGroup gsGroupOf(gsFleet const& fleet, gsPlacementAsk const& ask)
-{
-  if (ask.PromptTokens == 0) {
-    return gsFleetGroup::Any;
-  }
-  if (!ask.Tight) {
-    return gsFleetGroup::Long;
-  }
-  auto demand = fleet.Demand.find(std::string(ask.Service));
-  bool isLong =
-    demand != fleet.Demand.end() && demand->second.TightPrompt > 0 &&
-    ask.PromptTokens > fleet.Settings.LongFactor * demand->second.TightPrompt;
-  return isLong ? gsFleetGroup::Long : gsFleetGroup::Tight;
-}
-
 void gsNoteHold(gsFleet& fleet, gsFleetRow const& row, gsTime held)
 {
   std::string const& service = row.Listed.Service;
@@ -253,8 +237,10 @@
       next.Slow = DecideSlow(fleet, rows->second, known);
     }
     if (now - demand.Since >= settings.DemandPatience) {
+      bool pressed = gsIsPressed(fleet.Paces[service]);
       next.LongEngines = DecideLongEngines(
-        demand, static_cast<double>(engines), known.LongEngines);
+        demand, static_cast<double>(engines),
+        pressed ? PressedSlackShare : BorderSlackShare, known.LongEngines);
     }
     if (!(next == known)) {
       NoteGroupsBefore(fleet, known, rows->second);
--- a/Source/Core/gsArrangement.h
+++ b/Source/Core/gsArrangement.h
@@ -24,9 +24,6 @@
 void gsNoteOthersDemand(gsFleet& fleet, std::string const& service,
                         gsServiceDemand const& others, gsTime now);
 
-/** The group that a request belongs to. */
-gsFleetGroup gsGroupOf(gsFleet const& fleet, gsPlacementAsk const& ask);
-
 /** Notes for how long an attempt that ended whole held a slot. */
 void gsNoteHold(gsFleet& fleet, gsFleetRow const& row, gsTime held);
 
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -9,9 +9,13 @@
 
 namespace {
 
-constexpr double PaceQuantile = 0.2;
-constexpr double PaceStep = 0.03;
-constexpr std::uint32_t MinPaceSamples = 40;
+/** Events of which the least pause counts. Of so many, some follow upon steps
+ * in which nothing is read, though an engine reads for most of its time. */
+constexpr std::uint32_t PaceEvents = 24;
+/** An engine may turn slower: the least pause counts for so long, */
+constexpr gsTime PaceSpan = gsSeconds(5);
+/** and is forgotten then unless there was a new one. */
+constexpr gsTime PaceMemory = gsSeconds(10);
 constexpr double FailSmoothing = 0.25;
 constexpr gsTime FailHalfLife = gsSeconds(3);
 /** How long an upstream that has turned work away counts as full. */
@@ -89,22 +93,31 @@
 
 double gsPaceOf(gsFleetRow const& row)
 {
-  double own = row.PaceSamples >= MinPaceSamples ? row.Pace : 0;
-  if (own <= 0 || row.OthersPace <= 0) {
-    return std::max(own, row.OthersPace);
+  if (row.Pace <= 0 || row.OthersPace <= 0) {
+    return std::max(row.Pace, row.OthersPace);
   }
-  return std::min(own, row.OthersPace);
+  return std::min(row.Pace, row.OthersPace);
 }
 
-void gsNotePause(gsFleetRow& row, gsTime pause)
+void gsNotePause(gsFleet& fleet, gsFleetRow& row, gsTime pause, gsTime now)
 {
+  gsNoteEvent(fleet.Paces[row.Listed.Service], pause);
   double millis = gsToSeconds(pause) * 1e3;
-  if (row.PaceSamples == 0) {
-    row.Pace = millis;
+  row.LeastPause = row.Pauses == 0 ? millis : std::min(row.LeastPause, millis);
+  ++row.Pauses;
+  if (row.Pauses >= PaceEvents) {
+    bool isOld = row.Pace <= 0 || now - row.PaceSince > PaceSpan;
+    row.Pace = isOld ? row.LeastPause : std::min(row.Pace, row.LeastPause);
+    row.PaceSince = isOld ? now : row.PaceSince;
+    row.Pauses = 0;
+  }
+}
+
+void gsForgetPaces(gsFleet& fleet, gsTime now)
+{
+  for (gsFleetRow& row : fleet.Rows) {
+    row.Pace = now - row.PaceSince > PaceMemory ? 0 : row.Pace;
   }
-  ++row.PaceSamples;
-  double below = millis < row.Pace ? 1 : 0;
-  row.Pace *= 1 + PaceStep * (PaceQuantile - below);
 }
 
 void gsNoteParts(gsFleet const& fleet, gsFleetRow& row,
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "gsHallReach.h"
+#include "gsInterference.h"
 #include "gsLoadExchange.h"
 #include "gsTypes.h"
 
@@ -48,24 +49,11 @@
   std::uint64_t MemoryTokens = 0; ///< Of prompts and answers together.
 };
 
-/**
- * Which requests an engine is for. What reads a long prompt holds up every
- * stream beside it, so streams whose pauses must be short get engines of
- * their own while both kinds come.
- */
-enum class gsFleetGroup
-{
-  Any,
-  Long, ///< For long prompts and for streams that bear pauses.
-  Tight ///< For streams that do not.
-};
-
 /** Work that a service was lately asked for; sums that decay with time. */
 struct gsDemand
 {
-  double Long = 0;        ///< Tokens.
-  double Tight = 0;       ///< Tokens.
-  double TightPrompt = 0; ///< Smoothed length of a tight prompt, tokens.
+  double Long = 0;  ///< Of requests that interfere with others; tokens.
+  double Tight = 0; ///< Of all others; tokens.
   gsTime At{};
   /** The same of all other hosts, by their last word. */
   double OthersLong = 0;
@@ -107,12 +95,14 @@
   gsTime LastHeard{};             ///< Last byte of any answer.
   gsTime KeepIdle = gsSeconds(4); ///< Longest rest of a kept connection.
   /**
-   * Low quantile of the pauses between an engine's events, milliseconds: how
-   * fast it is when nothing holds it up. Zero until it has sent some.
+   * Least pause between an engine's events of late, milliseconds: how fast it
+   * is when nothing holds it up. Zero until it has sent some.
    */
   double Pace = 0;
-  std::uint32_t PaceSamples = 0;
-  double OthersPace = 0; ///< Least that another host has measured.
+  gsTime PaceSince{};       ///< Begin of the time over which it is the least.
+  double LeastPause = 0;    ///< Of the events since; milliseconds,
+  std::uint32_t Pauses = 0; ///< and how many they are.
+  double OthersPace = 0;    ///< Least that another host has measured.
   /** Parts read there by this host's requests, newest last. */
   std::unordered_map<std::uint64_t, gsTime> Parts;
 };
@@ -145,9 +135,12 @@
    * takes as long as reading so many prompt tokens.
    */
   double StepTokens = 240;
-  /** Prompts longer than so many tight ones are long. */
-  double LongFactor = 4;
   bool Groups = true;
+  /**
+   * Cost of an engine where a stream's pauses surely miss their target: a
+   * slower one, where fewer prompts have to be read at a time for that.
+   */
+  double PauseTokens = 30000;
   /** Cost of an engine whose memory the request would fill. */
   double FullTokens = 5000;
   /** Cost of an answer that would surely begin beyond its target. */
@@ -191,6 +184,7 @@
   /** How each service's engines are divided, as last decided by any host. */
   std::unordered_map<std::string, gsEngineArrangement> Arrangements;
   gsHallReaches Halls; ///< Which other halls can be reached.
+  std::unordered_map<std::string, gsEnginePace> Paces; ///< By service.
 };
 
 /**
@@ -206,7 +200,10 @@
 double gsPaceOf(gsFleetRow const& row);
 
 /** Notes a pause between two events of an engine's stream. */
-void gsNotePause(gsFleetRow& row, gsTime pause);
+void gsNotePause(gsFleet& fleet, gsFleetRow& row, gsTime pause, gsTime now);
+
+/** Forgets paces that this host has not measured again for long. */
+void gsForgetPaces(gsFleet& fleet, gsTime now);
 
 /** Work at an upstream by this host and, as last heard, all others. */
 gsOpenWork gsWorkAt(gsFleet const& fleet, gsFleetRow const& row, gsTime now);
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -33,8 +33,9 @@
   gsFleetRow const* Preferred = nullptr; ///< Of the request's subject.
   gsFleetGroup Group = gsFleetGroup::Any;
   std::uint32_t LongEngines = 0;
-  double HoldLong = 0;  ///< See gsDemand.
-  double HoldTight = 0; ///< See gsDemand.
+  double HoldLong = 0;                ///< See gsDemand.
+  double HoldTight = 0;               ///< See gsDemand.
+  gsEnginePace const* Pace = nullptr; ///< Of the service; null if unknown.
 };
 
 bool Contains(std::vector<std::string> const* list, std::string const& id)
@@ -293,8 +294,22 @@
 
 double OtherGroupCost(gsFleetSettings const& settings, Choice const& choice)
 {
-  bool holdsUp = choice.Group == gsFleetGroup::Long;
-  return settings.OtherGroupTokens + (holdsUp ? settings.HoldUpTokens : 0);
+  bool isLong = choice.Group == gsFleetGroup::Long;
+  if (isLong && choice.Pace != nullptr && gsIsPressed(*choice.Pace)) {
+    return 0;
+  }
+  return settings.OtherGroupTokens + (isLong ? settings.HoldUpTokens : 0);
+}
+
+/** What it costs that a stream's pauses may miss their target there. */
+double PauseCost(gsFleet const& fleet, gsFleetRow const& row,
+                 gsPlacementAsk const& ask, Choice const& choice)
+{
+  if (ask.Group != gsFleetGroup::Tight || choice.Pace == nullptr) {
+    return 0;
+  }
+  return fleet.Settings.PauseTokens *
+         gsPauseRisk(*choice.Pace, gsPaceOf(row), ask.PauseTargetMillis);
 }
 
 /** The place of an engine in a subject's own order of all but its home. */
@@ -410,13 +425,15 @@
   gsRefreshHalls(fleet, now);
   Choice choice;
   choice.UsualFailShare = MeanFailShare(fleet, rows->second, now);
-  choice.Group = gsGroupOf(fleet, ask);
+  choice.Group = ask.Group;
   choice.LongEngines = gsLongEngines(fleet, ask.Service);
   auto demand = fleet.Demand.find(std::string(ask.Service));
   if (demand != fleet.Demand.end()) {
     choice.HoldLong = demand->second.HoldLong;
     choice.HoldTight = demand->second.HoldTight;
   }
+  auto pace = fleet.Paces.find(std::string(ask.Service));
+  choice.Pace = pace == fleet.Paces.end() ? nullptr : &pace->second;
   choice.Preferred = PreferredFor(fleet, rows->second, ask, choice, now);
   best.Group = choice.LongEngines == 0 ? gsFleetGroup::Any : choice.Group;
   std::uniform_real_distribution<double> tie(0, TieTokens);
@@ -440,6 +457,7 @@
     // whether one holds the subject's own too.
     bool holds = toRead + gsSharedTokens(ask) <= ask.PromptTokens;
     cost += SpreadCost(fleet, row, ask, choice, holds);
+    cost += PauseCost(fleet, row, ask, choice);
     if (!InGroup(row, choice)) {
       cost += OtherGroupCost(fleet.Settings, choice);
     }
--- a/Source/Core/gsRouteTable.cxx
+++ b/Source/Core/gsRouteTable.cxx
@@ -30,25 +30,30 @@
 constexpr std::uint32_t LowestPriority =
   std::numeric_limits<std::uint32_t>::max();
 
-/** Pauses below this share of a service's longest are tight. */
-constexpr double TightShare = 0.5;
+bool IsShorter(gsTime target, gsTime than)
+{
+  bool limits = target.count() > 0;
+  return limits && (than.count() == 0 || target < than);
+}
 
-void MarkTight(gsRouteTable& table)
+void FindTightestTargets(gsRouteTable& table)
 {
-  std::unordered_map<std::string, gsTime> longest;
+  std::unordered_map<std::string, gsTime> tightest;
   for (gsRoute const& route : table.Routes) {
     for (gsRouteShare const& share : route.Shares) {
-      gsTime& gap = longest[share.Service];
-      gap = std::max(gap, route.GapTarget);
+      gsTime& least = tightest[share.Service];
+      bool counts = route.Events && IsShorter(route.GapTarget, least);
+      least = counts ? route.GapTarget : least;
     }
   }
   for (gsRoute& route : table.Routes) {
-    double most = 0;
+    route.TightestGapTarget = gsTime{};
     for (gsRouteShare const& share : route.Shares) {
-      most = std::max(most, gsToSeconds(longest[share.Service]));
+      gsTime least = tightest[share.Service];
+      if (IsShorter(least, route.TightestGapTarget)) {
+        route.TightestGapTarget = least;
+      }
     }
-    route.Tight = route.Events && route.GapTarget.count() > 0 &&
-                  gsToSeconds(route.GapTarget) < TightShare * most;
   }
 }
 
@@ -84,7 +89,7 @@
   for (std::size_t i = 0; i < table.Services.size(); ++i) {
     table.ServiceIndex[table.Services[i].Name] = i;
   }
-  MarkTight(table);
+  FindTightestTargets(table);
   RankUrgencies(table);
 }
 
--- a/Source/Core/gsRouteTable.h
+++ b/Source/Core/gsRouteTable.h
@@ -43,8 +43,9 @@
   gsTime Timeout = gsSeconds(30);
   gsTime Target{};    ///< To the whole answer, or a stream's first event.
   gsTime GapTarget{}; ///< Longest pause between events in target.
-  /** Its pauses must be short beside those of others that share a service. */
-  bool Tight = false;
+  /** Least of the pause targets of all routes that share a service with it;
+   * zero when none has one. */
+  gsTime TightestGapTarget{};
 };
 
 /** What is known of the engines of a service; absent for plain services. */
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -106,6 +106,7 @@
   }
   gsTime now = gsLoop::Now();
   gsRefreshHalls(this->Fleet, now);
+  gsForgetPaces(this->Fleet, now);
   for (gsLoadMessage const& message :
        gsLoadTick(this->Exchange, members, this->Own(now), now)) {
     if (gradescale::Frame* frame = this->Cluster->ToHost(message.To)) {
@@ -157,9 +158,7 @@
     }
     row.Others = { known.Running, known.ReadTokens, known.MemoryTokens };
     row.OthersAt = now;
-    if (known.PaceMicros > 0) {
-      row.OthersPace = known.PaceMicros / MicrosPerMilli;
-    }
+    row.OthersPace = known.PaceMicros / MicrosPerMilli;
   }
   for (auto const& [service, rows] : this->Fleet.ByService) {
     gsNoteOthersDemand(this->Fleet, service,
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -265,7 +265,6 @@
   ask.PromptTokens = request.Caller.PromptTokens;
   ask.AnswerTokens = request.Caller.AnswerTokens;
   ask.Tried = alsoTried ? nullptr : &request.Tried;
-  ask.Tight = request.Route->Tight;
   ask.TokenMillis = this->Caller.MillisPerToken();
   ask.TargetTokens =
     gsToSeconds(request.Route->Target) * 1e3 / ask.TokenMillis;
@@ -278,6 +277,8 @@
     ask.UpstreamMemory = service->Engine->MemoryTokens;
     ask.MayMove = service->Engine->HandsOver;
   }
+  ask.Group = this->GroupOf(request, ask);
+  ask.PauseTargetMillis = gsToSeconds(request.Route->GapTarget) * 1e3;
   if (request.Sends == 0) {
     gsNoteDemand(this->Fleet, ask, now);
   }
@@ -286,6 +287,24 @@
   return placement;
 }
 
+/** What a request is to the others at its service's engines. */
+gsFleetGroup gsRouteGateway::GroupOf(gsRoutedRequest const& request,
+                                     gsPlacementAsk const& ask)
+{
+  if (ask.PromptTokens == 0) {
+    return gsFleetGroup::Any;
+  }
+  gsRoute const& route = *request.Route;
+  gsPauseTargets targets;
+  targets.OwnMillis = gsToSeconds(route.GapTarget) * 1e3;
+  targets.TightestMillis = gsToSeconds(route.TightestGapTarget) * 1e3;
+  targets.FirstMillis = gsToSeconds(route.Target) * 1e3;
+  gsEnginePace& pace = this->Fleet.Paces[request.Service];
+  return request.Sends == 0
+           ? gsNoteInterference(pace, targets, ask.PromptTokens)
+           : gsGroupByInterference(pace, targets, ask.PromptTokens);
+}
+
 void gsRouteGateway::LogPlacement(gsRoutedRequest const& request,
                                   gsPlacementAsk const& ask,
                                   gsPlacement const& placement) const
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -62,6 +62,8 @@
   void Begin(Held const& request);
   void Place(Held const& request);
   gsPlacement Choose(gsRoutedRequest const& request, bool alsoTried);
+  gsFleetGroup GroupOf(gsRoutedRequest const& request,
+                       gsPlacementAsk const& ask);
   void LogPlacement(gsRoutedRequest const& request, gsPlacementAsk const& ask,
                     gsPlacement const& placement) const;
   void OnEvents(Held const& request, std::string const& events);
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -198,7 +198,7 @@
         gsTime pause = now - attempt.LastEventAt;
         attempt.LongestGap = std::max(attempt.LongestGap, pause);
         if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.UpstreamId)) {
-          gsNotePause(*row, pause);
+          gsNotePause(this->Fleet, *row, pause, now);
         }
       }
       attempt.LastEventAt = now;
@@ -229,6 +229,8 @@
       std::clamp(this->TokenMillis, LeastTokenMillis, MostTokenMillis);
   }
   if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.UpstreamId)) {
+    gsNoteReading(this->Fleet.Paces[row->Listed.Service], attempt.ReadTokens,
+                  now - attempt.SentAt);
     row->Own.ReadTokens -=
       std::min<std::uint64_t>(row->Own.ReadTokens, attempt.ReadTokens);
     gsNoteParts(this->Fleet, *row, request.Caller.Parts, now);
--- a/Tests/Unit/gsFleetCases.h
+++ b/Tests/Unit/gsFleetCases.h
@@ -40,10 +40,12 @@
   return fleet;
 }
 
+/** A request beside which streams suffer, unless a test says otherwise. */
 inline gsPlacementAsk Plain()
 {
   gsPlacementAsk ask;
   ask.Service = "model";
+  ask.Group = gsFleetGroup::Long;
   return ask;
 }
 
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -367,6 +367,54 @@
   EXPECT_EQ(one.Place().Holder, nullptr);
 }
 
+TEST(Fleet, AnEnginesPaceIsItsLeastPauseHoweverOftenItReads)
+{
+  gsFleet fleet = MakeFleet(2);
+  gsFleetRow& row = fleet.Rows[0];
+  for (int i = 0; i < 48; ++i) {
+    gsNotePause(fleet, row, gsMilliseconds(i % 12 == 5 ? 30 : 150), Now);
+  }
+  EXPECT_DOUBLE_EQ(gsPaceOf(row), 30);
+}
+
+TEST(Fleet, AnEngineThatHasTurnedSlowIsBelievedToBe)
+{
+  gsFleet fleet = MakeFleet(2);
+  gsFleetRow& row = fleet.Rows[0];
+  auto stream = [&](int millis, gsTime now) {
+    for (int i = 0; i < 24; ++i) {
+      gsNotePause(fleet, row, gsMilliseconds(millis), now);
+    }
+  };
+  stream(30, Now);
+  stream(120, Now + gsSeconds(1));
+  EXPECT_DOUBLE_EQ(gsPaceOf(row), 30); // It may only have been busy.
+  stream(120, Now + gsSeconds(6));
+  EXPECT_DOUBLE_EQ(gsPaceOf(row), 120);
+  // What is not measured again is not believed for ever.
+  gsForgetPaces(fleet, Now + gsSeconds(17));
+  EXPECT_DOUBLE_EQ(gsPaceOf(row), 0);
+}
+
+TEST(Fleet, TightStreamsPreferEnginesThatPauseLess)
+{
+  gsFleet fleet = MakeFleet(3);
+  for (gsFleetRow& row : fleet.Rows) {
+    row.OthersPace = row.Listed.Id == "u1" ? 30 : 40;
+  }
+  gsEnginePace& pace = fleet.Paces["model"];
+  pace.EventMillis = 35;
+  pace.BusyMillis = 260;
+  gsPlacementAsk ask = Plain();
+  ask.PromptTokens = 500;
+  ask.Group = gsFleetGroup::Tight;
+  ask.PauseTargetMillis = 250;
+  EXPECT_EQ(Chosen(fleet, ask), "u1");
+  // Many more streams there than its slots are worse than the risk.
+  gsFleetFind(fleet, "u1")->Own.Running = 30;
+  EXPECT_NE(Chosen(fleet, ask), "u1");
+}
+
 // Each host has sent few of a subject's requests. It took the home for an
 // engine that holds nothing, thought the target missed there, and left it for
 // one that it knew to hold the parts that all subjects share: with 87 hosts a
