Coordination: Read the tables from other hosts at a first start; show all halls

At the first start of all, which the platform's settings name and at which no caller waits, hosts whose duty is to watch read after 1.2 s and tell the others; who was not told after 3 s reads for itself. Missing changes are asked of one host for each table, not of each that has them.

gradescale halls prints a row a hall, from /v1/halls of a host; metrics of the system's and the hall's size, links and bytes. Links without a word for 10 s are ended: accepted ones of hosts that lost power stayed for ever.

Tests on real processes: a hall that the store is silent to hears of a leaving upstream through the other hall's coordinators; a change reaches all after three of six hosts, coordinators among them, are killed.

--- a/Source/Coord/gsHallMembership.cxx
+++ b/Source/Coord/gsHallMembership.cxx
@@ -801,6 +801,27 @@
   return hosts;
 }
 
+std::vector<std::string> gsOtherCoordinators(gsHallMembership const& table,
+                                             gsTime now)
+{
+  std::vector<std::string> hosts;
+  if (!Coordinates(table, now)) {
+    return hosts;
+  }
+  for (auto const& [name, hall] : table.Others) {
+    std::size_t taken = 0;
+    for (gsHallPeer const& peer : hall.Contacts) {
+      bool counts = IsWithin(peer.Heard, table.Settings.HallMemory, now) &&
+                    taken < table.Settings.Coordinators;
+      if (counts) {
+        hosts.push_back(peer.Host.Host);
+        ++taken;
+      }
+    }
+  }
+  return hosts;
+}
+
 std::map<std::string, std::string> gsOtherRelays(gsHallMembership const& table,
                                                  gsTime now)
 {
--- a/Source/Coord/gsHallMembership.h
+++ b/Source/Coord/gsHallMembership.h
@@ -217,6 +217,11 @@
 std::vector<std::string> gsHallPeers(gsHallMembership const& table,
                                      gsTime now);
 
+/** The coordinators of other halls that this host exchanges heartbeats with;
+ * none unless it coordinates its own. */
+std::vector<std::string> gsOtherCoordinators(gsHallMembership const& table,
+                                             gsTime now);
+
 /** The relay of each other hall that is heard of. */
 std::map<std::string, std::string> gsOtherRelays(gsHallMembership const& table,
                                                  gsTime now);
--- a/Source/Daemon/gsHallCluster.cxx
+++ b/Source/Daemon/gsHallCluster.cxx
@@ -12,6 +12,10 @@
 constexpr gsTime TickPeriod = gsMilliseconds(100);
 /** A link that nobody needed for so long is ended. */
 constexpr gsTime IdleLimit = gsSeconds(3);
+/** Every link that is in use carries a heartbeat a second. One that is silent
+ * for longer than a process is expected to stand still has lost its other end
+ * without a word, as when that lost power. */
+constexpr gsTime SilentLimit = gsSeconds(10);
 /** Sizes are logged at most so often: at a start they change all the time. */
 constexpr gsTime LogPeriod = gsSeconds(1);
 /** Until it was told the size of the system a host takes no larger share of
@@ -88,7 +92,12 @@
 
 void gsHallCluster::OnStalled()
 {
-  gsHallNoteStall(this->Table, gsLoop::Now());
+  gsTime now = gsLoop::Now();
+  gsHallNoteStall(this->Table, now);
+  for (auto& [number, link] : this->LinkTable) {
+    link.Heard = now;
+    link.Needed = now;
+  }
 }
 
 std::size_t gsHallCluster::SystemSize() const
@@ -121,6 +130,7 @@
   Link& link = this->LinkTable[number];
   link.Address = address;
   link.Needed = gsLoop::Now();
+  link.Heard = link.Heard.count() == 0 ? link.Needed : link.Heard;
   if (link.Host.empty() && !host.empty()) {
     link.Host = host;
     this->LinkOf[host] = number;
@@ -175,7 +185,8 @@
 void gsHallCluster::CloseNeedless(gsTime now)
 {
   for (auto& [number, link] : this->LinkTable) {
-    bool silent = gsHallAvoids(this->Table, link.Host, now);
+    bool silent = gsHallAvoids(this->Table, link.Host, now) ||
+                  now - link.Heard > SilentLimit;
     bool dialled = !link.Address.empty();
     if (!dialled || gsHallKeepsLink(this->Table, link.Host, now)) {
       link.Needed = now;
@@ -195,10 +206,11 @@
   if (link.Closing) {
     return;
   }
+  gsTime now = gsLoop::Now();
   link.Host = frame.host();
-  link.Needed = link.Needed.count() == 0 ? gsLoop::Now() : link.Needed;
+  link.Needed = link.Needed.count() == 0 ? now : link.Needed;
+  link.Heard = now;
   this->LinkOf[link.Host] = number;
-  gsTime now = gsLoop::Now();
   gsHallNoteSign(this->Table, link.Host, now);
   for (gradescale::HallNews const& news : frame.hall_news()) {
     gsHallHear(this->Table, frame.host(), gsFromWire(news), now);
@@ -234,9 +246,16 @@
     return;
   }
   this->LinkOf.erase(current);
-  if (!link.Closing) {
-    gsHallLinkDown(this->Table, link.Host, gsLoop::Now());
-    gsLogLine("link_down").With("host", link.Host);
+  if (link.Closing) {
+    return;
+  }
+  gsTime now = gsLoop::Now();
+  bool matters = gsHallKeepsLink(this->Table, link.Host, now);
+  gsHallLinkDown(this->Table, link.Host, now);
+  if (matters) {
+    gsLogLine("link_down", gsLogLevel::Warn)
+      .With("host", link.Host)
+      .With("hall", gsHallOf(this->Table, link.Host));
   }
 }
 
--- a/Source/Daemon/gsHallCluster.h
+++ b/Source/Daemon/gsHallCluster.h
@@ -75,6 +75,7 @@
     std::string Host;    ///< Empty until it has said its name.
     std::string Address; ///< That this host dialled; empty if it was dialled.
     gsTime Needed{};     ///< When heartbeats last needed it.
+    gsTime Heard{};      ///< When it began, or a frame last came.
     bool Closing = false;
   };
 
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -7,6 +7,7 @@
 
 #include <sys/stat.h>
 
+#include "gsHallStatus.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
 
@@ -234,9 +235,15 @@
   } else if (exchange->Path == "/metrics") {
     this->WriteGauges();
     exchange->Respond(gsStatusOk, plain, this->Metrics.Text());
+  } else if (exchange->Path == "/v1/halls") {
+    gsHeaders json{ { "Content-Type", "application/json" } };
+    exchange->Respond(
+      gsStatusOk, json,
+      gsHallStatus(this->Cluster->Members(), gsLoop::Now()).dump());
   } else {
-    exchange->Respond(gsStatusNotFound, plain,
-                      "This port serves /readyz, /healthz and /metrics.\n");
+    exchange->Respond(
+      gsStatusNotFound, plain,
+      "This port serves /readyz, /healthz, /metrics and /v1/halls.\n");
   }
 }
 
@@ -250,6 +257,22 @@
                       gsLabels({ { "upstream", row.Listed.Id } }),
                       row.Own.Running);
   }
+  gsTime now = gsLoop::Now();
+  gsHallMembership const& members = this->Cluster->Members();
+  this->Metrics.Set("gradescale_system_hosts", {},
+                    static_cast<double>(this->Cluster->SystemSize()));
+  this->Metrics.Set("gradescale_hall_hosts", {},
+                    static_cast<double>(gsHallSize(members, now)));
+  this->Metrics.Set("gradescale_coordinates", {},
+                    gsHallCoordinates(members, now) ? 1 : 0);
+  this->Metrics.Set("gradescale_peer_links", {},
+                    static_cast<double>(this->Cluster->Links()));
+  if (gsPeerNet const* net = this->Cluster->Net()) {
+    this->Metrics.Set("gradescale_peer_bytes_total", "direction=\"sent\"",
+                      static_cast<double>(net->BytesSent()));
+    this->Metrics.Set("gradescale_peer_bytes_total", "direction=\"received\"",
+                      static_cast<double>(net->BytesReceived()));
+  }
   this->Metrics.Set("gradescale_platform_calls_total", {},
                     static_cast<double>(this->Tables->Calls()));
   this->Metrics.Set("gradescale_upstream_connections_total", {},
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -183,6 +183,7 @@
       inner.Millis("load_period_ms", PeriodRange, routing.LoadPeriod);
     routing.RetryAfter =
       inner.Millis("retry_after_ms", PeriodRange, routing.RetryAfter);
+    routing.FirstStart = inner.Flag("first_start", routing.FirstStart);
   });
   fields.Object("stop", [&](gsFields& inner) {
     settings.Stop.Unready =
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -85,6 +85,8 @@
     gsTime Silence = gsMilliseconds(700);
     gsTime RetryAfter = gsMilliseconds(300);
     gsTime LoadPeriod = gsMilliseconds(50);
+    /** All hosts start for the first time, and no caller waits yet. */
+    bool FirstStart = false;
   } Routing;
 
   /** Choice of an upstream in the routed mode; Hall is set from above. */
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -15,6 +15,12 @@
 constexpr gsTime BeatPeriod = gsMilliseconds(400);
 /** A watch's answer may be later than its wait by as much. */
 constexpr gsTime AgeMargin = gsMilliseconds(900);
+/** At a first start of all, hosts know their coordinators after 0.7 s
+ * (measured with 295 hosts of a tenth of a core); those that watch read then,
+ */
+constexpr gsTime FirstStartPatience = gsMilliseconds(1200);
+/** and the others by themselves if nobody has told them until then. */
+constexpr gsTime ToldPatience = gsMilliseconds(3000);
 /** Larger changes are not sent to all hosts of a hall; bytes. */
 constexpr std::size_t PushLimit = 16384;
 
@@ -86,10 +92,34 @@
 {
   this->Cluster = &cluster;
   this->Duty.Started = gsLoop::Now();
+  if (this->Settings.Routing.FirstStart) {
+    // 295 hosts that each read two tables make as many calls to the platform
+    // as their watchers in the 50 s after it.
+    this->Duty.Settings.StartPatience = FirstStartPatience;
+    this->Routes->Pause();
+    this->Upstreams->Pause();
+    return;
+  }
+  this->Started = true;
   this->Routes->Start();
   this->Upstreams->Start();
 }
 
+/** Ends the wait of a first start. */
+void gsTableSync::ReadIfNotTold(gsTime now)
+{
+  if (this->Started) {
+    return;
+  }
+  bool told = this->Routes->Known() && this->Upstreams->Known();
+  bool watches = this->Duty.State != gsWatchState::Covered;
+  this->Started = told || watches || now - this->Duty.Started >= ToldPatience;
+  if (this->Started && !told && !watches) {
+    this->Routes->ReadOnce();
+    this->Upstreams->ReadOnce();
+  }
+}
+
 std::uint64_t gsTableSync::Version() const
 {
   return std::max(this->Routes->Version(), this->Upstreams->Version());
@@ -111,6 +141,7 @@
 void gsTableSync::Tick(gsTime now)
 {
   this->DecideDuty(now);
+  this->ReadIfNotTold(now);
   this->AskBehind(now);
 }
 
@@ -158,6 +189,10 @@
   if (watch == nullptr) {
     return;
   }
+  if (wire.too_large() && !this->Started) {
+    this->AskFor(host, wire.table());
+    return;
+  }
   if (wire.too_large()) {
     watch->ReadOnce();
     return;
@@ -321,9 +356,14 @@
   }
 }
 
-/** Asks hosts that have had newer rows for a while. */
+/**
+ * Asks hosts that have had newer rows for a while; one for each table, since
+ * several would send the same.
+ */
 void gsTableSync::AskBehind(gsTime now)
 {
+  bool askedRoutes = false;
+  bool askedUpstreams = false;
   for (auto& [host, shown] : this->Peers) {
     bool due = shown.BehindSince.count() != 0 &&
                now - shown.BehindSince >= BehindPatience;
@@ -331,10 +371,12 @@
       continue;
     }
     shown.BehindSince = this->IsBehind(shown) ? now : gsTime{};
-    if (shown.Routes > this->Routes->CompleteTo()) {
+    if (!askedRoutes && shown.Routes > this->Routes->CompleteTo()) {
+      askedRoutes = true;
       this->AskFor(host, this->Adapter.Tables.Routes);
     }
-    if (shown.Upstreams > this->Upstreams->CompleteTo()) {
+    if (!askedUpstreams && shown.Upstreams > this->Upstreams->CompleteTo()) {
+      askedUpstreams = true;
       this->AskFor(host, this->Adapter.Tables.Upstreams);
     }
   }
--- a/Source/Daemon/gsTableSync.h
+++ b/Source/Daemon/gsTableSync.h
@@ -33,7 +33,10 @@
   gsTableSync(gsLoop& loop, gsHttpClient& client, gsAdapter const& adapter,
               gsSettings const& settings, gsTableSyncEvents events);
 
-  /** Reads both tables; the cluster outlives this. */
+  /**
+   * Reads both tables; at a first start of all hosts only if no other host of
+   * the hall tells them soon. The cluster outlives this.
+   */
   void Start(gsHallCluster& cluster);
 
   /** Takes in what a frame of another host tells of the tables. */
@@ -71,6 +74,7 @@
   void PushNews(gsTableWatch const& watch, std::string const& table,
                 std::uint64_t& pushed);
   void DecideDuty(gsTime now);
+  void ReadIfNotTold(gsTime now);
   std::uint32_t TablesAge() const;
   std::uint32_t HeardTablesAge() const;
   std::vector<std::string> HallHosts() const;
@@ -88,6 +92,7 @@
   gsWatchDuty Duty;
   std::uint64_t RoutesPushed = 0;    ///< Version told to the hall.
   std::uint64_t UpstreamsPushed = 0; ///< Version told to the hall.
-  gsTime LastBeat{};                 ///< Of a watcher to its hall.
+  bool Started = false; ///< Tables are read, or were told by another host.
+  gsTime LastBeat{};    ///< Of a watcher to its hall.
   std::unordered_map<std::string, Shown> Peers;
 };
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -117,6 +117,18 @@
   }
 }
 
+/** A row a hall: so it fits a screen however many hosts there are. */
+int ShowHalls(Options const& options)
+{
+  gsResult<gsJson> rows = gsCallOperator(options.Operator, "GET", "/v1/halls");
+  if (!rows) {
+    return Fail(rows.error());
+  }
+  PrintRows(options, rows.value(),
+            { "hall", "hosts", "coordinators", "heard_ms", "in_touch" });
+  return 0;
+}
+
 /** Waits until a change is accepted; says meanwhile who is missing. */
 int WaitAccepted(Options const& options, gsJson state)
 {
@@ -478,6 +490,9 @@
     check->add_option("file", this->Path, "The file.")->required();
     this->Add(&this->App, "status", "Show hosts, pools and upstreams.",
               [this] { return ShowStatus(this->Shared); });
+    this->Add(&this->App, "halls",
+              "Show all halls as a host of the routed mode knows them.",
+              [this] { return ShowHalls(this->Shared); });
     CLI::App* config = this->Group("config", "The whole configuration.");
     this->Add(config, "show", "Print the configuration in force.",
               [this] { return ShowConfig(this->Shared); });
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -205,3 +205,47 @@
     EXPECT_TRUE(system.SendAndWait(host, "plain")->Good());
   }
 }
+
+// Six hosts in two halls: what one hall's hosts hear of the platform reaches
+// the other hall only through the halls' coordinators.
+TEST(Routed, ACutOffHallHearsOfALeavingUpstreamThroughTheOther)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 6;
+  plan.Halls = 2;
+  gsRoutedSystem system(plan);
+  system.RunFor(4); // All have found their coordinators and watch.
+  for (int i = 0; i < 6; i += 2) {
+    system.Links({ "store:host" + std::to_string(i) }, { { "mode", "hole" } });
+  }
+  system.RunFor(0.3);
+  system.List("runner1", true);
+  system.RunFor(3);
+  std::size_t before = system.RunsOf("runner1");
+  std::vector<gsRoutedReplyPtr> replies;
+  replies.reserve(20);
+  for (int i = 0; i < 20; ++i) {
+    replies.push_back(system.SendAndWait("host0", "plain"));
+  }
+  ExpectServed(system, replies);
+  EXPECT_EQ(system.RunsOf("runner1"), before);
+}
+
+TEST(Routed, CoordinatorsThatAreKilledAreReplaced)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 6;
+  gsRoutedSystem system(plan);
+  system.RunFor(4);
+  // Whichever these are: at least one of the three coordinators is left out.
+  for (char const* host : { "host0", "host1", "host2" }) {
+    system.Signal(host, SIGKILL);
+  }
+  system.RunFor(4);
+  system.Configure({ "key-one", "key-three" });
+  system.RunFor(2.5);
+  for (char const* host : { "host3", "host4", "host5" }) {
+    EXPECT_TRUE(system.SendAndWait(host, "plain", "key-three")->Good());
+    EXPECT_EQ(system.SendAndWait(host, "plain", "key-two")->Status, 401U);
+  }
+}
