Coordination: Take rows in once, and tell news together

Cause: at a start 170 upstreams appear within 4 s. Hosts that were not assigned began to watch during a first start, since their wait had begun before the assigned ones'.

Rows are read once a version; a watcher tells news no more often than every 200 ms; coordinators of other halls are told as well; the wait of those that are not assigned begins with the duty of the assigned.

--- a/Source/Coord/gsWatchDuty.cxx
+++ b/Source/Coord/gsWatchDuty.cxx
@@ -101,6 +101,8 @@
   bool covered = HearsOfFreshTables(duty, watches ? &order : nullptr, now);
   NoteCover(duty, covered, now);
   if (now - duty.Started < duty.Settings.StartPatience) {
+    // Those whose turn comes later wait for the assigned ones from then on.
+    duty.UncoveredSince = duty.UncoveredSince.count() == 0 ? gsTime{} : now;
     return duty.State;
   }
   if (assigned) {
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -190,25 +190,46 @@
     .With("organisations", std::uint64_t(table->Organisations.size()));
 }
 
+/** Reads a row, unless it was read before; an unreadable one leaves what was
+ * known of the upstream. */
+std::optional<gsListedUpstream> gsRouteNode::ReadUpstream(
+  std::string const& id, gsTableRow const& row)
+{
+  auto known = this->ReadRows.find(id);
+  if (known != this->ReadRows.end() && known->second.Version == row.Version) {
+    return known->second.Listed;
+  }
+  gsResult<gsListedUpstream> read = this->Adapter.ReadUpstream(id, row.Value);
+  if (read) {
+    this->ReadRows[id] = { row.Version, read.value() };
+    return read.value();
+  }
+  gsLogLine("upstream_unreadable", gsLogLevel::Error)
+    .With("upstream", id)
+    .With("row_version", row.Version)
+    .With(read.error());
+  if (known == this->ReadRows.end()) {
+    return std::nullopt;
+  }
+  known->second.Version = row.Version;
+  return known->second.Listed;
+}
+
 void gsRouteNode::OnUpstreams()
 {
+  gsTableWatch::Rows const& present = this->Tables->UpstreamRows().Present();
   std::vector<gsListedUpstream> listed;
+  listed.reserve(present.size());
   std::size_t leaving = 0;
-  for (auto const& [id, row] : this->Tables->UpstreamRows().Present()) {
-    gsResult<gsListedUpstream> read =
-      this->Adapter.ReadUpstream(id, row.Value);
-    if (!read) {
-      gsLogLine("upstream_unreadable", gsLogLevel::Error)
-        .With("upstream", id)
-        .With("row_version", row.Version)
-        .With(read.error());
-      if (gsFleetRow const* known = gsFleetFind(this->Fleet, id)) {
-        listed.push_back(known->Listed);
-      }
-      continue;
+  for (auto const& [id, row] : present) {
+    if (std::optional<gsListedUpstream> read = this->ReadUpstream(id, row)) {
+      leaving += read->Leaving ? 1 : 0;
+      listed.push_back(std::move(*read));
     }
-    leaving += read.value().Leaving ? 1 : 0;
-    listed.push_back(std::move(read.value()));
+  }
+  for (auto row = this->ReadRows.begin(); row != this->ReadRows.end();) {
+    bool gone = present.count(row->first) == 0;
+    row = gone ? this->ReadRows.erase(row) : std::next(row);
   }
   gsFleetTake(this->Fleet, listed);
   gsLogLine("upstreams")
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -9,7 +9,9 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "gsAdapter.h"
 #include "gsFleet.h"
@@ -48,6 +50,8 @@
   gsHallClusterEvents ClusterEvents();
   void OnRoutes();
   void OnUpstreams();
+  std::optional<gsListedUpstream> ReadUpstream(std::string const& id,
+                                               gsTableRow const& row);
   bool Ready() const;
   void OnOperators(std::shared_ptr<gsHttpExchange> const& exchange);
   void Tick();
@@ -75,6 +79,13 @@
   gsTimer LoadTimer;
   gsTimer StopTimer;
   std::shared_ptr<gsRouteTable const> Table;
+  /** An upstream as its row of that version says. */
+  struct ReadRow
+  {
+    std::uint64_t Version = 0;
+    gsListedUpstream Listed;
+  };
+  std::unordered_map<std::string, ReadRow> ReadRows; ///< By key of the row.
   gsTime LastTick{};
   gsTime LastLook{};
   gsTime StopSince{};
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -21,6 +21,10 @@
 constexpr gsTime FirstStartPatience = gsMilliseconds(1200);
 /** and the others by themselves if nobody has told them until then. */
 constexpr gsTime ToldPatience = gsMilliseconds(3000);
+/** News are told no more often than this: when 170 upstreams come one after
+ * the other, each host of a hall would else take in 80 changes of its whole
+ * list in 4 s from each watcher (measured). */
+constexpr gsTime PushGap = gsMilliseconds(200);
 /** Larger changes are not sent to all hosts of a hall; bytes. */
 constexpr std::size_t PushLimit = 16384;
 
@@ -67,6 +71,8 @@
   , Settings(settings)
   , Events(std::move(events))
 {
+  this->RoutesPushed.Table = adapter.Tables.Routes;
+  this->UpstreamsPushed.Table = adapter.Tables.Upstreams;
   this->Duty.Self = settings.Host;
   this->Duty.Settings.MostAge = settings.Routing.WatchWait + AgeMargin;
   gsTableWatchSettings watch;
@@ -75,15 +81,13 @@
   watch.Table = adapter.Tables.Routes;
   this->Routes =
     std::make_unique<gsTableWatch>(loop, client, adapter, watch, [this] {
-      this->PushNews(*this->Routes, this->Adapter.Tables.Routes,
-                     this->RoutesPushed);
+      this->OfferNews(*this->Routes, this->RoutesPushed);
       this->Events.OnRoutes();
     });
   watch.Table = adapter.Tables.Upstreams;
   this->Upstreams =
     std::make_unique<gsTableWatch>(loop, client, adapter, watch, [this] {
-      this->PushNews(*this->Upstreams, this->Adapter.Tables.Upstreams,
-                     this->UpstreamsPushed);
+      this->OfferNews(*this->Upstreams, this->UpstreamsPushed);
       this->Events.OnUpstreams();
     });
 }
@@ -142,6 +146,7 @@
 {
   this->DecideDuty(now);
   this->ReadIfNotTold(now);
+  this->PushPending(now);
   this->AskBehind(now);
 }
 
@@ -228,23 +233,58 @@
   return gsHallPeers(this->Cluster->Members(), gsLoop::Now());
 }
 
-/** Tells the hall what has changed since it was last told. */
-void gsTableSync::PushNews(gsTableWatch const& watch, std::string const& table,
-                           std::uint64_t& pushed)
+/** Those who are told of news at once: the hosts of the hall, and the
+ * coordinators of all others, whose own watch may be silent. */
+std::vector<std::string> gsTableSync::ToTell() const
 {
-  gsTableNews news = watch.NewsAbove(pushed);
-  pushed = watch.CompleteTo();
+  gsTime now = gsLoop::Now();
+  std::vector<std::string> hosts = this->HallHosts();
+  std::vector<std::string> others =
+    gsOtherCoordinators(this->Cluster->Members(), now);
+  hosts.insert(hosts.end(), others.begin(), others.end());
+  return hosts;
+}
+
+/** Tells what has changed, or lets Tick do so when others were told a short
+ * while ago. */
+void gsTableSync::OfferNews(gsTableWatch const& watch, Pushed& pushed)
+{
+  if (gsLoop::Now() - pushed.At >= PushGap) {
+    this->PushNews(watch, pushed);
+  } else {
+    pushed.Pending = true;
+  }
+}
+
+void gsTableSync::PushPending(gsTime now)
+{
+  if (this->RoutesPushed.Pending && now - this->RoutesPushed.At >= PushGap) {
+    this->PushNews(*this->Routes, this->RoutesPushed);
+  }
+  if (this->UpstreamsPushed.Pending &&
+      now - this->UpstreamsPushed.At >= PushGap) {
+    this->PushNews(*this->Upstreams, this->UpstreamsPushed);
+  }
+}
+
+/** Tells what has changed since it was last told. */
+void gsTableSync::PushNews(gsTableWatch const& watch, Pushed& pushed)
+{
+  gsTableNews news = watch.NewsAbove(pushed.Version);
+  pushed.Version = watch.CompleteTo();
+  pushed.Pending = false;
   if (this->Duty.State == gsWatchState::Covered || news.Rows.empty()) {
     return;
   }
-  for (std::string const& host : this->HallHosts()) {
+  pushed.At = gsLoop::Now();
+  for (std::string const& host : this->ToTell()) {
     gradescale::Frame* frame = this->Cluster->ToHost(host);
     if (frame != nullptr && IsLarge(news)) {
       gradescale::TableNews* notice = frame->add_table_news();
-      notice->set_table(table);
+      notice->set_table(pushed.Table);
       notice->set_too_large(true);
     } else if (frame != nullptr) {
-      AddNews(*frame, table, news);
+      AddNews(*frame, pushed.Table, news);
     }
   }
 }
--- a/Source/Daemon/gsTableSync.h
+++ b/Source/Daemon/gsTableSync.h
@@ -66,18 +66,29 @@
     gsTime BehindSince{}; ///< Zero while this host has them all.
   };
 
+  /** What this host has told others of a table by itself. */
+  struct Pushed
+  {
+    std::string Table;
+    std::uint64_t Version = 0; ///< Told up to it.
+    gsTime At{};
+    bool Pending = false; ///< There is more, to be told a little later.
+  };
+
   gsTableWatch* WatchOf(std::string_view table);
   void HearVersions(std::string const& host, gradescale::Frame const& frame);
   void HearNews(std::string const& host, gradescale::Frame const& frame);
   void LearnNews(std::string const& host, gradescale::TableNews const& wire);
   void AnswerQueries(std::uint64_t link, gradescale::Frame const& frame);
-  void PushNews(gsTableWatch const& watch, std::string const& table,
-                std::uint64_t& pushed);
+  void OfferNews(gsTableWatch const& watch, Pushed& pushed);
+  void PushNews(gsTableWatch const& watch, Pushed& pushed);
+  void PushPending(gsTime now);
   void DecideDuty(gsTime now);
   void ReadIfNotTold(gsTime now);
   std::uint32_t TablesAge() const;
   std::uint32_t HeardTablesAge() const;
   std::vector<std::string> HallHosts() const;
+  std::vector<std::string> ToTell() const;
   std::vector<std::string> WatchOrder(gsTime now) const;
   bool IsBehind(Shown const& shown) const;
   void AskFor(std::string const& host, std::string const& table);
@@ -90,8 +101,8 @@
   std::unique_ptr<gsTableWatch> Routes;
   std::unique_ptr<gsTableWatch> Upstreams;
   gsWatchDuty Duty;
-  std::uint64_t RoutesPushed = 0;    ///< Version told to the hall.
-  std::uint64_t UpstreamsPushed = 0; ///< Version told to the hall.
+  Pushed RoutesPushed;
+  Pushed UpstreamsPushed;
   bool Started = false; ///< Tables are read, or were told by another host.
   gsTime LastBeat{};    ///< Of a watcher to its hall.
   std::unordered_map<std::string, Shown> Peers;
