Coordination: Watch the platform from one host a hall, held as long as is safe

Two hosts a hall each held a watch of each table for 2 s, and asked again 150 ms after each change.

One host a hall watches. What made one unsafe was that a hall whose watcher stands still would hear of a leaving upstream late: the next host watches after 0.9 s of its silence, coordinators of all halls tell each other what they hear, and each heartbeat says which changes its sender has. A watch is held, and changes are gathered, for as long as follows from the time in which a leaving upstream has to be known (routing.leaving_ms; on the platform its own bound).

--- a/Source/Coord/gsWatchDuty.h
+++ b/Source/Coord/gsWatchDuty.h
@@ -1,9 +1,10 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /**
  * \file
- * Which hosts watch the platform for their hall. A few hosts a hall, the first
- * in an order that all agree on, watch its tables and tell the others; their
- * number does not grow with the hall. When no watcher's tables are up to date,
+ * Which hosts watch the platform for their hall. One host a hall, the first in
+ * an order that all agree on, watches its tables and tells the others, however
+ * large the hall is. When it is silent for Patience, the next watches too; and
+ * the coordinators of halls tell each other what they hear. When no watcher's tables are up to date,
  * the other hosts begin to watch one after the other, so that nothing depends
  * on any one of them, and yet a platform that is silent to all is not asked by
  * all; the first of them that reaches it covers the rest. Halls of no more
@@ -33,7 +34,7 @@
 
 struct gsWatchDutySettings
 {
-  std::size_t Watchers = 2; ///< Of each hall.
+  std::size_t Watchers = 1; ///< Of each hall; each makes calls of its own.
   /** A watcher that has been silent for so long covers nobody. */
   gsTime Patience = gsMilliseconds(900);
   /** Tables that are older cover nobody. */
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -176,8 +176,9 @@
                 [&](gsFields& inner) { ReadPlacement(inner, settings); });
   fields.Object("routing", [&](gsFields& inner) {
     auto& routing = settings.Routing;
+    routing.Leaving = inner.Millis("leaving_ms", PeriodRange, routing.Leaving);
     routing.WatchWait =
-      inner.Millis("watch_wait_ms", PeriodRange, routing.WatchWait);
+      inner.Millis("watch_wait_ms", PeriodRange, routing.Leaving);
     routing.Silence = inner.Millis("silence_ms", PeriodRange, routing.Silence);
     routing.LoadPeriod =
       inner.Millis("load_period_ms", PeriodRange, routing.LoadPeriod);
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -81,7 +81,10 @@
   /** Only for the routed mode. */
   struct
   {
-    gsTime WatchWait = gsMilliseconds(2000);
+    /** An upstream that leaves gets no new work after so long: what bounds how
+     * long a watch of the platform is held, and news are gathered. */
+    gsTime Leaving = gsMilliseconds(2000);
+    gsTime WatchWait = gsMilliseconds(2000); ///< As Leaving, unless set.
     gsTime Silence = gsMilliseconds(700);
     gsTime RetryAfter = gsMilliseconds(300);
     gsTime LoadPeriod = gsMilliseconds(50);
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -21,6 +21,9 @@
 constexpr gsTime FirstStartPatience = gsMilliseconds(1200);
 /** and the others by themselves if nobody has told them until then. */
 constexpr gsTime ToldPatience = gsMilliseconds(3000);
+/** Changes are gathered for this part of the time in which a leaving upstream
+ * has to be known; each time is a call to the platform by each watcher. */
+constexpr int GatherShare = 12;
 /** News are told no more often than this: when 170 upstreams come one after
  * the other, each host of a hall would else take in 80 changes of its whole
  * list in 4 s from each watcher (measured). */
@@ -78,6 +81,7 @@
   gsTableWatchSettings watch;
   watch.Platform = settings.Platform.Address;
   watch.Wait = settings.Routing.WatchWait;
+  watch.Gather = settings.Routing.Leaving / GatherShare;
   watch.Table = adapter.Tables.Routes;
   this->Routes =
     std::make_unique<gsTableWatch>(loop, client, adapter, watch, [this] {
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -157,7 +157,8 @@
 }
 
 unsigned gsRoutedSystem::Fetch(std::string const& method,
-                               std::string const& url, gsJson const& body)
+                               std::string const& url, gsJson const& body,
+                               std::string* text)
 {
   gsCall call;
   call.Method = method;
@@ -171,6 +172,9 @@
     gsFetch(*this->Client, std::move(call), [&](gsAnswer const& answer) {
       done = true;
       status = answer.End.Status;
+      if (text != nullptr) {
+        *text = answer.Body;
+      }
     });
   if (!this->RunUntil([&] { return done; }, 3)) {
     this->Client->Cancel(number);
@@ -342,6 +346,19 @@
   }
 }
 
+std::vector<std::string> gsRoutedSystem::Coordinators(std::string const& host)
+{
+  std::string text;
+  this->Fetch("GET",
+              "http://" + this->Processes.At(host).Operators + "/v1/halls", {},
+              &text);
+  gsJson rows = gsJson::parse(text, nullptr, false);
+  if (!rows.is_array() || rows.empty()) {
+    return {};
+  }
+  return rows[0]["coordinators"].get<std::vector<std::string>>();
+}
+
 bool gsRoutedSystem::Ready(std::string const& host)
 {
   return this->Fetch(
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -98,6 +98,9 @@
   /** Writes a host's settings file anew, with a changed retry budget. */
   void ChangeSettings(std::string const& host, int retryBurst);
 
+  /** Coordinators of a host's hall as that host knows them, in order. */
+  std::vector<std::string> Coordinators(std::string const& host);
+
   /** Sends a signal to a process that this object has started. */
   void Signal(std::string const& process, int signal);
   bool Running(std::string const& process);
@@ -127,8 +130,9 @@
   std::string SettingsFile(std::string const& host) const;
   std::string HallOf(int number) const;
   gsJson Settings(std::string const& host);
+  /** The answer's body goes to the text, unless that is null. */
   unsigned Fetch(std::string const& method, std::string const& url,
-                 gsJson const& body);
+                 gsJson const& body, std::string* text = nullptr);
 
   gsRoutedPlan Plan;
   gsLoop Loop;
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -4,6 +4,7 @@
  * The whole path of the routed mode on real processes behind the
  * fault-injecting proxy.
  */
+#include <algorithm>
 #include <csignal>
 
 #include <gtest/gtest.h>
@@ -237,15 +238,44 @@
   plan.Hosts = 6;
   gsRoutedSystem system(plan);
   system.RunFor(4);
-  // Whichever these are: at least one of the three coordinators is left out.
-  for (char const* host : { "host0", "host1", "host2" }) {
+  std::vector<std::string> killed = system.Coordinators("host0");
+  ASSERT_EQ(killed.size(), 3U);
+  for (std::string const& host : killed) {
     system.Signal(host, SIGKILL);
   }
   system.RunFor(4);
   system.Configure({ "key-one", "key-three" });
   system.RunFor(2.5);
-  for (char const* host : { "host3", "host4", "host5" }) {
-    EXPECT_TRUE(system.SendAndWait(host, "plain", "key-three")->Good());
-    EXPECT_EQ(system.SendAndWait(host, "plain", "key-two")->Status, 401U);
+  for (std::string const& host : system.Hosts()) {
+    if (std::find(killed.begin(), killed.end(), host) == killed.end()) {
+      EXPECT_TRUE(system.SendAndWait(host, "plain", "key-three")->Good());
+      EXPECT_EQ(system.SendAndWait(host, "plain", "key-two")->Status, 401U);
+    }
+  }
+}
+
+// One host a hall watches the platform. When it stands still, and no other
+// hall is there to be heard from, the others must still hear of a leaving
+// upstream within the time that the settings give, two seconds.
+TEST(Routed, AFrozenWatchersHallHearsOfALeavingUpstream)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 4;
+  gsRoutedSystem system(plan);
+  system.RunFor(4);
+  std::vector<std::string> coordinators = system.Coordinators("host0");
+  ASSERT_EQ(coordinators.size(), 3U);
+  // The first relays load reports; the second watches.
+  std::string const& watcher = coordinators[1];
+  system.Signal(watcher, SIGSTOP);
+  system.List("runner0", true);
+  system.RunFor(2);
+  std::size_t before = system.RunsOf("runner0");
+  for (std::string const& host : system.Hosts()) {
+    for (int i = 0; host != watcher && i < 10; ++i) {
+      EXPECT_TRUE(system.SendAndWait(host, "plain")->Good());
+    }
   }
+  EXPECT_EQ(system.RunsOf("runner0"), before);
+  system.Signal(watcher, SIGCONT);
 }
