--- a/Source/Coord/gsLoadExchange.cxx
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -123,6 +123,11 @@
   return "others";
 }
 
+gsTime gsLoadGap(gsLoadSettings const& settings, std::size_t hallSize)
+{
+  return settings.GapOfEach * static_cast<std::int64_t>(hallSize);
+}
+
 void gsLoadHear(gsLoadExchange& exchange, std::string_view host,
                 std::string_view hall, gsLoadReport report, gsTime now)
 {
--- a/Source/Coord/gsLoadExchange.h
+++ b/Source/Coord/gsLoadExchange.h
@@ -135,7 +135,7 @@
    * One host is told no more often than this for each host of the hall, so
    * that a relay sends as many reports however large its hall is.
    */
-  gsTime GapOfEach = gsMilliseconds(5);
+  gsTime GapOfEach = gsMilliseconds(10);
 };
 
 struct gsLoadExchange
@@ -164,6 +164,9 @@
   gsLoadReport Report;
 };
 
+/** Least time between two reports to one host of a hall of that size. */
+gsTime gsLoadGap(gsLoadSettings const& settings, std::size_t hallSize);
+
 /** Takes a report of another host in. */
 void gsLoadHear(gsLoadExchange& exchange, std::string_view host,
                 std::string_view hall, gsLoadReport report, gsTime now);
--- a/Source/Daemon/gsHallCluster.cxx
+++ b/Source/Daemon/gsHallCluster.cxx
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr gsTime TickPeriod = gsMilliseconds(100);
 /** A link that nobody needed for so long is ended. */
 constexpr gsTime IdleLimit = gsSeconds(3);
 /** Every link that is in use carries a heartbeat a second. One that is silent
@@ -43,7 +42,6 @@
   , Settings(settings)
   , Events(std::move(events))
   , Random(incarnation)
-  , Timer(loop, [this] { this->Tick(); })
 {
   gsHallHost self;
   self.Host = settings.Host;
@@ -79,7 +77,6 @@
     return net.error();
   }
   this->Peers = std::move(net.value());
-  this->Timer.Every(TickPeriod);
   this->Tick();
   return true;
 }
--- a/Source/Daemon/gsHallCluster.h
+++ b/Source/Daemon/gsHallCluster.h
@@ -46,6 +46,9 @@
   /** Opens the peer port and begins to look for the others. */
   gsResult<bool> Start();
 
+  /** Sends what is due; to be run some ten times a second. */
+  void Tick();
+
   /** Says to the others that this host stops as planned. */
   void Leave();
 
@@ -79,7 +82,6 @@
     bool Closing = false;
   };
 
-  void Tick();
   void Send(gsHallMessage const& message);
   void CloseNeedless(gsTime now);
   void OnFrame(std::uint64_t link, gradescale::Frame const& frame);
@@ -88,13 +90,12 @@
   std::uint64_t OtherLinkTo(std::string const& host) const;
   void NoteChanges(gsTime now);
 
-  gsLoop& Loop;
+  gsLoop& Loop; ///< Outlives this.
   gsSettings const& Settings;
   gsHallClusterEvents Events;
   gsRandom Random;
   gsHallMembership Table;
   std::unique_ptr<gsPeerNet> Peers;
-  gsTimer Timer;
   std::map<std::uint64_t, Link> LinkTable;
   std::unordered_map<std::string, std::uint64_t> LinkOf; ///< By host.
   std::vector<std::string> Coordinators;                 ///< As last logged.
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -128,6 +128,12 @@
   }
 }
 
+gsTime gsLoadSharing::Gap() const
+{
+  std::size_t hosts = gsHallSize(this->Cluster->Members(), gsLoop::Now());
+  return gsLoadGap(this->Exchange.Settings, hosts);
+}
+
 void gsLoadSharing::Hear(std::string const& host,
                          gradescale::Frame const& frame)
 {
--- a/Source/Daemon/gsLoadSharing.h
+++ b/Source/Daemon/gsLoadSharing.h
@@ -30,6 +30,8 @@
   void Hear(std::string const& host, gradescale::Frame const& frame);
   /** Reports the load, as far as it has changed; run many times a second. */
   void Tell();
+  /** Least time between two reports to one host. */
+  gsTime Gap() const;
 
 private:
   gsSystemLoad Own(gsTime now) const;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -60,7 +60,7 @@
   , Client(loop)
   , Loads(this->Fleet, this->Settings)
   , TickTimer(loop, [this] { this->Tick(); })
-  , LoadTimer(loop, [this] { this->Loads.Tell(); })
+  , LoadTimer(loop, [this] { this->TellLoads(); })
   , StopTimer(loop, [this] { this->Stop(); })
 {
   this->Fleet.Settings = this->Settings.Placement;
@@ -110,7 +110,7 @@
   this->LastTick = gsLoop::Now();
   this->TickTimer.BeforeOthers();
   this->TickTimer.Every(TickPeriod);
-  this->LoadTimer.Every(this->Settings.Routing.LoadPeriod);
+  this->LoadTimer.Once(this->Settings.Routing.LoadPeriod);
   gsLogLine("started")
     .With("host", this->Settings.Host)
     .With("hall", this->Settings.Hall)
@@ -308,6 +308,7 @@
   if (gap > StallLimit) {
     this->OnStalled(gap);
   }
+  this->Cluster->Tick();
   this->Tables->Tick(now);
   if (now - this->LastLook >= SettingsPeriod) {
     this->LastLook = now;
@@ -315,6 +316,16 @@
   }
 }
 
+/** Looks twice in each gap between reports whether one is due: in a large hall
+ * that is less often than the shortest period, and each look wakes the host.
+ */
+void gsRouteNode::TellLoads()
+{
+  this->Loads.Tell();
+  this->LoadTimer.Once(
+    std::max(this->Settings.Routing.LoadPeriod, this->Loads.Gap() / 2));
+}
+
 /** What was known before the process stood still may be out of date. */
 void gsRouteNode::OnStalled(gsTime gap)
 {
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -55,6 +55,7 @@
   bool Ready() const;
   void OnOperators(std::shared_ptr<gsHttpExchange> const& exchange);
   void Tick();
+  void TellLoads();
   void OnStalled(gsTime gap);
   void LookAtSettings();
   void ApplySettings();
