--- a/Source/Coord/gsHallMembership.cxx
+++ b/Source/Coord/gsHallMembership.cxx
@@ -654,7 +654,7 @@
 } // namespace
 
 void gsHallStart(gsHallMembership& table, gsHallHost self,
-                 std::vector<std::string> seeds, gsTime now)
+                 std::vector<std::string> const& seeds, gsTime now)
 {
   table.Self = std::move(self);
   table.Started = now;
--- a/Source/Coord/gsHallMembership.h
+++ b/Source/Coord/gsHallMembership.h
@@ -168,7 +168,7 @@
 
 /** Begins; seeds are addresses that may be stale or the own one. */
 void gsHallStart(gsHallMembership& table, gsHallHost self,
-                 std::vector<std::string> seeds, gsTime now);
+                 std::vector<std::string> const& seeds, gsTime now);
 
 /** Messages that are due; to be run some ten times a second. */
 std::vector<gsHallMessage> gsHallTick(gsHallMembership& table, gsTime now,
--- a/Source/Coord/gsWatchDuty.h
+++ b/Source/Coord/gsWatchDuty.h
@@ -4,11 +4,11 @@
  * Which hosts watch the platform for their hall. One host a hall, the first in
  * an order that all agree on, watches its tables and tells the others, however
  * large the hall is. When it is silent for Patience, the next watches too; and
- * the coordinators of halls tell each other what they hear. When no watcher's tables are up to date,
- * the other hosts begin to watch one after the other, so that nothing depends
- * on any one of them, and yet a platform that is silent to all is not asked by
- * all; the first of them that reaches it covers the rest. Halls of no more
- * hosts than watchers are not changed by this.
+ * the coordinators of halls tell each other what they hear. When no watcher's
+ * tables are up to date, the other hosts begin to watch one after the other,
+ * so that nothing depends on any one of them, and yet a platform that is
+ * silent to all is not asked by all; the first of them that reaches it covers
+ * the rest. Halls of no more hosts than watchers are not changed by this.
  *
  * The state is one plain struct; time is handed in.
  */
--- a/Tests/Unit/gsTestHallMembership.cxx
+++ b/Tests/Unit/gsTestHallMembership.cxx
@@ -39,6 +39,15 @@
   return bytes + rows * RowBytes;
 }
 
+std::string Sentence(std::vector<std::string> const& words)
+{
+  std::string text;
+  for (std::string const& word : words) {
+    text.append(text.empty() ? "" : " ").append(word);
+  }
+  return text;
+}
+
 /** One process of a host. */
 struct Node
 {
@@ -158,12 +167,12 @@
         std::vector<std::string> known = gsHallOrder(table, this->Now);
         known.resize(std::min(known.size(), count));
         if (known != order) {
-          return host + " does not know the coordinators of " + hall;
+          return Sentence({ host, "does not know the coordinators of", hall });
         }
         if (gsSystemSize(table, this->Now) != all) {
-          return host + " counts " +
-                 std::to_string(gsSystemSize(table, this->Now)) + " of " +
-                 std::to_string(all);
+          return Sentence({ host, "counts",
+                            std::to_string(gsSystemSize(table, this->Now)),
+                            "of", std::to_string(all) });
         }
         deciders += gsHallDecides(table, this->Now) ? 1 : 0;
       }
