Io: Log what the close of callers' connections meets

Which of the hypotheses on lost requests holds can't be told from today's logs: nothing says on how many connections a request was coming in, or had come and was not read, when a stop closed them. Two log lines say so; no logic changes.

--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -400,7 +400,10 @@
   bool over =
     since >= this->Settings.Stop.Longest - this->Settings.Stop.Margin;
   if (over || (this->Quiesced && idle)) {
-    gsLogLine("stopped").With("cut", std::uint64_t(this->Gateway->Open()));
+    gsLogLine("stopped")
+      .With("cut", std::uint64_t(this->Gateway->Open()))
+      .With("open", std::uint64_t(this->CallerServer->OpenExchanges()))
+      .With("unread", std::uint64_t(this->CallerServer->Unread()));
     this->StopTimer.Stop();
     this->Loop.Stop();
   }
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -13,6 +13,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "gsLog.h"
+
 namespace {
 
 constexpr std::size_t StreamBlock = 8192;
@@ -23,6 +25,13 @@
 ssize_t ReadStream(void* context, std::uint64_t /*position*/, char* buffer,
                    std::size_t size);
 
+/** Whether bytes have arrived that nobody has read. */
+bool HasUnread(int descriptor)
+{
+  char byte = 0;
+  return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 } // namespace
 
 gsResult<std::pair<std::string, std::uint16_t>> gsSplitAddress(
@@ -385,14 +394,33 @@
   this->Settings.ReceiveTimeout = receiveTimeout;
 }
 
+std::size_t gsHttpServer::Unread() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->Links.begin(), this->Links.end(), [](auto const& at) {
+      return HasUnread(at.second.Descriptor);
+    }));
+}
+
 void gsHttpServer::CloseIdle()
 {
+  std::size_t closed = 0;
+  std::size_t receiving = 0;
+  std::size_t unread = 0;
   for (auto& [connection, link] : this->Links) {
     if (!link.Busy && !link.Shut) {
       link.Shut = true;
+      ++closed;
+      receiving += link.Begun ? 1 : 0;
+      unread += !link.Begun && HasUnread(link.Descriptor) ? 1 : 0;
       shutdown(link.Descriptor, SHUT_WR);
     }
   }
+  gsLogLine("callers_closed")
+    .With("connections", std::uint64_t(this->Links.size()))
+    .With("closed", std::uint64_t(closed))
+    .With("receiving", std::uint64_t(receiving))
+    .With("unread", std::uint64_t(unread));
 }
 
 void gsHttpServer::RunSoon()
@@ -451,6 +479,7 @@
     std::make_shared<gsHttpExchange>(*this, connection));
   (*held)->Target = target;
   (*held)->Since = gsLoop::Now();
+  this->Links[connection].Begun = true;
   ++this->Exchanges;
   return held;
 }
@@ -517,6 +546,7 @@
   --this->Exchanges;
   auto link = this->Links.find(exchange->Connection);
   if (link != this->Links.end()) {
+    link->second.Begun = false;
     link->second.Busy = false;
     link->second.Open = nullptr;
     link->second.Since = gsLoop::Now();
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -135,6 +135,8 @@
   void CloseIdle();
   /** Requests that have not been answered whole yet. */
   std::size_t OpenExchanges() const { return this->Exchanges; }
+  /** Connections whose callers have sent what has not been read yet. */
+  std::size_t Unread() const;
   /** Whether answers tell callers to close the connection. */
   void CloseAfterAnswers(bool close) { this->Closing = close; }
   std::uint16_t Port() const { return this->BoundPort; }
@@ -145,6 +147,7 @@
   {
     gsTime Since{}; ///< When the connection, or its last answer, ended.
     int Descriptor = -1;
+    bool Begun = false; ///< A first line was read; its answer is not out yet.
     bool Busy = false;
     bool Shut = false; ///< Closed for sending; takes no more requests.
     gsHttpExchange* Open = nullptr; ///< The request that is being answered.
