Io: Close a caller's connection only when nothing is open or unread there

Cause: whether a connection waits for an answer was told by a mark that is set once the request has been read whole, and the check of the close stood at the request's head. Between the two a stop closed the connection, and the request was passed on without a way back. Class: one state told by two marks that change at different moments; "no more" said before what was sent is read.

Ruled out by the tests: the order of answer and close on kept connections (it passed before), and the cut for its time (a host that stood still did not pass on what it had cut; now it also reads what came meanwhile).

Change: the request on a connection is its only state, from the first line to the answer's end; the close leaves connections with unread bytes open; callers that the kernel has accepted are taken before the listener closes; what was closed is never handled; a stop ends when all connections are closed for requests, not when no request is open. The own interface's stop closes the same way.

--- a/Source/Daemon/gsNode.cxx
+++ b/Source/Daemon/gsNode.cxx
@@ -553,9 +553,9 @@
   if (!this->Quiesced && since >= this->Settings.Stop.Unready) {
     this->Quiesced = true;
     this->CallerServer->Quiesce();
+    this->CallerServer->CloseIdle();
   }
-  bool idle = this->Gateway->Open() == 0 &&
-              this->CallerServer->OpenExchanges() == 0 &&
+  bool idle = this->Gateway->Open() == 0 && this->CallerServer->Drained() &&
               this->Claims.Pending.empty() &&
               this->Claims.Background.empty() && this->Claims.InFlight.empty();
   bool over = since >= this->Settings.Stop.Longest;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -396,7 +396,8 @@
     this->CallerServer->Quiesce();
     this->CallerServer->CloseIdle();
   }
-  bool idle = this->CallerServer->OpenExchanges() == 0;
+  // A request that was not read yet is no open exchange, but waits as well.
+  bool idle = this->CallerServer->Drained();
   bool over =
     since >= this->Settings.Stop.Longest - this->Settings.Stop.Margin;
   if (over || (this->Quiesced && idle)) {
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -10,6 +10,7 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,6 +21,8 @@
 constexpr std::size_t StreamBlock = 8192;
 constexpr std::size_t CompactAbove = 65536;
 constexpr int Backlog = 1024;
+/** The library accepts 10 callers or so each time that it runs. */
+constexpr int AcceptRounds = Backlog / 10;
 constexpr gsTime SweepPeriod = gsSeconds(1);
 
 ssize_t ReadStream(void* context, std::uint64_t /*position*/, char* buffer,
@@ -379,13 +382,28 @@
   }
 }
 
+/** What the kernel has accepted for this host is lost with the listener. */
+void gsHttpServer::AcceptWaiting()
+{
+  pollfd listener{ this->Listener, POLLIN, 0 };
+  for (int round = 0; round < AcceptRounds; ++round) {
+    if (poll(&listener, 1, 0) <= 0) {
+      return;
+    }
+    MHD_run(this->Daemon);
+  }
+}
+
 void gsHttpServer::Quiesce()
 {
-  MHD_quiesce_daemon(this->Daemon);
-  if (this->Listener >= 0) {
-    close(this->Listener);
-    this->Listener = -1;
+  if (this->Listener < 0) {
+    return;
   }
+  this->AcceptWaiting();
+  MHD_quiesce_daemon(this->Daemon);
+  close(this->Listener);
+  this->Listener = -1;
+  this->RunSoon();
 }
 
 void gsHttpServer::Limit(std::size_t maxBody, gsTime receiveTimeout)
@@ -402,27 +420,44 @@
     }));
 }
 
+/** Says on a connection that no more is answered, unless its caller has sent
+ * something already: that has to be read and answered first. */
+bool gsHttpServer::CloseIfIdle(Link& link)
+{
+  if (link.Shut || link.Open != nullptr || HasUnread(link.Descriptor)) {
+    return false;
+  }
+  link.Shut = true;
+  shutdown(link.Descriptor, SHUT_WR);
+  return true;
+}
+
 void gsHttpServer::CloseIdle()
 {
   std::size_t closed = 0;
-  std::size_t receiving = 0;
+  std::size_t open = 0;
   std::size_t unread = 0;
   for (auto& [connection, link] : this->Links) {
-    if (!link.Busy && !link.Shut) {
-      link.Shut = true;
-      ++closed;
-      receiving += link.Begun ? 1 : 0;
-      unread += !link.Begun && HasUnread(link.Descriptor) ? 1 : 0;
-      shutdown(link.Descriptor, SHUT_WR);
-    }
+    bool idle = CloseIfIdle(link);
+    closed += idle ? 1 : 0;
+    open += link.Open != nullptr ? 1 : 0;
+    unread += !link.Shut && link.Open == nullptr ? 1 : 0;
   }
   gsLogLine("callers_closed")
     .With("connections", std::uint64_t(this->Links.size()))
     .With("closed", std::uint64_t(closed))
-    .With("receiving", std::uint64_t(receiving))
+    .With("open", std::uint64_t(open))
     .With("unread", std::uint64_t(unread));
 }
 
+bool gsHttpServer::Drained() const
+{
+  return std::all_of(this->Links.begin(), this->Links.end(),
+                     [](auto const& at) {
+                       return at.second.Shut && at.second.Open == nullptr;
+                     });
+}
+
 void gsHttpServer::RunSoon()
 {
   if (this->Scheduled) {
@@ -455,7 +490,13 @@
 {
   gsTime now = gsLoop::Now();
   for (auto& [connection, link] : this->Links) {
-    if (!link.Busy && now - link.Since > this->Settings.ReceiveTimeout) {
+    bool comes = link.Open == nullptr ||
+                 link.Open->At == gsHttpExchange::Phase::New ||
+                 link.Open->At == gsHttpExchange::Phase::Receiving;
+    bool late = now - link.Since > this->Settings.ReceiveTimeout;
+    // This process may have stood still while the rest came in.
+    if (comes && late && !HasUnread(link.Descriptor)) {
+      link.Shut = true;
       shutdown(link.Descriptor, SHUT_RDWR);
     }
   }
@@ -479,7 +520,9 @@
     std::make_shared<gsHttpExchange>(*this, connection));
   (*held)->Target = target;
   (*held)->Since = gsLoop::Now();
-  this->Links[connection].Begun = true;
+  Link& link = this->Links[connection];
+  link.Open = held->get();
+  link.Since = (*held)->Since;
   ++this->Exchanges;
   return held;
 }
@@ -493,10 +536,8 @@
     exchange->At = gsHttpExchange::Phase::Receiving;
     exchange->Method = method;
     exchange->Path = url;
-    Link& link = this->Links[connection];
-    link.Since = exchange->Since;
-    // It crossed the close and could not be answered: it is not read on.
-    return link.Shut ? MHD_NO : MHD_YES;
+    // One that crossed the close could not be answered: it is not read on.
+    return this->Links[connection].Shut ? MHD_NO : MHD_YES;
   }
   if (*size > 0) {
     bool fits = exchange->Body.size() + *size <= this->Settings.MaxBody;
@@ -510,10 +551,11 @@
     return MHD_YES;
   }
   if (exchange->At == gsHttpExchange::Phase::Receiving) {
+    if (this->Links[connection].Shut) {
+      return MHD_NO; // Cut while it came in; it could not be answered.
+    }
     exchange->At = gsHttpExchange::Phase::Handling;
     exchange->Peer = PeerOf(connection);
-    this->Links[connection].Busy = true;
-    this->Links[connection].Open = exchange.get();
     exchange->WatchCaller();
     std::shared_ptr<gsHttpExchange> keep = exchange;
     this->Handle(keep);
@@ -546,14 +588,11 @@
   --this->Exchanges;
   auto link = this->Links.find(exchange->Connection);
   if (link != this->Links.end()) {
-    link->second.Begun = false;
-    link->second.Busy = false;
     link->second.Open = nullptr;
     link->second.Since = gsLoop::Now();
-    if (this->Closing && !link->second.Shut) {
+    if (this->Closing) {
       // Its answer may have begun before callers were told to close.
-      link->second.Shut = true;
-      shutdown(link->second.Descriptor, SHUT_WR);
+      CloseIfIdle(link->second);
     }
   }
   exchange->Watch.reset();
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -127,12 +127,17 @@
   gsHttpServer(gsHttpServer const&) = delete;
   gsHttpServer& operator=(gsHttpServer const&) = delete;
 
-  /** Accepts no more connections; those that are open go on. */
+  /** Accepts the callers that wait, and no more; open connections go on. */
   void Quiesce();
   /** Bounds what callers may send and how long they may rest. */
   void Limit(std::size_t maxBody, gsTime receiveTimeout);
-  /** Closes the connections on which no request is open. */
+  /**
+   * Closes the connections whose callers wait for nothing: no request is open
+   * there, and nothing has come that was not read.
+   */
   void CloseIdle();
+  /** Whether every connection is closed for requests and waits for none. */
+  bool Drained() const;
   /** Requests that have not been answered whole yet. */
   std::size_t OpenExchanges() const { return this->Exchanges; }
   /** Connections whose callers have sent what has not been read yet. */
@@ -143,14 +148,18 @@
 
 private:
   friend class gsHttpExchange;
+  /**
+   * A caller's connection. Whether it waits for anything is told by Open
+   * alone: a second mark that is set at another moment lets a request slip
+   * through between the two, to be passed on without a way back.
+   */
   struct Link
   {
-    gsTime Since{}; ///< When the connection, or its last answer, ended.
+    gsTime Since{}; ///< When it was opened, or its request began or ended.
     int Descriptor = -1;
-    bool Begun = false; ///< A first line was read; its answer is not out yet.
-    bool Busy = false;
-    bool Shut = false; ///< Closed for sending; takes no more requests.
-    gsHttpExchange* Open = nullptr; ///< The request that is being answered.
+    bool Shut = false; ///< Closed for sending; no request on it is handled.
+    /** The request on it, from its first line to the end of its answer. */
+    gsHttpExchange* Open = nullptr;
   };
 
   gsHttpServer(gsLoop& loop, gsHttpServerSettings settings, Handler handler);
@@ -158,6 +167,8 @@
   void RunSoon();
   void Run();
   void CutSlow();
+  void AcceptWaiting();
+  static bool CloseIfIdle(Link& link);
   void* OnFirstLine(MHD_Connection* connection, char const* target);
   int OnRequest(MHD_Connection* connection, char const* url,
                 char const* method, char const* data, std::size_t* size,
