--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -32,6 +32,11 @@
   std::uint64_t UpstreamMemory = 0;
   /** Attempts that this host may have open at one upstream; 0 for any. */
   std::uint32_t MostOwn = 0;
+  /** Hosts that choose among the same upstreams at the same time, each by a
+   * view of the others' work that is some tenths of a second old. */
+  std::size_t Hosts = 1;
+  /** Kinds of requests of the service that are more urgent than this one. */
+  std::uint32_t MoreUrgentKinds = 0;
   /** Ids of upstreams that this request was sent to already. */
   std::vector<std::string> const* Tried = nullptr;
 };
