Routing: Look at a few engines a request, and keep places for urgent kinds

Cause: every host took the engine that its view shows as the emptiest, and all views show the same one; nothing counted that the others choose alike. And the less urgent kinds filled the queues to the end, in which a kind that may be sent once only needs its place. Class: a decision that is right for one host and wrong for all at a time, by a view that none of them has written.

Change: a request looks at the first engines in its subject's own order and at those that hold its subject, and at as many at random if it would surely miss its target; at so many that, when each host sends one request to the emptiest in the time of a view, half of its slots hold them. Engines with a whole batch waiting are chosen among at random. Less urgent kinds are sent to no engine with that many waiting, and are refused at once with when to come back; what has begun is not.

--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -2,7 +2,12 @@
 #include "gsPlacement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
+#include <iterator>
 #include <limits>
+#include <random>
+#include <utility>
 
 #include "gsArrangement.h"
 #include "gsRendezvous.h"
@@ -31,6 +36,10 @@
  */
 constexpr double HandedOverShare = 0.8;
 
+/** A request looks at so many upstreams at least: of two, chosen at random,
+ * the emptier is a good choice already, and one of them may be unreachable. */
+constexpr std::size_t LeastLooks = 4;
+
 /** What all candidates of one choice have in common. */
 struct Choice
 {
@@ -104,14 +113,26 @@
          gsHallMayTry(fleet.Halls, row.Listed.Hall, now);
 }
 
+/** Whether it has a place that is not kept for more urgent requests. */
+bool HasPlace(gsFleet const& fleet, gsFleetRow const& row,
+              gsPlacementAsk const& ask, gsTime now)
+{
+  std::uint32_t most = gsMostOpen(row.Listed.Slots, ask.MoreUrgentKinds);
+  return most == 0 || gsWorkAt(fleet, row, now).Running < most;
+}
+
 /** Why none can be chosen, with one more that cannot. */
 gsPlacementCause CauseAgainst(gsFleet const& fleet, gsFleetRow const& row,
                               gsPlacementAsk const& ask, gsTime now,
                               gsPlacementCause before)
 {
-  if (row.Listed.Leaving || Contains(ask.Tried, row.Listed.Id)) {
+  if (row.Listed.Leaving || Contains(ask.Tried, row.Listed.Id) ||
+      before == gsPlacementCause::Full) {
     return before;
   }
+  if (MayGet(fleet, row, ask, now)) {
+    return gsPlacementCause::Full;
+  }
   bool unreachable =
     row.AvoidUntil > now || !gsHallMayTry(fleet.Halls, row.Listed.Hall, now);
   return unreachable ? gsPlacementCause::Unreachable
@@ -338,8 +359,190 @@
            : fleet.Settings.FullTokens + std::max(0.0, taken - limit);
 }
 
+Choice MakeChoice(gsFleet const& fleet, std::vector<std::size_t> const& rows,
+                  gsPlacementAsk const& ask, gsTime now)
+{
+  Choice choice;
+  choice.UsualFailShare = MeanFailShare(fleet, rows, now);
+  choice.Group = ask.Group;
+  choice.LongEngines = gsLongEngines(fleet, ask.Service);
+  auto demand = fleet.Demand.find(std::string(ask.Service));
+  if (demand != fleet.Demand.end()) {
+    choice.HoldLong = demand->second.HoldLong;
+    choice.HoldTight = demand->second.HoldTight;
+  }
+  auto pace = fleet.Paces.find(std::string(ask.Service));
+  choice.Pace = pace == fleet.Paces.end() ? nullptr : &pace->second;
+  choice.Preferred = PreferredFor(fleet, rows, ask, choice, now);
+  return choice;
+}
+
+/** A choice under way. */
+struct Search
+{
+  gsFleet& Fleet;
+  gsPlacementAsk const& Ask;
+  Choice const& Common;
+  gsTime Now;
+  gsRandom& Random;
+  gsPlacement Best; ///< Of those considered so far.
+  double Share;     ///< Best's time to the first token, of the target.
+};
+
+/** What a candidate costs, in tokens. */
+double TotalCost(Search const& search, gsFleetRow const& row,
+                 std::uint32_t toRead)
+{
+  gsFleet const& fleet = search.Fleet;
+  gsPlacementAsk const& ask = search.Ask;
+  Choice const& choice = search.Common;
+  gsTime now = search.Now;
+  std::uint32_t expected = ExpectedRead(fleet, row, ask, choice, toRead);
+  double cost = CostOf(fleet, row, ask, expected, choice.UsualFailShare, now);
+  cost += AgainCost(fleet, row, ask, choice, toRead);
+  cost += FullCost(fleet, row, ask, now);
+  cost += MissCost(fleet, row, ask, choice, expected, now);
+  // All engines soon hold the parts that all subjects share; what counts is
+  // whether one holds the subject's own too.
+  bool holds = toRead + gsSharedTokens(ask) <= ask.PromptTokens;
+  cost += SpreadCost(fleet, row, ask, choice, holds);
+  return InGroup(row, choice) ? cost
+                              : cost + OtherGroupCost(fleet.Settings, choice);
+}
+
+/**
+ * Of engines with a whole batch waiting behind their slots nobody knows which
+ * turns the next request away, and a subject gains nothing by waiting at its
+ * own: hosts choose among these at random, not all alike. The range is twice
+ * that of the subject's own order, which it has to outweigh.
+ */
+double CrowdedCost(Search& search, gsFleetRow const& row)
+{
+  std::uint32_t crowded = gsMostOpen(row.Listed.Slots, 1);
+  bool isCrowded = gsWorkAt(search.Fleet, row, search.Now).Running >= crowded;
+  if (!isCrowded || search.Ask.Hosts <= 1) {
+    return 0;
+  }
+  std::uniform_real_distribution<double> draw(
+    0, 2 * search.Fleet.Settings.SpreadTokens);
+  return draw(search.Random);
+}
+
+/** Takes those of the rows in that may be sent the request, and of which one
+ * is cheaper than the best so far. */
+void Consider(Search& search, std::vector<std::size_t> const& rows)
+{
+  gsPlacement& best = search.Best;
+  std::uniform_real_distribution<double> tie(0, TieTokens);
+  for (std::size_t index : rows) {
+    gsFleetRow& row = search.Fleet.Rows[index];
+    bool may = MayGet(search.Fleet, row, search.Ask, search.Now) &&
+               HasPlace(search.Fleet, row, search.Ask, search.Now);
+    if (!may) {
+      if (best.Row == nullptr) {
+        best.Cause =
+          CauseAgainst(search.Fleet, row, search.Ask, search.Now, best.Cause);
+      }
+      continue;
+    }
+    ++best.Candidates;
+    std::uint32_t toRead =
+      gsTokensToRead(search.Fleet, row, search.Ask, search.Now);
+    double cost = TotalCost(search, row, toRead) + CrowdedCost(search, row) +
+                  tie(search.Random);
+    if (best.Row != nullptr && cost >= best.Cost) {
+      continue;
+    }
+    bool cached = toRead < search.Ask.PromptTokens;
+    bool preferred = &row == search.Common.Preferred;
+    best.Row = &row;
+    best.Cost = cost;
+    best.ReadTokens = toRead;
+    best.Cause = cached      ? gsPlacementCause::Cached
+                 : preferred ? gsPlacementCause::Preferred
+                             : gsPlacementCause::LeastLoaded;
+    search.Share = ExpectedShare(
+      search.Fleet, row, search.Ask, search.Common,
+      ExpectedRead(search.Fleet, row, search.Ask, search.Common, toRead),
+      search.Now);
+  }
+}
+
+std::size_t LooksOf(Search const& search, std::vector<std::size_t> const& rows)
+{
+  std::uint32_t slots = search.Fleet.Rows[rows.front()].Listed.Slots;
+  return gsLooks(rows.size(), slots, search.Ask.Hosts);
+}
+
+/**
+ * The first upstreams in the order of the request's subject, and those where
+ * this host has had the subject read: half of the looks, so that requests of
+ * one subject stay together.
+ */
+std::vector<std::size_t> FirstLooks(Search const& search,
+                                    std::vector<std::size_t> const& rows)
+{
+  std::size_t looks = LooksOf(search, rows);
+  if (looks >= rows.size()) {
+    return rows;
+  }
+  std::uint64_t subject = gsSubjectOf(search.Ask);
+  if (subject == 0) {
+    return {};
+  }
+  std::vector<std::pair<std::uint64_t, std::size_t>> order;
+  std::vector<std::size_t> chosen;
+  for (std::size_t index : rows) {
+    gsFleetRow const& row = search.Fleet.Rows[index];
+    if (HoldsShared(search.Fleet, row, search.Ask, search.Now)) {
+      chosen.push_back(index);
+    } else if (InGroup(row, search.Common) &&
+               MayGet(search.Fleet, row, search.Ask, search.Now)) {
+      order.emplace_back(gsRendezvousWeight(row.Listed.Id, subject), index);
+    }
+  }
+  std::size_t first = std::min((looks + 1) / 2, order.size());
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(first),
+                    order.end(), std::greater<>());
+  for (std::size_t i = 0; i < first; ++i) {
+    chosen.push_back(order[i].second);
+  }
+  return chosen;
+}
+
+/** As many at random, for a request that would surely miss its target. */
+std::vector<std::size_t> FurtherLooks(Search const& search,
+                                      std::vector<std::size_t> const& rows)
+{
+  std::size_t looks = LooksOf(search, rows);
+  if (looks >= rows.size()) {
+    return {};
+  }
+  bool none = gsSubjectOf(search.Ask) == 0;
+  std::vector<std::size_t> chosen;
+  std::sample(rows.begin(), rows.end(), std::back_inserter(chosen),
+              none ? looks : (looks + 1) / 2, search.Random);
+  return chosen;
+}
+
 } // namespace
 
+std::size_t gsLooks(std::size_t upstreams, std::uint32_t slots,
+                    std::size_t hosts)
+{
+  constexpr double slotsShare = 0.5;
+  double arrivals = static_cast<double>(std::max<std::size_t>(hosts, 1));
+  double looks =
+    std::ceil(static_cast<double>(upstreams) * slotsShare * slots / arrivals);
+  return std::max(LeastLooks, static_cast<std::size_t>(looks));
+}
+
+std::uint32_t gsMostOpen(std::uint32_t slots, std::uint32_t moreUrgentKinds)
+{
+  return moreUrgentKinds == 0 ? 0 : slots + slots / moreUrgentKinds;
+}
+
 char const* gsPlacementWord(gsPlacementCause cause)
 {
   switch (cause) {
@@ -353,6 +556,8 @@
       return "no_upstream";
     case gsPlacementCause::NoConnection:
       return "no_connection";
+    case gsPlacementCause::Full:
+      return "full";
     case gsPlacementCause::Unreachable:
       break;
   }
@@ -411,59 +616,23 @@
 gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
                     gsRandom& random)
 {
-  gsPlacement best;
   auto rows = fleet.ByService.find(std::string(ask.Service));
   if (rows == fleet.ByService.end()) {
-    return best;
+    return {};
   }
   gsRefreshHalls(fleet, now);
-  Choice choice;
-  choice.UsualFailShare = MeanFailShare(fleet, rows->second, now);
-  choice.Group = ask.Group;
-  choice.LongEngines = gsLongEngines(fleet, ask.Service);
-  auto demand = fleet.Demand.find(std::string(ask.Service));
-  if (demand != fleet.Demand.end()) {
-    choice.HoldLong = demand->second.HoldLong;
-    choice.HoldTight = demand->second.HoldTight;
+  Choice choice = MakeChoice(fleet, rows->second, ask, now);
+  Search search{ fleet, ask, choice, now, random, {}, 0 };
+  search.Best.Group =
+    choice.LongEngines == 0 ? gsFleetGroup::Any : choice.Group;
+  Consider(search, FirstLooks(search, rows->second));
+  if (search.Best.Row == nullptr || search.Share >= MissSure) {
+    Consider(search, FurtherLooks(search, rows->second));
   }
-  auto pace = fleet.Paces.find(std::string(ask.Service));
-  choice.Pace = pace == fleet.Paces.end() ? nullptr : &pace->second;
-  choice.Preferred = PreferredFor(fleet, rows->second, ask, choice, now);
-  best.Group = choice.LongEngines == 0 ? gsFleetGroup::Any : choice.Group;
-  std::uniform_real_distribution<double> tie(0, TieTokens);
-  for (std::size_t index : rows->second) {
-    gsFleetRow& row = fleet.Rows[index];
-    if (!MayGet(fleet, row, ask, now)) {
-      if (best.Row == nullptr) {
-        best.Cause = CauseAgainst(fleet, row, ask, now, best.Cause);
-      }
-      continue;
-    }
-    ++best.Candidates;
-    std::uint32_t toRead = gsTokensToRead(fleet, row, ask, now);
-    std::uint32_t expected = ExpectedRead(fleet, row, ask, choice, toRead);
-    double cost =
-      CostOf(fleet, row, ask, expected, choice.UsualFailShare, now);
-    cost += AgainCost(fleet, row, ask, choice, toRead) + tie(random);
-    cost += FullCost(fleet, row, ask, now);
-    cost += MissCost(fleet, row, ask, choice, expected, now);
-    // All engines soon hold the parts that all subjects share; what counts is
-    // whether one holds the subject's own too.
-    bool holds = toRead + gsSharedTokens(ask) <= ask.PromptTokens;
-    cost += SpreadCost(fleet, row, ask, choice, holds);
-    if (!InGroup(row, choice)) {
-      cost += OtherGroupCost(fleet.Settings, choice);
-    }
-    if (best.Row == nullptr || cost < best.Cost) {
-      bool cached = toRead < ask.PromptTokens;
-      best.Row = &row;
-      best.Cost = cost;
-      best.ReadTokens = toRead;
-      best.Cause = cached                     ? gsPlacementCause::Cached
-                   : &row == choice.Preferred ? gsPlacementCause::Preferred
-                                              : gsPlacementCause::LeastLoaded;
-    }
+  if (search.Best.Row == nullptr) {
+    Consider(search, rows->second);
   }
+  gsPlacement& best = search.Best;
   if (best.Row != nullptr) {
     gsHallNoteTry(fleet.Halls, fleet.Settings.HallReach, best.Row->Listed.Hall,
                   now);
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -49,6 +49,7 @@
   LeastLoaded,  ///< The cheapest of all.
   NoUpstream,   ///< The service has none that may get work.
   NoConnection, ///< This host's share of connections is used up at all.
+  Full,         ///< The places left are for more urgent requests.
   Unreachable   ///< It has some, and none can be reached for now.
 };
 
@@ -67,6 +68,22 @@
   gsFleetGroup Group = gsFleetGroup::Any; ///< That the request belongs to.
 };
 
+/**
+ * How many upstreams one request looks at. All hosts see the same one as the
+ * emptiest, by views that are some tenths of a second old. If each sends it a
+ * request in that time, half of its slots shall hold them.
+ */
+std::size_t gsLooks(std::size_t upstreams, std::uint32_t slots,
+                    std::size_t hosts);
+
+/**
+ * Requests that an upstream may have open before one of this urgency is sent
+ * there; 0 for any number. The most urgent kind may fill the upstream's queue;
+ * the others leave places in it, since what is turned away has often used up
+ * its only attempt.
+ */
+std::uint32_t gsMostOpen(std::uint32_t slots, std::uint32_t moreUrgentKinds);
+
 /** Chooses an upstream; the random source breaks ties between hosts. */
 gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
                     gsRandom& random);
--- a/Source/Core/gsRouteTable.cxx
+++ b/Source/Core/gsRouteTable.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <limits>
 #include <set>
 
@@ -57,6 +58,25 @@
   }
 }
 
+void CountMoreUrgentKinds(gsRouteTable& table)
+{
+  std::unordered_map<std::string, std::set<std::uint32_t>> priorities;
+  for (gsRoute const& route : table.Routes) {
+    for (gsRouteShare const& share : route.Shares) {
+      priorities[share.Service].insert(route.Priority);
+    }
+  }
+  for (gsRoute& route : table.Routes) {
+    route.MoreUrgentKinds = 0;
+    for (gsRouteShare const& share : route.Shares) {
+      std::set<std::uint32_t> const& all = priorities[share.Service];
+      auto above = std::distance(all.begin(), all.find(route.Priority));
+      route.MoreUrgentKinds =
+        std::max(route.MoreUrgentKinds, static_cast<std::uint32_t>(above));
+    }
+  }
+}
+
 void RankUrgencies(gsRouteTable& table)
 {
   std::set<std::pair<std::uint32_t, std::uint32_t>> pairs;
@@ -90,6 +110,7 @@
     table.ServiceIndex[table.Services[i].Name] = i;
   }
   FindTightestTargets(table);
+  CountMoreUrgentKinds(table);
   RankUrgencies(table);
 }
 
--- a/Source/Core/gsRouteTable.h
+++ b/Source/Core/gsRouteTable.h
@@ -46,6 +46,9 @@
   /** Least of the pause targets of all routes that share a service with it;
    * zero when none has one. */
   gsTime TightestGapTarget{};
+  /** Priorities above its own among the routes that share a service with it;
+   * the most of any of its services. */
+  std::uint32_t MoreUrgentKinds = 0;
 };
 
 /** What is known of the engines of a service; absent for plain services. */
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -266,6 +266,7 @@
   ask.AnswerTokens = request.Caller.AnswerTokens;
   ask.Tried = alsoTried ? nullptr : &request.Tried;
   ask.TokenMillis = this->Caller.MillisPerToken();
+  ask.Hosts = this->Hosts;
   ask.TargetTokens =
     gsToSeconds(request.Route->Target) * 1e3 / ask.TokenMillis;
   gsRouteService const* service =
@@ -276,6 +277,9 @@
   if (service != nullptr && service->Engine) {
     ask.UpstreamMemory = service->Engine->MemoryTokens;
     ask.MayMove = service->Engine->HandsOver;
+    // What has begun is not given up for a place: it would be lost work.
+    bool begun = request.MayHaveRun || request.CallerHasBytes;
+    ask.MoreUrgentKinds = begun ? 0 : request.Route->MoreUrgentKinds;
   }
   ask.Group = this->GroupOf(request, ask);
   if (request.Sends == 0) {
--- a/Tests/Route/gsTestRouteGateway.cxx
+++ b/Tests/Route/gsTestRouteGateway.cxx
@@ -443,6 +443,34 @@
 
 // A stream begun before the stop does not tell its caller to close: the
 // connection stayed, and brought requests until the process ended (LOST).
+// The last places of an engine's queue are for the most urgent kind: what it
+// turns away there may have been sent for the only time.
+TEST(RouteGateway, LessUrgentRequestsAreRefusedBeforeTheyFillTheQueues)
+{
+  gsRouteBench bench;
+  gsRouteTable table = bench.MakeTable();
+  for (gsRoute& route : table.Routes) {
+    route.Priority = route.Name == "stream" ? 0 : 1;
+  }
+  gsRouteService service;
+  service.Name = "model";
+  service.Engine = gsRouteEngine{};
+  table.Services.push_back(service);
+  gsIndexRoutes(table);
+  bench.Gateway->TakeRoutes(
+    std::make_shared<gsRouteTable const>(std::move(table)));
+  gsScriptedUpstream& upstream = bench.Add("u1", Whole("answer"));
+  gsFleetRow& row = bench.Fleet.Rows[0];
+  row.Others.Running = 2 * row.Listed.Slots;
+  row.OthersAt = gsLoop::Now();
+  gsCallerViewPtr less = bench.SendAndWait(On("plain", "id-1"));
+  EXPECT_EQ(less->Status, 503U);
+  EXPECT_FALSE(less->Header("retry-after").empty());
+  EXPECT_TRUE(upstream.Requests.empty());
+  gsCallerViewPtr urgent = bench.SendAndWait(On("stream", "id-2"));
+  EXPECT_EQ(urgent->Status, 200U);
+}
+
 TEST(RouteGateway, AtAStopAKeptConnectionClosesAfterItsAnswer)
 {
   gsRouteBench bench;
--- a/Tests/Unit/gsTestRouteTable.cxx
+++ b/Tests/Unit/gsTestRouteTable.cxx
@@ -114,3 +114,29 @@
   gsIndexRoutes(table);
   EXPECT_EQ(table.Routes[0].TightestGapTarget, gsMilliseconds(150));
 }
+
+TEST(RouteTable, KindsOfOneServiceAreCountedByTheirUrgency)
+{
+  gsRouteTable table;
+  auto add = [&table](std::string const& name, std::uint32_t priority,
+                      std::vector<gsRouteShare> shares) {
+    gsRoute route;
+    route.Name = name;
+    route.Host = "h";
+    route.Prefix = "/" + name + "/";
+    route.Priority = priority;
+    route.Shares = std::move(shares);
+    table.Routes.push_back(route);
+  };
+  add("query", 0, { { "model", 1 } });
+  add("review", 2, { { "model", 1 } });
+  add("tags", 5, { { "model", 1 }, { "other", 1 } });
+  add("more-tags", 5, { { "model", 1 } });
+  add("lookup", 7, { { "plain", 1 } });
+  gsIndexRoutes(table);
+  std::vector<std::uint32_t> kinds;
+  for (gsRoute const& route : table.Routes) {
+    kinds.push_back(route.MoreUrgentKinds);
+  }
+  EXPECT_EQ(kinds, (std::vector<std::uint32_t>{ 0, 1, 2, 2, 0 }));
+}
