Tests: Bring about the stream that is given up with nowhere to go

An upstream pauses for longer than the silence limit and goes on; no other upstream is there, or all others leave, are avoided or have their connections. Three tests fail on the code as it is: the stream that its caller reads is closed in 4 of 4 cases, and a request without a byte yet gets 502 after 0.25 s although its upstream answers after 0.7 s.

--- a/Tests/Route/gsTestRouteGateway.cxx
+++ b/Tests/Route/gsTestRouteGateway.cxx
@@ -4,6 +4,10 @@
  * What callers get from the routed mode, and what upstreams see of them, when
  * upstreams answer well, badly, late, twice or not at all.
  */
+#include <functional>
+#include <map>
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "gsRouteBench.h"
@@ -479,3 +483,112 @@
   EXPECT_TRUE(bench.RunUntil([&] { return view->Done; }));
   EXPECT_FALSE(view->Whole);
 }
+
+namespace {
+
+/** Silence is noticed soon enough for a test. */
+gsRouteGatewaySettings SoonSilent()
+{
+  gsRouteGatewaySettings settings;
+  settings.SilenceLimit = gsMilliseconds(200);
+  return settings;
+}
+
+/** Longer than it takes to notice a silence, shorter than a route's time. */
+constexpr double Pause = 0.7;
+
+/** A stream whose first event the caller has, and whose upstream pauses. */
+struct PausedStream
+{
+  explicit PausedStream(gsRouteBench& bench, std::string const& route)
+    : Bench(bench)
+  {
+    bench.Add("u1",
+              [this](Connection const& to, gsScriptedRequest const& request) {
+                this->Stream = to;
+                to->Write(gsStreamHead(request) + gsChunk(gsEvent(1, "a")));
+              });
+    this->View = bench.Send(On(route));
+    bench.RunUntil([this] { return this->View->Body == gsEvent(1, "a"); });
+  }
+
+  /** Whether the caller gets all of it from the first upstream. */
+  void ExpectItGoesOn()
+  {
+    this->Bench.RunFor(Pause);
+    EXPECT_FALSE(this->View->Done);
+    this->Stream->Write(gsChunk(gsEvent(2, "b")) + gsChunk(""));
+    this->Bench.RunUntil([this] { return this->View->Done; }, 1);
+    EXPECT_TRUE(this->View->Whole);
+    EXPECT_EQ(this->View->Body, gsEvent(1, "a") + gsEvent(2, "b"));
+    EXPECT_EQ(this->Bench.Arrivals(), 1U);
+  }
+
+  gsRouteBench& Bench;
+  Connection Stream;
+  gsCallerViewPtr View;
+};
+
+/** Answers after a pause. */
+gsScriptedUpstream::Script Late(gsRouteBench& bench,
+                                std::unique_ptr<gsTimer>& timer)
+{
+  return [&](Connection const& to, gsScriptedRequest const& request) {
+    timer = std::make_unique<gsTimer>(bench.Loop, [to, request] {
+      to->Write(gsWholeAnswer(request, "late"));
+    });
+    timer->Once(gsFromSeconds(Pause));
+  };
+}
+
+} // namespace
+
+TEST(RouteGateway, APausedStreamIsKeptWhereNoOtherUpstreamIs)
+{
+  gsRouteBench bench(SoonSilent());
+  PausedStream stream(bench, "resume");
+  stream.ExpectItGoesOn();
+}
+
+TEST(RouteGateway, APausedStreamIsKeptWhereNoOtherUpstreamMayGetIt)
+{
+  using Bar = std::function<void(gsRouteBench&, gsFleetRow&)>;
+  constexpr std::uint32_t connections = 8;
+  std::map<std::string, Bar> const bars{
+    { "leaving",
+      [](gsRouteBench& bench, gsFleetRow& /*row*/) { bench.List({ "u2" }); } },
+    { "unreachable",
+      [](gsRouteBench& /*bench*/, gsFleetRow& row) {
+        row.AvoidUntil = gsLoop::Now() + gsSeconds(10);
+      } },
+    { "no connection",
+      [](gsRouteBench& /*bench*/, gsFleetRow& row) {
+        row.Own.Running = connections;
+      } },
+  };
+  for (auto const& [name, bar] : bars) {
+    SCOPED_TRACE(name);
+    gsRouteBench bench(SoonSilent());
+    gsRouteTable table = bench.MakeTable();
+    table.Services = { { "model", connections, {} } };
+    gsIndexRoutes(table);
+    bench.Gateway->TakeRoutes(
+      std::make_shared<gsRouteTable const>(std::move(table)));
+    PausedStream stream(bench, "resume");
+    bench.Add("u2", Whole("other"));
+    bar(bench, *gsFleetFind(bench.Fleet, "u2"));
+    stream.ExpectItGoesOn();
+  }
+}
+
+TEST(RouteGateway, WhereNoOtherUpstreamIsASilentOneIsWaitedFor)
+{
+  gsRouteBench bench(SoonSilent());
+  std::unique_ptr<gsTimer> timer;
+  gsScriptedUpstream& upstream = bench.Add("u1", {});
+  upstream.Follow(Late(bench, timer));
+  gsCallerViewPtr view = bench.SendAndWait(On("safe"));
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_EQ(view->Body, "late");
+  EXPECT_EQ(bench.Arrivals(), 1U);
+}
