Routing: Let a silent upstream go only for another one

Cause: an upstream that paused for longer than the silence limit had its attempt cancelled before another one was looked for. Where none was to be had, the stream that a caller was reading was closed, and a request without a byte yet got 502, although the upstream was sound and only busy. The same befell a stream that may be repeated but not taken up after its first event.

Change: the choice comes first. The attempt is cancelled only once time, route and attempts allow one more, another upstream is chosen and the budget has paid for it; else the request waits, looks again after 0.2 s and no more often, and ends at its own time. What the platform's rules allow is not changed.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr double SilenceMargin = 3.0;
+/** Least time between two looks for an upstream instead of a silent one. */
+constexpr gsTime LookAgainGap = gsMilliseconds(200);
 /** An upstream answers by itself at the deadline; its word comes first. */
 constexpr gsTime DeadlineGrace = gsMilliseconds(100);
 constexpr unsigned FirstServerError = 500;
@@ -245,8 +247,7 @@
     placement = this->Choose(*request, true);
   }
   if (placement.Row != nullptr) {
-    request->Tried.push_back(placement.Row->Listed.Id);
-    this->Caller.Start(request, placement);
+    this->StartAt(request, placement);
   } else if (answered) {
     this->AnswerWhole(request);
   } else {
@@ -254,6 +255,12 @@
   }
 }
 
+void gsRouteGateway::StartAt(Held const& request, gsPlacement const& placement)
+{
+  request->Tried.push_back(placement.Row->Listed.Id);
+  this->Caller.Start(request, placement);
+}
+
 /** Chooses an upstream, if need be of those that were asked already. */
 gsPlacement gsRouteGateway::Choose(gsRoutedRequest const& request,
                                    bool alsoTried)
@@ -404,9 +411,9 @@
   }
 }
 
-/** Decides whether the request goes to one more upstream. */
-bool gsRouteGateway::MayTryAgain(gsRoutedRequest const& request,
-                                 gsAttemptResult const& result)
+/** Whether time, route and what has run allow one more attempt. */
+bool gsRouteGateway::AllowsOneMore(gsRoutedRequest const& request,
+                                   gsAttemptResult const& result) const
 {
   gsTime now = gsLoop::Now();
   if (now >= std::min(request.DeadlineAt, request.TimeoutAt)) {
@@ -422,7 +429,14 @@
   if (request.MayHaveRun && !request.MayRepeat()) {
     return false;
   }
-  if (request.Sends >= request.Route->MaxAttempts) {
+  return request.Sends < request.Route->MaxAttempts;
+}
+
+/** Decides whether the request goes to one more upstream. */
+bool gsRouteGateway::MayTryAgain(gsRoutedRequest const& request,
+                                 gsAttemptResult const& result)
+{
+  if (!this->AllowsOneMore(request, result)) {
     return false;
   }
   // Whatever has not been sent yet is no repeat for the upstreams.
@@ -560,15 +574,24 @@
   }
 }
 
-/** Leaves an upstream that has gone silent, if the request may be repeated. */
+/** Leaves an upstream that has gone silent, if there is another one. */
 void gsRouteGateway::CheckSilence(Held const& request, gsTime now)
 {
-  gsAttempt const* attempt = request->Attempt.get();
-  if (attempt == nullptr || attempt->Call == 0 || !attempt->Sent ||
-      request->CallerPaused) {
+  if (!this->IsSilent(*request, now)) {
     return;
   }
-  gsFleetRow* row = gsFleetFind(this->Fleet, attempt->UpstreamId);
+  this->NoteSilence(*request->Attempt, now);
+  this->LeaveSilent(request, now);
+}
+
+bool gsRouteGateway::IsSilent(gsRoutedRequest const& request, gsTime now)
+{
+  gsAttempt const* attempt = request.Attempt.get();
+  if (attempt == nullptr || attempt->Call == 0 || !attempt->Sent ||
+      request.CallerPaused) {
+    return false;
+  }
+  gsFleetRow const* row = gsFleetFind(this->Fleet, attempt->UpstreamId);
   gsTime heard = attempt->LastByteAt;
   if (row != nullptr) {
     heard = std::max(heard, row->LastHeard);
@@ -579,24 +602,48 @@
       gsFromSeconds(SilenceMargin * this->Caller.MillisPerToken() *
                     static_cast<double>(attempt->BacklogTokens) / 1e3);
   }
-  if (now - heard < this->Settings.SilenceLimit + expected) {
+  return now - heard >= this->Settings.SilenceLimit + expected;
+}
+
+void gsRouteGateway::NoteSilence(gsAttempt const& attempt, gsTime now)
+{
+  gsFleetRow* row = gsFleetFind(this->Fleet, attempt.UpstreamId);
+  if (row == nullptr || row->AvoidUntil > now) {
     return;
   }
-  if (row != nullptr && row->AvoidUntil <= now) {
-    gsNoteUnreachable(*row, now);
-    gsLogLine("upstream_silent", gsLogLevel::Warn)
-      .With("upstream", attempt->UpstreamId)
-      .With("address", attempt->Address)
-      .With("silent_ms", now - heard);
-  }
+  gsNoteUnreachable(*row, now);
+  gsLogLine("upstream_silent", gsLogLevel::Warn)
+    .With("upstream", attempt.UpstreamId)
+    .With("address", attempt.Address)
+    .With("silent_ms", now - std::max(attempt.LastByteAt, row->LastHeard));
+}
+
+/**
+ * Goes on elsewhere. The silent upstream may only be busy, and the caller may
+ * be reading its answer: it is kept until another one has been chosen.
+ */
+void gsRouteGateway::LeaveSilent(Held const& request, gsTime now)
+{
+  gsAttempt& attempt = *request->Attempt;
   gsAttemptResult result;
-  result.Status = attempt->Status;
+  result.Status = attempt.Status;
   result.Detail = "The upstream sent nothing for too long.";
-  bool again = request->MayRepeat() &&
-               request->Sends < request->Route->MaxAttempts &&
-               this->BudgetOf(request->Service).Saved >= 1;
-  if (again) {
-    this->Caller.Cancel(*request);
-    this->OnAttemptEnd(request, result);
+  bool may = request->MayRepeat() && now >= attempt.LookAgainAt &&
+             this->AllowsOneMore(*request, result) &&
+             this->BudgetOf(request->Service).Saved >= 1;
+  if (!may) {
+    return;
   }
+  gsPlacement placement = this->Choose(*request, false);
+  if (placement.Row == nullptr ||
+      !gsRetrySpend(this->BudgetOf(request->Service))) {
+    attempt.LookAgainAt = now + LookAgainGap;
+    return;
+  }
+  this->Caller.Cancel(*request);
+  request->MayHaveRun = true;
+  LogAttempt(*request, result, true);
+  this->Metrics.Count("gradescale_retries_total",
+                      gsLabels({ { "may_have_run", "yes" } }));
+  this->StartAt(request, placement);
 }
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -61,6 +61,7 @@
   gsResult<bool> Authenticate(gsRoutedRequest& request) const;
   void Begin(Held const& request);
   void Place(Held const& request);
+  void StartAt(Held const& request, gsPlacement const& placement);
   gsPlacement Choose(gsRoutedRequest const& request, bool alsoTried);
   gsFleetGroup GroupOf(gsRoutedRequest const& request,
                        gsPlacementAsk const& ask);
@@ -69,6 +70,8 @@
   void OnEvents(Held const& request, std::string const& events);
   void WaitForCaller(Held const& request);
   void OnAttemptEnd(Held const& request, gsAttemptResult const& result);
+  bool AllowsOneMore(gsRoutedRequest const& request,
+                     gsAttemptResult const& result) const;
   bool MayTryAgain(gsRoutedRequest const& request,
                    gsAttemptResult const& result);
   void AnswerWhole(Held const& request);
@@ -79,6 +82,9 @@
   void Sweep();
   void CheckTime(Held const& request, gsTime now);
   void CheckSilence(Held const& request, gsTime now);
+  bool IsSilent(gsRoutedRequest const& request, gsTime now);
+  void NoteSilence(gsAttempt const& attempt, gsTime now);
+  void LeaveSilent(Held const& request, gsTime now);
   gsRetryBudget& BudgetOf(std::string const& service);
 
   gsLoop& Loop;
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -57,6 +57,8 @@
   gsTime LastByteAt{};
   gsTime LastEventAt{};
   gsTime LongestGap{}; ///< Between events.
+  /** Another upstream is looked for no earlier, after there was none. */
+  gsTime LookAgainAt{};
 };
 
 /** A request held by this host. */
--- a/Tests/Route/gsTestRouteGateway.cxx
+++ b/Tests/Route/gsTestRouteGateway.cxx
@@ -581,6 +581,20 @@
   }
 }
 
+TEST(RouteGateway, APausedStreamThatCannotBeTakenUpElsewhereIsKept)
+{
+  gsRouteBench bench(SoonSilent());
+  gsRouteTable table = bench.MakeTable();
+  table.Routes[2].Repeatable = true;
+  table.Routes[2].MaxAttempts = 2;
+  gsIndexRoutes(table);
+  bench.Gateway->TakeRoutes(
+    std::make_shared<gsRouteTable const>(std::move(table)));
+  PausedStream stream(bench, "stream");
+  bench.Add("u2", Whole("other"));
+  stream.ExpectItGoesOn();
+}
+
 TEST(RouteGateway, WhereNoOtherUpstreamIsASilentOneIsWaitedFor)
 {
   gsRouteBench bench(SoonSilent());
@@ -592,3 +606,15 @@
   EXPECT_EQ(view->Body, "late");
   EXPECT_EQ(bench.Arrivals(), 1U);
 }
+
+TEST(RouteGateway, ASilentUpstreamIsWaitedForUntilTheTimeIsOver)
+{
+  gsRouteBench bench(SoonSilent());
+  bench.Add("u1", Silent);
+  gsCallerSends sends = On("safe");
+  sends.More = { { "Gradescale-Deadline-Ms", "900" } };
+  gsTime begin = gsLoop::Now();
+  gsCallerViewPtr view = bench.SendAndWait(sends);
+  EXPECT_EQ(view->Status, 504U);
+  EXPECT_GT(gsToSeconds(view->Ended - begin), 0.85);
+}
