Tests: Bring about busy upstreams that are taken for silent

A request that waits for a slot behind seven others, one before which more is read than was known when it was sent, and a stream beside prompts that are read: each is given up after the silence limit, and the upstream is avoided by this host though it is well.

--- a/Tests/Route/gsTestRouteGateway.cxx
+++ b/Tests/Route/gsTestRouteGateway.cxx
@@ -618,3 +618,50 @@
   EXPECT_EQ(view->Status, 504U);
   EXPECT_GT(gsToSeconds(view->Ended - begin), 0.85);
 }
+
+TEST(RouteGateway, AWaitForASlotIsNoSilence)
+{
+  gsRouteBench bench(SoonSilent());
+  std::unique_ptr<gsTimer> timer;
+  gsScriptedUpstream& upstream = bench.Add("u1", {});
+  upstream.Follow(Late(bench, timer));
+  gsFleetRow* row = gsFleetFind(bench.Fleet, "u1");
+  row->Others.Running = row->Listed.Slots + 7;
+  row->OthersAt = gsLoop::Now();
+  bench.Fleet.Demand["model"].HoldTight = 1000;
+  gsCallerViewPtr view = bench.Send(On("safe"));
+  ASSERT_TRUE(bench.RunUntil([&] { return bench.Arrivals() == 1; }));
+  bench.Add("u2", Whole("other"));
+  ASSERT_TRUE(bench.RunUntil([&] { return view->Done; }));
+  EXPECT_EQ(view->Body, "late");
+  EXPECT_EQ(bench.Arrivals(), 1U);
+}
+
+TEST(RouteGateway, WhatComesBeforeARequestLaterIsNoSilence)
+{
+  gsRouteBench bench(SoonSilent());
+  std::unique_ptr<gsTimer> timer;
+  gsScriptedUpstream& upstream = bench.Add("u1", {});
+  upstream.Follow(Late(bench, timer));
+  gsCallerViewPtr view = bench.Send(On("safe"));
+  ASSERT_TRUE(bench.RunUntil([&] { return bench.Arrivals() == 1; }));
+  bench.Add("u2", Whole("other"));
+  gsFleetRow* row = gsFleetFind(bench.Fleet, "u1");
+  row->Others.ReadTokens = 20000;
+  row->OthersAt = gsLoop::Now();
+  ASSERT_TRUE(bench.RunUntil([&] { return view->Done; }));
+  EXPECT_EQ(view->Body, "late");
+  EXPECT_EQ(bench.Arrivals(), 1U);
+}
+
+TEST(RouteGateway, AStreamThatWaitsForPromptsToBeReadIsNotSilent)
+{
+  gsRouteBench bench(SoonSilent());
+  PausedStream stream(bench, "resume");
+  bench.Add("u2", Whole("other"));
+  gsFleetRow* row = gsFleetFind(bench.Fleet, "u1");
+  row->Others.ReadTokens = 30000;
+  row->OthersAt = gsLoop::Now();
+  stream.ExpectItGoesOn();
+  EXPECT_EQ(gsFleetFind(bench.Fleet, "u1")->Unreachable, 0U);
+}
