Routing: Expect the silence of a request that waits for a slot

Cause: a request that waits in an engine's queue hears nothing until it has a slot and its prompt is read. Only the reading was expected, by the backlog that was known when it was sent, and none at all for a stream beside prompts that are read. Past that the engine was avoided by this host for 0.4 s to 3.2 s and the request given up.

Change: gsSilence says how long an upstream that is well may be silent: for an answer that has not begun, reading and the wait for a slot, by the same estimate as the placement's (queued x hold / slots), at the sending or now, whichever is more; for a stream, the reading of what is to be read there now. The slot's wait has a smaller margin than the reading, as measured holds include waits. The price: a frozen engine with much to read is left later.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr double SilenceMargin = 3.0;
 /** Least time between two looks for an upstream instead of a silent one. */
 constexpr gsTime LookAgainGap = gsMilliseconds(200);
 /** An upstream answers by itself at the deadline; its word comes first. */
@@ -596,11 +595,16 @@
   if (row != nullptr) {
     heard = std::max(heard, row->LastHeard);
   }
+  if (now - heard < this->Settings.SilenceLimit) {
+    return false;
+  }
+  double tokenMillis = this->Caller.MillisPerToken();
   gsTime expected{};
   if (attempt->FirstByteAt.count() == 0) {
     expected =
-      gsFromSeconds(SilenceMargin * this->Caller.MillisPerToken() *
-                    static_cast<double>(attempt->BacklogTokens) / 1e3);
+      gsSilenceBeforeAnswer(this->Fleet, row, attempt->Wait, tokenMillis, now);
+  } else if (row != nullptr) {
+    expected = gsSilenceOfStream(this->Fleet, *row, tokenMillis, now);
   }
   return now - heard >= this->Settings.SilenceLimit + expected;
 }
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -16,6 +16,7 @@
 #include "gsEventSplitter.h"
 #include "gsHttpServer.h"
 #include "gsRouteTable.h"
+#include "gsSilence.h"
 
 /** How an attempt ended. */
 enum class gsAttemptEnd
@@ -47,10 +48,10 @@
   gsAnswerHead Head;
   std::string Body; ///< Of an answer that is not relayed event by event.
   gsEventSplitter Events;
-  std::uint32_t ReadTokens = 0;    ///< Charged to the upstream's row until
-                                   ///< the first byte.
-  std::uint32_t MemoryTokens = 0;  ///< Charged until the attempt's end.
-  std::uint64_t BacklogTokens = 0; ///< To be read there when it was sent.
+  std::uint32_t ReadTokens = 0;   ///< Charged to the upstream's row until
+                                  ///< the first byte.
+  std::uint32_t MemoryTokens = 0; ///< Charged until the attempt's end.
+  gsExpectedWait Wait;            ///< There, when it was sent.
   gsTime Started{};
   gsTime SentAt{};
   gsTime FirstByteAt{};
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -69,8 +69,7 @@
   attempt->ReadTokens = placement.ReadTokens;
   attempt->MemoryTokens =
     request->Caller.PromptTokens + request->Caller.AnswerTokens;
-  attempt->BacklogTokens =
-    gsWorkAt(this->Fleet, row, now).ReadTokens + placement.ReadTokens;
+  attempt->Wait = gsWaitAt(this->Fleet, row, placement.ReadTokens, now);
   attempt->Started = now;
   attempt->LastByteAt = now;
   if (request->LastEvent) {
@@ -221,9 +220,9 @@
     return;
   }
   attempt.FirstByteAt = now;
-  if (attempt.BacklogTokens >= MinMeasuredTokens) {
+  if (attempt.Wait.ReadTokens >= MinMeasuredTokens) {
     double millis = gsToSeconds(now - attempt.SentAt) * 1e3;
-    double each = millis / static_cast<double>(attempt.BacklogTokens);
+    double each = millis / static_cast<double>(attempt.Wait.ReadTokens);
     this->TokenMillis += RateSmoothing * (each - this->TokenMillis);
     this->TokenMillis =
       std::clamp(this->TokenMillis, LeastTokenMillis, MostTokenMillis);
