Coordination: Tell how old the oldest word of a load report is

Cause: what all others have open was stamped with the moment at which anything was applied, many times a second, whatever its age; the age in the log and the bound on old words (OthersMemory) meant nothing. A word could be 7.5 s old and count as new, as each of three hops held it for 2.5 s and told no age.

What is older than 7.5 s end to end is not believed, now by a bound of its own; OthersMemory follows it, as it compares honest ages now. A host that has heard nothing has no age.

--- a/Source/Coord/gsLoadExchange.h
+++ b/Source/Coord/gsLoadExchange.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -108,6 +109,7 @@
 {
   gsLoadScope Scope = gsLoadScope::Host;
   gsSystemLoad Load;
+  gsTime Age{}; ///< Of the oldest word that it rests on, when it was sent.
 };
 
 /** What was last heard from one host. */
@@ -116,6 +118,7 @@
   std::string Hall;
   gsLoadReport Report;
   gsTime At{};
+  gsTime Since{}; ///< When the oldest word that it rests on was said.
 };
 
 /** What was last told to one host. */
@@ -129,8 +132,13 @@
 {
   /** Unchanged reports are repeated so often. */
   gsTime Refresh = gsSeconds(1);
-  /** Reports are not believed any longer than this. */
+  /** Reports are not believed any longer than this, */
   gsTime Memory = gsMilliseconds(2500);
+  /**
+   * nor those that rest on a word older than this. Words go from a host over
+   * two relays to another host, and each may hold them for Memory.
+   */
+  gsTime MostAge = gsMilliseconds(7500);
   /**
    * One host is told no more often than this for each host of the hall, so
    * that a relay sends as many reports however large its hall is.
@@ -178,3 +186,9 @@
 
 /** Work of all other hosts, as far as it is known. */
 gsSystemLoad gsLoadOfOthers(gsLoadExchange const& exchange, gsTime now);
+
+/**
+ * When the oldest word that gsLoadOfOthers rests on was said; absent when it
+ * rests on none.
+ */
+std::optional<gsTime> gsLoadSince(gsLoadExchange const& exchange, gsTime now);
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -83,7 +83,7 @@
   std::optional<gsFleetGroup> GroupBefore;
   gsOpenWork Own;    ///< Attempts of this host; exact.
   gsOpenWork Others; ///< Of all other hosts, by their last word.
-  gsTime OthersAt{}; ///< When that word came.
+  gsTime OthersAt{}; ///< When the oldest part of that word was said.
   /** Gets nothing until then, after it was not reachable. */
   gsTime AvoidUntil{};
   std::uint32_t Unreachable = 0; ///< Times in a row.
@@ -162,8 +162,9 @@
   gsTime DecisionGapOfEach = gsMilliseconds(7);
   gsTime SlowGapOfEach = gsMilliseconds(30);
   gsTime PartMemory = gsSeconds(20);
-  gsTime OthersMemory = gsSeconds(2); ///< Older words are not believed.
-  std::size_t PartsMost = 2000;       ///< Remembered for each upstream.
+  /** Older words are not believed; see gsLoadSettings::MostAge. */
+  gsTime OthersMemory = gsMilliseconds(7500);
+  std::size_t PartsMost = 2000; ///< Remembered for each upstream.
   gsHallReachSettings HallReach;
 };
 
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -164,6 +164,7 @@
 void gsLoadSharing::Apply(gsTime now)
 {
   gsSystemLoad others = gsLoadOfOthers(this->Exchange, now);
+  gsTime since = gsLoadSince(this->Exchange, now).value_or(gsTime{});
   this->ApplyHalls(others.CutOffHalls);
   for (gsFleetRow& row : this->Fleet.Rows) {
     auto load = others.Upstreams.find(row.Hash);
@@ -172,7 +173,7 @@
       known = load->second;
     }
     row.Others = { known.Running, known.ReadTokens, known.MemoryTokens };
-    row.OthersAt = now;
+    row.OthersAt = since;
     row.OthersPace = known.PaceMicros / MicrosPerMilli;
   }
   for (auto const& [service, rows] : this->Fleet.ByService) {
--- a/Source/Daemon/gsWireCodec.cxx
+++ b/Source/Daemon/gsWireCodec.cxx
@@ -180,12 +180,16 @@
   }
   report.Load.CutOffHalls = { wire.cut_off_halls().begin(),
                               wire.cut_off_halls().end() };
+  report.Age = gsMilliseconds(wire.age_ms());
   return report;
 }
 
 void gsToWire(gsLoadReport const& report, gradescale::LoadReport* wire)
 {
   wire->set_scope(static_cast<std::uint32_t>(report.Scope));
+  wire->set_age_ms(static_cast<std::uint32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(report.Age)
+      .count()));
   for (auto const& [upstream, load] : report.Load.Upstreams) {
     gradescale::UpstreamLoad* entry = wire->add_loads();
     entry->set_upstream(upstream);
--- a/Tests/Unit/gsTestLoadExchange.cxx
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -151,6 +151,60 @@
   EXPECT_EQ(net.Seen("b0", now + gsSeconds(10)), 0U);
 }
 
+TEST(LoadExchange, AWordsAgeIsKeptOnItsWay)
+{
+  Net net = ThreeHalls(3);
+  gsTime now = gsSeconds(10);
+  for (int i = 0; i < 40; ++i) {
+    net.Tick(now += Period);
+  }
+  // One host falls silent; the relays repeat what it has said last.
+  net.Down.insert("a2");
+  gsTime said = net.Hosts["a0"].Heard["a2"].At;
+  for (int i = 0; i < 20; ++i) {
+    net.Tick(now += Period);
+  }
+  for (char const* host : { "a0", "a1", "b0", "b2" }) {
+    std::optional<gsTime> since = gsLoadSince(net.Hosts[host], now);
+    ASSERT_TRUE(since) << host;
+    EXPECT_LE(gsToSeconds(*since), gsToSeconds(said)) << host;
+  }
+  // Once nobody counts it any more, all words are young again.
+  for (int i = 0; i < 60; ++i) {
+    net.Tick(now += Period);
+  }
+  constexpr double hops = 3;
+  for (char const* host : { "a0", "a1", "b0", "b2" }) {
+    std::optional<gsTime> since = gsLoadSince(net.Hosts[host], now);
+    ASSERT_TRUE(since) << host;
+    EXPECT_LE(gsToSeconds(now - *since), hops * 1.1) << host;
+  }
+}
+
+TEST(LoadExchange, ASumThatRestsOnTooOldAWordIsNotBelieved)
+{
+  gsLoadExchange exchange;
+  exchange.Self = "b1";
+  exchange.Hall = "b";
+  gsTime now = gsSeconds(20);
+  gsLoadReport report;
+  report.Scope = gsLoadScope::Others;
+  report.Load.Upstreams[7] = { 5, 0, 0 };
+  report.Age = exchange.Settings.MostAge - gsSeconds(1);
+  gsLoadHear(exchange, "b0", "b", report, now);
+  EXPECT_EQ(gsLoadOfOthers(exchange, now).Upstreams[7].Running, 5U);
+  EXPECT_EQ(*gsLoadSince(exchange, now), now - report.Age);
+  now += gsMilliseconds(1100);
+  EXPECT_EQ(gsLoadOfOthers(exchange, now).Upstreams.size(), 0U);
+  EXPECT_FALSE(gsLoadSince(exchange, now));
+}
+
+TEST(LoadExchange, WhereNothingWasHeardThereIsNoAge)
+{
+  gsLoadExchange exchange;
+  EXPECT_FALSE(gsLoadSince(exchange, gsSeconds(20)));
+}
+
 TEST(LoadExchange, IdleHostsSayLittle)
 {
   Net net = ThreeHalls(10);
