Tests: Bring about three places where 'no more' is not true

A repeat whose second upstream is not there is paid for twice and ends the stream though a third is well; a kept connection is used for up to a second longer than its upstream allows, and may close under a request; a request whose first line has come in part at a stop gets no answer, in 2 of 2 cases.

--- a/Tests/Route/gsTestHttpServer.cxx
+++ b/Tests/Route/gsTestHttpServer.cxx
@@ -162,6 +162,40 @@
   }
 }
 
+// The library has read these bytes, and tells of a request once its first
+// line is there.
+TEST_F(HttpServer, ARequestWhoseFirstLineIsComingInAtAStopIsAnswered)
+{
+  for (bool isFirst : { true, false }) {
+    SCOPED_TRACE(isFirst);
+    this->Handled.clear();
+    this->Serve(gsSeconds(30));
+    RawCaller caller(this->Server->Port());
+    if (!isFirst) {
+      caller.Send(Request);
+      ASSERT_TRUE(this->RunUntil([&] {
+        this->AnswerAll();
+        caller.Read();
+        return caller.Answered();
+      }));
+      this->Handled.clear();
+      caller.Answer.clear();
+    }
+    constexpr std::size_t sent = 6;
+    caller.Send(Request.substr(0, sent));
+    this->RunFor(gsMilliseconds(50));
+    this->CloseAsAtAStop();
+    caller.Send(Request.substr(sent));
+    ASSERT_TRUE(this->RunUntil([&] {
+      this->AnswerAll();
+      caller.Read();
+      return caller.Ended;
+    }));
+    EXPECT_EQ(this->Handled.size(), 1U);
+    EXPECT_TRUE(caller.Answered()) << caller.Answer;
+  }
+}
+
 TEST_F(HttpServer, ARequestSentBeforeTheCloseIsReadAndAnswered)
 {
   this->Serve(gsSeconds(30));
--- a/Tests/Route/gsTestRouteGateway.cxx
+++ b/Tests/Route/gsTestRouteGateway.cxx
@@ -268,6 +268,22 @@
   EXPECT_EQ(upstream.Requests.size(), 2U);
 }
 
+TEST(RouteGateway, AKeptConnectionRestsForLessThanItsUpstreamAllows)
+{
+  gsRouteBench bench;
+  gsScriptedUpstream& upstream = bench.Add(
+    "u1", [](Connection const& to, gsScriptedRequest const& request) {
+      to->Write(
+        gsWholeAnswer(request, "answer", 200, "Keep-Alive: timeout=1\r\n"));
+    });
+  EXPECT_EQ(bench.SendAndWait(On("plain", "id-1"))->Status, 200U);
+  EXPECT_EQ(bench.SendAndWait(On("plain", "id-2"))->Status, 200U);
+  EXPECT_EQ(upstream.Connections.size(), 1U);
+  bench.RunFor(1.3);
+  EXPECT_EQ(bench.SendAndWait(On("plain", "id-3"))->Status, 200U);
+  EXPECT_EQ(upstream.Connections.size(), 2U);
+}
+
 TEST(RouteGateway, ASecondAnswerReachesNobody)
 {
   gsRouteBench bench;
@@ -619,6 +635,34 @@
   EXPECT_GT(gsToSeconds(view->Ended - begin), 0.85);
 }
 
+// The first of the two that are left is not there: a repeat that was not
+// sent leaves its share of the budget to the next.
+TEST(RouteGateway, AnUnreachableSecondUpstreamCostsNoRepeat)
+{
+  gsRouteGatewaySettings settings = SoonSilent();
+  settings.RetryBurst = 1;
+  gsRouteBench bench(settings);
+  PausedStream stream(bench, "resume");
+  gsScriptedUpstream& last = bench.Add(
+    "u3", [](Connection const& to, gsScriptedRequest const& request) {
+      to->Write(gsStreamHead(request) + gsChunk(gsEvent(2, "b")) +
+                gsChunk(""));
+    });
+  gsListedUpstream dead = bench.Fleet.Rows[0].Listed;
+  dead.Id = "u2";
+  dead.Address = "127.0.0.1:1";
+  gsFleetTake(bench.Fleet, { bench.Fleet.Rows[0].Listed, dead,
+                             bench.Fleet.Rows[1].Listed });
+  // The dead one looks the emptier.
+  constexpr std::uint64_t tokens = 100000;
+  gsFleetFind(bench.Fleet, "u3")->Own.ReadTokens = tokens;
+  ASSERT_TRUE(bench.RunUntil([&] { return stream.View->Done; }));
+  EXPECT_GT(gsFleetFind(bench.Fleet, "u2")->Unreachable, 0U);
+  EXPECT_TRUE(stream.View->Whole);
+  EXPECT_EQ(stream.View->Body, gsEvent(1, "a") + gsEvent(2, "b"));
+  EXPECT_EQ(last.Requests.size(), 1U);
+}
+
 TEST(RouteGateway, AWaitForASlotIsNoSilence)
 {
   gsRouteBench bench(SoonSilent());
