Routing: Pay once for a repeat that could not be sent

Cause: a repeat was taken from the budget when it was chosen, and again for the next upstream when no byte had left for the first. With the budget at its end a stream whose upstream was given up ended at the second one that was not there.

Change: an attempt that was not sent leaves what was paid to the next one.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -438,8 +438,12 @@
   if (!this->AllowsOneMore(request, result)) {
     return false;
   }
-  // Whatever has not been sent yet is no repeat for the upstreams.
-  return request.Sends == 0 || gsRetrySpend(this->BudgetOf(request.Service));
+  // Whatever has not been sent yet is no repeat for the upstreams; and what
+  // was taken from the budget for a repeat that was not sent is not used yet.
+  if (request.Sends == 0 || result.End == gsAttemptEnd::NotSent) {
+    return true;
+  }
+  return gsRetrySpend(this->BudgetOf(request.Service));
 }
 
 void gsRouteGateway::AnswerWhole(Held const& request)
