Io: Use kept connections for less than their other end allows

Cause: the library counts a rest in whole seconds, rounded down, and uses what is not above the limit: with a limit of 1 s up to 2 s. An upstream that closes in between can meet a request that was just sent, which then may have run.

Change: it is told a second less, so that a rest is always below the limit.

AKeptConnectionRests... failed before (1 connection for 2) and passes; Route tests 64 of 64 in that run. What it costs in new connections was not measured.

--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -24,6 +24,17 @@
   return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
+/**
+ * The library reuses what has rested for less than a second more than it is
+ * told. A connection that rests for as long as its other end allows may close
+ * just when a request is sent, which then may have run.
+ */
+long RestSeconds(gsTime most)
+{
+  auto whole = std::chrono::duration_cast<gsSeconds>(most).count();
+  return std::max<long>(static_cast<long>(whole) - 1, 0);
+}
+
 int ToEvents(int what)
 {
   switch (what) {
@@ -99,6 +110,7 @@
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BufferSize);
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.Reuse ? 0L : 1L);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, RestSeconds(call.MaxIdle));
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.Reuse ? 0L : 1L);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.ConnectTimeout.count() / 1000));
@@ -111,10 +123,6 @@
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnPrerequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &active);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
-  curl_easy_setopt(
-    easy, CURLOPT_MAXAGE_CONN,
-    static_cast<long>(
-      std::chrono::duration_cast<gsSeconds>(call.MaxIdle).count()));
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnConnecting);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &active);
   if (call.Method == "HEAD") {
