--- a/Tests/Route/gsTestRouteGateway.cxx
+++ b/Tests/Route/gsTestRouteGateway.cxx
@@ -4,6 +4,10 @@
  * What callers get from the routed mode, and what upstreams see of them, when
  * upstreams answer well, badly, late, twice or not at all.
  */
+#include <functional>
+#include <map>
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "gsRouteBench.h"
@@ -264,6 +268,22 @@
   EXPECT_EQ(upstream.Requests.size(), 2U);
 }
 
+TEST(RouteGateway, AKeptConnectionRestsForLessThanItsUpstreamAllows)
+{
+  gsRouteBench bench;
+  gsScriptedUpstream& upstream = bench.Add(
+    "u1", [](Connection const& to, gsScriptedRequest const& request) {
+      to->Write(
+        gsWholeAnswer(request, "answer", 200, "Keep-Alive: timeout=1\r\n"));
+    });
+  EXPECT_EQ(bench.SendAndWait(On("plain", "id-1"))->Status, 200U);
+  EXPECT_EQ(bench.SendAndWait(On("plain", "id-2"))->Status, 200U);
+  EXPECT_EQ(upstream.Connections.size(), 1U);
+  bench.RunFor(1.3);
+  EXPECT_EQ(bench.SendAndWait(On("plain", "id-3"))->Status, 200U);
+  EXPECT_EQ(upstream.Connections.size(), 2U);
+}
+
 TEST(RouteGateway, ASecondAnswerReachesNobody)
 {
   gsRouteBench bench;
@@ -507,3 +527,213 @@
   EXPECT_TRUE(bench.RunUntil([&] { return view->Done; }));
   EXPECT_FALSE(view->Whole);
 }
+
+namespace {
+
+/** Silence is noticed soon enough for a test. */
+gsRouteGatewaySettings SoonSilent()
+{
+  gsRouteGatewaySettings settings;
+  settings.SilenceLimit = gsMilliseconds(200);
+  return settings;
+}
+
+/** Longer than it takes to notice a silence, shorter than a route's time. */
+constexpr double Pause = 0.7;
+
+/** A stream whose first event the caller has, and whose upstream pauses. */
+struct PausedStream
+{
+  explicit PausedStream(gsRouteBench& bench, std::string const& route)
+    : Bench(bench)
+  {
+    bench.Add("u1",
+              [this](Connection const& to, gsScriptedRequest const& request) {
+                this->Stream = to;
+                to->Write(gsStreamHead(request) + gsChunk(gsEvent(1, "a")));
+              });
+    this->View = bench.Send(On(route));
+    bench.RunUntil([this] { return this->View->Body == gsEvent(1, "a"); });
+  }
+
+  /** Whether the caller gets all of it from the first upstream. */
+  void ExpectItGoesOn()
+  {
+    this->Bench.RunFor(Pause);
+    EXPECT_FALSE(this->View->Done);
+    this->Stream->Write(gsChunk(gsEvent(2, "b")) + gsChunk(""));
+    this->Bench.RunUntil([this] { return this->View->Done; }, 1);
+    EXPECT_TRUE(this->View->Whole);
+    EXPECT_EQ(this->View->Body, gsEvent(1, "a") + gsEvent(2, "b"));
+    EXPECT_EQ(this->Bench.Arrivals(), 1U);
+  }
+
+  gsRouteBench& Bench;
+  Connection Stream;
+  gsCallerViewPtr View;
+};
+
+/** Answers after a pause. */
+gsScriptedUpstream::Script Late(gsRouteBench& bench,
+                                std::unique_ptr<gsTimer>& timer)
+{
+  return [&](Connection const& to, gsScriptedRequest const& request) {
+    timer = std::make_unique<gsTimer>(bench.Loop, [to, request] {
+      to->Write(gsWholeAnswer(request, "late"));
+    });
+    timer->Once(gsFromSeconds(Pause));
+  };
+}
+
+} // namespace
+
+TEST(RouteGateway, APausedStreamIsKeptWhereNoOtherUpstreamIs)
+{
+  gsRouteBench bench(SoonSilent());
+  PausedStream stream(bench, "resume");
+  stream.ExpectItGoesOn();
+}
+
+TEST(RouteGateway, APausedStreamIsKeptWhereNoOtherUpstreamMayGetIt)
+{
+  using Bar = std::function<void(gsRouteBench&, gsFleetRow&)>;
+  constexpr std::uint32_t connections = 8;
+  std::map<std::string, Bar> const bars{
+    { "leaving",
+      [](gsRouteBench& bench, gsFleetRow& /*row*/) { bench.List({ "u2" }); } },
+    { "unreachable",
+      [](gsRouteBench& /*bench*/, gsFleetRow& row) {
+        row.AvoidUntil = gsLoop::Now() + gsSeconds(10);
+      } },
+    { "no connection",
+      [](gsRouteBench& /*bench*/, gsFleetRow& row) {
+        row.Own.Running = connections;
+      } },
+  };
+  for (auto const& [name, bar] : bars) {
+    SCOPED_TRACE(name);
+    gsRouteBench bench(SoonSilent());
+    gsRouteTable table = bench.MakeTable();
+    table.Services = { { "model", connections, {} } };
+    gsIndexRoutes(table);
+    bench.Gateway->TakeRoutes(
+      std::make_shared<gsRouteTable const>(std::move(table)));
+    PausedStream stream(bench, "resume");
+    bench.Add("u2", Whole("other"));
+    bar(bench, *gsFleetFind(bench.Fleet, "u2"));
+    stream.ExpectItGoesOn();
+  }
+}
+
+TEST(RouteGateway, APausedStreamThatCannotBeTakenUpElsewhereIsKept)
+{
+  gsRouteBench bench(SoonSilent());
+  gsRouteTable table = bench.MakeTable();
+  table.Routes[2].Repeatable = true;
+  table.Routes[2].MaxAttempts = 2;
+  gsIndexRoutes(table);
+  bench.Gateway->TakeRoutes(
+    std::make_shared<gsRouteTable const>(std::move(table)));
+  PausedStream stream(bench, "stream");
+  bench.Add("u2", Whole("other"));
+  stream.ExpectItGoesOn();
+}
+
+TEST(RouteGateway, WhereNoOtherUpstreamIsASilentOneIsWaitedFor)
+{
+  gsRouteBench bench(SoonSilent());
+  std::unique_ptr<gsTimer> timer;
+  gsScriptedUpstream& upstream = bench.Add("u1", {});
+  upstream.Follow(Late(bench, timer));
+  gsCallerViewPtr view = bench.SendAndWait(On("safe"));
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_EQ(view->Body, "late");
+  EXPECT_EQ(bench.Arrivals(), 1U);
+}
+
+TEST(RouteGateway, ASilentUpstreamIsWaitedForUntilTheTimeIsOver)
+{
+  gsRouteBench bench(SoonSilent());
+  bench.Add("u1", Silent);
+  gsCallerSends sends = On("safe");
+  sends.More = { { "Gradescale-Deadline-Ms", "900" } };
+  gsTime begin = gsLoop::Now();
+  gsCallerViewPtr view = bench.SendAndWait(sends);
+  EXPECT_EQ(view->Status, 504U);
+  EXPECT_GT(gsToSeconds(view->Ended - begin), 0.85);
+}
+
+// The first of the two that are left is not there: a repeat that was not
+// sent leaves its share of the budget to the next.
+TEST(RouteGateway, AnUnreachableSecondUpstreamCostsNoRepeat)
+{
+  gsRouteGatewaySettings settings = SoonSilent();
+  settings.RetryBurst = 1;
+  gsRouteBench bench(settings);
+  PausedStream stream(bench, "resume");
+  gsScriptedUpstream& last = bench.Add(
+    "u3", [](Connection const& to, gsScriptedRequest const& request) {
+      to->Write(gsStreamHead(request) + gsChunk(gsEvent(2, "b")) +
+                gsChunk(""));
+    });
+  gsListedUpstream dead = bench.Fleet.Rows[0].Listed;
+  dead.Id = "u2";
+  dead.Address = "127.0.0.1:1";
+  gsFleetTake(bench.Fleet, { bench.Fleet.Rows[0].Listed, dead,
+                             bench.Fleet.Rows[1].Listed });
+  // The dead one looks the emptier.
+  constexpr std::uint64_t tokens = 100000;
+  gsFleetFind(bench.Fleet, "u3")->Own.ReadTokens = tokens;
+  ASSERT_TRUE(bench.RunUntil([&] { return stream.View->Done; }));
+  EXPECT_GT(gsFleetFind(bench.Fleet, "u2")->Unreachable, 0U);
+  EXPECT_TRUE(stream.View->Whole);
+  EXPECT_EQ(stream.View->Body, gsEvent(1, "a") + gsEvent(2, "b"));
+  EXPECT_EQ(last.Requests.size(), 1U);
+}
+
+TEST(RouteGateway, AWaitForASlotIsNoSilence)
+{
+  gsRouteBench bench(SoonSilent());
+  std::unique_ptr<gsTimer> timer;
+  gsScriptedUpstream& upstream = bench.Add("u1", {});
+  upstream.Follow(Late(bench, timer));
+  gsFleetRow* row = gsFleetFind(bench.Fleet, "u1");
+  row->Others.Running = row->Listed.Slots + 7;
+  row->OthersAt = gsLoop::Now();
+  bench.Fleet.Demand["model"].HoldTight = 1000;
+  gsCallerViewPtr view = bench.Send(On("safe"));
+  ASSERT_TRUE(bench.RunUntil([&] { return bench.Arrivals() == 1; }));
+  bench.Add("u2", Whole("other"));
+  ASSERT_TRUE(bench.RunUntil([&] { return view->Done; }));
+  EXPECT_EQ(view->Body, "late");
+  EXPECT_EQ(bench.Arrivals(), 1U);
+}
+
+TEST(RouteGateway, WhatComesBeforeARequestLaterIsNoSilence)
+{
+  gsRouteBench bench(SoonSilent());
+  std::unique_ptr<gsTimer> timer;
+  gsScriptedUpstream& upstream = bench.Add("u1", {});
+  upstream.Follow(Late(bench, timer));
+  gsCallerViewPtr view = bench.Send(On("safe"));
+  ASSERT_TRUE(bench.RunUntil([&] { return bench.Arrivals() == 1; }));
+  bench.Add("u2", Whole("other"));
+  gsFleetRow* row = gsFleetFind(bench.Fleet, "u1");
+  row->Others.ReadTokens = 20000;
+  row->OthersAt = gsLoop::Now();
+  ASSERT_TRUE(bench.RunUntil([&] { return view->Done; }));
+  EXPECT_EQ(view->Body, "late");
+  EXPECT_EQ(bench.Arrivals(), 1U);
+}
+
+TEST(RouteGateway, AStreamThatWaitsForPromptsToBeReadIsNotSilent)
+{
+  gsRouteBench bench(SoonSilent());
+  PausedStream stream(bench, "resume");
+  bench.Add("u2", Whole("other"));
+  gsFleetRow* row = gsFleetFind(bench.Fleet, "u1");
+  row->Others.ReadTokens = 30000;
+  row->OthersAt = gsLoop::Now();
+  stream.ExpectItGoesOn();
+  EXPECT_EQ(gsFleetFind(bench.Fleet, "u1")->Unreachable, 0U);
+}
