Tests: Show a copy that says it is complete and holds removals back

A host just back in touch with the platform holds removals back, and counts and tells them as complete. The hall's hosts keep the rows, and are not told again when the removals are learned from another host.

--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -151,11 +151,28 @@
   return news;
 }
 
+std::vector<std::string> Keys(gsTableWatch const& watch)
+{
+  std::vector<std::string> keys;
+  for (auto const& [key, row] : watch.Present()) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 class TableWatch : public testing::Test
 {
 protected:
   TableWatch()
     : Platform(Bench.Loop)
+  {
+    gsTableWatchSettings settings = this->Settings();
+    this->Watch =
+      std::make_unique<gsTableWatch>(Bench.Loop, Bench.Callers, Bench.Adapter,
+                                     settings, [this] { ++this->Changes; });
+  }
+
+  gsTableWatchSettings Settings() const
   {
     gsTableWatchSettings settings;
     settings.Platform = this->Platform.Address();
@@ -167,9 +184,14 @@
     settings.Gather = gsMilliseconds(60);
     settings.AwayAfter = gsMilliseconds(500);
     settings.ReturnPatience = gsMilliseconds(400);
-    this->Watch =
-      std::make_unique<gsTableWatch>(Bench.Loop, Bench.Callers, Bench.Adapter,
-                                     settings, [this] { ++this->Changes; });
+    return settings;
+  }
+
+  /** A copy that is kept up by other hosts' words alone. */
+  std::unique_ptr<gsTableWatch> Listener()
+  {
+    return std::make_unique<gsTableWatch>(
+      Bench.Loop, Bench.Callers, Bench.Adapter, this->Settings(), [] {});
   }
 
   void Begin()
@@ -420,3 +442,45 @@
   EXPECT_EQ(above.Rows[0].Key, "a");
   EXPECT_TRUE(above.Rows[0].Removed);
 }
+
+// A host just back in touch held removals back and yet told its hall that its
+// copy was complete beyond them; nobody told the hall of them any more.
+TEST_F(TableWatch, WhatIsHeldBackIsNeverToldAsComplete)
+{
+  std::unique_ptr<gsTableWatch> hall = this->Listener();
+  std::unique_ptr<gsTableWatch> other = this->Listener();
+  this->Platform.Put("a", "MQ==");
+  this->Platform.Put("b", "MQ==");
+  this->Begin();
+  ASSERT_TRUE(this->Becomes("b", "1"));
+  hall->Learn(this->Watch->NewsAbove(0), "watcher");
+  other->Learn(this->Watch->NewsAbove(0), "watcher");
+  this->Platform.Silent = true;
+  this->Platform.Remove("a");
+  this->Platform.Put("c", "MQ==");
+  this->Bench.RunFor(0.8);
+  this->Platform.Silent = false;
+  ASSERT_TRUE(this->Becomes("c", "1"));
+  ASSERT_TRUE(this->Bench.RunUntil([&] { return this->Platform.Watched(); }));
+  this->Platform.Remove("b");
+  this->Platform.Put("d", "MQ==");
+  ASSERT_TRUE(this->Becomes("d", "1"));
+  ASSERT_EQ(this->Value("a"), "1"); // Both are held back.
+  ASSERT_EQ(this->Value("b"), "1");
+  EXPECT_LT(this->Watch->CompleteTo(), 3U);
+  EXPECT_LE(this->Watch->Version(), this->Watch->CompleteTo());
+  hall->Learn(this->Watch->NewsAbove(hall->CompleteTo()), "watcher");
+
+  other->Learn(News(2, 6,
+                    { { "a", "", 3, true },
+                      { "c", "1", 4, false },
+                      { "b", "", 5, true },
+                      { "d", "1", 6, false } }),
+               "platform");
+  this->Watch->Learn(other->NewsAbove(this->Watch->CompleteTo()), "other");
+  hall->Learn(this->Watch->NewsAbove(hall->CompleteTo()), "watcher");
+  EXPECT_EQ(this->Watch->CompleteTo(), 6U);
+  EXPECT_EQ(hall->CompleteTo(), 6U);
+  EXPECT_EQ(Keys(*this->Watch), Keys(*other));
+  EXPECT_EQ(Keys(*hall), Keys(*other));
+}
