Tables: Count as complete only what a copy holds, and compare copies

Cause: removals were held back for two seconds after an outage, but the version up to which the copy called itself complete moved on, and was told. Hosts that were told so, and the host itself, kept rows that were gone: what was learned later at or below that version was not told again.

Change: the rows, removals, holds and versions are a plain struct now (gsTableCopy). Seen is where the watch goes on; Complete stays below what is held back. What is learned at or below a told version is told again. News carry a count and a hash of the teller's rows and make a copy complete only if they lead to the same rows: a host that met changes by a whole read does not know what came and went meanwhile, and told its news as all there were (the property test found that, and that a late word of a forgotten row brought it back). Frames carry count and hash too; copies that differ go by a read of the platform. Routes are never held back.

Ruled out: a hold's last sure version just below its removal. A store that tells only a row's last change may have changed it before (property test).

--- a/Source/Daemon/gsAdapter.h
+++ b/Source/Daemon/gsAdapter.h
@@ -19,6 +19,7 @@
 #include "gsHttpClient.h"
 #include "gsHttpServer.h"
 #include "gsRouteTable.h"
+#include "gsTableCopy.h"
 
 /** A caller's request as it was read; nothing in it has been decided. */
 struct gsCallerRequest
@@ -62,15 +63,6 @@
   gsHeaders Headers; ///< To pass on to the caller.
 };
 
-/** A row of one of the platform's tables. */
-struct gsTableRow
-{
-  std::string Key;
-  std::string Value;
-  std::uint64_t Version = 0; ///< Rises with every change in any table.
-  bool Removed = false;
-};
-
 /** An answer about rows. */
 struct gsTablePage
 {
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -296,6 +296,10 @@
   }
   this->Metrics.Set("gradescale_platform_calls_total", {},
                     static_cast<double>(this->Tables->Calls()));
+  this->Metrics.Set("gradescale_table_differences_total", {},
+                    static_cast<double>(this->Tables->Differences()));
+  this->Metrics.Set("gradescale_table_counts_unreadable_total", {},
+                    static_cast<double>(this->Tables->UnreadableCounts()));
   this->Metrics.Set("gradescale_upstream_connections_total", {},
                     static_cast<double>(this->Client.Opened()));
 }
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -48,25 +48,35 @@
          1;
 }
 
-void AddNews(gradescale::Frame& frame, std::string const& table,
-             gsTableNews const& news)
-{
-  gradescale::TableNews* wire = frame.add_table_news();
-  wire->set_table(table);
-  wire->set_above_version(news.Above);
-  wire->set_version(news.Version);
-  wire->set_whole(news.Whole);
-  for (gsTableRow const& row : news.Rows) {
-    gradescale::TableRow* entry = wire->add_rows();
-    entry->set_key(row.Key);
-    entry->set_value(row.Value);
-    entry->set_version(row.Version);
-    entry->set_removed(row.Removed);
-  }
+gsTableWatchSettings WatchSettings(gsSettings const& settings)
+{
+  gsTableWatchSettings watch;
+  watch.Platform = settings.Platform.Address;
+  watch.Wait = settings.Routing.WatchWait;
+  watch.Gather = settings.Routing.Leaving / GatherShare;
+  return watch;
 }
 
 } // namespace
 
+/** Routes and keys do not lapse: what was taken away is so at once. */
+gsTableWatchSettings gsRoutesWatch(gsSettings const& settings,
+                                   gsAdapter const& adapter)
+{
+  gsTableWatchSettings watch = WatchSettings(settings);
+  watch.Table = adapter.Tables.Routes;
+  watch.ReturnPatience = gsTime{};
+  return watch;
+}
+
+gsTableWatchSettings gsUpstreamsWatch(gsSettings const& settings,
+                                      gsAdapter const& adapter)
+{
+  gsTableWatchSettings watch = WatchSettings(settings);
+  watch.Table = adapter.Tables.Upstreams;
+  return watch;
+}
+
 gsTableSync::gsTableSync(gsLoop& loop, gsHttpClient& client,
                          gsAdapter const& adapter, gsSettings const& settings,
                          gsTableSyncEvents events)
@@ -78,19 +88,13 @@
   this->UpstreamsPushed.Table = adapter.Tables.Upstreams;
   this->Duty.Self = settings.Host;
   this->Duty.Settings.MostAge = settings.Routing.WatchWait + AgeMargin;
-  gsTableWatchSettings watch;
-  watch.Platform = settings.Platform.Address;
-  watch.Wait = settings.Routing.WatchWait;
-  watch.Gather = settings.Routing.Leaving / GatherShare;
-  watch.Table = adapter.Tables.Routes;
-  this->Routes =
-    std::make_unique<gsTableWatch>(loop, client, adapter, watch, [this] {
+  this->Routes = std::make_unique<gsTableWatch>(
+    loop, client, adapter, gsRoutesWatch(settings, adapter), [this] {
       this->OfferNews(*this->Routes, this->RoutesPushed);
       this->Events.OnRoutes();
     });
-  watch.Table = adapter.Tables.Upstreams;
-  this->Upstreams =
-    std::make_unique<gsTableWatch>(loop, client, adapter, watch, [this] {
+  this->Upstreams = std::make_unique<gsTableWatch>(
+    loop, client, adapter, gsUpstreamsWatch(settings, adapter), [this] {
       this->OfferNews(*this->Upstreams, this->UpstreamsPushed);
       this->Events.OnUpstreams();
     });
@@ -152,6 +156,8 @@
   this->ReadIfNotTold(now);
   this->PushPending(now);
   this->AskBehind(now);
+  this->MendDiffering(this->Adapter.Tables.Routes, now);
+  this->MendDiffering(this->Adapter.Tables.Upstreams, now);
 }
 
 void gsTableSync::OnStalled()
@@ -173,6 +179,12 @@
                                                  : nullptr;
 }
 
+gsTableSync::Mending& gsTableSync::MendingOf(std::string_view table)
+{
+  return table == this->Adapter.Tables.Routes ? this->RoutesMending
+                                              : this->UpstreamsMending;
+}
+
 void gsTableSync::HearNews(std::string const& host,
                            gradescale::Frame const& frame)
 {
@@ -206,16 +218,11 @@
     watch->ReadOnce();
     return;
   }
-  gsTableNews news;
-  news.Above = wire.above_version();
-  news.Version = wire.version();
-  news.Whole = wire.whole();
-  for (gradescale::TableRow const& row : wire.rows()) {
-    news.Rows.push_back(
-      { row.key(), row.value(), row.version(), row.removed() });
-  }
-  if (!watch->Learn(news, host)) {
+  gsLearned::Lack lack = watch->Take(gsReadNews(wire), host);
+  if (lack == gsLearned::Lack::Changes) {
     this->AskFor(host, wire.table());
+  } else if (lack == gsLearned::Lack::Rows) {
+    this->Mend(wire.table(), wire.version());
   }
 }
 
@@ -224,14 +231,43 @@
 {
   for (gradescale::TableQuery const& query : frame.table_queries()) {
     gsTableWatch const* watch = this->WatchOf(query.table());
+    if (watch != nullptr && query.differs_at() != 0) {
+      this->AnswerDiffering(link, query);
+      continue;
+    }
     gradescale::Frame* answer =
       watch != nullptr ? this->Cluster->OnLink(link) : nullptr;
     if (answer != nullptr && watch->Known()) {
-      AddNews(*answer, query.table(), watch->NewsAbove(query.above_version()));
+      gsAddNews(*answer, query.table(),
+                watch->NewsAbove(query.above_version()));
     }
   }
 }
 
+/**
+ * Answers a host whose rows differ from another's. Only rows that were read
+ * from the platform since settle which of them is right; before that there is
+ * no answer, and the host asks again.
+ */
+void gsTableSync::AnswerDiffering(std::uint64_t link,
+                                  gradescale::TableQuery const& query)
+{
+  if (!this->Watches()) {
+    return;
+  }
+  gsTableWatch const& watch = *this->WatchOf(query.table());
+  std::uint64_t read = watch.ReadSince(gsLoop::Now() - gsTableMendGap);
+  if (read < query.differs_at()) {
+    this->ReadAgain(query.table());
+    return;
+  }
+  gsTableNews news = watch.NewsAbove(0);
+  news.ReadVersion = read;
+  if (gradescale::Frame* answer = this->Cluster->OnLink(link)) {
+    gsAddNews(*answer, query.table(), news);
+  }
+}
+
 std::vector<std::string> gsTableSync::HallHosts() const
 {
   return gsHallPeers(this->Cluster->Members(), gsLoop::Now());
@@ -251,7 +287,7 @@
 
 /** Tells what has changed, or lets Tick do so when others were told a short
  * while ago. */
-void gsTableSync::OfferNews(gsTableWatch const& watch, Pushed& pushed)
+void gsTableSync::OfferNews(gsTableWatch& watch, Pushed& pushed)
 {
   if (gsLoop::Now() - pushed.At >= PushGap) {
     this->PushNews(watch, pushed);
@@ -272,12 +308,12 @@
 }
 
 /** Tells what has changed since it was last told. */
-void gsTableSync::PushNews(gsTableWatch const& watch, Pushed& pushed)
+void gsTableSync::PushNews(gsTableWatch& watch, Pushed& pushed)
 {
-  gsTableNews news = watch.NewsAbove(pushed.Version);
+  gsTableNews news = watch.TellAbove(pushed.Version);
   pushed.Version = watch.CompleteTo();
   pushed.Pending = false;
-  if (this->Duty.State == gsWatchState::Covered || news.Rows.empty()) {
+  if (!this->Watches() || news.Rows.empty()) {
     return;
   }
   pushed.At = gsLoop::Now();
@@ -288,7 +324,7 @@
       notice->set_table(pushed.Table);
       notice->set_too_large(true);
     } else if (frame != nullptr) {
-      AddNews(*frame, pushed.Table, news);
+      gsAddNews(*frame, pushed.Table, news);
     }
   }
 }
@@ -297,12 +333,7 @@
 {
   frame.set_tables_age_ms(this->TablesAge());
   frame.set_heard_tables_age_ms(this->HeardTablesAge());
-  if (frame.table_versions().empty()) {
-    frame.add_table_versions(0);
-    frame.add_table_versions(0);
-  }
-  frame.set_table_versions(0, this->Routes->Version());
-  frame.set_table_versions(1, this->Upstreams->Version());
+  gsFillTables(frame, this->Routes->Check(), this->Upstreams->Check());
 }
 
 /** Time since both tables were last known to be up to date, for frames; zero
@@ -377,13 +408,20 @@
 void gsTableSync::HearVersions(std::string const& host,
                                gradescale::Frame const& frame)
 {
-  constexpr int tables = 2;
-  if (frame.table_versions_size() != tables) {
+  std::optional<gsTablesTold> told = gsReadTables(frame);
+  if (!told) {
     return;
   }
+  if (told->Counts == gsCountsRead::Unreadable) {
+    ++this->Unreadable;
+    return;
+  }
+  this->Routes->Align(told->Routes.Version);
+  this->Upstreams->Align(told->Upstreams.Version);
   Shown& shown = this->Peers[host];
-  shown.Routes = frame.table_versions(0);
-  shown.Upstreams = frame.table_versions(1);
+  shown.Routes = told->Routes.Version;
+  shown.Upstreams = told->Upstreams.Version;
+  this->HearCounts(host, *told, shown);
   if (!this->IsBehind(shown)) {
     shown.BehindSince = gsTime{};
   } else if (shown.BehindSince.count() == 0) {
@@ -391,6 +429,86 @@
   }
 }
 
+/** Compares rows. A host of an older release tells none, and is believed. */
+void gsTableSync::HearCounts(std::string const& host, gsTablesTold const& told,
+                             Shown& shown)
+{
+  if (told.Counts == gsCountsRead::Told) {
+    gsTime now = gsLoop::Now();
+    gsCheckHear(this->RoutesMending.Check, host, told.Routes,
+                this->Routes->Check(), now);
+    gsCheckHear(this->UpstreamsMending.Check, host, told.Upstreams,
+                this->Upstreams->Check(), now);
+  } else if (!shown.Uncounted) {
+    shown.Uncounted = true;
+    gsLogLine("table_counts_missing").With("from", host);
+  }
+}
+
+/** Mends rows that have differed from another host's for a while. */
+void gsTableSync::MendDiffering(std::string const& table, gsTime now)
+{
+  gsRowsCheck own = this->WatchOf(table)->Check();
+  std::optional<gsTableDifference> differs =
+    gsCheckDue(this->MendingOf(table).Check, own, now);
+  if (!differs) {
+    return;
+  }
+  ++this->Differed;
+  gsLogLine("table_differs", gsLogLevel::Warn)
+    .With("table", table)
+    .With("peer", differs->Host)
+    .With("version", own.Version)
+    .With("rows", own.Rows - 1)
+    .With("peer_rows", differs->Theirs.Rows - 1)
+    .With("watches", this->Watches());
+  this->Mend(table, own.Version);
+}
+
+/** Goes by the platform, read by this host or by one of its hall. */
+void gsTableSync::Mend(std::string const& table, std::uint64_t version)
+{
+  if (this->Watches()) {
+    this->ReadAgain(table);
+  } else {
+    this->AskWatcher(table, version);
+  }
+}
+
+void gsTableSync::ReadAgain(std::string const& table)
+{
+  gsTime now = gsLoop::Now();
+  Mending& mending = this->MendingOf(table);
+  bool early =
+    mending.Read.count() != 0 && now - mending.Read < gsTableMendGap;
+  if (!early) {
+    mending.Read = now;
+    this->WatchOf(table)->Refresh("differs");
+  }
+}
+
+/** Asks a host of the hall that watches for all rows. */
+void gsTableSync::AskWatcher(std::string const& table, std::uint64_t version)
+{
+  gsTime now = gsLoop::Now();
+  Mending& mending = this->MendingOf(table);
+  if (now - mending.Asked < mending.Check.Settings.GapFirst) {
+    return;
+  }
+  for (auto const& [host, heard] : this->Duty.Heard) {
+    bool watches =
+      !heard.PassedOn && now - heard.At <= this->Duty.Settings.Patience;
+    gradescale::Frame* frame = watches ? this->Cluster->ToHost(host) : nullptr;
+    if (frame != nullptr) {
+      mending.Asked = now;
+      gradescale::TableQuery* query = frame->add_table_queries();
+      query->set_table(table);
+      query->set_differs_at(version);
+      return;
+    }
+  }
+}
+
 void gsTableSync::AskFor(std::string const& host, std::string const& table)
 {
   if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
--- a/Source/Daemon/gsTableSync.h
+++ b/Source/Daemon/gsTableSync.h
@@ -3,7 +3,8 @@
  * \file
  * Keeps a host's copies of the platform's tables up: watches them when it is
  * this host's duty, tells the hall what has changed, learns from other hosts
- * and asks them for what it has missed.
+ * and asks them for what it has missed, and mends copies that differ from
+ * another host's.
  */
 #pragma once
 
@@ -17,7 +18,9 @@
 #include "gsHallCluster.h"
 #include "gsHttpClient.h"
 #include "gsSettings.h"
+#include "gsTableCheck.h"
 #include "gsTableWatch.h"
+#include "gsTableWire.h"
 #include "gsWatchDuty.h"
 
 struct gsTableSyncEvents
@@ -26,6 +29,20 @@
   std::function<void()> OnUpstreams; ///< The table of upstreams has changed.
 };
 
+/** How each of the tables is watched. */
+gsTableWatchSettings gsRoutesWatch(gsSettings const& settings,
+                                   gsAdapter const& adapter);
+gsTableWatchSettings gsUpstreamsWatch(gsSettings const& settings,
+                                      gsAdapter const& adapter);
+
+/**
+ * Between two reads of the platform that mend a copy which differs. A copy
+ * that is wrong, whatever the cause, is so for no longer than a heartbeat
+ * (1 s), the patience of the check (0.3 s), this, and the next ask (0.5 s),
+ * while a host of the hall reaches the platform.
+ */
+constexpr gsTime gsTableMendGap = gsSeconds(2);
+
 class gsTableSync
 {
 public:
@@ -56,6 +73,10 @@
   std::uint64_t Version() const;
   /** Made to the platform so far. */
   std::uint64_t Calls() const;
+  /** Times that rows differed from another host's at one version. */
+  std::uint64_t Differences() const { return this->Differed; }
+  /** Headers whose counts of rows could not be read. */
+  std::uint64_t UnreadableCounts() const { return this->Unreadable; }
 
 private:
   /** Last changes of the tables that another host has shown. */
@@ -63,7 +84,8 @@
   {
     std::uint64_t Routes = 0;
     std::uint64_t Upstreams = 0;
-    gsTime BehindSince{}; ///< Zero while this host has them all.
+    gsTime BehindSince{};   ///< Zero while this host has them all.
+    bool Uncounted = false; ///< It tells no counts, which was logged.
   };
 
   /** What this host has told others of a table by itself. */
@@ -75,13 +97,31 @@
     bool Pending = false; ///< There is more, to be told a little later.
   };
 
+  /** How a table's difference from another host's is being mended. */
+  struct Mending
+  {
+    gsTableCheck Check;
+    gsTime Read{};  ///< Last from the platform, for a difference.
+    gsTime Asked{}; ///< Last of a host that watches.
+  };
+
   gsTableWatch* WatchOf(std::string_view table);
+  Mending& MendingOf(std::string_view table);
+  bool Watches() const { return this->Duty.State != gsWatchState::Covered; }
   void HearVersions(std::string const& host, gradescale::Frame const& frame);
   void HearNews(std::string const& host, gradescale::Frame const& frame);
   void LearnNews(std::string const& host, gradescale::TableNews const& wire);
   void AnswerQueries(std::uint64_t link, gradescale::Frame const& frame);
-  void OfferNews(gsTableWatch const& watch, Pushed& pushed);
-  void PushNews(gsTableWatch const& watch, Pushed& pushed);
+  void AnswerDiffering(std::uint64_t link,
+                       gradescale::TableQuery const& query);
+  void HearCounts(std::string const& host, gsTablesTold const& told,
+                  Shown& shown);
+  void MendDiffering(std::string const& table, gsTime now);
+  void Mend(std::string const& table, std::uint64_t version);
+  void ReadAgain(std::string const& table);
+  void AskWatcher(std::string const& table, std::uint64_t version);
+  void OfferNews(gsTableWatch& watch, Pushed& pushed);
+  void PushNews(gsTableWatch& watch, Pushed& pushed);
   void PushPending(gsTime now);
   void DecideDuty(gsTime now);
   void ReadIfNotTold(gsTime now);
@@ -103,6 +143,10 @@
   gsWatchDuty Duty;
   Pushed RoutesPushed;
   Pushed UpstreamsPushed;
+  Mending RoutesMending;
+  Mending UpstreamsMending;
+  std::uint64_t Differed = 0;
+  std::uint64_t Unreadable = 0;
   bool Started = false; ///< Tables are read, or were told by another host.
   gsTime LastBeat{};    ///< Of a watcher to its hall.
   std::unordered_map<std::string, Shown> Peers;
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -2,7 +2,6 @@
 #include "gsTableWatch.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "gsLog.h"
@@ -79,7 +78,7 @@
 {
   gsLogLine("table_refresh")
     .With("table", this->Settings.Table)
-    .With("version", this->Highest)
+    .With("version", this->Version())
     .With("cause", cause);
   if (this->Call != 0) {
     this->Client.Cancel(std::exchange(this->Call, 0));
@@ -131,7 +130,7 @@
     this->Read(this->Reading.back().Key + '\0');
     return;
   }
-  if (this->ReadVersion < this->Cursor) {
+  if (this->ReadVersion < this->Copy.Seen) {
     // An old state: what is known here is newer.
     this->RetryLater({ {}, gsTableFault::TurnedAway, "An old state." },
                      "read");
@@ -143,50 +142,28 @@
 
 void gsTableWatch::FinishRead(std::uint64_t version)
 {
-  bool changed = this->TakeWhole(this->Reading, version) || !this->Filled;
+  gsTime now = gsLoop::Now();
+  bool wasKnown = this->Known();
+  bool changed = gsCopyTakeAll(this->Copy, this->Reading, version,
+                               this->AwaitsReturns(), now);
   this->Reading.clear();
-  this->Filled = true;
-  this->Cursor = std::max(this->Cursor, version);
-  if (changed) {
+  this->WholeVersion = version;
+  this->WholeAt = now;
+  if (changed || !wasKnown) {
     this->Changed();
   }
   this->Await();
 }
 
-/** Takes all rows of a version in: what they lack has been removed. */
-bool gsTableWatch::TakeWhole(std::vector<gsTableRow> const& rows,
-                             std::uint64_t version)
-{
-  bool changed = false;
-  std::set<std::string_view> seen;
-  for (gsTableRow const& row : rows) {
-    seen.insert(row.Key);
-    changed = this->Take(row) || changed;
-  }
-  std::vector<gsTableRow> removed;
-  for (auto const& [key, row] : this->Live) {
-    bool missing = seen.count(key) == 0 && row.Version <= version;
-    if (missing && !this->AwaitsReturns()) {
-      removed.push_back(row);
-    }
-  }
-  for (gsTableRow& row : removed) {
-    row.Removed = true;
-    row.Version = version;
-    changed = this->Take(row) || changed;
-  }
-  return changed;
-}
-
 void gsTableWatch::Await()
 {
-  this->ForgetRemoved();
+  gsCopyForget(this->Copy, this->Settings.RemovedMemory, gsLoop::Now());
   if (this->Paused) {
     return;
   }
   gsCall call =
     this->Adapter.WatchTable(this->Settings.Platform, this->Settings.Table,
-                             this->Cursor, this->Settings.Wait);
+                             this->Copy.Seen, this->Settings.Wait);
   call.TotalTimeout = this->Settings.Wait + this->Settings.Patience;
   this->Make(std::move(call), &gsTableWatch::OnAwaited);
 }
@@ -198,7 +175,7 @@
     if (read.Fault == gsTableFault::HistoryGone) {
       gsLogLine("table_history_gone", gsLogLevel::Warn)
         .With("table", this->Settings.Table)
-        .With("version", this->Highest);
+        .With("version", this->Version());
       this->Read({});
       return;
     }
@@ -206,12 +183,9 @@
     return;
   }
   this->NoteAnswered();
-  bool changed = false;
-  for (gsTableRow const& row : read.Page->Rows) {
-    bool heldBack = row.Removed && this->AwaitsReturns();
-    changed = (!heldBack && this->Take(row)) || changed;
-  }
-  this->Cursor = std::max(this->Cursor, read.Page->Version);
+  bool changed =
+    gsCopyTakePage(this->Copy, read.Page->Rows, read.Page->Version,
+                   this->AwaitsReturns(), gsLoop::Now());
   if (changed) {
     this->Changed();
   }
@@ -227,7 +201,7 @@
   gsTime now = gsLoop::Now();
   bool wasAway = this->Silent && this->KeptUp.count() != 0 &&
                  now - this->KeptUp > this->Settings.AwayAfter;
-  if (wasAway) {
+  if (wasAway && this->Settings.ReturnPatience.count() > 0) {
     this->ReturnsUntil = now + this->Settings.ReturnPatience;
     this->Settled.Once(this->Settings.ReturnPatience);
   }
@@ -238,7 +212,7 @@
     this->Silent = false;
     gsLogLine("table_regained")
       .With("table", this->Settings.Table)
-      .With("version", this->Highest);
+      .With("version", this->Version());
   }
 }
 
@@ -257,7 +231,7 @@
       .With("table", this->Settings.Table)
       .With("step", step)
       .With("peer", this->Settings.Platform)
-      .With("version", this->Highest)
+      .With("version", this->Version())
       .With("message", answer.Detail);
   }
   this->Delay = std::clamp(this->Delay * 2, this->Settings.RetryFirst,
@@ -265,99 +239,43 @@
   this->Retry.Once(this->Delay);
 }
 
-/** Takes one row in, unless a newer word of it is known. */
-bool gsTableWatch::Take(gsTableRow const& row)
+bool gsTableWatch::Learn(gsTableNews const& news, std::string_view peer)
 {
-  auto live = this->Live.find(row.Key);
-  auto gone = this->Gone.find(row.Key);
-  std::uint64_t known = 0;
-  if (live != this->Live.end()) {
-    known = live->second.Version;
-  } else if (gone != this->Gone.end()) {
-    known = gone->second.first.Version;
-  }
-  if (row.Version <= known) {
-    return false;
-  }
-  this->Highest = std::max(this->Highest, row.Version);
-  if (row.Removed) {
-    bool was = live != this->Live.end();
-    if (was) {
-      this->Live.erase(live);
-    }
-    this->Gone[row.Key] = { row, gsLoop::Now() };
-    return was;
-  }
-  if (gone != this->Gone.end()) {
-    this->Gone.erase(gone);
-  }
-  this->Live[row.Key] = row;
-  return true;
+  return this->Take(news, peer) == gsLearned::Lack::Nothing;
 }
 
-void gsTableWatch::ForgetRemoved()
+gsLearned::Lack gsTableWatch::Take(gsTableNews const& news,
+                                   std::string_view peer)
 {
-  gsTime now = gsLoop::Now();
-  for (auto row = this->Gone.begin(); row != this->Gone.end();) {
-    if (now - row->second.second <= this->Settings.RemovedMemory) {
-      ++row;
-      continue;
-    }
-    this->Forgotten = std::max(this->Forgotten, row->second.first.Version);
-    row = this->Gone.erase(row);
-  }
-}
-
-bool gsTableWatch::Learn(gsTableNews const& news, std::string_view peer)
-{
-  std::uint64_t before = this->Highest;
-  bool complete = news.Whole || news.Above <= this->Cursor;
-  bool changed = false;
-  if (news.Whole && news.Version >= this->Cursor) {
-    changed = this->TakeWhole(news.Rows, news.Version);
-  } else {
-    for (gsTableRow const& row : news.Rows) {
-      changed = this->Take(row) || changed;
-    }
-  }
-  if (complete) {
-    this->Cursor = std::max(this->Cursor, news.Version);
-    changed = changed || !this->Filled;
-    this->Filled = true;
-  } else {
-    // The rows hold, but others are missing.
-    this->Highest = before;
-  }
-  if (complete && this->Paused) {
+  gsLearned learned = gsCopyLearn(this->Copy, news, gsLoop::Now());
+  bool complete = learned.Lacks == gsLearned::Lack::Nothing;
+  if (complete && this->Known() && this->Paused) {
     this->Retry.Stop();
   }
-  if (changed) {
+  if (learned.Changed) {
     gsLogLine("table_learned")
       .With("table", this->Settings.Table)
       .With("from", peer)
       .With("rows", std::uint64_t(news.Rows.size()))
-      .With("version", this->Highest)
+      .With("version", this->Version())
       .With("complete", complete);
     this->Changed();
   }
-  return complete;
+  return learned.Lacks;
 }
 
 gsTableNews gsTableWatch::NewsAbove(std::uint64_t version) const
 {
-  gsTableNews news;
-  news.Above = version;
-  news.Version = this->Cursor;
-  news.Whole = version < this->Forgotten || version == 0;
-  for (auto const& [key, row] : this->Live) {
-    if (news.Whole || row.Version > version) {
-      news.Rows.push_back(row);
-    }
-  }
-  for (auto const& [key, gone] : this->Gone) {
-    if (!news.Whole && gone.first.Version > version) {
-      news.Rows.push_back(gone.first);
-    }
-  }
-  return news;
+  return gsCopyNewsAbove(this->Copy, version);
+}
+
+gsTableNews gsTableWatch::TellAbove(std::uint64_t version)
+{
+  return gsCopyTellAbove(this->Copy, version);
+}
+
+std::uint64_t gsTableWatch::ReadSince(gsTime since) const
+{
+  bool read = this->WholeAt.count() != 0 && this->WholeAt >= since;
+  return read ? std::min(this->WholeVersion, this->CompleteTo()) : 0;
 }
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -10,7 +10,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,17 +17,9 @@
 #include "gsAdapter.h"
 #include "gsHttpClient.h"
 #include "gsLoop.h"
+#include "gsTableCopy.h"
 #include "gsTypes.h"
 
-/** Rows of a table as one host tells them to another. */
-struct gsTableNews
-{
-  std::vector<gsTableRow> Rows;
-  std::uint64_t Above = 0;   ///< Rows hold all changes above this version
-  std::uint64_t Version = 0; ///< and up to this one.
-  bool Whole = false;        ///< Rows are all that there are.
-};
-
 struct gsTableWatchSettings
 {
   std::string Platform; ///< IP:port.
@@ -48,14 +39,15 @@
    * though what they tell of lives. Time in which nobody asked is no silence.
    */
   gsTime AwayAfter = gsMilliseconds(2900);
-  /** Such rows have so long after the platform's return to come back. */
+  /** Such rows have so long after the platform's return to come back; zero
+   * for a table whose rows do not lapse. */
   gsTime ReturnPatience = gsSeconds(2);
 };
 
 class gsTableWatch
 {
 public:
-  using Rows = std::map<std::string, gsTableRow>;
+  using Rows = gsTableCopy::Rows;
 
   gsTableWatch(gsLoop& loop, gsHttpClient& client, gsAdapter const& adapter,
                gsTableWatchSettings settings, std::function<void()> onChange);
@@ -85,18 +77,31 @@
    * copy and the news are missing: then they have to be asked for.
    */
   bool Learn(gsTableNews const& news, std::string_view peer);
+  /** The same, with what is to be asked for. */
+  gsLearned::Lack Take(gsTableNews const& news, std::string_view peer);
+  /** Another host's last change, of which this copy may have the rows. */
+  void Align(std::uint64_t version) { gsCopyAlign(this->Copy, version); }
 
   /** Rows that are there; removed ones are left out. */
-  Rows const& Present() const { return this->Live; }
+  Rows const& Present() const { return this->Copy.Live; }
   /** What another host lacks whose copy is complete up to a version. */
   gsTableNews NewsAbove(std::uint64_t version) const;
+  /** What hosts lack that were told up to a version. */
+  gsTableNews TellAbove(std::uint64_t version);
 
-  /** Version of the last change that this copy holds. */
-  std::uint64_t Version() const { return this->Highest; }
+  /** Version of the last change that this copy is complete up to. */
+  std::uint64_t Version() const { return this->Copy.Highest; }
   /** Version up to which this copy is complete; at least Version. */
-  std::uint64_t CompleteTo() const { return this->Cursor; }
+  std::uint64_t CompleteTo() const { return this->Copy.Complete; }
+  /** Of the rows at Version, to be compared with other hosts'. */
+  gsRowsCheck Check() const { return gsCopyCheck(this->Copy); }
+  /**
+   * Up to which this copy is what a whole read of the platform found, if that
+   * ended no earlier than since; else zero.
+   */
+  std::uint64_t ReadSince(gsTime since) const;
   /** Whether the table has been read, from the platform or another host. */
-  bool Known() const { return this->Filled; }
+  bool Known() const { return this->Copy.Filled; }
   /** When the platform last answered; zero if never. */
   gsTime LastAnswer() const { return this->Answered; }
   std::uint64_t Calls() const { return this->Made; }
@@ -111,10 +116,7 @@
   void Make(gsCall call, void (gsTableWatch::*done)(gsAnswer const&));
   void RetryLater(gsTableAnswer const& answer, char const* step);
   void NoteAnswered();
-  bool Take(gsTableRow const& row);
-  bool TakeWhole(std::vector<gsTableRow> const& rows, std::uint64_t version);
   bool AwaitsReturns() const;
-  void ForgetRemoved();
 
   gsLoop& Loop;
   gsHttpClient& Client;
@@ -124,20 +126,17 @@
   gsTimer Retry;
   gsTimer Gathered; ///< Begins the watch that follows changes.
   gsTimer Settled;  ///< Ends the time that lapsed rows have to come back.
-  Rows Live;
-  std::map<std::string, std::pair<gsTableRow, gsTime>> Gone;
+  gsTableCopy Copy;
   std::vector<gsTableRow> Reading; ///< Pages of the read under way.
   std::uint64_t ReadVersion = 0;   ///< Of the first page.
-  std::uint64_t Highest = 0;       ///< Of all rows of the complete copy.
-  std::uint64_t Cursor = 0;        ///< The copy is complete up to it.
-  std::uint64_t Forgotten = 0;     ///< Removals up to it are not remembered.
+  std::uint64_t WholeVersion = 0;  ///< Of the last read that ended,
+  gsTime WholeAt{};                ///< and when; zero for none.
   std::uint64_t Call = 0;          ///< Under way; zero for none.
   std::uint64_t Made = 0;
   gsTime Answered{};
   gsTime KeptUp{};       ///< Last time at which the copy was up to date.
   gsTime ReturnsUntil{}; ///< No removal is taken from the platform until then.
   gsTime Delay{};
-  bool Filled = false;
   bool Silent = false; ///< Calls have had no answer since the last one.
   bool Paused = false; ///< Reads are not followed by a watch.
 };
--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -10,7 +10,10 @@
 #include <nlohmann/json.hpp>
 
 #include "gsRouteBench.h"
+#include "gsSettings.h"
+#include "gsTableSync.h"
 #include "gsTableWatch.h"
+#include "gsTableWire.h"
 
 namespace {
 
@@ -484,3 +487,73 @@
   EXPECT_EQ(Keys(*this->Watch), Keys(*other));
   EXPECT_EQ(Keys(*hall), Keys(*other));
 }
+
+// Keys and routes that were taken away are held to the configuration's bound;
+// patience is for upstreams, whose rows lapse.
+TEST_F(TableWatch, RoutesHaveNoTimeToReturn)
+{
+  gsSettings settings;
+  EXPECT_EQ(gsRoutesWatch(settings, this->Bench.Adapter).ReturnPatience,
+            gsTime{});
+  EXPECT_GT(gsUpstreamsWatch(settings, this->Bench.Adapter).ReturnPatience,
+            gsTime{});
+}
+
+TEST_F(TableWatch, WithoutPatienceARemovalHoldsAfterAnOutage)
+{
+  gsTableWatchSettings settings = this->Settings();
+  settings.ReturnPatience = gsTime{};
+  gsTableWatch watch(this->Bench.Loop, this->Bench.Callers,
+                     this->Bench.Adapter, settings, [] {});
+  this->Platform.Put("a", "MQ==");
+  watch.Start();
+  watch.Resume(gsLoop::Now());
+  ASSERT_TRUE(
+    this->Bench.RunUntil([&] { return watch.Present().size() == 1; }));
+  ASSERT_TRUE(this->Bench.RunUntil([&] { return this->Platform.Watched(); }));
+  this->Platform.Silent = true;
+  this->Platform.Remove("a");
+  this->Bench.RunFor(0.8);
+  gsTime before = watch.LastAnswer();
+  this->Platform.Silent = false;
+  ASSERT_TRUE(
+    this->Bench.RunUntil([&] { return watch.LastAnswer() != before; }));
+  EXPECT_TRUE(watch.Present().empty());
+}
+
+TEST_F(TableWatch, ACopyThatWasMadeWrongIsMendedByARead)
+{
+  this->Platform.Put("a", "MQ==");
+  this->Platform.Put("b", "MQ==");
+  this->Begin();
+  ASSERT_TRUE(this->Becomes("b", "1"));
+  gsRowsCheck right = this->Watch->Check();
+  this->Watch->Learn(News(1, 2, { { "a", "", 2, true } }), "wrong");
+  ASSERT_EQ(this->Value("a"), "none");
+  EXPECT_TRUE(gsRowsDiffer(this->Watch->Check(), right));
+  this->Watch->Refresh("differs");
+  EXPECT_TRUE(this->Becomes("a", "1"));
+  EXPECT_FALSE(gsRowsDiffer(this->Watch->Check(), right));
+  EXPECT_EQ(this->Watch->ReadSince(gsTime{ 1 }), 2U);
+}
+
+TEST(TableCheck, AHeaderTellsCountsAndRefusesThoseItCannotRead)
+{
+  gradescale::Frame frame;
+  EXPECT_FALSE(gsReadTables(frame));
+  gsFillTables(frame, { 5, 3, 77 }, { 9, 0, 0 });
+  gsFillTables(frame, { 6, 4, 78 }, { 9, 0, 0 });
+  auto told = gsReadTables(frame);
+  ASSERT_TRUE(told);
+  EXPECT_EQ(told->Counts, gsCountsRead::Told);
+  EXPECT_EQ(told->Routes.Version, 6U);
+  EXPECT_EQ(told->Routes.Rows, 4U);
+  EXPECT_EQ(told->Routes.Hash, 78U);
+  EXPECT_EQ(told->Upstreams.Version, 9U);
+  frame.mutable_table_rows()->RemoveLast();
+  EXPECT_EQ(gsReadTables(frame)->Counts, gsCountsRead::Unreadable);
+  frame.clear_table_rows();
+  frame.clear_table_hashes();
+  EXPECT_EQ(gsReadTables(frame)->Counts, gsCountsRead::None);
+  EXPECT_EQ(gsReadTables(frame)->Routes.Version, 6U);
+}
