--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -16,6 +16,7 @@
 #include "gsEventSplitter.h"
 #include "gsHttpServer.h"
 #include "gsRouteTable.h"
+#include "gsSilence.h"
 
 /** How an attempt ended. */
 enum class gsAttemptEnd
@@ -33,6 +34,7 @@
   gsAttemptEnd End = gsAttemptEnd::Broken;
   unsigned Status = 0; ///< Zero when there was none.
   std::string Detail;  ///< One sentence when it is not whole.
+  bool Silent = false; ///< Given up because nothing came for too long.
 };
 
 /** One sending of a request to one upstream. */
@@ -47,16 +49,18 @@
   gsAnswerHead Head;
   std::string Body; ///< Of an answer that is not relayed event by event.
   gsEventSplitter Events;
-  std::uint32_t ReadTokens = 0;    ///< Charged to the upstream's row until
-                                   ///< the first byte.
-  std::uint32_t MemoryTokens = 0;  ///< Charged until the attempt's end.
-  std::uint64_t BacklogTokens = 0; ///< To be read there when it was sent.
+  std::uint32_t ReadTokens = 0;   ///< Charged to the upstream's row until
+                                  ///< the first byte.
+  std::uint32_t MemoryTokens = 0; ///< Charged until the attempt's end.
+  gsExpectedWait Wait;            ///< There, when it was sent.
   gsTime Started{};
   gsTime SentAt{};
   gsTime FirstByteAt{};
   gsTime LastByteAt{};
   gsTime LastEventAt{};
   gsTime LongestGap{}; ///< Between events.
+  /** Another upstream is looked for no earlier, after there was none. */
+  gsTime LookAgainAt{};
 };
 
 /** A request held by this host. */
