Daemon: Log which upstreams leave and whether a caller had events

The log told how many upstreams a copy lists, not which one left when; an `end` without a whole answer did not tell whether its caller had received events; `place` told the tokens to be read, not the prompt's; an attempt that this host gave up for silence was told from a broken one by its sentence only; and `upstreams` told the version of the last row, not the one up to which the copy calls itself complete.

Now one line for each upstream and change (upstream_leaving, upstream_gone, upstream_listed; the first copy after a start by its counts alone), and the fields `begun`, `prompt_tokens`, `silent` and `complete_to`.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -92,6 +92,9 @@
     line.With("first_ms", attempt.FirstByteAt - attempt.SentAt)
       .With("longest_gap_ms", attempt.LongestGap);
   }
+  if (result.Silent) {
+    line.With("silent", true);
+  }
   if (!result.Detail.empty()) {
     line.With("detail", result.Detail);
   }
@@ -318,6 +321,7 @@
     .With("priority", request.Priority)
     .With("service", request.Service)
     .With("attempt", request.Sends + 1)
+    .With("prompt_tokens", request.Caller.PromptTokens)
     .With("cause", gsPlacementWord(placement.Cause))
     .With("candidates", placement.Candidates);
   if (placement.Row == nullptr) {
@@ -518,6 +522,7 @@
     .With("organisation", request->Organisation)
     .With("result", result)
     .With("ran", request->MayHaveRun)
+    .With("begun", request->CallerHasBytes)
     .With("attempts", request->Sends)
     .With("took_ms", gsLoop::Now() - request->Arrived);
   this->Metrics.Count("gradescale_requests_total",
@@ -591,6 +596,7 @@
   }
   gsAttemptResult result;
   result.Status = attempt->Status;
+  result.Silent = true;
   result.Detail = "The upstream sent nothing for too long.";
   bool again = request->MayRepeat() &&
                request->Sends < request->Route->MaxAttempts &&
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -190,6 +190,23 @@
     .With("organisations", std::uint64_t(table->Organisations.size()));
 }
 
+/** Tells when an upstream begins to leave, and when one is listed for work
+ * that was not. The first list is told by its counts alone. */
+void gsRouteNode::LogLeaving(std::string const& id,
+                             gsListedUpstream const& listed,
+                             std::uint64_t version) const
+{
+  auto known = this->ReadRows.find(id);
+  bool fresh = known == this->ReadRows.end();
+  bool was = !fresh && known->second.Listed.Leaving;
+  bool told = listed.Leaving ? !was : (was || fresh);
+  if (told && this->ListTaken) {
+    gsLogLine(listed.Leaving ? "upstream_leaving" : "upstream_listed")
+      .With("upstream", listed.Id)
+      .With("row_version", version);
+  }
+}
+
 /** Reads a row, unless it was read before; an unreadable one leaves what was
  * known of the upstream. */
 std::optional<gsListedUpstream> gsRouteNode::ReadUpstream(
@@ -201,6 +218,7 @@
   }
   gsResult<gsListedUpstream> read = this->Adapter.ReadUpstream(id, row.Value);
   if (read) {
+    this->LogLeaving(id, read.value(), row.Version);
     this->ReadRows[id] = { row.Version, read.value() };
     return read.value();
   }
@@ -215,6 +233,20 @@
   return known->second.Listed;
 }
 
+void gsRouteNode::ForgetGone(gsTableWatch::Rows const& present)
+{
+  for (auto row = this->ReadRows.begin(); row != this->ReadRows.end();) {
+    if (present.count(row->first) != 0) {
+      ++row;
+      continue;
+    }
+    gsLogLine("upstream_gone")
+      .With("upstream", row->second.Listed.Id)
+      .With("row_version", this->Tables->UpstreamRows().Version());
+    row = this->ReadRows.erase(row);
+  }
+}
+
 void gsRouteNode::OnUpstreams()
 {
   gsTableWatch::Rows const& present = this->Tables->UpstreamRows().Present();
@@ -227,15 +259,14 @@
       listed.push_back(std::move(*read));
     }
   }
-  for (auto row = this->ReadRows.begin(); row != this->ReadRows.end();) {
-    bool gone = present.count(row->first) == 0;
-    row = gone ? this->ReadRows.erase(row) : std::next(row);
-  }
+  this->ForgetGone(present);
+  this->ListTaken = true;
   gsFleetTake(this->Fleet, listed);
   gsLogLine("upstreams")
     .With("listed", std::uint64_t(listed.size()))
     .With("leaving", std::uint64_t(leaving))
-    .With("row_version", this->Tables->UpstreamRows().Version());
+    .With("row_version", this->Tables->UpstreamRows().Version())
+    .With("complete_to", this->Tables->UpstreamRows().CompleteTo());
 }
 
 bool gsRouteNode::Ready() const
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -50,6 +50,9 @@
   gsHallClusterEvents ClusterEvents();
   void OnRoutes();
   void OnUpstreams();
+  void LogLeaving(std::string const& id, gsListedUpstream const& listed,
+                  std::uint64_t version) const;
+  void ForgetGone(gsTableWatch::Rows const& present);
   std::optional<gsListedUpstream> ReadUpstream(std::string const& id,
                                                gsTableRow const& row);
   bool Ready() const;
@@ -87,6 +90,7 @@
     gsListedUpstream Listed;
   };
   std::unordered_map<std::string, ReadRow> ReadRows; ///< By key of the row.
+  bool ListTaken = false; ///< A list of upstreams was taken before.
   gsTime LastTick{};
   gsTime LastLook{};
   gsTime StopSince{};
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -33,6 +33,7 @@
   gsAttemptEnd End = gsAttemptEnd::Broken;
   unsigned Status = 0; ///< Zero when there was none.
   std::string Detail;  ///< One sentence when it is not whole.
+  bool Silent = false; ///< Given up because nothing came for too long.
 };
 
 /** One sending of a request to one upstream. */
