Tool: Name what came close to a promise, from the logs of all hosts

`gradescale near-misses LOG...` beside `losses`: last requests to leaving upstreams by host, urgent kinds that got nothing while less urgent ones began, streams closed by their host, planned stops, copies that differ.

Ruled out: comparing copies by row_version where complete_to is logged, or right after news with rows missing (a copy then holds rows beyond what it claims); counting answers that an upstream gave with a failure as nothing (they are shown beside).

--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -18,6 +18,7 @@
 #include "gsDocumentJson.h"
 #include "gsExplain.h"
 #include "gsLosses.h"
+#include "gsNearMisses.h"
 #include "gsRestClient.h"
 #include "gsSecret.h"
 #include "gsTable.h"
@@ -436,6 +437,7 @@
   std::string Key;
   std::vector<std::string> Files{ "-" };
   std::size_t Pauses = 20; ///< Streams that losses shows.
+  double LeavingMillis = gsToSeconds(gsNearLeavingBound) * 1e3;
   Assignments Assigned;
   SendOptions Send;
 
@@ -680,6 +682,34 @@
                        "Streams with long pauses to show.");
   }
 
+  void AddNearMisses()
+  {
+    CLI::App* misses =
+      this->Add(&this->App, "near-misses",
+                "Tell what came close to a promise, from the logs of all "
+                "hosts.",
+                [this]() -> int {
+                  gsResult<gsNearMissReport> report = gsNearMissesFromFiles(
+                    this->Files, gsFromSeconds(this->LeavingMillis / 1e3));
+                  if (!report) {
+                    return Fail(report.error());
+                  }
+                  if (WantsJson(this->Shared)) {
+                    gsPrintNearMissesJson(report.value(), std::cout);
+                  } else {
+                    gsPrintNearMisses(report.value(), std::cout);
+                  }
+                  return gsToolOk;
+                });
+    misses->add_option("files", this->Files,
+                       "Logs of the hosts; - or none: standard input.");
+    misses
+      ->add_option("--leaving-ms", this->LeavingMillis,
+                   "Time within which a leaving upstream gets its last "
+                   "request.")
+      ->check(CLI::PositiveNumber);
+  }
+
   void AddSend()
   {
     CLI::App* send = this->Add(&this->App, "send", "Send a request.",
@@ -743,6 +773,7 @@
   commands.AddSend();
   commands.AddExplain();
   commands.AddLosses();
+  commands.AddNearMisses();
   try {
     commands.App.parse(argc, argv);
   } catch (CLI::ParseError const& error) {
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -110,6 +110,11 @@
   void WaitReady(std::string const& host, double seconds = 20);
 
   std::vector<std::string> const& Hosts() const { return this->HostNames; }
+  /** Files with a process' log so far, oldest start first. */
+  std::vector<std::string> LogsOf(std::string const& process) const
+  {
+    return this->Processes.LogsOf(process);
+  }
   std::vector<std::string> const& Runners() const { return this->RunnerNames; }
   /** Id of a runner's present incarnation. */
   std::string const& IdOf(std::string const& runner) const
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -6,9 +6,11 @@
  */
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 
 #include <gtest/gtest.h>
 
+#include "gsNearMiss.h"
 #include "gsRoutedSystem.h"
 
 namespace {
@@ -37,6 +39,25 @@
   return done;
 }
 
+/** What the logs of all hosts tell together. */
+gsNearMissReader ReadLogs(gsRoutedSystem const& system)
+{
+  gsNearMissReader reader;
+  for (std::string const& host : system.Hosts()) {
+    for (std::string const& file : system.LogsOf(host)) {
+      std::ifstream log(file);
+      std::string line;
+      while (std::getline(log, line)) {
+        if (std::optional<gsLogRecord> record = gsReadLogLine(line)) {
+          record->Host = host;
+          gsNearMissTake(reader, *record);
+        }
+      }
+    }
+  }
+  return reader;
+}
+
 } // namespace
 
 TEST(Routed, ACalmPassIsServedWholeByEveryHost)
@@ -279,3 +300,37 @@
   EXPECT_EQ(system.RunsOf("runner0"), before);
   system.Signal(watcher, SIGCONT);
 }
+
+TEST(Routed, EveryHostsLogNamesALeavingUpstreamAndWhatItServed)
+{
+  gsRoutedSystem system({});
+  system.RunFor(1);
+  system.List("runner0", true);
+  system.RunFor(2.5);
+  system.Unlist("runner0");
+  std::vector<gsRoutedReplyPtr> replies;
+  for (std::string const& host : system.Hosts()) {
+    replies.push_back(system.SendAndWait(host, "stream"));
+  }
+  ExpectServed(system, replies);
+  std::size_t hosts = system.Hosts().size();
+  std::size_t left = 0;
+  ASSERT_TRUE(system.RunUntil(
+    [&] {
+      gsNearMissReader reader = ReadLogs(system);
+      left = reader.Changes.size();
+      return left >= 2 * hosts; // Leaving, then gone.
+    },
+    5));
+  EXPECT_EQ(left, 2 * hosts);
+  gsNearMissReader reader = ReadLogs(system);
+  EXPECT_EQ(reader.Ended.size(), replies.size());
+  for (gsNearMissReader::Request const& request : reader.Ended) {
+    EXPECT_TRUE(request.HadEvents) << request.Id;
+  }
+  gsNearMissReport report = gsNearMissSum(reader);
+  ASSERT_EQ(report.Leaving.size(), 1U);
+  EXPECT_TRUE(report.LateSent.empty());
+  EXPECT_TRUE(report.Closed.empty());
+  EXPECT_TRUE(report.Behind.empty());
+}
