--- a/Source/Core/gsNearMiss.cxx
+++ b/Source/Core/gsNearMiss.cxx
@@ -126,7 +126,8 @@
 }
 
 /** Copies are compared by the version up to which they call themselves
- * complete; older logs tell that of the last row alone. */
+ * complete; older logs tell that of the last row alone. Right after news that
+ * were not complete a copy holds rows beyond what it claims. */
 void TakeUpstreams(Reader& reader, gsLogRecord const& record)
 {
   std::string counts(gsFieldOf(record, "listed"));
@@ -135,8 +136,21 @@
   bool told = !gsFieldOf(record, "complete_to").empty();
   std::uint64_t version =
     CountOf(record, told ? "complete_to" : "row_version");
+  bool claims = reader.Partial.count(record.Host) == 0;
   reader.Copies[record.Host].push_back(
-    { version, std::move(counts), record.At });
+    { claims ? version : 0, std::move(counts), record.At });
+}
+
+/** Notes whether a host's next line tells of news with rows missing. */
+void NotePartial(Reader& reader, gsLogRecord const& record)
+{
+  bool partial =
+    record.Event == "table_learned" && gsFieldOf(record, "complete") == "no";
+  if (partial) {
+    reader.Partial.insert(record.Host);
+  } else {
+    reader.Partial.erase(record.Host);
+  }
 }
 
 void TakeStopping(Reader& reader, gsLogRecord const& record)
@@ -753,6 +767,7 @@
   } else if (record.Event == "table_differs") {
     TakeDiffers(reader, record);
   }
+  NotePartial(reader, record);
 }
 
 gsNearMissReport gsNearMissSum(gsNearMissReader const& reader,
