Io: Take a first line that is still coming for a request at a stop

Cause: between the first bytes of a request and its whole first line the library has read them and has told of nothing: no request is open and nothing is unread, so the connection was closed, and the request had no answer.

Change: the kernel's count of the bytes that a connection brought is kept at the end of each request; what has come beyond it is a request that is coming in. Such a connection is closed after its answer, or once it is too slow.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -7,10 +7,11 @@
 #include <tuple>
 
 #include <arpa/inet.h>
+#include <linux/tcp.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -35,6 +36,23 @@
   return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/** Bytes that a connection has brought so far, be they read or not. */
+std::uint64_t BytesCome(int descriptor)
+{
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  int result = getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &length);
+  return result == 0 ? info.tcpi_bytes_received : 0;
+}
+
+/** Those of them that the library has read. */
+std::uint64_t BytesRead(int descriptor)
+{
+  int unread = 0;
+  ioctl(descriptor, FIONREAD, &unread);
+  return BytesCome(descriptor) - static_cast<std::uint64_t>(unread);
+}
+
 } // namespace
 
 gsResult<std::pair<std::string, std::uint16_t>> gsSplitAddress(
@@ -424,7 +442,9 @@
  * something already: that has to be read and answered first. */
 bool gsHttpServer::CloseIfIdle(Link& link)
 {
-  if (link.Shut || link.Open != nullptr || HasUnread(link.Descriptor)) {
+  bool comes =
+    HasUnread(link.Descriptor) || BytesCome(link.Descriptor) != link.Settled;
+  if (link.Shut || link.Open != nullptr || comes) {
     return false;
   }
   link.Shut = true;
@@ -590,6 +610,7 @@
   if (link != this->Links.end()) {
     link->second.Open = nullptr;
     link->second.Since = gsLoop::Now();
+    link->second.Settled = BytesRead(link->second.Descriptor);
     if (this->Closing) {
       // Its answer may have begun before callers were told to close.
       CloseIfIdle(link->second);
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -160,6 +160,9 @@
     bool Shut = false; ///< Closed for sending; no request on it is handled.
     /** The request on it, from its first line to the end of its answer. */
     gsHttpExchange* Open = nullptr;
+    /** Bytes of the requests that have been answered; what has come beyond
+     * them belongs to one whose first line is not there as a whole. */
+    std::uint64_t Settled = 0;
   };
 
   gsHttpServer(gsLoop& loop, gsHttpServerSettings settings, Handler handler);
