--- a/Tests/Unit/gsTestArrangement.cxx
+++ b/Tests/Unit/gsTestArrangement.cxx
@@ -127,6 +127,31 @@
   EXPECT_EQ(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
 }
 
+// Halls that were cut off from each other have decided by themselves: their
+// versions may be the same, though the decisions are not.
+TEST(Arrangement, HallsThatDecidedApartAgreeOnceTheyMeet)
+{
+  gsFleet one = MakeFleet(20);
+  gsFleet other = MakeFleet(20);
+  for (gsFleet* fleet : { &one, &other }) {
+    gsDemand& demand = fleet->Demand["model"];
+    demand.At = Now;
+    demand.Long = 50000;
+    demand.Tight = fleet == &one ? 50000 : 90000;
+    gsDecideArrangements(*fleet, Now);
+  }
+  gsEngineArrangement ofOne = one.Arrangements["model"];
+  gsEngineArrangement ofOther = other.Arrangements["model"];
+  ASSERT_EQ(ofOne.Version, ofOther.Version);
+  ASSERT_NE(ofOne.LongEngines, ofOther.LongEngines);
+  gsAdoptArrangement(one, "model", ofOther);
+  gsAdoptArrangement(other, "model", ofOne);
+  EXPECT_EQ(gsLongEngines(one, "model"), gsLongEngines(other, "model"));
+  // Neither takes it from the other again.
+  EXPECT_FALSE(gsAdoptArrangement(one, "model", other.Arrangements["model"]));
+  EXPECT_FALSE(gsAdoptArrangement(other, "model", one.Arrangements["model"]));
+}
+
 TEST(Arrangement, DecisionsAreNotMadeOftenNorBeforeDemandIsKnown)
 {
   gsFleet fleet = MakeFleet(10);
