Coordination: Let one of two divisions of a version go before

Cause: halls that were cut off from each other decide each for themselves and may come to the same version. Once they met, neither took the other's, and one subject went to two engines until the next change of the division.

Change: of the same version the one with more engines for long prompts goes before, then the one with the greater list of slow ones, on every host and relay.

--- a/Source/Coord/gsLoadExchange.cxx
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -2,6 +2,7 @@
 #include "gsLoadExchange.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace {
 
@@ -10,7 +11,7 @@
   sum.CutOffHalls.insert(part.CutOffHalls.begin(), part.CutOffHalls.end());
   for (auto const& [service, arrangement] : part.Arrangements) {
     gsEngineArrangement& newest = sum.Arrangements[service];
-    if (arrangement.Version > newest.Version) {
+    if (gsSupersedes(arrangement, newest)) {
       newest = arrangement;
     }
   }
@@ -165,6 +166,12 @@
 
 } // namespace
 
+bool gsSupersedes(gsEngineArrangement const& a, gsEngineArrangement const& b)
+{
+  return std::tie(a.Version, a.LongEngines, a.Slow) >
+         std::tie(b.Version, b.LongEngines, b.Slow);
+}
+
 char const* gsLoadScopeWord(gsLoadScope scope)
 {
   switch (scope) {
--- a/Source/Coord/gsLoadExchange.h
+++ b/Source/Coord/gsLoadExchange.h
@@ -76,6 +76,13 @@
   }
 };
 
+/**
+ * Whether a decision goes before another. Halls that were cut off from each
+ * other count versions for themselves: of the same version one has to go
+ * before, on all hosts the same one.
+ */
+bool gsSupersedes(gsEngineArrangement const& a, gsEngineArrangement const& b);
+
 /** By a hash of the service's name. */
 using gsArrangementMap = std::map<std::uint32_t, gsEngineArrangement>;
 
--- a/Source/Core/gsArrangement.cxx
+++ b/Source/Core/gsArrangement.cxx
@@ -258,7 +258,7 @@
                         gsEngineArrangement const& arrangement)
 {
   gsEngineArrangement& known = fleet.Arrangements[service];
-  if (arrangement.Version <= known.Version) {
+  if (!gsSupersedes(arrangement, known)) {
     return false;
   }
   auto rows = fleet.ByService.find(service);
