--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -335,9 +335,11 @@
   }
   line.With("upstream", row.Listed.Id)
     .With("own_running", row.Own.Running)
-    .With("others_running", row.Others.Running)
-    .With("others_age_ms", gsLoop::Now() - row.OthersAt)
-    .With("read_tokens", placement.ReadTokens)
+    .With("others_running", row.Others.Running);
+  if (row.OthersAt.count() != 0) {
+    line.With("others_age_ms", gsLoop::Now() - row.OthersAt);
+  }
+  line.With("read_tokens", placement.ReadTokens)
     .With("subject", gsSubjectOf(ask))
     .With("stream", request.Route->Events)
     .With("target_ms", request.Route->Target)
--- a/Tests/Unit/gsTestLoadExchange.cxx
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "gsLoadExchange.h"
+#include "gsWireCodec.h"
 
 namespace {
 
@@ -199,6 +200,17 @@
   EXPECT_FALSE(gsLoadSince(exchange, now));
 }
 
+TEST(LoadExchange, AnAgeGoesOverTheWireAndOldNeighboursTellNone)
+{
+  gsLoadReport report;
+  report.Age = gsMilliseconds(1234);
+  gradescale::LoadReport wire;
+  gsToWire(report, &wire);
+  EXPECT_EQ(gsFromWire(wire).Age, report.Age);
+  wire.clear_age_ms();
+  EXPECT_EQ(gsFromWire(wire).Age, gsTime{});
+}
+
 TEST(LoadExchange, WhereNothingWasHeardThereIsNoAge)
 {
   gsLoadExchange exchange;
