Soak: Send some requests in two pieces on kept connections

A stop in the soak met only requests that came in one piece. Half of those on the route plain now come in two, with up to 60 ms between them, the split anywhere in head or body, on connections that are kept until the host closes them.

--- /dev/null
+++ b/Tests/Soak/gsPiecewiseCaller.cxx
@@ -0,0 +1,163 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsPiecewiseCaller.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cerrno>
+#include <cstdlib>
+#include <string_view>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr std::string_view Blank = "\r\n\r\n";
+
+int ConnectTo(std::uint16_t port)
+{
+  int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  // On loopback it stands at once, or its refusal is read from it.
+  static_cast<void>(connect(descriptor, reinterpret_cast<sockaddr*>(&address),
+                            sizeof(address)));
+  return descriptor;
+}
+
+void SendAll(int descriptor, std::string_view bytes)
+{
+  send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+/** Reads an answer with a length; false while it is not there as a whole. */
+bool ReadAnswer(std::string const& input, gsPiecewiseAnswer& answer)
+{
+  std::size_t end = input.find(Blank);
+  std::size_t line = input.find("\r\n");
+  if (end == std::string::npos) {
+    return false;
+  }
+  constexpr std::size_t statusAt = 9; // After "HTTP/1.1 ".
+  answer.Status = static_cast<unsigned>(
+    std::strtoul(input.substr(statusAt).c_str(), nullptr, 10));
+  answer.Head = input.substr(line, end - line + 2);
+  std::transform(answer.Head.begin(), answer.Head.end(), answer.Head.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  answer.Body = input.substr(end + Blank.size());
+  std::string length = answer.Header("content-length");
+  answer.Whole =
+    !length.empty() &&
+    answer.Body.size() == std::strtoul(length.c_str(), nullptr, 10);
+  return answer.Whole;
+}
+
+} // namespace
+
+std::string gsPiecewiseAnswer::Header(std::string const& name) const
+{
+  std::string before = "\r\n";
+  before.append(name).append(": ");
+  std::size_t at = this->Head.find(before);
+  if (at == std::string::npos) {
+    return {};
+  }
+  at += before.size();
+  return this->Head.substr(at, this->Head.find("\r\n", at) - at);
+}
+
+/** Carries one request at a time. */
+struct gsPiecewiseCaller::Connection
+{
+  std::uint16_t Port = 0;
+  int Descriptor = -1; ///< Negative once the other end has closed it.
+  std::string Input;
+  std::string Rest; ///< Of the request, sent after the pause.
+  Handler Answered; ///< Empty while no request is on it.
+  std::unique_ptr<gsIoWatch> Watch;
+  std::unique_ptr<gsTimer> Pause;
+
+  Connection() = default;
+  ~Connection() { this->Close(); }
+  Connection(Connection const&) = delete;
+  Connection& operator=(Connection const&) = delete;
+
+  void Close()
+  {
+    this->Watch.reset();
+    if (this->Descriptor >= 0) {
+      close(this->Descriptor);
+      this->Descriptor = -1;
+    }
+  }
+};
+
+gsPiecewiseCaller::gsPiecewiseCaller(gsLoop& loop)
+  : Loop(loop)
+{
+}
+
+gsPiecewiseCaller::~gsPiecewiseCaller() = default;
+
+/** A kept connection without a request, or a new one. */
+gsPiecewiseCaller::Connection& gsPiecewiseCaller::IdleTo(std::uint16_t port)
+{
+  for (auto const& kept : this->Connections) {
+    bool idle = !kept->Answered && kept->Rest.empty();
+    if (kept->Port == port && kept->Descriptor >= 0 && idle) {
+      return *kept;
+    }
+  }
+  this->Connections.push_back(std::make_unique<Connection>());
+  Connection& connection = *this->Connections.back();
+  connection.Port = port;
+  connection.Descriptor = ConnectTo(port);
+  connection.Watch = std::make_unique<gsIoWatch>(
+    this->Loop, connection.Descriptor, EV_READ,
+    [this, &connection](int /*events*/) { this->OnReadable(connection); });
+  connection.Pause = std::make_unique<gsTimer>(this->Loop, [&connection] {
+    SendAll(connection.Descriptor, std::exchange(connection.Rest, {}));
+  });
+  return connection;
+}
+
+void gsPiecewiseCaller::Send(std::uint16_t port, std::string request,
+                             std::size_t split, gsTime pause, Handler handler)
+{
+  Connection& connection = this->IdleTo(port);
+  connection.Input.clear();
+  connection.Answered = std::move(handler);
+  connection.Rest = request.substr(std::min(split, request.size()));
+  request.resize(request.size() - connection.Rest.size());
+  SendAll(connection.Descriptor, request);
+  connection.Pause->Once(pause);
+}
+
+void gsPiecewiseCaller::OnReadable(Connection& connection)
+{
+  char buffer[4096];
+  ssize_t count = 0;
+  while ((count = recv(connection.Descriptor, buffer, sizeof(buffer), 0)) >
+         0) {
+    connection.Input.append(buffer, static_cast<std::size_t>(count));
+  }
+  bool ended = count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  gsPiecewiseAnswer answer;
+  bool whole = ReadAnswer(connection.Input, answer);
+  if (ended || answer.Header("connection") == "close") {
+    connection.Pause->Stop();
+    // Not from within the watch that is running.
+    this->Loop.Defer([&connection] { connection.Close(); });
+    connection.Watch->Events(0);
+    connection.Port = 0;
+  }
+  if (connection.Answered && (whole || ended)) {
+    std::exchange(connection.Answered, nullptr)(answer);
+  }
+}
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -31,6 +31,7 @@
 gsRoutedSystem::gsRoutedSystem(gsRoutedPlan plan)
   : Plan(plan)
   , Client(std::make_unique<gsHttpClient>(Loop))
+  , Piecewise(std::make_unique<gsPiecewiseCaller>(Loop))
   , Processes("gradescale-routed")
 {
   this->AddProcesses();
@@ -182,9 +183,9 @@
   return status;
 }
 
-gsRoutedReplyPtr gsRoutedSystem::Send(std::string const& host,
-                                      std::string const& route,
-                                      std::string const& key)
+gsRoutedReplyPtr gsRoutedSystem::NewReply(std::string const& host,
+                                          std::string const& route,
+                                          std::string const& key)
 {
   auto reply = std::make_shared<gsRoutedReply>();
   reply->Id = "q" + std::to_string(this->NextId++);
@@ -192,6 +193,45 @@
   reply->Host = host;
   reply->Key = key;
   reply->Sent = gsLoop::Now();
+  return reply;
+}
+
+gsRoutedReplyPtr gsRoutedSystem::SendInPieces(std::string const& host,
+                                              std::string const& key,
+                                              double share, gsTime pause)
+{
+  gsRoutedReplyPtr reply = this->NewReply(host, "plain", key);
+  std::string body = "body of " + reply->Id;
+  std::string request = "POST /plain/x HTTP/1.1\r\nHost: service.example\r\n";
+  request.append("Gradescale-Attempt-Id: ").append(reply->Id);
+  request.append("\r\nGradescale-Deadline-Ms: 8000\r\n");
+  request.append("Authorization: Token ").append(key);
+  request.append("\r\nContent-Length: ").append(std::to_string(body.size()));
+  request.append("\r\n\r\n").append(body);
+  auto split =
+    static_cast<std::size_t>(static_cast<double>(request.size()) * share);
+  std::string const& address = this->Processes.At(host).Address;
+  auto port = static_cast<std::uint16_t>(
+    std::stoul(address.substr(address.rfind(':') + 1)));
+  this->Piecewise->Send(
+    port, std::move(request), split, pause,
+    [reply](gsPiecewiseAnswer const& answer) {
+      reply->Done = true;
+      reply->Whole = answer.Whole;
+      reply->Status = answer.Status;
+      reply->Signed = !answer.Header("gradescale-response-signature").empty();
+      reply->RetryAfter = answer.Header("retry-after");
+      reply->Body = answer.Body;
+      reply->Ended = gsLoop::Now();
+    });
+  return reply;
+}
+
+gsRoutedReplyPtr gsRoutedSystem::Send(std::string const& host,
+                                      std::string const& route,
+                                      std::string const& key)
+{
+  gsRoutedReplyPtr reply = this->NewReply(host, route, key);
   gsCall call;
   call.Method = route == "safe" ? "GET" : "POST";
   call.Url = "http://" + this->Processes.At(host).Address + "/" + route + "/x";
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -17,6 +17,7 @@
 
 #include "gsHttpClient.h"
 #include "gsLoop.h"
+#include "gsPiecewiseCaller.h"
 #include "gsTestProcesses.h"
 
 /** What the system is made of. */
@@ -80,6 +81,10 @@
   /** Sends on a route: plain (once), safe, stream (once) or resume. */
   gsRoutedReplyPtr Send(std::string const& host, std::string const& route,
                         std::string const& key = "key-one");
+  /** Sends on the route plain, in two pieces with a pause between them. */
+  gsRoutedReplyPtr SendInPieces(std::string const& host,
+                                std::string const& key, double share,
+                                gsTime pause);
   gsRoutedReplyPtr SendAndWait(std::string const& host,
                                std::string const& route,
                                std::string const& key = "key-one");
@@ -126,6 +131,8 @@
   std::string Expected(gsRoutedReply const& reply) const;
 
 private:
+  gsRoutedReplyPtr NewReply(std::string const& host, std::string const& route,
+                            std::string const& key);
   void AddProcesses();
   std::string SettingsFile(std::string const& host) const;
   std::string HallOf(int number) const;
@@ -137,6 +144,7 @@
   gsRoutedPlan Plan;
   gsLoop Loop;
   std::unique_ptr<gsHttpClient> Client;
+  std::unique_ptr<gsPiecewiseCaller> Piecewise;
   gsTestProcesses Processes; ///< Ended before the rest goes.
   std::vector<std::string> HostNames;
   std::vector<std::string> RunnerNames;
--- a/Tests/Soak/gsSoak.cxx
+++ b/Tests/Soak/gsSoak.cxx
@@ -14,6 +14,10 @@
 constexpr gsTime Turn = gsMilliseconds(10);
 constexpr double RequestsPerSecond = 80;
 constexpr double LeaveShare = 0.06;
+/** Of the requests on the route plain, sent in two pieces, */
+constexpr double PiecesShare = 0.5;
+/** with a pause of no more than this: about a body's way over a slow link. */
+constexpr gsTime LongestPause = gsMilliseconds(60);
 constexpr double OtherKeyShare = 0.2;
 /** A host that has started again has learned all by then. */
 constexpr gsTime StartBound = gsSeconds(2);
@@ -431,9 +435,18 @@
     std::uniform_int_distribution<int> host(0, this->Plan.Hosts - 1);
     std::uniform_real_distribution<double> share(0, 1);
     while (this->Record.Replies.size() < due) {
+      std::string const chosen = routes[route(this->Random)];
+      std::string const asked = this->HostName(host(this->Random));
+      if (chosen == "plain" && share(this->Random) < PiecesShare) {
+        double split = share(this->Random);
+        gsTime pause =
+          gsFromSeconds(gsToSeconds(LongestPause) * share(this->Random));
+        this->Record.Replies.push_back(
+          this->System.SendInPieces(asked, this->PickKey(), split, pause));
+        continue;
+      }
       gsRoutedReplyPtr reply =
-        this->System.Send(this->HostName(host(this->Random)),
-                          routes[route(this->Random)], this->PickKey());
+        this->System.Send(asked, chosen, this->PickKey());
       this->Record.Replies.push_back(reply);
       if (share(this->Random) < LeaveShare) {
         constexpr double longest = 0.25;
