Tests: Make copies of the tables wrong on two hosts, and see them mended

Two hosts of a hall over real links, one watching: a false removal at the one that is told, at the one that watches, a neighbour that is wrong, a header whose counts cannot be read. The platform of the tests has a file of its own now; its tests are as they were.

--- a/Source/Coord/gsTableCheck.cxx
+++ b/Source/Coord/gsTableCheck.cxx
@@ -24,8 +24,12 @@
 void gsCheckHear(gsTableCheck& check, std::string_view host,
                  gsRowsCheck const& theirs, gsRowsCheck const& own, gsTime now)
 {
+  bool differs = gsRowsDiffer(theirs, own);
+  if (!differs && check.Hosts.empty()) {
+    return; // As for nearly every frame.
+  }
   std::string name(host);
-  if (!gsRowsDiffer(theirs, own)) {
+  if (!differs) {
     check.Hosts.erase(name);
     return;
   }
--- /dev/null
+++ b/Tests/Route/gsTestTableSync.cxx
@@ -0,0 +1,219 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Two hosts of one hall over real links, one of which watches the platform: a
+ * copy that was made wrong is found by the heartbeats and mended.
+ */
+#include <memory>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "gsFakePlatform.h"
+#include "gsHallCluster.h"
+#include "gsRouteBench.h"
+#include "gsTableSync.h"
+#include "gsTableWire.h"
+
+namespace {
+
+gsSettings SettingsOf(std::string const& host, gsFakePlatform const& platform,
+                      std::string const& address, std::string const& seed)
+{
+  gsSettings settings;
+  settings.Host = host;
+  settings.Hall = "north";
+  settings.Peers.Listen = address;
+  settings.Peers.Announce = address;
+  settings.Peers.Token = "token";
+  settings.Peers.Seeds = { seed };
+  settings.Platform.Address = platform.Address();
+  return settings;
+}
+
+/** An address that was free a moment ago. */
+std::string FreeAddress(gsLoop& loop)
+{
+  gsHttpServerSettings settings;
+  settings.Address = "127.0.0.1:0";
+  auto server = gsHttpServer::Start(
+    loop, settings, [](std::shared_ptr<gsHttpExchange> const&) {});
+  return "127.0.0.1:" + std::to_string(server.value()->Port());
+}
+
+/** A host with its copies of the tables and its links. */
+struct Node
+{
+  Node(gsRouteBench& bench, gsSettings settings, std::uint64_t incarnation)
+    : Settings(std::move(settings))
+    , Tables(bench.Loop, bench.Callers, bench.Adapter, this->Settings,
+             gsTableSyncEvents{ [] {}, [] {} })
+    , Cluster(bench.Loop, this->Settings, incarnation, this->Events())
+    , Timer(bench.Loop, [this] { this->Tick(); })
+  {
+  }
+
+  void Start()
+  {
+    ASSERT_TRUE(this->Cluster.Start());
+    this->Tables.Start(this->Cluster);
+    this->Timer.Every(gsMilliseconds(50));
+  }
+
+  void Tick()
+  {
+    this->Cluster.Tick();
+    this->Tables.Tick(gsLoop::Now());
+  }
+
+  gsHallClusterEvents Events()
+  {
+    gsHallClusterEvents events;
+    events.OnFrame = [this](std::string const& host, std::uint64_t link,
+                            gradescale::Frame const& frame) {
+      this->Tables.Hear(host, link, frame);
+    };
+    events.OnChanged = [] {};
+    events.ConfigVersion = [this] { return this->Tables.Version(); };
+    events.FillHeader = [this](gradescale::Frame& frame) {
+      this->Tables.FillHeader(frame);
+    };
+    return events;
+  }
+
+  bool Watches() const
+  {
+    gradescale::Frame frame;
+    this->Tables.FillHeader(frame);
+    return frame.tables_age_ms() > 0;
+  }
+
+  gsTableWatch const& Rows() const { return this->Tables.UpstreamRows(); }
+  bool Has(std::string const& key) const
+  {
+    return this->Rows().Present().count(key) != 0;
+  }
+
+  gsSettings Settings;
+  gsTableSync Tables;
+  gsHallCluster Cluster;
+  gsTimer Timer;
+};
+
+class TableSync : public testing::Test
+{
+protected:
+  TableSync()
+    : Platform(Bench.Loop)
+    , Lively(Bench.Loop, [this] { this->Platform.EndWatches(); })
+    , LeftAddress(FreeAddress(Bench.Loop))
+    , RightAddress(FreeAddress(Bench.Loop))
+    , Left(Bench, SettingsOf("left", Platform, LeftAddress, RightAddress), 1)
+    , Right(Bench, SettingsOf("right", Platform, RightAddress, LeftAddress), 2)
+  {
+    this->Platform.Put("a", "MQ==");
+    this->Platform.Put("b", "MQ==");
+  }
+
+  /** Until one host has watched for the other for a while. */
+  void SetUp() override
+  {
+    this->Lively.Every(gsMilliseconds(200));
+    this->Left.Start();
+    this->Right.Start();
+    constexpr gsTime settled = gsSeconds(1);
+    gsTime since = gsLoop::Now();
+    ASSERT_TRUE(this->Bench.RunUntil(
+      [&] {
+        bool known = this->Left.Has("b") && this->Right.Has("b");
+        bool one = this->Left.Watches() != this->Right.Watches();
+        since = known && one ? since : gsLoop::Now();
+        return gsLoop::Now() - since >= settled;
+      },
+      15));
+    this->LeftWatches = this->Left.Watches();
+  }
+
+  Node& Watcher() { return this->LeftWatches ? this->Left : this->Right; }
+  Node& Told() { return this->LeftWatches ? this->Right : this->Left; }
+
+  /** A false word, at a version up to which the host is complete. */
+  void TakeAway(Node& node, std::string const& key)
+  {
+    gsTableNews news;
+    news.Version = node.Rows().Version();
+    news.Rows = { { key, "", news.Version, true } };
+    gradescale::Frame frame;
+    gsAddNews(frame, this->Bench.Adapter.Tables.Upstreams, news);
+    node.Tables.Hear("stranger", 0, frame);
+  }
+
+  /** What some other host says of its rows. */
+  void HearCheck(Node& node, gsRowsCheck const& check)
+  {
+    gradescale::Frame frame;
+    gsFillTables(frame, node.Tables.RouteRows().Check(), check);
+    node.Tables.Hear("stranger", 0, frame);
+  }
+
+  gsRouteBench Bench;
+  gsFakePlatform Platform;
+  gsTimer Lively; ///< Watches that are held are answered in time.
+  std::string LeftAddress;
+  std::string RightAddress;
+  Node Left;
+  Node Right;
+  bool LeftWatches = false;
+};
+
+} // namespace
+
+TEST_F(TableSync, ACopyThatIsToldIsMendedByTheWatcher)
+{
+  int reads = this->Platform.Reads;
+  this->TakeAway(this->Told(), "a");
+  ASSERT_FALSE(this->Told().Has("a"));
+  EXPECT_TRUE(this->Bench.RunUntil([&] { return this->Told().Has("a"); }, 4));
+  EXPECT_TRUE(this->Watcher().Has("a"));
+  EXPECT_GE(this->Told().Tables.Differences(), 1U);
+  EXPECT_LE(this->Platform.Reads - reads, 4); // Of both tables.
+}
+
+// What a watcher believes it tells its hall; another hall's host is right.
+TEST_F(TableSync, AWatchersCopyIsMendedByThePlatform)
+{
+  gsRowsCheck right = this->Watcher().Rows().Check();
+  this->TakeAway(this->Watcher(), "a");
+  ASSERT_FALSE(this->Watcher().Has("a"));
+  this->HearCheck(this->Watcher(), right);
+  EXPECT_TRUE(
+    this->Bench.RunUntil([&] { return this->Watcher().Has("a"); }, 2));
+  EXPECT_GE(this->Watcher().Tables.Differences(), 1U);
+  EXPECT_TRUE(this->Bench.RunUntil([&] { return this->Told().Has("a"); }, 4));
+}
+
+TEST_F(TableSync, AWrongNeighbourCostsOneReadInTwoSecondsAndChangesNothing)
+{
+  gsRowsCheck wrong = this->Watcher().Rows().Check();
+  wrong.Rows += 1;
+  int reads = this->Platform.Reads;
+  for (int i = 0; i < 25; ++i) {
+    this->HearCheck(this->Watcher(), wrong);
+    this->Bench.RunFor(0.1);
+  }
+  EXPECT_GE(this->Platform.Reads - reads, 1);
+  EXPECT_LE(this->Platform.Reads - reads, 2);
+  EXPECT_TRUE(this->Watcher().Has("a"));
+  EXPECT_TRUE(this->Told().Has("a"));
+}
+
+TEST_F(TableSync, AHeaderWhoseCountsCannotBeReadIsNotUsed)
+{
+  gradescale::Frame frame;
+  gsFillTables(frame, this->Told().Tables.RouteRows().Check(),
+               this->Told().Rows().Check());
+  frame.mutable_table_hashes()->RemoveLast();
+  this->Told().Tables.Hear("stranger", 0, frame);
+  EXPECT_EQ(this->Told().Tables.UnreadableCounts(), 1U);
+  EXPECT_EQ(this->Told().Tables.Differences(), 0U);
+}
--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -4,11 +4,9 @@
  * The copy of a platform's table, when the platform is silent, forgets its
  * history, answers with an old state or turns this host away.
  */
-#include <deque>
-
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
+#include "gsFakePlatform.h"
 #include "gsRouteBench.h"
 #include "gsSettings.h"
 #include "gsTableSync.h"
@@ -18,131 +16,7 @@
 namespace {
 
 using Json = nlohmann::json;
-
-/** A platform that keeps a table and can be made to misbehave. */
-class FakePlatform
-{
-public:
-  explicit FakePlatform(gsLoop& loop)
-  {
-    gsHttpServerSettings settings;
-    settings.Address = "127.0.0.1:0";
-    this->Server =
-      std::move(gsHttpServer::Start(
-                  loop, settings,
-                  [this](std::shared_ptr<gsHttpExchange> const& exchange) {
-                    this->OnCall(exchange);
-                  })
-                  .value());
-  }
-
-  std::string Address() const
-  {
-    return "127.0.0.1:" + std::to_string(this->Server->Port());
-  }
-
-  void Put(std::string const& key, std::string const& base64)
-  {
-    Json row{ { "table", "t" },
-              { "part", "" },
-              { "tls_key", key },
-              { "value", base64 },
-              { "ver", ++this->Version } };
-    this->Rows[key] = row;
-    this->Changed(row);
-  }
-
-  void Remove(std::string const& key)
-  {
-    this->Rows.erase(key);
-    this->Changed(Json{
-      { "tls_key", key }, { "gone", true }, { "ver", ++this->Version } });
-  }
-
-  /** Whether any watch waits now. */
-  bool Watched() const { return !this->Waiting.empty(); }
-
-  bool Silent = false;       ///< Calls get no answer.
-  bool Deaf = false;         ///< Watches do not hear of changes.
-  bool Busy = false;         ///< Calls get 503.
-  bool HistoryGone = false;  ///< The next watch gets 410.
-  std::optional<Json> Stale; ///< Answer to reads in place of the state.
-  int Reads = 0;
-  int Watches = 0;
-
-private:
-  void OnCall(std::shared_ptr<gsHttpExchange> const& exchange)
-  {
-    bool watch = exchange->Path == "/api/rows-feed";
-    (watch ? this->Watches : this->Reads) += 1;
-    if (this->Silent) {
-      this->Lost.push_back(exchange);
-    } else if (this->Busy) {
-      exchange->Respond(503, {}, "{}");
-    } else if (watch && this->HistoryGone) {
-      this->HistoryGone = false;
-      exchange->Respond(410, {}, "{}");
-    } else if (watch && !this->AnswerBehind(*exchange)) {
-      this->Waiting.push_back(exchange);
-    } else if (watch) {
-      return;
-    } else {
-      exchange->Respond(200, {}, this->Stale.value_or(this->State()).dump());
-    }
-  }
-
-  /** Answers a watch that lacks changes, unless it is not to hear of any. */
-  bool AnswerBehind(gsHttpExchange& exchange)
-  {
-    std::uint64_t after = std::stoull(std::string(exchange.Query("after")));
-    if (this->Deaf || after >= this->Version) {
-      return false;
-    }
-    Json rows = Json::array();
-    for (Json const& row : this->Log) {
-      if (row["ver"] > after) {
-        rows.push_back(row);
-      }
-    }
-    exchange.Respond(
-      200, {}, Json{ { "records", rows }, { "ver", this->Version } }.dump());
-    return true;
-  }
-
-  void Changed(Json const& row)
-  {
-    this->Log.push_back(row);
-    if (this->Deaf || this->Silent) {
-      return;
-    }
-    Json body{ { "records", Json::array({ row }) }, { "ver", this->Version } };
-    std::vector<std::shared_ptr<gsHttpExchange>> waiting;
-    waiting.swap(this->Waiting);
-    for (auto const& exchange : waiting) {
-      exchange->Respond(200, {}, body.dump());
-    }
-  }
-
-public:
-  Json State() const
-  {
-    Json rows = Json::array();
-    for (auto const& [key, row] : this->Rows) {
-      rows.push_back(row);
-    }
-    return Json{ { "records", rows },
-                 { "more", false },
-                 { "ver", this->Version } };
-  }
-
-private:
-  std::unique_ptr<gsHttpServer> Server;
-  std::map<std::string, Json> Rows;
-  std::vector<Json> Log; ///< All changes, oldest first.
-  std::uint64_t Version = 0;
-  std::vector<std::shared_ptr<gsHttpExchange>> Waiting;
-  std::vector<std::shared_ptr<gsHttpExchange>> Lost;
-};
+using FakePlatform = gsFakePlatform;
 
 gsTableNews News(std::uint64_t above, std::uint64_t version,
                  std::vector<gsTableRow> rows)
--- a/Tests/Unit/gsTestTableCopy.cxx
+++ b/Tests/Unit/gsTestTableCopy.cxx
@@ -87,6 +87,7 @@
       }
     }
     std::vector<gsTableRow> rows;
+    rows.reserve(last.size());
     for (auto const& [key, row] : last) {
       rows.push_back(row);
     }
