Tests: Bring about less urgent work that fills an engine, and a full home

Two tests fail on the code as it is. 87 hosts that find no place for a less urgent request in their first looks all send it to the one engine with room: it has 95 open, with room for 37.

--- a/Tests/Unit/gsTestCrowding.cxx
+++ b/Tests/Unit/gsTestCrowding.cxx
@@ -145,3 +145,50 @@
   EXPECT_EQ(placement.Row, &fleet.Rows[7]);
   EXPECT_EQ(placement.Candidates, Engines);
 }
+
+// A request that the first looks find no place for looks at all engines, as
+// all hosts do then: none of them may go to the one that all see as emptiest.
+TEST(Crowding, LessUrgentWorkOfManyHostsLeavesPlacesForTheMostUrgent)
+{
+  constexpr std::uint32_t emptiest = 8;
+  std::map<std::string, std::uint32_t> sent;
+  for (std::uint64_t host = 0; host < Hosts; ++host) {
+    gsFleet fleet = CrowdedFleet(2 * Slots);
+    fleet.Rows[7].Others.Running = emptiest;
+    gsRandom random(host);
+    std::vector<gsPromptPart> parts = PartsOf(host, host);
+    gsPlacementAsk ask = Short(parts);
+    ask.MoreUrgentKinds = 1;
+    gsPlacement placement = gsPlace(fleet, ask, Now, random);
+    if (placement.Row != nullptr) {
+      ++sent[placement.Row->Listed.Id];
+    }
+  }
+  EXPECT_LE(emptiest + sent["u7"], Slots + Queue);
+  EXPECT_GT(sent["u7"], 0U);
+}
+
+// How long an engine holds its slots is not known at a start, and a route may
+// have no target: neither makes a full engine one with places.
+TEST(Crowding, ASubjectWhoseOwnEnginesAreFullGoesToFreeSlots)
+{
+  constexpr std::size_t hosts = 340;
+  constexpr std::uint32_t running = 8;
+  for (bool hasTarget : { true, false }) {
+    gsFleet fleet = CrowdedFleet(running);
+    fleet.Demand.clear();
+    std::vector<gsPromptPart> parts = PartsOf(5, 1);
+    gsPlacementAsk ask = Short(parts);
+    ask.Hosts = hosts;
+    ask.TargetTokens = hasTarget ? ask.TargetTokens : 0;
+    // The engines of the subject, as this choice shows, fill one by one.
+    constexpr int own = 4;
+    for (int i = 0; i < own; ++i) {
+      gsRandom random(static_cast<std::uint64_t>(i));
+      gsPlacement placement = gsPlace(fleet, ask, Now, random);
+      ASSERT_NE(placement.Row, nullptr);
+      EXPECT_EQ(placement.Row->Others.Running, running) << hasTarget;
+      placement.Row->Others.Running = Slots + Queue;
+    }
+  }
+}
