--- a/Tests/Unit/gsTestCrowding.cxx
+++ b/Tests/Unit/gsTestCrowding.cxx
@@ -192,3 +192,23 @@
     }
   }
 }
+
+// The looks of a request may all have fallen on full engines.
+TEST(Crowding, ARequestIsNotSentToAFullEngineWhileOthersHavePlaces)
+{
+  constexpr std::uint64_t requests = 50;
+  constexpr std::size_t full = 100;
+  std::uint64_t turnedAway = 0;
+  for (std::uint64_t i = 0; i < requests; ++i) {
+    gsFleet fleet = CrowdedFleet(Slots + Queue);
+    for (std::size_t row = full; row < Engines; ++row) {
+      fleet.Rows[row].Others.Running = 2 * Slots;
+    }
+    gsRandom random(i);
+    std::vector<gsPromptPart> parts = PartsOf(i, i);
+    gsPlacement placement = gsPlace(fleet, Short(parts), Now, random);
+    ASSERT_NE(placement.Row, nullptr);
+    turnedAway += placement.Row->Others.Running >= Slots + Queue ? 1 : 0;
+  }
+  EXPECT_EQ(turnedAway, 0U);
+}
