--- a/Tests/Unit/gsTestCrowding.cxx
+++ b/Tests/Unit/gsTestCrowding.cxx
@@ -212,3 +212,29 @@
   }
   EXPECT_EQ(turnedAway, 0U);
 }
+
+// A service without prompts sends its bytes between halls where it need not.
+TEST(Crowding, AnIdleUpstreamOfTheOwnHallGoesBeforeOthers)
+{
+  constexpr std::uint64_t requests = 50;
+  constexpr int upstreams = 12;
+  std::uint64_t elsewhere = 0;
+  for (std::uint64_t i = 0; i < requests; ++i) {
+    gsFleet fleet;
+    fleet.Settings.Hall = "a";
+    std::vector<gsListedUpstream> listed;
+    for (int n = 0; n < upstreams; ++n) {
+      listed.push_back(
+        Listed("p" + std::to_string(n), n % 3 == 0 ? "a" : "b"));
+    }
+    gsFleetTake(fleet, listed);
+    gsRandom random(i);
+    gsPlacementAsk ask;
+    ask.Service = "model";
+    ask.Hosts = Hosts;
+    gsPlacement placement = gsPlace(fleet, ask, Now, random);
+    ASSERT_NE(placement.Row, nullptr);
+    elsewhere += placement.Row->Listed.Hall == "a" ? 0 : 1;
+  }
+  EXPECT_EQ(elsewhere, 0U);
+}
