--- a/Tests/Unit/gsTestCrowding.cxx
+++ b/Tests/Unit/gsTestCrowding.cxx
@@ -238,3 +238,19 @@
   }
   EXPECT_EQ(elsewhere, 0U);
 }
+
+// Every kind gets served in the end, however long more urgent ones press.
+TEST(Crowding, ALessUrgentKindIsNotShutOutForAsLongAsUrgentOnesPress)
+{
+  gsFleet fleet = CrowdedFleet(2 * Slots);
+  std::vector<gsPromptPart> parts = PartsOf(5, 1);
+  gsPlacementAsk ask = Short(parts);
+  ask.MoreUrgentKinds = 1;
+  std::uint64_t placed = 0;
+  constexpr std::uint64_t requests = 1000;
+  for (std::uint64_t i = 0; i < requests; ++i) {
+    gsRandom random(i);
+    placed += gsPlace(fleet, ask, Now, random).Row != nullptr ? 1 : 0;
+  }
+  EXPECT_GT(placed, 0U);
+}
