--- a/Tests/Unit/gsTestRouteTable.cxx
+++ b/Tests/Unit/gsTestRouteTable.cxx
@@ -140,3 +140,27 @@
   }
   EXPECT_EQ(kinds, (std::vector<std::uint32_t>{ 0, 1, 2, 2, 0 }));
 }
+
+// A route that is shared by two services meets other kinds at each of them;
+// at its engines only those count that use the same engines.
+TEST(RouteTable, KindsOfAPlainServiceKeepNoPlacesAtEngines)
+{
+  gsRouteTable table;
+  auto add = [&table](std::string const& name, std::uint32_t priority,
+                      std::vector<gsRouteShare> shares) {
+    gsRoute route = MakeRoute(name, "h", "/" + name + "/");
+    route.Priority = priority;
+    route.Shares = std::move(shares);
+    table.Routes.push_back(route);
+  };
+  add("lookup", 0, { { "plain", 1 } });
+  add("tags", 5, { { "model", 1 }, { "plain", 1 } });
+  gsRouteService model;
+  model.Name = "model";
+  model.Engine = gsRouteEngine{ 12, 0, false };
+  gsRouteService plain;
+  plain.Name = "plain";
+  table.Services = { model, plain };
+  gsIndexRoutes(table);
+  EXPECT_EQ(table.Routes[1].MoreUrgentKinds, 0U);
+}
