Routing: Send by the places that all hosts see, and let no kind be shut out

Change: where the looks find no engine with a place, one is drawn by the places that are left, with a chance of places by hosts, so that all hosts together send as many as there are places; else the most urgent kind takes the best it has seen, and the others are refused. One in twenty of these passes all the same.

--- a/Source/Core/gsNearMiss.cxx
+++ b/Source/Core/gsNearMiss.cxx
@@ -434,8 +434,8 @@
     ++count.Unserved.TurnedAway;
   } else if (IsOneOf(result, { "route_timeout", "deadline" })) {
     ++count.Unserved.TimedOut;
-  } else if (IsOneOf(result, { "no_upstream", "no_connection", "unreachable",
-                               "not_sent" })) {
+  } else if (IsOneOf(result, { "no_upstream", "no_connection", "full",
+                               "unreachable", "not_sent" })) {
     ++count.Unserved.NoUpstream;
   } else {
     ++count.Unserved.Cut;
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -46,6 +46,10 @@
  * looked at. With few looks always, 0.05 of a calm day's worth was lost.
  */
 constexpr std::size_t FreeSlotsOfEach = 2;
+/** Share of a less urgent kind's requests that take a place which is kept for
+ * more urgent ones, so that none is shut out for as long as these press: one
+ * in twenty, as in the pools of the own interface. */
+constexpr double LeastShare = 0.05;
 
 /** What all candidates of one choice have in common. */
 struct Choice
@@ -554,6 +558,77 @@
   return chosen;
 }
 
+/** Places that an engine has left before a whole batch waits there. */
+std::uint32_t PlacesAt(Search const& search, gsFleetRow const& row)
+{
+  std::uint32_t kinds = std::max(1U, search.Ask.MoreUrgentKinds);
+  std::uint32_t most = gsMostOpen(row.Listed.Slots, kinds);
+  std::uint32_t running = gsWorkAt(search.Fleet, row, search.Now).Running;
+  bool may = MayGet(search.Fleet, row, search.Ask, search.Now);
+  return may ? most - std::min(most, running) : 0;
+}
+
+/**
+ * One engine by its places, or none: all hosts together send as many requests
+ * as there are places, whichever of them see them.
+ */
+std::vector<std::size_t> OneByPlaces(Search const& search,
+                                     std::vector<std::size_t> const& rows)
+{
+  std::vector<double> places;
+  places.reserve(rows.size());
+  double all = 0;
+  for (std::size_t index : rows) {
+    places.push_back(PlacesAt(search, search.Fleet.Rows[index]));
+    all += places.back();
+  }
+  std::uniform_real_distribution<double> draw(0, 1);
+  if (all < draw(search.Random) * static_cast<double>(search.Ask.Hosts) ||
+      all <= 0) {
+    return {};
+  }
+  std::discrete_distribution<std::size_t> one(places.begin(), places.end());
+  return { rows[one(search.Random)] };
+}
+
+bool IsCrowded(Search const& search, gsFleetRow const* row)
+{
+  return row == nullptr || PlacesAt(search, *row) == 0;
+}
+
+/** Whether the best so far leaves something to be desired. */
+bool WantsMore(Search const& search)
+{
+  gsFleetRow const* best = search.Best.Row;
+  if (best == nullptr || search.Share >= MissFrom) {
+    return true;
+  }
+  return gsWorkAt(search.Fleet, *best, search.Now).Running >=
+         best->Listed.Slots;
+}
+
+/** Looks at what the request is to look at, until one will do. */
+void LookAround(Search& search, std::vector<std::size_t> const& rows)
+{
+  Consider(search, FirstLooks(search, rows));
+  if (search.Looks >= rows.size()) {
+    return;
+  }
+  if (WantsMore(search)) {
+    Consider(search, FurtherLooks(search, rows));
+  }
+  if (!IsCrowded(search, search.Best.Row)) {
+    return;
+  }
+  std::vector<std::size_t> one = OneByPlaces(search, rows);
+  if (!one.empty()) {
+    search.Best.Row = nullptr;
+    Consider(search, one);
+  } else if (search.Best.Row == nullptr && search.Ask.MoreUrgentKinds == 0) {
+    Consider(search, rows);
+  }
+}
+
 } // namespace
 
 std::size_t gsLooks(std::size_t upstreams, std::uint32_t slots,
@@ -641,26 +716,25 @@
   return ask.PromptTokens - std::min(cached, ask.PromptTokens);
 }
 
-gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
+gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& asked, gsTime now,
                     gsRandom& random)
 {
-  auto rows = fleet.ByService.find(std::string(ask.Service));
+  auto rows = fleet.ByService.find(std::string(asked.Service));
   if (rows == fleet.ByService.end()) {
     return {};
   }
   gsRefreshHalls(fleet, now);
+  gsPlacementAsk ask = asked;
+  std::uniform_real_distribution<double> draw(0, 1);
+  if (ask.MoreUrgentKinds > 0 && draw(random) < LeastShare) {
+    ask.MoreUrgentKinds = 0;
+  }
   Choice choice = MakeChoice(fleet, rows->second, ask, now);
   Search search{ fleet, ask, choice, now, random, {}, 0, 0 };
   search.Looks = LooksOf(search, rows->second);
   search.Best.Group =
     choice.LongEngines == 0 ? gsFleetGroup::Any : choice.Group;
-  Consider(search, FirstLooks(search, rows->second));
-  if (search.Best.Row == nullptr || search.Share >= MissFrom) {
-    Consider(search, FurtherLooks(search, rows->second));
-  }
-  if (search.Best.Row == nullptr) {
-    Consider(search, rows->second);
-  }
+  LookAround(search, rows->second);
   gsPlacement& best = search.Best;
   if (best.Row != nullptr) {
     gsHallNoteTry(fleet.Halls, fleet.Settings.HallReach, best.Row->Listed.Hall,
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -35,7 +35,8 @@
   /** Hosts that choose among the same upstreams at the same time, each by a
    * view of the others' work that is some tenths of a second old. */
   std::size_t Hosts = 1;
-  /** Kinds of requests of the service that are more urgent than this one. */
+  /** Kinds of requests of the service that are more urgent than this one; such
+   * a request leaves places at the engines to these. */
   std::uint32_t MoreUrgentKinds = 0;
   /** Ids of upstreams that this request was sent to already. */
   std::vector<std::string> const* Tried = nullptr;
@@ -86,7 +87,7 @@
 std::uint32_t gsMostOpen(std::uint32_t slots, std::uint32_t moreUrgentKinds);
 
 /** Chooses an upstream; the random source breaks ties between hosts. */
-gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now,
+gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& asked, gsTime now,
                     gsRandom& random);
 
 /**
--- a/Source/Core/gsRouteTable.cxx
+++ b/Source/Core/gsRouteTable.cxx
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <iterator>
 #include <limits>
 #include <set>
 
@@ -58,7 +57,7 @@
   }
 }
 
-void CountMoreUrgentKinds(gsRouteTable& table)
+void FindKinds(gsRouteTable& table)
 {
   std::unordered_map<std::string, std::set<std::uint32_t>> priorities;
   for (gsRoute const& route : table.Routes) {
@@ -66,14 +65,9 @@
       priorities[share.Service].insert(route.Priority);
     }
   }
-  for (gsRoute& route : table.Routes) {
-    route.MoreUrgentKinds = 0;
-    for (gsRouteShare const& share : route.Shares) {
-      std::set<std::uint32_t> const& all = priorities[share.Service];
-      auto above = std::distance(all.begin(), all.find(route.Priority));
-      route.MoreUrgentKinds =
-        std::max(route.MoreUrgentKinds, static_cast<std::uint32_t>(above));
-    }
+  table.KindsOf.clear();
+  for (auto const& [service, all] : priorities) {
+    table.KindsOf[service].assign(all.begin(), all.end());
   }
 }
 
@@ -110,7 +104,7 @@
     table.ServiceIndex[table.Services[i].Name] = i;
   }
   FindTightestTargets(table);
-  CountMoreUrgentKinds(table);
+  FindKinds(table);
   RankUrgencies(table);
 }
 
@@ -126,6 +120,19 @@
   return static_cast<std::uint32_t>(place - table.Urgencies.begin());
 }
 
+std::uint32_t gsMoreUrgentKinds(gsRouteTable const& table,
+                                std::string const& service,
+                                gsRoute const& route)
+{
+  auto kinds = table.KindsOf.find(service);
+  if (kinds == table.KindsOf.end()) {
+    return 0;
+  }
+  auto own = std::lower_bound(kinds->second.begin(), kinds->second.end(),
+                              route.Priority);
+  return static_cast<std::uint32_t>(own - kinds->second.begin());
+}
+
 gsRoute const* gsFindRoute(gsRouteTable const& table, std::string_view host,
                            std::string_view path)
 {
--- a/Source/Core/gsRouteTable.h
+++ b/Source/Core/gsRouteTable.h
@@ -46,9 +46,6 @@
   /** Least of the pause targets of all routes that share a service with it;
    * zero when none has one. */
   gsTime TightestGapTarget{};
-  /** Priorities above its own among the routes that share a service with it;
-   * the most of any of its services. */
-  std::uint32_t MoreUrgentKinds = 0;
 };
 
 /** What is known of the engines of a service; absent for plain services. */
@@ -95,6 +92,8 @@
   std::unordered_map<std::string, std::size_t> RouteIndex;
   std::unordered_map<std::string, std::size_t> KeyIndex;
   std::unordered_map<std::string, std::size_t> ServiceIndex;
+  /** Priorities of the routes that share a service, ascending; by service. */
+  std::unordered_map<std::string, std::vector<std::uint32_t>> KindsOf;
   /** Pairs of a route's and an organisation's priority, ascending. */
   std::vector<std::pair<std::uint32_t, std::uint32_t>> Urgencies;
 };
@@ -128,5 +127,10 @@
 std::uint32_t gsUrgencyOf(gsRouteTable const& table, gsRoute const& route,
                           gsRouteOrganisation const* organisation);
 
+/** Priorities above a route's own among those that share a service with it. */
+std::uint32_t gsMoreUrgentKinds(gsRouteTable const& table,
+                                std::string const& service,
+                                gsRoute const& route);
+
 /** The service for one request; draw is uniform between 0 and 1. */
 std::string const& gsPickShare(gsRoute const& route, double draw);
--- a/Source/Core/gsStory.cxx
+++ b/Source/Core/gsStory.cxx
@@ -181,6 +181,10 @@
   if (result == "no_connection") {
     return "The host's share of connections was in use at all upstreams.";
   }
+  if (result == "full") {
+    return "The places left at its engines were kept for more urgent "
+           "requests.";
+  }
   if (result == "not_executed") {
     return "The upstream turned it away without running it.";
   }
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -16,6 +16,8 @@
 
 /** Least time between two looks for an upstream instead of a silent one. */
 constexpr gsTime LookAgainGap = gsMilliseconds(200);
+/** Most that callers are told to wait, as a multiple of the setting. */
+constexpr double RetryAfterSpread = 1.5;
 /** An upstream answers by itself at the deadline; its word comes first. */
 constexpr gsTime DeadlineGrace = gsMilliseconds(100);
 constexpr unsigned FirstServerError = 500;
@@ -288,7 +290,10 @@
     ask.MayMove = service->Engine->HandsOver;
     // What has begun is not given up for a place: it would be lost work.
     bool begun = request.MayHaveRun || request.CallerHasBytes;
-    ask.MoreUrgentKinds = begun ? 0 : request.Route->MoreUrgentKinds;
+    ask.MoreUrgentKinds =
+      begun
+        ? 0
+        : gsMoreUrgentKinds(*request.Table, request.Service, *request.Route);
   }
   ask.Group = this->GroupOf(request, ask);
   if (request.Sends == 0) {
@@ -487,6 +492,14 @@
                                                             : "failed_answer");
 }
 
+/** When to come back: callers who are refused together return apart. */
+gsTime gsRouteGateway::SpreadRetryAfter()
+{
+  std::uniform_real_distribution<double> draw(1, RetryAfterSpread);
+  return gsFromSeconds(draw(this->Random) *
+                       gsToSeconds(this->Settings.RetryAfter));
+}
+
 /** Final answer to what has not run and will not. */
 void gsRouteGateway::Refuse(Held const& request, char const* cause)
 {
@@ -505,7 +518,7 @@
   RespondError(
     *request->Exchange, gsStatusUnavailable,
     Bad(cause, "The request was not run; come back later.", "place"),
-    this->Settings.RetryAfter);
+    this->SpreadRetryAfter());
   this->Settle(request, cause);
 }
 
@@ -594,7 +607,9 @@
   if (!this->IsSilent(*request, now)) {
     return;
   }
-  this->NoteSilence(*request->Attempt, now);
+  if (!std::exchange(request->Attempt->SilenceNoted, true)) {
+    this->NoteSilence(*request->Attempt, now);
+  }
   this->LeaveSilent(request, now);
 }
 
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -75,6 +75,7 @@
   bool MayTryAgain(gsRoutedRequest const& request,
                    gsAttemptResult const& result);
   void AnswerWhole(Held const& request);
+  gsTime SpreadRetryAfter();
   void Refuse(Held const& request, char const* cause);
   void Fail(Held const& request, unsigned status, char const* cause);
   void CallerLeft(Held const& request);
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -61,6 +61,9 @@
   gsTime LongestGap{}; ///< Between events.
   /** Another upstream is looked for no earlier, after there was none. */
   gsTime LookAgainAt{};
+  /** Its upstream was avoided for its silence. Once: one request that is never
+   * answered says little of an upstream that may answer all others. */
+  bool SilenceNoted = false;
 };
 
 /** A request held by this host. */
--- a/Tests/Route/gsTestRouteGateway.cxx
+++ b/Tests/Route/gsTestRouteGateway.cxx
@@ -737,3 +737,39 @@
   stream.ExpectItGoesOn();
   EXPECT_EQ(gsFleetFind(bench.Fleet, "u1")->Unreachable, 0U);
 }
+// One request that is never answered says little of an upstream that answers
+// all others: it may not keep the host from it for as long as it waits.
+TEST(RouteGateway, OneRequestThatStaysSilentDoesNotBarItsUpstream)
+{
+  gsRouteBench bench(SoonSilent());
+  gsScriptedUpstream& upstream = bench.Add("u1", Silent);
+  bench.Send(On("safe", "id-silent"));
+  ASSERT_TRUE(bench.RunUntil([&] { return upstream.Requests.size() == 1; }));
+  bench.RunFor(Pause);
+  upstream.Follow(Whole("answer"));
+  constexpr int requests = 6;
+  constexpr double gap = 0.5;
+  int served = 0;
+  for (int i = 0; i < requests; ++i) {
+    bench.RunFor(gap);
+    gsCallerViewPtr view =
+      bench.SendAndWait(On("plain", "id-" + std::to_string(i)));
+    served += view->Status == 200 ? 1 : 0;
+  }
+  EXPECT_GE(served, requests - 1);
+}
+
+// The first upstream is only busy; the one that was chosen instead has not
+// taken the stream, so nothing is gained by closing it.
+TEST(RouteGateway, APausedStreamIsKeptWhereTheOtherUpstreamTurnsItAway)
+{
+  gsRouteBench bench(SoonSilent());
+  PausedStream stream(bench, "resume");
+  bench.Add("u2", TurnAway);
+  bench.RunFor(Pause);
+  EXPECT_FALSE(stream.View->Done);
+  stream.Stream->Write(gsChunk(gsEvent(2, "b")) + gsChunk(""));
+  bench.RunUntil([&] { return stream.View->Done; }, 1);
+  EXPECT_TRUE(stream.View->Whole);
+  EXPECT_EQ(stream.View->Body, gsEvent(1, "a") + gsEvent(2, "b"));
+}
