--- a/Tests/Route/gsTestHttpServer.cxx
+++ b/Tests/Route/gsTestHttpServer.cxx
@@ -39,8 +39,9 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    connect(this->Descriptor, reinterpret_cast<sockaddr*>(&address),
-            sizeof(address));
+    static_cast<void>(connect(this->Descriptor,
+                              reinterpret_cast<sockaddr*>(&address),
+                              sizeof(address)));
   }
   ~RawCaller() { close(this->Descriptor); }
   RawCaller(RawCaller const&) = delete;
