--- a/Source/Core/gsNearMiss.h
+++ b/Source/Core/gsNearMiss.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -186,7 +187,7 @@
   /** A host's copy of the upstreams' table, from then on. */
   struct Copy
   {
-    std::uint64_t Version = 0;
+    std::uint64_t Version = 0; ///< Zero if it claims no version.
     std::string Counts;
     gsTime At{};
   };
@@ -197,8 +198,10 @@
   std::vector<Request> Ended;
   std::vector<Sent> Sendings;
   std::vector<Change> Changes;
-  std::map<std::string, std::vector<Copy>> Copies;         ///< By host.
-  std::map<std::string, gsTime> LastLine;                  ///< By host.
+  std::map<std::string, std::vector<Copy>> Copies; ///< By host.
+  std::map<std::string, gsTime> LastLine;          ///< By host.
+  std::set<std::string> Partial; ///< Hosts whose last line told of news with
+                                 ///< rows missing.
   std::map<std::string, std::vector<gsPlannedStop>> Stops; ///< By host.
   std::map<std::string, bool> Stopping;                    ///< By host.
   std::vector<gsDifferingTable> Differing;
--- a/Tests/Unit/gsTestNearMiss.cxx
+++ b/Tests/Unit/gsTestNearMiss.cxx
@@ -336,16 +336,20 @@
   std::string seven = "upstreams listed=4 leaving=0 row_version=7";
   std::string other = "upstreams listed=5 leaving=0 row_version=7";
   gsNearMissReport report = Report({
-    // One has taken in a removal that the other has not come to yet.
+    // Of one last row, but only some call themselves complete beyond it.
     At(1000, "h1", seven + " complete_to=8"),
     At(1000, "h2", other + " complete_to=7"),
     At(1000, "h3", other + " complete_to=8"),
     // These do not say that they are complete.
     At(1000, "h4", seven + " complete_to=0"),
     At(1000, "h5", other + " complete_to=0"),
+    // This one holds rows beyond what it claims.
+    At(1000, "h6", "table_learned table=upstreams rows=1 complete=no"),
+    At(1000, "h6", "upstreams listed=9 leaving=0 row_version=7 complete_to=8"),
   });
   ASSERT_EQ(report.Versions.size(), 1U);
   EXPECT_EQ(report.Versions[0].Version, 8U);
+  EXPECT_EQ(report.Versions[0].Hosts.size(), 2U);
   EXPECT_EQ(report.Versions[0].Hosts["4/0"], Lines{ "h1" });
   EXPECT_EQ(report.Versions[0].Hosts["5/0"], Lines{ "h3" });
 }
--- a/Tests/Unit/gsTestRouteTable.cxx
+++ b/Tests/Unit/gsTestRouteTable.cxx
@@ -136,7 +136,35 @@
   gsIndexRoutes(table);
   std::vector<std::uint32_t> kinds;
   for (gsRoute const& route : table.Routes) {
-    kinds.push_back(route.MoreUrgentKinds);
+    std::string const& service = route.Shares.front().Service;
+    kinds.push_back(gsMoreUrgentKinds(table, service, route));
   }
   EXPECT_EQ(kinds, (std::vector<std::uint32_t>{ 0, 1, 2, 2, 0 }));
+  EXPECT_EQ(gsMoreUrgentKinds(table, "other", table.Routes[2]), 0U);
+  EXPECT_EQ(gsMoreUrgentKinds(table, "unknown", table.Routes[2]), 0U);
+}
+
+// A route that is shared by two services meets other kinds at each of them;
+// at its engines only those count that use the same engines.
+TEST(RouteTable, KindsOfAPlainServiceKeepNoPlacesAtEngines)
+{
+  gsRouteTable table;
+  auto add = [&table](std::string const& name, std::uint32_t priority,
+                      std::vector<gsRouteShare> shares) {
+    gsRoute route = MakeRoute(name, "h", "/" + name + "/");
+    route.Priority = priority;
+    route.Shares = std::move(shares);
+    table.Routes.push_back(route);
+  };
+  add("lookup", 0, { { "plain", 1 } });
+  add("tags", 5, { { "model", 1 }, { "plain", 1 } });
+  gsRouteService model;
+  model.Name = "model";
+  model.Engine = gsRouteEngine{ 12, 0, false };
+  gsRouteService plain;
+  plain.Name = "plain";
+  table.Services = { model, plain };
+  gsIndexRoutes(table);
+  EXPECT_EQ(gsMoreUrgentKinds(table, "model", table.Routes[1]), 0U);
+  EXPECT_EQ(gsMoreUrgentKinds(table, "plain", table.Routes[1]), 1U);
 }
