Routing: Count the places of the most urgent kind by the fullest engine

Change: requests without a prompt look at all upstreams; where all are crowded, places of the most urgent kind are counted up to the level of the fullest.

--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -501,8 +501,11 @@
   std::size_t hosts = search.Ask.Hosts;
   std::uint32_t slots = search.Fleet.Rows[rows.front()].Listed.Slots;
   std::size_t looks = gsLooks(rows.size(), slots, hosts);
-  bool scarce =
-    looks < rows.size() && FreeSlots(search, rows) < FreeSlotsOfEach * hosts;
+  // What reads no prompt is done at once: the nearest idle one serves it best.
+  if (search.Ask.PromptTokens == 0 || looks >= rows.size()) {
+    return rows.size();
+  }
+  bool scarce = FreeSlots(search, rows) < FreeSlotsOfEach * hosts;
   return scarce ? looks : rows.size();
 }
 
@@ -558,14 +561,40 @@
   return chosen;
 }
 
-/** Places that an engine has left before a whole batch waits there. */
-std::uint32_t PlacesAt(Search const& search, gsFleetRow const& row)
+std::uint32_t RunningAt(Search const& search, gsFleetRow const& row)
+{
+  return gsWorkAt(search.Fleet, row, search.Now).Running;
+}
+
+/** Requests at the fullest of the engines that may get one. */
+std::uint32_t Fullest(Search const& search,
+                      std::vector<std::size_t> const& rows)
 {
-  std::uint32_t kinds = std::max(1U, search.Ask.MoreUrgentKinds);
-  std::uint32_t most = gsMostOpen(row.Listed.Slots, kinds);
-  std::uint32_t running = gsWorkAt(search.Fleet, row, search.Now).Running;
+  std::uint32_t most = 0;
+  for (std::size_t index : rows) {
+    gsFleetRow const& row = search.Fleet.Rows[index];
+    if (MayGet(search.Fleet, row, search.Ask, search.Now)) {
+      most = std::max(most, RunningAt(search, row));
+    }
+  }
+  return most;
+}
+
+/**
+ * Places that an engine has left: before a whole batch waits there, or, for
+ * the most urgent kind, before it is as full as the fullest, which may turn
+ * the next request away.
+ */
+std::uint32_t PlacesAt(Search const& search, gsFleetRow const& row,
+                       std::uint32_t fullest)
+{
+  std::uint32_t kinds = search.Ask.MoreUrgentKinds;
+  std::uint32_t most = gsMostOpen(row.Listed.Slots, std::max(1U, kinds));
+  if (kinds == 0) {
+    most = std::max(most, fullest);
+  }
   bool may = MayGet(search.Fleet, row, search.Ask, search.Now);
-  return may ? most - std::min(most, running) : 0;
+  return may ? most - std::min(most, RunningAt(search, row)) : 0;
 }
 
 /**
@@ -575,16 +604,17 @@
 std::vector<std::size_t> OneByPlaces(Search const& search,
                                      std::vector<std::size_t> const& rows)
 {
+  std::uint32_t fullest = Fullest(search, rows);
   std::vector<double> places;
   places.reserve(rows.size());
   double all = 0;
   for (std::size_t index : rows) {
-    places.push_back(PlacesAt(search, search.Fleet.Rows[index]));
+    places.push_back(PlacesAt(search, search.Fleet.Rows[index], fullest));
     all += places.back();
   }
   std::uniform_real_distribution<double> draw(0, 1);
-  if (all < draw(search.Random) * static_cast<double>(search.Ask.Hosts) ||
-      all <= 0) {
+  double wanted = draw(search.Random) * static_cast<double>(search.Ask.Hosts);
+  if (all <= 0 || all < wanted) {
     return {};
   }
   std::discrete_distribution<std::size_t> one(places.begin(), places.end());
@@ -593,7 +623,8 @@
 
 bool IsCrowded(Search const& search, gsFleetRow const* row)
 {
-  return row == nullptr || PlacesAt(search, *row) == 0;
+  return row == nullptr ||
+         RunningAt(search, *row) >= gsMostOpen(row->Listed.Slots, 1);
 }
 
 /** Whether the best so far leaves something to be desired. */
@@ -603,8 +634,7 @@
   if (best == nullptr || search.Share >= MissFrom) {
     return true;
   }
-  return gsWorkAt(search.Fleet, *best, search.Now).Running >=
-         best->Listed.Slots;
+  return RunningAt(search, *best) >= best->Listed.Slots;
 }
 
 /** Looks at what the request is to look at, until one will do. */
