--- a/Tests/Unit/gsTestCrowding.cxx
+++ b/Tests/Unit/gsTestCrowding.cxx
@@ -40,6 +40,7 @@
   gsFleet fleet;
   fleet.Settings.Hall = "a";
   std::vector<gsListedUpstream> listed;
+  listed.reserve(Engines);
   for (std::size_t i = 0; i < Engines; ++i) {
     listed.push_back(Listed("u" + std::to_string(i)));
     listed.back().Slots = Slots;
@@ -232,6 +233,7 @@
     gsFleet fleet;
     fleet.Settings.Hall = "a";
     std::vector<gsListedUpstream> listed;
+    listed.reserve(upstreams);
     for (int n = 0; n < upstreams; ++n) {
       listed.push_back(
         Listed("p" + std::to_string(n), n % 3 == 0 ? "a" : "b"));
