--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -149,9 +149,10 @@
 private:
   friend class gsHttpExchange;
   /**
-   * A caller's connection. Whether it waits for anything is told by Open
-   * alone: a second mark that is set at another moment lets a request slip
-   * through between the two, to be passed on without a way back.
+   * A caller's connection. A request on it is told by Open alone: a second
+   * mark that is set at another moment lets a request slip through between
+   * the two, to be passed on without a way back. Settled tells of bytes that
+   * have come before a request is known.
    */
   struct Link
   {
