Duties: Tell successors of each renewal; remember windows by time

Found by a new test with real processes over the stand-in platform, which checks tokens, counts and turns as the platform does: the holder is frozen and then killed, and every request that ran has to be reported once.

Renewals are told to all who may succeed at once.

--- a/Source/Coord/gsUsageReporter.cxx
+++ b/Source/Coord/gsUsageReporter.cxx
@@ -41,7 +41,7 @@
   step.Window = reporter.Next;
   step.Counts = gsUsageSum(ledger, reporter.Next);
   for (auto const& [window, fixed] : reporter.Fixed) {
-    if (window + reporter.Settings.Keep < reporter.Next) {
+    if (window + gsUsageKept(reporter.Settings) < reporter.Next) {
       step.Remove.push_back(window);
     }
   }
@@ -126,7 +126,8 @@
   reporter.Fixed[window] = { std::move(counts), false, 0 };
   reporter.Next = std::max(reporter.Next, window + 1);
   while (own &&
-         reporter.Fixed.begin()->first + reporter.Settings.Keep < window) {
+         reporter.Fixed.begin()->first + gsUsageKept(reporter.Settings) <
+           window) {
     // Its row was removed with the same write.
     reporter.Fixed.erase(reporter.Fixed.begin());
   }
@@ -150,6 +151,12 @@
   reporter.NextTry = now + reporter.Delay;
 }
 
+std::uint64_t gsUsageKept(gsUsageReporterSettings const& settings)
+{
+  return static_cast<std::uint64_t>(
+    std::max<std::int64_t>(1, settings.Memory / settings.Window));
+}
+
 std::vector<std::uint64_t> gsUsageOpen(gsUsageReporter const& reporter)
 {
   std::vector<std::uint64_t> open;
--- a/Source/Coord/gsUsageReporter.h
+++ b/Source/Coord/gsUsageReporter.h
@@ -31,9 +31,9 @@
   gsTime Patience = gsMilliseconds(6000);
   /** A new holder waits so long for the halls to tell it. */
   gsTime Gather = gsMilliseconds(1500);
-  /** Rows of so many windows are kept: a store's late write of an older one
-   * comes no later than 12 s, and rows stand for 30. */
-  std::uint64_t Keep = 6;
+  /** Rows are kept for so long after their window: a late write to the store
+   * or a late call to the platform comes up to 12 s after it was made. */
+  gsTime Memory = gsSeconds(30);
   gsTime RetryFirst = gsMilliseconds(250);
   gsTime RetryMost = gsMilliseconds(2000);
 };
@@ -103,5 +103,8 @@
 /** The step under way has failed. */
 void gsUsageFailed(gsUsageReporter& reporter, gsTime now);
 
+/** How many windows are remembered. */
+std::uint64_t gsUsageKept(gsUsageReporterSettings const& settings);
+
 /** Windows that are fixed and not reported yet by this holder. */
 std::vector<std::uint64_t> gsUsageOpen(gsUsageReporter const& reporter);
--- a/Source/Core/gsScaling.cxx
+++ b/Source/Core/gsScaling.cxx
@@ -60,6 +60,21 @@
                                 (settings.UseIfDear - settings.UseIfFree);
 }
 
+/** Whether the list may be taken for what is there. */
+bool IsSettled(gsScaling& scaling, gsScalingSettings const& settings,
+               std::uint32_t listed, gsTime now)
+{
+  if (scaling.Looked.count() == 0) {
+    scaling.Looked = now;
+  }
+  if (listed != scaling.Seen || scaling.SeenSince.count() == 0) {
+    scaling.Seen = listed;
+    scaling.SeenSince = now;
+  }
+  return now - scaling.SeenSince >= settings.Settle ||
+         now - scaling.Looked >= settings.SettleMost;
+}
+
 void NoteDemand(gsScaling& scaling, gsScalingSettings const& settings,
                 double demand, gsTime now)
 {
@@ -197,6 +212,10 @@
     return {};
   }
   auto count = static_cast<std::uint32_t>(halls.size());
+  bool settled = IsSettled(scaling, settings, Sum(listed), now);
+  if (scaling.Since.count() == 0 && !settled) {
+    return {};
+  }
   if (scaling.Since.count() == 0) {
     // Whoever decided before may have ordered for a demand that is not known
     // here yet: what is there stays for a while.
--- a/Source/Core/gsScaling.h
+++ b/Source/Core/gsScaling.h
@@ -53,6 +53,11 @@
   gsTime Hold = gsSeconds(12);
   /** Smaller changes than this share of all are not ordered. */
   double Slack = 0.1;
+  /** At first the list has to stand unchanged for so long: upstreams that
+   * start with the hosts come into it one by one. */
+  gsTime Settle = gsMilliseconds(1500);
+  /** A list that changes all the time is waited for no longer than this. */
+  gsTime SettleMost = gsSeconds(5);
   /** A hall that had none to offer is asked again after so long. */
   gsTime DryPatience = gsSeconds(4);
 };
@@ -74,6 +79,9 @@
 /** What the deciding host knows of a service. */
 struct gsScaling
 {
+  gsTime Looked{};         ///< First look at the list; zero before.
+  std::uint32_t Seen = 0;  ///< Upstreams in it at the last look,
+  gsTime SeenSince{};      ///< and since when there are so many.
   gsTime Since{};          ///< First decision; zero before.
   gsTime AskedSince{};     ///< First demand; zero before.
   std::uint32_t First = 0; ///< Upstreams that were listed at first,
@@ -87,9 +95,10 @@
 };
 
 /**
- * Numbers that are wanted. Listed holds the upstreams that are there and do
- * not leave, by subject, with a row for each hall; demand is the work that is
- * asked for, in engines that it keeps busy, and zero while it is not known.
+ * Numbers that are wanted; none while the list has not settled. Listed holds
+ * the upstreams that are there and do not leave, by subject, with a row for
+ * each hall; demand is the work that is asked for, in engines that it keeps
+ * busy, and zero while it is not known.
  */
 gsScalingCounts gsScalingDecide(gsScaling& scaling,
                                 gsScalingSettings const& settings,
--- a/Source/Daemon/gsDuties.cxx
+++ b/Source/Daemon/gsDuties.cxx
@@ -1,6 +1,9 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsDuties.h"
 
+#include <algorithm>
+#include <vector>
+
 #include "gsLoop.h"
 
 gsDuties::gsDuties(gsHttpClient& client, gsAdapter const& adapter,
@@ -55,6 +58,7 @@
 {
   gsClockForget(this->Clocks, now);
   this->Lease.Tick(this->Cluster->Members(), this->Stopping, now);
+  this->TellRenewal(now);
   if (this->Settings.Duties.Usage) {
     this->Usage.Tick(now);
   }
@@ -63,6 +67,31 @@
   }
 }
 
+/**
+ * Tells all who may succeed of each renewal at once. One who knows an older
+ * version learns of the newer by a refused write, and has to wait the whole
+ * time from then: 5.5 s until a frozen holder was succeeded, in place of 3.4.
+ */
+void gsDuties::TellRenewal(gsTime now)
+{
+  gsLease const& lease = this->Lease.State();
+  if (!gsLeaseHolds(lease, now) || lease.Token == this->ToldToken) {
+    return;
+  }
+  this->ToldToken = lease.Token;
+  gsHallMembership const& members = this->Cluster->Members();
+  std::vector<std::string> hosts = gsHallOrder(members, now);
+  hosts.resize(std::min(hosts.size(), members.Settings.Coordinators));
+  for (std::string const& host : gsOtherCoordinators(members, now)) {
+    hosts.push_back(host);
+  }
+  for (std::string const& host : hosts) {
+    if (host != this->Settings.Host) {
+      this->Cluster->ToHost(host); // The header alone says what is needed.
+    }
+  }
+}
+
 void gsDuties::NoteBegan(std::string const& organisation, gsTime began)
 {
   this->Usage.Count(organisation, began);
--- a/Source/Daemon/gsDuties.h
+++ b/Source/Daemon/gsDuties.h
@@ -45,6 +45,7 @@
 
 private:
   bool Coordinates(gsTime now) const;
+  void TellRenewal(gsTime now);
 
   gsSettings const& Settings;
   gsHallCluster* Cluster = nullptr; ///< Set by Start.
@@ -52,5 +53,6 @@
   gsLeaseKeeper Lease;
   gsUsageDuty Usage;
   gsScaleDuty Scale;
+  std::uint64_t ToldToken = 0; ///< Of the last renewal that others know.
   bool Stopping = false;
 };
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -135,7 +135,10 @@
     .With("callers", this->Settings.Callers.Listen)
     .With("operators", this->Settings.Operators.Listen)
     .With("peers", this->Settings.Peers.Listen)
-    .With("platform", this->Settings.Platform.Address);
+    .With("platform", this->Settings.Platform.Address)
+    .With("reports_usage", this->Settings.Duties.Usage)
+    .With("orders_upstreams",
+          this->Settings.Duties.Orders && this->Settings.Scaling.Enabled);
   return true;
 }
 
@@ -201,12 +204,16 @@
                             table->Limits.IdleTimeout + IdleMargin);
   this->Metrics.Set("gradescale_config_version", {},
                     static_cast<double>(table->Version));
+  auto ordered = std::count_if(
+    table->Services.begin(), table->Services.end(),
+    [](gsRouteService const& service) { return service.Scaling.has_value(); });
   gsLogLine("config_in_force")
     .With("version", table->Version)
     .With("before", before)
     .With("row_version", row->second.Version)
     .With("routes", std::uint64_t(table->Routes.size()))
-    .With("organisations", std::uint64_t(table->Organisations.size()));
+    .With("organisations", std::uint64_t(table->Organisations.size()))
+    .With("ordered_services", std::uint64_t(ordered));
 }
 
 /** Reads a row, unless it was read before, and logs what it has changed. The
--- a/Source/Daemon/gsUsageDuty.cxx
+++ b/Source/Daemon/gsUsageDuty.cxx
@@ -24,8 +24,6 @@
 constexpr gsTime ConnectPatience = gsMilliseconds(400);
 /** Silence of the platform's duty calls after which another host may try. */
 constexpr gsTime UnansweredMost = gsSeconds(4);
-/** Windows that are remembered. */
-constexpr std::uint64_t WindowsKept = 6;
 
 /** The key of a window's row; keys rise with windows. */
 std::string RowKey(std::uint64_t window)
@@ -162,7 +160,8 @@
     this->LastTell = now;
     std::uint64_t window =
       gsUsageWindowOf(this->TrueNow(now), this->Settings.Duties.Window);
-    std::uint64_t oldest = window - std::min(window, WindowsKept);
+    std::uint64_t oldest =
+      window - std::min(window, gsUsageKept(this->State.Settings));
     gsUsageForget(this->Own, oldest);
     gsUsageForget(this->Hall, oldest);
     gsUsageForget(this->Halls, oldest);
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -115,9 +115,16 @@
       seeds.push_back(address);
     }
   }
+  gsJson duties = gsJson::object();
+  if (this->Plan.Duties) {
+    duties = { { "address", this->Processes.At("store").Address },
+               { "kinds", { "usage_reporting" } },
+               { "window_ms", 1000 } };
+  }
   return {
     { "host", host },
     { "hall", process.Hall },
+    { "duties", duties },
     { "callers", { { "listen", process.Address } } },
     { "operators", { { "listen", process.Operators }, { "token", "none" } } },
     { "peers",
@@ -183,6 +190,15 @@
   return status;
 }
 
+gsJson gsRoutedSystem::Duties()
+{
+  std::string text;
+  this->Fetch("GET",
+              "http://" + this->Processes.At("store").Address + "/duties", {},
+              &text);
+  return gsJson::parse(text, nullptr, false);
+}
+
 gsRoutedReplyPtr gsRoutedSystem::NewReply(std::string const& host,
                                           std::string const& route,
                                           std::string const& key)
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -31,6 +31,8 @@
   int WorkMs = 10; ///< Of other requests.
   /** Callers send on kept connections, until the process is gone. */
   bool KeepConnections = false;
+  /** Hosts report usage, in windows of a second. */
+  bool Duties = false;
 };
 
 /** A request that a runner began to run. */
@@ -100,6 +102,9 @@
   /** Faults on links; see gsStandInProxy. */
   void Links(std::vector<std::string> const& patterns, gsJson const& body);
 
+  /** What the stand-in for the platform has been told by duty's holders. */
+  gsJson Duties();
+
   /** Writes a host's settings file anew, with a changed retry budget. */
   void ChangeSettings(std::string const& host, int retryBurst);
 
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -334,3 +334,71 @@
   EXPECT_TRUE(report.Closed.empty());
   EXPECT_TRUE(report.Behind.empty());
 }
+
+namespace {
+
+/** Requests that were reported, over all windows. */
+std::uint64_t Reported(gsJson const& duties)
+{
+  std::uint64_t sum = 0;
+  for (auto const& [window, counts] : duties["reports"].items()) {
+    for (auto const& [organisation, count] : counts.items()) {
+      sum += count.get<std::uint64_t>();
+    }
+  }
+  return sum;
+}
+
+} // namespace
+
+// Whoever holds the duty is stopped in the middle, frozen and killed in turn,
+// and hosts of two halls hand their counts over: every request that ran is
+// reported once.
+TEST(Routed, UsageIsReportedOnceWhoeverHoldsTheDuty)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 4;
+  plan.Halls = 2;
+  plan.Duties = true;
+  gsRoutedSystem system(plan);
+  ASSERT_TRUE(
+    system.RunUntil([&] { return !system.Duties()["reports"].empty(); }, 20));
+  std::uint64_t sent = 0;
+  auto send = [&](std::string const& without, int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      for (std::string const& host : system.Hosts()) {
+        if (host != without) {
+          ASSERT_TRUE(system.SendAndWait(host, "plain")->Good());
+          ++sent;
+        }
+      }
+    }
+  };
+  send({}, 10);
+  // Counts travel within half a second; what a host that is killed has not
+  // told yet is lost, and is not meant here.
+  system.RunFor(1.5);
+  std::string holder = system.Duties()["holder"];
+  system.Signal(holder, SIGSTOP);
+  send(holder, 10);
+  system.RunFor(6);
+  system.Signal(holder, SIGCONT);
+  std::string second;
+  ASSERT_TRUE(system.RunUntil(
+    [&] {
+      second = system.Duties()["holder"];
+      return second != holder;
+    },
+    20));
+  system.RunFor(1.5);
+  system.Signal(second, SIGKILL);
+  system.Restart(second);
+  system.WaitReady(second);
+  send(second, 10);
+  EXPECT_TRUE(
+    system.RunUntil([&] { return Reported(system.Duties()) >= sent; }, 20));
+  system.RunFor(2);
+  gsJson duties = system.Duties();
+  EXPECT_EQ(Reported(duties), sent);
+  EXPECT_TRUE(duties["broken"].empty()) << duties["broken"].dump();
+}
--- a/Tests/StandIns/gsStandInStore.cxx
+++ b/Tests/StandIns/gsStandInStore.cxx
@@ -2,11 +2,14 @@
 /**
  * \file
  * Stand-in for the users' platform's store, as far as the routed mode uses
- * it: reading a table and watching it. Its own calls are POST /put
+ * it: reading a table, watching it and writing rows on a condition; and for
+ * the platform's calls on duties, whose checks it makes: fencing tokens, one
+ * count a window, one holder at a time. Its own calls are POST /put
  * {"table", "key", "value": JSON}, POST /remove {"table", "key"}, both
  * answered with the row's version, and POST /control
  * {"mode": "pass" | "silent" | "busy" | "forget"}; forget drops the history
- * once, so that every watch gets 410.
+ * once, so that every watch gets 410. GET /duties tells what was reported and
+ * ordered, who held the duty last, and what broke a rule.
  */
 #include <algorithm>
 #include <map>
@@ -49,6 +52,83 @@
   return text;
 }
 
+/** The platform's calls on duties, and what they may not do. */
+class DutyCalls
+{
+public:
+  void OnCall(gsHttpExchange& exchange)
+  {
+    std::string holder(exchange.Header("Gradescale-Duty-Holder"));
+    std::uint64_t token =
+      std::stoull(std::string(exchange.Header("Gradescale-Fencing-Token")));
+    gsJson body = gsJson::parse(exchange.Body);
+    bool usage = exchange.Path == "/usage-reports";
+    std::string subject = usage ? "usage"
+                                : body["service"].get<std::string>() + "/" +
+                                    body["zone"].get<std::string>();
+    if (token < this->Highest[subject]) {
+      gsAnswerJson(exchange,
+                   { { "error", "a higher fencing token was seen" } }, 409);
+      return;
+    }
+    this->Highest[subject] = token;
+    this->NoteHolder(holder, token);
+    if (usage) {
+      this->Report(body);
+    } else {
+      this->Orders.push_back(body);
+    }
+    gsAnswerJson(exchange, gsJson::object());
+  }
+
+  gsJson Told() const
+  {
+    return { { "reports", this->Reports },
+             { "orders", this->Orders },
+             { "holder", this->Holder },
+             { "broken", this->Broken } };
+  }
+
+private:
+  void Report(gsJson const& body)
+  {
+    std::string window = std::to_string(body["window_number"].get<int64_t>());
+    bool first = !this->Reports.contains(window);
+    if (!first && this->Reports[window] != body["instance_counts"]) {
+      this->Broken.push_back("two counts for window " + window);
+    }
+    if (first) {
+      this->Reports[window] = body["instance_counts"];
+    }
+  }
+
+  void NoteHolder(std::string const& holder, std::uint64_t token)
+  {
+    gsTime now = gsLoop::Now();
+    std::string const& sender =
+      this->Senders.emplace(token, holder).first->second;
+    if (sender != holder) {
+      this->Broken.push_back("one token of two holders");
+    }
+    constexpr gsTime lease = gsMilliseconds(3000);
+    auto last = this->Last.find(holder);
+    bool again = holder != this->Holder && last != this->Last.end();
+    if (again && now - last->second < lease) {
+      this->Broken.push_back("holders took turns within the lease's time");
+    }
+    this->Holder = holder;
+    this->Last[holder] = now;
+  }
+
+  std::map<std::string, std::uint64_t> Highest; ///< Token, by subject.
+  std::map<std::uint64_t, std::string> Senders; ///< By token.
+  std::map<std::string, gsTime> Last;           ///< By holder.
+  std::string Holder;
+  gsJson Reports = gsJson::object();
+  gsJson Orders = gsJson::array();
+  gsJson Broken = gsJson::array();
+};
+
 class Store
 {
 public:
@@ -66,6 +146,8 @@
       gsAnswerJson(*exchange, gsJson::object());
     } else if (exchange->Path == "/put" || exchange->Path == "/remove") {
       this->Write(*exchange, exchange->Path == "/remove");
+    } else if (exchange->Path == "/duties") {
+      gsAnswerJson(*exchange, this->Duties.Told());
     } else if (this->Mode == "silent") {
       this->Lost.push_back(exchange);
     } else if (this->Mode == "busy") {
@@ -74,6 +156,11 @@
       this->Read(*exchange);
     } else if (exchange->Path == "/api/rows-feed") {
       this->Watch(exchange);
+    } else if (exchange->Path == "/api/rows-tx") {
+      this->Transact(*exchange);
+    } else if (exchange->Path == "/usage-reports" ||
+               exchange->Path == "/scale") {
+      this->Duties.OnCall(*exchange);
     } else {
       gsAnswerJson(*exchange, gsJson::object(), 404);
     }
@@ -143,6 +230,39 @@
     this->Notify();
   }
 
+  /** Writes all rows, if each expected one has its version. */
+  void Transact(gsHttpExchange& exchange)
+  {
+    gsJson body = gsJson::parse(exchange.Body);
+    gsJson current = gsJson::array();
+    bool holds = true;
+    for (gsJson const& name : body["expected_rev"]) {
+      Row const& row = this->Tables[name["table"]][name["tls_key"]];
+      std::uint64_t version = row.Gone ? 0 : row.Version;
+      holds = holds && version == name["ver"];
+      if (version != 0) {
+        current.push_back(RowJson(name["table"], name["tls_key"], row));
+      }
+    }
+    if (!holds) {
+      gsAnswerJson(exchange,
+                   { { "records", current }, { "ver", this->Version } }, 412);
+      return;
+    }
+    ++this->Version;
+    for (gsJson const& put : body["put"]) {
+      this->Tables[put["table"]][put["tls_key"]] = { put["value"],
+                                                     this->Version, false };
+    }
+    for (gsJson const& name : body["remove"]) {
+      this->Tables[name["table"]][name["tls_key"]] = { {},
+                                                       this->Version,
+                                                       true };
+    }
+    gsAnswerJson(exchange, { { "ver", this->Version }, { "now_ms", 1 } });
+    this->Notify();
+  }
+
   void Read(gsHttpExchange& exchange) const
   {
     gsAnswerJson(
@@ -209,6 +329,7 @@
   std::uint64_t Oldest = 0; ///< Watches from before it get 410.
   std::vector<Waiter> Waiters;
   std::vector<Exchange> Lost; ///< Never answered.
+  DutyCalls Duties;
 };
 
 } // namespace
--- a/Tests/Unit/gsTestUsage.cxx
+++ b/Tests/Unit/gsTestUsage.cxx
@@ -163,7 +163,7 @@
       }
     }
     EXPECT_GT(outside.Reports.size(), 10U) << "seed " << seed;
-    EXPECT_LE(outside.Rows.size(), 4 * gsUsageReporterSettings().Keep);
+    EXPECT_LE(outside.Rows.size(), 4 * gsUsageKept({}));
   }
 }
 
