--- a/Source/Core/gsScaling.cxx
+++ b/Source/Core/gsScaling.cxx
@@ -182,13 +182,15 @@
   return left;
 }
 
-/** Orders fewer only as far as what is there without them is enough: what
- * replaces them may still be starting. */
-void KeepUntilReplaced(gsScaling const& scaling, gsScalingCounts const& listed,
-                       gsScalingCounts& wanted)
+/** Orders fewer only as far as what is there without them is nearly enough:
+ * what replaces them may still be starting. */
+void KeepUntilReplaced(gsScaling const& scaling,
+                       gsScalingSettings const& settings,
+                       gsScalingCounts const& listed, gsScalingCounts& wanted)
 {
   std::uint32_t there = Sum(listed);
-  std::uint32_t spare = there - std::min(there, scaling.Total);
+  auto kept = static_cast<std::uint32_t>(settings.KeepShare * scaling.Total);
+  std::uint32_t spare = there - std::min(there, kept);
   for (auto& [subject, count] : wanted) {
     std::uint32_t now = CountOf(listed, subject.Hall, subject.Withdrawable);
     if (now > count) {
@@ -244,7 +246,7 @@
       std::clamp(shares[i], terms.Least, terms.Most);
   }
   if (!HasWithdrawable(terms, settings)) {
-    KeepUntilReplaced(scaling, listed, wanted);
+    KeepUntilReplaced(scaling, settings, listed, wanted);
     return wanted;
   }
   std::uint32_t cheap = scaling.Total - std::min(scaling.Total, Sum(wanted));
@@ -261,7 +263,7 @@
       regular += std::min(more[i], terms.Most - std::min(terms.Most, both));
     }
   }
-  KeepUntilReplaced(scaling, listed, wanted);
+  KeepUntilReplaced(scaling, settings, listed, wanted);
   return wanted;
 }
 
--- a/Source/Core/gsScaling.h
+++ b/Source/Core/gsScaling.h
@@ -35,7 +35,7 @@
 
 struct gsScalingSettings
 {
-  bool Enabled = false;
+  bool Enabled = true;
   bool DryRun = false; ///< Decides and logs, and orders nothing.
   /** Share of the upstreams that the highest demand of late may keep busy,
    * where one more of them costs nothing, */
@@ -58,6 +58,9 @@
   gsTime Settle = gsMilliseconds(1500);
   /** A list that changes all the time is waited for no longer than this. */
   gsTime SettleMost = gsSeconds(5);
+  /** While upstreams are exchanged for cheaper ones, so much of what is wanted
+   * stays: where a hall has no room for more, some have to go first. */
+  double KeepShare = 0.9;
   /** A hall that had none to offer is asked again after so long. */
   gsTime DryPatience = gsSeconds(4);
 };
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -64,8 +64,8 @@
     std::function<void(std::string const& organisation, gsTime began)>;
   void TellBegan(OnBegan told) { this->Began = std::move(told); }
 
-  /** Milliseconds an upstream takes for a prompt token, as measured here. */
-  double MillisPerToken() const { return this->Caller.MillisPerToken(); }
+  /** Milliseconds an idle upstream takes for a prompt token. */
+  double MillisPerToken() const { return this->Caller.FastMillisPerToken(); }
 
   std::size_t Open() const { return this->Requests.size(); }
 
--- a/Source/Daemon/gsScaleDuty.cxx
+++ b/Source/Daemon/gsScaleDuty.cxx
@@ -1,6 +1,7 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsScaleDuty.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -17,6 +18,16 @@
  * that upstreams take to start, before it is ordered again: crashed ones are
  * back within seconds, and a release replaces them one by one. */
 constexpr gsTime DiffersPatience = gsSeconds(3);
+/** Smaller differences are not worth an order: each moves subjects. */
+constexpr std::uint32_t NearMost = 2;
+
+/** Whether two numbers of upstreams are as good as the same. */
+bool IsNear(std::uint32_t a, std::uint32_t b)
+{
+  constexpr std::uint32_t share = 12;
+  std::uint32_t differ = a > b ? a - b : b - a;
+  return differ <= NearMost && differ * share <= std::max(a, b);
+}
 
 } // namespace
 
@@ -124,15 +135,15 @@
   if (ordered.Call != 0 || now < ordered.NextTry) {
     return false;
   }
-  if (there == wanted) {
+  if (IsNear(there, wanted)) {
     ordered.DiffersSince = gsTime{};
   } else if (ordered.DiffersSince.count() == 0) {
     ordered.DiffersSince = now;
   }
   if (first) {
-    return there != wanted;
+    return !IsNear(there, wanted);
   }
-  bool changed = wanted != ordered.Count;
+  bool changed = !IsNear(wanted, ordered.Count);
   bool lost = !ordered.Answered;
   bool differs = ordered.DiffersSince.count() != 0 &&
                  now - std::max(ordered.DiffersSince, ordered.At) >=
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -17,6 +17,16 @@
 constexpr double LeastTokenMillis = 0.002;
 constexpr double MostTokenMillis = 1.0;
 
+/** Follows the quantile below which FastShare of the values are. */
+double FollowFast(double fast, double value)
+{
+  constexpr double fastShare = 0.2;
+  constexpr double step = 0.05;
+  double factor =
+    value < fast ? 1 - step * (1 - fastShare) : 1 + step * fastShare;
+  return std::clamp(fast * factor, LeastTokenMillis, MostTokenMillis);
+}
+
 bool IsSuccess(unsigned status)
 {
   constexpr unsigned first = 200;
@@ -247,6 +257,7 @@
     this->TokenMillis += RateSmoothing * (each - this->TokenMillis);
     this->TokenMillis =
       std::clamp(this->TokenMillis, LeastTokenMillis, MostTokenMillis);
+    this->FastTokenMillis = FollowFast(this->FastTokenMillis, each);
   }
   if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream)) {
     gsNoteReading(this->Fleet.Paces[row->Listed.Service], attempt.ReadTokens,
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -59,6 +59,9 @@
 
   /** Milliseconds an upstream takes for a prompt token, as measured. */
   double MillisPerToken() const { return this->TokenMillis; }
+  /** The same where nothing else is read beside it: the fastest fifth of what
+   * was measured. The mean grows with the load, twofold and more in bursts. */
+  double FastMillisPerToken() const { return this->FastTokenMillis; }
 
 private:
   gsCall MakeCall(gsRoutedRequestPtr const& request,
@@ -87,6 +90,7 @@
   gsUpstreamCallerSettings Settings;
   gsUpstreamCallerEvents Events;
   double TokenMillis = 0.03;
+  double FastTokenMillis = 0.03;
 };
 
 /** Whether the attempt's answer is passed on event by event. */
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -130,6 +130,20 @@
   return 0;
 }
 
+/** Who does the duties that one host at a time has, as one host knows. */
+int ShowDuties(Options const& options)
+{
+  gsResult<gsJson> status =
+    gsCallOperator(options.Operator, "GET", "/v1/duties");
+  if (!status) {
+    return Fail(status.error());
+  }
+  PrintRows(options, gsJson::array({ status.value() }),
+            { "holder", "holds", "token", "seen_ms", "windows_reported",
+              "windows_due", "next_window", "last_refusal" });
+  return 0;
+}
+
 /** Waits until a change is accepted; says meanwhile who is missing. */
 int WaitAccepted(Options const& options, gsJson state)
 {
@@ -495,6 +509,9 @@
     this->Add(&this->App, "halls",
               "Show all halls as a host of the routed mode knows them.",
               [this] { return ShowHalls(this->Shared); });
+    this->Add(&this->App, "duties",
+              "Show who reports usage and orders upstreams for all hosts.",
+              [this] { return ShowDuties(this->Shared); });
     CLI::App* config = this->Group("config", "The whole configuration.");
     this->Add(config, "show", "Print the configuration in force.",
               [this] { return ShowConfig(this->Shared); });
