Routing: Notice withdrawn upstreams at once; orders as a pure module

Where far fewer are there than wanted they are ordered again after 0.3 s.

The decision when an order is given is gsScalingOrder now, with tests.

--- a/Source/Daemon/gsScaleDuty.cxx
+++ b/Source/Daemon/gsScaleDuty.cxx
@@ -14,20 +14,6 @@
 constexpr gsTime CallPatience = gsMilliseconds(1200);
 constexpr gsTime ConnectPatience = gsMilliseconds(400);
 constexpr gsTime RetryGap = gsMilliseconds(800);
-/** What is there may differ from what was ordered for so long, beyond the time
- * that upstreams take to start, before it is ordered again: crashed ones are
- * back within seconds, and a release replaces them one by one. */
-constexpr gsTime DiffersPatience = gsSeconds(3);
-/** Smaller differences are not worth an order: each moves subjects. */
-constexpr std::uint32_t NearMost = 2;
-
-/** Whether two numbers of upstreams are as good as the same. */
-bool IsNear(std::uint32_t a, std::uint32_t b)
-{
-  constexpr std::uint32_t share = 12;
-  std::uint32_t differ = a > b ? a - b : b - a;
-  return differ <= NearMost && differ * share <= std::max(a, b);
-}
 
 } // namespace
 
@@ -128,46 +114,17 @@
   }
 }
 
-/** Whether an order has to be given, for the first time or again. */
-bool gsScaleDuty::IsDue(Ordered& ordered, bool first, std::uint32_t wanted,
-                        std::uint32_t there, gsTime startup, gsTime now) const
-{
-  if (ordered.Call != 0 || now < ordered.NextTry) {
-    return false;
-  }
-  if (IsNear(there, wanted)) {
-    ordered.DiffersSince = gsTime{};
-  } else if (ordered.DiffersSince.count() == 0) {
-    ordered.DiffersSince = now;
-  }
-  if (first) {
-    return !IsNear(there, wanted);
-  }
-  bool changed = !IsNear(wanted, ordered.Count);
-  bool lost = !ordered.Answered;
-  bool differs = ordered.DiffersSince.count() != 0 &&
-                 now - std::max(ordered.DiffersSince, ordered.At) >=
-                   startup + DiffersPatience;
-  if (!changed && !lost && !differs) {
-    return false;
-  }
-  // An unanswered order may still come; a higher token makes it harmless.
-  return ordered.Answered || this->Lease.Proof().Token > ordered.Token;
-}
-
 void gsScaleDuty::Order(std::string const& service,
                         gsScalingSubject const& subject, std::uint32_t wanted,
                         std::uint32_t there, double demand, gsTime now)
 {
   Subject name{ service, subject };
-  bool first = this->Orders.count(name) == 0;
   Ordered& ordered = this->Orders[name];
-  if (first) {
-    ordered.Count = there;
-    ordered.Answered = true;
-  }
-  if (!this->IsDue(ordered, first, wanted, there, this->Startups[service],
-                   now)) {
+  bool due =
+    ordered.Call == 0 &&
+    gsScalingIsDue(ordered.Order, wanted, there, this->Startups[service],
+                   this->Lease.Proof().Token, now);
+  if (!due) {
     return;
   }
   gsDutyProof proof = this->Lease.Proof();
@@ -177,18 +134,15 @@
     .With("hall", subject.Hall)
     .With("withdrawable", subject.Withdrawable)
     .With("wanted", wanted)
-    .With("before", ordered.Count)
+    .With("before", ordered.Order.Count)
     .With("there", there)
     .With("total", scaling.Total)
     .With("busy_engines", static_cast<std::uint64_t>(demand))
     .With("peak", static_cast<std::uint64_t>(scaling.Peak))
     .With("token", proof.Token)
     .With("dry_run", this->Settings.Scaling.DryRun);
-  ordered.Count = wanted;
-  ordered.Token = proof.Token;
-  ordered.At = now;
-  ordered.DiffersSince = gsTime{};
-  ordered.Answered = this->Settings.Scaling.DryRun;
+  gsScalingGive(ordered.Order, wanted, proof.Token, now);
+  ordered.Order.Answered = this->Settings.Scaling.DryRun;
   if (this->Settings.Scaling.DryRun) {
     return;
   }
@@ -217,8 +171,8 @@
     .With("service", subject.first)
     .With("hall", subject.second.Hall)
     .With("withdrawable", subject.second.Withdrawable)
-    .With("wanted", ordered.Count)
-    .With("token", ordered.Token)
+    .With("wanted", ordered.Order.Count)
+    .With("token", ordered.Order.Token)
     .With("status", answer.End.Status)
     .With("outcome", taken  ? "taken"
                      : none ? "none_there"
@@ -226,12 +180,12 @@
     .With("message", answer.Body.substr(0, 120));
   this->Metrics.Count("gradescale_orders_total",
                       gsLabels({ { "outcome", taken ? "taken" : "not" } }));
-  ordered.Answered = taken || none;
-  ordered.NextTry = taken ? gsTime{} : now + RetryGap;
+  ordered.Order.Answered = taken || none;
+  ordered.Order.NextTry = taken ? gsTime{} : now + RetryGap;
   if (none) {
     gsScalingNoteDry(this->Scalings[subject.first], this->Settings.Scaling,
                      subject.second.Hall, now);
-    ordered.NextTry = now + this->Settings.Scaling.DryPatience;
+    ordered.Order.NextTry = now + this->Settings.Scaling.DryPatience;
   } else if (outcome == gsDutyAnswer::HigherToken) {
     this->Lease.Lose("orders", now);
   }
--- a/Source/Daemon/gsScaleDuty.h
+++ b/Source/Daemon/gsScaleDuty.h
@@ -20,6 +20,7 @@
 #include "gsLeaseKeeper.h"
 #include "gsMetrics.h"
 #include "gsScaling.h"
+#include "gsScalingOrder.h"
 #include "gsSettings.h"
 
 class gsScaleDuty
@@ -45,16 +46,10 @@
 private:
   using Subject = std::pair<std::string, gsScalingSubject>; ///< With service.
 
-  /** What was last ordered of a subject. */
   struct Ordered
   {
-    std::uint32_t Count = 0;
-    std::uint64_t Token = 0;
-    gsTime At{};
-    gsTime NextTry{};
-    bool Answered = false;
+    gsScalingOrder Order;
     std::uint64_t Call = 0; ///< Under way; zero for none.
-    gsTime DiffersSince{};  ///< What is there is not what was ordered.
   };
 
   void Decide(gsRouteService const& service, double millisPerToken,
@@ -62,8 +57,6 @@
   void Order(std::string const& service, gsScalingSubject const& subject,
              std::uint32_t wanted, std::uint32_t there, double demand,
              gsTime now);
-  bool IsDue(Ordered& ordered, bool first, std::uint32_t wanted,
-             std::uint32_t there, gsTime startup, gsTime now) const;
   void OnAnswer(Subject const& subject, gsAnswer const& answer);
   void LetGo();
 
--- a/Tests/Unit/gsTestScaling.cxx
+++ b/Tests/Unit/gsTestScaling.cxx
@@ -15,6 +15,7 @@
 #include <gtest/gtest.h>
 
 #include "gsScaling.h"
+#include "gsScalingOrder.h"
 
 namespace {
 
@@ -328,3 +329,64 @@
   }
   EXPECT_LE(withdrawable, 0.8 * all + 1);
 }
+
+namespace {
+
+constexpr gsTime Startup = gsSeconds(4);
+constexpr gsTime Long = gsSeconds(60);
+
+/** An order that was given long ago and answered. */
+gsScalingOrder Standing(std::uint32_t count)
+{
+  gsScalingOrder order;
+  gsScalingGive(order, count, 7, gsSeconds(10));
+  order.Answered = true;
+  return order;
+}
+
+} // namespace
+
+TEST(ScalingOrder, SmallDifferencesAreNotOrdered)
+{
+  EXPECT_TRUE(gsScalingIsNear(28, 30));
+  EXPECT_FALSE(gsScalingIsNear(28, 31));
+  EXPECT_FALSE(gsScalingIsNear(3, 4));
+  gsScalingOrder order = Standing(28);
+  EXPECT_FALSE(gsScalingIsDue(order, 30, 30, Startup, 8, Long));
+  EXPECT_TRUE(gsScalingIsDue(order, 40, 28, Startup, 8, Long));
+}
+
+TEST(ScalingOrder, WhatWasTakenAwayIsNoticedAtOnce)
+{
+  gsScalingOrder order = Standing(45);
+  EXPECT_FALSE(gsScalingIsDue(order, 45, 45, Startup, 8, Long));
+  EXPECT_FALSE(gsScalingIsDue(order, 45, 0, Startup, 8, Long));
+  EXPECT_TRUE(
+    gsScalingIsDue(order, 45, 0, Startup, 8, Long + gsMilliseconds(400)));
+}
+
+TEST(ScalingOrder, WhatHasCrashedHasTimeToComeBack)
+{
+  gsScalingOrder order = Standing(45);
+  EXPECT_FALSE(gsScalingIsDue(order, 45, 36, Startup, 8, Long));
+  EXPECT_FALSE(gsScalingIsDue(order, 45, 36, Startup, 8, Long + gsSeconds(2)));
+  EXPECT_TRUE(gsScalingIsDue(order, 45, 36, Startup, 8, Long + gsSeconds(3)));
+}
+
+TEST(ScalingOrder, WhatStartsIsWaitedFor)
+{
+  gsScalingOrder order;
+  EXPECT_TRUE(gsScalingIsDue(order, 28, 0, Startup, 7, gsSeconds(10)));
+  gsScalingGive(order, 28, 7, gsSeconds(10));
+  order.Answered = true;
+  EXPECT_FALSE(gsScalingIsDue(order, 28, 0, Startup, 8, gsSeconds(16)));
+  EXPECT_TRUE(gsScalingIsDue(order, 28, 0, Startup, 8, gsSeconds(17)));
+}
+
+TEST(ScalingOrder, AnUnansweredOrderIsFollowedWithAHigherTokenOnly)
+{
+  gsScalingOrder order;
+  gsScalingGive(order, 28, 7, gsSeconds(10));
+  EXPECT_FALSE(gsScalingIsDue(order, 40, 0, Startup, 7, gsSeconds(12)));
+  EXPECT_TRUE(gsScalingIsDue(order, 40, 0, Startup, 8, gsSeconds(12)));
+}
