--- /dev/null
+++ b/Source/Tool/gsToolShow.cxx
@@ -0,0 +1,135 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsToolShow.h"
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+#include "gsDocumentJson.h"
+#include "gsTable.h"
+
+int gsShowHalls(gsToolOptions const& options)
+{
+  gsResult<gsJson> rows = gsCallOperator(options.Operator, "GET", "/v1/halls");
+  if (!rows) {
+    return gsToolFail(rows.error());
+  }
+  gsPrintRows(options, rows.value(),
+              { "hall", "hosts", "coordinators", "heard_ms", "in_touch" });
+  return 0;
+}
+
+int gsShowDuties(gsToolOptions const& options)
+{
+  gsResult<gsJson> status =
+    gsCallOperator(options.Operator, "GET", "/v1/duties");
+  if (!status) {
+    return gsToolFail(status.error());
+  }
+  gsPrintRows(options, gsJson::array({ status.value() }),
+              { "holder", "holds", "token", "seen_ms", "windows_reported",
+                "windows_due", "next_window", "last_refusal" });
+  return 0;
+}
+
+int gsShowStatus(gsToolOptions const& options)
+{
+  gsResult<gsJson> status =
+    gsCallOperator(options.Operator, "GET", "/v1/status");
+  if (!status) {
+    return gsToolFail(status.error());
+  }
+  gsJson const& body = status.value();
+  if (gsWantsJson(options)) {
+    std::cout << body.dump(2) << '\n';
+    return gsToolOk;
+  }
+  std::cout << "host " << gsCellText(body["host"]) << " in hall "
+            << gsCellText(body["hall"]) << ", "
+            << (body["ready"].get<bool>() ? "ready" : "not ready")
+            << ", configuration version " << gsCellText(body["config_version"])
+            << ", " << gsCellText(body["open_requests"])
+            << " open requests\n\n";
+  gsPrintRows(options, body["members"],
+              { "hall", "host", "state", "config_version" });
+  std::vector<std::vector<std::string>> rows;
+  for (gsJson const& pool : body["pools"]) {
+    for (gsJson const& row : pool["upstreams"]) {
+      rows.push_back(
+        { gsCellText(pool["name"]), gsCellText(pool["dispatcher"]),
+          gsCellText(pool["waiting_by_tier"]), gsCellText(row["name"]),
+          gsCellText(row["running"]) + "/" + gsCellText(row["limit"]),
+          gsCellText(row["health"]),
+          row["leaving"].get<bool>() ? "leaving" : "active" });
+    }
+  }
+  std::cout << '\n'
+            << gsFormatTable({ "pool", "dispatcher", "waiting by tier",
+                               "upstream", "running", "health", "state" },
+                             rows);
+  return gsToolOk;
+}
+
+int gsShowTable(gsToolOptions const& options, char const* table,
+                std::vector<std::string> const& fields)
+{
+  gsResult<gsJson> config =
+    gsCallOperator(options.Operator, "GET", "/v1/config");
+  if (!config) {
+    return gsToolFail(config.error());
+  }
+  gsJson rows = config.value()[table];
+  gsPrintRows(options, rows, fields);
+  return gsToolOk;
+}
+
+int gsShowConfig(gsToolOptions const& options)
+{
+  gsResult<gsJson> config =
+    gsCallOperator(options.Operator, "GET", "/v1/config");
+  if (!config) {
+    return gsToolFail(config.error());
+  }
+  std::cout << config.value().dump(2) << '\n';
+  return gsToolOk;
+}
+
+int gsDiffConfig(gsToolOptions const& options, std::string const& path)
+{
+  gsResult<std::string> text = gsReadWholeFile(path);
+  if (!text) {
+    return gsToolFail(text.error());
+  }
+  gsResult<gsDocument> document = gsDocumentFromText(text.value(), path);
+  if (!document) {
+    return gsToolFail(document.error());
+  }
+  gsResult<gsJson> config =
+    gsCallOperator(options.Operator, "GET", "/v1/config");
+  if (!config) {
+    return gsToolFail(config.error());
+  }
+  gsJson wanted = gsToJson(document.value());
+  for (char const* table : { "templates", "organisations", "upstreams" }) {
+    for (gsJson row : wanted[table]) {
+      gsJson known;
+      for (gsJson const& candidate : config.value()[table]) {
+        if (candidate["name"] == row["name"]) {
+          known = candidate;
+        }
+      }
+      if (known.is_null()) {
+        std::cout << "+ " << table << ' ' << gsCellText(row["name"]) << '\n';
+        continue;
+      }
+      for (auto const& [field, value] : row.items()) {
+        if (field != "revision" && known[field] != value) {
+          std::cout << "~ " << table << ' ' << gsCellText(row["name"]) << ' '
+                    << field << ": " << known[field].dump() << " -> "
+                    << value.dump() << '\n';
+        }
+      }
+    }
+  }
+  return gsToolOk;
+}
--- /dev/null
+++ b/Source/Tool/gsToolShow.h
@@ -0,0 +1,30 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * The commands that show what a host knows.
+ */
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "gsToolOutput.h"
+
+/** A row a hall: so it fits a screen however many hosts there are. */
+int gsShowHalls(gsToolOptions const& options);
+
+/** Who does the duties that one host at a time has, as one host knows. */
+int gsShowDuties(gsToolOptions const& options);
+
+/** Hosts, pools and upstreams. */
+int gsShowStatus(gsToolOptions const& options);
+
+/** A table of the configuration. */
+int gsShowTable(gsToolOptions const& options, char const* table,
+                std::vector<std::string> const& fields);
+
+/** The configuration in force. */
+int gsShowConfig(gsToolOptions const& options);
+
+/** Says how a file differs from what is in force. */
+int gsDiffConfig(gsToolOptions const& options, std::string const& path);
