Routing: Take no order of upstreams back before it serves

Fewer than were just ordered are not wanted until these had time to start. Test ScalingOrder.WhatHasJustBeenOrderedIsNotTakenBack.

--- a/Source/Core/gsScalingOrder.cxx
+++ b/Source/Core/gsScalingOrder.cxx
@@ -55,6 +55,13 @@
   bool differs = order.DiffersSince.count() != 0 &&
                  now - order.DiffersSince >= patience &&
                  now - order.At >= startup + DiffersPatience;
+  // What has just been ordered is not taken back before it serves: a hall that
+  // may have upstreams again, and then has none, would turn it to and fro.
+  bool turns = order.Grew && wanted < order.Count &&
+               now - order.At < startup + DiffersPatience;
+  if (turns) {
+    return false;
+  }
   if (!order.Answered) {
     return token > order.Token;
   }
@@ -65,6 +72,7 @@
                    std::uint64_t token, gsTime now)
 {
   order.Given = true;
+  order.Grew = wanted > order.Count;
   order.Count = wanted;
   order.Token = token;
   order.At = now;
--- a/Source/Core/gsScalingOrder.h
+++ b/Source/Core/gsScalingOrder.h
@@ -21,6 +21,7 @@
   gsTime At{};
   gsTime NextTry{};
   bool Answered = true;
+  bool Grew = false;     ///< More were ordered than before.
   gsTime DiffersSince{}; ///< What is there is not what is wanted; or zero.
 };
 
--- a/Tests/Unit/gsTestScaling.cxx
+++ b/Tests/Unit/gsTestScaling.cxx
@@ -390,3 +390,22 @@
   EXPECT_FALSE(gsScalingIsDue(order, 40, 0, Startup, 7, gsSeconds(12)));
   EXPECT_TRUE(gsScalingIsDue(order, 40, 0, Startup, 8, gsSeconds(12)));
 }
+
+// Orders of a hall that is dry, wet for a moment and dry again: in a replay of
+// two halls that are taken away together, 40 upstreams were ordered, taken
+// back before they served, and ordered anew.
+TEST(ScalingOrder, WhatHasJustBeenOrderedIsNotTakenBack)
+{
+  gsScalingOrder order = Standing(11);
+  gsScalingGive(order, 51, 8, Long);
+  order.Answered = true;
+  EXPECT_FALSE(gsScalingIsDue(order, 11, 11, Startup, 9, Long + gsSeconds(3)));
+  EXPECT_FALSE(gsScalingIsDue(order, 11, 51, Startup, 9, Long + gsSeconds(6)));
+  EXPECT_TRUE(gsScalingIsDue(order, 11, 51, Startup, 9, Long + gsSeconds(8)));
+  // Fewer after fewer is no turn.
+  gsScalingOrder less = Standing(28);
+  gsScalingGive(less, 20, 8, Long);
+  less.Answered = true;
+  EXPECT_TRUE(
+    gsScalingIsDue(less, 10, 20, Startup, 9, Long + gsMilliseconds(400)));
+}
