--- a/Source/Tool/gsToolChange.cxx
+++ b/Source/Tool/gsToolChange.cxx
@@ -8,7 +8,6 @@
 
 #include <unistd.h>
 
-#include "gsDocumentJson.h"
 #include "gsSecret.h"
 
 namespace {
@@ -109,11 +108,7 @@
 
 int gsCheckFile(std::string const& path)
 {
-  gsResult<std::string> text = gsReadWholeFile(path);
-  if (!text) {
-    return gsToolFail(text.error());
-  }
-  gsResult<gsDocument> document = gsDocumentFromText(text.value(), path);
+  gsResult<gsDocument> document = gsReadDocumentFile(path);
   if (!document) {
     return gsToolFail(document.error());
   }
@@ -127,11 +122,7 @@
 
 int gsApplyFile(gsToolOptions const& options, std::string const& path)
 {
-  gsResult<std::string> text = gsReadWholeFile(path);
-  if (!text) {
-    return gsToolFail(text.error());
-  }
-  gsResult<gsDocument> document = gsDocumentFromText(text.value(), path);
+  gsResult<gsDocument> document = gsReadDocumentFile(path);
   if (!document) {
     return gsToolFail(document.error());
   }
--- a/Source/Tool/gsToolOutput.cxx
+++ b/Source/Tool/gsToolOutput.cxx
@@ -50,6 +50,15 @@
   return text.str();
 }
 
+gsResult<gsDocument> gsReadDocumentFile(std::string const& path)
+{
+  gsResult<std::string> text = gsReadWholeFile(path);
+  if (!text) {
+    return text.error();
+  }
+  return gsDocumentFromText(text.value(), path);
+}
+
 std::string gsCellText(gsJson const& value)
 {
   if (value.is_string()) {
--- a/Source/Tool/gsToolOutput.h
+++ b/Source/Tool/gsToolOutput.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "gsDocumentJson.h"
 #include "gsRestClient.h"
 #include "gsTool.h"
 
@@ -30,6 +31,9 @@
 /** All of a file. */
 gsResult<std::string> gsReadWholeFile(std::string const& path);
 
+/** The configuration in a file, checked. */
+gsResult<gsDocument> gsReadDocumentFile(std::string const& path);
+
 /** A value as it stands in a table. */
 std::string gsCellText(gsJson const& value);
 
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -5,7 +5,6 @@
 #include <iostream>
 #include <utility>
 
-#include "gsDocumentJson.h"
 #include "gsTable.h"
 
 int gsShowHalls(gsToolOptions const& options)
@@ -96,11 +95,7 @@
 
 int gsDiffConfig(gsToolOptions const& options, std::string const& path)
 {
-  gsResult<std::string> text = gsReadWholeFile(path);
-  if (!text) {
-    return gsToolFail(text.error());
-  }
-  gsResult<gsDocument> document = gsDocumentFromText(text.value(), path);
+  gsResult<gsDocument> document = gsReadDocumentFile(path);
   if (!document) {
     return gsToolFail(document.error());
   }
