--- a/Source/Core/gsScaling.h
+++ b/Source/Core/gsScaling.h
@@ -46,7 +46,7 @@
   double WithdrawableShare = 0.8;
   /** Share that may be busy while a hall has none to offer, before others are
    * ordered at the full price. */
-  double UseInNeed = 0.65;
+  double UseInNeed = 0.8;
   /** For so long the highest demand counts. */
   gsTime PeakMemory = gsSeconds(20);
   /** Less is ordered no sooner after more was, nor more often than this. */
--- a/Source/Core/gsScalingOrder.cxx
+++ b/Source/Core/gsScalingOrder.cxx
@@ -9,11 +9,6 @@
  * that upstreams take to start, before it is ordered again: crashed ones are
  * back within seconds, and a release replaces them one by one. */
 constexpr gsTime DiffersPatience = gsSeconds(3);
-/** Where far fewer are there, a hall's have been taken away, and what takes
- * their place needs the time to start. */
-constexpr gsTime FewPatience = gsMilliseconds(300);
-/** Share of the wanted below which far fewer are there. */
-constexpr double FewShare = 0.6;
 /** Largest difference that is not worth an order, and only where it is less
  * than one in so many. */
 constexpr std::uint32_t NearMost = 2;
@@ -50,11 +45,9 @@
     return !gsScalingIsNear(there, wanted);
   }
   bool changed = !gsScalingIsNear(wanted, order.Count);
-  bool few = there < FewShare * wanted;
-  gsTime patience = few ? FewPatience : DiffersPatience;
-  bool differs = order.DiffersSince.count() != 0 &&
-                 now - order.DiffersSince >= patience &&
-                 now - order.At >= startup + DiffersPatience;
+  bool differs =
+    order.DiffersSince.count() != 0 &&
+    now - std::max(order.DiffersSince, order.At) >= startup + DiffersPatience;
   // What has just been ordered is not taken back before it serves: a hall that
   // may have upstreams again, and then has none, would turn it to and fro.
   bool turns = order.Grew && wanted < order.Count &&
