--- a/Source/Coord/gsTableCopy.cxx
+++ b/Source/Coord/gsTableCopy.cxx
@@ -27,8 +27,27 @@
   return gone != copy.Gone.end() ? gone->second.Row.Version : 0;
 }
 
+/** Changes that are remembered by themselves; at 50 bytes each 200 KB. News
+ * above an older one walk the whole copy. */
+constexpr std::size_t RecentMost = 4096;
+
+/** Remembers a change; of too many the older half is forgotten. */
+void NoteRecent(gsTableCopy& copy, gsTableRow const& row)
+{
+  copy.Recent.push_back({ row.Version, row.Key });
+  if (copy.Recent.size() <= RecentMost) {
+    return;
+  }
+  auto half = copy.Recent.begin() + RecentMost / 2;
+  for (auto change = copy.Recent.begin(); change != half; ++change) {
+    copy.RecentFrom = std::max(copy.RecentFrom, change->Version);
+  }
+  copy.Recent.erase(copy.Recent.begin(), half);
+}
+
 void NoteTaken(gsTableCopy& copy, gsTableRow const& row)
 {
+  NoteRecent(copy, row);
   copy.Beyond = std::max(copy.Beyond, row.Version);
   if (row.Version <= copy.Complete) {
     copy.Late.insert(row.Key);
@@ -53,6 +72,7 @@
   copy.Gone.erase(row.Key);
   copy.Hash += RowHash(row);
   copy.Live[row.Key] = row;
+  copy.Touched.push_back(row.Key);
   NoteTaken(copy, row);
   EndHold(copy, row.Key, row.Version);
 }
@@ -71,6 +91,7 @@
   bool wasLive = was != copy.Live.end();
   if (wasLive) {
     copy.Hash -= RowHash(was->second);
+    copy.Touched.push_back(row.Key);
     copy.Live.erase(was);
   }
   NoteTaken(copy, row);
@@ -272,6 +293,14 @@
   return comparable && (a.Rows != b.Rows || a.Hash != b.Hash);
 }
 
+std::vector<std::string> gsCopyTakeTouched(gsTableCopy& copy)
+{
+  std::vector<std::string> touched = std::exchange(copy.Touched, {});
+  std::sort(touched.begin(), touched.end());
+  touched.erase(std::unique(touched.begin(), touched.end()), touched.end());
+  return touched;
+}
+
 bool gsCopyTakePage(gsTableCopy& copy, std::vector<gsTableRow> const& rows,
                     std::uint64_t version, bool hold, gsTime now)
 {
@@ -335,6 +364,32 @@
   return learned;
 }
 
+namespace {
+
+/** Rows and removals above a version, by the changes that are remembered. */
+void AddRecent(gsTableCopy const& copy, std::uint64_t version,
+               gsTableNews& news)
+{
+  std::set<std::string_view> keys;
+  for (gsTableCopy::Change const& change : copy.Recent) {
+    if (change.Version > version) {
+      keys.insert(change.Key);
+    }
+  }
+  for (std::string_view key : keys) {
+    std::string const name(key);
+    auto live = copy.Live.find(name);
+    auto gone = copy.Gone.find(name);
+    if (live != copy.Live.end() && live->second.Version > version) {
+      news.Rows.push_back(live->second);
+    } else if (gone != copy.Gone.end() && gone->second.Row.Version > version) {
+      news.Rows.push_back(gone->second.Row);
+    }
+  }
+}
+
+} // namespace
+
 gsTableNews gsCopyNewsAbove(gsTableCopy const& copy, std::uint64_t version)
 {
   gsTableNews news;
@@ -343,6 +398,10 @@
   news.Whole = version < copy.Forgotten || version == 0;
   news.Unchecked = false;
   news.Check = gsCopyCheck(copy);
+  if (!news.Whole && version >= copy.RecentFrom) {
+    AddRecent(copy, version, news);
+    return news;
+  }
   for (auto const& [key, row] : copy.Live) {
     if (news.Whole || row.Version > version) {
       news.Rows.push_back(row);
--- a/Source/Coord/gsTableCopy.h
+++ b/Source/Coord/gsTableCopy.h
@@ -103,8 +103,25 @@
   std::uint64_t Forgotten = 0; ///< Removals up to it are not remembered.
   std::uint64_t Hash = 0;      ///< Of Live.
   bool Filled = false;         ///< All of the table was known once.
+  /** Keys whose rows have come, changed or gone since they were last taken,
+   * some of them twice; see gsCopyTakeTouched. */
+  std::vector<std::string> Touched;
+
+  /** A row of Live or Gone that was put there at a version. */
+  struct Change
+  {
+    std::uint64_t Version = 0;
+    std::string Key;
+  };
+  /** The last changes that were taken, so that news cost by what has changed;
+   * all whose version is above RecentFrom, and some others. */
+  std::vector<Change> Recent;
+  std::uint64_t RecentFrom = 0;
 };
 
+/** Keys of the rows that have changed since the last call, each once. */
+std::vector<std::string> gsCopyTakeTouched(gsTableCopy& copy);
+
 /** Changes that the platform tells above Seen. While hold is set, removals of
  * rows are held back. Each returns whether rows have changed. */
 bool gsCopyTakePage(gsTableCopy& copy, std::vector<gsTableRow> const& rows,
--- a/Source/Core/gsArrangement.cxx
+++ b/Source/Core/gsArrangement.cxx
@@ -24,10 +24,33 @@
 constexpr double PressedSlackShare = 0.2;
 constexpr double HoldSmoothing = 0.05;
 
-bool IsSlow(gsEngineArrangement const& arrangement, gsFleetRow const& row)
+gsEngineKey KeyOf(gsFleetRow const& row)
 {
-  return std::binary_search(arrangement.Slow.begin(), arrangement.Slow.end(),
-                            row.Hash);
+  return { !row.Slow, row.Hash };
+}
+
+using Members = std::vector<std::size_t>;
+
+/** Where the first row of an engine's place stands, or would stand. */
+Members::const_iterator FirstAt(gsFleet const& fleet, Members const& members,
+                                gsEngineKey key)
+{
+  return std::lower_bound(members.begin(), members.end(), key,
+                          [&fleet](std::size_t index, gsEngineKey at) {
+                            return KeyOf(fleet.Rows[index]) < at;
+                          });
+}
+
+/** Key of the last of the first so many; absent when there are none. */
+std::optional<gsEngineKey> BorderAfter(gsFleet const& fleet,
+                                       Members const& members,
+                                       std::uint32_t count)
+{
+  std::size_t first = std::min<std::size_t>(count, members.size());
+  if (first == 0) {
+    return std::nullopt;
+  }
+  return KeyOf(fleet.Rows[members[first - 1]]);
 }
 
 /** Notes the groups that engines are in, as the division is to change. */
@@ -36,7 +59,7 @@
 {
   for (std::size_t index : members) {
     gsFleetRow& row = fleet.Rows[index];
-    row.GroupBefore = gsGroupUnder(arrangement, row);
+    row.GroupBefore = gsGroupUnder(fleet, arrangement, row);
   }
 }
 
@@ -88,7 +111,7 @@
   std::vector<std::uint32_t> slow;
   for (std::size_t index : members) {
     gsFleetRow const& row = fleet.Rows[index];
-    bool wasSlow = IsSlow(before, row);
+    bool wasSlow = gsIsSlowEngine(before, row);
     double pace = gsPaceOf(row);
     // A host that has just begun to decide keeps what it can not judge yet.
     double limit = (wasSlow ? FastFactor : SlowFactor) * fast;
@@ -149,33 +172,64 @@
   return "any";
 }
 
-gsFleetGroup gsGroupUnder(gsEngineArrangement const& arrangement,
+gsFleetGroup gsGroupUnder(gsFleet const& fleet,
+                          gsEngineArrangement const& arrangement,
                           gsFleetRow const& row)
 {
-  if (arrangement.LongEngines == 0) {
+  auto members = fleet.ByService.find(row.Listed.Service);
+  if (arrangement.LongEngines == 0 || members == fleet.ByService.end()) {
     return gsFleetGroup::Any;
   }
-  return row.Rank < arrangement.LongEngines ? gsFleetGroup::Long
-                                            : gsFleetGroup::Tight;
+  bool isLong = gsIsBefore(
+    row, BorderAfter(fleet, members->second, arrangement.LongEngines));
+  return isLong ? gsFleetGroup::Long : gsFleetGroup::Tight;
+}
+
+bool gsIsSlowEngine(gsEngineArrangement const& arrangement,
+                    gsFleetRow const& row)
+{
+  return std::binary_search(arrangement.Slow.begin(), arrangement.Slow.end(),
+                            row.Hash);
 }
 
-/** Orders a service's rows: slow engines first, then by hash. */
 void gsRankEngines(gsFleet& fleet, std::string const& service,
                    std::vector<std::size_t>& members)
 {
   gsEngineArrangement const& arrangement = fleet.Arrangements[service];
+  for (std::size_t index : members) {
+    gsFleetRow& row = fleet.Rows[index];
+    row.Slow = gsIsSlowEngine(arrangement, row);
+  }
   std::sort(members.begin(), members.end(),
-            [&fleet, &arrangement](std::size_t a, std::size_t b) {
-              gsFleetRow const& one = fleet.Rows[a];
-              gsFleetRow const& two = fleet.Rows[b];
-              bool slowOne = IsSlow(arrangement, one);
-              bool slowTwo = IsSlow(arrangement, two);
-              return slowOne != slowTwo ? slowOne : one.Hash < two.Hash;
+            [&fleet](std::size_t a, std::size_t b) {
+              return KeyOf(fleet.Rows[a]) < KeyOf(fleet.Rows[b]);
             });
-  std::uint32_t rank = 0;
-  for (std::size_t index : members) {
-    fleet.Rows[index].Rank = rank++;
+}
+
+void gsRankIn(gsFleet const& fleet, std::vector<std::size_t>& members,
+              std::size_t index)
+{
+  members.insert(FirstAt(fleet, members, KeyOf(fleet.Rows[index])), index);
+}
+
+void gsRankOut(gsFleet const& fleet, std::vector<std::size_t>& members,
+               std::size_t index)
+{
+  auto found = FirstAt(fleet, members, KeyOf(fleet.Rows[index]));
+  found = std::find(found, members.cend(), index);
+  if (found != members.cend()) {
+    members.erase(found);
+  }
+}
+
+std::uint32_t gsRankOf(gsFleet const& fleet, gsFleetRow const& row)
+{
+  auto members = fleet.ByService.find(row.Listed.Service);
+  if (members == fleet.ByService.end()) {
+    return 0;
   }
+  auto first = FirstAt(fleet, members->second, KeyOf(row));
+  return static_cast<std::uint32_t>(first - members->second.begin());
 }
 
 void gsNoteDemand(gsFleet& fleet, gsPlacementAsk const& ask, gsTime now)
@@ -210,7 +264,7 @@
 void gsNoteHold(gsFleet& fleet, gsFleetRow const& row, gsTime held)
 {
   std::string const& service = row.Listed.Service;
-  bool isLong = row.Rank < gsLongEngines(fleet, service);
+  bool isLong = gsIsLongEngine(fleet, row);
   gsDemand& demand = fleet.Demand[service];
   double& hold = isLong ? demand.HoldLong : demand.HoldTight;
   double millis = gsToSeconds(held) * 1e3;
@@ -278,3 +332,24 @@
   bool none = !fleet.Settings.Groups || known == fleet.Arrangements.end();
   return none ? 0 : known->second.LongEngines;
 }
+
+std::optional<gsEngineKey> gsLongBorder(gsFleet const& fleet,
+                                        std::string_view service)
+{
+  auto members = fleet.ByService.find(std::string(service));
+  if (members == fleet.ByService.end()) {
+    return std::nullopt;
+  }
+  return BorderAfter(fleet, members->second, gsLongEngines(fleet, service));
+}
+
+bool gsIsBefore(gsFleetRow const& row,
+                std::optional<gsEngineKey> const& border)
+{
+  return border && !(*border < KeyOf(row));
+}
+
+bool gsIsLongEngine(gsFleet const& fleet, gsFleetRow const& row)
+{
+  return gsIsBefore(row, gsLongBorder(fleet, row.Listed.Service));
+}
--- /dev/null
+++ b/Source/Core/gsColdStart.cxx
@@ -0,0 +1,41 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsColdStart.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "gsRendezvous.h"
+
+namespace {
+
+/**
+ * Share of the rate that all hosts use together: the rest is for the requests
+ * that a host may send at both ends of a second, and for hosts that do not
+ * know of each other.
+ */
+constexpr double ColdUse = 0.5;
+
+/** A number between 0 and 1 that every host computes alike. */
+double Draw(std::string_view host, std::string_view upstream)
+{
+  constexpr double most =
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  std::uint64_t weight = gsRendezvousWeight(host, gsHashText(upstream));
+  return static_cast<double>(weight) / most;
+}
+
+} // namespace
+
+gsColdShare gsShareOfCold(double perSecond, std::size_t hosts,
+                          std::string_view host, std::string_view upstream)
+{
+  if (perSecond <= 0) {
+    return { true, gsTime{} };
+  }
+  double share =
+    perSecond * ColdUse / static_cast<double>(std::max<std::size_t>(1, hosts));
+  if (share >= 1) {
+    return { true, gsFromSeconds(1 / share) };
+  }
+  return { Draw(host, upstream) < share, gsSeconds(1) };
+}
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <utility>
 
 #include "gsArrangement.h"
 #include "gsRendezvous.h"
@@ -36,41 +38,162 @@
 
 } // namespace
 
+namespace {
+
+gsRingEntry EntryOf(gsFleet const& fleet, std::size_t index)
+{
+  return { gsRingPosition(fleet.Rows[index].Listed.Id),
+           static_cast<std::uint32_t>(index) };
+}
+
+/** Puts a row into all orders; its place in Rows is final. */
+void Enter(gsFleet& fleet, std::size_t index)
+{
+  gsFleetRow& row = fleet.Rows[index];
+  std::string const& service = row.Listed.Service;
+  row.Slow = gsIsSlowEngine(fleet.Arrangements[service], row);
+  fleet.ById[row.Listed.Id] = index;
+  fleet.ByHash[row.Hash] = index;
+  ++fleet.HallRows[row.Listed.Hall];
+  fleet.LeavingRows += row.Listed.Leaving ? 1 : 0;
+  gsRankIn(fleet, fleet.ByService[service], index);
+  gsRingInsert(fleet.Rings[service], EntryOf(fleet, index));
+}
+
+/** Takes a row out of all orders. */
+void Exit(gsFleet& fleet, std::size_t index)
+{
+  gsFleetRow& row = fleet.Rows[index];
+  fleet.LeavingRows -= row.Listed.Leaving ? 1 : 0;
+  auto members = fleet.ByService.find(row.Listed.Service);
+  gsRankOut(fleet, members->second, index);
+  gsEngineRing& ring = fleet.Rings[row.Listed.Service];
+  gsRingErase(ring, EntryOf(fleet, index));
+  if (members->second.empty()) {
+    fleet.Rings.erase(row.Listed.Service);
+    fleet.ByService.erase(members);
+  }
+  auto hall = fleet.HallRows.find(row.Listed.Hall);
+  if (--hall->second == 0) {
+    fleet.HallRows.erase(hall);
+  }
+  auto hash = fleet.ByHash.find(row.Hash);
+  if (hash != fleet.ByHash.end() && hash->second == index) {
+    fleet.ByHash.erase(hash);
+  }
+  fleet.ById.erase(row.Listed.Id);
+}
+
+std::uint32_t HashOf(gsListedUpstream const& listed)
+{
+  return static_cast<std::uint32_t>(
+    gsRendezvousWeight(listed.Id, listed.Born));
+}
+
+/** A row that stays: what was learned of it holds on. */
+void Renew(gsFleet& fleet, std::size_t index, gsListedUpstream const& listed)
+{
+  gsFleetRow& row = fleet.Rows[index];
+  if (!row.GroupBefore) {
+    row.GroupBefore =
+      gsGroupUnder(fleet, fleet.Arrangements[listed.Service], row);
+  }
+  bool moved =
+    row.Listed.Service != listed.Service || row.Listed.Hall != listed.Hall;
+  if (!moved) {
+    fleet.LeavingRows -= row.Listed.Leaving ? 1 : 0;
+    fleet.LeavingRows += listed.Leaving ? 1 : 0;
+    row.Listed = listed;
+    return;
+  }
+  Exit(fleet, index);
+  row.Listed = listed;
+  Enter(fleet, index);
+}
+
+} // namespace
+
+void gsFleetPut(gsFleet& fleet, gsListedUpstream const& listed, gsTime now)
+{
+  auto known = fleet.ById.find(listed.Id);
+  bool fresh = known == fleet.ById.end();
+  std::size_t index = fresh ? fleet.Rows.size() : known->second;
+  bool stays = !fresh && fleet.Rows[index].Listed.Born == listed.Born;
+  if (stays) {
+    Renew(fleet, index, listed);
+  } else {
+    if (fresh) {
+      fleet.Rows.emplace_back();
+    } else {
+      Exit(fleet, index);
+      fleet.Rows[index] = {};
+      fleet.Rows[index].RestartedAt = now;
+    }
+    fleet.Rows[index].Listed = listed;
+    fleet.Rows[index].Hash = HashOf(listed);
+    Enter(fleet, index);
+  }
+  gsTime cold = listed.ColdLeft;
+  fleet.Rows[index].ColdUntil = cold.count() > 0 ? now + cold : gsTime{};
+}
+
+void gsFleetDrop(gsFleet& fleet, std::string_view id)
+{
+  auto known = fleet.ById.find(std::string(id));
+  if (known == fleet.ById.end()) {
+    return;
+  }
+  std::size_t index = known->second;
+  std::size_t last = fleet.Rows.size() - 1;
+  Exit(fleet, index);
+  if (index != last) {
+    Exit(fleet, last);
+    fleet.Rows[index] = std::move(fleet.Rows[last]);
+    Enter(fleet, index);
+  }
+  fleet.Rows.pop_back();
+}
+
 void gsFleetTake(gsFleet& fleet, std::vector<gsListedUpstream> const& listed,
                  gsTime now)
 {
-  std::vector<gsFleetRow> rows;
-  rows.reserve(listed.size());
+  std::set<std::string_view> ids;
   for (gsListedUpstream const& entry : listed) {
-    gsFleetRow row;
-    gsFleetRow* known = gsFleetFind(fleet, entry.Id);
-    bool restarted = known != nullptr && known->Listed.Born != entry.Born;
-    if (restarted) {
-      row.RestartedAt = now;
-    } else if (known != nullptr) {
-      row = std::move(*known);
-      if (!row.GroupBefore) {
-        row.GroupBefore = gsGroupUnder(fleet.Arrangements[entry.Service], row);
-      }
+    ids.insert(entry.Id);
+  }
+  std::vector<std::string> gone;
+  for (gsFleetRow const& row : fleet.Rows) {
+    if (ids.count(row.Listed.Id) == 0) {
+      gone.push_back(row.Listed.Id);
     }
-    row.Listed = entry;
-    row.Hash =
-      static_cast<std::uint32_t>(gsRendezvousWeight(entry.Id, entry.Born));
-    rows.push_back(std::move(row));
   }
-  fleet.Rows = std::move(rows);
-  fleet.ById.clear();
-  fleet.ByService.clear();
-  for (std::size_t i = 0; i < fleet.Rows.size(); ++i) {
-    gsListedUpstream const& entry = fleet.Rows[i].Listed;
-    fleet.ById[entry.Id] = i;
-    fleet.ByService[entry.Service].push_back(i);
+  for (std::string const& id : gone) {
+    gsFleetDrop(fleet, id);
   }
-  for (auto& [service, members] : fleet.ByService) {
-    gsRankEngines(fleet, service, members);
+  for (gsListedUpstream const& entry : listed) {
+    gsFleetPut(fleet, entry, now);
   }
 }
 
+void gsNoteEvacuated(gsFleet& fleet, std::set<std::string> const& halls,
+                     gsTime now)
+{
+  for (auto known = fleet.Evacuated.begin(); known != fleet.Evacuated.end();) {
+    bool holds = halls.count(known->first) != 0;
+    known = holds ? std::next(known) : fleet.Evacuated.erase(known);
+  }
+  for (std::string const& hall : halls) {
+    fleet.Evacuated.emplace(hall, now);
+  }
+}
+
+bool gsTakesWork(gsFleet const& fleet, gsFleetRow const& row)
+{
+  bool evacuated =
+    !fleet.Evacuated.empty() && fleet.Evacuated.count(row.Listed.Hall) != 0;
+  return !row.Listed.Leaving && !evacuated;
+}
+
 gsFleetRow* gsFleetFind(gsFleet& fleet, std::string_view id)
 {
   auto found = fleet.ById.find(std::string(id));
@@ -126,6 +249,7 @@
   if (row.Pauses >= PaceEvents) {
     bool isOld = row.Pace <= 0 || now - row.PaceSince > PaceSpan;
     row.Pace = isOld ? row.LeastPause : std::min(row.Pace, row.LeastPause);
+    gsNoteWorking(fleet, row);
     row.PaceSince = isOld ? now : row.PaceSince;
     row.Pauses = 0;
   }
@@ -133,8 +257,16 @@
 
 void gsForgetPaces(gsFleet& fleet, gsTime now)
 {
-  for (gsFleetRow& row : fleet.Rows) {
+  gsForEachWorking(fleet, now, [now](gsFleetRow& row) {
     row.Pace = now - row.PaceSince > PaceMemory ? 0 : row.Pace;
+  });
+}
+
+void gsNoteWorking(gsFleet& fleet, gsFleetRow& row)
+{
+  if (!row.Working) {
+    row.Working = true;
+    fleet.Working.push_back(row.Hash);
   }
 }
 
@@ -165,9 +297,10 @@
   }
 }
 
-void gsNoteTurnedAway(gsFleetRow& row, gsTime now)
+void gsNoteTurnedAway(gsFleet& fleet, gsFleetRow& row, gsTime now)
 {
   row.FullUntil = now + FullMemory;
+  gsNoteWorking(fleet, row);
 }
 
 void gsNoteUnreachable(gsFleetRow& row, gsTime now)
@@ -177,9 +310,12 @@
   ++row.Unreachable;
 }
 
-void gsNoteHeard(gsFleetRow& row, gsTime now)
+void gsNoteHeard(gsFleet& fleet, gsFleetRow& row, gsTime now)
 {
   row.LastHeard = now;
+  if (row.Listed.Hall != fleet.Settings.Hall) {
+    fleet.HallHeard[row.Listed.Hall] = now;
+  }
   row.Unreachable = 0;
   row.AvoidUntil = gsTime{};
 }
@@ -202,11 +338,10 @@
     if (reach.Failed.empty()) {
       continue;
     }
-    gsTime heard{};
-    for (gsFleetRow const& row : fleet.Rows) {
-      heard = row.Listed.Hall == hall ? std::max(heard, row.LastHeard) : heard;
-    }
-    if (gsHallNoteHeard(fleet.Halls, hall, heard)) {
+    auto heard = fleet.HallHeard.find(hall);
+    bool back = heard != fleet.HallHeard.end() &&
+                gsHallNoteHeard(fleet.Halls, hall, heard->second);
+    if (back) {
       for (gsFleetRow& row : fleet.Rows) {
         row.AvoidUntil = row.Listed.Hall == hall ? gsTime{} : row.AvoidUntil;
       }
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -11,13 +11,15 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "gsEngineOrder.h"
 #include "gsHallReach.h"
 #include "gsInterference.h"
 #include "gsLoadExchange.h"
@@ -58,6 +60,7 @@
   /** The platform may take it away at short notice, with all such upstreams of
    * its hall. */
   bool Withdrawable = false;
+  gsTime ColdLeft{}; ///< For how long it was slow yet, when its row was read.
 };
 
 /** Open work at an upstream. */
@@ -96,8 +99,11 @@
   /** When this host learned that it had started again under its id; zero if it
    * has not. */
   gsTime RestartedAt{};
-  /** Among its service's rows: slow engines first, then by hash. */
-  std::uint32_t Rank = 0;
+  /** It is one of the slow engines of its service, as was decided for all. */
+  bool Slow = false;
+  /** It is cold until then, and collapses above a few requests a second. */
+  gsTime ColdUntil{};
+  gsTime ColdSentAt{}; ///< When this host last sent it one while cold.
   /**
    * Group that the engine was in before the last change of the division;
    * absent for one that was not listed then.
@@ -127,12 +133,17 @@
   double OthersPace = 0;    ///< Least that another host has measured.
   /** Parts read there by this host's requests, newest last. */
   std::unordered_map<std::uint64_t, gsTime> Parts;
+  /** It stands in gsFleet::Working. */
+  bool Working = false;
 };
 
 /** What the choice depends on, beside the rows. */
 struct gsFleetSettings
 {
-  std::string Hall;            ///< Of this host.
+  std::string Host; ///< This host's name,
+  std::string Hall; ///< and its hall.
+  /** The region of each hall; empty where there is but one. */
+  std::map<std::string, std::string, std::less<>> Regions;
   double RunningTokens = 40;   ///< Cost of one running request.
   double OtherHallTokens = 60; ///< Cost of an upstream of another hall.
   double FailTokens = 20000;   ///< Cost of an upstream that always fails.
@@ -190,29 +201,58 @@
   gsHallReachSettings HallReach;
 };
 
-/** All upstreams. */
+/**
+ * All upstreams. Rows come, change and go one by one; what that takes does not
+ * grow with their number, but for moving a few bytes of each in the orders.
+ */
 struct gsFleet
 {
   gsFleetSettings Settings;
-  std::vector<gsFleetRow> Rows;
+  std::vector<gsFleetRow> Rows; ///< In no order; the last fills a gap.
   std::unordered_map<std::string, std::size_t> ById;
-  /** Rows by service; rebuilt with ById whenever rows come or go. */
+  /** By gsFleetRow::Hash; of two with the same one of them. */
+  std::unordered_map<std::uint32_t, std::size_t> ByHash;
+  /** Rows by service: slow engines first, then by hash. */
   std::unordered_map<std::string, std::vector<std::size_t>> ByService;
+  /** Rows by service, on the ring from which subjects' homes are taken. */
+  std::unordered_map<std::string, gsEngineRing> Rings;
+  std::map<std::string, std::size_t> HallRows; ///< How many each hall has.
+  std::size_t LeavingRows = 0;                 ///< Of upstreams that leave.
+  /** Hashes of the rows that this host may have something to tell of. */
+  std::vector<std::uint32_t> Working;
   std::unordered_map<std::string, gsDemand> Demand; ///< By service.
   /** How each service's engines are divided, as last decided by any host. */
   std::unordered_map<std::string, gsEngineArrangement> Arrangements;
   gsHallReaches Halls; ///< Which other halls can be reached.
+  /** When any upstream of a hall was last heard from; by hall. */
+  std::map<std::string, gsTime, std::less<>> HallHeard;
+  /** Halls whose upstreams get nothing new, by the operator's word, and since
+   * when. */
+  std::map<std::string, gsTime, std::less<>> Evacuated;
   std::unordered_map<std::string, gsEnginePace> Paces; ///< By service.
 };
 
 /**
- * Takes the platform's whole list. Rows that stay keep what was learned; rows
- * that are gone are forgotten, and so is all that was learned of an upstream
- * before it started again.
+ * Takes an upstream in as it is listed now. A row that stays keeps what was
+ * learned; one that has started again keeps nothing.
  */
+void gsFleetPut(gsFleet& fleet, gsListedUpstream const& listed, gsTime now);
+
+/** Forgets an upstream that is gone. */
+void gsFleetDrop(gsFleet& fleet, std::string_view id);
+
+/** Takes a whole list: puts all of it, and drops what is not in it. */
 void gsFleetTake(gsFleet& fleet, std::vector<gsListedUpstream> const& listed,
                  gsTime now = gsTime{});
 
+/** Notes which halls are evacuated; the others are not any more. */
+void gsNoteEvacuated(gsFleet& fleet, std::set<std::string> const& halls,
+                     gsTime now);
+
+/** Whether an upstream may get anything new: it does not leave, and its hall
+ * is not evacuated. */
+bool gsTakesWork(gsFleet const& fleet, gsFleetRow const& row);
+
 /** The row of an upstream; null when it is gone. */
 gsFleetRow* gsFleetFind(gsFleet& fleet, std::string_view id);
 
@@ -230,6 +270,16 @@
 /** Forgets paces that this host has not measured again for long. */
 void gsForgetPaces(gsFleet& fleet, gsTime now);
 
+/** Notes that there may be something to tell other hosts of a row. */
+void gsNoteWorking(gsFleet& fleet, gsFleetRow& row);
+
+/**
+ * Calls back with each row of which this host has something to tell, and
+ * forgets the others. The time is that of these rows, not of all.
+ */
+template<typename Function>
+void gsForEachWorking(gsFleet& fleet, gsTime now, Function const& function);
+
 /** Work at an upstream by this host and, as last heard, all others. */
 gsOpenWork gsWorkAt(gsFleet const& fleet, gsFleetRow const& row, gsTime now);
 
@@ -244,7 +294,7 @@
  * Notes that an upstream has turned an attempt away: it holds work that no
  * host has told of, such as that of hosts that are gone.
  */
-void gsNoteTurnedAway(gsFleetRow& row, gsTime now);
+void gsNoteTurnedAway(gsFleet& fleet, gsFleetRow& row, gsTime now);
 
 /** This host's work at an upstream, as other hosts should count it. */
 gsOpenWork gsOwnWork(gsFleetRow const& row, gsTime now);
@@ -265,7 +315,26 @@
 void gsRefreshHalls(gsFleet& fleet, gsTime now);
 
 /** Notes bytes of an answer. */
-void gsNoteHeard(gsFleetRow& row, gsTime now);
+void gsNoteHeard(gsFleet& fleet, gsFleetRow& row, gsTime now);
 
 /** Share of failures now, after its decay. */
 double gsFailShare(gsFleetRow const& row, gsTime now);
+
+template<typename Function>
+void gsForEachWorking(gsFleet& fleet, gsTime now, Function const& function)
+{
+  std::size_t kept = 0;
+  for (std::uint32_t hash : fleet.Working) {
+    auto found = fleet.ByHash.find(hash);
+    if (found == fleet.ByHash.end()) {
+      continue;
+    }
+    gsFleetRow& row = fleet.Rows[found->second];
+    row.Working = row.Own.Running > 0 || now < row.FullUntil || row.Pace > 0;
+    if (row.Working) {
+      fleet.Working[kept++] = hash;
+      function(row);
+    }
+  }
+  fleet.Working.resize(kept);
+}
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -41,13 +41,21 @@
                               gsPlacementAsk const& ask, gsTime now,
                               gsPlacementCause before)
 {
-  if (row.Listed.Leaving || WasTried(ask, row) ||
+  if (!gsTakesWork(fleet, row) || WasTried(ask, row) ||
       before == gsPlacementCause::Full) {
     return before;
   }
   if (MayGet(fleet, row, ask, now)) {
     return gsPlacementCause::Full;
   }
+  if (!IsAllowed(fleet, row, ask)) {
+    return before == gsPlacementCause::NoUpstream
+             ? gsPlacementCause::OutsideRegions
+             : before;
+  }
+  if (IsTooCold(fleet, row, ask, now)) {
+    return gsPlacementCause::Cold;
+  }
   bool unreachable =
     row.AvoidUntil > now || !gsHallMayTry(fleet.Halls, row.Listed.Hall, now);
   return unreachable ? gsPlacementCause::Unreachable
@@ -65,8 +73,16 @@
   gsPlacement Best;  ///< Of those considered so far.
   double Share;      ///< Best's time to the first token, of the target.
   std::size_t Looks; ///< Upstreams that the request looks at.
+  gsCandidates Among;
 };
 
+/** Upstreams of the service for each one that is weighed. */
+double MembersOfEach(Search const& search)
+{
+  return static_cast<double>(search.Among.Members) /
+         static_cast<double>(search.Among.Rows.size());
+}
+
 /**
  * Of engines with a whole batch waiting behind their slots nobody knows which
  * turns the next request away, and a subject gains nothing by waiting at its
@@ -127,9 +143,9 @@
   }
 }
 
-/** Slots that are free at the upstreams for this kind of request. */
-std::size_t FreeSlots(Search const& search,
-                      std::vector<std::size_t> const& rows)
+/** Slots that are free at the upstreams for this kind of request, by those
+ * that are weighed. */
+double FreeSlots(Search const& search, std::vector<std::size_t> const& rows)
 {
   std::size_t slots = 0;
   for (std::size_t index : rows) {
@@ -140,19 +156,20 @@
     slots +=
       counts ? row.Listed.Slots - std::min(row.Listed.Slots, running) : 0;
   }
-  return slots;
+  return static_cast<double>(slots) * MembersOfEach(search);
 }
 
 std::size_t LooksOf(Search const& search, std::vector<std::size_t> const& rows)
 {
   std::size_t hosts = search.Ask.Hosts;
   std::uint32_t slots = search.Fleet.Rows[rows.front()].Listed.Slots;
-  std::size_t looks = gsLooks(rows.size(), slots, hosts);
+  std::size_t looks = gsLooks(search.Among.Members, slots, hosts);
   // What reads no prompt is done at once: the nearest idle one serves it best.
   if (search.Ask.PromptTokens == 0 || looks >= rows.size()) {
     return rows.size();
   }
-  bool scarce = FreeSlots(search, rows) < FreeSlotsOfEach * hosts;
+  bool scarce =
+    FreeSlots(search, rows) < static_cast<double>(FreeSlotsOfEach * hosts);
   return scarce ? looks : rows.size();
 }
 
@@ -174,7 +191,7 @@
   }
   std::vector<std::pair<std::uint64_t, std::size_t>> order;
   std::vector<std::size_t> chosen;
-  for (std::size_t index : rows) {
+  for (std::size_t index : search.Among.Homes) {
     gsFleetRow const& row = search.Fleet.Rows[index];
     if (HoldsShared(search.Fleet, row, search.Ask, search.Now)) {
       chosen.push_back(index);
@@ -261,7 +278,7 @@
   }
   std::uniform_real_distribution<double> draw(0, 1);
   double wanted = draw(search.Random) * static_cast<double>(search.Ask.Hosts);
-  if (all <= 0 || all < wanted) {
+  if (all <= 0 || all * MembersOfEach(search) < wanted) {
     return {};
   }
   std::discrete_distribution<std::size_t> one(places.begin(), places.end());
@@ -285,8 +302,9 @@
 }
 
 /** Looks at what the request is to look at, until one will do. */
-void LookAround(Search& search, std::vector<std::size_t> const& rows)
+void LookAround(Search& search)
 {
+  std::vector<std::size_t> const& rows = search.Among.Rows;
   Consider(search, FirstLooks(search, rows));
   if (search.Looks >= rows.size()) {
     return;
@@ -338,6 +356,10 @@
       return "no_connection";
     case gsPlacementCause::Full:
       return "full";
+    case gsPlacementCause::Cold:
+      return "cold";
+    case gsPlacementCause::OutsideRegions:
+      return "outside_regions";
     case gsPlacementCause::Unreachable:
       break;
   }
@@ -393,35 +415,62 @@
   return ask.PromptTokens - std::min(cached, ask.PromptTokens);
 }
 
-gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& asked, gsTime now,
-                    gsRandom& random)
+namespace {
+
+/** A request as it is placed: a few of a less urgent kind take any place. */
+gsPlacementAsk WithLuck(gsPlacementAsk const& asked, gsRandom& random)
 {
-  auto rows = fleet.ByService.find(std::string(asked.Service));
-  if (rows == fleet.ByService.end()) {
-    return {};
-  }
-  gsRefreshHalls(fleet, now);
   gsPlacementAsk ask = asked;
   std::uniform_real_distribution<double> draw(0, 1);
   if (ask.MoreUrgentKinds > 0 && draw(random) < LeastShare) {
     ask.MoreUrgentKinds = 0;
   }
-  Choice choice = MakeChoice(fleet, rows->second, ask, now);
-  Search search{ fleet, ask, choice, now, random, {}, 0, 0 };
-  search.Looks = LooksOf(search, rows->second);
-  search.Best.Group =
-    choice.LongEngines == 0 ? gsFleetGroup::Any : choice.Group;
-  LookAround(search, rows->second);
+  return ask;
+}
+
+/** Notes the choice, and where it may take the shared parts from. */
+void Settle(Search& search)
+{
   gsPlacement& best = search.Best;
-  if (best.Row != nullptr) {
-    gsHallNoteTry(fleet.Halls, fleet.Settings.HallReach, best.Row->Listed.Hall,
-                  now);
-    best.Holder = HolderFor(fleet, rows->second, ask, choice, *best.Row, now);
+  gsPlacementAsk const& ask = search.Ask;
+  gsFleet& fleet = search.Fleet;
+  if (best.Row == nullptr) {
+    return;
   }
+  gsHallNoteTry(fleet.Halls, fleet.Settings.HallReach, best.Row->Listed.Hall,
+                search.Now);
+  best.Holder =
+    HolderFor(fleet, search.Among, ask, search.Common, *best.Row, search.Now);
   if (best.Holder != nullptr) {
     best.ReadTokens = std::min(
       best.ReadTokens,
       ask.PromptTokens - std::min(ask.PromptTokens, gsSharedTokens(ask)));
   }
-  return best;
+}
+
+} // namespace
+
+gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& asked, gsTime now,
+                    gsRandom& random)
+{
+  gsRefreshHalls(fleet, now);
+  gsPlacementAsk ask = WithLuck(asked, random);
+  Choice choice = MakeChoice(fleet, ask);
+  gsCandidateAsk wanted{ ask.Service, gsSubjectOf(ask), choice.Group,
+                         choice.Border };
+  Search search{ fleet, ask,    choice,
+                 now,   random, {},
+                 0,     0,      gsCandidatesFor(fleet, wanted, random) };
+  if (search.Among.Rows.empty()) {
+    return {};
+  }
+  NoteCandidates(choice, fleet, search.Among, ask, now);
+  search.Looks = LooksOf(search, search.Among.Rows);
+  search.Best.Group = choice.Border ? choice.Group : gsFleetGroup::Any;
+  LookAround(search);
+  if (search.Best.Row == nullptr) {
+    Consider(search, gsFurtherCandidates(fleet, wanted, random));
+  }
+  Settle(search);
+  return search.Best;
 }
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -35,6 +35,15 @@
   /** Hosts that choose among the same upstreams at the same time, each by a
    * view of the others' work that is some tenths of a second old. */
   std::size_t Hosts = 1;
+  /** The most hosts that there were of late, in all parts of a system that may
+   * be cut: what all share is divided by it. */
+  std::size_t HostsOfLate = 1;
+  /** Requests a second that a cold upstream bears of all hosts; 0 for any. */
+  double ColdPerSecond = 0;
+  /** Regions outside of which the request may not be served, by its route and
+   * by its organisation; both bind. Null or empty for any. */
+  std::vector<std::string> const* RouteRegions = nullptr;
+  std::vector<std::string> const* OrganisationRegions = nullptr;
   /** Kinds of requests of the service that are more urgent than this one; such
    * a request leaves places at the engines to these. */
   std::uint32_t MoreUrgentKinds = 0;
@@ -45,13 +54,15 @@
 /** Why a request can or cannot be placed. */
 enum class gsPlacementCause
 {
-  Cached,       ///< The upstream has read part of the prompt before.
-  Preferred,    ///< All hosts prefer it for the request's subject.
-  LeastLoaded,  ///< The cheapest of all.
-  NoUpstream,   ///< The service has none that may get work.
-  NoConnection, ///< This host's share of connections is used up at all.
-  Full,         ///< The places left are for more urgent requests.
-  Unreachable   ///< It has some, and none can be reached for now.
+  Cached,         ///< The upstream has read part of the prompt before.
+  Preferred,      ///< All hosts prefer it for the request's subject.
+  LeastLoaded,    ///< The cheapest of all.
+  NoUpstream,     ///< The service has none that may get work.
+  NoConnection,   ///< This host's share of connections is used up at all.
+  Full,           ///< The places left are for more urgent requests.
+  Cold,           ///< Those left are cold, and have got what they bear.
+  OutsideRegions, ///< There are some, and none where it may be served.
+  Unreachable     ///< It has some, and none can be reached for now.
 };
 
 char const* gsPlacementWord(gsPlacementCause cause);
@@ -86,7 +97,8 @@
  */
 std::uint32_t gsMostOpen(std::uint32_t slots, std::uint32_t moreUrgentKinds);
 
-/** Chooses an upstream; the random source breaks ties between hosts. */
+/** Chooses an upstream; the random source breaks ties between hosts. Time does
+ * not grow with the number of upstreams beyond some hundreds. */
 gsPlacement gsPlace(gsFleet& fleet, gsPlacementAsk const& asked, gsTime now,
                     gsRandom& random);
 
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <limits>
+#include <string>
 
 #include "gsArrangement.h"
+#include "gsColdStart.h"
 #include "gsRendezvous.h"
 
 namespace gsPlacementDetail {
@@ -77,6 +79,13 @@
   return ask.MostOwn == 0 || row.Own.Running < ask.MostOwn;
 }
 
+/** Whether a list names a region; one that is empty or absent names all. */
+bool Names(std::vector<std::string> const* regions, std::string const& region)
+{
+  return regions == nullptr || regions->empty() ||
+         std::find(regions->begin(), regions->end(), region) != regions->end();
+}
+
 } // namespace
 
 bool WasTried(gsPlacementAsk const& ask, gsFleetRow const& row)
@@ -92,12 +101,39 @@
   return false;
 }
 
+bool IsAllowed(gsFleet const& fleet, gsFleetRow const& row,
+               gsPlacementAsk const& ask)
+{
+  bool any =
+    (ask.RouteRegions == nullptr || ask.RouteRegions->empty()) &&
+    (ask.OrganisationRegions == nullptr || ask.OrganisationRegions->empty());
+  if (any) {
+    return true;
+  }
+  auto region = fleet.Settings.Regions.find(row.Listed.Hall);
+  return region != fleet.Settings.Regions.end() &&
+         Names(ask.RouteRegions, region->second) &&
+         Names(ask.OrganisationRegions, region->second);
+}
+
+bool IsTooCold(gsFleet const& fleet, gsFleetRow const& row,
+               gsPlacementAsk const& ask, gsTime now)
+{
+  if (row.ColdUntil <= now) {
+    return false;
+  }
+  gsColdShare share = gsShareOfCold(ask.ColdPerSecond, ask.HostsOfLate,
+                                    fleet.Settings.Host, row.Listed.Id);
+  return !share.Sends || now - row.ColdSentAt < share.Gap;
+}
+
 bool MayGet(gsFleet const& fleet, gsFleetRow const& row,
             gsPlacementAsk const& ask, gsTime now)
 {
-  return HasConnection(row, ask) && !row.Listed.Leaving &&
+  return HasConnection(row, ask) && gsTakesWork(fleet, row) &&
          row.AvoidUntil <= now && !WasTried(ask, row) &&
-         gsHallMayTry(fleet.Halls, row.Listed.Hall, now);
+         gsHallMayTry(fleet.Halls, row.Listed.Hall, now) &&
+         IsAllowed(fleet, row, ask) && !IsTooCold(fleet, row, ask, now);
 }
 
 bool HasPlace(gsFleet const& fleet, gsFleetRow const& row,
@@ -109,10 +145,10 @@
 
 bool InGroup(gsFleetRow const& row, Choice const& choice)
 {
-  if (choice.Group == gsFleetGroup::Any || choice.LongEngines == 0) {
+  if (choice.Group == gsFleetGroup::Any || !choice.Border) {
     return true;
   }
-  bool isLong = row.Rank < choice.LongEngines;
+  bool isLong = gsIsBefore(row, choice.Border);
   return isLong == (choice.Group == gsFleetGroup::Long);
 }
 
@@ -154,9 +190,10 @@
 }
 
 /** Whether other engines may take parts from it, as far as is known. */
-bool CanHandOver(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
+bool CanHandOver(gsFleet const& fleet, gsFleetRow const& row,
+                 gsPlacementAsk const& ask, gsTime now)
 {
-  return row.AvoidUntil <= now &&
+  return row.AvoidUntil <= now && IsAllowed(fleet, row, ask) &&
          !gsHallIsCutOff(fleet.Halls, row.Listed.Hall);
 }
 
@@ -170,7 +207,7 @@
                       [&](gsFleetRow const& row) {
                         bool fits = row.GroupBefore == gsFleetGroup::Any ||
                                     row.GroupBefore == choice.Group;
-                        return fits && CanHandOver(fleet, row, now);
+                        return fits && CanHandOver(fleet, row, ask, now);
                       });
 }
 
@@ -241,7 +278,7 @@
   gsOpenWork work = gsWorkAt(fleet, row, now);
   double slots = std::max(1U, row.Listed.Slots);
   double queued = std::max(0.0, work.Running + 1.0 - slots);
-  bool isLong = row.Rank < choice.LongEngines;
+  bool isLong = gsIsBefore(row, choice.Border);
   double hold = isLong ? choice.HoldLong : choice.HoldTight;
   double wait = queued * hold / slots / ask.TokenMillis;
   double tokens = static_cast<double>(work.ReadTokens) + toRead;
@@ -273,7 +310,7 @@
 }
 
 gsFleetRow const* HolderFor(gsFleet const& fleet,
-                            std::vector<std::size_t> const& rows,
+                            gsCandidates const& candidates,
                             gsPlacementAsk const& ask, Choice const& choice,
                             gsFleetRow const& chosen, gsTime now)
 {
@@ -281,9 +318,10 @@
   if (!movable || HoldsShared(fleet, chosen, ask, now)) {
     return nullptr;
   }
-  for (std::size_t index : rows) {
+  for (std::size_t index : candidates.Rows) {
     gsFleetRow const& row = fleet.Rows[index];
-    if (CanHandOver(fleet, row, now) && HoldsShared(fleet, row, ask, now)) {
+    if (CanHandOver(fleet, row, ask, now) &&
+        HoldsShared(fleet, row, ask, now)) {
       return &row;
     }
   }
@@ -291,15 +329,16 @@
   if (&chosen != choice.Preferred && !fresh) {
     return choice.Preferred;
   }
-  gsFleetRow const* before = PreferredBefore(fleet, rows, ask, choice, now);
+  gsFleetRow const* before =
+    PreferredBefore(fleet, candidates.Homes, ask, choice, now);
   if (before != nullptr && before != &chosen) {
     return before;
   }
   // What its home could not take has gone to the next in its order.
-  return FirstInOrder(fleet, rows, gsSubjectOf(ask),
+  return FirstInOrder(fleet, candidates.Homes, gsSubjectOf(ask),
                       [&](gsFleetRow const& row) {
                         return &row != &chosen && InGroup(row, choice) &&
-                               CanHandOver(fleet, row, now);
+                               CanHandOver(fleet, row, ask, now);
                       });
 }
 
@@ -348,13 +387,11 @@
 
 } // namespace
 
-Choice MakeChoice(gsFleet const& fleet, std::vector<std::size_t> const& rows,
-                  gsPlacementAsk const& ask, gsTime now)
+Choice MakeChoice(gsFleet const& fleet, gsPlacementAsk const& ask)
 {
   Choice choice;
-  choice.UsualFailShare = MeanFailShare(fleet, rows, now);
   choice.Group = ask.Group;
-  choice.LongEngines = gsLongEngines(fleet, ask.Service);
+  choice.Border = gsLongBorder(fleet, ask.Service);
   auto demand = fleet.Demand.find(std::string(ask.Service));
   if (demand != fleet.Demand.end()) {
     choice.HoldLong = demand->second.HoldLong;
@@ -362,10 +399,17 @@
   }
   auto pace = fleet.Paces.find(std::string(ask.Service));
   choice.Pace = pace == fleet.Paces.end() ? nullptr : &pace->second;
-  choice.Preferred = PreferredFor(fleet, rows, ask, choice, now);
   return choice;
 }
 
+void NoteCandidates(Choice& choice, gsFleet const& fleet,
+                    gsCandidates const& candidates, gsPlacementAsk const& ask,
+                    gsTime now)
+{
+  choice.UsualFailShare = MeanFailShare(fleet, candidates.Rows, now);
+  choice.Preferred = PreferredFor(fleet, candidates.Homes, ask, choice, now);
+}
+
 double TotalCost(gsFleet const& fleet, gsFleetRow const& row,
                  gsPlacementAsk const& ask, Choice const& choice,
                  std::uint32_t toRead, gsTime now)
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -9,8 +9,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
+#include "gsCandidates.h"
 #include "gsPlacement.h"
 
 namespace gsPlacementDetail {
@@ -25,17 +27,32 @@
   double UsualFailShare = 0;
   gsFleetRow const* Preferred = nullptr; ///< Of the request's subject.
   gsFleetGroup Group = gsFleetGroup::Any;
-  std::uint32_t LongEngines = 0;
+  /** Place of the last engine for long prompts; absent for no groups. */
+  std::optional<gsEngineKey> Border;
   double HoldLong = 0;                ///< See gsDemand.
   double HoldTight = 0;               ///< See gsDemand.
   gsEnginePace const* Pace = nullptr; ///< Of the service; null if unknown.
 };
 
-Choice MakeChoice(gsFleet const& fleet, std::vector<std::size_t> const& rows,
-                  gsPlacementAsk const& ask, gsTime now);
+/** Without Preferred, which depends on the candidates. */
+Choice MakeChoice(gsFleet const& fleet, gsPlacementAsk const& ask);
+
+/** Completes a choice: the upstream on which all hosts agree for the request's
+ * subject, and what is usual among the candidates. */
+void NoteCandidates(Choice& choice, gsFleet const& fleet,
+                    gsCandidates const& candidates, gsPlacementAsk const& ask,
+                    gsTime now);
 
 bool WasTried(gsPlacementAsk const& ask, gsFleetRow const& row);
 
+/** Whether it lies where the request may be served. */
+bool IsAllowed(gsFleet const& fleet, gsFleetRow const& row,
+               gsPlacementAsk const& ask);
+
+/** Whether it is cold, and this host has used its share of it. */
+bool IsTooCold(gsFleet const& fleet, gsFleetRow const& row,
+               gsPlacementAsk const& ask, gsTime now);
+
 /** Whether it may be sent the request at all. */
 bool MayGet(gsFleet const& fleet, gsFleetRow const& row,
             gsPlacementAsk const& ask, gsTime now);
@@ -71,7 +88,7 @@
 
 /** The engine from which the chosen one may take the shared parts. */
 gsFleetRow const* HolderFor(gsFleet const& fleet,
-                            std::vector<std::size_t> const& rows,
+                            gsCandidates const& candidates,
                             gsPlacementAsk const& ask, Choice const& choice,
                             gsFleetRow const& chosen, gsTime now);
 
--- a/Source/Core/gsRouteTable.h
+++ b/Source/Core/gsRouteTable.h
@@ -44,6 +44,8 @@
   gsTime Timeout = gsSeconds(30);
   gsTime Target{};    ///< To the whole answer, or a stream's first event.
   gsTime GapTarget{}; ///< Longest pause between events in target.
+  /** Regions where its requests may be served; empty for all. */
+  std::vector<std::string> Regions;
   /** Least of the pause targets of all routes that share a service with it;
    * zero when none has one. */
   gsTime TightestGapTarget{};
@@ -64,6 +66,9 @@
   std::optional<gsRouteEngine> Engine;
   /** How its upstreams may be ordered; absent where they may not. */
   std::optional<gsScalingTerms> Scaling;
+  /** Requests a second that a cold upstream of it bears of all hosts; 0 where
+   * it bears any number. */
+  double ColdPerSecond = 0;
 };
 
 struct gsRouteOrganisation
@@ -71,6 +76,9 @@
   std::string Name;
   std::vector<std::string> Keys;
   std::optional<std::uint32_t> Priority; ///< Goes before the route's.
+  /** Regions where its requests may be served, beside the route's; empty for
+   * all. */
+  std::vector<std::string> Regions = {};
 };
 
 /** Bounds on what callers send. */
--- a/Source/Core/gsSilence.cxx
+++ b/Source/Core/gsSilence.cxx
@@ -27,7 +27,7 @@
   if (demand == fleet.Demand.end()) {
     return 0;
   }
-  bool isLong = row.Rank < gsLongEngines(fleet, row.Listed.Service);
+  bool isLong = gsIsLongEngine(fleet, row);
   return isLong ? demand->second.HoldLong : demand->second.HoldTight;
 }
 
--- a/Source/Daemon/gsAdapter.h
+++ b/Source/Daemon/gsAdapter.h
@@ -145,6 +145,9 @@
 {
   std::string Routes;    ///< Table of the configuration,
   std::string RoutesKey; ///< and its key there.
+  /** Begin of the keys of the same table that each name a hall which gets
+   * nothing new. */
+  std::string EvacuatedPrefix;
   std::string Upstreams; ///< Table of upstreams; keys are their ids.
   std::string Lease;     ///< Own table of the lease on duties,
   std::string LeaseKey;  ///< and its key there.
--- a/Source/Daemon/gsHallCluster.cxx
+++ b/Source/Daemon/gsHallCluster.cxx
@@ -17,9 +17,6 @@
 constexpr gsTime SilentLimit = gsSeconds(10);
 /** Sizes are logged at most so often: at a start they change all the time. */
 constexpr gsTime LogPeriod = gsSeconds(1);
-/** Until it was told the size of the system a host takes no larger share of
- * what all share than one of so many; the size that is planned for. */
-constexpr std::size_t UnknownSize = 340;
 /** A host that found nobody for so long takes itself to be alone. */
 constexpr gsTime AlonePatience = gsSeconds(5);
 constexpr double Thousandths = 1000;
@@ -98,13 +95,16 @@
 }
 
 std::size_t gsHallCluster::SystemSize() const
+{
+  return gsSystemSize(this->Table, gsLoop::Now());
+}
+
+bool gsHallCluster::KnowsSize() const
 {
   gsTime now = gsLoop::Now();
-  std::size_t known = gsSystemSize(this->Table, now);
   bool alone =
     this->Table.Seeds.empty() || now - this->Table.Started > AlonePatience;
-  bool unknown = !this->Table.Joined && !alone;
-  return unknown ? std::max(known, UnknownSize) : known;
+  return this->Table.Joined || alone;
 }
 
 gradescale::Frame* gsHallCluster::OnLink(std::uint64_t link)
--- a/Source/Daemon/gsHallCluster.h
+++ b/Source/Daemon/gsHallCluster.h
@@ -58,8 +58,11 @@
   gsHallMembership const& Members() const { return this->Table; }
   std::string const& Self() const { return this->Table.Self.Host; }
 
-  /** Hosts of the system, as far as is known; cautious until it is. */
+  /** Hosts of the system, as far as is known. */
   std::size_t SystemSize() const;
+  /** Whether a host of the hall has told how many there are; or none was found
+   * for so long that this one takes itself to be alone. */
+  bool KnowsSize() const;
 
   /**
    * Frame that is next to be sent to a host. It opens a link to hosts that
--- a/Source/Daemon/gsHallStatus.cxx
+++ b/Source/Daemon/gsHallStatus.cxx
@@ -51,12 +51,23 @@
 
 } // namespace
 
-gsJson gsHallStatus(gsHallMembership const& table, gsTime now)
+gsJson gsHallStatus(gsHallMembership const& table, gsFleet const& fleet,
+                    gsTime now)
 {
   gsJson rows = gsJson::array();
   rows.push_back(OwnHall(table, now));
   for (auto const& [name, hall] : table.Others) {
     rows.push_back(OtherHall(name, hall, table.Settings, now));
   }
+  for (auto const& [name, since] : fleet.Evacuated) {
+    if (name != table.Self.Hall && table.Others.count(name) == 0) {
+      rows.push_back(OtherHall(name, {}, table.Settings, now));
+    }
+  }
+  for (gsJson& row : rows) {
+    auto evacuated = fleet.Evacuated.find(row["hall"].get<std::string>());
+    bool is = evacuated != fleet.Evacuated.end();
+    row["evacuated_ms"] = is ? Millis(evacuated->second, now) : gsJson();
+  }
   return rows;
 }
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr double MicrosPerMilli = 1000;
+/** A relay hears a hundred reports a second and sums up all of its hall's each
+ * time; it does so no more often than this. */
+constexpr gsTime ApplyGap = gsMilliseconds(100);
 
 /** Names a service or a hall between hosts. */
 std::uint32_t NameHash(std::string const& name)
@@ -64,10 +67,10 @@
 }
 
 /** What this host adds to the system's load. */
-gsSystemLoad gsLoadSharing::Own(gsTime now) const
+gsSystemLoad gsLoadSharing::Own(gsTime now)
 {
   gsSystemLoad own;
-  for (gsFleetRow const& row : this->Fleet.Rows) {
+  gsForEachWorking(this->Fleet, now, [&own, now](gsFleetRow const& row) {
     std::uint32_t pace = TellPace(row);
     gsOpenWork work = gsOwnWork(row, now);
     if (work.Running > 0 || pace > 0) {
@@ -76,7 +79,7 @@
         static_cast<std::uint32_t>(work.MemoryTokens), pace
       };
     }
-  }
+  });
   for (auto const& [service, demand] : this->Fleet.Demand) {
     own.Services[NameHash(service)] = { CoarseTokens(demand.Long),
                                         CoarseTokens(demand.Tight) };
@@ -145,37 +148,56 @@
   for (gradescale::LoadReport const& wire : frame.load_reports()) {
     gsLoadHear(this->Exchange, host, hall, gsFromWire(wire), now);
   }
-  this->Apply(now);
+  if (now - this->AppliedAt >= ApplyGap) {
+    this->Apply(now);
+  }
 }
 
 /** Takes in which halls other hosts of this hall cannot reach. */
 void gsLoadSharing::ApplyHalls(std::set<std::uint32_t> const& cutOff)
 {
   std::set<std::string, std::less<>> told;
-  for (gsFleetRow const& row : this->Fleet.Rows) {
-    bool isOwn = row.Listed.Hall == this->Settings.Hall;
-    if (!isOwn && cutOff.count(NameHash(row.Listed.Hall)) != 0) {
-      told.insert(row.Listed.Hall);
+  for (auto const& [hall, rows] : this->Fleet.HallRows) {
+    bool isOwn = hall == this->Settings.Hall;
+    if (!isOwn && cutOff.count(NameHash(hall)) != 0) {
+      told.insert(hall);
     }
   }
   gsHallNoteTold(this->Fleet.Halls, told);
 }
 
+/** Notes others' work in the rows that have some, and takes it back from
+ * those that have none any more. */
+void gsLoadSharing::ApplyUpstreams(gsLoadMap const& others, gsTime since)
+{
+  for (std::uint32_t hash : this->Noted) {
+    auto row = this->Fleet.ByHash.find(hash);
+    if (row != this->Fleet.ByHash.end() && others.count(hash) == 0) {
+      this->Fleet.Rows[row->second].Others = {};
+      this->Fleet.Rows[row->second].OthersPace = 0;
+    }
+  }
+  this->Noted.clear();
+  for (auto const& [hash, load] : others) {
+    auto found = this->Fleet.ByHash.find(hash);
+    if (found == this->Fleet.ByHash.end()) {
+      continue;
+    }
+    gsFleetRow& row = this->Fleet.Rows[found->second];
+    row.Others = { load.Running, load.ReadTokens, load.MemoryTokens };
+    row.OthersAt = since;
+    row.OthersPace = load.PaceMicros / MicrosPerMilli;
+    this->Noted.push_back(hash);
+  }
+}
+
 void gsLoadSharing::Apply(gsTime now)
 {
+  this->AppliedAt = now;
   gsSystemLoad others = gsLoadOfOthers(this->Exchange, now);
   gsTime since = gsLoadSince(this->Exchange, now).value_or(gsTime{});
   this->ApplyHalls(others.CutOffHalls);
-  for (gsFleetRow& row : this->Fleet.Rows) {
-    auto load = others.Upstreams.find(row.Hash);
-    gsUpstreamLoad known;
-    if (load != others.Upstreams.end()) {
-      known = load->second;
-    }
-    row.Others = { known.Running, known.ReadTokens, known.MemoryTokens };
-    row.OthersAt = since;
-    row.OthersPace = known.PaceMicros / MicrosPerMilli;
-  }
+  this->ApplyUpstreams(others.Upstreams, since);
   for (auto const& [service, rows] : this->Fleet.ByService) {
     gsNoteOthersDemand(this->Fleet, service,
                        others.Services[NameHash(service)], now);
--- a/Source/Daemon/gsLoadSharing.h
+++ b/Source/Daemon/gsLoadSharing.h
@@ -9,8 +9,8 @@
 
 #include <cstdint>
 #include <set>
-
 #include <string>
+#include <vector>
 
 #include "gsFleet.h"
 #include "gsHallCluster.h"
@@ -34,9 +34,10 @@
   gsTime Gap() const;
 
 private:
-  gsSystemLoad Own(gsTime now) const;
+  gsSystemLoad Own(gsTime now);
   gsLoadPeers Peers(gsTime now) const;
   void Apply(gsTime now);
+  void ApplyUpstreams(gsLoadMap const& others, gsTime since);
   void ApplyHalls(std::set<std::uint32_t> const& cutOff);
   void Decide(gsTime now);
 
@@ -44,4 +45,8 @@
   gsSettings const& Settings;
   gsHallCluster* Cluster = nullptr; ///< Set by Start.
   gsLoadExchange Exchange;
+  /** Hashes of the rows that others' work is noted in, ascending: what a
+   * report costs goes by these, not by all upstreams. */
+  std::vector<std::uint32_t> Noted;
+  gsTime AppliedAt{};
 };
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -229,6 +229,7 @@
                        : nullptr;
   if (organisation != nullptr) {
     request.Organisation = organisation->Name;
+    request.OrganisationRegions = &organisation->Regions;
     request.Priority = gsUrgencyOf(*request.Table, route, organisation);
     return true;
   }
@@ -245,7 +246,7 @@
 {
   request->Sequence = this->NextSequence++;
   this->Requests[request->Sequence] = request;
-  gsRetryEarn(this->BudgetOf(request->Service));
+  gsRetryEarn(this->BudgetOf(request->Service), request->Arrived);
   std::weak_ptr<gsRoutedRequest> weak = request;
   request->Exchange->OnGone = [this, weak] {
     if (Held held = weak.lock()) {
@@ -293,14 +294,33 @@
   ask.Tried = alsoTried ? nullptr : &request.Tried;
   ask.TokenMillis = this->Caller.MillisPerToken();
   ask.Hosts = this->Hosts;
+  ask.HostsOfLate = this->HostsOfLate;
+  ask.RouteRegions = &request.Route->Regions;
+  ask.OrganisationRegions = request.OrganisationRegions;
   ask.TargetTokens =
     gsToSeconds(request.Route->Target) * 1e3 / ask.TokenMillis;
+  this->AskOfService(request, ask);
+  ask.Group = this->GroupOf(request, ask);
+  if (request.Sends == 0) {
+    gsNoteDemand(this->Fleet, ask, now);
+  }
+  gsPlacement placement = gsPlace(this->Fleet, ask, now, this->Random);
+  this->LogPlacement(request, ask, placement);
+  return placement;
+}
+
+/** Fills in what the configuration says of the request's service. */
+void gsRouteGateway::AskOfService(gsRoutedRequest const& request,
+                                  gsPlacementAsk& ask) const
+{
   gsRouteService const* service =
     gsFindService(*request.Table, request.Service);
-  if (service != nullptr) {
-    ask.MostOwn = gsConnectionShare(service->MaxConnections, this->Hosts);
+  if (service == nullptr) {
+    return;
   }
-  if (service != nullptr && service->Engine) {
+  ask.MostOwn = gsConnectionShare(service->MaxConnections, this->HostsOfLate);
+  ask.ColdPerSecond = service->ColdPerSecond;
+  if (service->Engine) {
     ask.UpstreamMemory = service->Engine->MemoryTokens;
     ask.MayMove = service->Engine->HandsOver;
     // What has begun is not given up for a place: it would be lost work.
@@ -310,13 +330,6 @@
         ? 0
         : gsMoreUrgentKinds(*request.Table, request.Service, *request.Route);
   }
-  ask.Group = this->GroupOf(request, ask);
-  if (request.Sends == 0) {
-    gsNoteDemand(this->Fleet, ask, now);
-  }
-  gsPlacement placement = gsPlace(this->Fleet, ask, now, this->Random);
-  this->LogPlacement(request, ask, placement);
-  return placement;
 }
 
 /** What a request is to the others at its service's engines. */
@@ -373,7 +386,7 @@
     .With("target_ms", request.Route->Target)
     .With("gap_target_ms", request.Route->GapTarget)
     .With("group", gsFleetGroupWord(placement.Group))
-    .With("rank", row.Rank)
+    .With("rank", gsRankOf(this->Fleet, row))
     .With("long_engines", gsLongEngines(this->Fleet, request.Service))
     .With("pace", static_cast<std::uint64_t>(gsPaceOf(row)))
     .With("cost", static_cast<std::uint64_t>(std::max(0.0, placement.Cost)));
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -56,8 +56,13 @@
 
   /** Repeats that one service's upstreams may be given by this host. */
   void LimitRetries(double burst) { this->Settings.RetryBurst = burst; }
-  /** Hosts that share the upstreams, this one included. */
-  void ShareAmong(std::size_t hosts) { this->Hosts = hosts; }
+  /** Hosts that share the upstreams, this one included: now, and at most of
+   * late, in all parts of a system that may be cut. */
+  void ShareAmong(std::size_t hosts, std::size_t ofLate)
+  {
+    this->Hosts = hosts;
+    this->HostsOfLate = ofLate;
+  }
 
   /** Told once of each request that began to run: whose, and when. */
   using OnBegan =
@@ -78,6 +83,7 @@
   void Place(Held const& request);
   void StartAt(Held const& request, gsPlacement const& placement);
   gsPlacement Choose(gsRoutedRequest const& request, bool alsoTried);
+  void AskOfService(gsRoutedRequest const& request, gsPlacementAsk& ask) const;
   gsFleetGroup GroupOf(gsRoutedRequest const& request,
                        gsPlacementAsk const& ask);
   void LogPlacement(gsRoutedRequest const& request, gsPlacementAsk const& ask,
@@ -126,4 +132,5 @@
   OnBegan Began;
   std::uint64_t NextSequence = 1;
   std::size_t Hosts = 1; ///< That share the upstreams; at least 1.
+  std::size_t HostsOfLate = 1;
 };
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -21,6 +21,9 @@
 /** Callers may rest as long as the limit says; the cut comes after it. */
 constexpr gsTime IdleMargin = gsSeconds(2);
 constexpr std::size_t BytesPerKib = 1024;
+/** A host that has not been told how many there are takes the share of one of
+ * so many: the least of all that is shared, whatever the size. */
+constexpr std::size_t SizeUnknown = 1'000'000;
 
 /** A number that changes whenever the file does; zero if there is none. */
 std::uint64_t StampOf(std::string const& path)
@@ -62,9 +65,13 @@
   , TickTimer(loop, [this] { this->Tick(); })
   , LoadTimer(loop, [this] { this->TellLoads(); })
   , StopTimer(loop, [this] { this->Stop(); })
+  , Upstreams(this->Adapter, this->Fleet)
 {
   this->Fleet.Settings = this->Settings.Placement;
+  this->Fleet.Settings.Host = this->Settings.Host;
   this->Fleet.Settings.Hall = this->Settings.Hall;
+  auto const& regions = this->Settings.Routing.Regions;
+  this->Fleet.Settings.Regions.insert(regions.begin(), regions.end());
   this->Tables = std::make_unique<gsTableSync>(
     loop, this->Client, this->Adapter, this->Settings,
     gsTableSyncEvents{ [this] { this->OnRoutes(); },
@@ -177,6 +184,37 @@
 }
 
 void gsRouteNode::OnRoutes()
+{
+  this->TakeEvacuated();
+  this->TakeRoutes();
+}
+
+/** Takes in which halls the operator wants nothing new to be sent to. */
+void gsRouteNode::TakeEvacuated()
+{
+  std::string const& prefix = this->Adapter.Tables.EvacuatedPrefix;
+  auto const& rows = this->Tables->RouteRows().Present();
+  std::set<std::string> halls;
+  for (auto row = rows.lower_bound(prefix);
+       row != rows.end() && row->first.compare(0, prefix.size(), prefix) == 0;
+       ++row) {
+    halls.insert(row->first.substr(prefix.size()));
+  }
+  auto before = this->Fleet.Evacuated;
+  gsNoteEvacuated(this->Fleet, halls, gsLoop::Now());
+  for (std::string const& hall : halls) {
+    if (before.count(hall) == 0) {
+      gsLogLine("hall_evacuated").With("hall", hall);
+    }
+  }
+  for (auto const& [hall, since] : before) {
+    if (halls.count(hall) == 0) {
+      gsLogLine("hall_taken_back").With("hall", hall);
+    }
+  }
+}
+
+void gsRouteNode::TakeRoutes()
 {
   auto const& rows = this->Tables->RouteRows().Present();
   auto row = rows.find(this->Adapter.Tables.RoutesKey);
@@ -199,7 +237,9 @@
   auto table = std::make_shared<gsRouteTable const>(std::move(read.value()));
   this->Table = table;
   this->Gateway->TakeRoutes(table);
-  this->NoteServices(*table);
+  if (gsNoteServices(this->Upstreams.List(), *table)) {
+    this->Upstreams.TakeAll(gsLoop::Now());
+  }
   this->CallerServer->Limit(table->Limits.BodyBytes,
                             table->Limits.IdleTimeout + IdleMargin);
   this->Metrics.Set("gradescale_config_version", {},
@@ -216,89 +256,11 @@
     .With("ordered_services", std::uint64_t(ordered));
 }
 
-/** Reads a row, unless it was read before, and logs what it has changed. The
- * first list is told by its counts alone, but for what is wrong with it. */
-void gsRouteNode::ReadUpstream(std::string const& id, gsTableRow const& row)
-{
-  if (gsListHas(this->Upstreams, id, row.Version)) {
-    return;
-  }
-  gsResult<gsListedUpstream> read = this->Adapter.ReadUpstream(id, row.Value);
-  gsListing change = gsListTake(this->Upstreams, id, row.Version, read);
-  bool wrong = change == gsListing::Unreadable || change == gsListing::Older;
-  if (change == gsListing::Same || !(this->ListTaken || wrong)) {
-    return;
-  }
-  gsLogLine line(gsListingWord(change),
-                 wrong ? gsLogLevel::Warn : gsLogLevel::Info);
-  line.With("upstream", id).With("row_version", row.Version);
-  if (read) {
-    line.With("born", read.value().Born);
-  } else {
-    line.With(read.error());
-  }
-}
-
-void gsRouteNode::ForgetGone(gsTableWatch::Rows const& present)
-{
-  std::vector<std::string> gone;
-  for (auto const& [id, row] : this->Upstreams.Rows) {
-    if (present.count(id) == 0) {
-      gone.push_back(id);
-    }
-  }
-  for (std::string const& id : gone) {
-    gsListRemove(this->Upstreams, id);
-    gsLogLine("upstream_gone")
-      .With("upstream", id)
-      .With("row_version", this->Tables->UpstreamRows().Version());
-  }
-}
-
 void gsRouteNode::OnUpstreams()
 {
-  gsTableWatch::Rows const& present = this->Tables->UpstreamRows().Present();
-  for (auto const& [id, row] : present) {
-    this->ReadUpstream(id, row);
-  }
-  this->ForgetGone(present);
-  this->ListTaken = true;
-  this->TakeUpstreams();
-}
-
-/** Puts the listed upstreams in use. */
-void gsRouteNode::TakeUpstreams()
-{
-  std::vector<gsListedUpstream> listed = gsListOf(this->Upstreams);
-  auto leaving = std::count_if(
-    listed.begin(), listed.end(),
-    [](gsListedUpstream const& upstream) { return upstream.Leaving; });
-  gsFleetTake(this->Fleet, listed, gsLoop::Now());
+  this->Upstreams.Take(this->Tables->TakeTouched(),
+                       this->Tables->UpstreamRows(), gsLoop::Now());
   this->Gateway->EndAttemptsAtRestarted();
-  gsLogLine("upstreams")
-    .With("listed", std::uint64_t(listed.size()))
-    .With("leaving", static_cast<std::uint64_t>(leaving))
-    .With("rows", std::uint64_t(this->Upstreams.Rows.size()))
-    .With("row_version", this->Tables->UpstreamRows().Version())
-    .With("complete_to", this->Tables->UpstreamRows().CompleteTo());
-}
-
-/** Notes the services that a configuration names. */
-void gsRouteNode::NoteServices(gsRouteTable const& table)
-{
-  std::set<std::string>& known = this->Upstreams.Services;
-  std::size_t before = known.size();
-  for (gsRouteService const& service : table.Services) {
-    known.insert(service.Name);
-  }
-  for (gsRoute const& route : table.Routes) {
-    for (gsRouteShare const& share : route.Shares) {
-      known.insert(share.Service);
-    }
-  }
-  if (known.size() != before && this->ListTaken) {
-    this->TakeUpstreams();
-  }
 }
 
 bool gsRouteNode::Ready() const
@@ -323,7 +285,8 @@
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(
       gsStatusOk, json,
-      gsHallStatus(this->Cluster->Members(), gsLoop::Now()).dump());
+      gsHallStatus(this->Cluster->Members(), this->Fleet, gsLoop::Now())
+        .dump());
   } else if (exchange->Path == "/v1/duties" && this->Duties) {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
@@ -340,13 +303,8 @@
 {
   this->Metrics.Set("gradescale_open_requests", {},
                     static_cast<double>(this->Gateway->Open()));
-  this->Metrics.Clear("gradescale_upstream_running");
-  for (gsFleetRow const& row : this->Fleet.Rows) {
-    this->Metrics.Set("gradescale_upstream_running",
-                      gsLabels({ { "upstream", row.Listed.Id } }),
-                      row.Own.Running);
-  }
   gsTime now = gsLoop::Now();
+  gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
   gsHallMembership const& members = this->Cluster->Members();
   this->Metrics.Set("gradescale_system_hosts", {},
                     static_cast<double>(this->Cluster->SystemSize()));
@@ -372,7 +330,7 @@
     this->Duties->WriteGauges(this->Metrics, now);
   }
   this->Metrics.Set("gradescale_rows_unreadable_total", {},
-                    static_cast<double>(this->Upstreams.Unreadable));
+                    static_cast<double>(this->Upstreams.List().Unreadable));
   this->Metrics.Set("gradescale_upstream_connections_total", {},
                     static_cast<double>(this->Client.Opened()));
 }
@@ -392,6 +350,7 @@
   }
   if (now - this->LastLook >= SettingsPeriod) {
     this->LastLook = now;
+    this->ApplySettings();
     this->LookAtSettings();
   }
 }
@@ -448,12 +407,16 @@
   if (this->Gateway == nullptr) {
     return;
   }
-  std::size_t hosts = this->Cluster->SystemSize();
+  bool known = this->Cluster->KnowsSize();
+  std::size_t hosts = known ? this->Cluster->SystemSize() : SizeUnknown;
+  std::size_t ofLate =
+    known ? gsNotePeak(this->SystemSize, hosts, gsLoop::Now()) : SizeUnknown;
   double burst = this->Settings.Retry.Burst;
   if (this->Settings.Retry.BurstOfAll > 0) {
-    burst = this->Settings.Retry.BurstOfAll / static_cast<double>(hosts);
+    burst = gsShareOfRepeats(this->Settings.Retry.BurstOfAll, ofLate,
+                             this->Settings.Host);
   }
-  this->Gateway->ShareAmong(hosts);
+  this->Gateway->ShareAmong(hosts, ofLate);
   this->Gateway->LimitRetries(burst);
 }
 
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -19,10 +19,11 @@
 #include "gsHttpServer.h"
 #include "gsLoadSharing.h"
 #include "gsMetrics.h"
+#include "gsRecentPeak.h"
 #include "gsRouteGateway.h"
 #include "gsSettings.h"
 #include "gsTableSync.h"
-#include "gsUpstreamList.h"
+#include "gsUpstreamFeed.h"
 
 class gsRouteNode
 {
@@ -49,10 +50,9 @@
   gsResult<bool> StartServers();
   gsHallClusterEvents ClusterEvents();
   void OnRoutes();
+  void TakeEvacuated();
+  void TakeRoutes();
   void OnUpstreams();
-  void ReadUpstream(std::string const& id, gsTableRow const& row);
-  void ForgetGone(gsTableWatch::Rows const& present);
-  void TakeUpstreams();
   void NoteServices(gsRouteTable const& table);
   bool Ready() const;
   void OnOperators(std::shared_ptr<gsHttpExchange> const& exchange);
@@ -83,8 +83,8 @@
   gsTimer LoadTimer;
   gsTimer StopTimer;
   std::shared_ptr<gsRouteTable const> Table;
-  gsUpstreamList Upstreams;
-  bool ListTaken = false; ///< A list of upstreams was taken before.
+  gsUpstreamFeed Upstreams; ///< Outlived by Fleet.
+  gsRecentPeak SystemSize;
   gsTime LastTick{};
   gsTime LastLook{};
   gsTime StopSince{};
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -75,6 +75,8 @@
   std::shared_ptr<gsRouteTable const> Table;
   gsRoute const* Route = nullptr;
   std::string Organisation; ///< Empty for anonymous requests.
+  /** Regions that its organisation is kept to, in Table; null for none. */
+  std::vector<std::string> const* OrganisationRegions = nullptr;
   std::string Service;
   std::uint32_t Priority = 0;
   std::uint64_t Sequence = 0; ///< Names it on this host.
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -217,6 +217,7 @@
     routing.RetryAfter =
       inner.Millis("retry_after_ms", PeriodRange, routing.RetryAfter);
     routing.FirstStart = inner.Flag("first_start", routing.FirstStart);
+    routing.Regions = inner.TextMap("regions");
   });
   fields.Object("duties",
                 [&](gsFields& inner) { ReadDuties(inner, settings); });
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -91,6 +91,8 @@
     gsTime LoadPeriod = gsMilliseconds(50);
     /** All hosts start for the first time, and no caller waits yet. */
     bool FirstStart = false;
+    /** The region of each hall; empty where there is but one. */
+    std::map<std::string, std::string> Regions;
   } Routing;
 
   /** What one host at a time does for all, in the routed mode. */
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -28,18 +28,6 @@
  * the other, each host of a hall would else take in 80 changes of its whole
  * list in 4 s from each watcher (measured). */
 constexpr gsTime PushGap = gsMilliseconds(200);
-/** Larger changes are not sent to all hosts of a hall; bytes. */
-constexpr std::size_t PushLimit = 16384;
-
-bool IsLarge(gsTableNews const& news)
-{
-  std::size_t bytes = 0;
-  for (gsTableRow const& row : news.Rows) {
-    bytes += row.Key.size() + row.Value.size();
-  }
-  return bytes > PushLimit;
-}
-
 /** An age of zero would mean none. */
 std::uint32_t AgeForFrames(gsTime since)
 {
@@ -90,6 +78,7 @@
   this->Duty.Settings.MostAge = settings.Routing.WatchWait + AgeMargin;
   this->Routes = std::make_unique<gsTableWatch>(
     loop, client, adapter, gsRoutesWatch(settings, adapter), [this] {
+      this->Routes->TakeTouched(); // Read whole, as it is one document.
       this->OfferNews(*this->Routes, this->RoutesPushed);
       this->Events.OnRoutes();
     });
@@ -162,12 +151,16 @@
 
 void gsTableSync::OnStalled()
 {
+  this->Duty.Heard.clear();
+  if (this->Upstreams->IsLarge()) {
+    // Coordinators show within half a second what was missed.
+    return;
+  }
   for (gsTableWatch* watch : { this->Routes.get(), this->Upstreams.get() }) {
     watch->Resume({});
     watch->Refresh("stalled");
   }
   this->Duty.State = gsWatchState::Uncovered;
-  this->Duty.Heard.clear();
 }
 
 gsTableWatch* gsTableSync::WatchOf(std::string_view table)
@@ -210,12 +203,9 @@
   if (watch == nullptr) {
     return;
   }
-  if (wire.too_large() && !this->Started) {
-    this->AskFor(host, wire.table());
-    return;
-  }
   if (wire.too_large()) {
-    watch->ReadOnce();
+    // A host of an older release names large changes without telling them.
+    this->AskFor(host, wire.table());
     return;
   }
   gsLearned::Lack lack = watch->Take(gsReadNews(wire), host);
@@ -318,12 +308,9 @@
   }
   pushed.At = gsLoop::Now();
   for (std::string const& host : this->ToTell()) {
-    gradescale::Frame* frame = this->Cluster->ToHost(host);
-    if (frame != nullptr && IsLarge(news)) {
-      gradescale::TableNews* notice = frame->add_table_news();
-      notice->set_table(pushed.Table);
-      notice->set_too_large(true);
-    } else if (frame != nullptr) {
+    // Large changes too: told by one host of the hall they cost its link some
+    // megabytes, read by each host for itself the platform some gigabytes.
+    if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
       gsAddNews(*frame, pushed.Table, news);
     }
   }
--- a/Source/Daemon/gsTableSync.h
+++ b/Source/Daemon/gsTableSync.h
@@ -69,6 +69,11 @@
 
   gsTableWatch const& RouteRows() const { return *this->Routes; }
   gsTableWatch const& UpstreamRows() const { return *this->Upstreams; }
+  /** Keys of the upstreams' rows that have changed since the last call. */
+  std::vector<std::string> TakeTouched()
+  {
+    return this->Upstreams->TakeTouched();
+  }
   /** Of the last change of any table that this host has. */
   std::uint64_t Version() const;
   /** Made to the platform so far. */
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -22,7 +22,7 @@
   , Adapter(adapter)
   , Settings(std::move(settings))
   , Changed(std::move(onChange))
-  , Retry(loop, [this] { this->Read({}); })
+  , Retry(loop, [this] { this->Again(); })
   , Gathered(loop, [this] { this->Await(); })
   , Settled(loop, [this] { this->Refresh("returns_over"); })
 {
@@ -55,7 +55,13 @@
   if (this->Paused) {
     this->Paused = false;
     this->KeptUp = std::max(this->KeptUp, keptUp);
-    this->Refresh("resumed");
+    this->Waited = true;
+    if (this->IsLarge()) {
+      this->StopTimers();
+      this->Await();
+    } else {
+      this->Refresh("resumed");
+    }
   }
 }
 
@@ -67,6 +73,32 @@
   }
 }
 
+/** Tries again after a call that brought nothing. */
+void gsTableWatch::Again()
+{
+  if (this->IsLarge() && !this->Paused) {
+    this->Await();
+  } else {
+    this->Read({});
+  }
+}
+
+/**
+ * Whether a host that starts leaves the rest of a large table to the others,
+ * which tell it about as fast and cost the platform nothing.
+ */
+bool gsTableWatch::AwaitsTelling(gsTablePage const& page)
+{
+  bool awaits = page.More && !this->Known() && !this->Waited &&
+                this->Settings.ToldPatience.count() > 0;
+  if (awaits) {
+    this->Waited = true;
+    this->Reading.clear();
+    this->Retry.Once(this->Settings.ToldPatience);
+  }
+  return awaits;
+}
+
 /** Stops what would begin the next call. */
 void gsTableWatch::StopTimers()
 {
@@ -122,6 +154,9 @@
   gsTablePage& page = *read.Page;
   if (this->Reading.empty()) {
     this->ReadVersion = page.Version;
+    if (this->AwaitsTelling(page)) {
+      return;
+    }
   }
   for (gsTableRow& row : page.Rows) {
     this->Reading.push_back(std::move(row));
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -42,6 +42,15 @@
   /** Such rows have so long after the platform's return to come back; zero
    * for a table whose rows do not lapse. */
   gsTime ReturnPatience = gsSeconds(2);
+  /**
+   * A table of more rows is read whole only where nothing else will do: it
+   * takes several calls and megabytes. A copy that is known goes on from where
+   * it is, and a host that starts is told by others.
+   */
+  std::size_t LargeRows = 1000;
+  /** A host that starts waits so long to be told of a table that is larger
+   * than the platform's first answer. */
+  gsTime ToldPatience = gsMilliseconds(1500);
 };
 
 class gsTableWatch
@@ -84,6 +93,11 @@
 
   /** Rows that are there; removed ones are left out. */
   Rows const& Present() const { return this->Copy.Live; }
+  /** Keys of the rows that have changed since the last call. */
+  std::vector<std::string> TakeTouched()
+  {
+    return gsCopyTakeTouched(this->Copy);
+  }
   /** What another host lacks whose copy is complete up to a version. */
   gsTableNews NewsAbove(std::uint64_t version) const;
   /** What hosts lack that were told up to a version. */
@@ -100,6 +114,11 @@
    * ended no earlier than since; else zero.
    */
   std::uint64_t ReadSince(gsTime since) const;
+  /** Whether it is costly to read again. */
+  bool IsLarge() const
+  {
+    return this->Known() && this->Copy.Live.size() > this->Settings.LargeRows;
+  }
   /** Whether the table has been read, from the platform or another host. */
   bool Known() const { return this->Copy.Filled; }
   /** When the platform last answered; zero if never. */
@@ -107,6 +126,8 @@
   std::uint64_t Calls() const { return this->Made; }
 
 private:
+  void Again();
+  bool AwaitsTelling(gsTablePage const& page);
   void Read(std::string const& fromKey);
   void OnRead(gsAnswer const& answer);
   void FinishRead(std::uint64_t version);
@@ -139,4 +160,5 @@
   gsTime Delay{};
   bool Silent = false; ///< Calls have had no answer since the last one.
   bool Paused = false; ///< Reads are not followed by a watch.
+  bool Waited = false; ///< To be told of the table, in vain.
 };
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -86,6 +86,8 @@
     attempt->Events.SkipThrough(*request->LastEvent);
   }
   row.Own.Running += 1;
+  row.ColdSentAt = now < row.ColdUntil ? now : row.ColdSentAt;
+  gsNoteWorking(this->Fleet, row);
   row.Own.ReadTokens += attempt->ReadTokens;
   row.Own.MemoryTokens += attempt->MemoryTokens;
   request->Attempt = attempt;
@@ -153,7 +155,7 @@
 {
   gsTime now = gsLoop::Now();
   gsFleetRow const* row = gsFleetFind(this->Fleet, attempt.Upstream);
-  bool leaving = row == nullptr || row->Listed.Leaving;
+  bool leaving = row == nullptr || !gsTakesWork(this->Fleet, *row);
   bool late = now >= std::min(request.DeadlineAt, request.TimeoutAt);
   if (request.Ended || leaving || late) {
     return false;
@@ -179,7 +181,7 @@
     return;
   }
   if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream)) {
-    gsNoteHeard(*row, now);
+    gsNoteHeard(this->Fleet, *row, now);
     if (attempt.Head.KeepIdle) {
       row->KeepIdle = *attempt.Head.KeepIdle;
     }
@@ -203,7 +205,7 @@
   gsTime now = gsLoop::Now();
   attempt.LastByteAt = now;
   if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream)) {
-    gsNoteHeard(*row, now);
+    gsNoteHeard(this->Fleet, *row, now);
   }
   if (attempt.FirstByteAt.count() == 0 && gsRelaysEvents(*request, attempt)) {
     this->Events.OnBegan(request, now);
@@ -368,7 +370,7 @@
                 (result.Status == gsStatusUnavailable ||
                  result.Status == gsStatusTooMany);
     if (full) {
-      gsNoteTurnedAway(*row, now);
+      gsNoteTurnedAway(this->Fleet, *row, now);
     }
     if (result.End == gsAttemptEnd::Whole) {
       gsNoteHold(this->Fleet, *row, now - attempt.SentAt);
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -14,7 +14,8 @@
     return gsToolFail(rows.error());
   }
   gsPrintRows(options, rows.value(),
-              { "hall", "hosts", "coordinators", "heard_ms", "in_touch" });
+              { "hall", "hosts", "coordinators", "heard_ms", "in_touch",
+                "evacuated_ms" });
   return 0;
 }
 
--- a/Tests/Bench/gsCoreBench.cxx
+++ b/Tests/Bench/gsCoreBench.cxx
@@ -11,8 +11,10 @@
 #include "gsDispatch.h"
 #include "gsDocumentJson.h"
 #include "gsMembership.h"
+#include "gsPlacement.h"
 #include "gsPool.h"
 #include "gsRendezvous.h"
+#include "gsUpstreamList.h"
 #include "gsWireCodec.h"
 
 namespace {
@@ -245,4 +247,80 @@
 }
 BENCHMARK(Rendezvous)->ArgName("hosts")->Arg(3)->Arg(57);
 
+gsListedUpstream ListedEngine(std::size_t number)
+{
+  gsListedUpstream upstream;
+  upstream.Id = "i-" + std::to_string(number);
+  upstream.Born = 1 + number;
+  upstream.Service = "model";
+  upstream.Address = "10.0.0.1:8080";
+  upstream.Hall = std::string(1, static_cast<char>('a' + number % 6));
+  upstream.Slots = 32;
+  return upstream;
+}
+
+gsFleet FleetOf(std::size_t upstreams)
+{
+  gsFleet fleet;
+  fleet.Settings.Hall = "a";
+  for (std::size_t i = 0; i < upstreams; ++i) {
+    gsFleetPut(fleet, ListedEngine(i), gsTime{});
+  }
+  return fleet;
+}
+
+/** A request is placed among so many engines. */
+void PlaceAmong(benchmark::State& state)
+{
+  gsFleet fleet = FleetOf(static_cast<std::size_t>(state.range(0)));
+  gsRandom random(1);
+  gsTime now = gsSeconds(100);
+  std::uint64_t subject = 2;
+  while (state.KeepRunning()) {
+    ++subject;
+    std::vector<gsPromptPart> parts{ { 1, 500 },
+                                     { subject, 5000 },
+                                     { subject + 1'000'000, 600 } };
+    gsPlacementAsk ask;
+    ask.Service = "model";
+    ask.Parts = &parts;
+    ask.PromptTokens = 6100;
+    ask.Hosts = 986;
+    benchmark::DoNotOptimize(gsPlace(fleet, ask, now, random));
+  }
+}
+BENCHMARK(PlaceAmong)
+  ->ArgName("upstreams")
+  ->Arg(100)
+  ->Arg(256)
+  ->Arg(1'000)
+  ->Arg(10'000)
+  ->Arg(20'000);
+
+/** 300 of so many upstreams are replaced: taken as rows and put in use. */
+void ReleaseOf300(benchmark::State& state)
+{
+  auto upstreams = static_cast<std::size_t>(state.range(0));
+  gsFleet fleet = FleetOf(upstreams);
+  gsUpstreamList list;
+  std::uint64_t version = 1;
+  std::size_t next = upstreams;
+  while (state.KeepRunning()) {
+    for (std::size_t i = 0; i < 300; ++i, ++next) {
+      gsListedUpstream fresh = ListedEngine(next);
+      std::string gone = ListedEngine(next - upstreams).Id;
+      gsListTake(list, fresh.Id, ++version, fresh);
+      gsFleetPut(fleet, fresh, gsTime{});
+      gsListRemove(list, gone);
+      gsFleetDrop(fleet, gone);
+    }
+  }
+}
+BENCHMARK(ReleaseOf300)
+  ->ArgName("upstreams")
+  ->Arg(1'000)
+  ->Arg(10'000)
+  ->Arg(20'000)
+  ->Unit(benchmark::kMillisecond);
+
 } // namespace
--- a/Tests/Route/gsTestTableSync.cxx
+++ b/Tests/Route/gsTestTableSync.cxx
@@ -217,3 +217,17 @@
   EXPECT_EQ(this->Told().Tables.UnreadableCounts(), 1U);
   EXPECT_EQ(this->Told().Tables.Differences(), 0U);
 }
+
+// A release of 300 upstreams at once was told as too large, and each host that
+// heard it read the whole table from the platform.
+TEST_F(TableSync, ALargeChangeIsToldAndNotReadByAll)
+{
+  int reads = this->Platform.Reads;
+  std::string const value(400, 'A');
+  for (int i = 0; i < 300; ++i) {
+    this->Platform.Put("new" + std::to_string(i), value);
+  }
+  EXPECT_TRUE(this->Bench.RunUntil(
+    [&] { return this->Told().Rows().Present().size() == 302; }, 5));
+  EXPECT_EQ(this->Platform.Reads, reads);
+}
--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -431,3 +431,61 @@
   EXPECT_EQ(gsReadTables(frame)->Counts, gsCountsRead::None);
   EXPECT_EQ(gsReadTables(frame)->Routes.Version, 6U);
 }
+
+namespace {
+
+/** A first page of a table that has more. */
+Json FirstPage()
+{
+  Json row{ { "tls_key", "a" }, { "value", "MQ==" }, { "ver", 1 } };
+  return Json{ { "records", { row } }, { "more", true }, { "ver", 7 } };
+}
+
+} // namespace
+
+// 69 hosts that are killed together would read 50 pages each.
+TEST_F(TableWatch, AHostThatStartsIsToldOfALargeTable)
+{
+  this->Platform.Stale = FirstPage();
+  this->Watch->Start();
+  ASSERT_TRUE(this->Bench.RunUntil([&] { return this->Platform.Reads == 1; }));
+  this->Bench.RunFor(0.3);
+  EXPECT_EQ(this->Platform.Reads, 1);
+  EXPECT_FALSE(this->Watch->Known());
+  gsTableNews news = News(0, 7, { { "a", "1", 1, false } });
+  news.Whole = true;
+  this->Watch->Learn(news, "other");
+  EXPECT_TRUE(this->Watch->Known());
+  this->Bench.RunFor(2);
+  EXPECT_EQ(this->Platform.Reads, 1);
+}
+
+TEST_F(TableWatch, AHostThatNobodyTellsReadsALargeTableItself)
+{
+  this->Platform.Stale = FirstPage();
+  this->Watch->Start();
+  ASSERT_TRUE(
+    this->Bench.RunUntil([&] { return this->Platform.Reads >= 3; }, 3));
+}
+
+// One that watches goes on from what it has; a silence costs no whole read.
+TEST_F(TableWatch, AWatcherOfALargeTableGoesOnFromWhatItHas)
+{
+  gsTableWatchSettings settings = this->Settings();
+  settings.LargeRows = 1;
+  gsTableWatch watch(this->Bench.Loop, this->Bench.Callers,
+                     this->Bench.Adapter, settings, [] {});
+  this->Platform.Put("a", "MQ==");
+  this->Platform.Put("b", "MQ==");
+  watch.Start();
+  watch.Resume(gsLoop::Now());
+  ASSERT_TRUE(this->Bench.RunUntil([&] { return this->Platform.Watched(); }));
+  int reads = this->Platform.Reads;
+  this->Platform.Silent = true;
+  this->Bench.RunFor(0.8);
+  this->Platform.Silent = false;
+  this->Platform.Put("c", "MQ==");
+  EXPECT_TRUE(
+    this->Bench.RunUntil([&] { return watch.Present().count("c") != 0; }, 3));
+  EXPECT_EQ(this->Platform.Reads, reads);
+}
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -334,6 +334,19 @@
     { { "table", "servers" }, { "key", this->RunnerIds.at(runner) } });
 }
 
+void gsRoutedSystem::Evacuate(int hall, bool evacuated)
+{
+  gsJson body{ { "table", "op" },
+               { "key", "evacuate/" + this->HallOf(hall) } };
+  if (evacuated) {
+    body["value"] = gsJson::object();
+  }
+  this->Fetch("POST",
+              "http://" + this->Processes.At("store").Address +
+                (evacuated ? "/put" : "/remove"),
+              body);
+}
+
 void gsRoutedSystem::Control(std::string const& process, gsJson const& body)
 {
   this->Fetch("POST",
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -97,6 +97,8 @@
   /** Writes a runner's row. */
   void List(std::string const& runner, bool leaving);
   void Unlist(std::string const& runner);
+  /** Asks for nothing new to be sent to a hall, or takes that back. */
+  void Evacuate(int hall, bool evacuated);
   /** A call to a stand-in's control. */
   void Control(std::string const& process, gsJson const& body);
   /** Faults on links; see gsStandInProxy. */
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -253,6 +253,38 @@
   EXPECT_EQ(system.RunsOf("runner1"), before);
 }
 
+TEST(Routed, AnEvacuatedHallGetsNothingOnAnyHostAlsoAfterANewStart)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 4;
+  plan.Runners = 4;
+  plan.Halls = 2;
+  gsRoutedSystem system(plan);
+  system.RunFor(2); // All have found their coordinators.
+  system.Links({ "store:host3" }, { { "mode", "hole" } });
+  system.Evacuate(0, true);
+  system.RunFor(2.5);
+  system.Signal("host1", SIGKILL);
+  system.Restart("host1");
+  system.WaitReady("host1");
+  std::size_t before = system.RunsOf("runner0") + system.RunsOf("runner2");
+  std::vector<gsRoutedReplyPtr> replies;
+  for (int i = 0; i < 10; ++i) {
+    for (std::string const& host : system.Hosts()) {
+      replies.push_back(system.SendAndWait(host, "plain"));
+    }
+  }
+  ExpectServed(system, replies);
+  EXPECT_EQ(system.RunsOf("runner0") + system.RunsOf("runner2"), before);
+  system.Evacuate(0, false);
+  EXPECT_TRUE(system.RunUntil(
+    [&] {
+      system.SendAndWait("host0", "plain");
+      return system.RunsOf("runner0") + system.RunsOf("runner2") > before;
+    },
+    6));
+}
+
 TEST(Routed, CoordinatorsThatAreKilledAreReplaced)
 {
   gsRoutedPlan plan;
--- a/Tests/Unit/gsTestArrangement.cxx
+++ b/Tests/Unit/gsTestArrangement.cxx
@@ -64,8 +64,8 @@
   ask.Group = gsFleetGroup::Tight;
   gsNoteDemand(fleet, ask, Now);
   gsDecideArrangements(fleet, Now);
-  EXPECT_LT(gsFleetFind(fleet, "u2")->Rank, 2U);
-  EXPECT_LT(gsFleetFind(fleet, "u4")->Rank, 2U);
+  EXPECT_LT(gsRankOf(fleet, *gsFleetFind(fleet, "u2")), 2U);
+  EXPECT_LT(gsRankOf(fleet, *gsFleetFind(fleet, "u4")), 2U);
 }
 
 TEST(Arrangement, TheBorderOfTheGroupsMovesOnlyWhenDemandClearlyHas)
@@ -117,7 +117,8 @@
   gsAdoptArrangement(adopts, "model", decided);
   EXPECT_EQ(gsLongEngines(decides, "model"), gsLongEngines(adopts, "model"));
   for (gsFleetRow const& row : decides.Rows) {
-    EXPECT_EQ(row.Rank, gsFleetFind(adopts, row.Listed.Id)->Rank);
+    EXPECT_EQ(gsRankOf(decides, row),
+              gsRankOf(adopts, *gsFleetFind(adopts, row.Listed.Id)));
   }
   // An older word changes nothing.
   gsEngineArrangement old = decided;
@@ -185,7 +186,7 @@
   decided.Slow = { fleet.Rows[4].Hash };
   gsAdoptArrangement(fleet, "model", decided);
   gsDecideArrangements(fleet, Now);
-  EXPECT_EQ(fleet.Rows[4].Rank, 0U);
+  EXPECT_EQ(gsRankOf(fleet, fleet.Rows[4]), 0U);
   for (gsFleetRow& row : fleet.Rows) {
     row.OthersPace = 20;
   }
@@ -325,12 +326,12 @@
   ask.TokenMillis = 0.025;
   ask.TargetTokens = 24000;
   gsRandom random(5);
-  EXPECT_LT(gsPlace(fleet, ask, Now, random).Row->Rank, 5U);
+  EXPECT_LT(gsRankOf(fleet, *gsPlace(fleet, ask, Now, random).Row), 5U);
   for (gsFleetRow& row : fleet.Rows) {
-    row.Own.ReadTokens = row.Rank < 5 ? 30000 : 0;
+    row.Own.ReadTokens = gsRankOf(fleet, row) < 5 ? 30000 : 0;
   }
-  EXPECT_GE(gsPlace(fleet, ask, Now, random).Row->Rank, 5U);
+  EXPECT_GE(gsRankOf(fleet, *gsPlace(fleet, ask, Now, random).Row), 5U);
   // Where they have room to wait, they do not hold the streams up.
   fleet.Paces["model"].LongRoom = 10;
-  EXPECT_LT(gsPlace(fleet, ask, Now, random).Row->Rank, 5U);
+  EXPECT_LT(gsRankOf(fleet, *gsPlace(fleet, ask, Now, random).Row), 5U);
 }
--- a/Tests/Unit/gsTestFleet.cxx
+++ b/Tests/Unit/gsTestFleet.cxx
@@ -65,7 +65,7 @@
   EXPECT_EQ(Chosen(fleet, Plain()), "none");
   gsNoteUnreachable(*row, Now);
   EXPECT_GT(row->AvoidUntil - Now, first);
-  gsNoteHeard(*row, Now);
+  gsNoteHeard(fleet, *row, Now);
   EXPECT_EQ(Chosen(fleet, Plain()), "u0");
 }
 
@@ -203,7 +203,7 @@
   gsRandom random(1);
   gsFleetRow& home = *gsPlace(fleet, ask, Now, random).Row;
   gsNoteHold(fleet, home, gsMilliseconds(4000));
-  gsNoteTurnedAway(home, Now);
+  gsNoteTurnedAway(fleet, home, Now);
   EXPECT_NE(gsPlace(fleet, ask, Now, random).Row, &home);
   // Other hosts are told so too.
   EXPECT_EQ(gsOwnWork(home, Now).Running, home.Listed.Slots);
@@ -236,7 +236,7 @@
     ask.Parts = &parts;
     gsFleetRow& home = *gsPlace(fleet, ask, Now, random).Row;
     gsTime full = home.FullUntil;
-    gsNoteTurnedAway(home, Now);
+    gsNoteTurnedAway(fleet, home, Now);
     std::string next = gsPlace(fleet, ask, Now, random).Row->Listed.Id;
     home.FullUntil = full;
     ++chosen[next];
@@ -359,7 +359,7 @@
   gsNoteUnreachable(*home, Now);
   gsFleetRow const* holder = one.Place().Holder;
   EXPECT_NE(holder, home);
-  gsNoteHeard(*home, Now);
+  gsNoteHeard(one.Fleet, *home, Now);
   one.Ask.MayMove = false;
   EXPECT_EQ(one.Place().Holder, nullptr);
   one.Ask.MayMove = true;
--- a/Tests/Unit/gsTestHallReach.cxx
+++ b/Tests/Unit/gsTestHallReach.cxx
@@ -52,7 +52,7 @@
   gsTime later = Now + fleet.Settings.HallReach.RetryFirst;
   EXPECT_EQ(HallChosen(fleet, later), "far");
   EXPECT_EQ(HallChosen(fleet, later), "own");
-  gsNoteHeard(*gsFleetFind(fleet, "f3"), later);
+  gsNoteHeard(fleet, *gsFleetFind(fleet, "f3"), later);
   EXPECT_EQ(HallChosen(fleet, later), "far");
   EXPECT_EQ(HallChosen(fleet, later), "far");
 }
@@ -61,7 +61,7 @@
 {
   gsFleet fleet = TwoHalls();
   gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f1"), Now);
-  gsNoteHeard(*gsFleetFind(fleet, "f3"), Now + gsMilliseconds(1));
+  gsNoteHeard(fleet, *gsFleetFind(fleet, "f3"), Now + gsMilliseconds(1));
   gsTime later = Now + gsMilliseconds(2);
   EXPECT_FALSE(gsNoteNoConnection(fleet, *gsFleetFind(fleet, "f2"), later));
   EXPECT_EQ(HallChosen(fleet, later), "far");
--- a/Tests/Unit/gsTestTableCopy.cxx
+++ b/Tests/Unit/gsTestTableCopy.cxx
@@ -543,3 +543,73 @@
   EXPECT_EQ(gsReadCounts(2, 2, 1), gsCountsRead::Unreadable);
   EXPECT_EQ(gsReadCounts(3, 3, 3), gsCountsRead::Unreadable);
 }
+
+namespace {
+
+/** News as a walk over all rows finds them. */
+Versions WalkedAbove(gsTableCopy const& copy, std::uint64_t version)
+{
+  Versions rows;
+  for (auto const& [key, row] : copy.Live) {
+    if (row.Version > version) {
+      rows[key] = row.Version;
+    }
+  }
+  for (auto const& [key, gone] : copy.Gone) {
+    if (gone.Row.Version > version) {
+      rows[key] = gone.Row.Version;
+    }
+  }
+  return rows;
+}
+
+} // namespace
+
+// A watcher of 10,000 rows walked all of them for each change and each host
+// that asked.
+TEST(TableCopy, NewsByRememberedChangesAreThoseOfAWalkOverAllRows)
+{
+  gsRandom random(11);
+  std::uniform_int_distribution<int> any(0, 9'999);
+  Platform platform;
+  gsTableCopy copy;
+  for (int i = 0; i < 10'000; ++i) {
+    platform.Change("k" + std::to_string(i), false);
+  }
+  gsCopyTakePage(copy, platform.Log, platform.Version, false, gsTime{});
+  std::uint64_t asked = 0;
+  for (int step = 0; step < 200; ++step) {
+    std::size_t from = platform.Log.size();
+    for (int i = 0; i < 50; ++i) {
+      platform.Change("k" + std::to_string(any(random)), i % 5 == 0);
+    }
+    std::vector<gsTableRow> page(platform.Log.begin() +
+                                   static_cast<std::ptrdiff_t>(from),
+                                 platform.Log.end());
+    gsCopyTakePage(copy, page, platform.Version, false, gsTime{});
+    for (std::uint64_t back : { 1, 40, 3'000 }) {
+      std::uint64_t above = platform.Version - back;
+      Versions told;
+      for (gsTableRow const& row : gsCopyNewsAbove(copy, above).Rows) {
+        EXPECT_TRUE(told.emplace(row.Key, row.Version).second) << row.Key;
+      }
+      EXPECT_EQ(told, WalkedAbove(copy, above));
+      asked += above >= copy.RecentFrom ? 1 : 0;
+    }
+    EXPECT_LE(copy.Recent.size(), 4'097U);
+  }
+  EXPECT_GE(asked, 400U); // Most were told without a walk.
+}
+
+TEST(TableCopy, TouchedRowsAreNamedOnceWhateverBroughtThem)
+{
+  gsTableCopy copy;
+  gsCopyTakeAll(copy, { Row("a", 1), Row("b", 2) }, 2, false, gsTime{});
+  EXPECT_EQ(gsCopyTakeTouched(copy), (std::vector<std::string>{ "a", "b" }));
+  EXPECT_TRUE(gsCopyTakeTouched(copy).empty());
+  gsCopyTakePage(copy, { Row("a", 3), Row("a", 4), Removal("b", 5) }, 5, false,
+                 gsTime{});
+  EXPECT_EQ(gsCopyTakeTouched(copy), (std::vector<std::string>{ "a", "b" }));
+  gsCopyTakePage(copy, { Row("a", 4) }, 5, false, gsTime{});
+  EXPECT_TRUE(gsCopyTakeTouched(copy).empty());
+}
