--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -488,6 +488,7 @@
                                      gsAttemptResult const& result)
 {
   this->NotePlainBegan(*request, *attempt, result);
+  this->NoteHallTried(*request, *attempt, result);
   if (request->Ended || request->Former == nullptr) {
     this->OnAttemptEnd(request, result);
     return;
@@ -511,9 +512,10 @@
 
 /** Notes when another hall could not be reached for a request. */
 void gsRouteGateway::NoteHallTried(gsRoutedRequest& request,
+                                   gsAttempt const& attempt,
                                    gsAttemptResult const& result)
 {
-  gsFleetRow const* row = gsFleetFind(this->Fleet, request.Attempt->Upstream);
+  gsFleetRow const* row = gsFleetFind(this->Fleet, attempt.Upstream);
   bool elsewhere =
     row != nullptr && row->Listed.Hall != this->Fleet.Settings.Hall;
   if (result.End == gsAttemptEnd::NotSent && elsewhere) {
@@ -527,7 +529,6 @@
   if (request->Ended) {
     return;
   }
-  this->NoteHallTried(*request, result);
   request->Attempt->Answered = result.End == gsAttemptEnd::Whole;
   bool ran = request->Attempt->Answered || result.End == gsAttemptEnd::Broken;
   request->MayHaveRun = request->MayHaveRun || ran;
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -96,7 +96,8 @@
   void OnAnyAttemptEnd(Held const& request, gsAttemptPtr const& attempt,
                        gsAttemptResult const& result);
   void OnAttemptEnd(Held const& request, gsAttemptResult const& result);
-  void NoteHallTried(gsRoutedRequest& request, gsAttemptResult const& result);
+  void NoteHallTried(gsRoutedRequest& request, gsAttempt const& attempt,
+                     gsAttemptResult const& result);
   void KeepOnly(Held const& request, gsAttemptPtr const& attempt);
   void ReturnToFormer(Held const& request);
   bool AllowsOneMore(gsRoutedRequest const& request,
