--- a/Tests/Unit/gsTestCandidates.cxx
+++ b/Tests/Unit/gsTestCandidates.cxx
@@ -130,6 +130,7 @@
   gsFleet taken;
   gsAdoptArrangement(taken, "model", arrangement);
   std::vector<gsListedUpstream> whole;
+  whole.reserve(listed.size());
   for (auto const& [id, upstream] : listed) {
     whole.push_back(upstream);
   }
