Routing: Take homes by the subject alone again

Failed try: homes by the first part of the prompt, over as many upstreams as the work needs (gsReach).

--- a/Source/Core/gsCandidates.cxx
+++ b/Source/Core/gsCandidates.cxx
@@ -12,13 +12,9 @@
 
 /** A subject's home is the first by its own order in so many arcs, */
 constexpr std::size_t Arcs = 4;
-/** each of so many upstreams of the group. */
+/** each of so many upstreams of the group: an upstream gets as many subjects
+ * as it lies in arcs, at most four times the mean of 1,000. */
 constexpr std::size_t InArc = 8;
-constexpr std::size_t ReachLeast = Arcs * InArc;
-/** Upstreams of the reach for each one that is busy. */
-constexpr double ReachOfBusy = 2;
-/** The reach shrinks to where it would be four times as wide as it has to. */
-constexpr std::size_t ReachSlack = 4;
 /** An arc ends after so many of either group. */
 constexpr std::size_t ArcMost = 24;
 /** Drawn at random, of which those of the own hall go first, */
@@ -56,13 +52,6 @@
   }
 }
 
-/** Places in a first part's stretch of the ring at which an arc may begin. */
-std::size_t Starts(gsCandidateAsk const& ask)
-{
-  std::size_t stretch = std::max(ask.Reach, ReachLeast) / Arcs;
-  return stretch - InArc + 1;
-}
-
 Members HomesOf(gsFleet const& fleet, gsCandidateAsk const& ask)
 {
   auto ring = fleet.Rings.find(std::string(ask.Service));
@@ -74,10 +63,8 @@
   for (std::size_t arc = 0; arc < Arcs; ++arc) {
     std::string const name = std::to_string(arc);
     auto point =
-      static_cast<std::uint32_t>(gsRendezvousWeight(name, ask.First));
-    std::size_t begin = gsRingAfter(ring->second, point) +
-                        gsRendezvousWeight(name, ask.Subject) % Starts(ask);
-    AddArc(fleet, ask, ring->second, begin, homes);
+      static_cast<std::uint32_t>(gsRendezvousWeight(name, ask.Subject));
+    AddArc(fleet, ask, ring->second, gsRingAfter(ring->second, point), homes);
   }
   return homes;
 }
@@ -101,17 +88,6 @@
 
 } // namespace
 
-std::size_t gsReach(std::size_t before, double enginesBusy)
-{
-  double wanted = ReachOfBusy * enginesBusy;
-  std::size_t reach = ReachLeast;
-  while (static_cast<double>(reach) < wanted) {
-    reach *= 2;
-  }
-  bool holds = before >= reach && before < ReachSlack * reach;
-  return holds ? before : reach;
-}
-
 gsCandidates gsCandidatesFor(gsFleet const& fleet, gsCandidateAsk const& ask,
                              gsRandom& random)
 {
--- a/Source/Core/gsCandidates.h
+++ b/Source/Core/gsCandidates.h
@@ -6,11 +6,6 @@
  * arcs of the ring and so the same on all hosts, and some at random, those of
  * the own hall first. So a request costs the same among 300 upstreams and
  * among 20,000.
- *
- * The arcs go by the first part of the prompt, which many subjects share, and
- * are as wide as the work that is asked for needs: were each subject's home
- * any of 9,468 engines, each would read its kind's first part anew, 2.5
- * million tokens in 25 s of 600 requests a second.
  */
 #pragma once
 
@@ -38,21 +33,11 @@
 {
   std::string_view Service;
   std::uint64_t Subject = 0; ///< 0 for none.
-  std::uint64_t First = 0;   ///< First part of the prompt.
-  std::size_t Reach = 0;     ///< See gsReach.
   /** Homes are only sought on this side of the border; absent for both. */
   gsFleetGroup Group = gsFleetGroup::Any;
   std::optional<gsEngineKey> Border;
 };
 
-/**
- * Over how many upstreams the subjects of one first part are spread: a power
- * of two, such that they would be half busy if all of the service's work
- * shared that part. It follows a growth at once, and a fall to less than a
- * quarter.
- */
-std::size_t gsReach(std::size_t before, double enginesBusy);
-
 gsCandidates gsCandidatesFor(gsFleet const& fleet, gsCandidateAsk const& ask,
                              gsRandom& random);
 
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -86,9 +86,6 @@
    */
   double HoldLong = 0;
   double HoldTight = 0;
-  /** Upstreams over which the subjects of one first part are spread, where
-   * there are many; see gsReach. */
-  std::size_t Reach = 0;
   gsTime Since{};     ///< Of the first request of any host; zero before.
   gsTime DecidedAt{}; ///< When this host last decided how to divide engines,
   gsTime SlowAt{};    ///< and which of them are slow.
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -8,7 +8,6 @@
 #include <random>
 #include <utility>
 
-#include "gsArrangement.h"
 #include "gsPlacementCost.h"
 #include "gsRendezvous.h"
 
@@ -429,26 +428,6 @@
   return ask;
 }
 
-/** What chooses the candidates; keeps the service's reach up. */
-gsCandidateAsk CandidatesOf(gsFleet& fleet, gsPlacementAsk const& ask,
-                            Choice const& choice, gsTime now)
-{
-  gsCandidateAsk wanted;
-  wanted.Service = ask.Service;
-  wanted.Subject = gsSubjectOf(ask);
-  wanted.Group = choice.Group;
-  wanted.Border = choice.Border;
-  if (wanted.Subject != 0) {
-    std::string const service(ask.Service);
-    wanted.First = ask.Parts->front().Name;
-    std::size_t& reach = fleet.Demand[service].Reach;
-    reach =
-      gsReach(reach, gsEnginesBusy(fleet, service, ask.TokenMillis, now));
-    wanted.Reach = reach;
-  }
-  return wanted;
-}
-
 /** Notes the choice, and where it may take the shared parts from. */
 void Settle(Search& search)
 {
@@ -477,7 +456,8 @@
   gsRefreshHalls(fleet, now);
   gsPlacementAsk ask = WithLuck(asked, random);
   Choice choice = MakeChoice(fleet, ask);
-  gsCandidateAsk wanted = CandidatesOf(fleet, ask, choice, now);
+  gsCandidateAsk wanted{ ask.Service, gsSubjectOf(ask), choice.Group,
+                         choice.Border };
   Search search{ fleet, ask,    choice,
                  now,   random, {},
                  0,     0,      gsCandidatesFor(fleet, wanted, random) };
--- a/Tests/Unit/gsTestCandidates.cxx
+++ b/Tests/Unit/gsTestCandidates.cxx
@@ -75,14 +75,11 @@
            { subject + 1'000'000, 600 } };
 }
 
-gsCandidateAsk AskOf(std::uint64_t subject, std::uint64_t first,
-                     std::size_t reach)
+gsCandidateAsk AskOf(std::uint64_t subject)
 {
   gsCandidateAsk ask;
   ask.Service = "model";
   ask.Subject = subject;
-  ask.First = first;
-  ask.Reach = reach;
   return ask;
 }
 
@@ -173,8 +170,7 @@
     gsFleet fleet = Many(upstreams);
     gsRandom random(1);
     for (std::uint64_t subject = 2; subject < 50; ++subject) {
-      gsCandidates candidates =
-        gsCandidatesFor(fleet, AskOf(subject, 1, 64), random);
+      gsCandidates candidates = gsCandidatesFor(fleet, AskOf(subject), random);
       EXPECT_LE(candidates.Rows.size(), 120U);
       EXPECT_GE(candidates.Homes.size(), 16U);
       EXPECT_EQ(candidates.Members, upstreams);
@@ -186,7 +182,7 @@
 {
   gsFleet fleet = Many(gsWeighedWhole);
   gsRandom random(1);
-  gsCandidates candidates = gsCandidatesFor(fleet, AskOf(5, 1, 32), random);
+  gsCandidates candidates = gsCandidatesFor(fleet, AskOf(5), random);
   EXPECT_EQ(candidates.Rows.size(), gsWeighedWhole);
   EXPECT_EQ(candidates.Homes.size(), gsWeighedWhole);
 }
@@ -244,55 +240,6 @@
   EXPECT_GE(subjects.size(), 900U);
 }
 
-// Each of 9,468 engines read the first parts of its few subjects anew.
-TEST(Candidates, SubjectsOfOneFirstPartShareAsManyUpstreamsAsTheWorkNeeds)
-{
-  gsFleet fleet = Many(3'000);
-  auto homesOf = [&fleet](std::size_t reach) {
-    std::set<std::size_t> homes;
-    gsRandom random(1);
-    for (std::uint64_t subject = 2; subject < 2'002; ++subject) {
-      gsCandidates found =
-        gsCandidatesFor(fleet, AskOf(subject, 1, reach), random);
-      homes.insert(found.Homes.begin(), found.Homes.end());
-    }
-    return homes.size();
-  };
-  // Stretches of the ring may overlap.
-  EXPECT_LE(homesOf(0), 32U);
-  EXPECT_EQ(homesOf(32), homesOf(0));
-  EXPECT_GE(homesOf(32), 16U);
-  EXPECT_LE(homesOf(256), 256U);
-  EXPECT_GE(homesOf(256), 128U);
-}
-
-TEST(Candidates, TheReachFollowsTheWorkWithoutFlapping)
-{
-  EXPECT_EQ(gsReach(0, 0), 32U);
-  EXPECT_EQ(gsReach(32, 16), 32U);
-  EXPECT_EQ(gsReach(32, 17), 64U);
-  EXPECT_EQ(gsReach(64, 40), 128U);
-  EXPECT_EQ(gsReach(128, 31), 128U);
-  EXPECT_EQ(gsReach(128, 17), 128U);
-  EXPECT_EQ(gsReach(128, 16), 32U);
-  EXPECT_EQ(gsReach(32, 500), 1024U);
-}
-
-// All of a service's work shares one first part: the engines that its subjects
-// may have as homes are about half busy, not three in a thousand of them over.
-TEST(Candidates, AFirstPartThatAllShareIsSpreadAsWideAsTheWork)
-{
-  gsFleet fleet = Many(3'000);
-  gsPlacementAsk ask = Plain();
-  std::vector<gsPromptPart> parts = PartsOf(5);
-  ask.Parts = &parts;
-  ask.TokenMillis = 0.02;
-  fleet.Demand["model"].OthersLong = 100'000'000; // 693 engines.
-  gsRandom random(1);
-  gsPlace(fleet, ask, Now, random);
-  EXPECT_EQ(fleet.Demand["model"].Reach, 2048U);
-}
-
 TEST(Candidates, HomesAreSoughtInTheGroupOfTheRequest)
 {
   gsFleet fleet = Many(2'000);
