Coordination: Large tables come back after all hosts were killed at once

Whether the code before did better was not measured. Test: TableWatch.AReadGoesOnWhereItWasTurnedAway.

--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -79,6 +79,10 @@
 {
   if (this->IsLarge() && !this->Paused) {
     this->Await();
+  } else if (!this->Reading.empty()) {
+    // Pages that came are kept: after all hosts have started at once, one
+    // call of fifty is always turned away.
+    this->Read(this->Reading.back().Key + '\0');
   } else {
     this->Read({});
   }
@@ -168,6 +172,7 @@
   }
   if (this->ReadVersion < this->Copy.Seen) {
     // An old state: what is known here is newer.
+    this->Reading.clear();
     this->RetryLater({ {}, gsTableFault::TurnedAway, "An old state." },
                      "read");
     return;
--- a/Tests/Route/gsFakePlatform.h
+++ b/Tests/Route/gsFakePlatform.h
@@ -80,6 +80,7 @@
   bool Busy = false;         ///< Calls get 503.
   bool HistoryGone = false;  ///< The next watch gets 410.
   std::optional<Json> Stale; ///< Answer to reads in place of the state.
+  std::string LastSource;    ///< Key from which the last read began.
   int Reads = 0;
   int Watches = 0;
 
@@ -88,6 +89,7 @@
   {
     bool watch = exchange->Path == "/api/rows-feed";
     (watch ? this->Watches : this->Reads) += 1;
+    this->LastSource = std::string(exchange->Query("source"));
     if (this->Silent) {
       this->Lost.push_back(exchange);
     } else if (this->Busy) {
--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -489,3 +489,23 @@
     this->Bench.RunUntil([&] { return watch.Present().count("c") != 0; }, 3));
   EXPECT_EQ(this->Platform.Reads, reads);
 }
+
+// 300 hosts that had all been killed read 15 pages each; as some call of each
+// was turned away, and each began anew, none served for 30 s.
+TEST_F(TableWatch, AReadGoesOnWhereItWasTurnedAway)
+{
+  this->Platform.Stale = FirstPage();
+  this->Watch->Resume(gsLoop::Now());
+  this->Watch->Start();
+  ASSERT_TRUE(this->Bench.RunUntil([&] { return this->Platform.Reads >= 2; }));
+  this->Platform.Busy = true;
+  int reads = this->Platform.Reads;
+  ASSERT_TRUE(
+    this->Bench.RunUntil([&] { return this->Platform.Reads >= reads + 2; }));
+  EXPECT_FALSE(this->Platform.LastSource.empty());
+  this->Platform.Stale.reset();
+  this->Platform.Put("b", "MQ==");
+  this->Platform.Busy = false;
+  EXPECT_TRUE(this->Bench.RunUntil([&] { return this->Watch->Known(); }));
+  EXPECT_FALSE(this->Platform.LastSource.empty());
+}
