--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "gsLog.h"
-#include "gsRendezvous.h"
 
 namespace {
 
@@ -44,25 +43,9 @@
          1;
 }
 
-/**
- * How long a host that starts waits to be told of a large table. When all have
- * been killed at once their watchers read it 2.5 s after the start, and tell
- * it a second later; those that nobody tells then read it one after the other,
- * not all at once, which the platform would turn away.
- */
-constexpr gsTime ToldLeast = gsMilliseconds(4000);
-constexpr int ToldSpreadMillis = 4000;
-
-gsTime ToldPatienceOf(std::string const& host)
-{
-  auto spread = static_cast<std::int64_t>(gsHashText(host) % ToldSpreadMillis);
-  return ToldLeast + gsMilliseconds(spread);
-}
-
 gsTableWatchSettings WatchSettings(gsSettings const& settings)
 {
   gsTableWatchSettings watch;
-  watch.ToldPatience = ToldPatienceOf(settings.Host);
   watch.Platform = settings.Platform.Address;
   watch.Wait = settings.Routing.WatchWait;
   watch.Gather = settings.Routing.Leaving / GatherShare;
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -55,7 +55,6 @@
   if (this->Paused) {
     this->Paused = false;
     this->KeptUp = std::max(this->KeptUp, keptUp);
-    this->Waited = true;
     if (this->Known()) {
       // A change of the duty is no doubt: the copy goes on from where it is.
       this->StopTimers();
@@ -88,22 +87,6 @@
   }
 }
 
-/**
- * Whether a host that starts leaves the rest of a large table to the others,
- * which tell it about as fast and cost the platform nothing.
- */
-bool gsTableWatch::AwaitsTelling(gsTablePage const& page)
-{
-  bool awaits = page.More && !this->Known() && !this->Waited &&
-                this->Settings.ToldPatience.count() > 0;
-  if (awaits) {
-    this->Waited = true;
-    this->Reading.clear();
-    this->Retry.Once(this->Settings.ToldPatience);
-  }
-  return awaits;
-}
-
 /** Stops what would begin the next call. */
 void gsTableWatch::StopTimers()
 {
@@ -159,9 +142,6 @@
   gsTablePage& page = *read.Page;
   if (this->Reading.empty()) {
     this->ReadVersion = page.Version;
-    if (this->AwaitsTelling(page)) {
-      return;
-    }
   }
   for (gsTableRow& row : page.Rows) {
     this->Reading.push_back(std::move(row));
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -45,12 +45,9 @@
   /**
    * A table of more rows is read whole only where nothing else will do: it
    * takes several calls and megabytes. A copy that is known goes on from where
-   * it is, and a host that starts is told by others.
+   * it is.
    */
   std::size_t LargeRows = 1000;
-  /** A host that starts waits so long to be told of a table that is larger
-   * than the platform's first answer. */
-  gsTime ToldPatience = gsMilliseconds(1500);
 };
 
 class gsTableWatch
@@ -127,7 +124,6 @@
 
 private:
   void Again();
-  bool AwaitsTelling(gsTablePage const& page);
   void Read(std::string const& fromKey);
   void OnRead(gsAnswer const& answer);
   void FinishRead(std::uint64_t version);
@@ -160,5 +156,4 @@
   gsTime Delay{};
   bool Silent = false; ///< Calls have had no answer since the last one.
   bool Paused = false; ///< Reads are not followed by a watch.
-  bool Waited = false; ///< To be told of the table, in vain.
 };
