--- a/Source/Coord/gsTableCheck.h
+++ b/Source/Coord/gsTableCheck.h
@@ -78,8 +78,7 @@
 
 /**
  * Whether a host may ask for what it lacks now; notes that it does. One that
- * knows nothing of the table yet is sent all of it, and waits for that: while
- * all hosts of a hall start again at once, each asked three coordinators every
- * 0.1 s for megabytes that were on their way.
+ * knows nothing of the table yet is sent all of it, and waits for that, so as
+ * not to ask each of three coordinators again for what is on its way.
  */
 bool gsMayAsk(gsAskPace& pace, bool known, gsTime now);
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -79,8 +79,7 @@
   if (this->IsLarge() && !this->Paused) {
     this->Await();
   } else if (!this->Reading.empty()) {
-    // Pages that came are kept: after all hosts have started at once, one
-    // call of fifty is always turned away.
+    // Pages that came are kept: a read of many calls begins anew for none.
     this->Read(this->Reading.back().Key + '\0');
   } else {
     this->Read({});
--- a/Tests/Route/gsTestTableWatch.cxx
+++ b/Tests/Route/gsTestTableWatch.cxx
@@ -465,8 +465,7 @@
   EXPECT_EQ(this->Platform.Reads, reads);
 }
 
-// 300 hosts that had all been killed read 15 pages each; as some call of each
-// was turned away, and each began anew, none served for 30 s.
+// A read of fifty pages began anew whenever one call was turned away.
 TEST_F(TableWatch, AReadGoesOnWhereItWasTurnedAway)
 {
   this->Platform.Stale = FirstPage();
