Routing: Logs what the head of an upstream's answer says of it

Cause: the logs could not tell whether hosts never hear that an upstream leaves or asks for rest, hear and forget it, or hear and price it too low. No choice changes.

--- a/Source/Daemon/gsAdapter.h
+++ b/Source/Daemon/gsAdapter.h
@@ -20,6 +20,7 @@
 #include "gsHttpServer.h"
 #include "gsRouteTable.h"
 #include "gsTableCopy.h"
+#include "gsUpstreamWord.h"
 #include "gsUsage.h"
 
 /** A caller's request as it was read; nothing in it has been decided. */
@@ -61,6 +62,9 @@
   bool Signed = false;      ///< It carries the upstream's signature.
   /** Longest rest of the connection before the upstream closes it. */
   std::optional<gsTime> KeepIdle;
+  /** What the upstream that answers says of itself. Nothing in an answer of
+   * another upstream than the one that was meant. */
+  gsUpstreamWord Word;
   gsHeaders Headers; ///< To pass on to the caller.
 };
 
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -27,6 +27,25 @@
   return std::clamp(fast * factor, LeastTokenMillis, MostTokenMillis);
 }
 
+/** One line for an answer whose head says something; at most one an attempt.
+ */
+void LogWord(gsRoutedRequest const& request, gsAttempt const& attempt)
+{
+  gsUpstreamWord const& word = attempt.Head.Word;
+  if (word.Empty()) {
+    return;
+  }
+  gsLogLine line("upstream_says");
+  line.With("request", request.Caller.Id)
+    .With("upstream", attempt.Upstream.Id)
+    .With("born", attempt.Upstream.Born)
+    .With("status", attempt.Status)
+    .With("leaving", word.Leaving);
+  if (word.Rest.count() > 0) {
+    line.With("rest_ms", word.Rest);
+  }
+}
+
 bool IsSuccess(unsigned status)
 {
   constexpr unsigned first = 200;
@@ -176,6 +195,7 @@
   attempt.LastByteAt = now;
   attempt.Status = status;
   attempt.Head = this->Adapter.ReadAnswer(status, headers);
+  LogWord(*request, attempt);
   if (attempt.Head.RequestId != request->Caller.Id) {
     this->Break(request, held, "The upstream answered another request.");
     return;
--- a/Tests/Route/gsTestPlatformAdapter.cxx
+++ b/Tests/Route/gsTestPlatformAdapter.cxx
@@ -116,6 +116,27 @@
   EXPECT_TRUE(read.value().Leaving);
 }
 
+TEST(PlatformAdapter, ReadsWhatAnAnswerSaysOfItsUpstream)
+{
+  gsAdapter adapter = gsMakeAdapter();
+  gsHeaders leaving{ { "server-leaving", "1" } };
+  for (unsigned status : { 200U, 404U, 429U, 500U, 503U }) {
+    EXPECT_TRUE(adapter.ReadAnswer(status, leaving).Word.Leaving) << status;
+  }
+  EXPECT_TRUE(adapter.ReadAnswer(200, {}).Word.Empty());
+  gsHeaders rest{ { "retry-after", "1" }, { "retry-after", "2.5" } };
+  EXPECT_EQ(adapter.ReadAnswer(503, rest).Word.Rest, gsMilliseconds(2500));
+  EXPECT_EQ(adapter.ReadAnswer(429, rest).Word.Rest, gsMilliseconds(2500));
+  EXPECT_TRUE(adapter.ReadAnswer(200, rest).Word.Empty());
+}
+
+// Another upstream has the address by then: it speaks of itself.
+TEST(PlatformAdapter, AnAnswerOfAnotherUpstreamSaysNothingOfTheOneMeant)
+{
+  gsHeaders headers{ { "server-leaving", "1" }, { "retry-after", "9" } };
+  EXPECT_TRUE(gsMakeAdapter().ReadAnswer(421, headers).Word.Empty());
+}
+
 TEST(PlatformAdapter, ReadsPagesOfRows)
 {
   gsAdapter adapter = gsMakeAdapter();
