Tests: Upstreams that say that they leave, or ask for rest, fail as reported

Symptom: an upstream whose answers say that it leaves is sent 26 of the next 40 requests, one that asked for 2 s of rest 31 requests within it (two real hosts, silent store; scripted upstreams for the shapes of it). Brought about without the records: a head that says so is enough.

--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -1,6 +1,7 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsRoutedSystem.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -444,7 +445,7 @@
   }
 }
 
-std::vector<gsRoutedRun> gsRoutedSystem::AllRuns() const
+std::vector<gsRoutedRun> gsRoutedSystem::AllArrivals() const
 {
   std::vector<gsRoutedRun> runs;
   for (std::string const& runner : this->RunnerNames) {
@@ -457,6 +458,7 @@
       std::int64_t micros = 0;
       while (log >> word >> run.Request >> micros) {
         run.At = gsTime(micros);
+        run.Ran = word == "run";
         runs.push_back(run);
       }
     }
@@ -464,6 +466,28 @@
   return runs;
 }
 
+std::vector<gsRoutedRun> gsRoutedSystem::ArrivalsAt(
+  std::string const& runner) const
+{
+  std::vector<gsRoutedRun> there;
+  std::string const incarnations = runner + "-";
+  for (gsRoutedRun const& arrival : this->AllArrivals()) {
+    if (arrival.Runner.rfind(incarnations, 0) == 0) {
+      there.push_back(arrival);
+    }
+  }
+  return there;
+}
+
+std::vector<gsRoutedRun> gsRoutedSystem::AllRuns() const
+{
+  std::vector<gsRoutedRun> runs = this->AllArrivals();
+  runs.erase(std::remove_if(runs.begin(), runs.end(),
+                            [](gsRoutedRun const& run) { return !run.Ran; }),
+             runs.end());
+  return runs;
+}
+
 std::map<std::string, int> gsRoutedSystem::Runs() const
 {
   std::map<std::string, int> count;
@@ -475,12 +499,10 @@
 
 std::size_t gsRoutedSystem::RunsOf(std::string const& runner) const
 {
-  std::size_t count = 0;
-  std::string incarnations = runner + "-";
-  for (gsRoutedRun const& run : this->AllRuns()) {
-    count += run.Runner.rfind(incarnations, 0) == 0 ? 1 : 0;
-  }
-  return count;
+  std::vector<gsRoutedRun> there = this->ArrivalsAt(runner);
+  return static_cast<std::size_t>(
+    std::count_if(there.begin(), there.end(),
+                  [](gsRoutedRun const& run) { return run.Ran; }));
 }
 
 std::string gsRoutedSystem::Expected(gsRoutedReply const& reply) const
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -35,12 +35,13 @@
   bool Duties = false;
 };
 
-/** A request that a runner began to run. */
+/** A request that reached a runner. */
 struct gsRoutedRun
 {
   std::string Request;
   std::string Runner; ///< Id of the incarnation.
   gsTime At{};
+  bool Ran = true; ///< Else it was turned away, for a rest.
 };
 
 /** A request of a caller, and all that the caller saw of its answer. */
@@ -133,7 +134,11 @@
   {
     return this->RunnerIds.at(runner);
   }
-  /** What the runners have run, by their own words. */
+  /** What the runners have run or turned away, by their own words. */
+  std::vector<gsRoutedRun> AllArrivals() const;
+  /** Those of one runner's incarnations together. */
+  std::vector<gsRoutedRun> ArrivalsAt(std::string const& runner) const;
+  /** What the runners have run. */
   std::vector<gsRoutedRun> AllRuns() const;
   /** How often each request has been run. */
   std::map<std::string, int> Runs() const;
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -333,6 +333,87 @@
   system.Signal(watcher, SIGCONT);
 }
 
+// The platform takes nothing for a while. All answers of an upstream say that
+// it leaves, its row still lists it as ready, and each host that has had such
+// an answer sends it nothing from then on, whatever its row says later.
+TEST(Routed, AHostHeedsAnUpstreamThatSaysInItsAnswersThatItLeaves)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 2;
+  gsRoutedSystem system(plan);
+  system.RunFor(2);
+  system.Control("store", { { "mode", "silent" } });
+  system.Control("runner0", { { "leaving", true } });
+  for (std::string const& host : system.Hosts()) {
+    std::size_t before = system.RunsOf("runner0");
+    for (int i = 0; i < 60 && system.RunsOf("runner0") == before; ++i) {
+      ASSERT_TRUE(system.SendAndWait(host, "plain")->Good());
+    }
+  }
+  std::size_t told = system.ArrivalsAt("runner0").size();
+  for (int i = 0; i < 40; ++i) {
+    for (std::string const& host : system.Hosts()) {
+      ASSERT_TRUE(system.SendAndWait(host, "plain")->Good());
+    }
+  }
+  EXPECT_EQ(system.ArrivalsAt("runner0").size(), told);
+  // The row is told as ready once more, and then goes and comes back.
+  system.Control("store", { { "mode", "pass" } });
+  system.List("runner0", false);
+  system.RunFor(1);
+  system.Unlist("runner0");
+  system.RunFor(1);
+  system.List("runner0", false);
+  system.RunFor(1);
+  for (int i = 0; i < 40; ++i) {
+    for (std::string const& host : system.Hosts()) {
+      ASSERT_TRUE(system.SendAndWait(host, "plain")->Good());
+    }
+  }
+  EXPECT_EQ(system.ArrivalsAt("runner0").size(), told);
+}
+
+// An upstream turns all away for a second and asks each host for two seconds
+// of rest: from half a second after its first word until the rest is over it
+// gets no more than two requests of a host; here, none.
+TEST(Routed, AHostLeavesAnUpstreamTheRestThatItAskedFor)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 1;
+  gsRoutedSystem system(plan);
+  system.RunFor(1);
+  system.Control("runner0", { { "rest", "2" }, { "rest_ms", 1000 } });
+  std::vector<gsRoutedReplyPtr> replies;
+  auto sendFor = [&](double seconds) {
+    gsTime until = gsLoop::Now() + gsFromSeconds(seconds);
+    while (gsLoop::Now() < until) {
+      replies.push_back(system.Send("host0", "safe"));
+      system.RunFor(0.01);
+    }
+  };
+  sendFor(4);
+  ASSERT_TRUE(system.RunUntil([&] { return AllDone(replies); }));
+  gsTime asked{};
+  std::size_t within = 0;
+  std::size_t after = 0;
+  for (gsRoutedRun const& arrival : system.ArrivalsAt("runner0")) {
+    if (asked.count() == 0 && !arrival.Ran) {
+      asked = arrival.At;
+    }
+    bool during = asked.count() != 0 &&
+                  arrival.At > asked + gsMilliseconds(500) &&
+                  arrival.At < asked + gsSeconds(2);
+    within += during ? 1 : 0;
+    after += asked.count() != 0 && arrival.At >= asked + gsSeconds(2) ? 1 : 0;
+  }
+  ASSERT_NE(asked.count(), 0);
+  EXPECT_EQ(within, 0U);
+  EXPECT_GT(after, 0U);
+  for (gsRoutedReplyPtr const& reply : replies) {
+    EXPECT_TRUE(reply->Good()) << reply->Id << ' ' << reply->Status;
+  }
+}
+
 TEST(Routed, EveryHostsLogNamesALeavingUpstreamAndWhatItServed)
 {
   gsRoutedSystem system({});
--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -5,8 +5,11 @@
  * Each request that it runs is one line "run ID MICROSECONDS" on standard
  * output, by the monotonic clock, written before anything else is done.
  * /stream/ and /resume/ answer with events "ID:NUMBER" from 1, or from after
- * Last-Event-Id, to --events; all other paths with one text. POST /control
- * takes {"cut": N}: so many of the next answers break off.
+ * Last-Event-Id, to --events; all other paths with one text. A request that it
+ * turns away for its rest is one line "away ID MICROSECONDS". POST /control
+ * takes {"cut": N}: so many of the next answers break off; {"leaving": true}:
+ * all answers from then on say that it leaves; {"rest": "VALUE", "rest_ms":
+ * N}: for so long it turns requests away and asks for rest of that value.
  */
 #include <memory>
 #include <set>
@@ -60,13 +63,13 @@
   void OnExchange(Exchange const& exchange)
   {
     if (exchange->Path == "/control") {
-      this->Cuts = gsJson::parse(exchange->Body).value("cut", 0);
+      this->Control(gsJson::parse(exchange->Body));
       gsAnswerJson(*exchange, gsJson::object());
       return;
     }
     std::string id(exchange->Header("Gradescale-Attempt-Id"));
-    gsHeaders refusal{ { "Gradescale-Attempt-Id", id },
-                       { "Gradescale-Not-Executed", "1" } };
+    gsHeaders refusal = this->Head(id);
+    refusal.emplace_back("Gradescale-Not-Executed", "1");
     std::string expected(exchange->Header("Gradescale-Expect-Instance"));
     if (!expected.empty() && expected != this->Chosen.Id) {
       exchange->Respond(421, refusal, "");
@@ -77,17 +80,61 @@
       exchange->Respond(id.empty() ? 400 : 503, refusal, "");
       return;
     }
-    std::cout << "run " << id << ' ' << gsLoop::Now().count() << std::endl;
+    if (gsLoop::Now() < this->RestUntil) {
+      Tell("away", id);
+      refusal.emplace_back("Retry-After", this->Rest);
+      exchange->Respond(503, refusal, "");
+      return;
+    }
+    Tell("run", id);
     auto run = std::make_shared<Run>(*this, exchange, id);
     this->Running.insert(run);
     exchange->OnGone = [run] { run->End(); };
     run->Begin();
   }
 
+  /** What the head of each answer says. */
+  gsHeaders Head(std::string const& id) const
+  {
+    gsHeaders head{ { "Gradescale-Attempt-Id", id } };
+    if (this->Leaving) {
+      head.emplace_back("Server-Leaving", "1");
+    }
+    return head;
+  }
+
+  gsHeaders SignedHead(std::string const& id) const
+  {
+    gsHeaders head = this->Head(id);
+    head.emplace_back("Gradescale-Response-Signature", this->Chosen.Id);
+    return head;
+  }
+
   gsLoop& Loop;
   Options Chosen;
   std::set<std::shared_ptr<Run>> Running;
   int Cuts = 0;
+  bool Leaving = false;
+  std::string Rest; ///< Asked for until RestUntil.
+  gsTime RestUntil{};
+
+private:
+  void Control(gsJson const& body)
+  {
+    this->Cuts = body.value("cut", this->Cuts);
+    this->Leaving = body.value("leaving", this->Leaving);
+    this->Rest = body.value("rest", this->Rest);
+    if (body.contains("rest_ms")) {
+      this->RestUntil =
+        gsLoop::Now() + gsMilliseconds(body["rest_ms"].get<int>());
+    }
+  }
+
+  static void Tell(char const* word, std::string const& id)
+  {
+    std::cout << word << ' ' << id << ' ' << gsLoop::Now().count()
+              << std::endl;
+  }
 };
 
 Run::Run(Runner& owner, Exchange call, std::string id)
@@ -115,10 +162,9 @@
   if (!last.empty()) {
     this->Next = std::stoi(last) + 1;
   }
-  this->Call->BeginStream(
-    200, { { "Gradescale-Attempt-Id", this->Id },
-           { "Gradescale-Response-Signature", this->Owner.Chosen.Id },
-           { "Content-Type", "text/event-stream" } });
+  gsHeaders head = this->Owner.SignedHead(this->Id);
+  head.emplace_back("Content-Type", "text/event-stream");
+  this->Call->BeginStream(200, head);
   this->Timer.Once(gsMilliseconds(this->Owner.Chosen.GapMs));
 }
 
@@ -126,17 +172,12 @@
 {
   if (this->Next < 0) {
     if (this->Cut) {
-      this->Call->BeginStream(
-        200, { { "Gradescale-Attempt-Id", this->Id },
-               { "Gradescale-Response-Signature", this->Owner.Chosen.Id } });
+      this->Call->BeginStream(200, this->Owner.SignedHead(this->Id));
       this->Call->Write("answer");
       this->Call->Abort();
     } else {
-      this->Call->Respond(
-        200,
-        { { "Gradescale-Attempt-Id", this->Id },
-          { "Gradescale-Response-Signature", this->Owner.Chosen.Id } },
-        "answer to " + this->Id);
+      this->Call->Respond(200, this->Owner.SignedHead(this->Id),
+                          "answer to " + this->Id);
     }
     this->End();
     return;
