Routing: Heeds what an upstream says of itself in its answers

What callers saw: requests went to an upstream two to three seconds after its answers had said that it leaves, and to one that had asked for rest, which turned them away again (7 requests in a rest of 3 s, urgent ones among them). Cause: of an answer's head a host read whether the request had run and nothing of what the upstream says of itself; leaving was a field of the platform's row alone, and a 503 a price for half a second. Mend: the word is a fact of its own beside the row, by id and birth (gsHeardWord): leaving is one-way, the latest rest holds. gsTakesWork, the one gate of every choice and of the last look before the first byte, asks both. A row told late, written anew, gone and back takes nothing back; another birth starts without. Rests exclude; while all rest, callers are told when the first ends. After a rest hosts come back one in 10 ms, with one request, then with twice as many after each that is taken. Not done: urgent kinds do not wait at the host for the end of a rest (a request that is given up on gets its final answer at once).

--- a/Source/Coord/gsRendezvous.cxx
+++ b/Source/Coord/gsRendezvous.cxx
@@ -2,6 +2,7 @@
 #include "gsRendezvous.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <xxhash.h>
 
@@ -15,6 +16,13 @@
   return XXH3_64bits_withSeed(name.data(), name.size(), key);
 }
 
+double gsRendezvousDraw(std::string_view name, std::uint64_t key)
+{
+  constexpr double most =
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  return static_cast<double>(gsRendezvousWeight(name, key)) / most;
+}
+
 std::optional<std::string> gsRendezvous(
   std::vector<std::string_view> const& names, std::string_view key)
 {
--- a/Source/Coord/gsRendezvous.h
+++ b/Source/Coord/gsRendezvous.h
@@ -19,6 +19,9 @@
 /** Weight of a name for a key. The highest weight wins. */
 std::uint64_t gsRendezvousWeight(std::string_view name, std::uint64_t key);
 
+/** The same as a number from 0 to 1 that all hosts compute alike. */
+double gsRendezvousDraw(std::string_view name, std::uint64_t key);
+
 /** The winner among the names, or nothing when there are none. */
 std::optional<std::string> gsRendezvous(
   std::vector<std::string_view> const& names, std::string_view key);
--- a/Source/Core/gsColdStart.cxx
+++ b/Source/Core/gsColdStart.cxx
@@ -2,7 +2,6 @@
 #include "gsColdStart.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "gsRendezvous.h"
 
@@ -15,15 +14,6 @@
  */
 constexpr double ColdUse = 0.5;
 
-/** A number between 0 and 1 that every host computes alike. */
-double Draw(std::string_view host, std::string_view upstream)
-{
-  constexpr double most =
-    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  std::uint64_t weight = gsRendezvousWeight(host, gsHashText(upstream));
-  return static_cast<double>(weight) / most;
-}
-
 } // namespace
 
 gsColdShare gsShareOfCold(double perSecond, std::size_t hosts,
@@ -37,5 +27,6 @@
   if (share >= 1) {
     return { true, gsFromSeconds(1 / share) };
   }
-  return { Draw(host, upstream) < share, gsSeconds(1) };
+  bool sends = gsRendezvousDraw(host, gsHashText(upstream)) < share;
+  return { sends, gsSeconds(1) };
 }
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -90,6 +90,50 @@
     gsRendezvousWeight(listed.Id, listed.Born));
 }
 
+/** Makes room for one more word that is kept: the old ones go, or the oldest.
+ */
+void ForgetWords(gsFleet& fleet, gsTime now)
+{
+  auto& kept = fleet.KeptWords;
+  for (auto word = kept.begin(); word != kept.end();) {
+    bool old = now - word->second.At > fleet.Settings.KeptWordMemory;
+    word = old ? kept.erase(word) : std::next(word);
+  }
+  if (kept.size() >= fleet.Settings.KeptWordsMost) {
+    kept.erase(std::min_element(
+      kept.begin(), kept.end(),
+      [](auto const& a, auto const& b) { return a.second.At < b.second.At; }));
+  }
+}
+
+/** Keeps the words of an upstream whose row goes. */
+void KeepWord(gsFleet& fleet, gsFleetRow const& row, gsTime now)
+{
+  if (!gsHolds(row.Heard, now)) {
+    return;
+  }
+  if (fleet.KeptWords.size() >= fleet.Settings.KeptWordsMost) {
+    ForgetWords(fleet, now);
+  }
+  fleet.KeptWords[row.Listed.Id] = { row.Listed.Born, row.Heard, now };
+}
+
+/** The words of a row that comes, if it is of the incarnation that said them.
+ */
+gsHeardWord TakeKeptWord(gsFleet& fleet, gsListedUpstream const& listed,
+                         gsTime now)
+{
+  auto known = fleet.KeptWords.find(listed.Id);
+  if (known == fleet.KeptWords.end()) {
+    return {};
+  }
+  gsKeptWord kept = known->second;
+  fleet.KeptWords.erase(known);
+  bool holds =
+    kept.Born == listed.Born && now - kept.At <= fleet.Settings.KeptWordMemory;
+  return holds ? kept.Heard : gsHeardWord{};
+}
+
 /** A row that stays: what was learned of it holds on. */
 void Renew(gsFleet& fleet, std::size_t index, gsListedUpstream const& listed)
 {
@@ -131,13 +175,14 @@
     }
     fleet.Rows[index].Listed = listed;
     fleet.Rows[index].Hash = HashOf(listed);
+    fleet.Rows[index].Heard = TakeKeptWord(fleet, listed, now);
     Enter(fleet, index);
   }
   gsTime cold = listed.ColdLeft;
   fleet.Rows[index].ColdUntil = cold.count() > 0 ? now + cold : gsTime{};
 }
 
-void gsFleetDrop(gsFleet& fleet, std::string_view id)
+void gsFleetDrop(gsFleet& fleet, std::string_view id, gsTime now)
 {
   auto known = fleet.ById.find(std::string(id));
   if (known == fleet.ById.end()) {
@@ -145,6 +190,7 @@
   }
   std::size_t index = known->second;
   std::size_t last = fleet.Rows.size() - 1;
+  KeepWord(fleet, fleet.Rows[index], now);
   Exit(fleet, index);
   if (index != last) {
     Exit(fleet, last);
@@ -168,7 +214,7 @@
     }
   }
   for (std::string const& id : gone) {
-    gsFleetDrop(fleet, id);
+    gsFleetDrop(fleet, id, now);
   }
   for (gsListedUpstream const& entry : listed) {
     gsFleetPut(fleet, entry, now);
@@ -187,11 +233,39 @@
   }
 }
 
-bool gsTakesWork(gsFleet const& fleet, gsFleetRow const& row)
+bool gsIsLeaving(gsFleetRow const& row)
+{
+  return row.Listed.Leaving || row.Heard.Leaving;
+}
+
+bool gsTakesWork(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
 {
   bool evacuated =
     !fleet.Evacuated.empty() && fleet.Evacuated.count(row.Listed.Hall) != 0;
-  return !row.Listed.Leaving && !evacuated;
+  return !gsIsLeaving(row) && !evacuated && !gsIsResting(row.Heard, now);
+}
+
+bool gsNoteWord(gsFleet& fleet, gsIncarnation const& upstream,
+                gsUpstreamWord const& word, gsTime now)
+{
+  if (word.Empty()) {
+    return false;
+  }
+  if (gsFleetRow* row = gsFleetFind(fleet, upstream)) {
+    return gsHear(row->Heard, word, now);
+  }
+  if (gsFleetFind(fleet, upstream.Id) != nullptr) {
+    return false; // Of an earlier start.
+  }
+  auto known = fleet.KeptWords.find(upstream.Id);
+  bool same =
+    known != fleet.KeptWords.end() && known->second.Born == upstream.Born;
+  if (!same && fleet.KeptWords.size() >= fleet.Settings.KeptWordsMost) {
+    ForgetWords(fleet, now);
+  }
+  gsKeptWord& kept = fleet.KeptWords[upstream.Id];
+  kept = same ? kept : gsKeptWord{ upstream.Born, {}, now };
+  return gsHear(kept.Heard, word, now);
 }
 
 gsFleetRow* gsFleetFind(gsFleet& fleet, std::string_view id)
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -24,6 +24,7 @@
 #include "gsInterference.h"
 #include "gsLoadExchange.h"
 #include "gsTypes.h"
+#include "gsUpstreamWord.h"
 
 /** A part of a prompt; parts with the same name are the same text. */
 struct gsPromptPart
@@ -115,8 +116,12 @@
   /** Gets nothing until then, after it was not reachable. */
   gsTime AvoidUntil{};
   std::uint32_t Unreachable = 0; ///< Times in a row.
-  /** It has turned work away lately, and counts as full until then. */
+  /** It has turned work away lately, and counts as full until then: a price,
+   * where Heard excludes it for the rest that it asked for. */
   gsTime FullUntil{};
+  /** What it has said of itself in answers. Of this incarnation; kept when the
+   * row is written anew, goes or comes back. */
+  gsHeardWord Heard;
   /** Share of failed attempts, smoothed; decays with time. */
   double FailShare = 0;
   gsTime FailAt{};
@@ -137,6 +142,14 @@
   bool Working = false;
 };
 
+/** Words of an upstream whose row is away for now. */
+struct gsKeptWord
+{
+  std::uint64_t Born = 0;
+  gsHeardWord Heard;
+  gsTime At{}; ///< When it was put aside.
+};
+
 /** What the choice depends on, beside the rows. */
 struct gsFleetSettings
 {
@@ -198,6 +211,10 @@
   /** Older words are not believed; see gsLoadSettings::MostAge. */
   gsTime OthersMemory = gsMilliseconds(7500);
   std::size_t PartsMost = 2000; ///< Remembered for each upstream.
+  /** Words of upstreams without a row are kept for so long: a platform that is
+   * away for minutes loses rows and brings them back. */
+  gsTime KeptWordMemory = std::chrono::minutes(10);
+  std::size_t KeptWordsMost = 1024; ///< Of a fleet's releases: some 100 KB.
   gsHallReachSettings HallReach;
 };
 
@@ -230,6 +247,8 @@
    * when. */
   std::map<std::string, gsTime, std::less<>> Evacuated;
   std::unordered_map<std::string, gsEnginePace> Paces; ///< By service.
+  /** By id; none of an upstream that has a row. */
+  std::unordered_map<std::string, gsKeptWord> KeptWords;
 };
 
 /**
@@ -238,8 +257,9 @@
  */
 void gsFleetPut(gsFleet& fleet, gsListedUpstream const& listed, gsTime now);
 
-/** Forgets an upstream that is gone. */
-void gsFleetDrop(gsFleet& fleet, std::string_view id);
+/** Forgets an upstream that is gone, but for its words: its row may be away
+ * only for now. */
+void gsFleetDrop(gsFleet& fleet, std::string_view id, gsTime now = gsTime{});
 
 /** Takes a whole list: puts all of it, and drops what is not in it. */
 void gsFleetTake(gsFleet& fleet, std::vector<gsListedUpstream> const& listed,
@@ -249,9 +269,20 @@
 void gsNoteEvacuated(gsFleet& fleet, std::set<std::string> const& halls,
                      gsTime now);
 
-/** Whether an upstream may get anything new: it does not leave, and its hall
- * is not evacuated. */
-bool gsTakesWork(gsFleet const& fleet, gsFleetRow const& row);
+/** Whether it leaves, by its row or by its own word. */
+bool gsIsLeaving(gsFleetRow const& row);
+
+/** Whether an upstream may get anything new: it does not leave nor rest, and
+ * its hall is not evacuated. The one gate of all choices, and of the last look
+ * before a request is sent. */
+bool gsTakesWork(gsFleet const& fleet, gsFleetRow const& row, gsTime now);
+
+/**
+ * Takes in what an upstream has said of itself in an answer, also while it has
+ * no row. \return Whether it changes what holds of it.
+ */
+bool gsNoteWord(gsFleet& fleet, gsIncarnation const& upstream,
+                gsUpstreamWord const& word, gsTime now);
 
 /** The row of an upstream; null when it is gone. */
 gsFleetRow* gsFleetFind(gsFleet& fleet, std::string_view id);
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -36,13 +36,39 @@
  * in twenty, as in the pools of the own interface. */
 constexpr double LeastShare = 0.05;
 
+/** Whether it could be sent the request but for its rest, or for its turn to
+ * be come back to. */
+bool IsOnlyResting(gsFleet const& fleet, gsFleetRow const& row,
+                   gsPlacementAsk const& ask, gsTime now)
+{
+  bool rests = gsIsResting(row.Heard, now);
+  gsTime over = rests ? row.Heard.RestUntil : now;
+  return (rests || WaitsToReturn(fleet, row, ask, now)) &&
+         gsTakesWork(fleet, row, over) && IsAllowed(fleet, row, ask);
+}
+
+/** Notes when the first of those that rest wants work again. */
+void NoteRest(gsPlacement& best, gsFleetRow const& row, gsTime now)
+{
+  gsTime left = row.Heard.RestUntil - now;
+  bool first = best.RestLeft.count() == 0 || left < best.RestLeft;
+  if (left.count() > 0 && first) {
+    best.RestLeft = left;
+  }
+}
+
 /** Why none can be chosen, with one more that cannot. */
 gsPlacementCause CauseAgainst(gsFleet const& fleet, gsFleetRow const& row,
                               gsPlacementAsk const& ask, gsTime now,
                               gsPlacementCause before)
 {
-  if (!gsTakesWork(fleet, row) || WasTried(ask, row) ||
-      before == gsPlacementCause::Full) {
+  if (WasTried(ask, row) || before == gsPlacementCause::Full) {
+    return before;
+  }
+  if (IsOnlyResting(fleet, row, ask, now)) {
+    return gsPlacementCause::Resting;
+  }
+  if (!gsTakesWork(fleet, row, now)) {
     return before;
   }
   if (MayGet(fleet, row, ask, now)) {
@@ -115,6 +141,9 @@
       if (best.Row == nullptr) {
         best.Cause =
           CauseAgainst(search.Fleet, row, search.Ask, search.Now, best.Cause);
+        if (IsOnlyResting(search.Fleet, row, search.Ask, search.Now)) {
+          NoteRest(best, row, search.Now);
+        }
       }
       continue;
     }
@@ -358,6 +387,8 @@
       return "full";
     case gsPlacementCause::Cold:
       return "cold";
+    case gsPlacementCause::Resting:
+      return "resting";
     case gsPlacementCause::OutsideRegions:
       return "outside_regions";
     case gsPlacementCause::Unreachable:
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -64,6 +64,7 @@
   NoConnection,   ///< This host's share of connections is used up at all.
   Full,           ///< The places left are for more urgent requests.
   Cold,           ///< Those left are cold, and have got what they bear.
+  Resting,        ///< Those left want nothing from this host for a while.
   OutsideRegions, ///< There are some, and none where it may be served.
   Unreachable     ///< It has some, and none can be reached for now.
 };
@@ -80,6 +81,9 @@
                                 ///< over.
   double Cost = 0;              ///< Tokens.
   std::uint32_t Candidates = 0;
+  /** Where all that are left rest: until the first of them, of those that were
+   * weighed, wants work again. */
+  gsTime RestLeft{};
   gsFleetGroup Group = gsFleetGroup::Any; ///< That the request belongs to.
 };
 
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -2,7 +2,6 @@
 #include "gsPlacementCost.h"
 
 #include <algorithm>
-#include <limits>
 #include <string>
 
 #include "gsArrangement.h"
@@ -127,11 +126,19 @@
   return !share.Sends || now - row.ColdSentAt < share.Gap;
 }
 
+bool WaitsToReturn(gsFleet const& fleet, gsFleetRow const& row,
+                   gsPlacementAsk const& ask, gsTime now)
+{
+  return !gsMayReturn(
+    row.Heard, { fleet.Settings.Host, row.Listed.Id, ask.HostsOfLate }, now);
+}
+
 bool MayGet(gsFleet const& fleet, gsFleetRow const& row,
             gsPlacementAsk const& ask, gsTime now)
 {
-  return HasConnection(row, ask) && gsTakesWork(fleet, row) &&
-         row.AvoidUntil <= now && !WasTried(ask, row) &&
+  return HasConnection(row, ask) && gsTakesWork(fleet, row, now) &&
+         !WaitsToReturn(fleet, row, ask, now) && row.AvoidUntil <= now &&
+         !WasTried(ask, row) &&
          gsHallMayTry(fleet.Halls, row.Listed.Hall, now) &&
          IsAllowed(fleet, row, ask) && !IsTooCold(fleet, row, ask, now) &&
          !(ask.OwnHallOnly && row.Listed.Hall != fleet.Settings.Hall);
@@ -363,11 +370,8 @@
   if (choice.Preferred == nullptr || isHome || holdsSubject) {
     return 0;
   }
-  constexpr double most =
-    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  auto weight =
-    static_cast<double>(gsRendezvousWeight(row.Listed.Id, gsSubjectOf(ask)));
-  return fleet.Settings.SpreadTokens * (1 - weight / most);
+  return fleet.Settings.SpreadTokens *
+         (1 - gsRendezvousDraw(row.Listed.Id, gsSubjectOf(ask)));
 }
 
 /** What an engine costs whose memory would not do: it preempts others. */
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -53,6 +53,10 @@
 bool IsTooCold(gsFleet const& fleet, gsFleetRow const& row,
                gsPlacementAsk const& ask, gsTime now);
 
+/** Whether it has rested, and it is not this host's turn to come back yet. */
+bool WaitsToReturn(gsFleet const& fleet, gsFleetRow const& row,
+                   gsPlacementAsk const& ask, gsTime now);
+
 /** Whether it may be sent the request at all. */
 bool MayGet(gsFleet const& fleet, gsFleetRow const& row,
             gsPlacementAsk const& ask, gsTime now);
--- a/Source/Core/gsUpstreamWord.cxx
+++ b/Source/Core/gsUpstreamWord.cxx
@@ -3,10 +3,13 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <ctime>
 #include <optional>
 #include <string>
 
+#include "gsRendezvous.h"
+
 namespace {
 
 std::string_view Trim(std::string_view text)
@@ -48,10 +51,19 @@
     bool negative = text.front() == '-';
     return negative ? 0 : gsToSeconds(gsRestMost);
   }
-  bool number = parsed.ec == std::errc() && seconds == seconds;
+  bool number = parsed.ec == std::errc() && !std::isnan(seconds);
   return number ? std::optional<double>(seconds) : std::nullopt;
 }
 
+/** An upstream that has rested gets the first request of one host in so long:
+ * a hundred a second, and it takes some 10 ms to say whether it takes one. */
+constexpr gsTime ReturnGap = gsMilliseconds(10);
+/** No host waits for its turn any longer than this, however many there are: a
+ * rest is a few seconds, and should not become twice as long. */
+constexpr gsTime ReturnSpread = gsSeconds(2);
+/** Whoever has not come back so long after a rest meets no others who do. */
+constexpr gsTime ReturnMemory = gsSeconds(10);
+
 } // namespace
 
 gsTime gsReadRest(std::string_view retryAfter, std::string_view date)
@@ -70,3 +82,74 @@
   }
   return longest;
 }
+
+bool gsHear(gsHeardWord& heard, gsUpstreamWord const& word, gsTime now)
+{
+  bool leaves = word.Leaving && !heard.Leaving;
+  heard.Leaving = heard.Leaving || word.Leaving;
+  if (word.Rest.count() == 0) {
+    return leaves;
+  }
+  bool rests = !gsIsResting(heard, now);
+  heard.RestUntil = std::max(heard.RestUntil, now + word.Rest);
+  heard.ReturnMost = 1;
+  heard.Unanswered = 0;
+  return leaves || rests;
+}
+
+bool gsHolds(gsHeardWord const& heard, gsTime now)
+{
+  return heard.Leaving || gsIsResting(heard, now);
+}
+
+bool gsIsResting(gsHeardWord const& heard, gsTime now)
+{
+  return now < heard.RestUntil;
+}
+
+namespace {
+
+/** Whether this host is only coming back yet. */
+bool IsReturning(gsHeardWord const& heard, gsTime now)
+{
+  return heard.ReturnMost != 0 && now < heard.RestUntil + ReturnMemory;
+}
+
+/** How long after a rest it is this host's turn. */
+gsTime TurnOf(gsReturning const& who)
+{
+  double others = static_cast<double>(who.Hosts) - 1;
+  double spread =
+    std::min(others * gsToSeconds(ReturnGap), gsToSeconds(ReturnSpread));
+  return gsFromSeconds(spread *
+                       gsRendezvousDraw(who.Host, gsHashText(who.Upstream)));
+}
+
+} // namespace
+
+bool gsMayReturn(gsHeardWord const& heard, gsReturning const& who, gsTime now)
+{
+  if (!IsReturning(heard, now)) {
+    return true;
+  }
+  return heard.Unanswered < heard.ReturnMost &&
+         now >= heard.RestUntil + TurnOf(who);
+}
+
+bool gsNoteReturn(gsHeardWord& heard, gsTime now)
+{
+  if (!IsReturning(heard, now)) {
+    return false;
+  }
+  ++heard.Unanswered;
+  return true;
+}
+
+void gsNoteReturned(gsHeardWord& heard, bool taken, std::uint32_t slots)
+{
+  heard.Unanswered -= std::min(heard.Unanswered, 1U);
+  if (taken && heard.ReturnMost != 0) {
+    heard.ReturnMost *= 2;
+    heard.ReturnMost = heard.ReturnMost < slots ? heard.ReturnMost : 0;
+  }
+}
--- a/Source/Core/gsUpstreamWord.h
+++ b/Source/Core/gsUpstreamWord.h
@@ -8,6 +8,8 @@
  */
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 #include "gsTypes.h"
@@ -35,3 +37,56 @@
  * \return At most gsRestMost; zero for a value that names no time to come.
  */
 gsTime gsReadRest(std::string_view retryAfter, std::string_view date);
+
+/**
+ * What this host holds of the words of one incarnation of an upstream. It is a
+ * fact of its own beside the upstream's row, which may be older, late, or away
+ * for a while: whichever of the two says that it leaves is believed.
+ */
+struct gsHeardWord
+{
+  /** One-way: no later answer and no row takes it back. */
+  bool Leaving = false;
+  /** It wants nothing from this host until then. The latest of all words; a
+   * shorter rest that is asked for afterwards does not end a longer one. */
+  gsTime RestUntil{};
+  /** Attempts that may be unanswered there, while this host comes back after a
+   * rest; 0 for any number. */
+  std::uint32_t ReturnMost = 0;
+  std::uint32_t Unanswered = 0; ///< Of those begun since the rest.
+};
+
+/** Takes a word in. \return Whether it changes what holds: the upstream was
+ * not known to leave, or did not rest. */
+bool gsHear(gsHeardWord& heard, gsUpstreamWord const& word, gsTime now);
+
+/** Whether there is anything in it that holds now or later. */
+bool gsHolds(gsHeardWord const& heard, gsTime now);
+
+/** Whether the upstream wants nothing now. A rest excludes; it is no price, by
+ * which the upstream would be chosen where all are as dear. */
+bool gsIsResting(gsHeardWord const& heard, gsTime now);
+
+/** Who comes back to an upstream after its rest. */
+struct gsReturning
+{
+  std::string_view Host;
+  std::string_view Upstream;
+  std::size_t Hosts = 1; ///< That may have been asked for the same rest.
+};
+
+/**
+ * Whether this host may send one more after a rest. All hosts that were turned
+ * away together would return together: each comes back at a time of its own
+ * after the rest, one in 10 ms, with one request, and with twice as many after
+ * each that is taken.
+ */
+bool gsMayReturn(gsHeardWord const& heard, gsReturning const& who, gsTime now);
+
+/** Notes an attempt there. \return Whether it is one of a return, of which
+ * gsNoteReturned is to be told. */
+bool gsNoteReturn(gsHeardWord& heard, gsTime now);
+
+/** Notes that an attempt of a return is answered or over, and whether the
+ * upstream with so many slots has taken it. */
+void gsNoteReturned(gsHeardWord& heard, bool taken, std::uint32_t slots);
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -271,7 +271,9 @@
   } else if (answered) {
     this->AnswerWhole(request);
   } else {
-    this->Refuse(request, gsPlacementWord(placement.Cause));
+    bool rests = placement.Cause == gsPlacementCause::Resting;
+    this->Refuse(request, gsPlacementWord(placement.Cause),
+                 rests ? placement.RestLeft : gsTime{});
   }
 }
 
@@ -624,8 +626,28 @@
                        gsToSeconds(this->Settings.RetryAfter));
 }
 
-/** Final answer to what has not run and will not. */
-void gsRouteGateway::Refuse(Held const& request, char const* cause)
+/** The same while all upstreams rest: after the first rest that ends, and no
+ * later than the caller's own time. */
+gsTime gsRouteGateway::RetryAfterRest(gsRoutedRequest const& request,
+                                      gsTime rest)
+{
+  gsTime spread = this->SpreadRetryAfter();
+  if (rest.count() == 0) {
+    return spread;
+  }
+  gsTime left =
+    std::min(request.DeadlineAt, request.TimeoutAt) - gsLoop::Now();
+  return std::max(spread, std::min(rest + spread, left));
+}
+
+/**
+ * Final answer to what has not run and will not.
+ *
+ * \param rest Until the first upstream that rests wants work again; zero where
+ *   that is not the cause.
+ */
+void gsRouteGateway::Refuse(Held const& request, char const* cause,
+                            gsTime rest)
 {
   if (request->MayHaveRun) {
     this->Fail(request, gsStatusBadGateway, cause);
@@ -642,7 +664,7 @@
   RespondError(
     *request->Exchange, gsStatusUnavailable,
     Bad(cause, "The request was not run; come back later.", "place"),
-    this->SpreadRetryAfter());
+    this->RetryAfterRest(*request, rest));
   this->Settle(request, cause);
 }
 
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -106,7 +106,8 @@
                    gsAttemptResult const& result);
   void AnswerWhole(Held const& request);
   gsTime SpreadRetryAfter();
-  void Refuse(Held const& request, char const* cause);
+  gsTime RetryAfterRest(gsRoutedRequest const& request, gsTime rest);
+  void Refuse(Held const& request, char const* cause, gsTime rest = {});
   void Fail(Held const& request, unsigned status, char const* cause);
   bool HasRestarted(gsIncarnation const& upstream);
   void CallerLeft(Held const& request);
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -46,6 +46,9 @@
   bool Sent = false;      ///< Bytes may have left.
   unsigned Status = 0;
   bool Answered = false; ///< It has ended with a whole answer.
+  /** One of those with which this host comes back after the upstream's rest,
+   * and not answered yet. */
+  bool Returns = false;
   gsAnswerHead Head;
   std::string Body; ///< Of an answer that is not relayed event by event.
   gsEventSplitter Events;
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -27,14 +27,11 @@
   return std::clamp(fast * factor, LeastTokenMillis, MostTokenMillis);
 }
 
-/** One line for an answer whose head says something; at most one an attempt.
- */
+/** One line when an upstream says something new of itself: that it leaves, or
+ * that it rests from now on. */
 void LogWord(gsRoutedRequest const& request, gsAttempt const& attempt)
 {
   gsUpstreamWord const& word = attempt.Head.Word;
-  if (word.Empty()) {
-    return;
-  }
   gsLogLine line("upstream_says");
   line.With("request", request.Caller.Id)
     .With("upstream", attempt.Upstream.Id)
@@ -106,6 +103,7 @@
   }
   row.Own.Running += 1;
   row.ColdSentAt = now < row.ColdUntil ? now : row.ColdSentAt;
+  attempt->Returns = gsNoteReturn(row.Heard, now);
   gsNoteWorking(this->Fleet, row);
   row.Own.ReadTokens += attempt->ReadTokens;
   row.Own.MemoryTokens += attempt->MemoryTokens;
@@ -174,9 +172,9 @@
 {
   gsTime now = gsLoop::Now();
   gsFleetRow const* row = gsFleetFind(this->Fleet, attempt.Upstream);
-  bool leaving = row == nullptr || !gsTakesWork(this->Fleet, *row);
+  bool isVoid = row == nullptr || !gsTakesWork(this->Fleet, *row, now);
   bool late = now >= std::min(request.DeadlineAt, request.TimeoutAt);
-  if (request.Ended || leaving || late) {
+  if (request.Ended || isVoid || late) {
     return false;
   }
   attempt.Sent = true;
@@ -186,6 +184,26 @@
   return true;
 }
 
+/**
+ * Takes in what an answer's head says of its upstream, whatever becomes of the
+ * answer. It is the first word of it: the platform's row may say the same many
+ * seconds later, and an upstream that was asked again in its rest has turned
+ * urgent requests away that others would have taken.
+ */
+void gsUpstreamCaller::NoteHead(gsRoutedRequest const& request,
+                                gsAttempt& attempt, gsTime now)
+{
+  gsUpstreamWord const& word = attempt.Head.Word;
+  if (gsNoteWord(this->Fleet, attempt.Upstream, word, now)) {
+    LogWord(request, attempt);
+  }
+  gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
+  if (row != nullptr && std::exchange(attempt.Returns, false)) {
+    bool taken = !attempt.Head.NotExecuted && word.Rest.count() == 0;
+    gsNoteReturned(row->Heard, taken, row->Listed.Slots);
+  }
+}
+
 void gsUpstreamCaller::OnHeaders(gsRoutedRequestPtr const& request,
                                  gsAttemptPtr const& held, unsigned status,
                                  gsHeaders const& headers)
@@ -195,7 +213,7 @@
   attempt.LastByteAt = now;
   attempt.Status = status;
   attempt.Head = this->Adapter.ReadAnswer(status, headers);
-  LogWord(*request, attempt);
+  this->NoteHead(*request, attempt, now);
   if (attempt.Head.RequestId != request->Caller.Id) {
     this->Break(request, held, "The upstream answered another request.");
     return;
@@ -299,6 +317,9 @@
   if (row == nullptr) {
     return;
   }
+  if (std::exchange(attempt.Returns, false)) {
+    gsNoteReturned(row->Heard, false, row->Listed.Slots);
+  }
   row->Own.Running -= std::min(row->Own.Running, 1U);
   row->Own.ReadTokens -=
     std::min<std::uint64_t>(row->Own.ReadTokens, attempt.ReadTokens);
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -70,6 +70,8 @@
   void OnHeaders(gsRoutedRequestPtr const& request,
                  gsAttemptPtr const& attempt, unsigned status,
                  gsHeaders const& headers);
+  void NoteHead(gsRoutedRequest const& request, gsAttempt& attempt,
+                gsTime now);
   bool OnData(gsRoutedRequestPtr const& request, gsAttemptPtr const& attempt,
               std::string_view bytes);
   void TakeEvents(gsRoutedRequestPtr const& request, gsAttempt& attempt,
--- a/Source/Daemon/gsUpstreamFeed.cxx
+++ b/Source/Daemon/gsUpstreamFeed.cxx
@@ -65,7 +65,7 @@
   if (named != nullptr) {
     gsFleetPut(this->Fleet, *named, now);
   } else {
-    gsFleetDrop(this->Fleet, key);
+    gsFleetDrop(this->Fleet, key, now);
   }
 }
 
@@ -82,7 +82,7 @@
     if (row == rows.Present().end()) {
       ++gone;
       gsListRemove(this->Named, key);
-      gsFleetDrop(this->Fleet, key);
+      gsFleetDrop(this->Fleet, key, now);
       if (tellsEach) {
         gsLogLine("upstream_gone")
           .With("upstream", key)
--- a/Tests/Unit/gsTestColdStart.cxx
+++ b/Tests/Unit/gsTestColdStart.cxx
@@ -176,7 +176,7 @@
   EXPECT_EQ(Chosen(fleet, Plain()), "u0");
   gsNoteEvacuated(fleet, { "a" }, Now);
   EXPECT_EQ(Chosen(fleet, Plain()), "u1");
-  EXPECT_FALSE(gsTakesWork(fleet, *gsFleetFind(fleet, "u0")));
+  EXPECT_FALSE(gsTakesWork(fleet, *gsFleetFind(fleet, "u0"), Now));
   gsNoteEvacuated(fleet, { "a", "b" }, Now + gsSeconds(1));
   EXPECT_EQ(Chosen(fleet, Plain()), "none");
   EXPECT_EQ(fleet.Evacuated["a"], Now);
