Tests: The soak's runners say that they leave, or ask for rest, and it checks both

Two steps are drawn apart from the others, so that a seed's other steps stay as they were; a runner says in its answers alone that it leaves while its row is told anew as ready, or turns all away and asks for rest by a header of two values. Checked from what callers and runners saw: DRAIN 2 s after a host passed the word on, in touch or not, and more than two requests of a host in a rest, from half a second after the answer on.

--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -261,8 +261,13 @@
                    { "Authorization", "Token " + key } };
   call.OnHeaders = [reply](unsigned status, gsHeaders const& headers) {
     reply->Status = status;
+    reply->HeadAt = gsLoop::Now();
     for (auto const& [name, value] : headers) {
-      reply->Signed = reply->Signed || name == "gradescale-response-signature";
+      if (name == "gradescale-response-signature") {
+        reply->Signed = true;
+        reply->Runner = value;
+      }
+      reply->SaysLeaving = reply->SaysLeaving || name == "server-leaving";
       if (name == "retry-after") {
         reply->RetryAfter = value;
       }
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -56,6 +56,9 @@
   bool Whole = false;
   unsigned Status = 0;
   bool Signed = false;
+  std::string Runner;       ///< Id of the one that answered; empty if none.
+  bool SaysLeaving = false; ///< Its answer says that it leaves.
+  gsTime HeadAt{};          ///< When the answer's head came.
   std::string RetryAfter;
   std::string Body;
   std::uint64_t Call = 0;
--- a/Tests/Soak/gsSoak.cxx
+++ b/Tests/Soak/gsSoak.cxx
@@ -216,6 +216,12 @@
       case gsSoakAction::ChangeSettings:
         this->ChangeSettings(this->HostName(step.Target));
         break;
+      case gsSoakAction::SayLeaving:
+        this->SayLeaving(this->RunnerName(step.Target), step.For);
+        break;
+      case gsSoakAction::AskForRest:
+        this->AskForRest(this->RunnerName(step.Target), step.For);
+        break;
     }
   }
 
@@ -304,6 +310,34 @@
     });
   }
 
+  /** It stands as ready in the table, is listed anew so, and is replaced. */
+  void SayLeaving(std::string const& runner, gsTime span)
+  {
+    if (!this->Claim(runner)) {
+      return;
+    }
+    this->System.Control(runner, { { "leaving", true } });
+    this->After(span, [this, runner] { this->System.List(runner, false); });
+    this->After(span + DrainTime, [this, runner] {
+      std::size_t trouble = this->Trouble(gsSoakScope::Upstreams, {});
+      this->System.Signal(runner, SIGKILL);
+      this->System.Restart(runner);
+      this->EndTrouble(trouble);
+      this->Busy.erase(runner);
+    });
+  }
+
+  void AskForRest(std::string const& runner, gsTime span)
+  {
+    if (!this->Claim(runner)) {
+      return;
+    }
+    auto millis = std::chrono::duration_cast<gsMilliseconds>(span).count();
+    std::string const rest = "0.2, " + std::to_string(gsToSeconds(gsSoakRest));
+    this->System.Control(runner, { { "rest", rest }, { "rest_ms", millis } });
+    this->After(span, [this, runner] { this->Busy.erase(runner); });
+  }
+
   void CutAnswers(std::string const& runner)
   {
     if (!this->Claim(runner)) {
@@ -516,6 +550,8 @@
 
   gsSoakResult Conclude()
   {
+    this->Record.Rest = gsSoakRest;
+    this->Record.Arrivals = this->System.AllArrivals();
     this->Record.Runs = this->System.AllRuns();
     std::vector<gsSoakBreach> found = gsCheckSoak(this->Record);
     this->Result.Breaches.insert(this->Result.Breaches.end(), found.begin(),
--- a/Tests/Soak/gsSoakCheck.cxx
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -18,6 +18,14 @@
 /** A refusal is answered at once: all runners tried, and some time. */
 constexpr gsTime RefusalBound = gsMilliseconds(2500);
 
+/** A host sends nothing to a runner so long after it has passed on an answer
+ * that says that the runner leaves. */
+constexpr gsTime WordBound = gsSeconds(2);
+/** A runner's rest begins to bind a host so long after its answer, */
+constexpr gsTime RestBegins = gsMilliseconds(500);
+/** and lets pass so many requests. */
+constexpr std::size_t RestMost = 2;
+
 constexpr unsigned Ok = 200;
 constexpr unsigned Unauthorized = 401;
 constexpr unsigned Forbidden = 403;
@@ -98,6 +106,8 @@
     }
     this->CheckUnasked();
     this->CheckLeavings();
+    this->CheckWords();
+    this->CheckRests();
     return std::move(this->Breaches);
   }
 
@@ -258,6 +268,78 @@
     }
   }
 
+  /** Whether a host's process, or its links, had trouble since. */
+  bool HostTroubled(std::string const& host, gsTime from, gsTime to) const
+  {
+    return Troubled(this->Record, { gsSoakScope::Host }, host, from, to);
+  }
+
+  /** Runners that said so in answers that hosts have passed on. */
+  void CheckWords()
+  {
+    // The first answer of each host that said so, by host and runner.
+    std::map<std::pair<std::string, std::string>, gsTime> told;
+    for (gsRoutedReplyPtr const& reply : this->Record.Replies) {
+      if (reply->SaysLeaving) {
+        auto& at =
+          told.emplace(std::pair(reply->Host, reply->Runner), reply->HeadAt)
+            .first->second;
+        at = std::min(at, reply->HeadAt);
+      }
+    }
+    for (gsRoutedRun const& arrival : this->Record.Arrivals) {
+      auto reply = this->ReplyOf.find(arrival.Request);
+      if (reply == this->ReplyOf.end()) {
+        continue;
+      }
+      gsRoutedReply const& asked = *reply->second;
+      auto word = told.find({ asked.Host, arrival.Runner });
+      bool late = word != told.end() && asked.Sent > word->second + WordBound;
+      if (late && !this->HostTroubled(asked.Host, word->second, arrival.At)) {
+        this->Add("DRAIN", arrival.Request,
+                  "It reached " + arrival.Runner +
+                    " after its host had passed on that it leaves.");
+      }
+    }
+  }
+
+  void CheckRests()
+  {
+    // What each host sent to each runner.
+    std::map<std::pair<std::string, std::string>,
+             std::vector<gsRoutedRun const*>>
+      sent;
+    for (gsRoutedRun const& arrival : this->Record.Arrivals) {
+      auto reply = this->ReplyOf.find(arrival.Request);
+      if (reply != this->ReplyOf.end()) {
+        sent[{ reply->second->Host, arrival.Runner }].push_back(&arrival);
+      }
+    }
+    for (auto const& [who, arrivals] : sent) {
+      for (gsRoutedRun const* asked : arrivals) {
+        if (!asked->Ran) {
+          this->CheckRest(who.first, *asked, arrivals);
+        }
+      }
+    }
+  }
+
+  void CheckRest(std::string const& host, gsRoutedRun const& asked,
+                 std::vector<gsRoutedRun const*> const& arrivals)
+  {
+    gsTime until = asked.At + this->Record.Rest;
+    auto within = std::count_if(
+      arrivals.begin(), arrivals.end(), [&](gsRoutedRun const* arrival) {
+        return arrival->At > asked.At + RestBegins && arrival->At < until;
+      });
+    if (static_cast<std::size_t>(within) > RestMost &&
+        !this->HostTroubled(host, asked.At, until)) {
+      this->Add("BUDGET", asked.Request,
+                host + " sent " + std::to_string(within) + " to " +
+                  asked.Runner + " in its rest.");
+    }
+  }
+
   gsSoakRecord const& Record;
   std::map<std::string, std::vector<gsRoutedRun const*>> RunsOf;
   std::map<std::string, gsRoutedReply const*> ReplyOf;
--- a/Tests/Soak/gsSoakCheck.h
+++ b/Tests/Soak/gsSoakCheck.h
@@ -44,6 +44,10 @@
 {
   std::vector<gsRoutedReplyPtr> Replies;
   std::vector<gsRoutedRun> Runs;
+  /** What reached runners: the runs, and what was turned away for a rest of
+   * Rest. */
+  std::vector<gsRoutedRun> Arrivals;
+  gsTime Rest{};
   std::vector<gsSoakTrouble> Troubles;
   std::vector<gsSoakNotice> Leavings; ///< Of runners' incarnations.
   std::vector<gsSoakNotice> Revoked;  ///< Keys.
--- a/Tests/Soak/gsSoakPlan.cxx
+++ b/Tests/Soak/gsSoakPlan.cxx
@@ -48,18 +48,43 @@
          action <= gsSoakAction::DelayRunnerLink;
 }
 
+/** Adds what runners say of themselves, between the other steps. */
+void AddWords(gsSoakPlan& plan)
+{
+  constexpr std::uint64_t salt = 0x9e3779b97f4a7c15;
+  std::mt19937_64 random(plan.Seed ^ salt);
+  std::uniform_real_distribution<double> pause(0.5, 4.0);
+  std::uniform_real_distribution<double> duration(0.2, 1.5);
+  std::uniform_int_distribution<int> runner(0, plan.Runners - 1);
+  std::bernoulli_distribution leaves(0.4);
+  for (gsTime at = FirstStep; at < plan.Length - Calm;
+       at += gsFromSeconds(pause(random))) {
+    gsSoakStep step;
+    step.At = at;
+    step.Action =
+      leaves(random) ? gsSoakAction::SayLeaving : gsSoakAction::AskForRest;
+    step.Target = runner(random);
+    step.For = gsFromSeconds(duration(random));
+    plan.Steps.push_back(step);
+  }
+  std::stable_sort(
+    plan.Steps.begin(), plan.Steps.end(),
+    [](gsSoakStep const& a, gsSoakStep const& b) { return a.At < b.At; });
+}
+
 } // namespace
 
 char const* gsSoakActionWord(gsSoakAction action)
 {
-  constexpr std::array<char const*, Kinds.size()> words{
+  constexpr std::array<char const*, Kinds.size() + 2> words{
     "stop_host",        "kill_host",         "freeze_host",
     "kill_all_hosts",   "kill_runner",       "drain_runner",
     "freeze_runner",    "cut_answers",       "cut_runner_link",
     "mute_runner_link", "delay_runner_link", "cut_store_link",
     "hole_store_link",  "mute_store_link",   "silent_store",
     "busy_store",       "forgetful_store",   "cut_peer_links",
-    "configuration",    "settings"
+    "configuration",    "settings",          "say_leaving",
+    "ask_for_rest"
   };
   return words.at(static_cast<std::size_t>(action));
 }
@@ -94,6 +119,7 @@
     plan.Steps.push_back(step);
     at += gsFromSeconds(pause(random));
   }
+  AddWords(plan);
   return plan;
 }
 
--- a/Tests/Soak/gsSoakPlan.h
+++ b/Tests/Soak/gsSoakPlan.h
@@ -34,7 +34,9 @@
   ForgetfulStore, ///< Drops its history, once.
   CutPeerLinks,   ///< Between one host and all others.
   ChangeConfiguration,
-  ChangeSettings ///< A new settings file, and SIGHUP.
+  ChangeSettings, ///< A new settings file, and SIGHUP.
+  SayLeaving,     ///< A runner says it in its answers alone, and is replaced.
+  AskForRest      ///< A runner turns all away and asks for rest.
 };
 
 char const* gsSoakActionWord(gsSoakAction action);
@@ -47,6 +49,9 @@
   gsTime For{};   ///< Zero for what has no duration.
 };
 
+/** Rest that a runner asks for; the longer one of two values of a header. */
+constexpr gsTime gsSoakRest = gsMilliseconds(1500);
+
 struct gsSoakPlan
 {
   std::uint64_t Seed = 0;
@@ -56,7 +61,8 @@
   std::vector<gsSoakStep> Steps; ///< By time.
 };
 
-/** The plan of a seed; the last seconds are without new steps. */
+/** The plan of a seed; the last seconds are without new steps. What runners
+ * say of themselves is drawn apart, so that the other steps of a seed stay. */
 gsSoakPlan gsMakeSoakPlan(std::uint64_t seed, gsTime length, int hosts,
                           int runners);
 
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -141,6 +141,41 @@
   EXPECT_EQ(this->Broken(), "REFUSED ");
 }
 
+TEST_F(SoakCheck, ARequestAfterAnAnswerSaidThatItsRunnerLeavesIsCaught)
+{
+  this->Reply->SaysLeaving = true;
+  this->Reply->Runner = "runner0-0";
+  this->Reply->HeadAt = Start;
+  gsRoutedReplyPtr next = this->Add("q2", "plain");
+  next->Sent = Start + gsMilliseconds(2001);
+  next->Ended = next->Sent;
+  this->Ran("q2", "runner0-0", next->Sent);
+  this->Record.Arrivals = this->Record.Runs;
+  EXPECT_EQ(this->Broken(), "DRAIN ");
+  next->Sent = Start + gsMilliseconds(1999);
+  EXPECT_EQ(this->Broken(), "");
+  next->Sent = Start + gsMilliseconds(2001);
+  this->Harm(gsSoakScope::Store);
+  EXPECT_EQ(this->Broken(), "DRAIN "); // In touch or not.
+  this->Harm(gsSoakScope::Host);       // It has started again.
+  EXPECT_EQ(this->Broken(), "");
+}
+
+TEST_F(SoakCheck, MoreThanTwoRequestsInARestAreCaught)
+{
+  this->Record.Rest = gsSeconds(2);
+  this->Record.Arrivals = { { "q1", "runner0-0", Start, false } };
+  for (int i = 0; i < 3; ++i) {
+    this->Record.Arrivals.push_back(
+      { "q1", "runner0-0", Start + gsMilliseconds(600 + i), true });
+  }
+  EXPECT_EQ(this->Broken(), "BUDGET ");
+  this->Record.Arrivals.back().At = Start + gsMilliseconds(400);
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Arrivals.back().At = Start + gsSeconds(2);
+  EXPECT_EQ(this->Broken(), "");
+}
+
 TEST_F(SoakCheck, ARunThatNobodyAskedForIsCaught)
 {
   this->Ran("q7");
