--- a/Source/Core/gsNearMiss.cxx
+++ b/Source/Core/gsNearMiss.cxx
@@ -8,6 +8,8 @@
 #include <tuple>
 #include <utility>
 
+#include "gsNearMissWords.h"
+
 namespace {
 
 using Reader = gsNearMissReader;
@@ -125,6 +127,31 @@
                              CountOf(record, "row_version"), record.At });
 }
 
+void TakeWord(Reader& reader, gsLogRecord const& record)
+{
+  Reader::Word word;
+  word.Upstream = gsFieldOf(record, "upstream");
+  word.Host = record.Host;
+  word.Leaving = gsFieldOf(record, "leaving") == "yes";
+  word.Rest = gsFromSeconds(gsNumberOf(record, "rest_ms").value_or(0) / 1e3);
+  word.At = record.At;
+  reader.Words.push_back(std::move(word));
+}
+
+/** A host that starts again knows no words of before; with an upstream, those
+ * of that one alone. */
+void EndWords(Reader& reader, gsLogRecord const& record,
+              std::string_view upstream)
+{
+  for (Reader::Word& word : reader.Words) {
+    bool ends = word.Host == record.Host &&
+                (upstream.empty() || word.Upstream == upstream);
+    if (ends) {
+      word.Until = std::min(word.Until, record.At);
+    }
+  }
+}
+
 /** Copies are compared by the version up to which they call themselves
  * complete; older logs tell that of the last row alone. Right after news that
  * were not complete a copy holds rows beyond what it claims. */
@@ -764,6 +791,11 @@
     TakeStopped(reader, record);
   } else if (record.Event == "started") {
     reader.Stopping[record.Host] = false;
+    EndWords(reader, record, {});
+  } else if (record.Event == "upstream_restarted") {
+    EndWords(reader, record, gsFieldOf(record, "upstream"));
+  } else if (record.Event == "upstream_says") {
+    TakeWord(reader, record);
   } else if (record.Event == "table_differs") {
     TakeDiffers(reader, record);
   }
@@ -777,6 +809,7 @@
   report.FirstAt = reader.FirstAt;
   report.LeavingBound = leavingBound;
   SumLeaving(reader, report);
+  report.Ignored = gsIgnoredWords(reader);
   SumBehind(reader, report);
   SumClosed(reader, report);
   SumStops(reader, report);
--- a/Source/Core/gsNearMiss.h
+++ b/Source/Core/gsNearMiss.h
@@ -34,6 +34,13 @@
  * the longest a balancer should take to notice. */
 constexpr gsTime gsNearStopStart = gsSeconds(1);
 
+/** A host sends nothing so long after an upstream has said that it leaves. */
+constexpr gsTime gsNearWordBound = gsSeconds(2);
+/** Requests on their way when a rest is asked for arrive within so long, */
+constexpr gsTime gsNearRestBegins = gsMilliseconds(500);
+/** and a host's rest lets pass so many. */
+constexpr std::uint64_t gsNearRestMost = 2;
+
 /** A distribution of times. */
 struct gsNearTimes
 {
@@ -60,6 +67,18 @@
   gsNearTimes Last;      ///< Of the hosts that sent something later.
 };
 
+/** Words that a host acted against. */
+struct gsIgnoredWord
+{
+  std::string Upstream;
+  std::string Host;
+  bool Leaving = false; ///< Else it had asked for rest.
+  gsTime At{};          ///< When it said so.
+  std::uint64_t Count = 0;
+  gsTime Last{}; ///< Of these requests, since it said so.
+  std::string LastRequest;
+};
+
 /** Why requests of a kind got nothing. */
 struct gsUnservedCount
 {
@@ -184,6 +203,17 @@
     std::uint64_t Version = 0;
     gsTime At{};
   };
+  /** What an upstream said of itself in an answer to a host. */
+  struct Word
+  {
+    std::string Upstream;
+    std::string Host;
+    bool Leaving = false;
+    gsTime Rest{};
+    gsTime At{};
+    /** The host started again, or the upstream did under its id. */
+    gsTime Until = gsTime::max();
+  };
   /** A host's copy of the upstreams' table, from then on. */
   struct Copy
   {
@@ -198,6 +228,7 @@
   std::vector<Request> Ended;
   std::vector<Sent> Sendings;
   std::vector<Change> Changes;
+  std::vector<Word> Words;
   std::map<std::string, std::vector<Copy>> Copies; ///< By host.
   std::map<std::string, gsTime> LastLine;          ///< By host.
   std::set<std::string> Partial; ///< Hosts whose last line told of news with
@@ -216,6 +247,7 @@
   gsNearTimes LastSent;                   ///< Of all upstreams and hosts.
   std::vector<gsLeavingUpstream> Leaving; ///< Largest Most first.
   std::vector<gsLastSent> LateSent;       ///< Beyond gsNearLeavingShare.
+  std::vector<gsIgnoredWord> Ignored;     ///< In order of time.
   std::vector<gsKindBehind> Behind;       ///< In order of time.
   std::vector<gsClosedStreams> Closed;
   std::vector<gsPlannedStop> Stops; ///< In order of time.
--- a/Source/Tool/gsNearMisses.cxx
+++ b/Source/Tool/gsNearMisses.cxx
@@ -212,6 +212,24 @@
   PrintTable({ "row_version", "longest_ms", "hosts" }, std::move(rows), out);
 }
 
+void PrintIgnored(gsNearMissReport const& report, std::ostream& out)
+{
+  out
+    << "\nRequests of a host to an upstream that had told it that it leaves ("
+    << MillisText(gsNearWordBound) << " ms), or asked it for rest (more than "
+    << gsNearRestMost << "):\n";
+  std::vector<Cells> rows;
+  for (gsIgnoredWord const& word : report.Ignored) {
+    rows.push_back({ word.Upstream, word.Host,
+                     word.Leaving ? "leaves" : "rest", ClockText(word.At),
+                     std::to_string(word.Count), MillisText(word.Last),
+                     word.LastRequest });
+  }
+  PrintTable(
+    { "upstream", "host", "said", "at", "requests", "last_after_ms", "last" },
+    std::move(rows), out);
+}
+
 Json TimesJson(gsNearTimes const& times)
 {
   return { { "hosts", times.Count },
@@ -243,6 +261,17 @@
            { "beyond_share", late } };
 }
 
+Json IgnoredJson(gsIgnoredWord const& word)
+{
+  return { { "upstream", word.Upstream },
+           { "host", word.Host },
+           { "said", word.Leaving ? "leaves" : "rest" },
+           { "at", DateText(word.At) },
+           { "requests", word.Count },
+           { "last_after_ms", Millis(word.Last) },
+           { "last_request", word.LastRequest } };
+}
+
 Json BehindJson(gsKindBehind const& behind)
 {
   gsUnservedCount const& unserved = behind.Unserved;
@@ -335,6 +364,7 @@
 void gsPrintNearMisses(gsNearMissReport const& report, std::ostream& out)
 {
   PrintLeaving(report, out);
+  PrintIgnored(report, out);
   PrintBehind(report, out);
   PrintClosed(report, out);
   PrintStops(report, out);
@@ -345,6 +375,7 @@
 {
   Json whole{ { "first_line", DateText(report.FirstAt) },
               { "leaving", LeavingJson(report) },
+              { "ignored_words", ListJson(report.Ignored, IgnoredJson) },
               { "behind", ListJson(report.Behind, BehindJson) },
               { "closed_streams", ListJson(report.Closed, ClosedJson) },
               { "stops", ListJson(report.Stops, StopJson) },
--- a/Tests/Unit/gsTestNearMiss.cxx
+++ b/Tests/Unit/gsTestNearMiss.cxx
@@ -353,3 +353,50 @@
   EXPECT_EQ(report.Versions[0].Hosts["4/0"], Lines{ "h1" });
   EXPECT_EQ(report.Versions[0].Hosts["5/0"], Lines{ "h3" });
 }
+
+namespace {
+
+void AddSaid(Lines& lines, int millis, std::string const& what,
+             std::string const& host = "h1")
+{
+  lines.push_back(
+    At(millis, host, "upstream_says request=w upstream=u1 born=0 " + what));
+}
+
+} // namespace
+
+// Only to the host that was told so, and not one that has started again since.
+TEST(NearMiss, RequestsAfterAnUpstreamSaidThatItLeavesAreTold)
+{
+  Lines lines;
+  AddSaid(lines, 1000, "status=200 leaving=yes");
+  AddServed(lines, 2900, { "q1" });
+  AddServed(lines, 3100, { "q2", "h2" });
+  EXPECT_TRUE(Report(lines).Ignored.empty());
+  AddServed(lines, 3200, { "q3" });
+  std::vector<gsIgnoredWord> ignored = Report(lines).Ignored;
+  ASSERT_EQ(ignored.size(), 1U);
+  EXPECT_TRUE(ignored[0].Leaving);
+  EXPECT_EQ(ignored[0].Host, "h1");
+  EXPECT_EQ(ignored[0].Count, 1U);
+  EXPECT_EQ(ignored[0].Last, gsMilliseconds(2200));
+  EXPECT_EQ(ignored[0].LastRequest, "q3");
+  lines.insert(lines.begin() + 1, At(1500, "h1", "started"));
+  EXPECT_TRUE(Report(lines).Ignored.empty());
+}
+
+TEST(NearMiss, MoreThanTwoRequestsInARestAreTold)
+{
+  Lines lines;
+  AddSaid(lines, 1000, "status=503 leaving=no rest_ms=3000.000");
+  AddServed(lines, 1200, { "q0" }); // It was on its way.
+  AddServed(lines, 2000, { "q1" });
+  AddServed(lines, 3000, { "q2" });
+  AddServed(lines, 4001, { "q3" });
+  EXPECT_TRUE(Report(lines).Ignored.empty());
+  AddServed(lines, 3900, { "q4" });
+  std::vector<gsIgnoredWord> ignored = Report(lines).Ignored;
+  ASSERT_EQ(ignored.size(), 1U);
+  EXPECT_FALSE(ignored[0].Leaving);
+  EXPECT_EQ(ignored[0].Count, 3U);
+}
