Routing: Hosts tell each other of an upstream that says that it leaves

Cause: while the platform is silent each host has to send an upstream a request to hear from its answer that it leaves. Change: a host that hears so, where the row does not say it, tells the relay of its hall, the relay its hall and the other halls' relays, once, by id and birth; whoever knew already tells nobody. Rests are not told: they are between one host and one upstream.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -125,6 +125,11 @@
            { [this](Held const& request, gsTime at) {
               this->NoteBegan(*request, at);
             },
+             [this](gsIncarnation const& upstream) {
+               if (this->Leaving) {
+                 this->Leaving(upstream);
+               }
+             },
              [this](Held const& request, gsAttemptPtr const& attempt) {
                this->KeepOnly(request, attempt);
              },
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -69,6 +69,11 @@
     std::function<void(std::string const& organisation, gsTime began)>;
   void TellBegan(OnBegan told) { this->Began = std::move(told); }
 
+  /** Told once of each upstream that says in an answer that it leaves, where
+   * its row does not. */
+  using OnLeaving = std::function<void(gsIncarnation const& upstream)>;
+  void TellLeaving(OnLeaving told) { this->Leaving = std::move(told); }
+
   /** Milliseconds an idle upstream takes for a prompt token. */
   double MillisPerToken() const { return this->Caller.FastMillisPerToken(); }
 
@@ -133,6 +138,7 @@
   std::unordered_map<std::uint64_t, Held> Requests;       ///< By sequence.
   std::unordered_map<std::string, gsRetryBudget> Budgets; ///< By service.
   OnBegan Began;
+  OnLeaving Leaving;
   std::uint64_t NextSequence = 1;
   std::size_t Hosts = 1; ///< That share the upstreams; at least 1.
   std::size_t HostsOfLate = 1;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -62,6 +62,7 @@
   , Incarnation(gsWallMicros())
   , Client(loop)
   , Loads(this->Fleet, this->Settings)
+  , Words(this->Fleet)
   , TickTimer(loop, [this] { this->Tick(); })
   , LoadTimer(loop, [this] { this->TellLoads(); })
   , StopTimer(loop, [this] { this->Stop(); })
@@ -81,6 +82,8 @@
   this->Gateway = std::make_unique<gsRouteGateway>(
     loop, this->Client, this->Adapter, this->Fleet, this->Metrics,
     GatewaySettings(this->Settings), this->Incarnation);
+  this->Gateway->TellLeaving(
+    [this](gsIncarnation const& upstream) { this->Words.Tell(upstream); });
   if (!this->Settings.Duties.Address.empty()) {
     this->Duties = std::make_unique<gsDuties>(this->Client, this->Adapter,
                                               this->Settings, this->Metrics,
@@ -101,6 +104,7 @@
                           gradescale::Frame const& frame) {
     this->Tables->Hear(host, link, frame);
     this->Loads.Hear(host, frame);
+    this->Words.Hear(host, frame);
     if (this->Duties) {
       this->Duties->Hear(host, frame);
     }
@@ -127,6 +131,7 @@
     return servers.error();
   }
   this->Loads.Start(*this->Cluster);
+  this->Words.Start(*this->Cluster);
   if (this->Duties) {
     this->Duties->Start(*this->Cluster);
   }
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -24,6 +24,7 @@
 #include "gsSettings.h"
 #include "gsTableSync.h"
 #include "gsUpstreamFeed.h"
+#include "gsWordSharing.h"
 
 class gsRouteNode
 {
@@ -73,6 +74,7 @@
   gsHttpClient Client;
   gsFleet Fleet;
   gsLoadSharing Loads;
+  gsWordSharing Words;
   std::unique_ptr<gsTableSync> Tables;
   std::unique_ptr<gsHallCluster> Cluster;
   std::unique_ptr<gsRouteGateway> Gateway;
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -194,10 +194,14 @@
                                 gsAttempt& attempt, gsTime now)
 {
   gsUpstreamWord const& word = attempt.Head.Word;
+  gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
+  bool known = row != nullptr && gsIsLeaving(*row);
   if (gsNoteWord(this->Fleet, attempt.Upstream, word, now)) {
     LogWord(request, attempt);
   }
-  gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
+  if (word.Leaving && row != nullptr && !known) {
+    this->Events.OnLeaving(attempt.Upstream);
+  }
   if (row != nullptr && std::exchange(attempt.Returns, false)) {
     bool taken = !attempt.Head.NotExecuted && word.Rest.count() == 0;
     gsNoteReturned(row->Heard, taken, row->Listed.Slots);
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -26,6 +26,8 @@
 {
   /** A stream has begun to run: its first byte came. */
   std::function<void(gsRoutedRequestPtr const& request, gsTime at)> OnBegan;
+  /** An upstream says that it leaves, and its row does not say so yet. */
+  std::function<void(gsIncarnation const& upstream)> OnLeaving;
   /** The body of a success begins to come; called before each part of it. */
   std::function<void(gsRoutedRequestPtr const& request,
                      gsAttemptPtr const& attempt)>
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -373,6 +373,33 @@
   EXPECT_EQ(system.ArrivalsAt("runner0").size(), told);
 }
 
+// One host has had an answer that says so; the others, of another hall too,
+// send the upstream nothing from a second later on, though the platform says
+// nothing for all of it.
+TEST(Routed, HostsHearFromEachOtherThatAnUpstreamSaidThatItLeaves)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 4;
+  plan.Halls = 2;
+  gsRoutedSystem system(plan);
+  system.RunFor(4); // All have found their coordinators.
+  system.Control("store", { { "mode", "silent" } });
+  system.Control("runner0", { { "leaving", true } });
+  std::size_t before = system.RunsOf("runner0");
+  for (int i = 0; i < 60 && system.RunsOf("runner0") == before; ++i) {
+    ASSERT_TRUE(system.SendAndWait("host0", "plain")->Good());
+  }
+  ASSERT_GT(system.RunsOf("runner0"), before);
+  system.RunFor(1);
+  std::size_t told = system.ArrivalsAt("runner0").size();
+  for (int i = 0; i < 20; ++i) {
+    for (std::string const& host : system.Hosts()) {
+      ASSERT_TRUE(system.SendAndWait(host, "plain")->Good());
+    }
+  }
+  EXPECT_EQ(system.ArrivalsAt("runner0").size(), told);
+}
+
 // An upstream turns all away for a second and asks each host for two seconds
 // of rest: from half a second after its first word until the rest is over it
 // gets no more than two requests of a host; here, none.
