--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -83,11 +83,13 @@
     this->PeerAddress[name] = this->Processes.NewAddress();
     this->HostNames.push_back(name);
   }
+  std::string const program = this->Plan.Program.empty()
+                                ? gsTestProgram("gradescaled")
+                                : this->Plan.Program;
   for (std::string const& name : this->HostNames) {
     std::string file = this->SettingsFile(name);
     std::ofstream(file) << this->Settings(name).dump(2);
-    this->Processes[name].Arguments = { gsTestProgram("gradescaled"),
-                                        "--settings", file };
+    this->Processes[name].Arguments = { program, "--settings", file };
   }
 }
 
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -31,6 +31,8 @@
   int WorkMs = 10; ///< Of other requests.
   /** Callers send on kept connections, until the process is gone. */
   bool KeepConnections = false;
+  /** Daemon that hosts start with; empty for the one of this build. */
+  std::string Program;
   /** Hosts report usage, in windows of a second. */
   bool Duties = false;
 };
@@ -120,6 +122,11 @@
   /** Sends a signal to a process that this object has started. */
   void Signal(std::string const& process, int signal);
   bool Running(std::string const& process);
+  /** The daemon with which a host starts from its next start on. */
+  void UseProgram(std::string const& host, std::string const& program)
+  {
+    this->Processes.At(host).Arguments[0] = program;
+  }
   /** Starts a process that has ended; a runner gets a new id. */
   void Restart(std::string const& process);
   bool Ready(std::string const& host);
--- a/Tests/Soak/gsSoak.cxx
+++ b/Tests/Soak/gsSoak.cxx
@@ -81,6 +81,7 @@
     system.Events = 20;
     system.GapMs = 15;
     system.KeepConnections = true;
+    system.Program = plan.OtherProgram;
     return system;
   }
 
@@ -219,6 +220,9 @@
       case gsSoakAction::SayLeaving:
         this->SayLeaving(this->RunnerName(step.Target), step.For);
         break;
+      case gsSoakAction::ReplaceHost:
+        this->ReplaceHost(this->HostName(step.Target));
+        break;
       case gsSoakAction::AskForRest:
         this->AskForRest(this->RunnerName(step.Target), step.For);
         break;
@@ -236,6 +240,25 @@
     this->System.Signal(host, signal);
   }
 
+  /** Stops a host, which starts again with the release that it does not run;
+   * one that has a fault is replaced a little later. */
+  void ReplaceHost(std::string const& host)
+  {
+    if (this->Busy.count(host) != 0) {
+      this->After(gsMilliseconds(500),
+                  [this, host] { this->ReplaceHost(host); });
+      return;
+    }
+    bool toThis = this->Replaced.insert(host).second;
+    if (!toThis) {
+      this->Replaced.erase(host);
+    }
+    this->System.UseProgram(host, toThis ? gsTestProgram("gradescaled")
+                                         : this->Plan.OtherProgram);
+    this->Say("  " + host + (toThis ? " to this release" : " taken back"));
+    this->EndHost(host, SIGTERM);
+  }
+
   /** Starts hosts again that have ended. */
   void RestartEnded()
   {
@@ -582,7 +605,8 @@
   std::vector<Later> Laters;
   std::set<std::string> Busy; ///< Processes and links that have a fault.
   std::map<std::string, EndingHost> Ending;
-  std::vector<std::string> Keys; ///< In the newest configuration.
+  std::set<std::string> Replaced; ///< Hosts that run this release by now.
+  std::vector<std::string> Keys;  ///< In the newest configuration.
   std::vector<std::string> OldKeys;
   int LastKey = 2;
 };
--- a/Tests/Soak/gsSoakPlan.cxx
+++ b/Tests/Soak/gsSoakPlan.cxx
@@ -76,7 +76,7 @@
 
 char const* gsSoakActionWord(gsSoakAction action)
 {
-  constexpr std::array<char const*, Kinds.size() + 2> words{
+  constexpr std::array<char const*, Kinds.size() + 3> words{
     "stop_host",        "kill_host",         "freeze_host",
     "kill_all_hosts",   "kill_runner",       "drain_runner",
     "freeze_runner",    "cut_answers",       "cut_runner_link",
@@ -84,7 +84,7 @@
     "hole_store_link",  "mute_store_link",   "silent_store",
     "busy_store",       "forgetful_store",   "cut_peer_links",
     "configuration",    "settings",          "say_leaving",
-    "ask_for_rest"
+    "ask_for_rest",     "replace_host"
   };
   return words.at(static_cast<std::size_t>(action));
 }
@@ -123,6 +123,34 @@
   return plan;
 }
 
+void gsLeaveWordsOut(gsSoakPlan& plan)
+{
+  auto isWord = [](gsSoakStep const& step) {
+    return step.Action == gsSoakAction::SayLeaving ||
+           step.Action == gsSoakAction::AskForRest;
+  };
+  plan.Steps.erase(
+    std::remove_if(plan.Steps.begin(), plan.Steps.end(), isWord),
+    plan.Steps.end());
+}
+
+void gsReplaceHostsInTurn(gsSoakPlan& plan, std::string otherProgram)
+{
+  plan.OtherProgram = std::move(otherProgram);
+  gsTime span = plan.Length - Calm - FirstStep;
+  gsTime gap = span / (2 * plan.Hosts);
+  for (int i = 0; i < 2 * plan.Hosts; ++i) {
+    gsSoakStep step;
+    step.At = FirstStep + gap * i;
+    step.Action = gsSoakAction::ReplaceHost;
+    step.Target = i % plan.Hosts;
+    plan.Steps.push_back(step);
+  }
+  std::stable_sort(
+    plan.Steps.begin(), plan.Steps.end(),
+    [](gsSoakStep const& a, gsSoakStep const& b) { return a.At < b.At; });
+}
+
 std::string gsSoakStepText(gsSoakStep const& step)
 {
   char text[96];
--- a/Tests/Soak/gsSoakPlan.h
+++ b/Tests/Soak/gsSoakPlan.h
@@ -36,7 +36,8 @@
   ChangeConfiguration,
   ChangeSettings, ///< A new settings file, and SIGHUP.
   SayLeaving,     ///< A runner says it in its answers alone, and is replaced.
-  AskForRest      ///< A runner turns all away and asks for rest.
+  AskForRest,     ///< A runner turns all away and asks for rest.
+  ReplaceHost     ///< SIGTERM, and a new start with the other release.
 };
 
 char const* gsSoakActionWord(gsSoakAction action);
@@ -58,6 +59,8 @@
   gsTime Length = gsSeconds(20);
   int Hosts = 3;
   int Runners = 4;
+  /** Daemon of another release with which all hosts start; empty for none. */
+  std::string OtherProgram;
   std::vector<gsSoakStep> Steps; ///< By time.
 };
 
@@ -66,5 +69,16 @@
 gsSoakPlan gsMakeSoakPlan(std::uint64_t seed, gsTime length, int hosts,
                           int runners);
 
+/** Takes out what runners say of themselves in their answers. */
+void gsLeaveWordsOut(gsSoakPlan& plan);
+
+/**
+ * Makes a plan one of two releases: all hosts start with the other one, are
+ * replaced by this one in turn, and then taken back, while the other steps go
+ * on. Length of the plan over four times the hosts' number of seconds, so that
+ * each is ready before the next one goes.
+ */
+void gsReplaceHostsInTurn(gsSoakPlan& plan, std::string otherProgram);
+
 /** One line for a step. */
 std::string gsSoakStepText(gsSoakStep const& step);
--- a/Tests/Soak/gsSoakTool.cxx
+++ b/Tests/Soak/gsSoakTool.cxx
@@ -20,12 +20,24 @@
   int runners = 4;
   int count = 1;
   bool quiet = false;
+  std::string other;
+  bool otherOnly = false;
+  bool noWords = false;
   app.add_option("--seed", seed, "First seed; without it a fresh one.");
   app.add_option("--seconds", seconds, "Length of each run.")
     ->check(CLI::Range(8.0, 3600.0));
   app.add_option("--hosts", hosts, "Entry hosts.")->check(CLI::Range(2, 24));
   app.add_option("--runners", runners, "Runners.")->check(CLI::Range(2, 24));
   app.add_option("--count", count, "Runs, each with the next seed.");
+  app
+    .add_option("--other", other,
+                "Daemon of another release: all hosts start with it, are "
+                "replaced by this one in turn and taken back.")
+    ->check(CLI::ExistingFile);
+  app.add_flag("--other-only", otherOnly, "No host is replaced.");
+  app.add_flag("--no-words", noWords,
+               "Runners say nothing of themselves: the other release does not "
+               "heed it.");
   app.add_flag("--quiet", quiet, "Verdicts only.");
   CLI11_PARSE(app, argc, argv);
   if (seed == 0) {
@@ -36,6 +48,14 @@
   for (int i = 0; i < count; ++i) {
     gsSoakPlan plan = gsMakeSoakPlan(seed + static_cast<std::uint64_t>(i),
                                      gsFromSeconds(seconds), hosts, runners);
+    if (noWords) {
+      gsLeaveWordsOut(plan);
+    }
+    if (otherOnly) {
+      plan.OtherProgram = other;
+    } else if (!other.empty()) {
+      gsReplaceHostsInTurn(plan, other);
+    }
     std::ostringstream unseen;
     gsSoakResult result =
       gsRunSoak(plan, quiet ? static_cast<std::ostream&>(unseen) : std::cout);
