--- a/Source/Daemon/gsAdapter.h
+++ b/Source/Daemon/gsAdapter.h
@@ -186,6 +186,9 @@
   std::function<gsResult<gsListedUpstream>(std::string_view id,
                                            std::string_view text)>
     ReadUpstream;
+  /** An upstream's row as the platform has it, for hosts that read no other
+   * form; what hosts do not keep of it is filled in. */
+  std::function<std::string(gsListedUpstream const& upstream)> WriteUpstream;
   std::function<gsCall(std::string_view platform, gsRowWrite const& write)>
     WriteRow;
   std::function<gsRowWritten(gsAnswer const& answer, gsRowWrite const& write)>
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -9,6 +9,13 @@
 
 namespace {
 
+/** The newest form that the sender of a frame and this host both read. */
+gsRowForm ReadsOf(gradescale::Frame const& frame)
+{
+  std::uint32_t newest = static_cast<std::uint32_t>(gsRowFormRead);
+  return static_cast<gsRowForm>(std::min(frame.reads_row_form(), newest));
+}
+
 /** A watch usually brings by itself what another host has; wait that long. */
 constexpr gsTime BehindPatience = gsMilliseconds(300);
 /** A watcher's sign of life to its hall. */
@@ -141,6 +148,7 @@
 void gsTableSync::Hear(std::string const& host, std::uint64_t link,
                        gradescale::Frame const& frame)
 {
+  this->HearForms(host, frame);
   this->HearVersions(host, frame);
   this->HearNews(host, frame);
   this->AnswerQueries(link, frame);
@@ -229,14 +237,14 @@
   for (gradescale::TableQuery const& query : frame.table_queries()) {
     gsTableWatch const* watch = this->WatchOf(query.table());
     if (watch != nullptr && query.differs_at() != 0) {
-      this->AnswerDiffering(link, query);
+      this->AnswerDiffering(link, query, ReadsOf(frame));
       continue;
     }
     gradescale::Frame* answer =
       watch != nullptr ? this->Cluster->OnLink(link) : nullptr;
     if (answer != nullptr && watch->Known()) {
-      gsAddNews(*answer, query.table(),
-                watch->NewsAbove(query.above_version()));
+      this->AddNews(*answer, query.table(),
+                    watch->NewsAbove(query.above_version()), ReadsOf(frame));
     }
   }
 }
@@ -247,7 +255,8 @@
  * no answer, and the host asks again.
  */
 void gsTableSync::AnswerDiffering(std::uint64_t link,
-                                  gradescale::TableQuery const& query)
+                                  gradescale::TableQuery const& query,
+                                  gsRowForm reads)
 {
   if (!this->Watches()) {
     return;
@@ -261,7 +270,7 @@
   gsTableNews news = watch.NewsAbove(0);
   news.ReadVersion = read;
   if (gradescale::Frame* answer = this->Cluster->OnLink(link)) {
-    gsAddNews(*answer, query.table(), news);
+    this->AddNews(*answer, query.table(), std::move(news), reads);
   }
 }
 
@@ -308,6 +317,31 @@
   }
 }
 
+/** Notes which forms of rows a host reads; each frame says it. */
+void gsTableSync::HearForms(std::string const& host,
+                            gradescale::Frame const& frame)
+{
+  Shown& shown = this->Peers[host];
+  shown.Reads = ReadsOf(frame);
+  bool older = shown.Reads < gsRowFormRead;
+  if (std::exchange(shown.OlderForm, older) != older) {
+    gsLogLine("peer_reads_rows")
+      .With("peer", host)
+      .With("form", frame.reads_row_form())
+      .With("own_form", static_cast<std::uint32_t>(gsRowFormRead));
+  }
+}
+
+/** Adds news in a form that the receiver reads. */
+void gsTableSync::AddNews(gradescale::Frame& frame, std::string const& table,
+                          gsTableNews news, gsRowForm reads) const
+{
+  bool upstreams = table == this->Adapter.Tables.Upstreams;
+  gsAddNews(frame, table,
+            upstreams ? gsNewsInForm(std::move(news), reads, this->Adapter)
+                      : std::move(news));
+}
+
 /** Tells what has changed since it was last told. */
 void gsTableSync::PushNews(gsTableWatch& watch, Pushed& pushed)
 {
@@ -322,13 +356,14 @@
     // Large changes too: told by one host of the hall they cost its link some
     // megabytes, read by each host for itself the platform some gigabytes.
     if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
-      gsAddNews(*frame, pushed.Table, news);
+      this->AddNews(*frame, pushed.Table, news, this->Peers[host].Reads);
     }
   }
 }
 
 void gsTableSync::FillHeader(gradescale::Frame& frame) const
 {
+  frame.set_reads_row_form(static_cast<std::uint32_t>(gsRowFormRead));
   frame.set_tables_age_ms(this->TablesAge());
   frame.set_heard_tables_age_ms(this->HeardTablesAge());
   gsFillTables(frame, this->Routes->Check(), this->Upstreams->Check());
--- a/Source/Daemon/gsTableSync.h
+++ b/Source/Daemon/gsTableSync.h
@@ -17,6 +17,7 @@
 #include "gsAdapter.h"
 #include "gsHallCluster.h"
 #include "gsHttpClient.h"
+#include "gsRowForms.h"
 #include "gsSettings.h"
 #include "gsTableCheck.h"
 #include "gsTableWatch.h"
@@ -91,6 +92,8 @@
     std::uint64_t Upstreams = 0;
     gsTime BehindSince{};   ///< Zero while this host has them all.
     bool Uncounted = false; ///< It tells no counts, which was logged.
+    gsRowForm Reads = gsRowForm::Platform; ///< By its last frame.
+    bool OlderForm = false; ///< It reads less than this host, as was logged.
   };
 
   /** What this host has told others of a table by itself. */
@@ -114,12 +117,15 @@
   gsTableWatch* WatchOf(std::string_view table);
   Mending& MendingOf(std::string_view table);
   bool Watches() const { return this->Duty.State != gsWatchState::Covered; }
+  void HearForms(std::string const& host, gradescale::Frame const& frame);
+  void AddNews(gradescale::Frame& frame, std::string const& table,
+               gsTableNews news, gsRowForm reads) const;
   void HearVersions(std::string const& host, gradescale::Frame const& frame);
   void HearNews(std::string const& host, gradescale::Frame const& frame);
   void LearnNews(std::string const& host, gradescale::TableNews const& wire);
   void AnswerQueries(std::uint64_t link, gradescale::Frame const& frame);
-  void AnswerDiffering(std::uint64_t link,
-                       gradescale::TableQuery const& query);
+  void AnswerDiffering(std::uint64_t link, gradescale::TableQuery const& query,
+                       gsRowForm reads);
   void HearCounts(std::string const& host, gsTablesTold const& told,
                   Shown& shown);
   void MendDiffering(std::string const& table, gsTime now);
--- a/Tests/Route/gsTestTableSync.cxx
+++ b/Tests/Route/gsTestTableSync.cxx
@@ -12,8 +12,10 @@
 #include "gsFakePlatform.h"
 #include "gsHallCluster.h"
 #include "gsRouteBench.h"
+#include "gsRowForms.h"
 #include "gsTableSync.h"
 #include "gsTableWire.h"
+#include "gsUpstreamText.h"
 
 namespace {
 
@@ -231,3 +233,47 @@
     [&] { return this->Told().Rows().Present().size() == 302; }, 5));
   EXPECT_EQ(this->Platform.Reads, reads);
 }
+
+// Seen with a release before: its hosts took the compact rows of a new watcher
+// for rows that name no upstream, and served nothing once all had been told.
+TEST(RowForms, AHostThatSaysNothingIsToldThePlatformsOwnRows)
+{
+  gsAdapter adapter = gsMakeAdapter();
+  gsListedUpstream upstream;
+  upstream.Service = "model";
+  upstream.Address = "10.1.0.9:8080";
+  upstream.Hall = "north";
+  upstream.Slots = 48;
+  upstream.Leaving = true;
+  upstream.Withdrawable = true;
+  upstream.Born = 1750000000123;
+  upstream.ColdLeft = gsMilliseconds(700);
+  gsTableNews news;
+  news.Rows = { { "i-1", gsUpstreamText(upstream), 4, false },
+                { "i-2", "no row of an upstream", 5, false },
+                { "i-3", "", 6, true } };
+  EXPECT_EQ(gsNewsInForm(news, gsRowForm::Compact, adapter).Rows[0].Value,
+            news.Rows[0].Value);
+  gsTableNews told = gsNewsInForm(news, gsRowForm::Platform, adapter);
+  EXPECT_EQ(told.Rows[1].Value, news.Rows[1].Value);
+  EXPECT_TRUE(told.Rows[2].Removed);
+  // What the releases before look for, each of the type that they read.
+  nlohmann::json row = nlohmann::json::parse(told.Rows[0].Value);
+  for (char const* text : { "service", "address", "zone", "version" }) {
+    EXPECT_FALSE(row.at(text).get<std::string>().empty()) << text;
+  }
+  EXPECT_EQ(row.at("state"), "draining");
+  EXPECT_TRUE(row.at("capacity_slots").is_number_unsigned());
+  EXPECT_TRUE(row.at("call_seq").is_number_unsigned());
+  gsResult<gsListedUpstream> read =
+    adapter.ReadUpstream("i-1", told.Rows[0].Value);
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(gsUpstreamText(read.value()), news.Rows[0].Value);
+}
+
+TEST_F(TableSync, EachFrameSaysWhichRowsAreRead)
+{
+  gradescale::Frame frame;
+  this->Left.Tables.FillHeader(frame);
+  EXPECT_EQ(frame.reads_row_form(), static_cast<std::uint32_t>(gsRowFormRead));
+}
