Tests: Of stops that overlap, the soak's first one binds

Trace: host0 was stopped at 21.273 s, asked at 21.866 s, started again at 21.886 s and was stopped once more at 22.267 s; the request met the close of the first stop and was not passed on, which the check allows for a single stop. Cause: of two planned stops the later one was taken, before which the request was sent. Now the first one binds; a request that was sent before both is LOST as before, as is one that was passed on. The verdict names host and times. SoakCheck.OfStopsThatOverlapTheFirstBinds failed before.

--- a/Tests/Soak/gsSoakCheck.cxx
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -61,7 +61,8 @@
     });
 }
 
-/** When a host was told to stop, if nothing else concerned it. */
+/** When a host was told to stop, if nothing else concerned it; the first time
+ * of several that overlap, since what comes after it may meet its close. */
 std::optional<gsTime> PlannedStop(gsSoakRecord const& record,
                                   std::string const& host, gsTime from,
                                   gsTime to)
@@ -75,7 +76,7 @@
       return std::nullopt;
     }
     if (concerns) {
-      stop = trouble.From;
+      stop = stop ? std::min(*stop, trouble.From) : trouble.From;
     }
   }
   return stop;
@@ -160,6 +161,15 @@
     }
   }
 
+  /** Whom a request was sent to, and when, for the verdict. */
+  std::string WhereOf(gsRoutedReply const& reply) const
+  {
+    gsTime begin = this->Record.Replies.front()->Sent;
+    return " (" + reply.Host + ", sent " +
+           std::to_string(gsToSeconds(reply.Sent - begin)) + " s, ended " +
+           std::to_string(gsToSeconds(reply.Ended - begin)) + " s)";
+  }
+
   void CheckAnswered(gsRoutedReply const& reply)
   {
     if (reply.Left) {
@@ -172,7 +182,9 @@
     if (!reply.Done || reply.Ended - reply.Sent > AnswerBound) {
       this->Add("LOST", reply.Id, "No final answer in time.");
     } else if (reply.Status == 0) {
-      this->Add("LOST", reply.Id, "The connection closed without an answer.");
+      this->Add("LOST", reply.Id,
+                "The connection closed without an answer" +
+                  this->WhereOf(reply) + ".");
     } else if (!reply.Whole &&
                !Troubled(this->Record, { gsSoakScope::Upstreams }, reply.Host,
                          reply.Sent - InTouch, ended)) {
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -203,6 +203,25 @@
   EXPECT_EQ(this->Broken(), "");
 }
 
+// Seen with seed 990009 of two releases: stopped at 21.3 s, asked at 21.866 s,
+// started again at 21.886 s, and stopped once more at 22.27 s. The request met
+// the close of the first stop; the second one was taken for the one that
+// binds.
+TEST_F(SoakCheck, OfStopsThatOverlapTheFirstBinds)
+{
+  this->Reply->Status = 0;
+  this->Record.Runs.clear();
+  this->Harm(gsSoakScope::Host, true);
+  this->Record.Troubles[0].From = Start - gsMilliseconds(600);
+  this->Record.Troubles[0].To = Start + gsSeconds(2);
+  this->Harm(gsSoakScope::Host, true);
+  this->Record.Troubles[1].From = Start + gsMilliseconds(400);
+  this->Reply->Ended = Start + gsMilliseconds(440);
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Troubles[0].From = Start + gsMilliseconds(150);
+  EXPECT_EQ(this->Broken(), "LOST "); // Sent before both.
+}
+
 TEST_F(SoakCheck, ABrokenAnswerIsCaughtUnlessARunnerWasHarmed)
 {
   this->Reply->Whole = false;
