--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <utility>
 
 namespace {
 
@@ -30,7 +31,7 @@
 } // namespace
 
 gsRoutedSystem::gsRoutedSystem(gsRoutedPlan plan)
-  : Plan(plan)
+  : Plan(std::move(plan))
   , Client(std::make_unique<gsHttpClient>(Loop))
   , Piecewise(std::make_unique<gsPiecewiseCaller>(Loop))
   , Processes("gradescale-routed")
