--- a/Tests/Soak/gsSoakTool.cxx
+++ b/Tests/Soak/gsSoakTool.cxx
@@ -3,6 +3,7 @@
  * \file
  * Runs soaks with given or fresh seeds; ends with 1 if a promise was broken.
  */
+#include <exception>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -45,23 +46,30 @@
     seed = 1 + std::random_device()() % range;
   }
   int broken = 0;
-  for (int i = 0; i < count; ++i) {
-    gsSoakPlan plan = gsMakeSoakPlan(seed + static_cast<std::uint64_t>(i),
-                                     gsFromSeconds(seconds), hosts, runners);
-    if (noWords) {
-      gsLeaveWordsOut(plan);
+  try {
+    for (int i = 0; i < count; ++i) {
+      gsSoakPlan plan = gsMakeSoakPlan(seed + static_cast<std::uint64_t>(i),
+                                       gsFromSeconds(seconds), hosts, runners);
+      if (noWords) {
+        gsLeaveWordsOut(plan);
+      }
+      if (otherOnly) {
+        plan.OtherProgram = other;
+      } else if (!other.empty()) {
+        gsReplaceHostsInTurn(plan, other);
+      }
+      std::ostringstream unseen;
+      gsSoakResult result = gsRunSoak(
+        plan, quiet ? static_cast<std::ostream&>(unseen) : std::cout);
+      gsPrintSoak(plan, result, std::cout);
+      std::cout.flush();
+      broken += result.Breaches.empty() ? 0 : 1;
     }
-    if (otherOnly) {
-      plan.OtherProgram = other;
-    } else if (!other.empty()) {
-      gsReplaceHostsInTurn(plan, other);
-    }
-    std::ostringstream unseen;
-    gsSoakResult result =
-      gsRunSoak(plan, quiet ? static_cast<std::ostream&>(unseen) : std::cout);
-    gsPrintSoak(plan, result, std::cout);
-    std::cout.flush();
-    broken += result.Breaches.empty() ? 0 : 1;
+  } catch (std::exception const& error) {
+    // Caught, so that the processes that were started are ended: a host left
+    // over would dial the addresses of whatever runs next.
+    std::cerr << "The soak could not go on: " << error.what() << '\n';
+    return 1;
   }
   return broken == 0 ? 0 : 1;
 }
