Routing: Logs the rate limit that an answer names

An upstream that names a limit of requests per second in its answers received more than that, and no log line of any host showed it. Hosts that do not read the limit could therefore not be told from hosts that each apply it independently. The head of each answer is now read for the limit, and the log line `attempt` has it as `rate_limit`. Of several numbers the lowest counts, negative numbers count as zero, text that is not a number is ignored, and an answer of another upstream names no limit. No decision depends on the limit.

Tests: UpstreamWord.ReadsTheLowestRateLimitAndBoundsIt, and the adapter's for statuses 200 and 421.

--- a/Source/Core/gsUpstreamWord.cxx
+++ b/Source/Core/gsUpstreamWord.cxx
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cmath>
 #include <ctime>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -83,6 +84,48 @@
   return longest;
 }
 
+namespace {
+
+/** Rate for a number outside the range of double. from_chars reports overflow
+ * and underflow alike, so the text decides between zero and the maximum. */
+double ClampOutOfRange(std::string_view text)
+{
+  bool zero = text.front() == '-' || text.substr(0, 2) == "0." ||
+              text.find("e-") != std::string_view::npos ||
+              text.find("E-") != std::string_view::npos;
+  return zero ? 0 : std::numeric_limits<double>::max();
+}
+
+std::optional<double> ReadRate(std::string_view text)
+{
+  double rate = 0;
+  char const* end = text.data() + text.size();
+  auto parsed = std::from_chars(text.data(), end, rate);
+  if (text.empty() || parsed.ptr != end || std::isnan(rate)) {
+    return std::nullopt;
+  }
+  if (parsed.ec == std::errc::result_out_of_range) {
+    return ClampOutOfRange(text);
+  }
+  return std::clamp(rate, 0.0, std::numeric_limits<double>::max());
+}
+
+} // namespace
+
+std::optional<double> gsReadRateLimit(std::string_view text)
+{
+  std::optional<double> lowest;
+  while (!text.empty()) {
+    std::size_t comma = std::min(text.find(','), text.size());
+    std::optional<double> rate = ReadRate(Trim(text.substr(0, comma)));
+    if (rate) {
+      lowest = std::min(*rate, lowest.value_or(*rate));
+    }
+    text.remove_prefix(std::min(comma + 1, text.size()));
+  }
+  return lowest;
+}
+
 bool gsHear(gsHeardWord& heard, gsUpstreamWord const& word, gsTime now)
 {
   bool leaves = word.Leaving && !heard.Leaving;
--- a/Source/Core/gsUpstreamWord.h
+++ b/Source/Core/gsUpstreamWord.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "gsTypes.h"
@@ -19,6 +20,9 @@
 {
   bool Leaving = false; ///< It takes nothing new and will end.
   gsTime Rest{};        ///< It wants nothing from this host for so long.
+  /** Requests per second that the upstream accepts from all hosts combined;
+   * empty if the answer names no limit. */
+  std::optional<double> RateLimit;
 
   bool Empty() const { return !this->Leaving && this->Rest.count() == 0; }
 };
@@ -38,6 +42,16 @@
  */
 gsTime gsReadRest(std::string_view retryAfter, std::string_view date);
 
+/**
+ * Parses a rate limit in requests per second.
+ *
+ * \param text Decimal numbers separated by commas; elements that are not
+ *   numbers are ignored.
+ * \return The lowest number, where a negative one counts as zero; empty if
+ *   there is no number.
+ */
+std::optional<double> gsReadRateLimit(std::string_view text);
+
 /**
  * What this host holds of the words of one incarnation of an upstream. It is a
  * fact of its own beside the upstream's row, which may be older, late, or away
--- a/Source/Daemon/gsDrainGossip.cxx
+++ b/Source/Daemon/gsDrainGossip.cxx
@@ -75,7 +75,7 @@
       continue;
     }
     gsIncarnation const upstream{ wire.upstream(), *born };
-    if (!gsNoteWord(this->Fleet, upstream, { true, {} }, now)) {
+    if (!gsNoteWord(this->Fleet, upstream, { true, {}, {} }, now)) {
       continue;
     }
     gsLogLine("upstream_told_leaving")
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -67,6 +67,13 @@
   return text;
 }
 
+std::string RateText(double perSecond)
+{
+  char text[32];
+  std::snprintf(text, sizeof(text), "%g", perSecond);
+  return text;
+}
+
 void RespondError(gsHttpExchange& exchange, unsigned status,
                   gsError const& error, gsTime retryAfter)
 {
@@ -103,6 +110,9 @@
     line.With("first_ms", attempt.FirstByteAt - attempt.SentAt)
       .With("longest_gap_ms", attempt.LongestGap);
   }
+  if (attempt.Head.Word.RateLimit) {
+    line.With("rate_limit", RateText(*attempt.Head.Word.RateLimit));
+  }
   if (result.Silent) {
     line.With("silent", true);
   }
--- a/Tests/Route/gsTestPlatformAdapter.cxx
+++ b/Tests/Route/gsTestPlatformAdapter.cxx
@@ -128,13 +128,20 @@
   EXPECT_EQ(adapter.ReadAnswer(503, rest).Word.Rest, gsMilliseconds(2500));
   EXPECT_EQ(adapter.ReadAnswer(429, rest).Word.Rest, gsMilliseconds(2500));
   EXPECT_TRUE(adapter.ReadAnswer(200, rest).Word.Empty());
+  gsHeaders limit{ { "server-limit", "3" }, { "server-limit", "2.9" } };
+  EXPECT_EQ(adapter.ReadAnswer(200, limit).Word.RateLimit, 2.9);
+  EXPECT_FALSE(adapter.ReadAnswer(200, {}).Word.RateLimit);
 }
 
 // Another upstream has the address by then: it speaks of itself.
 TEST(PlatformAdapter, AnAnswerOfAnotherUpstreamSaysNothingOfTheOneMeant)
 {
-  gsHeaders headers{ { "server-leaving", "1" }, { "retry-after", "9" } };
-  EXPECT_TRUE(gsMakeAdapter().ReadAnswer(421, headers).Word.Empty());
+  gsHeaders headers{ { "server-leaving", "1" },
+                     { "retry-after", "9" },
+                     { "server-limit", "3" } };
+  gsUpstreamWord word = gsMakeAdapter().ReadAnswer(421, headers).Word;
+  EXPECT_TRUE(word.Empty());
+  EXPECT_FALSE(word.RateLimit);
 }
 
 TEST(PlatformAdapter, ReadsPagesOfRows)
--- a/Tests/Unit/gsTestUpstreamWord.cxx
+++ b/Tests/Unit/gsTestUpstreamWord.cxx
@@ -1,5 +1,7 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /** \file What an upstream's answer says of it, in all shapes of the value. */
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "gsUpstreamWord.h"
@@ -49,3 +51,21 @@
   }
   EXPECT_EQ(Rest("-1e9999"), gsTime{});
 }
+
+// Guards against malformed text read as a limit, and against negative or
+// infinite limits.
+TEST(UpstreamWord, ReadsTheLowestRateLimitAndBoundsIt)
+{
+  EXPECT_EQ(gsReadRateLimit("2.9"), 2.9);
+  EXPECT_EQ(gsReadRateLimit(" 3 , 2"), 2.0);
+  EXPECT_EQ(gsReadRateLimit("few, 4"), 4.0);
+  EXPECT_EQ(gsReadRateLimit("0"), 0.0);
+  EXPECT_EQ(gsReadRateLimit("-4"), 0.0);
+  EXPECT_EQ(gsReadRateLimit("1e9"), 1e9);
+  EXPECT_GT(gsReadRateLimit("inf"), 1e300);
+  EXPECT_GT(gsReadRateLimit(std::string(400, '9')), 1e300);
+  EXPECT_EQ(gsReadRateLimit("1e-400"), 0.0);
+  for (char const* text : { "", " ", "nan", "few", "3x", ",", "0x10" }) {
+    EXPECT_FALSE(gsReadRateLimit(text)) << text;
+  }
+}
