--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -9,8 +9,10 @@
  * turns away for its rest is one line "away ID MICROSECONDS". POST /control
  * takes {"cut": N}: so many of the next answers break off; {"leaving": true}:
  * all answers from then on say that it leaves; {"rest": "VALUE", "rest_ms":
- * N}: for so long it turns requests away and asks for rest of that value.
- * A request whose body is "crash" ends the process --crash-ms after it began.
+ * N}: for so long it turns requests away and asks for rest of that value;
+ * {"limit": "VALUE"}: all answers from then on name that rate limit, or none
+ * if the value is empty. A request whose body is "crash" ends the process
+ * --crash-ms after it began.
  */
 #include <cstdlib>
 #include <memory>
@@ -108,6 +110,9 @@
     if (this->Leaving) {
       head.emplace_back("Server-Leaving", "1");
     }
+    if (!this->Limit.empty()) {
+      head.emplace_back("Server-Limit", this->Limit);
+    }
     return head;
   }
 
@@ -123,7 +128,8 @@
   std::set<std::shared_ptr<Run>> Running;
   int Cuts = 0;
   bool Leaving = false;
-  std::string Rest; ///< Asked for until RestUntil.
+  std::string Limit; ///< Named in answers; empty for none.
+  std::string Rest;  ///< Asked for until RestUntil.
   gsTime RestUntil{};
 
 private:
@@ -133,6 +139,7 @@
   {
     this->Cuts = body.value("cut", this->Cuts);
     this->Leaving = body.value("leaving", this->Leaving);
+    this->Limit = body.value("limit", this->Limit);
     this->Rest = body.value("rest", this->Rest);
     if (body.contains("rest_ms")) {
       this->RestUntil =
