--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -23,6 +23,7 @@
 #include "gsHallReach.h"
 #include "gsInterference.h"
 #include "gsLoadExchange.h"
+#include "gsRateLimit.h"
 #include "gsTypes.h"
 #include "gsUpstreamWord.h"
 
@@ -249,6 +250,7 @@
   std::unordered_map<std::string, gsEnginePace> Paces; ///< By service.
   /** By id; none of an upstream that has a row. */
   std::unordered_map<std::string, gsKeptWord> KeptWords;
+  gsRateLimits RateLimits; ///< By gsFleetRow::Hash.
 };
 
 /**
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -62,7 +62,8 @@
                               gsPlacementAsk const& ask, gsTime now,
                               gsPlacementCause before)
 {
-  if (WasTried(ask, row) || before == gsPlacementCause::Full) {
+  if (WasTried(ask, row) || before == gsPlacementCause::Full ||
+      before == gsPlacementCause::RateLimited) {
     return before;
   }
   if (IsOnlyResting(fleet, row, ask, now)) {
@@ -96,9 +97,11 @@
   Choice const& Common;
   gsTime Now;
   gsRandom& Random;
-  gsPlacement Best;  ///< Of those considered so far.
-  double Share;      ///< Best's time to the first token, of the target.
-  std::size_t Looks; ///< Upstreams that the request looks at.
+  gsPlacement Best;       ///< Of those considered so far.
+  double Share;           ///< Best's time to the first token, of the target.
+  std::size_t Looks;      ///< Upstreams that the request looks at.
+  double RateLimitedCost; ///< Of Best.RateLimitedRow, without the wait.
+  double RateLimitedCostWithWait; ///< Including the wait for a token.
   gsCandidates Among;
 };
 
@@ -127,6 +130,28 @@
   return draw(search.Random);
 }
 
+/** Records an upstream that only lacks a token. Keeps the one with the lowest
+ * cost including the expected wait for a token. */
+void NoteRateLimited(Search& search, gsFleetRow const& row, double cost)
+{
+  gsPlacement& best = search.Best;
+  gsTime wait =
+    gsExpectedTokenWait(search.Fleet.RateLimits, row.Hash, 0, search.Now);
+  double millis = search.Ask.TokenMillis;
+  double waitCost = millis > 0 ? gsToSeconds(wait) * 1e3 / millis : 0;
+  if (best.RateLimitedRow == nullptr ||
+      cost + waitCost < search.RateLimitedCostWithWait) {
+    best.RateLimitedRow = &row;
+    search.RateLimitedCost = cost;
+    search.RateLimitedCostWithWait = cost + waitCost;
+  }
+  if (best.Row == nullptr && best.Cause != gsPlacementCause::Full) {
+    best.Cause = gsPlacementCause::RateLimited;
+    best.RestLeft =
+      best.RestLeft.count() == 0 ? wait : std::min(best.RestLeft, wait);
+  }
+}
+
 /** Takes those of the rows in that may be sent the request, and of which one
  * is cheaper than the best so far. */
 void Consider(Search& search, std::vector<std::size_t> const& rows)
@@ -147,12 +172,16 @@
       }
       continue;
     }
-    ++best.Candidates;
     std::uint32_t toRead =
       gsTokensToRead(search.Fleet, row, search.Ask, search.Now);
     double cost = TotalCost(search.Fleet, row, search.Ask, search.Common,
                             toRead, search.Now) +
                   CrowdedCost(search, row) + tie(search.Random);
+    if (!HasToken(search.Fleet, row, search.Now)) {
+      NoteRateLimited(search, row, cost);
+      continue;
+    }
+    ++best.Candidates;
     if (best.Row != nullptr && cost >= best.Cost) {
       continue;
     }
@@ -180,7 +209,8 @@
   for (std::size_t index : rows) {
     gsFleetRow const& row = search.Fleet.Rows[index];
     bool counts = InGroup(row, search.Common) &&
-                  MayGet(search.Fleet, row, search.Ask, search.Now);
+                  MayGet(search.Fleet, row, search.Ask, search.Now) &&
+                  HasToken(search.Fleet, row, search.Now);
     std::uint32_t running = gsWorkAt(search.Fleet, row, search.Now).Running;
     slots +=
       counts ? row.Listed.Slots - std::min(row.Listed.Slots, running) : 0;
@@ -266,7 +296,8 @@
   std::uint32_t most = 0;
   for (std::size_t index : rows) {
     gsFleetRow const& row = search.Fleet.Rows[index];
-    if (MayGet(search.Fleet, row, search.Ask, search.Now)) {
+    if (MayGet(search.Fleet, row, search.Ask, search.Now) &&
+        HasToken(search.Fleet, row, search.Now)) {
       most = std::max(most, RunningAt(search, row));
     }
   }
@@ -286,7 +317,8 @@
   if (kinds == 0) {
     most = std::max(most, fullest);
   }
-  bool may = MayGet(search.Fleet, row, search.Ask, search.Now);
+  bool may = MayGet(search.Fleet, row, search.Ask, search.Now) &&
+             HasToken(search.Fleet, row, search.Now);
   return may ? most - std::min(most, RunningAt(search, row)) : 0;
 }
 
@@ -383,6 +415,8 @@
       return "no_upstream";
     case gsPlacementCause::NoConnection:
       return "no_connection";
+    case gsPlacementCause::RateLimited:
+      return "rate_limited";
     case gsPlacementCause::Full:
       return "full";
     case gsPlacementCause::Cold:
@@ -468,6 +502,9 @@
   if (best.Row == nullptr) {
     return;
   }
+  if (best.RateLimitedRow != nullptr && search.RateLimitedCost >= best.Cost) {
+    best.RateLimitedRow = nullptr;
+  }
   gsHallNoteTry(fleet.Halls, fleet.Settings.HallReach, best.Row->Listed.Hall,
                 search.Now);
   best.Holder =
@@ -489,9 +526,17 @@
   Choice choice = MakeChoice(fleet, ask);
   gsCandidateAsk wanted{ ask.Service, gsSubjectOf(ask), choice.Group,
                          choice.Border };
-  Search search{ fleet, ask,    choice,
-                 now,   random, {},
-                 0,     0,      gsCandidatesFor(fleet, wanted, random) };
+  Search search{ fleet,
+                 ask,
+                 choice,
+                 now,
+                 random,
+                 {},
+                 0,
+                 0,
+                 0,
+                 0,
+                 gsCandidatesFor(fleet, wanted, random) };
   if (search.Among.Rows.empty()) {
     return {};
   }
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -62,6 +62,7 @@
   LeastLoaded,    ///< The cheapest of all.
   NoUpstream,     ///< The service has none that may get work.
   NoConnection,   ///< This host's share of connections is used up at all.
+  RateLimited,    ///< Remaining upstreams are rate-limited and have no token.
   Full,           ///< The places left are for more urgent requests.
   Cold,           ///< Those left are cold, and have got what they bear.
   Resting,        ///< Those left want nothing from this host for a while.
@@ -81,9 +82,12 @@
                                 ///< over.
   double Cost = 0;              ///< Tokens.
   std::uint32_t Candidates = 0;
-  /** Where all that are left rest: until the first of them, of those that were
-   * weighed, wants work again. */
+  /** If all remaining upstreams rest or are rate-limited: time until the first
+   * of those considered accepts work again. */
   gsTime RestLeft{};
+  /** Upstream with the lowest cost that was skipped because no token of its
+   * rate limit is available; null if there is none. */
+  gsFleetRow const* RateLimitedRow = nullptr;
   gsFleetGroup Group = gsFleetGroup::Any; ///< That the request belongs to.
 };
 
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -144,6 +144,11 @@
          !(ask.OwnHallOnly && row.Listed.Hall != fleet.Settings.Hall);
 }
 
+bool HasToken(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
+{
+  return gsHasToken(fleet.RateLimits, row.Hash, now);
+}
+
 bool HasPlace(gsFleet const& fleet, gsFleetRow const& row,
               gsPlacementAsk const& ask, gsTime now)
 {
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -61,6 +61,9 @@
 bool MayGet(gsFleet const& fleet, gsFleetRow const& row,
             gsPlacementAsk const& ask, gsTime now);
 
+/** Whether it has no rate limit, or an unreserved token is available. */
+bool HasToken(gsFleet const& fleet, gsFleetRow const& row, gsTime now);
+
 /** Whether it has a place that is not kept for more urgent requests. */
 bool HasPlace(gsFleet const& fleet, gsFleetRow const& row,
               gsPlacementAsk const& ask, gsTime now);
--- a/Source/Core/gsUpstreamWord.cxx
+++ b/Source/Core/gsUpstreamWord.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <cstdlib>
 #include <ctime>
 #include <limits>
 #include <optional>
@@ -86,16 +87,6 @@
 
 namespace {
 
-/** Rate for a number outside the range of double. from_chars reports overflow
- * and underflow alike, so the text decides between zero and the maximum. */
-double ClampOutOfRange(std::string_view text)
-{
-  bool zero = text.front() == '-' || text.substr(0, 2) == "0." ||
-              text.find("e-") != std::string_view::npos ||
-              text.find("E-") != std::string_view::npos;
-  return zero ? 0 : std::numeric_limits<double>::max();
-}
-
 std::optional<double> ReadRate(std::string_view text)
 {
   double rate = 0;
@@ -105,7 +96,8 @@
     return std::nullopt;
   }
   if (parsed.ec == std::errc::result_out_of_range) {
-    return ClampOutOfRange(text);
+    // from_chars does not tell overflow from underflow.
+    rate = std::strtod(std::string(text).c_str(), nullptr);
   }
   return std::clamp(rate, 0.0, std::numeric_limits<double>::max());
 }
--- a/Source/Core/gsUpstreamWord.h
+++ b/Source/Core/gsUpstreamWord.h
@@ -23,6 +23,8 @@
   /** Requests per second that the upstream accepts from all hosts combined;
    * empty if the answer names no limit. */
   std::optional<double> RateLimit;
+  /** The answer names a limit that cannot be parsed. */
+  bool RateLimitUnreadable = false;
 
   bool Empty() const { return !this->Leaving && this->Rest.count() == 0; }
 };
--- a/Source/Daemon/gsDrainGossip.cxx
+++ b/Source/Daemon/gsDrainGossip.cxx
@@ -21,25 +21,6 @@
 
 } // namespace
 
-/** Who receives a notice that came from a hall, the own one or another. */
-std::vector<std::string> gsDrainGossip::Receivers(
-  std::string_view fromHall) const
-{
-  gsTime now = gsLoop::Now();
-  gsHallMembership const& members = this->Cluster->Members();
-  std::string relay = gsHallRelay(members, now);
-  if (relay != this->Cluster->Self()) {
-    return { relay };
-  }
-  std::vector<std::string> hosts = gsHallPeers(members, now);
-  if (fromHall == this->Fleet.Settings.Hall) {
-    for (auto const& [hall, other] : gsOtherRelays(members, now)) {
-      hosts.push_back(other);
-    }
-  }
-  return hosts;
-}
-
 void gsDrainGossip::Send(gsIncarnation const& upstream,
                          std::vector<std::string> const& hosts)
 {
@@ -55,7 +36,8 @@
 void gsDrainGossip::Publish(gsIncarnation const& upstream)
 {
   if (this->Cluster != nullptr) {
-    this->Send(upstream, this->Receivers(this->Fleet.Settings.Hall));
+    std::string const& hall = this->Fleet.Settings.Hall;
+    this->Send(upstream, gsGossipReceivers(*this->Cluster, hall, hall));
   }
 }
 
@@ -75,7 +57,7 @@
       continue;
     }
     gsIncarnation const upstream{ wire.upstream(), *born };
-    if (!gsNoteWord(this->Fleet, upstream, { true, {}, {} }, now)) {
+    if (!gsNoteWord(this->Fleet, upstream, { true, {}, {}, false }, now)) {
       continue;
     }
     gsLogLine("upstream_told_leaving")
@@ -83,7 +65,8 @@
       .With("born", upstream.Born)
       .With("from", host);
     if (relays) {
-      this->Send(upstream, this->Receivers(hall));
+      this->Send(upstream, gsGossipReceivers(*this->Cluster, hall,
+                                             this->Fleet.Settings.Hall));
     }
   }
 }
--- a/Source/Daemon/gsDrainGossip.h
+++ b/Source/Daemon/gsDrainGossip.h
@@ -36,7 +36,6 @@
   void OnReceive(std::string const& host, gradescale::Frame const& frame);
 
 private:
-  std::vector<std::string> Receivers(std::string_view fromHall) const;
   void Send(gsIncarnation const& upstream,
             std::vector<std::string> const& hosts);
 
--- a/Source/Daemon/gsHallCluster.cxx
+++ b/Source/Daemon/gsHallCluster.cxx
@@ -285,3 +285,22 @@
     this->Events.OnChanged();
   }
 }
+
+std::vector<std::string> gsGossipReceivers(gsHallCluster const& cluster,
+                                           std::string_view fromHall,
+                                           std::string_view ownHall)
+{
+  gsTime now = gsLoop::Now();
+  gsHallMembership const& members = cluster.Members();
+  std::string relay = gsHallRelay(members, now);
+  if (relay != cluster.Self()) {
+    return { relay };
+  }
+  std::vector<std::string> hosts = gsHallPeers(members, now);
+  if (fromHall == ownHall) {
+    for (auto const& [hall, other] : gsOtherRelays(members, now)) {
+      hosts.push_back(other);
+    }
+  }
+  return hosts;
+}
--- a/Source/Daemon/gsHallCluster.h
+++ b/Source/Daemon/gsHallCluster.h
@@ -105,3 +105,12 @@
   std::size_t LoggedSize = 0;
   gsTime LoggedAt{};
 };
+
+/**
+ * Hosts to which this host forwards a notice that originated in fromHall. A
+ * host sends to the relay of its hall. A relay sends to the hosts of its hall,
+ * and to the relays of other halls if the notice originated in its own hall.
+ */
+std::vector<std::string> gsGossipReceivers(gsHallCluster const& cluster,
+                                           std::string_view fromHall,
+                                           std::string_view ownHall);
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -110,6 +110,11 @@
       "Bytes of frames to and from other hosts, by direction." },
     { "gradescale_crash_reports_total", gsMetricKind::Counter,
       "Attempts that broke off at an upstream." },
+    { "gradescale_rate_limit", gsMetricKind::Gauge,
+      "Requests a second that an upstream takes from all hosts; routed "
+      "mode." },
+    { "gradescale_rate_tokens_total", gsMetricKind::Counter,
+      "Tokens of rate limits by upstream and use; routed mode." },
     { "gradescale_quarantined_requests", gsMetricKind::Gauge,
       "Requests refused because upstreams crashed under them." },
     { "gradescale_stalls_total", gsMetricKind::Counter,
--- /dev/null
+++ b/Source/Daemon/gsRateLimiter.cxx
@@ -0,0 +1,406 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsRateLimiter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gsLog.h"
+
+namespace {
+
+constexpr gsTime DigestPeriod = gsMilliseconds(500);
+/** Limits in transit make digests differ briefly. */
+constexpr gsTime DigestMismatchGracePeriod = gsMilliseconds(400);
+/** Interval between retransmissions of all limits while the relay is not
+ * heard. */
+constexpr gsTime RepeatPeriod = gsSeconds(1);
+constexpr gsTime RolesPeriod = gsMilliseconds(50);
+constexpr gsTime ForgetPeriod = gsSeconds(10);
+constexpr gsTime MinTimerDelay = gsMilliseconds(1);
+constexpr double MilliUnits = 1e3;
+constexpr double MicroUnits = 1e6;
+
+std::uint64_t ToUnits(double rate, double unit)
+{
+  return static_cast<std::uint64_t>(std::max(0.0, rate) * unit + 0.5);
+}
+
+double FromUnits(std::uint64_t units, double unit)
+{
+  return static_cast<double>(units) / unit;
+}
+
+std::uint64_t ToMicros(gsTime time)
+{
+  return static_cast<std::uint64_t>(std::max(time, gsTime{}).count());
+}
+
+/** Converts a received duration, capped at one hour. */
+gsTime FromMicros(std::uint64_t micros)
+{
+  constexpr auto maximum =
+    static_cast<std::uint64_t>(gsTime(std::chrono::hours(1)).count());
+  return gsTime(static_cast<gsTime::rep>(std::min(micros, maximum)));
+}
+
+} // namespace
+
+gsRateLimiter::gsRateLimiter(gsLoop& loop, gsFleet& fleet)
+  : Loop(loop)
+  , Fleet(fleet)
+  , Limits(fleet.RateLimits)
+  , DueTimer(loop, [this] { this->Run(gsLoop::Now()); })
+{
+}
+
+void gsRateLimiter::Serve(gsRouteGateway& gateway)
+{
+  this->Gateway = &gateway;
+  gateway.TellRateLimit([this] { this->Publish(); });
+  gateway.SetTokenSource(
+    [this](std::uint32_t upstream, std::uint32_t count, gsTime until) {
+      return this->RequestTokens(upstream, count, until);
+    });
+}
+
+void gsRateLimiter::ShareAmong(std::size_t hosts)
+{
+  this->Limits.Roles.HostsOfLate = hosts;
+}
+
+/** Updates the issuing roles from membership. */
+void gsRateLimiter::UpdateRoles(gsTime now)
+{
+  bool isFresh = this->RolesUpdatedAt.count() != 0 &&
+                 now - this->RolesUpdatedAt < RolesPeriod;
+  if (this->Cluster == nullptr || isFresh) {
+    return;
+  }
+  this->RolesUpdatedAt = now;
+  gsHallMembership const& members = this->Cluster->Members();
+  gsRateRoles& roles = this->Limits.Roles;
+  roles.Self = this->Cluster->Self();
+  roles.Relay = gsHallRelay(members, now);
+  roles.HallSize = gsHallSize(members, now);
+  roles.Relays.clear();
+  if (roles.Relay == roles.Self) {
+    roles.Relays = gsOtherRelays(members, now);
+    roles.Relays[this->Fleet.Settings.Hall] = roles.Self;
+  }
+}
+
+std::string gsRateLimiter::NameOf(std::uint32_t upstream) const
+{
+  auto row = this->Fleet.ByHash.find(upstream);
+  return row == this->Fleet.ByHash.end()
+           ? std::string()
+           : this->Fleet.Rows[row->second].Listed.Id;
+}
+
+void gsRateLimiter::SendNotice(gsRateLimitNotice const& notice,
+                               Hosts const& hosts)
+{
+  for (std::string const& host : hosts) {
+    if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
+      gradescale::RateLimit* wire = frame->add_rate_limits();
+      wire->set_upstream(notice.Upstream);
+      wire->set_rate_milli(ToUnits(notice.Rate, MilliUnits));
+      wire->set_ended(notice.Ended);
+      wire->set_ended_for_us(ToMicros(notice.EndedFor));
+      wire->set_version(notice.Version);
+    }
+  }
+}
+
+/** Schedules a new placement of requests that wait for tokens. */
+void gsRateLimiter::NotifyChange()
+{
+  if (this->Gateway != nullptr) {
+    this->Loop.Defer([this] { this->Gateway->RetryWaiting(); });
+  }
+}
+
+/** Sends limits changed by answers to other hosts. */
+void gsRateLimiter::Publish()
+{
+  gsTime now = gsLoop::Now();
+  std::vector<std::uint32_t> changed =
+    std::exchange(this->Limits.UnsentUpstreams, {});
+  if (this->Cluster != nullptr) {
+    Hosts const receivers = gsGossipReceivers(
+      *this->Cluster, this->Fleet.Settings.Hall, this->Fleet.Settings.Hall);
+    for (std::uint32_t upstream : changed) {
+      this->SendNotice(gsRateLimitNoticeOf(this->Limits, upstream, now),
+                       receivers);
+    }
+    this->SendDigest(now);
+  }
+  this->ScheduleRun();
+  this->NotifyChange();
+}
+
+/** Requests tokens. \return Whether one is available now. */
+bool gsRateLimiter::RequestTokens(std::uint32_t upstream, std::uint32_t count,
+                                  gsTime until)
+{
+  gsTime now = gsLoop::Now();
+  this->UpdateRoles(now);
+  if (!gsRequestTokens(this->Limits, upstream, count, until, now)) {
+    this->Run(now);
+  }
+  return gsHasToken(this->Limits, upstream, now);
+}
+
+/** Issues, requests and delivers tokens, and schedules the next run. */
+void gsRateLimiter::Run(gsTime now)
+{
+  this->RunScheduled = false;
+  if (this->Limits.Upstreams.empty()) {
+    return;
+  }
+  this->UpdateRoles(now);
+  for (gsRateMessage const& message : gsRateLimitTick(this->Limits, now)) {
+    gradescale::Frame* frame =
+      this->Cluster == nullptr ? nullptr : this->Cluster->ToHost(message.To);
+    if (frame == nullptr) {
+      continue;
+    }
+    if (message.Share) {
+      gradescale::RateShare* wire = frame->add_rate_shares();
+      wire->set_upstream(message.Share->Upstream);
+      wire->set_lent_micro(ToUnits(message.Share->LentRate, MicroUnits));
+      wire->set_loan_life_us(ToMicros(message.Share->LoanLifetime));
+      wire->set_wanted(message.Share->Wanted);
+    }
+    if (message.Tokens) {
+      gradescale::RateTokens* wire = frame->add_rate_tokens();
+      wire->set_upstream(message.Tokens->Upstream);
+      wire->set_count(message.Tokens->Count);
+      wire->set_life_us(ToMicros(message.Tokens->Lifetime));
+      wire->set_wait_us(ToMicros(message.Tokens->Wait));
+    }
+  }
+  if (!this->Limits.GrantedUpstreams.empty()) {
+    this->Loop.Defer([this] { this->DeliverTokens(); });
+  }
+  if (std::optional<gsTime> due = gsRateLimitDue(this->Limits, now)) {
+    this->DueTimer.Once(std::max(*due - now, gsTime(MinTimerDelay)));
+  }
+}
+
+void gsRateLimiter::ScheduleRun()
+{
+  if (!std::exchange(this->RunScheduled, true)) {
+    this->Loop.Defer([this] { this->Run(gsLoop::Now()); });
+  }
+}
+
+void gsRateLimiter::DeliverTokens()
+{
+  for (std::uint32_t upstream :
+       std::exchange(this->Limits.GrantedUpstreams, {})) {
+    if (this->Gateway != nullptr) {
+      this->Gateway->OnToken(upstream);
+    }
+  }
+}
+
+void gsRateLimiter::SendAll(std::string const& host, gsTime now)
+{
+  for (gsRateLimitNotice const& notice :
+       gsRateLimitNotices(this->Limits, now)) {
+    this->SendNotice(notice, { host });
+  }
+}
+
+void gsRateLimiter::SendDigest(gsTime now)
+{
+  std::uint64_t digest = gsRateLimitDigest(this->Limits, now);
+  this->UpdateRoles(now);
+  if (digest == 0 || this->Limits.Roles.Relay != this->Limits.Roles.Self) {
+    return;
+  }
+  this->DigestSentAt = now;
+  Hosts receivers = gsHallPeers(this->Cluster->Members(), now);
+  for (auto const& [hall, relay] : this->Limits.Roles.Relays) {
+    receivers.push_back(relay);
+  }
+  for (std::string const& host : receivers) {
+    gradescale::Frame* frame =
+      host == this->Limits.Roles.Self ? nullptr : this->Cluster->ToHost(host);
+    if (frame != nullptr) {
+      frame->set_rate_limits_digest(digest);
+    }
+  }
+}
+
+/** Exchanges all limits with a relay whose digest has differed for the grace
+ * period. A host without limits requests them immediately. */
+void gsRateLimiter::CompareDigest(std::string const& host,
+                                  std::uint64_t digest, gsTime now)
+{
+  this->Limits.RelaysHeardAt[host] = now;
+  if (digest == gsRateLimitDigest(this->Limits, now)) {
+    this->MismatchedSince.erase(host);
+    return;
+  }
+  auto [since, isNew] = this->MismatchedSince.emplace(host, now);
+  bool waits = isNew || now - since->second < DigestMismatchGracePeriod;
+  if (waits && !this->Limits.Upstreams.empty()) {
+    return;
+  }
+  this->MismatchedSince.erase(since);
+  this->SendAll(host, now);
+  if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
+    frame->set_wants_rate_limits(true);
+  }
+}
+
+void gsRateLimiter::ApplyNotices(std::string const& host,
+                                 gradescale::Frame const& frame, gsTime now)
+{
+  std::string const hall(gsHallOf(this->Cluster->Members(), host));
+  bool isRelay = this->Limits.Roles.Relay == this->Limits.Roles.Self;
+  bool changed = false;
+  for (gradescale::RateLimit const& wire : frame.rate_limits()) {
+    gsRateLimitNotice notice;
+    notice.Upstream = wire.upstream();
+    notice.Rate = FromUnits(wire.rate_milli(), MilliUnits);
+    notice.Ended = wire.ended();
+    notice.EndedFor = FromMicros(wire.ended_for_us());
+    notice.Version = wire.version();
+    if (!gsApplyRateLimitNotice(this->Limits, notice, now)) {
+      continue;
+    }
+    changed = true;
+    gsLogLine("rate_limit_received")
+      .With("upstream", this->NameOf(notice.Upstream))
+      .With("upstream_hash", notice.Upstream)
+      .With("per_second", gsRateText(notice.Rate))
+      .With("ended", notice.Ended)
+      .With("version", notice.Version)
+      .With("from", host);
+    if (isRelay) {
+      this->SendNotice(notice, gsGossipReceivers(*this->Cluster, hall,
+                                                 this->Fleet.Settings.Hall));
+    }
+  }
+  this->Limits.UnsentUpstreams.clear();
+  if (changed && isRelay) {
+    this->SendDigest(now);
+  }
+  if (changed) {
+    this->NotifyChange();
+  }
+}
+
+void gsRateLimiter::OnReceive(std::string const& host,
+                              gradescale::Frame const& frame)
+{
+  bool isRelevant =
+    !frame.rate_limits().empty() || !frame.rate_shares().empty() ||
+    !frame.rate_tokens().empty() || frame.rate_limits_digest() != 0 ||
+    frame.wants_rate_limits();
+  if (!isRelevant) {
+    return;
+  }
+  gsTime now = gsLoop::Now();
+  this->UpdateRoles(now);
+  this->ApplyNotices(host, frame, now);
+  if (frame.rate_limits_digest() != 0) {
+    this->CompareDigest(host, frame.rate_limits_digest(), now);
+  }
+  if (frame.wants_rate_limits()) {
+    this->SendAll(host, now);
+  }
+  for (gradescale::RateShare const& wire : frame.rate_shares()) {
+    gsRateShare share;
+    share.Upstream = wire.upstream();
+    share.LentRate = FromUnits(wire.lent_micro(), MicroUnits);
+    share.LoanLifetime = FromMicros(wire.loan_life_us());
+    share.Wanted = wire.wanted();
+    gsApplyRateShare(this->Limits, host, share, now);
+  }
+  for (gradescale::RateTokens const& wire : frame.rate_tokens()) {
+    gsRateTokens tokens;
+    tokens.Upstream = wire.upstream();
+    tokens.Count = wire.count();
+    tokens.Lifetime = FromMicros(wire.life_us());
+    tokens.Wait = FromMicros(wire.wait_us());
+    gsApplyRateTokens(this->Limits, host, tokens, now);
+  }
+  this->ScheduleRun();
+}
+
+void gsRateLimiter::Tick(gsTime now)
+{
+  if (this->Limits.Upstreams.empty() || this->Cluster == nullptr) {
+    return;
+  }
+  this->Run(now);
+  if (now - this->DigestSentAt >= DigestPeriod) {
+    this->SendDigest(now);
+  }
+  gsRateRoles const& roles = this->Limits.Roles;
+  auto heard = this->Limits.RelaysHeardAt.find(roles.Relay);
+  bool relaySilent = heard == this->Limits.RelaysHeardAt.end() ||
+                     now - heard->second > this->Limits.Settings.RelayTimeout;
+  if (roles.Relay != roles.Self && relaySilent &&
+      now - this->LimitsRepeatedAt >= RepeatPeriod) {
+    this->LimitsRepeatedAt = now;
+    this->SendAll(roles.Relay, now);
+  }
+  if (now - this->LimitsForgottenAt >= ForgetPeriod) {
+    this->LimitsForgottenAt = now;
+    gsForgetRateLimits(
+      this->Limits,
+      [this](std::uint32_t upstream) {
+        return this->Fleet.ByHash.count(upstream) != 0;
+      },
+      now);
+  }
+}
+
+nlohmann::json gsRateLimiter::Status(gsTime now) const
+{
+  nlohmann::json rows = nlohmann::json::array();
+  auto millis = [](gsTime time) {
+    return std::chrono::duration_cast<gsMilliseconds>(time).count();
+  };
+  for (auto const& [hash, upstream] : this->Limits.Upstreams) {
+    std::optional<double> rate = gsRateInForce(this->Limits, hash, now);
+    if (!rate) {
+      continue;
+    }
+    rows.push_back({ { "upstream", this->NameOf(hash) },
+                     { "per_second", *rate },
+                     { "ended", upstream.Limit.Ended },
+                     { "version", upstream.Limit.Version },
+                     { "age_ms", millis(now - upstream.Limit.LearnedAt) },
+                     { "tokens", upstream.Tokens.size() },
+                     { "lent", now < upstream.LentUntil },
+                     { "expected_wait_ms", millis(gsExpectedTokenWait(
+                                             this->Limits, hash, 0, now)) },
+                     { "used", upstream.Used },
+                     { "lapsed", upstream.Lapsed },
+                     { "issued", upstream.Issued } });
+  }
+  return rows;
+}
+
+void gsRateLimiter::WriteGauges(gsMetrics& metrics, gsTime now) const
+{
+  for (auto const& [hash, upstream] : this->Limits.Upstreams) {
+    std::string const name = this->NameOf(hash);
+    auto count = [&metrics, &name](char const* use, std::uint64_t value) {
+      metrics.Set("gradescale_rate_tokens_total",
+                  gsLabels({ { "upstream", name }, { "use", use } }),
+                  static_cast<double>(value));
+    };
+    count("used", upstream.Used);
+    count("lapsed", upstream.Lapsed);
+    count("issued", upstream.Issued);
+    metrics.Set("gradescale_rate_limit", gsLabels({ { "upstream", name } }),
+                gsRateInForce(this->Limits, hash, now).value_or(0));
+  }
+}
--- /dev/null
+++ b/Source/Daemon/gsRateLimiter.h
@@ -0,0 +1,84 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Exchanges rate limits of upstreams, and the tokens that enforce them, with
+ * other hosts. A host sends a changed limit to the relay of its hall, which
+ * forwards it to its hall and to the relays of other halls. While there are
+ * limits, relays send a digest twice a second. It detects limits that a host
+ * missed, and announces that the relay issues tokens.
+ */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "gsFleet.h"
+#include "gsHallCluster.h"
+#include "gsLoop.h"
+#include "gsMetrics.h"
+#include "gsRouteGateway.h"
+
+class gsRateLimiter
+{
+public:
+  /** The loop and the fleet, which stores the limits, must outlive this
+   * object. */
+  gsRateLimiter(gsLoop& loop, gsFleet& fleet);
+
+  /** The cluster must outlive this object. */
+  void Start(gsHallCluster& cluster) { this->Cluster = &cluster; }
+
+  /** Supplies a gateway with tokens and publishes the limits that its answers
+   * name. The gateway must outlive this object. */
+  void Serve(gsRouteGateway& gateway);
+
+  /** Sets the recent peak number of hosts, which share each limit. */
+  void ShareAmong(std::size_t hosts);
+
+  /** Processes the rate limit fields of a frame from another host. */
+  void OnReceive(std::string const& host, gradescale::Frame const& frame);
+  /** Runs periodic work; to be called about ten times per second. */
+  void Tick(gsTime now);
+
+  /** One row per upstream with a limit. */
+  nlohmann::json Status(gsTime now) const;
+  void WriteGauges(gsMetrics& metrics, gsTime now) const;
+
+private:
+  using Hosts = std::vector<std::string>;
+
+  void Publish();
+  bool RequestTokens(std::uint32_t upstream, std::uint32_t count,
+                     gsTime until);
+  void NotifyChange();
+  void UpdateRoles(gsTime now);
+  void Run(gsTime now);
+  void ScheduleRun();
+  void DeliverTokens();
+  void SendNotice(gsRateLimitNotice const& notice, Hosts const& hosts);
+  void SendAll(std::string const& host, gsTime now);
+  void SendDigest(gsTime now);
+  void ApplyNotices(std::string const& host, gradescale::Frame const& frame,
+                    gsTime now);
+  void CompareDigest(std::string const& host, std::uint64_t digest,
+                     gsTime now);
+  std::string NameOf(std::uint32_t upstream) const;
+
+  gsLoop& Loop;
+  gsFleet& Fleet;
+  gsRateLimits& Limits;
+  gsHallCluster* Cluster = nullptr;  ///< Set by Start.
+  gsRouteGateway* Gateway = nullptr; ///< Set by Serve.
+  gsTimer DueTimer;
+  bool RunScheduled = false;
+  /** Since when the digest of each host has differed. */
+  std::unordered_map<std::string, gsTime> MismatchedSince;
+  gsTime RolesUpdatedAt{};
+  gsTime DigestSentAt{};
+  gsTime LimitsRepeatedAt{};
+  gsTime LimitsForgottenAt{};
+};
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -67,13 +68,6 @@
   return text;
 }
 
-std::string RateText(double perSecond)
-{
-  char text[32];
-  std::snprintf(text, sizeof(text), "%g", perSecond);
-  return text;
-}
-
 void RespondError(gsHttpExchange& exchange, unsigned status,
                   gsError const& error, gsTime retryAfter)
 {
@@ -111,7 +105,7 @@
       .With("longest_gap_ms", attempt.LongestGap);
   }
   if (attempt.Head.Word.RateLimit) {
-    line.With("rate_limit", RateText(*attempt.Head.Word.RateLimit));
+    line.With("rate_limit", gsRateText(*attempt.Head.Word.RateLimit));
   }
   if (result.Silent) {
     line.With("silent", true);
@@ -151,6 +145,11 @@
                  this->Leaving(upstream);
                }
              },
+             [this] {
+               if (this->RateLimitChanged) {
+                 this->RateLimitChanged();
+               }
+             },
              [this](Held const& request, gsAttemptPtr const& attempt) {
                this->KeepWinner(request, attempt);
              },
@@ -347,12 +346,15 @@
   }
   if (placement.Row != nullptr) {
     this->StartAt(request, placement);
+  } else if (!answered && this->WaitForToken(request, placement)) {
+    return;
   } else if (request->Primary != nullptr) {
     this->CancelHedge(request);
   } else if (answered) {
     this->AnswerWhole(request);
   } else {
-    bool rests = placement.Cause == gsPlacementCause::Resting;
+    bool rests = placement.Cause == gsPlacementCause::Resting ||
+                 placement.Cause == gsPlacementCause::RateLimited;
     this->Refuse(request, gsPlacementWord(placement.Cause),
                  rests ? placement.RestLeft : gsTime{});
   }
@@ -364,6 +366,138 @@
   this->Caller.Start(request, placement);
 }
 
+/** Number of requests that wait for a token of an upstream. */
+std::uint32_t gsRouteGateway::CountWaiting(std::uint32_t upstream) const
+{
+  return static_cast<std::uint32_t>(
+    std::count_if(this->TokenWaits.begin(), this->TokenWaits.end(),
+                  [upstream](Held const& held) {
+                    return held->AwaitedUpstream == upstream;
+                  }));
+}
+
+/** Requests tokens for all waiting requests, and at least one. */
+bool gsRouteGateway::RequestTokensFor(std::uint32_t upstream, gsTime until)
+{
+  return this->RequestTokens &&
+         this->RequestTokens(
+           upstream, std::max(1U, this->CountWaiting(upstream)), until);
+}
+
+/** Queues a request that only lacks a token, if one is expected before the
+ * request's wait limit: the target time to the first byte, or as long again
+ * once it has begun. */
+bool gsRouteGateway::WaitForToken(Held const& request,
+                                  gsPlacement const& placement)
+{
+  bool waits = placement.Cause == gsPlacementCause::RateLimited &&
+               placement.RateLimitedRow != nullptr && this->RequestTokens &&
+               request->Primary == nullptr;
+  if (!waits) {
+    return false;
+  }
+  gsTime now = gsLoop::Now();
+  gsTime end = std::min(request->DeadlineAt, request->TimeoutAt);
+  if (request->WaitUntil.count() == 0) {
+    bool hasBegun = request->MayHaveRun || request->CallerHasBytes;
+    gsTime since = hasBegun ? now : request->Arrived;
+    request->WaitUntil = std::min(end, since + request->Route->Target);
+  }
+  auto isMoreUrgent = [](Held const& a, Held const& b) {
+    return std::tie(a->Priority, a->DeadlineAt, a->Sequence) <
+           std::tie(b->Priority, b->DeadlineAt, b->Sequence);
+  };
+  auto place = std::lower_bound(this->TokenWaits.begin(),
+                                this->TokenWaits.end(), request, isMoreUrgent);
+  auto ahead = static_cast<std::size_t>(std::count_if(
+    this->TokenWaits.begin(), place, [&request](Held const& held) {
+      return held->Service == request->Service;
+    }));
+  gsTime expected = gsExpectedTokenWait(
+    this->Fleet.RateLimits, placement.RateLimitedRow->Hash, ahead, now);
+  if (now + expected > request->WaitUntil) {
+    return false;
+  }
+  std::uint32_t upstream = placement.RateLimitedRow->Hash;
+  gsLogLine("token_wait")
+    .With("request", request->Caller.Id)
+    .With("upstream", placement.RateLimitedRow->Listed.Id)
+    .With("expected_ms", expected)
+    .With("at_most_ms", request->WaitUntil - now)
+    .With("ahead", static_cast<std::uint64_t>(ahead))
+    .With("waiting", static_cast<std::uint64_t>(this->TokenWaits.size()));
+  request->AwaitedUpstream = upstream;
+  this->TokenWaits.insert(place, request);
+  if (this->RequestTokensFor(upstream, request->WaitUntil)) {
+    this->OnToken(upstream);
+  }
+  return true;
+}
+
+/** Removes a request from the token queue and withdraws its token request. */
+void gsRouteGateway::StopWaiting(gsRoutedRequest& request)
+{
+  std::uint32_t upstream = *request.AwaitedUpstream;
+  request.AwaitedUpstream.reset();
+  auto isIt = [&request](Held const& held) { return held.get() == &request; };
+  this->TokenWaits.erase(
+    std::remove_if(this->TokenWaits.begin(), this->TokenWaits.end(), isIt),
+    this->TokenWaits.end());
+  if (this->RequestTokens) {
+    this->RequestTokens(upstream, this->CountWaiting(upstream), gsTime{});
+  }
+}
+
+void gsRouteGateway::OnToken(std::uint32_t upstream)
+{
+  auto row = this->Fleet.ByHash.find(upstream);
+  if (row == this->Fleet.ByHash.end()) {
+    return;
+  }
+  std::string const service = this->Fleet.Rows[row->second].Listed.Service;
+  auto next = std::find_if(this->TokenWaits.begin(), this->TokenWaits.end(),
+                           [upstream](Held const& held) {
+                             return held->AwaitedUpstream == upstream;
+                           });
+  if (next == this->TokenWaits.end()) {
+    next = std::find_if(
+      this->TokenWaits.begin(), this->TokenWaits.end(),
+      [&service](Held const& held) { return held->Service == service; });
+  }
+  if (next == this->TokenWaits.end()) {
+    return;
+  }
+  Held request = *next;
+  this->StopWaiting(*request);
+  this->Place(request);
+}
+
+void gsRouteGateway::RetryWaiting()
+{
+  for (Held const& request : std::exchange(this->TokenWaits, {})) {
+    request->AwaitedUpstream.reset();
+    this->Place(request);
+  }
+}
+
+/** Refuses requests that have reached their wait limit. */
+void gsRouteGateway::RefuseExpiredWaits(gsTime now)
+{
+  std::vector<Held> over;
+  for (Held const& request : this->TokenWaits) {
+    if (now >= request->WaitUntil) {
+      over.push_back(request);
+    }
+  }
+  for (Held const& request : over) {
+    std::uint32_t upstream = *request->AwaitedUpstream;
+    this->StopWaiting(*request);
+    this->Refuse(request, gsPlacementWord(gsPlacementCause::RateLimited),
+                 gsExpectedTokenWait(this->Fleet.RateLimits, upstream,
+                                     this->CountWaiting(upstream), now));
+  }
+}
+
 /** Chooses an upstream, if need be of those that were asked already. */
 gsPlacement gsRouteGateway::Choose(gsRoutedRequest const& request,
                                    bool alsoTried)
@@ -395,6 +529,12 @@
     ask.OwnHallOnly = false;
     placement = gsPlace(this->Fleet, ask, now, this->Random);
   }
+  if (placement.RateLimitedRow != nullptr &&
+      this->RequestTokensFor(
+        placement.RateLimitedRow->Hash,
+        now + this->Fleet.RateLimits.Settings.DemandLifetime)) {
+    placement = gsPlace(this->Fleet, ask, now, this->Random);
+  }
   this->LogPlacement(request, ask, placement);
   return placement;
 }
@@ -457,6 +597,18 @@
     .With("prompt_tokens", request.Caller.PromptTokens)
     .With("cause", gsPlacementWord(placement.Cause))
     .With("candidates", placement.Candidates);
+  if (placement.RateLimitedRow != nullptr) {
+    std::uint32_t hash = placement.RateLimitedRow->Hash;
+    gsRateLimits const& limits = this->Fleet.RateLimits;
+    gsTime now = gsLoop::Now();
+    gsLimitedUpstream const& limited = limits.Upstreams.at(hash);
+    line.With("rate_limited", placement.RateLimitedRow->Listed.Id)
+      .With("per_second", gsRateText(limited.Limit.Rate))
+      .With("limit_version", limited.Limit.Version)
+      .With("limit_age_ms", now - limited.Limit.LearnedAt)
+      .With("lent", now < limited.LentUntil)
+      .With("token_wait_ms", gsExpectedTokenWait(limits, hash, 0, now));
+  }
   if (placement.Row == nullptr) {
     return;
   }
@@ -816,6 +968,9 @@
 void gsRouteGateway::Settle(Held const& request, char const* result)
 {
   request->Ended = true;
+  if (request->AwaitedUpstream) {
+    this->StopWaiting(*request);
+  }
   this->CrashWatch.End(*request);
   request->Exchange->OnGone = nullptr;
   request->Exchange->OnDrained = nullptr;
@@ -837,6 +992,7 @@
 {
   gsTime now = gsLoop::Now();
   this->CrashWatch.Sweep(now);
+  this->RefuseExpiredWaits(now);
   std::vector<Held> open;
   open.reserve(this->Requests.size());
   for (auto const& [sequence, request] : this->Requests) {
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "gsAdapter.h"
 #include "gsCrashWatch.h"
@@ -75,6 +76,27 @@
   using OnLeaving = std::function<void(gsIncarnation const& upstream)>;
   void TellLeaving(OnLeaving told) { this->Leaving = std::move(told); }
 
+  /** Sets the callback for each answer that changes an upstream's rate limit.
+   */
+  void TellRateLimit(std::function<void()> told)
+  {
+    this->RateLimitChanged = std::move(told);
+  }
+
+  /** Requests a number of tokens of an upstream's rate limit until a time.
+   * Returns whether one is available now. */
+  using TokenSource = std::function<bool(std::uint32_t upstream,
+                                         std::uint32_t count, gsTime until)>;
+  void SetTokenSource(TokenSource source)
+  {
+    this->RequestTokens = std::move(source);
+  }
+  /** Places one waiting request after a token of an upstream has arrived. */
+  void OnToken(std::uint32_t upstream);
+  /** Places all waiting requests again after a change of limits or upstreams.
+   */
+  void RetryWaiting();
+
   /** While it waits, callers are told to come back, and nothing is sent: what
    * this host knows may be out of date. */
   void Wait(bool waits) { this->Waiting = waits; }
@@ -95,6 +117,11 @@
   void Begin(Held const& request);
   void Place(Held const& request);
   void StartAt(Held const& request, gsPlacement const& placement);
+  bool RequestTokensFor(std::uint32_t upstream, gsTime until);
+  bool WaitForToken(Held const& request, gsPlacement const& placement);
+  void StopWaiting(gsRoutedRequest& request);
+  std::uint32_t CountWaiting(std::uint32_t upstream) const;
+  void RefuseExpiredWaits(gsTime now);
   bool PassesQuarantine(Held const& request);
   void RefuseSuspect(Held const& request, gsSuspicion suspicion);
   gsPlacement Choose(gsRoutedRequest const& request, bool alsoTried);
@@ -150,6 +177,11 @@
   std::unordered_map<std::string, gsRetryBudget> Budgets; ///< By service.
   OnBegan Began;
   OnLeaving Leaving;
+  std::function<void()> RateLimitChanged;
+  TokenSource RequestTokens;
+  /** Requests that wait for a token, by priority, then by deadline.
+   */
+  std::vector<Held> TokenWaits;
   std::uint64_t NextSequence = 1;
   std::size_t Hosts = 1; ///< That share the upstreams; at least 1.
   std::size_t HostsOfLate = 1;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -65,6 +65,7 @@
   , Client(loop)
   , Loads(this->Fleet, this->Settings)
   , DrainGossip(this->Fleet)
+  , RateLimiter(loop, this->Fleet)
   , TickTimer(loop, [this] { this->Tick(); })
   , LoadTimer(loop, [this] { this->TellLoads(); })
   , StopTimer(loop, [this] { this->Stop(); })
@@ -91,6 +92,7 @@
   this->Gateway->TellLeaving([this](gsIncarnation const& upstream) {
     this->DrainGossip.Publish(upstream);
   });
+  this->RateLimiter.Serve(*this->Gateway);
   if (!this->Settings.Duties.Address.empty()) {
     this->Duties = std::make_unique<gsDuties>(this->Client, this->Adapter,
                                               this->Settings, this->Metrics,
@@ -114,6 +116,7 @@
     this->Loads.Hear(host, frame);
     this->DrainGossip.OnReceive(host, frame);
     this->CrashGossip->OnReceive(host, frame);
+    this->RateLimiter.OnReceive(host, frame);
     if (this->Duties) {
       this->Duties->Hear(host, frame);
     }
@@ -141,6 +144,7 @@
   }
   this->Loads.Start(*this->Cluster);
   this->DrainGossip.Start(*this->Cluster);
+  this->RateLimiter.Start(*this->Cluster);
   this->CrashGossip->Start(*this->Cluster);
   this->QuarantineStore->Start(*this->Cluster, gsLoop::Now());
   if (this->Duties) {
@@ -278,6 +282,7 @@
   this->Upstreams.Take(this->Tables->TakeTouched(),
                        this->Tables->UpstreamRows(), gsLoop::Now());
   this->Gateway->EndAttemptsAtRestarted();
+  this->Gateway->RetryWaiting();
 }
 
 bool gsRouteNode::Ready() const
@@ -336,15 +341,20 @@
       gsStatusOk, json,
       gsHallStatus(this->Cluster->Members(), this->Fleet, gsLoop::Now())
         .dump());
+  } else if (exchange->Path == "/v1/limits") {
+    gsHeaders json{ { "Content-Type", "application/json" } };
+    exchange->Respond(gsStatusOk, json,
+                      this->RateLimiter.Status(gsLoop::Now()).dump());
   } else if (exchange->Path == "/v1/duties" && this->Duties) {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
                       this->Duties->Status(gsLoop::Now()).dump());
   } else {
-    exchange->Respond(gsStatusNotFound, plain,
-                      "This port serves /readyz, /healthz, /metrics, "
-                      "/v1/halls, /v1/quarantine and, where there are duties, "
-                      "/v1/duties.\n");
+    exchange->Respond(
+      gsStatusNotFound, plain,
+      "This port serves /readyz, /healthz, /metrics, "
+      "/v1/halls, /v1/limits, /v1/quarantine and, where there are duties, "
+      "/v1/duties.\n");
   }
 }
 
@@ -356,6 +366,7 @@
   this->Metrics.Set("gradescale_quarantined_requests", {},
                     static_cast<double>(gsQuarantinedCount(
                       this->Gateway->Crashes().Table(), now)));
+  this->RateLimiter.WriteGauges(this->Metrics, now);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
   gsHallMembership const& members = this->Cluster->Members();
   this->Metrics.Set("gradescale_system_hosts", {},
@@ -395,6 +406,7 @@
   this->Tables->Tick(now);
   this->CatchUp(now);
   this->CrashGossip->Tick(now);
+  this->RateLimiter.Tick(now);
   this->QuarantineStore->Tick(now);
   if (this->Duties) {
     this->Duties->Tick(this->Table, this->Gateway->MillisPerToken(), now);
@@ -502,6 +514,7 @@
                              this->Settings.Host);
   }
   this->Gateway->ShareAmong(hosts, ofLate);
+  this->RateLimiter.ShareAmong(ofLate);
   this->Gateway->LimitRetries(burst);
 }
 
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -22,6 +22,7 @@
 #include "gsLoadSharing.h"
 #include "gsMetrics.h"
 #include "gsQuarantineStore.h"
+#include "gsRateLimiter.h"
 #include "gsRecentPeak.h"
 #include "gsRouteGateway.h"
 #include "gsSettings.h"
@@ -80,6 +81,7 @@
   gsFleet Fleet;
   gsLoadSharing Loads;
   gsDrainGossip DrainGossip;
+  gsRateLimiter RateLimiter;
   std::unique_ptr<gsTableSync> Tables;
   std::unique_ptr<gsHallCluster> Cluster;
   std::unique_ptr<gsRouteGateway> Gateway;
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -53,6 +53,9 @@
   /** One of those with which this host comes back after the upstream's rest,
    * and not answered yet. */
   bool Returns = false;
+  /** Whether a token of the upstream's rate limit is reserved until sending.
+   */
+  bool HasReservedToken = false;
   gsAnswerHead Head;
   std::string Body; ///< Of an answer that is not relayed event by event.
   gsEventSplitter Events;
@@ -112,6 +115,12 @@
   std::optional<gsFingerprint> Fingerprint;
   /** It runs as the one copy of a contained request on this host. */
   bool Contained = false;
+  /** Upstream (gsFleetRow::Hash) for whose token the request waits; a token of
+   * another upstream of the service also ends the wait. Empty if not waiting.
+   */
+  std::optional<std::uint32_t> AwaitedUpstream;
+  gsTime
+    WaitUntil{}; ///< End of the wait for a token; zero before the first wait.
 
   /** Whether it may run a second time. */
   bool MayRepeat() const
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -113,6 +113,8 @@
   row.Own.Running += 1;
   row.ColdSentAt = now < row.ColdUntil ? now : row.ColdSentAt;
   attempt->Returns = gsNoteReturn(row.Heard, now);
+  attempt->HasReservedToken =
+    gsReserveToken(this->Fleet.RateLimits, row.Hash, now);
   gsNoteWorking(this->Fleet, row);
   row.Own.ReadTokens += attempt->ReadTokens;
   row.Own.MemoryTokens += attempt->MemoryTokens;
@@ -186,6 +188,13 @@
   if (request.Ended || isVoid || late || !this->Events.MaySend(request)) {
     return false;
   }
+  // Checked last, because it consumes the token.
+  if (!gsSpendToken(this->Fleet.RateLimits, row->Hash, now)) {
+    return false;
+  }
+  if (std::exchange(attempt.HasReservedToken, false)) {
+    gsReleaseToken(this->Fleet.RateLimits, row->Hash);
+  }
   attempt.Sent = true;
   attempt.SentAt = now;
   attempt.LastByteAt = now;
@@ -211,12 +220,48 @@
   if (word.Leaving && row != nullptr && !known) {
     this->Events.OnLeaving(attempt.Upstream);
   }
+  this->NoteRateLimit(request, attempt, now);
   if (row != nullptr && std::exchange(attempt.Returns, false)) {
     bool taken = !attempt.Head.NotExecuted && word.Rest.count() == 0;
     gsNoteReturned(row->Heard, taken, row->Listed.Slots);
   }
 }
 
+/** Applies the rate limit that an answer names, or its absence. */
+void gsUpstreamCaller::NoteRateLimit(gsRoutedRequest const& request,
+                                     gsAttempt const& attempt, gsTime now)
+{
+  gsUpstreamWord const& word = attempt.Head.Word;
+  bool concerns = word.RateLimit.has_value() || word.RateLimitUnreadable ||
+                  !this->Fleet.RateLimits.Upstreams.empty();
+  if (!concerns || attempt.Status == gsStatusMisdirected) {
+    return;
+  }
+  if (word.RateLimitUnreadable) {
+    gsLogLine("rate_limit_unreadable", gsLogLevel::Warn)
+      .With("request", request.Caller.Id)
+      .With("upstream", attempt.Upstream.Id);
+    return;
+  }
+  // An answer to another request may be older than this attempt.
+  bool isOwn = attempt.Head.RequestId == request.Caller.Id;
+  std::uint32_t hash = gsIncarnationHash(attempt.Upstream);
+  if (!gsNoteRateLimit(this->Fleet.RateLimits, hash, word.RateLimit,
+                       isOwn ? attempt.SentAt : gsTime{}, now)) {
+    return;
+  }
+  gsRateLimit const& limit = this->Fleet.RateLimits.Upstreams.at(hash).Limit;
+  gsLogLine("rate_limit")
+    .With("request", request.Caller.Id)
+    .With("upstream", attempt.Upstream.Id)
+    .With("born", attempt.Upstream.Born)
+    .With("status", attempt.Status)
+    .With("per_second", gsRateText(limit.Rate))
+    .With("ended", limit.Ended)
+    .With("version", limit.Version);
+  this->Events.OnRateLimit();
+}
+
 void gsUpstreamCaller::OnHeaders(gsRoutedRequestPtr const& request,
                                  gsAttemptPtr const& held, unsigned status,
                                  gsHeaders const& headers)
@@ -330,6 +375,10 @@
 void gsUpstreamCaller::Discharge(gsAttempt& attempt)
 {
   attempt.Call = 0;
+  if (std::exchange(attempt.HasReservedToken, false)) {
+    gsReleaseToken(this->Fleet.RateLimits,
+                   gsIncarnationHash(attempt.Upstream));
+  }
   gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
   if (row == nullptr) {
     return;
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -30,6 +30,8 @@
   std::function<void(gsRoutedRequestPtr const& request, gsTime at)> OnBegan;
   /** An upstream says that it leaves, and its row does not say so yet. */
   std::function<void(gsIncarnation const& upstream)> OnLeaving;
+  /** An answer has changed an upstream's rate limit. */
+  std::function<void()> OnRateLimit;
   /** The body of a success begins to come; called before each part of it. */
   std::function<void(gsRoutedRequestPtr const& request,
                      gsAttemptPtr const& attempt)>
@@ -76,6 +78,8 @@
                  gsHeaders const& headers);
   void NoteHead(gsRoutedRequest const& request, gsAttempt& attempt,
                 gsTime now);
+  void NoteRateLimit(gsRoutedRequest const& request, gsAttempt const& attempt,
+                     gsTime now);
   bool OnData(gsRoutedRequestPtr const& request, gsAttemptPtr const& attempt,
               std::string_view bytes);
   void TakeEvents(gsRoutedRequestPtr const& request, gsAttempt& attempt,
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -92,6 +92,9 @@
     this->Add(&this->App, "halls",
               "Show all halls as a host of the routed mode knows them.",
               [this] { return gsShowHalls(this->Shared); });
+    this->Add(&this->App, "limits",
+              "Show the rate limits that upstreams have set for all hosts.",
+              [this] { return gsShowLimits(this->Shared); });
     this->Add(&this->App, "duties",
               "Show who reports usage and orders upstreams for all hosts.",
               [this] { return gsShowDuties(this->Shared); });
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -19,6 +19,20 @@
   return 0;
 }
 
+int gsShowLimits(gsToolOptions const& options)
+{
+  gsResult<gsJson> rows =
+    gsCallOperator(options.Operator, "GET", "/v1/limits");
+  if (!rows) {
+    return gsToolFail(rows.error());
+  }
+  gsPrintRows(options, rows.value(),
+              { "upstream", "per_second", "ended", "version", "age_ms",
+                "tokens", "lent", "expected_wait_ms", "used", "lapsed",
+                "issued" });
+  return gsToolOk;
+}
+
 int gsShowDuties(gsToolOptions const& options)
 {
   gsResult<gsJson> status =
--- a/Source/Tool/gsToolShow.h
+++ b/Source/Tool/gsToolShow.h
@@ -13,6 +13,9 @@
 /** A row a hall: so it fits a screen however many hosts there are. */
 int gsShowHalls(gsToolOptions const& options);
 
+/** Prints the rate limits of upstreams as known to one host. */
+int gsShowLimits(gsToolOptions const& options);
+
 /** Who does the duties that one host at a time has, as one host knows. */
 int gsShowDuties(gsToolOptions const& options);
 
--- a/Tests/Route/gsRouteBench.cxx
+++ b/Tests/Route/gsRouteBench.cxx
@@ -16,6 +16,7 @@
 
 gsRouteBench::gsRouteBench(gsRouteGatewaySettings settings)
   : Adapter(gsMakeAdapter())
+  , RateLimiter(Loop, Fleet)
   , Upstreams(Loop)
   , Callers(Loop)
 {
@@ -24,6 +25,7 @@
   this->Gateway = std::make_unique<gsRouteGateway>(this->Loop, this->Upstreams,
                                                    this->Adapter, this->Fleet,
                                                    this->Metrics, settings, 1);
+  this->RateLimiter.Serve(*this->Gateway);
   gsHttpServerSettings server;
   server.Address = "127.0.0.1:0";
   this->Server =
@@ -55,8 +57,8 @@
   };
   gsRouteTable table;
   table.Version = 1;
-  table.Routes = { make("plain"), make("safe"), make("stream"), make("resume"),
-                   make("open") };
+  table.Routes = { make("plain"),  make("safe"), make("stream"),
+                   make("resume"), make("open"), make("patient") };
   table.Routes[1].Repeatable = true;
   table.Routes[1].MaxAttempts = 2;
   table.Routes[2].Events = true;
@@ -64,6 +66,7 @@
   table.Routes[3].Resumable = true;
   table.Routes[3].MaxAttempts = 2;
   table.Routes[4].Anonymous = true;
+  table.Routes[5].Priority = 5;
   table.Organisations = { { "club", { "key-one" }, {} } };
   return table;
 }
--- a/Tests/Route/gsRouteBench.h
+++ b/Tests/Route/gsRouteBench.h
@@ -17,6 +17,7 @@
 #include "gsHttpClient.h"
 #include "gsHttpServer.h"
 #include "gsMetrics.h"
+#include "gsRateLimiter.h"
 #include "gsRouteGateway.h"
 #include "gsScriptedUpstream.h"
 
@@ -51,7 +52,8 @@
 class gsRouteBench
 {
 public:
-  /** Routes: /plain/ (once), /safe/ (twice), /stream/ and /resume/. */
+  /** Routes: /plain/ (once), /safe/ (twice), /stream/, /resume/, and /patient/
+   * with a lower priority. */
   explicit gsRouteBench(gsRouteGatewaySettings settings = {});
   ~gsRouteBench();
 
@@ -78,6 +80,7 @@
   gsAdapter Adapter;
   gsMetrics Metrics;
   gsFleet Fleet;
+  gsRateLimiter RateLimiter;
   gsHttpClient Upstreams;
   gsHttpClient Callers;
   std::vector<std::unique_ptr<gsScriptedUpstream>> Scripted;
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -326,6 +326,9 @@
         reply->Runner = value;
       }
       reply->SaysLeaving = reply->SaysLeaving || name == "server-leaving";
+      if (name == "server-limit") {
+        reply->RateLimit = value;
+      }
       if (name == "retry-after") {
         reply->RetryAfter = value;
       }
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -62,6 +62,7 @@
   bool Signed = false;
   std::string Runner;       ///< Id of the one that answered; empty if none.
   bool SaysLeaving = false; ///< Its answer says that it leaves.
+  std::string RateLimit;    ///< Named by the answer; empty for none.
   gsTime HeadAt{};          ///< When the answer's head came.
   std::string RetryAfter;
   std::string Body;
--- a/Tests/Soak/gsSoak.cxx
+++ b/Tests/Soak/gsSoak.cxx
@@ -223,6 +223,9 @@
       case gsSoakAction::ReplaceHost:
         this->ReplaceHost(this->HostName(step.Target));
         break;
+      case gsSoakAction::NameLimit:
+        this->NameLimit(this->RunnerName(step.Target), step.Rate, step.For);
+        break;
       case gsSoakAction::AskForRest:
         this->AskForRest(this->RunnerName(step.Target), step.For);
         break;
@@ -361,6 +364,27 @@
     this->After(span, [this, runner] { this->Busy.erase(runner); });
   }
 
+  /** Limits may overlap other faults of a runner. A restarted runner names
+   * none. */
+  void NameLimit(std::string const& runner, double rate, gsTime span)
+  {
+    std::string const claim = "limit of " + runner;
+    if (!this->System.Running(runner) || !this->Claim(claim)) {
+      return;
+    }
+    std::string const id = this->System.IdOf(runner);
+    std::size_t number = this->Record.Limits.size();
+    this->Record.Limits.push_back({ id, rate, gsLoop::Now(), Unknown });
+    this->System.Control(runner, { { "limit", std::to_string(rate) } });
+    this->After(span, [this, runner, id, claim, number] {
+      this->Record.Limits[number].Until = gsLoop::Now();
+      if (this->System.IdOf(runner) == id && this->System.Running(runner)) {
+        this->System.Control(runner, { { "limit", "" } });
+      }
+      this->Busy.erase(claim);
+    });
+  }
+
   void CutAnswers(std::string const& runner)
   {
     if (!this->Claim(runner)) {
--- a/Tests/Soak/gsSoakCheck.cxx
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -26,6 +26,16 @@
 /** and lets pass so many requests. */
 constexpr std::size_t RestMost = 2;
 
+/** Time from naming a limit until it is checked. */
+constexpr gsTime LimitBindsAfter = gsSeconds(3);
+/** Time from a host's first answer with a limit until it is checked. */
+constexpr gsTime LimitKnownAfter = gsMilliseconds(500);
+
+constexpr gsTime LimitWindow = gsSeconds(4);
+constexpr double LimitFactor = 1.5;
+/** Requests allowed in a window in addition to LimitFactor times the rate. */
+constexpr double LimitSlack = 5;
+
 constexpr unsigned Ok = 200;
 constexpr unsigned Unauthorized = 401;
 constexpr unsigned Forbidden = 403;
@@ -109,6 +119,9 @@
     this->CheckLeavings();
     this->CheckWords();
     this->CheckRests();
+    for (gsSoakLimit const& limit : this->Record.Limits) {
+      this->CheckLimit(limit);
+    }
     return std::move(this->Breaches);
   }
 
@@ -352,6 +365,67 @@
     }
   }
 
+  /** Time of each host's first relayed answer that names a limit. */
+  std::map<std::string, gsTime> FirstNamedByHost(
+    gsSoakLimit const& limit) const
+  {
+    std::map<std::string, gsTime> firstNamed;
+    for (gsRoutedReplyPtr const& reply : this->Record.Replies) {
+      bool names = reply->Runner == limit.Runner &&
+                   !reply->RateLimit.empty() && reply->HeadAt >= limit.From &&
+                   reply->HeadAt < limit.Until;
+      if (names) {
+        gsTime& at =
+          firstNamed.emplace(reply->Host, reply->HeadAt).first->second;
+        at = std::min(at, reply->HeadAt);
+      }
+    }
+    return firstNamed;
+  }
+
+  /** Arrivals subject to a limit: from hosts that know it and had no fault. */
+  std::vector<gsTime> LimitedArrivals(gsSoakLimit const& limit) const
+  {
+    std::map<std::string, gsTime> const firstNamed =
+      this->FirstNamedByHost(limit);
+    std::vector<gsTime> bound;
+    for (gsRoutedRun const& arrival : this->Record.Arrivals) {
+      auto reply = this->ReplyOf.find(arrival.Request);
+      bool within = arrival.Runner == limit.Runner &&
+                    arrival.At >= limit.From + LimitBindsAfter &&
+                    arrival.At < limit.Until && reply != this->ReplyOf.end();
+      if (!within) {
+        continue;
+      }
+      auto host = firstNamed.find(reply->second->Host);
+      bool knows = host != firstNamed.end() &&
+                   arrival.At >= host->second + LimitKnownAfter;
+      if (knows &&
+          !this->HostTroubled(host->first, host->second, arrival.At)) {
+        bound.push_back(arrival.At);
+      }
+    }
+    std::sort(bound.begin(), bound.end());
+    return bound;
+  }
+
+  void CheckLimit(gsSoakLimit const& limit)
+  {
+    std::vector<gsTime> const bound = this->LimitedArrivals(limit);
+    double allowed =
+      LimitFactor * limit.Rate * gsToSeconds(LimitWindow) + LimitSlack;
+    for (auto first = bound.begin(); first != bound.end(); ++first) {
+      auto last = std::lower_bound(first, bound.end(), *first + LimitWindow);
+      if (static_cast<double>(last - first) > allowed) {
+        this->Add("LIMIT", {},
+                  limit.Runner + " named " + std::to_string(limit.Rate) +
+                    " a second and got " + std::to_string(last - first) +
+                    " in 4 s.");
+        return;
+      }
+    }
+  }
+
   gsSoakRecord const& Record;
   std::map<std::string, std::vector<gsRoutedRun const*>> RunsOf;
   std::map<std::string, gsRoutedReply const*> ReplyOf;
--- a/Tests/Soak/gsSoakCheck.h
+++ b/Tests/Soak/gsSoakCheck.h
@@ -39,6 +39,15 @@
   gsTime At{}; ///< Of the store's acknowledgement.
 };
 
+/** A rate limit named by an incarnation of a runner. */
+struct gsSoakLimit
+{
+  std::string Runner;
+  double Rate = 0; ///< Requests per second.
+  gsTime From{};
+  gsTime Until{};
+};
+
 /** All that was seen in one run. */
 struct gsSoakRecord
 {
@@ -51,6 +60,7 @@
   std::vector<gsSoakTrouble> Troubles;
   std::vector<gsSoakNotice> Leavings; ///< Of runners' incarnations.
   std::vector<gsSoakNotice> Revoked;  ///< Keys.
+  std::vector<gsSoakLimit> Limits;
   /** Keys that every configuration of the run has held. */
   std::vector<std::string> LastingKeys;
   /** What the caller of a whole answer should have got. */
--- a/Tests/Soak/gsSoakPlan.cxx
+++ b/Tests/Soak/gsSoakPlan.cxx
@@ -76,7 +76,7 @@
 
 char const* gsSoakActionWord(gsSoakAction action)
 {
-  constexpr std::array<char const*, Kinds.size() + 3> words{
+  constexpr std::array<char const*, Kinds.size() + 4> words{
     "stop_host",        "kill_host",         "freeze_host",
     "kill_all_hosts",   "kill_runner",       "drain_runner",
     "freeze_runner",    "cut_answers",       "cut_runner_link",
@@ -84,7 +84,7 @@
     "hole_store_link",  "mute_store_link",   "silent_store",
     "busy_store",       "forgetful_store",   "cut_peer_links",
     "configuration",    "settings",          "say_leaving",
-    "ask_for_rest",     "replace_host"
+    "ask_for_rest",     "name_limit",        "replace_host"
   };
   return words.at(static_cast<std::size_t>(action));
 }
@@ -123,6 +123,30 @@
   return plan;
 }
 
+void gsAddRateLimits(gsSoakPlan& plan)
+{
+  constexpr std::uint64_t salt = 0xd1b54a32d192ed03;
+  std::mt19937_64 random(plan.Seed ^ salt);
+  std::uniform_real_distribution<double> pause(0.5, 5.0);
+  std::uniform_real_distribution<double> duration(4.0, 12.0);
+  std::uniform_real_distribution<double> rate(1.0, 10.0);
+  std::uniform_int_distribution<int> runner(0, plan.Runners - 1);
+  for (gsTime at = FirstStep; at < plan.Length - Calm;
+       at += gsFromSeconds(pause(random))) {
+    gsSoakStep step;
+    step.At = at;
+    step.Action = gsSoakAction::NameLimit;
+    step.Target = runner(random);
+    step.For =
+      std::min(plan.Length - Calm - at, gsFromSeconds(duration(random)));
+    step.Rate = rate(random);
+    plan.Steps.push_back(step);
+  }
+  std::stable_sort(
+    plan.Steps.begin(), plan.Steps.end(),
+    [](gsSoakStep const& a, gsSoakStep const& b) { return a.At < b.At; });
+}
+
 void gsLeaveWordsOut(gsSoakPlan& plan)
 {
   auto isWord = [](gsSoakStep const& step) {
--- a/Tests/Soak/gsSoakPlan.h
+++ b/Tests/Soak/gsSoakPlan.h
@@ -37,6 +37,7 @@
   ChangeSettings, ///< A new settings file, and SIGHUP.
   SayLeaving,     ///< A runner says it in its answers alone, and is replaced.
   AskForRest,     ///< A runner turns all away and asks for rest.
+  NameLimit,      ///< A runner names a rate limit in its answers.
   ReplaceHost     ///< SIGTERM, and a new start with the other release.
 };
 
@@ -46,8 +47,9 @@
 {
   gsTime At{}; ///< From the beginning of traffic.
   gsSoakAction Action = gsSoakAction::KillHost;
-  int Target = 0; ///< Number of the host or runner.
-  gsTime For{};   ///< Zero for what has no duration.
+  int Target = 0;  ///< Number of the host or runner.
+  gsTime For{};    ///< Zero for what has no duration.
+  double Rate = 0; ///< Rate limit in requests per second.
 };
 
 /** Rest that a runner asks for; the longer one of two values of a header. */
@@ -69,6 +71,10 @@
 gsSoakPlan gsMakeSoakPlan(std::uint64_t seed, gsTime length, int hosts,
                           int runners);
 
+/** Adds steps in which runners name rate limits, with times and rates derived
+ * from the seed; other steps are unchanged. */
+void gsAddRateLimits(gsSoakPlan& plan);
+
 /** Takes out what runners say of themselves in their answers. */
 void gsLeaveWordsOut(gsSoakPlan& plan);
 
--- a/Tests/Soak/gsSoakTool.cxx
+++ b/Tests/Soak/gsSoakTool.cxx
@@ -52,6 +52,8 @@
                                        gsFromSeconds(seconds), hosts, runners);
       if (noWords) {
         gsLeaveWordsOut(plan);
+      } else {
+        gsAddRateLimits(plan);
       }
       if (otherOnly) {
         plan.OtherProgram = other;
--- a/Tests/Soak/gsTestRateLimit.cxx
+++ b/Tests/Soak/gsTestRateLimit.cxx
@@ -1,8 +1,8 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /**
  * \file
- * Runners that name a rate limit in their answers, before hosts of several
- * halls, on real processes. Arrivals are counted by the runners themselves.
+ * Rate limits named by runners, enforced by hosts of several halls, with real
+ * processes. The runners count arrivals.
  */
 #include <algorithm>
 #include <string>
@@ -15,11 +15,11 @@
 namespace {
 
 constexpr gsTime Window = gsSeconds(4);
-/** From the first answer with a limit until it binds all hosts. */
-constexpr gsTime BindsAfter = gsSeconds(3);
-constexpr double SendGapSeconds = 0.025;
+/** Time from naming a limit until it is checked on all hosts. */
+constexpr gsTime PropagationTime = gsSeconds(3);
+constexpr double SendIntervalSeconds = 0.025;
 
-/** Requests that a limit of so many a second allows in a window. */
+/** Maximum number of requests in a window under a limit. */
 std::size_t Allowed(double rate)
 {
   constexpr double factor = 1.5;
@@ -51,7 +51,7 @@
     this->NamedAt = gsLoop::Now();
   }
 
-  /** Sends to hosts in turn, 40 requests a second. */
+  /** Sends 40 requests per second, round-robin over the hosts. */
   void RunFor(double seconds, std::vector<std::string> const& hosts,
               std::string const& route = "plain")
   {
@@ -59,12 +59,12 @@
     std::size_t sent = 0;
     while (gsLoop::Now() - begin < gsFromSeconds(seconds)) {
       auto due = static_cast<std::size_t>(gsToSeconds(gsLoop::Now() - begin) /
-                                          SendGapSeconds);
+                                          SendIntervalSeconds);
       for (; sent < due; ++sent) {
         this->Replies.push_back(
           this->System.Send(hosts[sent % hosts.size()], route));
       }
-      this->System.RunFor(SendGapSeconds / 2);
+      this->System.RunFor(SendIntervalSeconds / 2);
     }
     this->System.RunUntil([this] {
       return std::all_of(this->Replies.begin(), this->Replies.end(),
@@ -72,12 +72,12 @@
     });
   }
 
-  /** Times of arrivals at a runner while its limit binds. */
+  /** Times of arrivals at a runner after PropagationTime. */
   std::vector<gsTime> BoundArrivals(std::string const& runner) const
   {
     std::vector<gsTime> times;
     for (gsRoutedRun const& arrival : this->System.ArrivalsAt(runner)) {
-      if (arrival.At >= this->NamedAt + BindsAfter) {
+      if (arrival.At >= this->NamedAt + PropagationTime) {
         times.push_back(arrival.At);
       }
     }
@@ -85,8 +85,9 @@
     return times;
   }
 
-  /** Most arrivals at a runner in any window while its limit binds. */
-  std::size_t MostInWindow(std::string const& runner) const
+  /** Maximum number of arrivals at a runner in any window after
+   * PropagationTime. */
+  std::size_t MaxInWindow(std::string const& runner) const
   {
     std::vector<gsTime> const times = this->BoundArrivals(runner);
     std::size_t most = 0;
@@ -94,6 +95,8 @@
       auto last = std::lower_bound(first, times.end(), *first + Window);
       most = std::max(most, static_cast<std::size_t>(last - first));
     }
+    testing::Test::RecordProperty("most_in_window_" + runner,
+                                  std::to_string(most));
     return most;
   }
 
@@ -111,19 +114,21 @@
 
 } // namespace
 
-// Guards against hosts that do not heed a limit, or each use the whole of it.
+// Guards against hosts that ignore a limit or each use the full limit.
 TEST(RoutedRateLimit, HostsOfAllHallsTogetherKeepIt)
 {
   gsRoutedSystem system(TwoHalls());
-  system.RunFor(2); // Halls have no links between them before.
+  system.RunFor(2); // Waits for links between halls.
   Sender sender(system);
   sender.NameLimit("runner0", "2.9");
   sender.RunFor(12, system.Hosts());
-  EXPECT_LE(sender.MostInWindow("runner0"), Allowed(2.9));
+  EXPECT_LE(sender.MaxInWindow("runner0"), Allowed(2.9));
+  // Some attempts must be sent, so that hosts learn when the limit ends.
+  EXPECT_GE(sender.BoundArrivals("runner0").size(), 3U);
   EXPECT_EQ(sender.Served(), sender.Replies.size());
 }
 
-// Guards against a limit that binds only while requests are spread.
+// Guards against limits that only hold under evenly spread requests.
 TEST(RoutedRateLimit, KeptWhereOneHostGetsAllRequests)
 {
   gsRoutedSystem system(TwoHalls());
@@ -131,12 +136,11 @@
   Sender sender(system);
   sender.NameLimit("runner0", "3");
   sender.RunFor(12, { "host1" }, "resume");
-  EXPECT_LE(sender.MostInWindow("runner0"), Allowed(3));
+  EXPECT_LE(sender.MaxInWindow("runner0"), Allowed(3));
   EXPECT_EQ(sender.Served(), sender.Replies.size());
 }
 
-// Guards against hosts that use the whole of a limit each once they hear
-// nothing of each other.
+// Guards against partitioned hosts that each use the full limit.
 TEST(RoutedRateLimit, KeptByHostsThatAreCutOffFromEachOther)
 {
   gsRoutedSystem system(TwoHalls());
@@ -146,11 +150,11 @@
   sender.RunFor(2, system.Hosts());
   system.Links({ "peer:*", "store:*" }, { { "mode", "hole" } });
   sender.RunFor(10, system.Hosts());
-  EXPECT_LE(sender.MostInWindow("runner0"), Allowed(3));
+  EXPECT_LE(sender.MaxInWindow("runner0"), Allowed(3));
 }
 
-// Guards against callers that wait in vain, or are not told when to return,
-// where nothing but limited upstreams is left.
+// Guards against late refusals, and refusals without Retry-After, when all
+// upstreams are limited.
 TEST(RoutedRateLimit, RequestsAboveTheLimitsOfAllAreRefusedInTime)
 {
   gsRoutedSystem system(TwoHalls());
@@ -163,10 +167,12 @@
   sender.RunFor(seconds, system.Hosts());
   std::size_t arrived = 0;
   for (std::string const& runner : system.Runners()) {
-    EXPECT_LE(sender.MostInWindow(runner), Allowed(3)) << runner;
+    EXPECT_LE(sender.MaxInWindow(runner), Allowed(3)) << runner;
     arrived += sender.BoundArrivals(runner).size();
   }
-  double limits = 3.0 * 3.0 * (seconds - gsToSeconds(BindsAfter));
+  double limits = 3.0 * 3.0 * (seconds - gsToSeconds(PropagationTime));
+  testing::Test::RecordProperty(
+    "used_share", std::to_string(static_cast<double>(arrived) / limits));
   EXPECT_GE(static_cast<double>(arrived), 0.8 * limits);
   for (gsRoutedReplyPtr const& reply : sender.Replies) {
     if (reply->Good()) {
@@ -178,7 +184,7 @@
   }
 }
 
-// Guards against a limit that outlives the upstream's naming it.
+// Guards against limits that persist after the upstream stops naming them.
 TEST(RoutedRateLimit, EndsOnAllHostsWithAnAnswerWithoutIt)
 {
   gsRoutedSystem system(TwoHalls());
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -260,6 +260,29 @@
   EXPECT_EQ(this->Broken(), "");
 }
 
+TEST_F(SoakCheck, MoreArrivalsThanALimitAllowsAreCaught)
+{
+  this->Reply->Runner = "runner0-0";
+  this->Reply->RateLimit = "1";
+  this->Reply->HeadAt = Start;
+  this->Record.Limits.push_back(
+    { "runner0-0", 1, Start, Start + gsSeconds(60) });
+  constexpr int allowed = 11; // 1.5 * 4 s * 1 per second + 5
+  for (int i = 0; i <= allowed; ++i) {
+    std::string const id = "limited" + std::to_string(i);
+    this->Add(id, "plain");
+    this->Ran(id);
+    gsTime at = Start + gsSeconds(4) + gsMilliseconds(300) * i;
+    this->Record.Arrivals.push_back({ id, "runner0-0", at });
+  }
+  EXPECT_EQ(this->Broken(), "LIMIT ");
+  this->Record.Limits[0].Rate = 1.2;
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Limits[0].Rate = 1;
+  this->Reply->RateLimit.clear(); // The host does not know the limit.
+  EXPECT_EQ(this->Broken(), "");
+}
+
 TEST(SoakPlan, ASeedNamesTheWholePlan)
 {
   gsSoakPlan one = gsMakeSoakPlan(7, gsSeconds(60), 3, 4);
@@ -293,3 +316,20 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, KeptSoak, testing::Values(1));
+
+/** Soak with runners that name rate limits. */
+class RateLimitSoak : public testing::TestWithParam<std::uint64_t>
+{};
+
+TEST_P(RateLimitSoak, BreaksNoPromise)
+{
+  gsSoakPlan plan = gsMakeSoakPlan(this->GetParam(), gsSeconds(20), 4, 4);
+  gsAddRateLimits(plan);
+  std::ostringstream story;
+  gsSoakResult result = gsRunSoak(plan, story);
+  std::ostringstream verdict;
+  gsPrintSoak(plan, result, verdict);
+  EXPECT_TRUE(result.Breaches.empty()) << verdict.str() << story.str();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RateLimitSoak, testing::Values(1, 3));
--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -10,8 +10,8 @@
  * takes {"cut": N}: so many of the next answers break off; {"leaving": true}:
  * all answers from then on say that it leaves; {"rest": "VALUE", "rest_ms":
  * N}: for so long it turns requests away and asks for rest of that value;
- * {"limit": "VALUE"}: all answers from then on name that rate limit, or none
- * if the value is empty. A request whose body is "crash" ends the process
+ * {"limit": "VALUE"}: all later answers name that rate limit, or none if the
+ * value is empty. A request whose body is "crash" ends the process
  * --crash-ms after it began.
  */
 #include <cstdlib>
--- a/Tests/Unit/gsTestHeardWord.cxx
+++ b/Tests/Unit/gsTestHeardWord.cxx
@@ -22,11 +22,11 @@
 
 namespace {
 
-gsUpstreamWord const Leaves{ true, {}, {} };
+gsUpstreamWord const Leaves{ true, {}, {}, false };
 
 gsUpstreamWord Rests(gsTime rest)
 {
-  return { false, rest, {} };
+  return { false, rest, {}, false };
 }
 
 gsListedUpstream Born(std::string const& id, std::uint64_t born)
--- a/Tests/Unit/gsTestUpstreamWord.cxx
+++ b/Tests/Unit/gsTestUpstreamWord.cxx
@@ -64,7 +64,9 @@
   EXPECT_EQ(gsReadRateLimit("1e9"), 1e9);
   EXPECT_GT(gsReadRateLimit("inf"), 1e300);
   EXPECT_GT(gsReadRateLimit(std::string(400, '9')), 1e300);
+  EXPECT_GT(gsReadRateLimit("0.1e400"), 1e300);
   EXPECT_EQ(gsReadRateLimit("1e-400"), 0.0);
+  EXPECT_EQ(gsReadRateLimit("." + std::string(400, '0') + "1"), 0.0);
   for (char const* text : { "", " ", "nan", "few", "3x", ",", "0x10" }) {
     EXPECT_FALSE(gsReadRateLimit(text)) << text;
   }
