Tests: Time soak refusals from the harmed runner that turned them away

The check timed refusals from when the request was sent. It now times them from when a runner that was harmed in the meantime turned the request away at capacity, if that was before the answer, with the same bound of 2.5 s; all other refusals are timed as before. The stand-in runner logs a line for each request that it turns away because it is full, so these requests also count as arrivals against limits, backoffs and drain notices.

--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -542,6 +542,7 @@
       while (log >> word >> run.Request >> micros) {
         run.At = gsTime(micros);
         run.Ran = word == "run";
+        run.Full = word == "full";
         runs.push_back(run);
       }
     }
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -45,7 +45,8 @@
   std::string Request;
   std::string Runner; ///< Id of the incarnation.
   gsTime At{};
-  bool Ran = true; ///< Else it was turned away, for a rest.
+  bool Ran = true;   ///< False if the runner turned it away.
+  bool Full = false; ///< Turned away at capacity, not for a rest.
 };
 
 /** A request of a caller, and all that the caller saw of its answer. */
--- a/Tests/Soak/gsSoakCheck.cxx
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -221,6 +221,22 @@
                     this->CountRuns(reply) > 0);
   }
 
+  /** When a request could be refused: its sending, or when a runner that was
+   * harmed meanwhile turned it away as full. Until then its host cannot tell
+   * whether it runs. */
+  gsTime RefusableSince(gsRoutedReply const& reply) const
+  {
+    gsTime since = reply.Sent;
+    for (gsRoutedRun const& arrival : this->Record.Arrivals) {
+      bool held = arrival.Request == reply.Id && arrival.Full &&
+                  arrival.At <= reply.Ended &&
+                  Troubled(this->Record, { gsSoakScope::Upstreams },
+                           reply.Host, reply.Sent, arrival.At);
+      since = held ? std::max(since, arrival.At) : since;
+    }
+    return since;
+  }
+
   void CheckRefusal(gsRoutedReply const& reply)
   {
     constexpr unsigned unavailable = 503;
@@ -232,7 +248,7 @@
     }
     bool hostWell = !Troubled(this->Record, { gsSoakScope::Host }, reply.Host,
                               reply.Sent - InTouch, reply.Ended);
-    if (hostWell && reply.Ended - reply.Sent > RefusalBound) {
+    if (hostWell && reply.Ended - this->RefusableSince(reply) > RefusalBound) {
       this->Add("REFUSED", reply.Id, "The refusal was held back.");
     }
   }
@@ -342,7 +358,7 @@
     }
     for (auto const& [who, arrivals] : sent) {
       for (gsRoutedRun const* asked : arrivals) {
-        if (!asked->Ran) {
+        if (!asked->Ran && !asked->Full) {
           this->CheckRest(who.first, *asked, arrivals);
         }
       }
--- a/Tests/Soak/gsSoakCheck.h
+++ b/Tests/Soak/gsSoakCheck.h
@@ -53,8 +53,8 @@
 {
   std::vector<gsRoutedReplyPtr> Replies;
   std::vector<gsRoutedRun> Runs;
-  /** What reached runners: the runs, and what was turned away for a rest of
-   * Rest. */
+  /** What reached runners: the runs, and what was turned away, for a rest of
+   * Rest or at capacity. */
   std::vector<gsRoutedRun> Arrivals;
   gsTime Rest{};
   std::vector<gsSoakTrouble> Troubles;
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -260,6 +260,35 @@
   EXPECT_EQ(this->Broken(), "");
 }
 
+TEST_F(SoakCheck, ARefusalIsTimedFromAHarmedRunnerThatTurnedItAwayAsFull)
+{
+  this->Record.Runs.clear();
+  this->Reply->Status = 503;
+  this->Reply->RetryAfter = "0.3";
+  this->Reply->Ended = Start + gsSeconds(4);
+  gsRoutedRun turnedAway{ "q1", "runner0-0", Start + gsSeconds(3), false,
+                          true };
+  this->Record.Arrivals.push_back(turnedAway);
+  EXPECT_EQ(this->Broken(), "REFUSED "); // No runner was harmed.
+  this->Harm(gsSoakScope::Upstreams);
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Arrivals[0].At = Start + gsSeconds(1);
+  EXPECT_EQ(this->Broken(), "REFUSED ");
+  this->Record.Arrivals[0].At = Start + gsSeconds(5); // After the answer.
+  EXPECT_EQ(this->Broken(), "REFUSED ");
+}
+
+TEST_F(SoakCheck, ARequestTurnedAwayAsFullAsksForNoRest)
+{
+  this->Record.Rest = gsSeconds(2);
+  this->Record.Arrivals = { { "q1", "runner0-0", Start, false, true } };
+  for (int i = 0; i < 3; ++i) {
+    this->Record.Arrivals.push_back(
+      { "q1", "runner0-0", Start + gsMilliseconds(600 + i) });
+  }
+  EXPECT_EQ(this->Broken(), "");
+}
+
 TEST_F(SoakCheck, MoreArrivalsThanALimitAllowsAreCaught)
 {
   this->Reply->Runner = "runner0-0";
@@ -333,3 +362,17 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RateLimitSoak, testing::Values(1, 3));
+
+// Guards against late refusals while one runner is frozen and all others have
+// rate limits.
+TEST(RateLimitSoakOfSixHosts, BreaksNoPromise)
+{
+  constexpr std::uint64_t seed = 1046;
+  gsSoakPlan plan = gsMakeSoakPlan(seed, gsSeconds(20), 6, 4);
+  gsAddRateLimits(plan);
+  std::ostringstream story;
+  gsSoakResult result = gsRunSoak(plan, story);
+  std::ostringstream verdict;
+  gsPrintSoak(plan, result, verdict);
+  EXPECT_TRUE(result.Breaches.empty()) << verdict.str() << story.str();
+}
--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -6,7 +6,8 @@
  * output, by the monotonic clock, written before anything else is done.
  * /stream/ and /resume/ answer with events "ID:NUMBER" from 1, or from after
  * Last-Event-Id, to --events; all other paths with one text. A request that it
- * turns away for its rest is one line "away ID MICROSECONDS". POST /control
+ * turns away for its rest is one line "away ID MICROSECONDS", and one that it
+ * turns away at capacity is one line "full ID MICROSECONDS". POST /control
  * takes {"cut": N}: so many of the next answers break off; {"leaving": true}:
  * all answers from then on say that it leaves; {"rest": "VALUE", "rest_ms":
  * N}: for so long it turns requests away and asks for rest of that value;
@@ -81,9 +82,13 @@
       exchange->Respond(421, refusal, "");
       return;
     }
-    if (id.empty() ||
-        this->Running.size() >= static_cast<std::size_t>(this->Chosen.Most)) {
-      exchange->Respond(id.empty() ? 400 : 503, refusal, "");
+    if (id.empty()) {
+      exchange->Respond(400, refusal, "");
+      return;
+    }
+    if (this->Running.size() >= static_cast<std::size_t>(this->Chosen.Most)) {
+      Tell("full", id);
+      exchange->Respond(503, refusal, "");
       return;
     }
     if (gsLoop::Now() < this->RestUntil) {
