Tests: Two systems with one peer token keep their configurations, failing

A host that has a host of another system among its seeds, and the same peer token, has its configuration taken by all hosts of the other one if its version is higher: they refuse their own new key (401) and serve the other system's, for good, since versions only rise. Nothing in a link's handshake or in frames names the system. It may be what the known failure AChangeReachesAHostThatTheStoreIsSilentTo was, of which no logs were kept; that is suspected, not shown.

--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -155,6 +155,9 @@
       seeds.push_back(address);
     }
   }
+  for (std::string const& address : this->Plan.FurtherSeeds) {
+    seeds.push_back(address);
+  }
   gsJson duties = gsJson::object();
   if (this->Plan.Duties) {
     duties = { { "address", this->Processes.At("store").Address },
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -37,6 +37,8 @@
   bool Duties = false;
   /** Hosts can be suspended. */
   bool Suspendable = false;
+  /** Peer addresses that hosts are given beside each other's. */
+  std::vector<std::string> FurtherSeeds;
 };
 
 /** A request that reached a runner. */
@@ -152,6 +154,10 @@
   void WaitReady(std::string const& host, double seconds = 20);
 
   std::vector<std::string> const& Hosts() const { return this->HostNames; }
+  std::string const& PeerAddressOf(std::string const& host) const
+  {
+    return this->PeerAddress.at(host);
+  }
   /** Files with a process' log so far, oldest start first. */
   std::vector<std::string> LogsOf(std::string const& process) const
   {
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -134,6 +134,28 @@
   }
 }
 
+// Guards against hosts of another system, with the same peer token, whose
+// configuration replaces this system's.
+TEST(RoutedTwoSystems, KeepTheirOwnConfigurations)
+{
+  gsRoutedSystem system({});
+  gsRoutedPlan plan;
+  plan.Hosts = 2;
+  plan.Runners = 2;
+  plan.FurtherSeeds = { system.PeerAddressOf("host0") };
+  gsRoutedSystem other(plan);
+  for (int i = 0; i < 5; ++i) {
+    other.Configure({ "key-other" });
+  }
+  system.RunFor(4);
+  system.Configure({ "key-one", "key-three" });
+  system.RunFor(4);
+  for (std::string const& host : system.Hosts()) {
+    EXPECT_EQ(system.SendAndWait(host, "plain", "key-other")->Status, 401U);
+    EXPECT_TRUE(system.SendAndWait(host, "plain", "key-three")->Good());
+  }
+}
+
 TEST(Routed, AForgottenHistoryLosesNoChange)
 {
   gsRoutedSystem system({});
