Peers: Refuse links from hosts of another cluster

Symptom: when two systems had the same, copied peer token and one was given an address that the other had used, their hosts merged into one system. The system with the lower configuration version rejected its own new keys (401) and served the other's. This was permanent, since versions only increase.

Cause: peers identified a system by its token alone. Class of fault: an identity derived from a secret that others may share.

Ruled out: a lost update as the cause of these failures. They need no load and no silent store.

Change: the new setting peers.cluster names the system. A dialling host sends a hash of the name before any frame, and a host that names another cluster is refused (log line peer_refused, metric gradescale_peers_refused_total). Hosts of earlier releases send no name and are accepted; they do not check it either. Each system in the tests has its own name, so hosts left over from an earlier test cannot join it.

--- a/Source/Daemon/gsCluster.h
+++ b/Source/Daemon/gsCluster.h
@@ -122,6 +122,7 @@
   gsClusterEvents Events;
   gsRandom Random;
   gsMembership Table;
+  std::uint64_t RefusedPeerCount = 0; ///< Links refused to other clusters.
   std::unique_ptr<gsPeerNet> Peers;
   gsTimer Timer;
   std::unordered_map<std::uint64_t, std::string> LinkHosts;
--- a/Source/Daemon/gsHallCluster.cxx
+++ b/Source/Daemon/gsHallCluster.cxx
@@ -65,11 +65,18 @@
   events.OnDown = [this](std::uint64_t link, std::string const& /*address*/) {
     this->OnDown(link);
   };
-  gsResult<std::unique_ptr<gsPeerNet>> net =
-    gsPeerNet::Start(this->Loop,
-                     { this->Settings.Peers.Listen, this->Settings.Peers.Token,
-                       this->Settings.Peers.Routes },
-                     std::move(events));
+  events.OnRefused = [this](std::string const& peer) {
+    ++this->RefusedPeerCount;
+    gsLogLine("peer_refused", gsLogLevel::Warn)
+      .With("peer", peer)
+      .With("cause", "other_cluster")
+      .With("refused", this->RefusedPeerCount);
+  };
+  gsResult<std::unique_ptr<gsPeerNet>> net = gsPeerNet::Start(
+    this->Loop,
+    { this->Settings.Peers.Listen, this->Settings.Peers.Token,
+      this->Settings.Peers.Cluster, this->Settings.Peers.Routes },
+    std::move(events));
   if (!net) {
     return net.error();
   }
--- a/Source/Daemon/gsHallCluster.h
+++ b/Source/Daemon/gsHallCluster.h
@@ -74,6 +74,8 @@
 
   gsPeerNet const* Net() const { return this->Peers.get(); }
   std::size_t Links() const { return this->LinkTable.size(); }
+  /** Number of links refused to hosts of other clusters. */
+  std::uint64_t RefusedPeers() const { return this->RefusedPeerCount; }
 
 private:
   struct Link
@@ -98,6 +100,7 @@
   gsHallClusterEvents Events;
   gsRandom Random;
   gsHallMembership Table;
+  std::uint64_t RefusedPeerCount = 0; ///< Links refused to other clusters.
   std::unique_ptr<gsPeerNet> Peers;
   std::map<std::uint64_t, Link> LinkTable;
   std::unordered_map<std::string, std::uint64_t> LinkOf; ///< By host.
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -100,6 +100,8 @@
       "Hosts of this hall that are up, as far as is known; routed mode." },
     { "gradescale_coordinates", gsMetricKind::Gauge,
       "1 while this host coordinates its hall, else 0; routed mode." },
+    { "gradescale_peers_refused_total", gsMetricKind::Counter,
+      "Links refused to hosts of other clusters; routed mode." },
     { "gradescale_peer_links", gsMetricKind::Gauge,
       "Links to other hosts; routed mode." },
     { "gradescale_config_version", gsMetricKind::Gauge,
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -377,6 +377,8 @@
                     gsHallCoordinates(members, now) ? 1 : 0);
   this->Metrics.Set("gradescale_peer_links", {},
                     static_cast<double>(this->Cluster->Links()));
+  this->Metrics.Set("gradescale_peers_refused_total", {},
+                    static_cast<double>(this->Cluster->RefusedPeers()));
   if (gsPeerNet const* net = this->Cluster->Net()) {
     this->Metrics.Set("gradescale_peer_bytes_total", "direction=\"sent\"",
                       static_cast<double>(net->BytesSent()));
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -39,6 +39,7 @@
   peers.Listen = fields.Address("listen");
   peers.Announce = fields.Address("announce", peers.Listen);
   peers.Token = fields.Text("token");
+  peers.Cluster = fields.Text("cluster", "");
   peers.Seeds = fields.Texts("seeds");
   peers.Routes = fields.TextMap("routes");
 }
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -50,6 +50,7 @@
     std::string Listen; ///< Empty for a system of one host.
     std::string Announce;
     std::string Token;
+    std::string Cluster; ///< Cluster name; empty disables the check.
     std::vector<std::string> Seeds;
     std::map<std::string, std::string> Routes;
   } Peers;
--- a/Source/Io/gsPeerNet.cxx
+++ b/Source/Io/gsPeerNet.cxx
@@ -11,12 +11,14 @@
 #include <openssl/crypto.h>
 
 #include "Generated/gsPeer.grpc.pb.h"
+#include "gsRendezvous.h"
 
 namespace {
 
 using gradescale::Frame;
 
 constexpr char const* TokenKey = "gradescale-token";
+constexpr char const* ClusterKey = "gradescale-cluster";
 /** Also the time that a connection may take: a busy host of a tenth of a core
  * has answered after some hundred milliseconds. */
 constexpr int ReconnectMs = 1000;
@@ -29,6 +31,12 @@
          CRYPTO_memcmp(expected.data(), given.data(), given.size()) == 0;
 }
 
+/** Hashes a cluster name, since metadata values allow only some characters. */
+std::string HashedClusterName(std::string const& cluster)
+{
+  return cluster.empty() ? std::string() : std::to_string(gsHashText(cluster));
+}
+
 /** What both ends of a link share; the stream itself is the subclass's. */
 struct LinkEnd
 {
@@ -158,13 +166,12 @@
   void OnDone() override { this->Ended(this->Number); }
 };
 
-/** Refuses a caller without the token. */
+/** Rejects a link with a status: wrong token or another cluster. */
 struct Rejected final : grpc::ServerBidiReactor<Frame, Frame>
 {
-  Rejected()
+  Rejected(grpc::StatusCode code, char const* message)
   {
-    this->Finish(
-      grpc::Status(grpc::StatusCode::UNAUTHENTICATED, "Wrong peer token."));
+    this->Finish(grpc::Status(code, message));
   }
   void OnDone() override { delete this; }
 };
@@ -222,7 +229,17 @@
     auto token = metadata.find(TokenKey);
     if (token == metadata.end() ||
         !SameToken(this->Settings.Token, token->second)) {
-      return new Rejected;
+      return new Rejected(grpc::StatusCode::UNAUTHENTICATED,
+                          "Wrong peer token.");
+    }
+    if (this->IsFromOtherCluster(*context)) {
+      this->Loop.Post([this, peer = context->peer(), alive = this->Alive] {
+        if (*alive && this->Events.OnRefused) {
+          this->Events.OnRefused(peer);
+        }
+      });
+      return new Rejected(grpc::StatusCode::FAILED_PRECONDITION,
+                          "Host of another cluster.");
     }
     auto* link = new Accepted;
     this->SetUp(*link);
@@ -236,6 +253,15 @@
     return link;
   }
 
+  /** False if the host sends no cluster name, as in earlier releases. */
+  bool IsFromOtherCluster(grpc::CallbackServerContext const& context) const
+  {
+    auto const& metadata = context.client_metadata();
+    auto cluster = metadata.find(ClusterKey);
+    return !this->Settings.Cluster.empty() && cluster != metadata.end() &&
+           cluster->second != HashedClusterName(this->Settings.Cluster);
+  }
+
   void Take(std::uint64_t number)
   {
     auto found = this->Links.find(number);
@@ -356,6 +382,10 @@
     target, grpc::InsecureChannelCredentials(), arguments);
   link->Stub = gradescale::Peer::NewStub(link->Channel);
   link->Context.AddMetadata(TokenKey, this->State->Settings.Token);
+  if (!this->State->Settings.Cluster.empty()) {
+    link->Context.AddMetadata(
+      ClusterKey, HashedClusterName(this->State->Settings.Cluster));
+  }
   this->State->Links[link->Number] = link;
   this->State->ByAddress[address] = link->Number;
   link->Open();
--- a/Source/Io/gsPeerNet.h
+++ b/Source/Io/gsPeerNet.h
@@ -27,6 +27,9 @@
 {
   std::string Listen; ///< IP:port.
   std::string Token;  ///< Shared by all hosts of the system.
+  /** Name of the cluster. Incoming links that name another cluster are
+   * refused. Not checked if empty or if the other host sends no name. */
+  std::string Cluster;
   /** Address to dial in place of the one that a peer announces. */
   std::map<std::string, std::string> Routes;
 };
@@ -39,6 +42,8 @@
     OnFrame;
   /** A link is gone; what was sent on it may be lost. */
   std::function<void(std::uint64_t link, std::string const& address)> OnDown;
+  /** An incoming link from a host of another cluster was refused. */
+  std::function<void(std::string const& peer)> OnRefused;
 };
 
 /** All links of one host. */
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -173,6 +173,7 @@
     { "peers",
       { { "listen", this->PeerAddress[host] },
         { "token", "peers" },
+        { "cluster", this->Processes.Folder() },
         { "seeds", seeds },
         { "routes", routes } } },
     { "platform",
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -37,7 +37,7 @@
   bool Duties = false;
   /** Hosts can be suspended. */
   bool Suspendable = false;
-  /** Peer addresses that hosts are given beside each other's. */
+  /** Seeds of every host in addition to the system's own hosts. */
   std::vector<std::string> FurtherSeeds;
 };
 
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -134,8 +134,8 @@
   }
 }
 
-// Guards against hosts of another system, with the same peer token, whose
-// configuration replaces this system's.
+// Guards against a configuration being replaced by that of another system that
+// has the same peer token.
 TEST(RoutedTwoSystems, KeepTheirOwnConfigurations)
 {
   gsRoutedSystem system({});
