Routing: Rounds rates for messages without a bias

The linter, run over the files that this work changed, found that adding 0.5 and truncating rounds some values wrongly; llround takes its place.

--- a/Source/Daemon/gsRateLimiter.cxx
+++ b/Source/Daemon/gsRateLimiter.cxx
@@ -2,6 +2,7 @@
 #include "gsRateLimiter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "gsLog.h"
@@ -22,7 +23,7 @@
 
 std::uint64_t ToUnits(double rate, double unit)
 {
-  return static_cast<std::uint64_t>(std::max(0.0, rate) * unit + 0.5);
+  return static_cast<std::uint64_t>(std::llround(std::max(0.0, rate) * unit));
 }
 
 double FromUnits(std::uint64_t units, double unit)
