--- a/Source/Coord/gsRendezvous.cxx
+++ b/Source/Coord/gsRendezvous.cxx
@@ -2,6 +2,7 @@
 #include "gsRendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include <xxhash.h>
@@ -23,6 +24,16 @@
   return static_cast<double>(gsRendezvousWeight(name, key)) / maxWeight;
 }
 
+double gsWeightedRendezvousScore(std::string_view name, std::uint64_t key,
+                                 double weight)
+{
+  constexpr double minFraction = 1e-12;
+  constexpr double maxFraction = 1 - 1e-12;
+  double fraction =
+    std::clamp(gsRendezvousFraction(name, key), minFraction, maxFraction);
+  return -weight / std::log(fraction);
+}
+
 std::optional<std::string> gsRendezvous(
   std::vector<std::string_view> const& names, std::string_view key)
 {
--- a/Source/Coord/gsRendezvous.h
+++ b/Source/Coord/gsRendezvous.h
@@ -22,6 +22,15 @@
 /** The same weight, scaled to the range from 0 to 1; equal on all hosts. */
 double gsRendezvousFraction(std::string_view name, std::uint64_t key);
 
+/**
+ * Score of a name in weighted rendezvous hashing; the highest score wins. A
+ * name wins a share of all keys that is proportional to its weight, and a
+ * change of one weight moves only keys from or to that name.
+ * \param weight Greater than zero.
+ */
+double gsWeightedRendezvousScore(std::string_view name, std::uint64_t key,
+                                 double weight);
+
 /** The name with the highest weight for a key; empty if there are no names. */
 std::optional<std::string> gsRendezvous(
   std::vector<std::string_view> const& names, std::string_view key);
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -165,6 +165,35 @@
                                                 placement.PartRetention);
 }
 
+/** Reads the mode of a feature's section. */
+gsFeatureMode ReadMode(gsFieldReader& fields)
+{
+  constexpr gsFeatureMode modes[] = { gsFeatureMode::Off,
+                                      gsFeatureMode::DryRun,
+                                      gsFeatureMode::On };
+  return modes[fields.Choice("mode", { "off", "dry_run", "on" }, 0)];
+}
+
+void ReadFeatures(gsFieldReader& fields, gsSettings& settings)
+{
+  auto& features = settings.Features;
+  fields.Object("overload", [&](gsFieldReader& inner) {
+    features.Overload = ReadMode(inner);
+  });
+  fields.Object("prefix_directory", [&](gsFieldReader& inner) {
+    features.PrefixDirectory = ReadMode(inner);
+  });
+  fields.Object("engine_speed", [&](gsFieldReader& inner) {
+    features.EngineSpeed = ReadMode(inner);
+  });
+  fields.Object("slot_sharing", [&](gsFieldReader& inner) {
+    features.SlotSharing = ReadMode(inner);
+  });
+  fields.Object("memory", [&](gsFieldReader& inner) {
+    features.Memory = ReadMode(inner);
+  });
+}
+
 void ReadMembership(gsFieldReader& fields, gsSettings& settings)
 {
   gsMembershipSettings& membership = settings.Membership;
@@ -235,6 +264,7 @@
                 [&](gsFieldReader& inner) { ReadDuties(inner, settings); });
   fields.Object("scaling",
                 [&](gsFieldReader& inner) { ReadScaling(inner, settings); });
+  ReadFeatures(fields, settings);
   fields.Object("stop", [&](gsFieldReader& inner) {
     settings.Stop.Unready =
       inner.Milliseconds("unready_ms", LongRange, settings.Stop.Unready);
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gsDocument.h"
+#include "gsFeatureMode.h"
 #include "gsFleet.h"
 #include "gsMembership.h"
 #include "gsPool.h"
@@ -115,6 +116,16 @@
    */
   gsScalingSettings Scaling;
 
+  /** Features for hard load, in routed mode; see docs/design/hard-load.md. */
+  struct
+  {
+    gsFeatureMode Overload = gsFeatureMode::Off;
+    gsFeatureMode PrefixDirectory = gsFeatureMode::Off;
+    gsFeatureMode EngineSpeed = gsFeatureMode::Off;
+    gsFeatureMode SlotSharing = gsFeatureMode::Off;
+    gsFeatureMode Memory = gsFeatureMode::Off;
+  } Features;
+
   /** Choice of an upstream in the routed mode; Hall is set from above. */
   gsFleetSettings Placement;
 
