--- a/Source/Coord/gsRateLimit.cxx
+++ b/Source/Coord/gsRateLimit.cxx
@@ -20,6 +20,23 @@
 constexpr gsTime MaxLoanLifetime = gsSeconds(30);
 /** Resolution of rates exchanged between hosts, in requests per second. */
 constexpr double RateStep = 1e-3;
+/** Assumed duration of an attempt until one has been measured. */
+constexpr gsTime DefaultHoldTime = gsMilliseconds(50);
+/** A host that spends its own share assumes that its attempts take this
+ * multiple of the measured duration, and at least MinOwnHoldTime. */
+constexpr double OwnHoldFactor = 2;
+constexpr gsTime MinOwnHoldTime = gsMilliseconds(100);
+constexpr double HoldTimeSmoothing = 0.1;
+/** Share of an issuer's slots that must be free for hosts to keep tokens after
+ * use. */
+constexpr double MinFreeShareToKeep = 0.5;
+/** Expected wait that an issuer reports if less is free and no host waits. */
+constexpr gsTime UncontendedWait = gsMilliseconds(1);
+/** Minimum expected wait that an issuer reports while other hosts wait. */
+constexpr gsTime MinContendedWait = gsMilliseconds(5);
+/** Issued slots that have not been reported are in transit for this time; they
+ * are subtracted from the demand that the client reports meanwhile. */
+constexpr gsTime MaxTransitTime = gsMilliseconds(100);
 
 /** Rounds a rate down to whole steps and clamps it to the permitted range. A
  * rate that lies below a step by less than RateStep of a step, because of its
@@ -82,6 +99,11 @@
   return limits.Roles.Relay == limits.Roles.Self;
 }
 
+bool SharesSlots(gsRateLimits const& limits)
+{
+  return limits.Resource == gsLimitResource::Slots;
+}
+
 /** Interval between share updates of this host. */
 gsTime ShareInterval(gsRateLimits const& limits)
 {
@@ -101,7 +123,10 @@
  * their message delays. */
 gsTime LendDuration(gsRateLimits const& limits)
 {
-  return 2 * LoanLifetime(limits) + limits.Settings.MaxFrameDelay;
+  // A relay's own share and those of its hall pass only one hop. Rates keep
+  // the longer time for both.
+  int hops = SharesSlots(limits) && IsRelay(limits) ? 1 : 2;
+  return hops * LoanLifetime(limits) + limits.Settings.MaxFrameDelay;
 }
 
 /** This host's equal share of a limit, in requests per second. */
@@ -127,7 +152,8 @@
 
 /** Distributor that this relay lends to; empty if this host is the distributor
  * or not a relay, or if the distributor's last announcement is older than
- * RelayTimeout. */
+ * RelayTimeout. For slots no announcements are sent: the issuer replies to
+ * each share, see IsShareAccepted. */
 std::string DistributorOf(gsRateLimits const& limits, std::uint32_t upstream,
                           gsTime now)
 {
@@ -141,6 +167,9 @@
     return {};
   }
   std::string const& relay = limits.Roles.Relays.find(*hall)->second;
+  if (SharesSlots(limits)) {
+    return relay == limits.Roles.Self ? std::string() : relay;
+  }
   auto announcement = limits.RelayAnnouncedAt.find(relay);
   bool isReachable =
     relay != limits.Roles.Self &&
@@ -156,6 +185,9 @@
   if (IsRelay(limits)) {
     return DistributorOf(limits, upstream, now);
   }
+  if (SharesSlots(limits)) {
+    return limits.Roles.Relay;
+  }
   auto announcement = limits.RelayAnnouncedAt.find(limits.Roles.Relay);
   bool isIssuing = announcement != limits.RelayAnnouncedAt.end() &&
                    now - announcement->second <= limits.Settings.RelayTimeout;
@@ -163,13 +195,13 @@
 }
 
 /** Whether the issuer counts this host's share. A relay always counts the
- * shares of its hall; a distributor confirms acceptance, which is valid for
- * three update intervals. */
+ * shares of its hall; a distributor, and any issuer of slots, confirms
+ * acceptance, which is valid for three update intervals. */
 bool IsShareAccepted(gsRateLimits const& limits,
                      gsLimitedUpstream const& upstream,
                      std::string const& issuer, gsTime now)
 {
-  if (issuer.empty() || !IsRelay(limits)) {
+  if (issuer.empty() || (!IsRelay(limits) && !SharesSlots(limits))) {
     return !issuer.empty();
   }
   return upstream.AcceptingIssuer == issuer &&
@@ -195,17 +227,106 @@
   return std::min(rate, CurrentRate(limits, upstream.Limit, now));
 }
 
+/** Smoothed duration of an attempt, or an assumption. */
+gsTime HoldTimeOf(gsLimitedUpstream const& upstream)
+{
+  return upstream.Slots.HoldTime.count() == 0 ? DefaultHoldTime
+                                              : upstream.Slots.HoldTime;
+}
+
+/** Tokens per second that a number of slots yields if all are in use. */
+double TurnoverOf(gsLimitedUpstream const& upstream, double slots)
+{
+  return slots / gsToSeconds(HoldTimeOf(upstream));
+}
+
+/** Rate at which tokens accrue in the bucket. A host that spends its own share
+ * of an upstream's slots starts attempts at the rate that keeps this share in
+ * use. */
+double AccrualRate(gsRateLimits const& limits,
+                   gsLimitedUpstream const& upstream, gsTime now)
+{
+  double rate = SpendableRate(limits, upstream, now);
+  if (!SharesSlots(limits)) {
+    return rate;
+  }
+  double holdSeconds =
+    std::max(OwnHoldFactor * gsToSeconds(HoldTimeOf(upstream)),
+             gsToSeconds(MinOwnHoldTime));
+  return rate / holdSeconds;
+}
+
+/** Slots that a client holds: those that it has reported, and those issued
+ * since then. */
+std::uint32_t SlotsHeldBy(gsRateLimits const& limits,
+                          gsRateClient const& client, gsTime now)
+{
+  auto unreported = std::count_if(
+    client.UnreportedSlots.begin(), client.UnreportedSlots.end(),
+    [&limits, now](gsTime issuedAt) {
+      return now - issuedAt < limits.Settings.TokenLifetime;
+    });
+  return (now < client.ReportedUntil ? client.ReportedSlots : 0) +
+         static_cast<std::uint32_t>(unreported);
+}
+
+/** Slots in use or kept by this host, and those held by its clients. */
+std::uint32_t SlotsHeld(gsRateLimits const& limits,
+                        gsLimitedUpstream const& upstream, gsTime now)
+{
+  std::uint32_t held = gsHeldSlots(upstream);
+  for (auto const& [host, client] : upstream.Clients) {
+    held += SlotsHeldBy(limits, client, now);
+  }
+  return held;
+}
+
+/** Slots that this host may let be used: those received from the issuer, or
+ * on a relay without an issuer the shares lent to it, rounded and at least
+ * one. */
+std::uint32_t AvailableSlots(gsRateLimits const& limits,
+                             gsLimitedUpstream const& upstream,
+                             bool isAccepted, gsTime now)
+{
+  if (isAccepted) {
+    return now < upstream.Slots.SupplyUntil ? upstream.Slots.Supply : 0;
+  }
+  if (!IsRelay(limits) || now < upstream.LentUntil) {
+    return 0;
+  }
+  long slots = std::lround(SpendableRate(limits, upstream, now));
+  return static_cast<std::uint32_t>(std::max(1L, slots));
+}
+
+std::uint32_t FreeSlots(gsRateLimits const& limits,
+                        gsLimitedUpstream const& upstream, bool isAccepted,
+                        gsTime now)
+{
+  std::uint32_t available =
+    AvailableSlots(limits, upstream, isAccepted, now);
+  return available - std::min(available, SlotsHeld(limits, upstream, now));
+}
+
+/** Whether the issuer has reported recently that other hosts wait. Tokens are
+ * then returned to it instead of being used again or kept. */
+bool IsContended(gsRateLimits const& limits, gsLimitedUpstream const& upstream,
+                 gsTime now)
+{
+  return upstream.ExpectedWait >= MinContendedWait &&
+         now - upstream.ExpectedWaitSetAt <= limits.Settings.DemandLifetime;
+}
+
 /**
  * Adds the tokens that have accrued since the last update to the token bucket.
  * A relay accumulates at most the tokens of BurstSpan, or one if these are
  * fewer. On a host that spends its own share, an unused token expires after
- * TokenLifetime; otherwise hundreds of hosts would each hold one.
+ * OwnTokenLifetime; otherwise hundreds of hosts would each hold one.
  */
 void AccrueTokens(gsRateLimits const& limits, gsLimitedUpstream& upstream,
                   gsTime now)
 {
   gsRateLimitSettings const& settings = limits.Settings;
-  double rate = SpendableRate(limits, upstream, now);
+  double rate = AccrualRate(limits, upstream, now);
   double seconds = std::max(0.0, gsToSeconds(now - upstream.BucketLevelSetAt));
   upstream.BucketLevelSetAt = now;
   upstream.BucketLevel += rate * seconds;
@@ -218,7 +339,7 @@
   if (wholeTokens < 1) {
     return;
   }
-  double lifetime = gsToSeconds(settings.TokenLifetime);
+  double lifetime = gsToSeconds(settings.OwnTokenLifetime);
   double fraction = upstream.BucketLevel - wholeTokens;
   bool expired = fraction > rate * lifetime;
   double maxTokens = std::max(1.0, std::floor(rate * lifetime));
@@ -313,8 +434,9 @@
 class TokenReplies
 {
 public:
-  explicit TokenReplies(std::uint32_t upstream)
-    : UpstreamHash(upstream)
+  TokenReplies(gsRateLimits const& limits, std::uint32_t upstream)
+    : Limits(limits)
+    , UpstreamHash(upstream)
   {
   }
 
@@ -323,7 +445,12 @@
   {
     for (auto& [host, client] : upstream.Clients) {
       if (std::exchange(client.ReplyPending, false)) {
-        this->Replies[host].UpstreamHash = this->UpstreamHash;
+        gsRateTokens& tokens = this->Replies[host];
+        tokens.UpstreamHash = this->UpstreamHash;
+        // A reply without slots extends the lifetime of those held.
+        tokens.Lifetime = SharesSlots(this->Limits)
+                            ? this->Limits.Settings.TokenLifetime
+                            : gsTime{};
       }
     }
   }
@@ -347,18 +474,38 @@
   {
     std::uint32_t totalDemand = TotalTokensWanted(upstream, true, now);
     for (auto& [host, tokens] : this->Replies) {
-      tokens.ExpectedWait =
-        firstWait +
-        TimeForTokens(totalDemand - TokensWantedBy(upstream, host, now), rate);
+      std::uint32_t otherDemand =
+        totalDemand - TokensWantedBy(upstream, host, now);
+      tokens.ExpectedWait = firstWait + TimeForTokens(otherDemand, rate);
+      if (SharesSlots(this->Limits) && otherDemand > 0) {
+        tokens.ExpectedWait = std::max(tokens.ExpectedWait, MinContendedWait);
+      }
       messages.push_back({ host, std::nullopt, tokens });
     }
   }
 
 private:
+  gsRateLimits const& Limits;
   std::uint32_t UpstreamHash;
   std::map<std::string, gsRateTokens> Replies; ///< By receiving host.
 };
 
+/** Removes unreserved tokens that this host keeps after use. */
+void RemoveKeptTokens(gsLimitedUpstream& upstream)
+{
+  while (upstream.Tokens.size() > upstream.ReservedTokens) {
+    upstream.Tokens.erase(upstream.Tokens.begin());
+  }
+}
+
+/** Rate at which tokens are issued to all hosts, for expected waits. */
+double IssueRate(gsRateLimits const& limits, gsLimitedUpstream const& upstream,
+                 gsTime now)
+{
+  double rate = CurrentRate(limits, upstream.Limit, now);
+  return SharesSlots(limits) ? TurnoverOf(upstream, rate) : rate;
+}
+
 /** Issues a token to the next client. \return False if there is no demand. */
 bool IssueNextToken(gsRateLimits& limits, std::uint32_t hash,
                     gsLimitedUpstream& upstream, bool otherHalls,
@@ -370,10 +517,15 @@
     return false;
   }
   if (*receiver == limits.Roles.Self) {
-    StoreToken(upstream, now + lifetime);
+    StoreToken(upstream, now + (SharesSlots(limits)
+                                  ? limits.Settings.DeliveryTime
+                                  : lifetime));
     limits.GrantedUpstreams.push_back(hash);
   } else {
     ++upstream.TokensIssued;
+    if (SharesSlots(limits)) {
+      upstream.Clients[*receiver].UnreportedSlots.push_back(now);
+    }
     replies.AddToken(*receiver, lifetime);
   }
   return true;
@@ -390,7 +542,7 @@
                         limits.Settings.TokenLifetime, replies, now)) {
     upstream.BucketLevel -= 1;
   }
-  double rate = SpendableRate(limits, upstream, now);
+  double rate = AccrualRate(limits, upstream, now);
   std::uint32_t otherDemand = TotalTokensWanted(upstream, true, now) -
                               TokensWantedBy(upstream, limits.Roles.Self, now);
   upstream.ExpectedWait =
@@ -398,13 +550,150 @@
   upstream.ExpectedWaitSetAt = now;
 }
 
+/** Expected time until the next slot, without demand of other hosts. */
+gsTime FirstSlotWait(gsRateLimits const& limits,
+                     gsLimitedUpstream const& upstream, bool isAccepted,
+                     gsTime now)
+{
+  if (isAccepted) {
+    return upstream.ExpectedWait;
+  }
+  if (now < upstream.LentUntil) {
+    return upstream.LentUntil - now;
+  }
+  std::uint32_t available =
+    AvailableSlots(limits, upstream, isAccepted, now);
+  std::uint32_t free = FreeSlots(limits, upstream, isAccepted, now);
+  if (free == 0) {
+    return TimeForTokens(MeanIntervalsToNextToken,
+                         TurnoverOf(upstream, available));
+  }
+  return free >= MinFreeShareToKeep * available ? gsTime{} : UncontendedWait;
+}
+
+/** Issues the free slots of a relay, or of this host, to its clients. A relay
+ * whose distributor has other hosts waiting returns them instead. */
+void IssueFreeSlots(gsRateLimits& limits, std::uint32_t hash,
+                    gsLimitedUpstream& upstream, bool isAccepted,
+                    TokenReplies& replies, gsTime now)
+{
+  std::uint32_t free = FreeSlots(limits, upstream, isAccepted, now);
+  bool mayIssue = !isAccepted || !IsContended(limits, upstream, now);
+  while (mayIssue && free > 0 &&
+         IssueNextToken(limits, hash, upstream, !isAccepted,
+                        limits.Settings.TokenLifetime, replies, now)) {
+    --free;
+  }
+  bool isContended =
+    isAccepted ? !mayIssue
+               : free == 0 && TotalTokensWanted(upstream, true, now) > 0;
+  if (isContended && !upstream.Slots.IsContended) {
+    // Those that keep a token after use learn that others wait.
+    for (auto& [host, client] : upstream.Clients) {
+      client.ReplyPending = client.ReplyPending ||
+                            SlotsHeldBy(limits, client, now) > 0;
+    }
+    replies.AddPending(upstream);
+  }
+  upstream.Slots.IsContended = isContended;
+  if (isAccepted) {
+    return;
+  }
+  std::uint32_t otherDemand =
+    TotalTokensWanted(upstream, true, now) -
+    TokensWantedBy(upstream, limits.Roles.Self, now);
+  upstream.ExpectedWait =
+    FirstSlotWait(limits, upstream, isAccepted, now) +
+    TimeForTokens(
+      otherDemand,
+      TurnoverOf(upstream, AvailableSlots(limits, upstream, false, now)));
+  upstream.ExpectedWaitSetAt = now;
+}
+
+/** Removes slots that clients have not reported in time. */
+void ExpireClientSlots(gsRateLimits const& limits, gsLimitedUpstream& upstream,
+                       gsTime now)
+{
+  for (auto& [host, client] : upstream.Clients) {
+    auto& issued = client.UnreportedSlots;
+    auto firstValid = std::upper_bound(
+      issued.begin(), issued.end(), now - limits.Settings.TokenLifetime);
+    upstream.TokensExpired +=
+      static_cast<std::uint64_t>(firstValid - issued.begin());
+    issued.erase(issued.begin(), firstValid);
+    if (now >= client.ReportedUntil) {
+      upstream.TokensExpired += client.ReportedSlots;
+      client.ReportedSlots = 0;
+    }
+  }
+}
+
+/** Applies what a client reports to hold. Slots issued after it sent the
+ * report remain counted. */
+void ApplyHeldSlots(gsRateLimits const& limits, gsRateClient& client,
+                    gsRateShare const& share, gsTime now)
+{
+  std::uint32_t counted = SlotsHeldBy(limits, client, now);
+  counted -= std::min(counted, share.Returned);
+  std::size_t inTransit = counted - std::min(counted, share.Held);
+  auto& issued = client.UnreportedSlots;
+  issued.erase(issued.begin(),
+               issued.end() - static_cast<std::ptrdiff_t>(
+                                std::min(inTransit, issued.size())));
+  client.ReportedSlots = share.Held;
+  client.ReportedUntil = now + limits.Settings.TokenLifetime;
+  auto recent = static_cast<std::uint32_t>(
+    std::count_if(issued.begin(), issued.end(), [now](gsTime issuedAt) {
+      return now - issuedAt < MaxTransitTime;
+    }));
+  client.TokensWanted -= std::min(client.TokensWanted, recent);
+}
+
+/** Whether the share may be lent to an issuer: no other one counts it. */
+bool MayLendTo(gsLimitedUpstream const& upstream, std::string const& issuer,
+               gsTime now)
+{
+  return upstream.Slots.LentTo == issuer ||
+         now >= upstream.Slots.LoanExpiresAt;
+}
+
+/** Whether a message about slots is due before the share update: slots can be
+ * returned, or the issuer counts no share yet. */
+bool IsSlotMessageDue(gsRateLimits const& limits,
+                      gsLimitedUpstream const& upstream,
+                      std::string const& issuer, gsTime now)
+{
+  if (!SharesSlots(limits) || !IsShareAccepted(limits, upstream, issuer, now)) {
+    return false;
+  }
+  bool isLent =
+    upstream.Slots.LentTo == issuer && now < upstream.Slots.LoanExpiresAt;
+  return FreeSlots(limits, upstream, true, now) > 0 ||
+         (!isLent && MayLendTo(upstream, issuer, now));
+}
+
+/** Returns the free slots and reports those held. Attempts without a token
+ * count as held, so that the issuer accounts for them. */
+void ReportSlots(gsRateLimits const& limits, gsLimitedUpstream& upstream,
+                 gsRateShare& share, gsTime now)
+{
+  gsSlotUse& slots = upstream.Slots;
+  share.Held = SlotsHeld(limits, upstream, now);
+  std::uint32_t before = slots.ReportedHeld + slots.ReceivedSinceReport;
+  share.Returned = before - std::min(before, share.Held);
+  slots.Supply = share.Held;
+  slots.ReportedHeld = share.Held;
+  slots.ReceivedSinceReport = 0;
+}
+
 /** Whether a share update is due: the interval has elapsed, demand has
  * changed, or requested tokens did not arrive in time. */
 bool IsShareDue(gsRateLimits const& limits, gsLimitedUpstream const& upstream,
-                std::uint32_t demand, gsTime now)
+                std::string const& issuer, std::uint32_t demand, gsTime now)
 {
   gsTime elapsed = now - upstream.ShareSentAt;
-  bool demandChanged = demand != upstream.TokensRequested &&
+  bool demandChanged = (demand != upstream.TokensRequested ||
+                        IsSlotMessageDue(limits, upstream, issuer, now)) &&
                        elapsed >= limits.Settings.MinTokenRequestInterval;
   bool retryDue = demand > 0 && elapsed >= limits.Settings.TokenRequestTimeout;
   return demandChanged || retryDue || elapsed >= ShareInterval(limits);
@@ -418,14 +707,21 @@
                std::vector<gsRateMessage>& messages, gsTime now)
 {
   std::uint32_t demand = TotalTokensWanted(upstream, false, now);
-  if (!IsShareDue(limits, upstream, demand, now)) {
+  if (!IsShareDue(limits, upstream, issuer, demand, now)) {
     return;
   }
   gsRateShare share;
   share.UpstreamHash = hash;
   share.TokensWanted = demand;
   share.LoanLifetime = LoanLifetime(limits);
-  if (IsShareAccepted(limits, upstream, issuer, now)) {
+  if (SharesSlots(limits)) {
+    ReportSlots(limits, upstream, share, now);
+  }
+  if (IsShareAccepted(limits, upstream, issuer, now) &&
+      MayLendTo(upstream, issuer, now)) {
+    upstream.Slots.LentTo = issuer;
+    upstream.Slots.LoanExpiresAt =
+      now + LoanLifetime(limits) + limits.Settings.MaxFrameDelay;
     share.LentRate = IsRelay(limits) ? HallShare(limits, upstream, now)
                                      : OwnShare(limits, upstream.Limit, now);
     AccrueTokens(limits, upstream, now);
@@ -436,12 +732,14 @@
   messages.push_back({ issuer, share, std::nullopt });
 }
 
-void RemoveExpiredClients(gsLimitedUpstream& upstream, gsTime now)
+void RemoveExpiredClients(gsRateLimits const& limits,
+                          gsLimitedUpstream& upstream, gsTime now)
 {
   for (auto entry = upstream.Clients.begin();
        entry != upstream.Clients.end();) {
     bool isExpired = now >= entry->second.LentUntil &&
-                     TokensWantedBy(entry->second, now) == 0;
+                     TokensWantedBy(entry->second, now) == 0 &&
+                     SlotsHeldBy(limits, entry->second, now) == 0;
     entry = isExpired ? upstream.Clients.erase(entry) : std::next(entry);
   }
 }
@@ -479,6 +777,14 @@
   entry->Limit = limit;
 }
 
+/** Whether attempts need a token: a limit of slots is not enforced in a dry run
+ * and while the hosts begin to share the slots. */
+bool NeedsToken(gsRateLimits const& limits, gsLimitedUpstream const& upstream,
+                gsTime now)
+{
+  return limits.IsEnforced && now >= upstream.Slots.EnforcedFrom;
+}
+
 /** Whether limit a takes precedence over a different limit b with the same
  * version. */
 bool IsStricter(gsRateLimit const& a, gsRateLimit const& b)
@@ -614,6 +920,14 @@
 }
 
 bool gsHasToken(gsRateLimits const& limits, std::uint32_t upstream, gsTime now)
+{
+  gsLimitedUpstream const* entry = FindInForce(limits, upstream, now);
+  return entry == nullptr || !NeedsToken(limits, *entry, now) ||
+         gsHasUnreservedToken(limits, upstream, now);
+}
+
+bool gsHasUnreservedToken(gsRateLimits const& limits, std::uint32_t upstream,
+                          gsTime now)
 {
   gsLimitedUpstream const* entry = FindInForce(limits, upstream, now);
   return entry == nullptr ||
@@ -627,6 +941,11 @@
     return false;
   }
   ++entry->ReservedTokens;
+  if (SharesSlots(limits) && !entry->Tokens.empty()) {
+    // The token must not be returned before the attempt is sent.
+    entry->Tokens.erase(entry->Tokens.begin());
+    StoreToken(*entry, now + limits.Settings.TokenLifetime);
+  }
   return true;
 }
 
@@ -644,14 +963,126 @@
     return true;
   }
   RemoveExpiredTokens(*entry, now);
-  if (entry->Tokens.empty()) {
+  bool hasToken = !entry->Tokens.empty();
+  if (!hasToken && NeedsToken(limits, *entry, now)) {
     return false;
   }
-  entry->Tokens.erase(entry->Tokens.begin());
+  if (hasToken) {
+    // Reserved slots have the latest expiry times.
+    entry->Tokens.erase(SharesSlots(limits) ? std::prev(entry->Tokens.end())
+                                            : entry->Tokens.begin());
+  } else {
+    ++entry->Slots.SentWithoutToken;
+  }
+  ++entry->Slots.InUse;
   ++entry->TokensSpent;
   return true;
 }
 
+void gsAbandonToken(gsRateLimits& limits, std::uint32_t upstream, gsTime now)
+{
+  gsReleaseToken(limits, upstream);
+  gsLimitedUpstream* entry = FindUpstream(limits, upstream);
+  if (entry != nullptr && SharesSlots(limits) && !entry->Tokens.empty()) {
+    entry->Tokens.pop_back();
+    StoreToken(*entry, now + limits.Settings.DeliveryTime);
+  }
+}
+
+void gsReturnToken(gsRateLimits& limits, std::uint32_t upstream,
+                   gsTime duration, gsTime now)
+{
+  gsLimitedUpstream* entry = FindUpstream(limits, upstream);
+  if (entry == nullptr) {
+    return;
+  }
+  gsSlotUse& slots = entry->Slots;
+  slots.InUse -= std::min(slots.InUse, 1U);
+  ++slots.TokensReturned;
+  if (duration.count() > 0) {
+    gsTime change = duration - HoldTimeOf(*entry);
+    slots.HoldTime = HoldTimeOf(*entry) +
+                     gsFromSeconds(HoldTimeSmoothing * gsToSeconds(change));
+  }
+  std::string const issuer = IssuerFor(limits, upstream, now);
+  bool mayKeep = IsShareAccepted(limits, *entry, issuer, now) &&
+                 entry->ExpectedWait.count() == 0 &&
+                 FreeSlots(limits, *entry, true, now) > 0 &&
+                 TotalTokensWanted(*entry, true, now) == 0;
+  if (mayKeep) {
+    StoreToken(*entry, now + limits.Settings.KeepTime);
+  }
+}
+
+void gsRecordSlotRejection(gsRateLimits& limits, std::uint32_t upstream)
+{
+  if (gsLimitedUpstream* entry = FindUpstream(limits, upstream)) {
+    ++entry->Slots.Rejections;
+  }
+}
+
+std::uint32_t gsLentSlots(gsLimitedUpstream const& upstream, gsTime now)
+{
+  std::uint32_t lent = 0;
+  for (auto const& [host, client] : upstream.Clients) {
+    lent += now < client.ReportedUntil ? client.ReportedSlots : 0;
+    lent += static_cast<std::uint32_t>(client.UnreportedSlots.size());
+  }
+  return lent;
+}
+
+std::uint32_t gsHeldSlots(gsLimitedUpstream const& upstream)
+{
+  return upstream.Slots.InUse +
+         static_cast<std::uint32_t>(upstream.Tokens.size());
+}
+
+std::uint32_t gsWantedTokens(gsLimitedUpstream const& upstream, gsTime now)
+{
+  return TotalTokensWanted(upstream, true, now);
+}
+
+gsRateLimits gsMakeSlotLimits()
+{
+  gsRateLimits limits;
+  limits.Resource = gsLimitResource::Slots;
+  limits.Settings.TokenLifetime = gsSeconds(2);
+  limits.Settings.MinTokenRequestInterval = gsMilliseconds(5);
+  limits.Settings.TokenRequestTimeout = gsMilliseconds(100);
+  return limits;
+}
+
+bool gsSetSharedSlots(
+  gsRateLimits& limits,
+  std::unordered_map<std::uint32_t, std::uint32_t> const& slots, gsTime now)
+{
+  bool hasChanged = false;
+  for (auto entry = limits.Upstreams.begin();
+       entry != limits.Upstreams.end();) {
+    bool isShared = slots.count(entry->first) != 0;
+    hasChanged = hasChanged || !isShared;
+    entry = isShared ? std::next(entry) : limits.Upstreams.erase(entry);
+  }
+  for (auto const& [upstream, count] : slots) {
+    gsLimitedUpstream const* entry = FindUpstream(limits, upstream);
+    if (entry != nullptr && entry->Limit.Rate == count) {
+      continue;
+    }
+    bool isNew = entry == nullptr;
+    gsRateLimit limit;
+    limit.Rate = count;
+    limit.Version = 1;
+    limit.AppliedAt = now;
+    ApplyVersion(limits, upstream, limit, now);
+    if (isNew) {
+      limits.Upstreams[upstream].Slots.EnforcedFrom =
+        now + limits.Settings.EnforcementDelay;
+    }
+    hasChanged = true;
+  }
+  return hasChanged;
+}
+
 bool gsRequestTokens(gsRateLimits& limits, std::uint32_t upstream,
                      std::uint32_t count, gsTime until, gsTime now)
 {
@@ -680,6 +1111,10 @@
   double rate = CurrentRate(limits, entry->Limit, now);
   bool isUpToDate =
     now - entry->ExpectedWaitSetAt <= limits.Settings.DemandLifetime;
+  if (SharesSlots(limits)) {
+    return (isUpToDate ? entry->ExpectedWait : gsTime{}) +
+           TimeForTokens(static_cast<double>(ahead), TurnoverOf(*entry, rate));
+  }
   gsTime firstWait = isUpToDate
                        ? entry->ExpectedWait
                        : TimeForTokens(MeanIntervalsToNextToken, rate);
@@ -709,11 +1144,15 @@
     client.WaitingSince = now;
   }
   client.IsOtherHallRelay = isOtherHallRelay;
-  client.ReplyPending = isOtherHallRelay || share.TokensWanted > 0;
+  client.ReplyPending =
+    isOtherHallRelay || share.TokensWanted > 0 || SharesSlots(limits);
   client.LentRate = std::max(0.0, share.LentRate);
   client.LentUntil = now + std::min(share.LoanLifetime, MaxLoanLifetime);
   client.TokensWanted = share.TokensWanted;
   client.DemandUntil = now + limits.Settings.DemandLifetime;
+  if (SharesSlots(limits)) {
+    ApplyHeldSlots(limits, client, share, now);
+  }
 }
 
 void gsApplyRateTokens(gsRateLimits& limits, std::string const& host,
@@ -730,15 +1169,26 @@
   entry->ExpectedWaitSetAt = now;
   entry->TokensRequested -= std::min(entry->TokensRequested, tokens.Count);
   gsTime lifetime = std::min(tokens.Lifetime, limits.Settings.TokenLifetime);
-  TokenReplies replies(tokens.UpstreamHash);
+  TokenReplies replies(limits, tokens.UpstreamHash);
   std::uint32_t undelivered = tokens.Count;
+  if (SharesSlots(limits)) {
+    gsSlotUse& slots = entry->Slots;
+    slots.Supply += tokens.Count;
+    slots.ReceivedSinceReport += tokens.Count;
+    // The issuer counts the slots from before it sent this reply.
+    slots.SupplyUntil = now + lifetime - limits.Settings.MaxFrameDelay;
+    if (IsContended(limits, *entry, now)) {
+      RemoveKeptTokens(*entry);
+    }
+    undelivered = FreeSlots(limits, *entry, true, now);
+  }
   while (undelivered > 0 && IssueNextToken(limits, tokens.UpstreamHash, *entry,
                                            false, lifetime, replies, now)) {
     --undelivered;
   }
-  entry->TokensExpired += undelivered;
+  entry->TokensExpired += SharesSlots(limits) ? 0 : undelivered;
   replies.AppendTo(limits.Outbox, *entry, tokens.ExpectedWait,
-                   CurrentRate(limits, entry->Limit, now), now);
+                   IssueRate(limits, *entry, now), now);
 }
 
 std::vector<gsRateMessage> gsRateLimitTick(gsRateLimits& limits, gsTime now)
@@ -749,20 +1199,29 @@
       continue;
     }
     RemoveExpiredTokens(upstream, now);
-    RemoveExpiredClients(upstream, now);
-    TokenReplies replies(hash);
+    ExpireClientSlots(limits, upstream, now);
+    RemoveExpiredClients(limits, upstream, now);
+    TokenReplies replies(limits, hash);
     replies.AddPending(upstream);
     std::string const issuer = IssuerFor(limits, hash, now);
+    bool isAccepted = IsShareAccepted(limits, upstream, issuer, now);
+    if (SharesSlots(limits) && (isAccepted || IsRelay(limits))) {
+      IssueFreeSlots(limits, hash, upstream, isAccepted, replies, now);
+    }
     if (!issuer.empty()) {
       SendShare(limits, hash, upstream, issuer, messages, now);
     }
-    if (!IsShareAccepted(limits, upstream, issuer, now)) {
+    bool usesBucket = !SharesSlots(limits) || !IsRelay(limits);
+    if (usesBucket && !IsShareAccepted(limits, upstream, issuer, now)) {
       IssueDueTokens(limits, hash, upstream, replies, now);
     }
-    double rate = CurrentRate(limits, upstream.Limit, now);
+    double rate = IssueRate(limits, upstream, now);
     gsTime firstWait = issuer.empty()
                          ? TimeForTokens(MeanIntervalsToNextToken, rate)
                          : upstream.ExpectedWait;
+    if (SharesSlots(limits)) {
+      firstWait = FirstSlotWait(limits, upstream, isAccepted, now);
+    }
     replies.AppendTo(messages, upstream, firstWait, rate, now);
   }
   return messages;
@@ -788,16 +1247,21 @@
     }
     std::string const issuer = IssuerFor(limits, hash, now);
     std::uint32_t demand = TotalTokensWanted(upstream, false, now);
-    bool demandChanged = demand != upstream.TokensRequested;
+    bool demandChanged = demand != upstream.TokensRequested ||
+                         IsSlotMessageDue(limits, upstream, issuer, now);
     if (!issuer.empty() && (demandChanged || demand > 0)) {
       schedule(upstream.ShareSentAt +
                (demandChanged ? limits.Settings.MinTokenRequestInterval
                               : limits.Settings.TokenRequestTimeout));
     }
-    if (TotalTokensWanted(upstream, true, now) == 0) {
+    if (SharesSlots(limits) && !upstream.Tokens.empty()) {
+      schedule(upstream.Tokens.front());
+    }
+    bool usesBucket = !SharesSlots(limits) || !IsRelay(limits);
+    if (!usesBucket || TotalTokensWanted(upstream, true, now) == 0) {
       continue;
     }
-    double rate = SpendableRate(limits, upstream, now);
+    double rate = AccrualRate(limits, upstream, now);
     if (!IsShareAccepted(limits, upstream, issuer, now) && rate > 0) {
       schedule(upstream.BucketLevelSetAt +
                TimeForTokens(1 - upstream.BucketLevel, rate));
--- a/Source/Coord/gsRateLimit.h
+++ b/Source/Coord/gsRateLimit.h
@@ -1,8 +1,9 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /**
  * \file
- * Distributed enforcement of the rate limits that upstreams set for all hosts
- * combined. Each attempt at a limited upstream consumes a token.
+ * Distributed enforcement of limits that apply to all hosts combined: the rate
+ * limits that upstreams set, and the slots of a service that has fewer slots
+ * than there are hosts. Each attempt at a limited upstream takes a token.
  *
  * Each host owns an equal share of a limit. It lends the share to the relay of
  * its hall, and the relay lends the hall's combined share to the relay of one
@@ -20,8 +21,19 @@
  * attempts with tokens of distributors, plus one attempt per token accrued by
  * each host that spends its own share.
  *
- * The state is one plain struct, which holds at most MaxUpstreams limits.
- * Callers pass in the current time and send the returned messages.
+ * Slots differ from rates in one respect: a token is returned when the attempt
+ * ends. An issuer issues a token only while fewer tokens are held than the
+ * slots lent to it. It counts a token as held until the holder returns it, or
+ * for TokenLifetime without a report of the holder. A relay that borrows from
+ * the distributor holds tokens for its hall. A host whose share no issuer
+ * counts spends it as a rate of attempts that keeps its share of the slots in
+ * use. For S slots, the attempts in progress with tokens of relays are at most
+ * S plus one for each relay that issues without the distributor, since shares
+ * are rounded to whole slots and are at least one.
+ *
+ * The state is one plain struct for each resource, which holds at most
+ * MaxUpstreams limits. Callers pass in the current time and send the returned
+ * messages.
  */
 #pragma once
 
@@ -36,10 +48,18 @@
 
 #include "gsTypes.h"
 
+/** What a limit restricts. */
+enum class gsLimitResource
+{
+  Rate,  ///< Attempts per second; a token is consumed.
+  Slots, ///< Attempts in progress; a token is returned after use.
+};
+
 /** The current version of an upstream's limit. */
 struct gsRateLimit
 {
-  double Rate = 0; ///< Requests per second, all hosts combined.
+  /** Requests per second, or slots; all hosts combined. */
+  double Rate = 0;
   /** The upstream no longer sets a limit; the rate ramps up from Rate. */
   bool HasEnded = false;
   gsTime EndedAt{};          ///< Set only if HasEnded.
@@ -61,9 +81,12 @@
 struct gsRateShare
 {
   std::uint32_t UpstreamHash = 0; ///< Hash of the upstream's incarnation.
-  double LentRate = 0;   ///< Requests per second that the receiver may issue.
+  /** Requests per second, or slots, that the receiver may issue. */
+  double LentRate = 0;
   gsTime LoanLifetime{}; ///< For how long the receiver may issue them.
   std::uint32_t TokensWanted = 0; ///< Outstanding token demand of the sender.
+  std::uint32_t Returned = 0; ///< Slots returned since the previous message.
+  std::uint32_t Held = 0;     ///< Slots that the sender holds.
 };
 
 /** Issued tokens; Count is zero if the message only accepts a share. */
@@ -115,6 +138,17 @@
   std::size_t MaxUpstreams = 1024; ///< The oldest limit is evicted.
   double MinRate = 0.2;            ///< Rate of probes under a limit of zero.
   double MaxRate = 1e6;            ///< Higher limits are reduced to it.
+  /** A host that spends its own share keeps an unused token for this time. */
+  gsTime OwnTokenLifetime = gsMilliseconds(500);
+  /** Slots only: a host keeps a token after use for this time, while enough
+   * slots are free. */
+  gsTime KeepTime = gsSeconds(1);
+  /** Slots only: time for which a token is reserved for a waiting request. */
+  gsTime DeliveryTime = gsMilliseconds(50);
+  /** Slots only: from the first sharing of an upstream's slots until attempts
+   * need a token. Shares are lent in this time, and attempts in progress
+   * without a token are reported as held. */
+  gsTime EnforcementDelay = gsSeconds(1);
 };
 
 /** A host that receives tokens, which may be this host. */
@@ -129,9 +163,34 @@
   /** When its demand began or it was last issued a token. The client with the
    * earliest time is served first. */
   gsTime WaitingSince{};
+  /** Slots that it has last reported to hold, counted until ReportedUntil. */
+  std::uint32_t ReportedSlots = 0;
+  gsTime ReportedUntil{};
+  /** When slots were issued that it has not reported yet, ascending. */
+  std::vector<gsTime> UnreportedSlots;
+};
+
+/** Use of an upstream's slots; unused for rates. */
+struct gsSlotUse
+{
+  /** Tokens received from the issuer and not returned, for this host and, on a
+   * relay, for its hall. */
+  std::uint32_t Supply = 0;
+  gsTime SupplyUntil{};           ///< The supply expires then.
+  std::uint32_t InUse = 0;        ///< Attempts in progress.
+  std::uint32_t ReportedHeld = 0; ///< Held, as last sent to the issuer.
+  std::uint32_t ReceivedSinceReport = 0; ///< Tokens received since then.
+  gsTime EnforcedFrom{};                 ///< Attempts need a token from then.
+  gsTime HoldTime{}; ///< Smoothed duration of an attempt; zero if unknown.
+  std::string LentTo;     ///< Issuer to which the share was lent last.
+  gsTime LoanExpiresAt{}; ///< That issuer counts the share until then.
+  bool IsContended = false; ///< Holders have been told that hosts wait.
+  std::uint64_t TokensReturned = 0;  ///< Attempts ended.
+  std::uint64_t SentWithoutToken = 0; ///< Attempts without a token.
+  std::uint64_t Rejections = 0; ///< Attempts that the upstream rejected.
 };
 
-/** Local state of a rate-limited upstream. */
+/** Local state of a limited upstream. */
 struct gsLimitedUpstream
 {
   gsRateLimit Limit;
@@ -163,6 +222,7 @@
   std::uint64_t TokensSpent = 0;   ///< Tokens spent.
   std::uint64_t TokensExpired = 0; ///< Tokens that expired unused.
   std::uint64_t TokensIssued = 0;  ///< Tokens issued to other hosts.
+  gsSlotUse Slots;                 ///< Only for gsLimitResource::Slots.
 };
 
 /** Token issuing roles, derived from membership. */
@@ -177,9 +237,12 @@
   std::size_t RecentPeakHosts = 1;
 };
 
-/** Rate limits of all upstreams, and the tokens of this host. */
+/** Limits of one resource at all upstreams, and the tokens of this host. */
 struct gsRateLimits
 {
+  gsLimitResource Resource = gsLimitResource::Rate;
+  /** False in a dry run: attempts are counted, but need no token. */
+  bool IsEnforced = true;
   gsRateLimitSettings Settings;
   gsRateRoles Roles;
   /** Limited upstreams by the hash of their incarnation. */
@@ -194,6 +257,11 @@
   std::vector<gsRateMessage> Outbox; ///< Returned by the next gsRateLimitTick.
 };
 
+/** An empty table for slots. The lifetime of a token exceeds the longest usual
+ * attempt; tokens are requested sooner than for rates, because requests wait
+ * for them at most for half of a latency target. */
+gsRateLimits gsMakeSlotLimits();
+
 /** Formats a rate in requests per second for logs. */
 std::string gsFormatRate(double perSecond);
 
@@ -233,6 +301,11 @@
 bool gsHasToken(gsRateLimits const& limits, std::uint32_t upstream,
                 gsTime now);
 
+/** Whether an unreserved token is available, or there is no limit; also while
+ * attempts need none. */
+bool gsHasUnreservedToken(gsRateLimits const& limits, std::uint32_t upstream,
+                          gsTime now);
+
 /** Reserves a token for an attempt that is not sent yet, if there is a limit.
  * \return Whether the caller has to call gsReleaseToken. */
 bool gsReserveToken(gsRateLimits& limits, std::uint32_t upstream, gsTime now);
@@ -257,6 +330,35 @@
 gsTime gsExpectedTokenWait(gsRateLimits const& limits, std::uint32_t upstream,
                            std::size_t ahead, gsTime now);
 
+/**
+ * Sets the upstreams whose slots are shared, with their slots. The tables of
+ * other upstreams are removed. \return Whether anything has changed.
+ */
+bool gsSetSharedSlots(
+  gsRateLimits& limits,
+  std::unordered_map<std::uint32_t, std::uint32_t> const& slots, gsTime now);
+
+/** Cancels the reservation of an attempt that was not sent. A reserved slot is
+ * available to other attempts again. */
+void gsAbandonToken(gsRateLimits& limits, std::uint32_t upstream, gsTime now);
+
+/** Returns the slot of an attempt that has ended.
+ * \param duration Time for which the attempt has used it. */
+void gsReturnToken(gsRateLimits& limits, std::uint32_t upstream,
+                   gsTime duration, gsTime now);
+
+/** Counts an attempt that the upstream has rejected. */
+void gsRecordSlotRejection(gsRateLimits& limits, std::uint32_t upstream);
+
+/** Slots held by the hosts that borrow from this host. */
+std::uint32_t gsLentSlots(gsLimitedUpstream const& upstream, gsTime now);
+
+/** Slots that this host itself holds, in use or kept. */
+std::uint32_t gsHeldSlots(gsLimitedUpstream const& upstream);
+
+/** Tokens that this host and its borrowers wait for. */
+std::uint32_t gsWantedTokens(gsLimitedUpstream const& upstream, gsTime now);
+
 /** Applies a share lent by another host, and its token request. Ignored on
  * hosts that are not relays, and from another hall's relay while this host
  * lends to a distributor itself. */
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -287,6 +287,9 @@
   std::unordered_map<std::string, gsRetainedAnnouncement>
     RetainedAnnouncements;
   gsRateLimits RateLimits; ///< Limits by gsFleetRow::Hash.
+  /** Shared slots of services with fewer slots than hosts, by
+   * gsFleetRow::Hash. */
+  gsRateLimits SlotLimits = gsMakeSlotLimits();
 };
 
 /**
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -146,8 +146,7 @@
 void RecordRateLimited(Search& search, gsFleetRow const& row, double cost)
 {
   gsPlacement& best = search.Best;
-  gsTime wait =
-    gsExpectedTokenWait(search.Fleet.RateLimits, row.Hash, 0, search.Now);
+  gsTime wait = TokenWait(search.Fleet, row, search.Now);
   double millis = search.Request.MillisPerToken;
   double waitCost = millis > 0 ? gsToSeconds(wait) * 1e3 / millis : 0;
   if (best.RateLimitedRow == nullptr ||
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -108,7 +108,7 @@
    * only if Cause is BackingOff or RateLimited. */
   gsTime RetryAfter{};
   /** Upstream with the lowest cost that was skipped because no token of its
-   * rate limit is available; null if there is none. */
+   * rate limit or of its shared slots is available; null if there is none. */
   gsFleetRow const* RateLimitedRow = nullptr;
   /** Group of the request; Any if the engines are not divided. */
   gsFleetGroup Group = gsFleetGroup::Any;
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -165,7 +165,14 @@
 
 bool HasToken(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
 {
-  return gsHasToken(fleet.RateLimits, row.Hash, now);
+  return gsHasToken(fleet.RateLimits, row.Hash, now) &&
+         gsHasToken(fleet.SlotLimits, row.Hash, now);
+}
+
+gsTime TokenWait(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
+{
+  return std::max(gsExpectedTokenWait(fleet.RateLimits, row.Hash, 0, now),
+                  gsExpectedTokenWait(fleet.SlotLimits, row.Hash, 0, now));
 }
 
 bool HasQueuePlace(gsFleet const& fleet, gsFleetRow const& row,
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -81,10 +81,13 @@
 bool IsEligible(gsFleet const& fleet, gsFleetRow const& row,
                 gsPlacementRequest const& request, gsTime now);
 
-/** Whether the upstream has no rate limit, or an unreserved token is
- * available. */
+/** Whether an unreserved token is available of each limit of the upstream: its
+ * rate limit and its shared slots. */
 bool HasToken(gsFleet const& fleet, gsFleetRow const& row, gsTime now);
 
+/** Expected time until a token of each limit of the upstream is available. */
+gsTime TokenWait(gsFleet const& fleet, gsFleetRow const& row, gsTime now);
+
 /** Whether the upstream has a queue place that is not reserved for more urgent
  * requests. */
 bool HasQueuePlace(gsFleet const& fleet, gsFleetRow const& row,
--- a/Source/Daemon/gsRateLimiter.cxx
+++ b/Source/Daemon/gsRateLimiter.cxx
@@ -20,6 +20,13 @@
 constexpr gsTime RolesUpdateInterval = gsMilliseconds(50);
 constexpr gsTime CleanupInterval = gsSeconds(10);
 constexpr gsTime MinTimerDelay = gsMilliseconds(1);
+constexpr gsTime SharedSlotsInterval = gsMilliseconds(500);
+/** Services with more upstreams are not shared; placement evaluates no more
+ * either. */
+constexpr std::size_t MaxSharedUpstreams = 256;
+/** Values of RateShare.resource and RateTokens.resource. */
+constexpr std::uint32_t WireRate = 0;
+constexpr std::uint32_t WireSlots = 1;
 constexpr double MilliUnits = 1e3;
 constexpr double MicroUnits = 1e6;
 
@@ -38,6 +45,11 @@
   return static_cast<std::uint64_t>(std::max(time, gsTime{}).count());
 }
 
+std::uint32_t WireResource(gsRateLimits const& limits)
+{
+  return limits.Resource == gsLimitResource::Slots ? WireSlots : WireRate;
+}
+
 /** Converts a received duration, capped at one hour. */
 gsTime FromMicros(std::uint64_t micros)
 {
@@ -52,6 +64,7 @@
   : Loop(loop)
   , Fleet(fleet)
   , Limits(fleet.RateLimits)
+  , Slots(fleet.SlotLimits)
   , DueTimer(loop, [this] { this->Run(gsLoop::Now()); })
 {
 }
@@ -60,6 +73,7 @@
 {
   this->Gateway = &gateway;
   gateway.SetRateLimitCallback([this] { this->Publish(); });
+  gateway.SetSlotReturnCallback([this] { this->ScheduleRun(); });
   gateway.SetTokenSource(
     [this](std::uint32_t upstream, std::uint32_t count, gsTime until) {
       return this->RequestTokens(upstream, count, until);
@@ -69,6 +83,53 @@
 void gsRateLimiter::SetRecentPeakHosts(std::size_t hosts)
 {
   this->Limits.Roles.RecentPeakHosts = hosts;
+  this->Slots.Roles.RecentPeakHosts = hosts;
+}
+
+void gsRateLimiter::SetSlotSharing(gsFeatureMode mode)
+{
+  this->SlotMode = mode;
+  this->Slots.IsEnforced = mode == gsFeatureMode::On;
+}
+
+void gsRateLimiter::UpdateSharedSlots(gsRouteTable const& table, gsTime now)
+{
+  if (!gsIsActive(this->SlotMode) ||
+      now - this->SharedSlotsUpdatedAt < SharedSlotsInterval) {
+    return;
+  }
+  this->SharedSlotsUpdatedAt = now;
+  std::size_t hosts = this->Slots.Roles.RecentPeakHosts;
+  std::unordered_map<std::uint32_t, std::uint32_t> shared;
+  for (gsRouteService const& service : table.Services) {
+    auto rows = this->Fleet.ByService.find(service.Name);
+    bool isCandidate = !service.Engine &&
+                       rows != this->Fleet.ByService.end() &&
+                       rows->second.size() <= MaxSharedUpstreams;
+    if (!isCandidate) {
+      continue;
+    }
+    std::size_t slots = 0;
+    for (std::size_t index : rows->second) {
+      slots += this->Fleet.Rows[index].Listed.Slots;
+    }
+    if (slots >= hosts) {
+      continue;
+    }
+    for (std::size_t index : rows->second) {
+      gsFleetRow const& row = this->Fleet.Rows[index];
+      shared[row.Hash] = row.Listed.Slots;
+    }
+  }
+  if (!gsSetSharedSlots(this->Slots, shared, now)) {
+    return;
+  }
+  gsLogLine("slots_shared")
+    .With("upstreams", static_cast<std::uint64_t>(shared.size()))
+    .With("hosts", static_cast<std::uint64_t>(hosts))
+    .With("dry_run", !this->Slots.IsEnforced);
+  this->ScheduleRun();
+  this->NotifyChange();
 }
 
 /** Updates the issuing roles from membership. */
@@ -90,6 +151,7 @@
     roles.Relays = gsOtherRelays(members, now);
     roles.Relays[this->Fleet.Settings.Hall] = roles.Self;
   }
+  this->Slots.Roles = roles;
 }
 
 std::string gsRateLimiter::NameOf(std::uint32_t upstream) const
@@ -148,21 +210,42 @@
 {
   gsTime now = gsLoop::Now();
   this->UpdateRoles(now);
-  if (!gsRequestTokens(this->Limits, upstream, count, until, now)) {
+  bool hasToken =
+    gsRequestTokens(this->Limits, upstream, count, until, now);
+  bool hasSlot = gsRequestTokens(this->Slots, upstream, count, until, now);
+  if (!hasToken || !hasSlot) {
     this->Run(now);
   }
-  return gsHasToken(this->Limits, upstream, now);
+  return gsHasToken(this->Limits, upstream, now) &&
+         gsHasToken(this->Slots, upstream, now);
 }
 
 /** Issues, requests and delivers tokens, and schedules the next run. */
 void gsRateLimiter::Run(gsTime now)
 {
   this->RunScheduled = false;
-  if (this->Limits.Upstreams.empty()) {
-    return;
+  std::optional<gsTime> due;
+  for (gsRateLimits* limits : { &this->Limits, &this->Slots }) {
+    if (limits->Upstreams.empty()) {
+      continue;
+    }
+    this->UpdateRoles(now);
+    this->SendMessages(*limits, now);
+    if (!limits->GrantedUpstreams.empty()) {
+      this->Loop.Defer([this] { this->DeliverTokens(); });
+    }
+    if (std::optional<gsTime> next = gsNextRateLimitTick(*limits, now)) {
+      due = due ? std::min(*due, *next) : *next;
+    }
   }
-  this->UpdateRoles(now);
-  for (gsRateMessage const& message : gsRateLimitTick(this->Limits, now)) {
+  if (due) {
+    this->DueTimer.Once(std::max(*due - now, gsTime(MinTimerDelay)));
+  }
+}
+
+void gsRateLimiter::SendMessages(gsRateLimits& limits, gsTime now)
+{
+  for (gsRateMessage const& message : gsRateLimitTick(limits, now)) {
     gradescale::Frame* frame = this->Cluster == nullptr
                                  ? nullptr
                                  : this->Cluster->ToHost(message.Receiver);
@@ -175,6 +258,9 @@
       wire->set_lent_micro(ToUnits(message.Share->LentRate, MicroUnits));
       wire->set_loan_life_us(ToMicros(message.Share->LoanLifetime));
       wire->set_wanted(message.Share->TokensWanted);
+      wire->set_resource(WireResource(limits));
+      wire->set_returned(message.Share->Returned);
+      wire->set_held(message.Share->Held);
     }
     if (message.Tokens) {
       gradescale::RateTokens* wire = frame->add_rate_tokens();
@@ -182,13 +268,33 @@
       wire->set_count(message.Tokens->Count);
       wire->set_life_us(ToMicros(message.Tokens->Lifetime));
       wire->set_wait_us(ToMicros(message.Tokens->ExpectedWait));
+      wire->set_resource(WireResource(limits));
     }
   }
-  if (!this->Limits.GrantedUpstreams.empty()) {
-    this->Loop.Defer([this] { this->DeliverTokens(); });
-  }
-  if (std::optional<gsTime> due = gsNextRateLimitTick(this->Limits, now)) {
-    this->DueTimer.Once(std::max(*due - now, gsTime(MinTimerDelay)));
+}
+
+/** Logs when the slots of this host, or of its hall, are lent to another
+ * issuer. */
+void gsRateLimiter::LogIssuerChanges()
+{
+  for (auto const& [hash, upstream] : this->Slots.Upstreams) {
+    std::string& logged = this->LoggedIssuers[hash];
+    if (logged == upstream.Slots.LentTo) {
+      continue;
+    }
+    logged = upstream.Slots.LentTo;
+    gsLogLine("slots_lent")
+      .With("upstream", this->NameOf(hash))
+      .With("slots", gsFormatRate(upstream.Limit.Rate))
+      .With("to", logged)
+      .With("held", static_cast<std::uint64_t>(gsHeldSlots(upstream)));
+  }
+  if (this->LoggedIssuers.size() > this->Slots.Upstreams.size()) {
+    for (auto entry = this->LoggedIssuers.begin();
+         entry != this->LoggedIssuers.end();) {
+      bool isShared = this->Slots.Upstreams.count(entry->first) != 0;
+      entry = isShared ? std::next(entry) : this->LoggedIssuers.erase(entry);
+    }
   }
 }
 
@@ -201,10 +307,12 @@
 
 void gsRateLimiter::DeliverTokens()
 {
-  for (std::uint32_t upstream :
-       std::exchange(this->Limits.GrantedUpstreams, {})) {
-    if (this->Gateway != nullptr) {
-      this->Gateway->OnToken(upstream);
+  for (gsRateLimits* limits : { &this->Limits, &this->Slots }) {
+    for (std::uint32_t upstream :
+         std::exchange(limits->GrantedUpstreams, {})) {
+      if (this->Gateway != nullptr) {
+        this->Gateway->OnToken(upstream);
+      }
     }
   }
 }
@@ -318,13 +426,32 @@
   if (frame.wants_rate_limits()) {
     this->SendAll(host, now);
   }
+  this->ReceiveTokens(host, frame, now);
+  this->ScheduleRun();
+}
+
+/** Applies shares and tokens of both resources. Other resources are of later
+ * releases and ignored. */
+void gsRateLimiter::ReceiveTokens(std::string const& host,
+                                  gradescale::Frame const& frame, gsTime now)
+{
+  auto limitsOf = [this](std::uint32_t resource) -> gsRateLimits* {
+    if (resource == WireRate) {
+      return &this->Limits;
+    }
+    return resource == WireSlots ? &this->Slots : nullptr;
+  };
   for (gradescale::RateShare const& wire : frame.rate_shares()) {
     gsRateShare share;
     share.UpstreamHash = wire.upstream();
     share.LentRate = FromUnits(wire.lent_micro(), MicroUnits);
     share.LoanLifetime = FromMicros(wire.loan_life_us());
     share.TokensWanted = wire.wanted();
-    gsApplyRateShare(this->Limits, host, share, now);
+    share.Returned = wire.returned();
+    share.Held = wire.held();
+    if (gsRateLimits* limits = limitsOf(wire.resource())) {
+      gsApplyRateShare(*limits, host, share, now);
+    }
   }
   for (gradescale::RateTokens const& wire : frame.rate_tokens()) {
     gsRateTokens tokens;
@@ -332,17 +459,24 @@
     tokens.Count = wire.count();
     tokens.Lifetime = FromMicros(wire.life_us());
     tokens.ExpectedWait = FromMicros(wire.wait_us());
-    gsApplyRateTokens(this->Limits, host, tokens, now);
+    if (gsRateLimits* limits = limitsOf(wire.resource())) {
+      gsApplyRateTokens(*limits, host, tokens, now);
+    }
   }
-  this->ScheduleRun();
 }
 
 void gsRateLimiter::Tick(gsTime now)
 {
-  if (this->Limits.Upstreams.empty() || this->Cluster == nullptr) {
+  bool isUnused =
+    this->Limits.Upstreams.empty() && this->Slots.Upstreams.empty();
+  if (isUnused || this->Cluster == nullptr) {
     return;
   }
   this->Run(now);
+  this->LogIssuerChanges();
+  if (this->Limits.Upstreams.empty()) {
+    return;
+  }
   if (now - this->DigestSentAt >= DigestInterval) {
     this->SendDigest(now);
   }
@@ -379,6 +513,7 @@
       continue;
     }
     rows.push_back({ { "upstream", this->NameOf(hash) },
+                     { "resource", "rate" },
                      { "per_second", *rate },
                      { "ended", upstream.Limit.HasEnded },
                      { "version", upstream.Limit.Version },
@@ -391,6 +526,29 @@
                      { "lapsed", upstream.TokensExpired },
                      { "issued", upstream.TokensIssued } });
   }
+  for (auto const& [hash, upstream] : this->Slots.Upstreams) {
+    gsSlotUse const& slots = upstream.Slots;
+    rows.push_back(
+      { { "upstream", this->NameOf(hash) },
+        { "resource", "slots" },
+        { "slots", upstream.Limit.Rate },
+        { "dry_run", !this->Slots.IsEnforced },
+        { "age_ms", millis(now - upstream.Limit.AppliedAt) },
+        { "tokens", upstream.Tokens.size() },
+        { "in_use", slots.InUse },
+        { "issued_open", gsLentSlots(upstream, now) },
+        { "waiting", gsWantedTokens(upstream, now) },
+        { "lent", now < upstream.LentUntil },
+        { "lent_to", slots.LentTo },
+        { "hold_ms", millis(slots.HoldTime) },
+        { "expected_wait_ms",
+          millis(gsExpectedTokenWait(this->Slots, hash, 0, now)) },
+        { "used", upstream.TokensSpent },
+        { "without_token", slots.SentWithoutToken },
+        { "rejected", slots.Rejections },
+        { "lapsed", upstream.TokensExpired },
+        { "issued", upstream.TokensIssued } });
+  }
   return rows;
 }
 
@@ -409,4 +567,22 @@
     metrics.Set("gradescale_rate_limit", gsLabels({ { "upstream", name } }),
                 gsEffectiveRate(this->Limits, hash, now).value_or(0));
   }
+  for (auto const& [hash, upstream] : this->Slots.Upstreams) {
+    std::string const name = this->NameOf(hash);
+    auto set = [&metrics, &name](char const* metric, char const* use,
+                                 std::uint64_t value) {
+      metrics.Set(metric, gsLabels({ { "upstream", name }, { "use", use } }),
+                  static_cast<double>(value));
+    };
+    constexpr char const* open = "gradescale_shared_slots";
+    set(open, "lent", gsLentSlots(upstream, now));
+    set(open, "held", gsHeldSlots(upstream));
+    set(open, "waiting", gsWantedTokens(upstream, now));
+    constexpr char const* total = "gradescale_shared_slots_total";
+    set(total, "used", upstream.TokensSpent);
+    set(total, "without_token", upstream.Slots.SentWithoutToken);
+    set(total, "rejected", upstream.Slots.Rejections);
+    set(total, "lapsed", upstream.TokensExpired);
+    set(total, "issued", upstream.TokensIssued);
+  }
 }
--- a/Source/Daemon/gsRateLimiter.h
+++ b/Source/Daemon/gsRateLimiter.h
@@ -2,7 +2,11 @@
 /**
  * \file
  * Exchanges rate limits of upstreams, and the tokens that enforce them, with
- * other hosts. A host sends a changed limit to the relay of its hall, which
+ * other hosts; also the tokens for the slots of services that have fewer slots
+ * than there are hosts. All hosts know these slots from the list of upstreams,
+ * so only shares and tokens are exchanged.
+ *
+ * A host sends a changed limit to the relay of its hall, which
  * forwards it to its hall and to the relays of other halls.
  *
  * While there are limits, relays send a digest twice a second. The digest
@@ -19,6 +23,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gsFeatureMode.h"
 #include "gsFleet.h"
 #include "gsHallCluster.h"
 #include "gsLoop.h"
@@ -47,12 +52,20 @@
    */
   void SetRecentPeakHosts(std::size_t hosts);
 
+  /** Sets whether slots are shared; in a dry run attempts need no token. */
+  void SetSlotSharing(gsFeatureMode mode);
+
+  /** Determines which upstreams' slots are shared: those of services without
+   * an engine whose upstreams have fewer slots than there are hosts. To be
+   * called when the size of the system is known. */
+  void UpdateSharedSlots(gsRouteTable const& table, gsTime now);
+
   /** Processes the rate limit fields of a frame from another host. */
   void OnReceive(std::string const& host, gradescale::Frame const& frame);
   /** Runs periodic work; to be called about ten times per second. */
   void Tick(gsTime now);
 
-  /** One row per upstream with a limit. */
+  /** One row per limit of an upstream. */
   nlohmann::json Status(gsTime now) const;
   void WriteGauges(gsMetrics& metrics, gsTime now) const;
 
@@ -65,6 +78,10 @@
   void NotifyChange();
   void UpdateRoles(gsTime now);
   void Run(gsTime now);
+  void SendMessages(gsRateLimits& limits, gsTime now);
+  void ReceiveTokens(std::string const& host, gradescale::Frame const& frame,
+                     gsTime now);
+  void LogIssuerChanges();
   void ScheduleRun();
   void DeliverTokens();
   void SendNotice(gsRateLimitNotice const& notice, Hosts const& hosts);
@@ -79,6 +96,11 @@
   gsLoop& Loop;
   gsFleet& Fleet;
   gsRateLimits& Limits;
+  gsRateLimits& Slots;
+  gsFeatureMode SlotMode = gsFeatureMode::Off;
+  gsTime SharedSlotsUpdatedAt{};
+  /** Issuer to which this host's slots were lent last, by upstream. */
+  std::unordered_map<std::uint32_t, std::string> LoggedIssuers;
   gsHallCluster* Cluster = nullptr;  ///< Set by Start.
   gsRouteGateway* Gateway = nullptr; ///< Set by ConnectGateway.
   gsTimer DueTimer;
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -36,6 +36,10 @@
  * time to arrive.
  */
 constexpr gsTime DeadlineGrace = gsMilliseconds(100);
+/** Upstreams whose shared slots are requested for one waiting request. */
+constexpr std::size_t MaxAwaitedSlotUpstreams = 4;
+/** Cause of refusals for which no shared slot was available in time. */
+constexpr char const* NoSlotCause = "no_slot";
 constexpr unsigned FirstServerError = 500;
 constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusGatewayTimeout = 504;
@@ -170,6 +174,11 @@
         [this](RequestPtr const& request, gsAttemptPtr const& attempt,
                gsAttemptResult const& result) {
           this->OnAnyAttemptEnd(request, attempt, result);
+        },
+        [this] {
+          if (this->SlotReturnCallback) {
+            this->SlotReturnCallback();
+          }
         } })
   , SweepTimer(loop, [this] { this->Sweep(); })
   , Random(seed)
@@ -376,7 +385,12 @@
   } else {
     bool isBackoff = placement.Cause == gsPlacementCause::BackingOff ||
                      placement.Cause == gsPlacementCause::RateLimited;
-    this->Refuse(request, gsPlacementCauseName(placement.Cause),
+    bool lacksSlot = placement.Cause == gsPlacementCause::RateLimited &&
+                     placement.RateLimitedRow != nullptr &&
+                     this->LacksSlot(*placement.RateLimitedRow);
+    this->Refuse(request,
+                 lacksSlot ? NoSlotCause
+                           : gsPlacementCauseName(placement.Cause),
                  isBackoff ? placement.RetryAfter : gsTime{});
   }
 }
@@ -394,10 +408,61 @@
   return static_cast<std::uint32_t>(
     std::count_if(this->TokenQueue.begin(), this->TokenQueue.end(),
                   [upstream](RequestPtr const& queued) {
-                    return queued->AwaitedUpstream == upstream;
+                    auto const& others = queued->AlsoAwaitedUpstreams;
+                    return queued->AwaitedUpstream == upstream ||
+                           std::find(others.begin(), others.end(), upstream) !=
+                             others.end();
                   }));
 }
 
+/** Whether an attempt at the upstream has to wait for a shared slot. */
+bool gsRouteGateway::LacksSlot(gsFleetRow const& row) const
+{
+  return !gsHasToken(this->Fleet.SlotLimits, row.Hash, gsLoop::Now());
+}
+
+/** Expected time until the upstream's tokens are available, after those of a
+ * number of requests that wait already. */
+gsTime gsRouteGateway::TokenWait(std::uint32_t upstream, std::size_t ahead,
+                                 gsTime now) const
+{
+  return std::max(
+    gsExpectedTokenWait(this->Fleet.RateLimits, upstream, ahead, now),
+    gsExpectedTokenWait(this->Fleet.SlotLimits, upstream, ahead, now));
+}
+
+/**
+ * Requests slots of further upstreams of the service for a request that waits
+ * for one. The first one that is issued ends the wait; others are returned.
+ * Waiting at one upstream only left slots unused at the others, because a
+ * host's view of their load is some tenths of a second old.
+ */
+void gsRouteGateway::RequestOtherSlots(gsRoutedRequest& request, gsTime now)
+{
+  auto rows = this->Fleet.ByService.find(request.Service);
+  if (rows == this->Fleet.ByService.end() || !request.AwaitedUpstream) {
+    return;
+  }
+  for (std::size_t index : rows->second) {
+    gsFleetRow const& row = this->Fleet.Rows[index];
+    auto const& tried = request.TriedUpstreams;
+    bool wasTried = std::find(tried.begin(), tried.end(),
+                              gsIncarnationOf(row.Listed)) != tried.end();
+    bool isUsable = gsAcceptsRequests(this->Fleet, row, now) &&
+                    row.AvoidUntil <= now && !wasTried && this->LacksSlot(row);
+    if (isUsable && row.Hash != *request.AwaitedUpstream) {
+      request.AlsoAwaitedUpstreams.push_back(row.Hash);
+    }
+    if (request.AlsoAwaitedUpstreams.size() + 1 >= MaxAwaitedSlotUpstreams) {
+      break;
+    }
+  }
+  for (std::uint32_t upstream : request.AlsoAwaitedUpstreams) {
+    this->RequestTokens(upstream, this->CountWaiting(upstream),
+                        request.TokenWaitUntil);
+  }
+}
+
 /**
  * Requests tokens for all requests that wait for the upstream, and at least
  * one. \return Whether one is available now.
@@ -412,8 +477,8 @@
 /**
  * Queues a request that lacks only a token, if one is expected before the
  * request's wait limit. The limit is the route's target time to the first
- * byte; it counts from the arrival, or from now if the request may have run or
- * the caller has received bytes. \return Whether the request waits, or has
+ * byte, or half of it for a shared slot; it counts from the arrival, or from
+ * now if the request may have run or the caller has received bytes. \return Whether the request waits, or has
  * been placed because a token was available.
  */
 bool gsRouteGateway::WaitForToken(RequestPtr const& request,
@@ -426,12 +491,14 @@
     return false;
   }
   gsTime now = gsLoop::Now();
+  bool lacksSlot = this->LacksSlot(*placement.RateLimitedRow);
   gsTime waitLimit = std::min(request->DeadlineAt, request->TimeoutAt);
   if (request->TokenWaitUntil.count() == 0) {
     bool hasBegun = request->MayHaveRun || request->CallerHasBytes;
     gsTime waitStart = hasBegun ? now : request->ArrivedAt;
+    gsTime target = request->Route->LatencyTarget;
     request->TokenWaitUntil =
-      std::min(waitLimit, waitStart + request->Route->LatencyTarget);
+      std::min(waitLimit, waitStart + (lacksSlot ? target / 2 : target));
   }
   auto isMoreUrgent = [](RequestPtr const& a, RequestPtr const& b) {
     return std::tie(a->Priority, a->DeadlineAt, a->LocalId) <
@@ -443,8 +510,8 @@
     this->TokenQueue.begin(), place, [&request](RequestPtr const& queued) {
       return queued->Service == request->Service;
     }));
-  gsTime expected = gsExpectedTokenWait(
-    this->Fleet.RateLimits, placement.RateLimitedRow->Hash, ahead, now);
+  gsTime expected =
+    this->TokenWait(placement.RateLimitedRow->Hash, ahead, now);
   if (now + expected > request->TokenWaitUntil) {
     return false;
   }
@@ -452,12 +519,17 @@
   gsLogLine("token_wait")
     .With("request", request->Caller.AttemptId)
     .With("upstream", placement.RateLimitedRow->Listed.Id)
+    .With("resource", lacksSlot ? "slots" : "rate")
     .With("expected_ms", expected)
     .With("at_most_ms", request->TokenWaitUntil - now)
     .With("ahead", static_cast<std::uint64_t>(ahead))
     .With("waiting", static_cast<std::uint64_t>(this->TokenQueue.size()));
   request->AwaitedUpstream = upstream;
+  request->AlsoAwaitedUpstreams.clear();
   this->TokenQueue.insert(place, request);
+  if (lacksSlot && expected.count() > 0) {
+    this->RequestOtherSlots(*request, now);
+  }
   if (this->RequestTokensFor(upstream, request->TokenWaitUntil)) {
     this->OnToken(upstream);
   }
@@ -469,6 +541,8 @@
 {
   std::uint32_t upstream = *request.AwaitedUpstream;
   request.AwaitedUpstream.reset();
+  std::vector<std::uint32_t> const others =
+    std::exchange(request.AlsoAwaitedUpstreams, {});
   auto isRequest = [&request](RequestPtr const& queued) {
     return queued.get() == &request;
   };
@@ -477,6 +551,9 @@
                          this->TokenQueue.end());
   if (this->RequestTokens) {
     this->RequestTokens(upstream, this->CountWaiting(upstream), gsTime{});
+    for (std::uint32_t other : others) {
+      this->RequestTokens(other, this->CountWaiting(other), gsTime{});
+    }
   }
 }
 
@@ -491,6 +568,10 @@
                            [upstream](RequestPtr const& queued) {
                              return queued->AwaitedUpstream == upstream;
                            });
+  if (this->Fleet.SlotLimits.Upstreams.count(upstream) != 0) {
+    // A shared slot serves the most urgent request of the service.
+    next = this->TokenQueue.end();
+  }
   if (next == this->TokenQueue.end()) {
     next = std::find_if(this->TokenQueue.begin(), this->TokenQueue.end(),
                         [&service](RequestPtr const& queued) {
@@ -509,6 +590,7 @@
 {
   for (RequestPtr const& request : std::exchange(this->TokenQueue, {})) {
     request->AwaitedUpstream.reset();
+    request->AlsoAwaitedUpstreams.clear();
     this->Place(request);
   }
 }
@@ -524,10 +606,20 @@
   }
   for (RequestPtr const& request : expired) {
     std::uint32_t upstream = *request->AwaitedUpstream;
+    bool lacksSlot = !gsHasToken(this->Fleet.SlotLimits, upstream, now);
     this->StopWaiting(*request);
-    this->Refuse(request, gsPlacementCauseName(gsPlacementCause::RateLimited),
-                 gsExpectedTokenWait(this->Fleet.RateLimits, upstream,
-                                     this->CountWaiting(upstream), now));
+    this->Refuse(request,
+                 lacksSlot
+                   ? NoSlotCause
+                   : gsPlacementCauseName(gsPlacementCause::RateLimited),
+                 this->TokenWait(upstream, this->CountWaiting(upstream), now));
+  }
+  for (RequestPtr const& request : this->TokenQueue) {
+    bool lacksSlot = !gsHasToken(this->Fleet.SlotLimits,
+                                 *request->AwaitedUpstream, now);
+    if (lacksSlot && request->AlsoAwaitedUpstreams.empty()) {
+      this->RequestOtherSlots(*request, now);
+    }
   }
 }
 
@@ -565,16 +657,47 @@
     ask.OwnHallOnly = false;
     placement = gsPlaceRequest(this->Fleet, ask, now, this->Random);
   }
-  if (placement.RateLimitedRow != nullptr &&
-      this->RequestTokensFor(
-        placement.RateLimitedRow->Hash,
-        now + this->Fleet.RateLimits.Settings.DemandLifetime)) {
-    placement = gsPlaceRequest(this->Fleet, ask, now, this->Random);
-  }
+  this->RequestEarly(request, ask, placement);
   this->LogPlacement(request, ask, placement);
   return placement;
 }
 
+/**
+ * Requests a token of an upstream that was skipped because none is available,
+ * and places the request again if there is one now. A slot is requested only
+ * for a request that no other upstream can take, or in a dry run.
+ */
+void gsRouteGateway::RequestEarly(gsRoutedRequest const& request,
+                                  gsPlacementRequest const& ask,
+                                  gsPlacement& placement)
+{
+  gsTime now = gsLoop::Now();
+  gsRateLimits const& slots = this->Fleet.SlotLimits;
+  gsFleetRow const* skipped = placement.RateLimitedRow;
+  if (skipped != nullptr) {
+    bool lacksSlot = this->LacksSlot(*skipped);
+    gsTime until =
+      now + (lacksSlot ? slots.Settings.MinTokenRequestInterval
+                       : this->Fleet.RateLimits.Settings.DemandLifetime);
+    bool isNeeded = !lacksSlot || placement.Row == nullptr;
+    if (isNeeded && this->RequestTokensFor(skipped->Hash, until)) {
+      placement = gsPlaceRequest(this->Fleet, ask, now, this->Random);
+    }
+  }
+  bool wouldWait = !slots.IsEnforced && placement.Row != nullptr &&
+                   !gsHasUnreservedToken(slots, placement.Row->Hash, now);
+  if (wouldWait && this->RequestTokens) {
+    std::uint32_t upstream = placement.Row->Hash;
+    gsLogLine("token_wait_dry_run")
+      .With("request", request.Caller.AttemptId)
+      .With("upstream", placement.Row->Listed.Id)
+      .With("resource", "slots")
+      .With("expected_ms", gsExpectedTokenWait(slots, upstream, 0, now));
+    this->RequestTokens(upstream, 1,
+                        now + slots.Settings.MinTokenRequestInterval);
+  }
+}
+
 /**
  * Applies the settings of the request's service in the configuration to a
  * placement request.
@@ -644,15 +767,28 @@
     .With("candidates", placement.CandidateCount);
   if (placement.RateLimitedRow != nullptr) {
     std::uint32_t hash = placement.RateLimitedRow->Hash;
-    gsRateLimits const& limits = this->Fleet.RateLimits;
+    bool lacksSlot = this->LacksSlot(*placement.RateLimitedRow);
+    gsRateLimits const& limits =
+      lacksSlot ? this->Fleet.SlotLimits : this->Fleet.RateLimits;
     gsTime now = gsLoop::Now();
-    gsLimitedUpstream const& limited = limits.Upstreams.at(hash);
-    line.With("rate_limited", placement.RateLimitedRow->Listed.Id)
-      .With("per_second", gsFormatRate(limited.Limit.Rate))
-      .With("limit_version", limited.Limit.Version)
-      .With("limit_age_ms", now - limited.Limit.AppliedAt)
-      .With("lent", now < limited.LentUntil)
-      .With("token_wait_ms", gsExpectedTokenWait(limits, hash, 0, now));
+    line.With("rate_limited", placement.RateLimitedRow->Listed.Id);
+    auto found = limits.Upstreams.find(hash);
+    if (found != limits.Upstreams.end()) {
+      gsLimitedUpstream const& limited = found->second;
+      line
+        .With(lacksSlot ? "slots" : "per_second",
+              gsFormatRate(limited.Limit.Rate))
+        .With("limit_version", limited.Limit.Version)
+        .With("limit_age_ms", now - limited.Limit.AppliedAt)
+        .With("lent", now < limited.LentUntil)
+        .With("token_wait_ms", gsExpectedTokenWait(limits, hash, 0, now));
+    }
+    if (lacksSlot && found != limits.Upstreams.end()) {
+      line
+        .With("slots_held",
+              std::uint64_t(gsHeldSlots(found->second)))
+        .With("wait_age_ms", now - found->second.ExpectedWaitSetAt);
+    }
   }
   if (placement.Row == nullptr) {
     return;
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -118,6 +118,11 @@
   {
     this->RequestTokens = std::move(source);
   }
+  /** Sets the callback for attempts that return a token of shared slots. */
+  void SetSlotReturnCallback(std::function<void()> callback)
+  {
+    this->SlotReturnCallback = std::move(callback);
+  }
   /** Places one waiting request after a token of an upstream has arrived. */
   void OnToken(std::uint32_t upstream);
   /**
@@ -156,6 +161,12 @@
   bool WaitForToken(RequestPtr const& request, gsPlacement const& placement);
   void StopWaiting(gsRoutedRequest& request);
   std::uint32_t CountWaiting(std::uint32_t upstream) const;
+  bool LacksSlot(gsFleetRow const& row) const;
+  void RequestOtherSlots(gsRoutedRequest& request, gsTime now);
+  void RequestEarly(gsRoutedRequest const& request,
+                    gsPlacementRequest const& ask, gsPlacement& placement);
+  gsTime TokenWait(std::uint32_t upstream, std::size_t ahead,
+                   gsTime now) const;
   void RefuseExpiredWaits(gsTime now);
   bool PassesQuarantine(RequestPtr const& request);
   void RefuseSuspect(RequestPtr const& request, gsSuspicionLevel suspicion);
@@ -218,6 +229,7 @@
   OnBegan BeganCallback;
   OnLeaving LeavingCallback;
   std::function<void()> RateLimitCallback;
+  std::function<void()> SlotReturnCallback;
   TokenSource RequestTokens;
   /** Requests that wait for a token, by priority, then by deadline. */
   std::vector<RequestPtr> TokenQueue;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -110,6 +110,7 @@
     this->DrainGossip.Publish(upstream);
   });
   this->RateLimiter.ConnectGateway(*this->Gateway);
+  this->RateLimiter.SetSlotSharing(this->Settings.Features.SlotSharing);
   if (!this->Settings.Duties.Address.empty()) {
     this->Duties = std::make_unique<gsDuties>(this->Client, this->Adapter,
                                               this->Settings, this->Metrics,
@@ -552,6 +553,9 @@
   }
   this->Gateway->SetHostCounts(hosts, recentPeak);
   this->RateLimiter.SetRecentPeakHosts(recentPeak);
+  if (isSizeKnown && this->RouteTable != nullptr) {
+    this->RateLimiter.UpdateSharedSlots(*this->RouteTable, gsLoop::Now());
+  }
   this->Gateway->SetRetryBurst(burst);
 }
 
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -69,6 +69,10 @@
    * is sent.
    */
   bool HasReservedToken = false;
+  /** The same for a token of the upstream's shared slots. */
+  bool HasReservedSlot = false;
+  /** Whether the attempt uses a shared slot until it ends. */
+  bool HasSlot = false;
   gsResponseHead AnswerHead;
   std::string
     AnswerBody; ///< Body of an answer that is not relayed event by event.
@@ -175,6 +179,11 @@
    * request does not wait.
    */
   std::optional<std::uint32_t> AwaitedUpstream;
+  /**
+   * Further upstreams of the service whose shared slots are requested for it
+   * while it waits; empty if it waits for a rate limit or for one upstream.
+   */
+  std::vector<std::uint32_t> AlsoAwaitedUpstreams;
   /** Limit of the wait for a token; zero before the first wait. */
   gsTime TokenWaitUntil{};
 
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -119,6 +119,8 @@
   attempt->IsResumption = gsBeginSlowStartAttempt(row.Announced, now);
   attempt->HasReservedToken =
     gsReserveToken(this->Fleet.RateLimits, row.Hash, now);
+  attempt->HasReservedSlot =
+    gsReserveToken(this->Fleet.SlotLimits, row.Hash, now);
   gsMarkReportable(this->Fleet, row);
   row.OwnLoad.PendingPromptTokens += attempt->ReadTokens;
   row.OwnLoad.MemoryTokens += attempt->MemoryTokens;
@@ -197,13 +199,10 @@
       !this->Events.CanSend(request)) {
     return false;
   }
-  // Checked last, because it consumes the token.
-  if (!gsSpendToken(this->Fleet.RateLimits, row->Hash, now)) {
+  // Checked last, because it consumes the tokens.
+  if (!this->SpendTokens(attempt, row->Hash, now)) {
     return false;
   }
-  if (std::exchange(attempt.HasReservedToken, false)) {
-    gsReleaseToken(this->Fleet.RateLimits, row->Hash);
-  }
   attempt.MayHaveSentBytes = true;
   attempt.SentAt = now;
   attempt.LastByteAt = now;
@@ -211,6 +210,51 @@
   return true;
 }
 
+/** Consumes a token of the upstream's rate limit and takes one of its shared
+ * slots, as far as it has these limits. */
+bool gsUpstreamCaller::SpendTokens(gsAttempt& attempt, std::uint32_t upstream,
+                                   gsTime now)
+{
+  gsRateLimits& slots = this->Fleet.SlotLimits;
+  if (!gsSpendToken(slots, upstream, now)) {
+    return false;
+  }
+  if (!gsSpendToken(this->Fleet.RateLimits, upstream, now)) {
+    gsReturnToken(slots, upstream, gsTime{}, now);
+    return false;
+  }
+  attempt.HasSlot = slots.Upstreams.count(upstream) != 0;
+  if (std::exchange(attempt.HasReservedToken, false)) {
+    gsReleaseToken(this->Fleet.RateLimits, upstream);
+  }
+  if (std::exchange(attempt.HasReservedSlot, false)) {
+    gsReleaseToken(slots, upstream);
+  }
+  return true;
+}
+
+/** Cancels the reservations of an attempt that has ended, and returns its
+ * shared slot. */
+void gsUpstreamCaller::ReleaseTokens(gsAttempt& attempt)
+{
+  std::uint32_t upstream = gsIncarnationHash(attempt.Upstream);
+  gsTime now = gsLoop::Now();
+  if (std::exchange(attempt.HasReservedToken, false)) {
+    gsReleaseToken(this->Fleet.RateLimits, upstream);
+  }
+  bool hadReservation = std::exchange(attempt.HasReservedSlot, false);
+  bool hadSlot = std::exchange(attempt.HasSlot, false);
+  if (hadReservation) {
+    gsAbandonToken(this->Fleet.SlotLimits, upstream, now);
+  }
+  if (hadSlot) {
+    gsReturnToken(this->Fleet.SlotLimits, upstream, now - attempt.SentAt, now);
+  }
+  if ((hadReservation || hadSlot) && this->Events.OnSlotReturned) {
+    this->Events.OnSlotReturned();
+  }
+}
+
 /**
  * Applies what the headers of an answer announce about the upstream, also if
  * the answer itself is rejected. The platform's row may contain the same only
@@ -393,10 +437,7 @@
 void gsUpstreamCaller::ReleaseWork(gsAttempt& attempt)
 {
   attempt.CallId = 0;
-  if (std::exchange(attempt.HasReservedToken, false)) {
-    gsReleaseToken(this->Fleet.RateLimits,
-                   gsIncarnationHash(attempt.Upstream));
-  }
+  this->ReleaseTokens(attempt);
   gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
   if (row == nullptr) {
     return;
@@ -499,6 +540,7 @@
                        result.Status == gsStatusTooMany);
     if (isRejected) {
       gsRecordRejection(this->Fleet, *row, now);
+      gsRecordSlotRejection(this->Fleet.SlotLimits, row->Hash);
     }
     if (result.Outcome == gsAttemptOutcome::Complete) {
       gsRecordSlotHold(this->Fleet, *row, now - attempt.SentAt);
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -47,6 +47,8 @@
                      gsAttemptPtr const& attempt,
                      gsAttemptResult const& result)>
     OnEnd;
+  /** An attempt has returned a token of an upstream's shared slots. */
+  std::function<void()> OnSlotReturned;
 };
 
 class gsUpstreamCaller
@@ -97,6 +99,8 @@
                     gsAttemptPtr const& attempt, std::string detail);
   void RecordFirstByte(gsRoutedRequest const& request, gsAttempt& attempt,
                        gsTime now);
+  bool SpendTokens(gsAttempt& attempt, std::uint32_t upstream, gsTime now);
+  void ReleaseTokens(gsAttempt& attempt);
   void ReleaseWork(gsAttempt& attempt);
   void Finish(gsRoutedRequestPtr const& request, gsAttemptPtr const& attempt,
               gsAttemptResult const& result);
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -27,9 +27,10 @@
     return gsToolFail(rows.error());
   }
   gsPrintRows(options, rows.value(),
-              { "upstream", "per_second", "ended", "version", "age_ms",
-                "tokens", "lent", "expected_wait_ms", "used", "lapsed",
-                "issued" });
+              { "upstream", "resource", "per_second", "slots", "ended",
+                "version", "age_ms", "tokens", "in_use", "issued_open",
+                "waiting", "lent", "lent_to", "expected_wait_ms", "used",
+                "without_token", "rejected", "lapsed", "issued" });
   return gsToolOk;
 }
 
