--- a/Source/Coord/gsRateLimit.cxx
+++ b/Source/Coord/gsRateLimit.cxx
@@ -266,11 +266,11 @@
 std::uint32_t SlotsHeldBy(gsRateLimits const& limits,
                           gsRateClient const& client, gsTime now)
 {
-  auto unreported = std::count_if(
-    client.UnreportedSlots.begin(), client.UnreportedSlots.end(),
-    [&limits, now](gsTime issuedAt) {
-      return now - issuedAt < limits.Settings.TokenLifetime;
-    });
+  auto unreported =
+    std::count_if(client.UnreportedSlots.begin(), client.UnreportedSlots.end(),
+                  [&limits, now](gsTime issuedAt) {
+                    return now - issuedAt < limits.Settings.TokenLifetime;
+                  });
   return (now < client.ReportedUntil ? client.ReportedSlots : 0) +
          static_cast<std::uint32_t>(unreported);
 }
@@ -307,8 +307,7 @@
                         gsLimitedUpstream const& upstream, bool isAccepted,
                         gsTime now)
 {
-  std::uint32_t available =
-    AvailableSlots(limits, upstream, isAccepted, now);
+  std::uint32_t available = AvailableSlots(limits, upstream, isAccepted, now);
   return available - std::min(available, SlotsHeld(limits, upstream, now));
 }
 
@@ -527,9 +526,9 @@
     return false;
   }
   if (*receiver == limits.Roles.Self) {
-    StoreToken(upstream, now + (SharesSlots(limits)
-                                  ? limits.Settings.DeliveryTime
-                                  : lifetime));
+    StoreToken(
+      upstream,
+      now + (SharesSlots(limits) ? limits.Settings.DeliveryTime : lifetime));
     limits.GrantedUpstreams.push_back(hash);
   } else {
     ++upstream.TokensIssued;
@@ -571,8 +570,7 @@
   if (now < upstream.LentUntil) {
     return upstream.LentUntil - now;
   }
-  std::uint32_t available =
-    AvailableSlots(limits, upstream, isAccepted, now);
+  std::uint32_t available = AvailableSlots(limits, upstream, isAccepted, now);
   std::uint32_t free = FreeSlots(limits, upstream, isAccepted, now);
   if (free == 0) {
     return std::min(MaxUncontendedWait,
@@ -601,8 +599,8 @@
   if (isContended && !upstream.Slots.IsContended) {
     // Those that keep a token after use learn that others wait.
     for (auto& [host, client] : upstream.Clients) {
-      client.ReplyPending = client.ReplyPending ||
-                            SlotsHeldBy(limits, client, now) > 0;
+      client.ReplyPending =
+        client.ReplyPending || SlotsHeldBy(limits, client, now) > 0;
     }
     replies.AddPending(upstream);
   }
@@ -610,9 +608,8 @@
   if (isAccepted) {
     return;
   }
-  std::uint32_t otherDemand =
-    TotalTokensWanted(upstream, true, now) -
-    TokensWantedBy(upstream, limits.Roles.Self, now);
+  std::uint32_t otherDemand = TotalTokensWanted(upstream, true, now) -
+                              TokensWantedBy(upstream, limits.Roles.Self, now);
   upstream.ExpectedWait =
     FirstSlotWait(limits, upstream, isAccepted, now) +
     TimeForTokens(
@@ -627,8 +624,8 @@
 {
   for (auto& [host, client] : upstream.Clients) {
     auto& issued = client.UnreportedSlots;
-    auto firstValid = std::upper_bound(
-      issued.begin(), issued.end(), now - limits.Settings.TokenLifetime);
+    auto firstValid = std::upper_bound(issued.begin(), issued.end(),
+                                       now - limits.Settings.TokenLifetime);
     upstream.TokensExpired +=
       static_cast<std::uint64_t>(firstValid - issued.begin());
     issued.erase(issued.begin(), firstValid);
@@ -651,9 +648,8 @@
   issued.erase(issued.begin(),
                issued.end() - static_cast<std::ptrdiff_t>(
                                 std::min(inTransit, issued.size())));
-  issued.erase(issued.begin(),
-               std::upper_bound(issued.begin(), issued.end(),
-                                now - LostSlotTime));
+  issued.erase(issued.begin(), std::upper_bound(issued.begin(), issued.end(),
+                                                now - LostSlotTime));
   client.ReportedSlots = share.Held;
   client.ReportedUntil = now + limits.Settings.TokenLifetime;
   auto recent = static_cast<std::uint32_t>(
@@ -677,7 +673,8 @@
                       gsLimitedUpstream const& upstream,
                       std::string const& issuer, gsTime now)
 {
-  if (!SharesSlots(limits) || !IsShareAccepted(limits, upstream, issuer, now)) {
+  if (!SharesSlots(limits) ||
+      !IsShareAccepted(limits, upstream, issuer, now)) {
     return false;
   }
   bool isLent =
@@ -791,8 +788,8 @@
   entry->Limit = limit;
 }
 
-/** Whether attempts need a token: a limit of slots is not enforced in a dry run
- * and while the hosts begin to share the slots. */
+/** Whether attempts need a token: a limit of slots is not enforced in a dry
+ * run and while the hosts begin to share the slots. */
 bool NeedsToken(gsRateLimits const& limits, gsLimitedUpstream const& upstream,
                 gsTime now)
 {
--- a/Source/Coord/gsRateLimit.h
+++ b/Source/Coord/gsRateLimit.h
@@ -176,18 +176,18 @@
   /** Tokens received from the issuer and not returned, for this host and, on a
    * relay, for its hall. */
   std::uint32_t Supply = 0;
-  gsTime SupplyUntil{};           ///< The supply expires then.
-  std::uint32_t InUse = 0;        ///< Attempts in progress.
-  std::uint32_t ReportedHeld = 0; ///< Held, as last sent to the issuer.
+  gsTime SupplyUntil{};                  ///< The supply expires then.
+  std::uint32_t InUse = 0;               ///< Attempts in progress.
+  std::uint32_t ReportedHeld = 0;        ///< Held, as last sent to the issuer.
   std::uint32_t ReceivedSinceReport = 0; ///< Tokens received since then.
   gsTime EnforcedFrom{};                 ///< Attempts need a token from then.
-  gsTime HoldTime{}; ///< Smoothed duration of an attempt; zero if unknown.
-  std::string LentTo;     ///< Issuer to which the share was lent last.
-  gsTime LoanExpiresAt{}; ///< That issuer counts the share until then.
+  gsTime HoldTime{};  ///< Smoothed duration of an attempt; zero if unknown.
+  std::string LentTo; ///< Issuer to which the share was lent last.
+  gsTime LoanExpiresAt{};   ///< That issuer counts the share until then.
   bool IsContended = false; ///< Holders have been told that hosts wait.
-  std::uint64_t TokensReturned = 0;  ///< Attempts ended.
+  std::uint64_t TokensReturned = 0;   ///< Attempts ended.
   std::uint64_t SentWithoutToken = 0; ///< Attempts without a token.
-  std::uint64_t Rejections = 0; ///< Attempts that the upstream rejected.
+  std::uint64_t Rejections = 0;       ///< Attempts that the upstream rejected.
 };
 
 /** Local state of a limited upstream. */
--- a/Source/Daemon/gsRateLimiter.cxx
+++ b/Source/Daemon/gsRateLimiter.cxx
@@ -210,8 +210,7 @@
 {
   gsTime now = gsLoop::Now();
   this->UpdateRoles(now);
-  bool hasToken =
-    gsRequestTokens(this->Limits, upstream, count, until, now);
+  bool hasToken = gsRequestTokens(this->Limits, upstream, count, until, now);
   bool hasSlot = gsRequestTokens(this->Slots, upstream, count, until, now);
   if (!hasToken || !hasSlot) {
     this->Run(now);
@@ -528,26 +527,25 @@
   }
   for (auto const& [hash, upstream] : this->Slots.Upstreams) {
     gsSlotUse const& slots = upstream.Slots;
-    rows.push_back(
-      { { "upstream", this->NameOf(hash) },
-        { "resource", "slots" },
-        { "slots", upstream.Limit.Rate },
-        { "dry_run", !this->Slots.IsEnforced },
-        { "age_ms", millis(now - upstream.Limit.AppliedAt) },
-        { "tokens", upstream.Tokens.size() },
-        { "in_use", slots.InUse },
-        { "issued_open", gsLentSlots(upstream, now) },
-        { "waiting", gsWantedTokens(upstream, now) },
-        { "lent", now < upstream.LentUntil },
-        { "lent_to", slots.LentTo },
-        { "hold_ms", millis(slots.HoldTime) },
-        { "expected_wait_ms",
-          millis(gsExpectedTokenWait(this->Slots, hash, 0, now)) },
-        { "used", upstream.TokensSpent },
-        { "without_token", slots.SentWithoutToken },
-        { "rejected", slots.Rejections },
-        { "lapsed", upstream.TokensExpired },
-        { "issued", upstream.TokensIssued } });
+    rows.push_back({ { "upstream", this->NameOf(hash) },
+                     { "resource", "slots" },
+                     { "slots", upstream.Limit.Rate },
+                     { "dry_run", !this->Slots.IsEnforced },
+                     { "age_ms", millis(now - upstream.Limit.AppliedAt) },
+                     { "tokens", upstream.Tokens.size() },
+                     { "in_use", slots.InUse },
+                     { "issued_open", gsLentSlots(upstream, now) },
+                     { "waiting", gsWantedTokens(upstream, now) },
+                     { "lent", now < upstream.LentUntil },
+                     { "lent_to", slots.LentTo },
+                     { "hold_ms", millis(slots.HoldTime) },
+                     { "expected_wait_ms", millis(gsExpectedTokenWait(
+                                             this->Slots, hash, 0, now)) },
+                     { "used", upstream.TokensSpent },
+                     { "without_token", slots.SentWithoutToken },
+                     { "rejected", slots.Rejections },
+                     { "lapsed", upstream.TokensExpired },
+                     { "issued", upstream.TokensIssued } });
   }
   return rows;
 }
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -388,10 +388,9 @@
     bool lacksSlot = placement.Cause == gsPlacementCause::RateLimited &&
                      placement.RateLimitedRow != nullptr &&
                      this->LacksSlot(*placement.RateLimitedRow);
-    this->Refuse(request,
-                 lacksSlot ? NoSlotCause
-                           : gsPlacementCauseName(placement.Cause),
-                 isBackoff ? placement.RetryAfter : gsTime{});
+    this->Refuse(
+      request, lacksSlot ? NoSlotCause : gsPlacementCauseName(placement.Cause),
+      isBackoff ? placement.RetryAfter : gsTime{});
   }
 }
 
@@ -405,14 +404,13 @@
 /** Number of requests that wait for a token of an upstream. */
 std::uint32_t gsRouteGateway::CountWaiting(std::uint32_t upstream) const
 {
-  return static_cast<std::uint32_t>(
-    std::count_if(this->TokenQueue.begin(), this->TokenQueue.end(),
-                  [upstream](RequestPtr const& queued) {
-                    auto const& others = queued->AlsoAwaitedUpstreams;
-                    return queued->AwaitedUpstream == upstream ||
-                           std::find(others.begin(), others.end(), upstream) !=
-                             others.end();
-                  }));
+  return static_cast<std::uint32_t>(std::count_if(
+    this->TokenQueue.begin(), this->TokenQueue.end(),
+    [upstream](RequestPtr const& queued) {
+      auto const& others = queued->AlsoAwaitedUpstreams;
+      return queued->AwaitedUpstream == upstream ||
+             std::find(others.begin(), others.end(), upstream) != others.end();
+    }));
 }
 
 /** Whether an attempt at the upstream has to wait for a shared slot. */
@@ -478,8 +476,8 @@
  * Queues a request that lacks only a token, if one is expected before the
  * request's wait limit. The limit is the route's target time to the first
  * byte, or half of it for a shared slot; it counts from the arrival, or from
- * now if the request may have run or the caller has received bytes. \return Whether the request waits, or has
- * been placed because a token was available.
+ * now if the request may have run or the caller has received bytes. \return
+ * Whether the request waits, or has been placed because a token was available.
  */
 bool gsRouteGateway::WaitForToken(RequestPtr const& request,
                                   gsPlacement const& placement)
@@ -615,8 +613,8 @@
                  this->TokenWait(upstream, this->CountWaiting(upstream), now));
   }
   for (RequestPtr const& request : this->TokenQueue) {
-    bool lacksSlot = !gsHasToken(this->Fleet.SlotLimits,
-                                 *request->AwaitedUpstream, now);
+    bool lacksSlot =
+      !gsHasToken(this->Fleet.SlotLimits, *request->AwaitedUpstream, now);
     if (lacksSlot && request->AlsoAwaitedUpstreams.empty()) {
       this->RequestOtherSlots(*request, now);
     }
@@ -784,9 +782,7 @@
         .With("token_wait_ms", gsExpectedTokenWait(limits, hash, 0, now));
     }
     if (lacksSlot && found != limits.Upstreams.end()) {
-      line
-        .With("slots_held",
-              std::uint64_t(gsHeldSlots(found->second)))
+      line.With("slots_held", std::uint64_t(gsHeldSlots(found->second)))
         .With("wait_age_ms", now - found->second.ExpectedWaitSetAt);
     }
   }
--- a/Tests/Route/gsTestSlotSharing.cxx
+++ b/Tests/Route/gsTestSlotSharing.cxx
@@ -78,9 +78,7 @@
 }
 
 /** Never answers. */
-void Hold(Connection const& /*to*/, gsScriptedRequest const& /*request*/)
-{
-}
+void Hold(Connection const& /*to*/, gsScriptedRequest const& /*request*/) {}
 
 } // namespace
 
--- a/Tests/Unit/gsTestSlotSharing.cxx
+++ b/Tests/Unit/gsTestSlotSharing.cxx
@@ -274,7 +274,8 @@
     }
     if (this->Plan.Cuts && this->Now >= this->CutUntil &&
         this->DrawBool(probability)) {
-      this->Cut(this->RandomHost().Hall, gsTime(this->Draw(500'000, 4'000'000)));
+      this->Cut(this->RandomHost().Hall,
+                gsTime(this->Draw(500'000, 4'000'000)));
     }
     bool isEvent = this->Now >= Start + gsSeconds(4) && !this->EventDone;
     if (isEvent) {
@@ -330,10 +331,9 @@
   void Send(std::size_t from, gsRateMessage const& message)
   {
     ++this->Messages;
-    auto to = std::find_if(this->Hosts.begin(), this->Hosts.end(),
-                           [&message](Host const& host) {
-                             return host.Name == message.Receiver;
-                           });
+    auto to = std::find_if(
+      this->Hosts.begin(), this->Hosts.end(),
+      [&message](Host const& host) { return host.Name == message.Receiver; });
     Host const& sender = this->Hosts[from];
     if (to == this->Hosts.end() || this->DrawBool(this->Plan.Loss) ||
         this->IsCut(sender.Hall, to->Hall)) {
@@ -413,13 +413,13 @@
 
   void UpdateDemand(Host& host, std::uint32_t upstream, gsTime until)
   {
-    auto count = std::count_if(
-      host.Queue.begin(), host.Queue.end(),
-      [upstream](RequestPtr const& request) {
-        auto const& awaited = request->Awaited;
-        return std::find(awaited.begin(), awaited.end(), upstream) !=
-               awaited.end();
-      });
+    auto count =
+      std::count_if(host.Queue.begin(), host.Queue.end(),
+                    [upstream](RequestPtr const& request) {
+                      auto const& awaited = request->Awaited;
+                      return std::find(awaited.begin(), awaited.end(),
+                                       upstream) != awaited.end();
+                    });
     gsRequestTokens(host.Limits, upstream, static_cast<std::uint32_t>(count),
                     until, this->Now);
   }
@@ -589,8 +589,7 @@
     if (this->Hosts[index].Life != attempt.Life) {
       return;
     }
-    gsTime at =
-      this->Now + this->LinkDelay(this->Hosts[index].Hall, number);
+    gsTime at = this->Now + this->LinkDelay(this->Hosts[index].Hall, number);
     this->AtHost(index, at, [this, index, number, attempt, served] {
       Host& host = this->Hosts[index];
       gsReturnToken(host.Limits, number, this->Now - attempt.SentAt,
