Daemon: Requests a slot only once a token of the rate limit is held

Cause: requests at an upstream with both limits asked for both tokens for 5 ms only, so that the rate limit's token never arrived.

Change: a slot is requested once the other token is available, so that none is held meanwhile.

--- a/Source/Daemon/gsRateLimiter.cxx
+++ b/Source/Daemon/gsRateLimiter.cxx
@@ -211,7 +211,9 @@
   gsTime now = gsLoop::Now();
   this->UpdateRoles(now);
   bool hasToken = gsRequestTokens(this->Limits, upstream, count, until, now);
-  bool hasSlot = gsRequestTokens(this->Slots, upstream, count, until, now);
+  // No slot is held while a token of the rate limit is missing.
+  bool hasSlot =
+    gsRequestTokens(this->Slots, upstream, hasToken ? count : 0, until, now);
   if (!hasToken || !hasSlot) {
     this->Run(now);
   }
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -387,7 +387,7 @@
                      placement.Cause == gsPlacementCause::RateLimited;
     bool lacksSlot = placement.Cause == gsPlacementCause::RateLimited &&
                      placement.RateLimitedRow != nullptr &&
-                     this->LacksSlot(*placement.RateLimitedRow);
+                     this->LacksSlot(placement.RateLimitedRow->Hash);
     this->Refuse(
       request, lacksSlot ? NoSlotCause : gsPlacementCauseName(placement.Cause),
       isBackoff ? placement.RetryAfter : gsTime{});
@@ -413,10 +413,14 @@
     }));
 }
 
-/** Whether an attempt at the upstream has to wait for a shared slot. */
-bool gsRouteGateway::LacksSlot(gsFleetRow const& row) const
+/** Whether an attempt at the upstream lacks only a shared slot. A slot is not
+ * requested while a token of the rate limit is missing, so that no slot is
+ * held meanwhile. */
+bool gsRouteGateway::LacksSlot(std::uint32_t upstream) const
 {
-  return !gsHasToken(this->Fleet.SlotLimits, row.Hash, gsLoop::Now());
+  gsTime now = gsLoop::Now();
+  return gsHasToken(this->Fleet.RateLimits, upstream, now) &&
+         !gsHasToken(this->Fleet.SlotLimits, upstream, now);
 }
 
 /** Expected time until the upstream's tokens are available, after those of a
@@ -447,7 +451,8 @@
     bool wasTried = std::find(tried.begin(), tried.end(),
                               gsIncarnationOf(row.Listed)) != tried.end();
     bool isUsable = gsAcceptsRequests(this->Fleet, row, now) &&
-                    row.AvoidUntil <= now && !wasTried && this->LacksSlot(row);
+                    row.AvoidUntil <= now && !wasTried &&
+                    this->LacksSlot(row.Hash);
     if (isUsable && row.Hash != *request.AwaitedUpstream) {
       request.AlsoAwaitedUpstreams.push_back(row.Hash);
     }
@@ -489,7 +494,7 @@
     return false;
   }
   gsTime now = gsLoop::Now();
-  bool lacksSlot = this->LacksSlot(*placement.RateLimitedRow);
+  bool lacksSlot = this->LacksSlot(placement.RateLimitedRow->Hash);
   gsTime waitLimit = std::min(request->DeadlineAt, request->TimeoutAt);
   if (request->TokenWaitUntil.count() == 0) {
     bool hasBegun = request->MayHaveRun || request->CallerHasBytes;
@@ -604,7 +609,7 @@
   }
   for (RequestPtr const& request : expired) {
     std::uint32_t upstream = *request->AwaitedUpstream;
-    bool lacksSlot = !gsHasToken(this->Fleet.SlotLimits, upstream, now);
+    bool lacksSlot = this->LacksSlot(upstream);
     this->StopWaiting(*request);
     this->Refuse(request,
                  lacksSlot
@@ -613,8 +618,7 @@
                  this->TokenWait(upstream, this->CountWaiting(upstream), now));
   }
   for (RequestPtr const& request : this->TokenQueue) {
-    bool lacksSlot =
-      !gsHasToken(this->Fleet.SlotLimits, *request->AwaitedUpstream, now);
+    bool lacksSlot = this->LacksSlot(*request->AwaitedUpstream);
     if (lacksSlot && request->AlsoAwaitedUpstreams.empty()) {
       this->RequestOtherSlots(*request, now);
     }
@@ -673,7 +677,7 @@
   gsRateLimits const& slots = this->Fleet.SlotLimits;
   gsFleetRow const* skipped = placement.RateLimitedRow;
   if (skipped != nullptr) {
-    bool lacksSlot = this->LacksSlot(*skipped);
+    bool lacksSlot = this->LacksSlot(skipped->Hash);
     gsTime until =
       now + (lacksSlot ? slots.Settings.MinTokenRequestInterval
                        : this->Fleet.RateLimits.Settings.DemandLifetime);
@@ -765,7 +769,7 @@
     .With("candidates", placement.CandidateCount);
   if (placement.RateLimitedRow != nullptr) {
     std::uint32_t hash = placement.RateLimitedRow->Hash;
-    bool lacksSlot = this->LacksSlot(*placement.RateLimitedRow);
+    bool lacksSlot = this->LacksSlot(placement.RateLimitedRow->Hash);
     gsRateLimits const& limits =
       lacksSlot ? this->Fleet.SlotLimits : this->Fleet.RateLimits;
     gsTime now = gsLoop::Now();
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -161,7 +161,7 @@
   bool WaitForToken(RequestPtr const& request, gsPlacement const& placement);
   void StopWaiting(gsRoutedRequest& request);
   std::uint32_t CountWaiting(std::uint32_t upstream) const;
-  bool LacksSlot(gsFleetRow const& row) const;
+  bool LacksSlot(std::uint32_t upstream) const;
   void RequestOtherSlots(gsRoutedRequest& request, gsTime now);
   void RequestEarly(gsRoutedRequest const& request,
                     gsPlacementRequest const& ask, gsPlacement& placement);
