Tests: The test of both limits uses the host's share of the rate

Cause: SlotSharing.AttemptsNeedATokenOfBothLimits named a limit of 2 a second for 100 hosts, of which its one host owns 0.02.

Change: the limit is 200 a second, of which the host owns 2; the bounds stay.

--- a/Tests/Route/gsTestSlotSharing.cxx
+++ b/Tests/Route/gsTestSlotSharing.cxx
@@ -224,9 +224,10 @@
 TEST(SlotSharing, AttemptsNeedATokenOfBothLimits)
 {
   SharedBench bench;
-  bench.Add("u1",
-            bench.AnswerAfter(gsMilliseconds(1), 200, "Server-Limit: 2\r\n"));
+  bench.Add(
+    "u1", bench.AnswerAfter(gsMilliseconds(1), 200, "Server-Limit: 200\r\n"));
   bench.Share();
+  // This host's share of 200 requests per second is 2.
   constexpr int requests = 40;
   for (std::size_t i = 0; i < requests; ++i) {
     bench.Send(RequestTo("plain", i));
