Coord: Rounds lent slots up from three quarters

Cause: two halves of an odd number of slots were both rounded up when halls were cut off from each other.

Change: shares lent to an issuer are rounded up from 0.75. Tests of slot sharing with real processes (Tests/Soak).

--- a/Source/Coord/gsRateLimit.cxx
+++ b/Source/Coord/gsRateLimit.cxx
@@ -30,6 +30,10 @@
 /** Share of an issuer's slots that must be free for hosts to keep tokens after
  * use. */
 constexpr double MinFreeShareToKeep = 0.5;
+/** Added to the shares lent to an issuer before they are rounded down to whole
+ * slots. The shares of a few hosts that are gone then cost no slot, and two
+ * halves of an odd number of slots do not both get the middle one. */
+constexpr double ShareRounding = 0.25;
 /** Expected wait that an issuer reports if less, but some, is free. */
 constexpr gsTime UncontendedWait = gsMilliseconds(1);
 /** Minimum expected wait that an issuer reports while other hosts wait, and
@@ -287,8 +291,8 @@
 }
 
 /** Slots that this host may let be used: those received from the issuer, or
- * on a relay without an issuer the shares lent to it, rounded and at least
- * one. */
+ * on a relay without an issuer the shares lent to it, rounded by ShareRounding
+ * and at least one. */
 std::uint32_t AvailableSlots(gsRateLimits const& limits,
                              gsLimitedUpstream const& upstream,
                              bool isAccepted, gsTime now)
@@ -299,8 +303,9 @@
   if (!IsRelay(limits) || now < upstream.LentUntil) {
     return 0;
   }
-  long slots = std::lround(SpendableRate(limits, upstream, now));
-  return static_cast<std::uint32_t>(std::max(1L, slots));
+  double slots =
+    std::floor(SpendableRate(limits, upstream, now) + ShareRounding);
+  return static_cast<std::uint32_t>(std::max(1.0, slots));
 }
 
 std::uint32_t FreeSlots(gsRateLimits const& limits,
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -164,7 +164,7 @@
                { "kinds", { "usage_reporting" } },
                { "window_ms", 1000 } };
   }
-  return {
+  gsJson settings = {
     { "host", host },
     { "hall", process.Hall },
     { "duties", duties },
@@ -186,6 +186,10 @@
     { "stop",
       { { "unready_ms", 300 }, { "longest_ms", 8000 }, { "margin_ms", 400 } } }
   };
+  if (!this->Plan.SlotSharing.empty()) {
+    settings["slot_sharing"] = { { "mode", this->Plan.SlotSharing } };
+  }
+  return settings;
 }
 
 bool gsRoutedSystem::RunUntil(std::function<bool()> const& holds,
@@ -388,7 +392,7 @@
                 { "address", this->RunnerLinks.at(runner) },
                 { "zone", this->Processes.At(runner).Hall },
                 { "version", "v1" },
-                { "capacity_slots", 32 },
+                { "capacity_slots", this->Plan.Slots },
                 { "state", leaving ? "draining" : "ready" },
                 { "call_seq", 0 } };
   this->Fetch("POST", "http://" + this->Processes.At("store").Address + "/put",
@@ -475,7 +479,9 @@
                         "--gap-ms",
                         std::to_string(this->Plan.GapMs),
                         "--work-ms",
-                        std::to_string(this->Plan.WorkMs) };
+                        std::to_string(this->Plan.WorkMs),
+                        "--most",
+                        std::to_string(this->Plan.Slots) };
   }
   this->Processes.Launch(process);
   if (runner) {
@@ -496,6 +502,15 @@
   return gsJson::parse(text, nullptr, false);
 }
 
+gsJson gsRoutedSystem::Limits(std::string const& host)
+{
+  std::string text;
+  this->Fetch("GET",
+              "http://" + this->Processes.At(host).Operators + "/v1/limits",
+              {}, &text);
+  return gsJson::parse(text, nullptr, false);
+}
+
 unsigned gsRoutedSystem::ClearQuarantine(std::string const& host,
                                          std::string const& fingerprint)
 {
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -29,6 +29,9 @@
   int Events = 10; ///< Of a stream.
   int GapMs = 10;  ///< Between them.
   int WorkMs = 10; ///< Of other requests.
+  int Slots = 32;  ///< Of a runner; it turns away what is above them.
+  /** Mode of slot sharing; empty for the default. */
+  std::string SlotSharing;
   /** Callers send on kept connections, until the process is gone. */
   bool KeepConnections = false;
   /** Daemon that hosts start with; empty for the one of this build. */
@@ -127,6 +130,8 @@
 
   /** Requests that a host contains or refuses, a row each. */
   gsJson Quarantine(std::string const& host);
+  /** Limits of upstreams as a host knows them, a row each. */
+  gsJson Limits(std::string const& host);
   /** Lets one of them through again. */
   unsigned ClearQuarantine(std::string const& host,
                            std::string const& fingerprint);
