Core: Directory of the prompt prefixes that engines hold

Cause: requests leave the busy homes of their subjects, their shared prompt parts are processed again on up to 32 engines, and that load makes more homes appear busy.

Change: hosts record which engines hold or process the shared parts of a subject and exchange the changes over the relays every 100 ms. Placement uses only the engines that serve a subject; the set grows by demand or when the first event at all of them would miss the target, and shrinks after 5 s. The settings section prefix_directory has mode, engine_share and min_tokens; off is as before.

--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -23,9 +23,11 @@
 #include <vector>
 
 #include "gsEngineOrder.h"
+#include "gsFeatureMode.h"
 #include "gsHallReachability.h"
 #include "gsInterference.h"
 #include "gsLoadExchange.h"
+#include "gsPrefixDirectory.h"
 #include "gsRateLimit.h"
 #include "gsTypes.h"
 #include "gsUpstreamAnnouncement.h"
@@ -170,6 +172,17 @@
   gsTime RetainedAt{}; ///< Start of the retention.
 };
 
+/** Settings of the prefix directory in placement; see gsSubjectPlacement.h. */
+struct gsPrefixPlacementSettings
+{
+  gsFeatureMode Mode = gsFeatureMode::Off;
+  /** Share of an engine's time that a subject may need before it is served by
+   * one more engine. */
+  double EngineShare = 0.35;
+  /** Minimum number of shared tokens of a tracked subject. */
+  std::uint32_t MinTokens = 1000;
+};
+
 /** Settings of placement and arrangement, and this host's location. Costs are
  * expressed in prompt tokens that are processed before a request's first
  * output token. */
@@ -245,6 +258,7 @@
   /** Sufficient for the releases of a whole fleet; about 100 KB. */
   std::size_t MaxRetainedAnnouncements = 1024;
   gsHallReachabilitySettings HallReach;
+  gsPrefixPlacementSettings Prefixes;
 };
 
 /**
@@ -287,6 +301,7 @@
   std::unordered_map<std::string, gsRetainedAnnouncement>
     RetainedAnnouncements;
   gsRateLimits RateLimits; ///< Limits by gsFleetRow::Hash.
+  gsPrefixDirectory Prefixes; ///< Engines are identified by gsFleetRow::Hash.
 };
 
 /**
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -10,6 +10,7 @@
 
 #include "gsPlacementCost.h"
 #include "gsRendezvous.h"
+#include "gsSubjectPlacement.h"
 
 using namespace gsPlacementDetail;
 
@@ -111,6 +112,8 @@
   double RateLimitedCost; ///< Of Best.RateLimitedRow, without the wait.
   double RateLimitedCostWithWait; ///< Including the wait for a token.
   gsCandidates Candidates;
+  /** The prefix directory has chosen the upstreams to evaluate. */
+  bool IsBySubject = false;
 };
 
 /** Number of upstreams of the service per candidate, by which counts over the
@@ -185,7 +188,9 @@
       continue;
     }
     std::uint32_t toRead =
-      gsTokensToRead(search.Fleet, row, search.Request, search.Now);
+      search.IsBySubject
+        ? gsSubjectTokensToRead(search.Fleet, row, search.Request, search.Now)
+        : gsTokensToRead(search.Fleet, row, search.Request, search.Now);
     double cost = TotalCost(search.Fleet, row, search.Request, search.Context,
                             toRead, search.Now) +
                   CrowdedCost(search, row) + tieBreak(search.Random);
@@ -548,8 +553,11 @@
   }
   gsHallRecordAttempt(fleet.HallReachability, fleet.Settings.HallReach,
                       best.Row->Listed.Hall, search.Now);
-  best.TransferSource = FindTransferSource(
-    fleet, search.Candidates, request, search.Context, *best.Row, search.Now);
+  best.TransferSource =
+    search.IsBySubject
+      ? FindSubjectTransferSource(fleet, request, *best.Row, search.Now)
+      : FindTransferSource(fleet, search.Candidates, request, search.Context,
+                           *best.Row, search.Now);
   if (best.TransferSource != nullptr) {
     best.TokensToRead =
       std::min(best.TokensToRead,
@@ -558,6 +566,32 @@
   }
 }
 
+/**
+ * Lets the prefix directory choose among the engines that serve the request's
+ * subject. \return Whether its choice is final: it is carried out, and at
+ * least one of these engines is eligible.
+ */
+bool PlaceBySubject(Search& search)
+{
+  gsFleet& fleet = search.Fleet;
+  if (!gsIsTrackedRequest(fleet.Settings, search.Request)) {
+    return false;
+  }
+  SubjectChoice choice = ChooseForSubject(
+    fleet, search.Candidates, search.Request, search.Context, search.Now);
+  search.Best.Subject = choice.Decision;
+  if (choice.IsAnyBusy) {
+    gsRecordSubjectNeed(fleet, search.Request, search.Now);
+  }
+  bool isFinal =
+    fleet.Settings.Prefixes.Mode == gsFeatureMode::On && !choice.Rows.empty();
+  if (isFinal) {
+    search.IsBySubject = true;
+    Evaluate(search, choice.Rows);
+  }
+  return isFinal;
+}
+
 } // namespace
 
 gsPlacement gsPlaceRequest(gsFleet& fleet,
@@ -579,7 +613,8 @@
                  0,
                  0,
                  0,
-                 gsSelectCandidates(fleet, query, random) };
+                 gsSelectCandidates(fleet, query, random),
+                 false };
   if (search.Candidates.Rows.empty()) {
     return {};
   }
@@ -587,9 +622,11 @@
   search.SampleSize = SampleSizeFor(search, search.Candidates.Rows);
   search.Best.Group =
     context.GroupBoundary ? context.Group : gsFleetGroup::Any;
-  EvaluateSample(search);
-  if (search.Best.Row == nullptr) {
-    Evaluate(search, gsDrawFurtherCandidates(fleet, query, random));
+  if (!PlaceBySubject(search)) {
+    EvaluateSample(search);
+    if (search.Best.Row == nullptr) {
+      Evaluate(search, gsDrawFurtherCandidates(fleet, query, random));
+    }
   }
   CompletePlacement(search);
   return search.Best;
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -90,6 +90,35 @@
 /** Name of the cause in logs and in answers to callers. */
 char const* gsPlacementCauseName(gsPlacementCause cause);
 
+/** Why the prefix directory chooses an engine; see gsSubjectPlacement.h. */
+enum class gsSubjectCause
+{
+  None,     ///< It chooses none: no engine is eligible.
+  Serving,  ///< The engine serves the subject already.
+  First,    ///< No engine serves the subject: the first one in its order.
+  Demand,   ///< Added, since the subject's demand needs more engines.
+  Pressure, ///< Added, since the others would miss the target.
+  Moved     ///< No engine that serves the subject is eligible.
+};
+
+/** The choice of an engine by the prefix directory. */
+struct gsSubjectDecision
+{
+  bool IsTracked = false; ///< The directory tracks the request's subject.
+  /** The chosen engine; null if all that serve the subject are full, or none
+   * is eligible. */
+  gsFleetRow* Row = nullptr;
+  gsSubjectCause Cause = gsSubjectCause::None;
+  /** Number of eligible engines that serve the subject. */
+  std::uint32_t EngineCount = 0;
+  std::uint32_t NeededCount = 0; ///< Number of engines by the demand.
+  double Demand = 0; ///< Share of an engine that the subject needs.
+  /** Predicted first event as a share of the target: the shortest of the
+   * engines that serve the subject, and that of Row. */
+  double ServingShare = 0;
+  double RowShare = 0;
+};
+
 /** The result of the choice. */
 struct gsPlacement
 {
@@ -112,6 +141,8 @@
   gsFleetRow const* RateLimitedRow = nullptr;
   /** Group of the request; Any if the engines are not divided. */
   gsFleetGroup Group = gsFleetGroup::Any;
+  /** Choice of the prefix directory; carried out only if its mode is On. */
+  gsSubjectDecision Subject;
 };
 
 /**
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -26,13 +26,6 @@
  * 200 requests per second, an engine has read half of its subjects after 5 s.
  */
 constexpr gsTime HomeWarmupTime = gsSeconds(10);
-/**
- * Share of the time to read prompt parts that is saved by transferring them
- * from another engine. Computed from engine specifications: 4,000 tokens take
- * about 20 ms over an engine's link, and 100 ms or more to read at 40 tokens
- * per millisecond.
- */
-constexpr double TransferSavedShare = 0.8;
 
 /** Mean failure share of the given upstreams. A service may have a certain
  * failure share on all its upstreams, which does not count against any one. */
@@ -225,8 +218,8 @@
   });
 }
 
-/** Whether other engines can probably obtain prompt parts from this one: it
- * and its hall can be reached, and the request may use its region. */
+} // namespace
+
 bool CanTransferFrom(gsFleet const& fleet, gsFleetRow const& row,
                      gsPlacementRequest const& request, gsTime now)
 {
@@ -234,6 +227,8 @@
          !gsHallIsUnreachable(fleet.HallReachability, row.Listed.Hall);
 }
 
+namespace {
+
 /** The home of the request's subject before the engines were last divided into
  * groups anew; null if there is none. */
 gsFleetRow const* FindPreviousHome(gsFleet const& fleet,
@@ -260,8 +255,8 @@
   return HomeHitProbability * std::clamp(warmth, 0.0, 1.0);
 }
 
-/** Whether transferring the shared parts between engines is possible and worth
- * it. */
+} // namespace
+
 bool IsTransferable(gsFleetSettings const& settings,
                     gsPlacementRequest const& request)
 {
@@ -269,8 +264,6 @@
          gsSharedTokens(request) >= settings.MinTransferTokens;
 }
 
-} // namespace
-
 std::uint32_t ExpectedTokensToRead(gsFleet const& fleet, gsFleetRow const& row,
                                    gsPlacementRequest const& request,
                                    PlacementContext const& context,
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -27,6 +27,14 @@
  * missed target is considered possible. */
 constexpr double MinMissShare = 0.7;
 
+/**
+ * Share of the time to read prompt parts that is saved by transferring them
+ * from another engine. Computed from engine specifications: 4,000 tokens take
+ * about 20 ms over an engine's link, and 100 ms or more to read at 40 tokens
+ * per millisecond.
+ */
+constexpr double TransferSavedShare = 0.8;
+
 /** The state common to the evaluation of all candidates for one request. */
 struct PlacementContext
 {
@@ -98,6 +106,16 @@
 bool HoldsSharedParts(gsFleet const& fleet, gsFleetRow const& row,
                       gsPlacementRequest const& request, gsTime now);
 
+/** Whether other engines can probably obtain prompt parts from this one: it
+ * and its hall can be reached, and the request may use its region. */
+bool CanTransferFrom(gsFleet const& fleet, gsFleetRow const& row,
+                     gsPlacementRequest const& request, gsTime now);
+
+/** Whether transferring the shared parts between engines is possible and worth
+ * it. */
+bool IsTransferable(gsFleetSettings const& settings,
+                    gsPlacementRequest const& request);
+
 /**
  * Expected number of prompt tokens that the upstream will read, given the
  * number that it has not cached as far as this host knows. Excludes shared
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -81,6 +81,7 @@
   , Client(loop)
   , LoadSharing(this->Fleet, this->Settings)
   , DrainGossip(this->Fleet)
+  , PrefixSharing(this->Fleet)
   , RateLimiter(loop, this->Fleet)
   , TickTimer(loop, [this] { this->Tick(); })
   , LoadTimer(loop, [this] { this->SendLoadReports(); })
@@ -132,6 +133,7 @@
     this->Tables->ReceiveFrame(host, link, frame);
     this->LoadSharing.OnReceive(host, frame);
     this->DrainGossip.OnReceive(host, frame);
+    this->PrefixSharing.OnReceive(host, frame);
     this->CrashGossip->OnReceive(host, frame);
     this->RateLimiter.OnReceive(host, frame);
     if (this->Duties) {
@@ -161,6 +163,7 @@
   }
   this->LoadSharing.Start(*this->Cluster);
   this->DrainGossip.Start(*this->Cluster);
+  this->PrefixSharing.Start(*this->Cluster);
   this->RateLimiter.Start(*this->Cluster);
   this->CrashGossip->Start(*this->Cluster);
   this->QuarantineStore->Start(*this->Cluster, gsLoop::Now());
@@ -372,16 +375,20 @@
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
                       this->RateLimiter.Status(gsLoop::Now()).dump());
+  } else if (exchange->Path == "/v1/prefixes") {
+    gsHeaders json{ { "Content-Type", "application/json" } };
+    exchange->Respond(gsStatusOk, json,
+                      this->PrefixSharing.Status(gsLoop::Now()).dump());
   } else if (exchange->Path == "/v1/duties" && this->Duties) {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
                       this->Duties->Status(gsLoop::Now()).dump());
   } else {
-    exchange->Respond(
-      gsStatusNotFound, plain,
-      "This port serves /readyz, /healthz, /metrics, "
-      "/v1/halls, /v1/limits, /v1/quarantine and, where there are duties, "
-      "/v1/duties.\n");
+    exchange->Respond(gsStatusNotFound, plain,
+                      "This port serves /readyz, /healthz, /metrics, "
+                      "/v1/halls, /v1/limits, /v1/prefixes, /v1/quarantine "
+                      "and, where there are duties, "
+                      "/v1/duties.\n");
   }
 }
 
@@ -394,6 +401,7 @@
                     static_cast<double>(gsQuarantinedCount(
                       this->Gateway->CrashDetection().SuspectTable(), now)));
   this->RateLimiter.WriteGauges(this->Metrics, now);
+  this->PrefixSharing.WriteGauges(this->Metrics);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
   gsHallMembership const& members = this->Cluster->Members();
   this->Metrics.Set("gradescale_system_hosts", {},
@@ -437,6 +445,7 @@
   this->ResumeIfCaughtUp(now);
   this->CrashGossip->Tick(now);
   this->RateLimiter.Tick(now);
+  this->PrefixSharing.Tick(now);
   this->QuarantineStore->Tick(now);
   if (this->Duties) {
     this->Duties->Tick(this->RouteTable, this->Gateway->MillisPerToken(), now);
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -22,6 +22,7 @@
 #include "gsHttpServer.h"
 #include "gsLoadSharing.h"
 #include "gsMetrics.h"
+#include "gsPrefixSharing.h"
 #include "gsQuarantineStore.h"
 #include "gsRateLimiter.h"
 #include "gsRecentPeak.h"
@@ -83,6 +84,7 @@
   gsFleet Fleet;
   gsLoadSharing LoadSharing;
   gsDrainGossip DrainGossip;
+  gsPrefixSharing PrefixSharing;
   gsRateLimiter RateLimiter;
   std::unique_ptr<gsTableSync> Tables;
   std::unique_ptr<gsHallCluster> Cluster;
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -18,6 +18,7 @@
 #include "gsExpectedWait.h"
 #include "gsFingerprint.h"
 #include "gsHttpServer.h"
+#include "gsPrefixUse.h"
 #include "gsRouteTable.h"
 
 /** Outcome of an attempt. */
@@ -85,6 +86,7 @@
   std::uint32_t MemoryTokens = 0;
   /** Expected wait at the upstream when the attempt was started. */
   gsExpectedWait ExpectedWait;
+  gsPrefixUse Prefix; ///< What it shows about the engine's prefix cache.
   gsTime StartedAt{};
   gsTime SentAt{};
   gsTime FirstByteAt{};
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -181,7 +181,13 @@
     features.Overload = ReadMode(inner);
   });
   fields.Object("prefix_directory", [&](gsFieldReader& inner) {
+    gsPrefixPlacementSettings& prefixes = settings.Placement.Prefixes;
     features.PrefixDirectory = ReadMode(inner);
+    prefixes.Mode = features.PrefixDirectory;
+    prefixes.EngineShare =
+      inner.Number("engine_share", { 0.01, 1 }, prefixes.EngineShare);
+    prefixes.MinTokens = static_cast<std::uint32_t>(
+      inner.Unsigned("min_tokens", CountRange, prefixes.MinTokens));
   });
   fields.Object("engine_speed", [&](gsFieldReader& inner) {
     features.EngineSpeed = ReadMode(inner);
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -120,6 +120,7 @@
   attempt->HasReservedToken =
     gsReserveToken(this->Fleet.RateLimits, row.Hash, now);
   gsMarkReportable(this->Fleet, row);
+  gsBeginPrefixUse(this->Fleet, *request, *attempt, placement, now);
   row.OwnLoad.PendingPromptTokens += attempt->ReadTokens;
   row.OwnLoad.MemoryTokens += attempt->MemoryTokens;
   request->Attempt = attempt;
@@ -207,6 +208,7 @@
   attempt.MayHaveSentBytes = true;
   attempt.SentAt = now;
   attempt.LastByteAt = now;
+  gsRecordPrefixUseSent(this->Fleet, request, attempt, now);
   ++request.SentAttempts;
   return true;
 }
@@ -369,6 +371,9 @@
     return;
   }
   attempt.FirstByteAt = now;
+  if (IsSuccess(attempt.Status)) {
+    gsRecordPrefixUseFirstEvent(this->Fleet, attempt, now);
+  }
   if (attempt.ExpectedWait.PendingPromptTokens >= MinMeasuredTokens) {
     double millis = gsToSeconds(now - attempt.SentAt) * 1e3;
     double millisPerToken =
@@ -393,6 +398,7 @@
 void gsUpstreamCaller::ReleaseWork(gsAttempt& attempt)
 {
   attempt.CallId = 0;
+  gsRecordPrefixUseEnd(this->Fleet, attempt, gsLoop::Now());
   if (std::exchange(attempt.HasReservedToken, false)) {
     gsReleaseToken(this->Fleet.RateLimits,
                    gsIncarnationHash(attempt.Upstream));
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -95,6 +95,9 @@
     this->Add(&this->App, "limits",
               "Show the rate limits that upstreams have set for all hosts.",
               [this] { return gsShowLimits(this->Shared); });
+    this->Add(&this->App, "prefixes",
+              "Show which engines hold the prompt prefixes of subjects.",
+              [this] { return gsShowPrefixes(this->Shared); });
     this->Add(&this->App, "duties",
               "Show who reports usage and orders upstreams for all hosts.",
               [this] { return gsShowDuties(this->Shared); });
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -33,6 +33,19 @@
   return gsToolOk;
 }
 
+int gsShowPrefixes(gsToolOptions const& options)
+{
+  gsResult<gsJson> rows =
+    gsCallOperator(options.Operator, "GET", "/v1/prefixes");
+  if (!rows) {
+    return gsToolFail(rows.error());
+  }
+  gsPrintRows(options, rows.value(),
+              { "service", "subject", "tokens", "demand", "needed", "serving",
+                "reading", "holding", "used_ms" });
+  return gsToolOk;
+}
+
 int gsShowDuties(gsToolOptions const& options)
 {
   gsResult<gsJson> status =
--- a/Source/Tool/gsToolShow.h
+++ b/Source/Tool/gsToolShow.h
@@ -16,6 +16,10 @@
 /** Prints the rate limits of upstreams as known to one host. */
 int gsShowLimits(gsToolOptions const& options);
 
+/** Prints the subjects whose prompt prefixes engines hold, and these engines,
+ * as known to one host. */
+int gsShowPrefixes(gsToolOptions const& options);
+
 /** Who does the duties that one host at a time has, as one host knows. */
 int gsShowDuties(gsToolOptions const& options);
 
