--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -300,7 +300,7 @@
   /** Announcements of upstreams without a row; by id. */
   std::unordered_map<std::string, gsRetainedAnnouncement>
     RetainedAnnouncements;
-  gsRateLimits RateLimits; ///< Limits by gsFleetRow::Hash.
+  gsRateLimits RateLimits;    ///< Limits by gsFleetRow::Hash.
   gsPrefixDirectory Prefixes; ///< Engines are identified by gsFleetRow::Hash.
 };
 
