Core: Hosts keep an engine of a subject while any of them needs it

Cause: only hosts whose requests find the first engine of a subject busy kept its second engine; the others removed it after 5 s, so that hosts used different engines.

Change: a report of a holding that is in use says that it is still needed. Relays leave out demands under 0.05 of an engine, and demands are reported once per second, which saves bytes.

Result: SubjectPlacement.AnEngineThatOneHostNeedsIsKeptByAll failed before and passes; 30 tests of the directory and of the placement pass (run without the wire and settings tests).

--- a/Source/Coord/gsPrefixDirectory.cxx
+++ b/Source/Coord/gsPrefixDirectory.cxx
@@ -69,13 +69,22 @@
   Queue(directory, { { key, engine, 0, false, true, now }, {}, true });
 }
 
+/** Whether more than one engine of a subject was needed recently. */
+bool IsNeeded(gsPrefixDirectorySettings const& settings,
+              gsPrefixSubject const& subject, gsTime now)
+{
+  return subject.NeededAt.count() != 0 &&
+         now - subject.NeededAt < settings.RefreshInterval;
+}
+
 /** Whether a holding that is in use is due to be reported again. */
 bool IsRefreshDue(gsPrefixDirectorySettings const& settings,
-                  gsPrefixHolding const& holding, gsTime now)
+                  gsPrefixHolding const& holding, bool isNeeded, gsTime now)
 {
   bool isNew = now - holding.AddedAt < settings.NewHoldingTime;
-  return now - holding.ReportedAt >=
-         (isNew ? settings.RefreshInterval : settings.LateRefreshInterval);
+  return now - holding.ReportedAt >= (isNew || isNeeded
+                                        ? settings.RefreshInterval
+                                        : settings.LateRefreshInterval);
 }
 
 /** Removes the holdings that match a predicate, and subjects of which nothing
@@ -240,14 +249,15 @@
   }
 }
 
-/** Keeps the largest demands of a map. */
+/** Keeps the largest demands of a map, of those above a minimum in
+ * microseconds. */
 gsPrefixDemandMap Largest(gsPrefixDemandMap const& demands,
-                          std::size_t maximum)
+                          std::size_t maximum, std::uint32_t minimum)
 {
   std::vector<std::pair<std::uint32_t, gsPrefixKey>> order;
   order.reserve(demands.size());
   for (auto const& [key, micros] : demands) {
-    if (micros > 0) {
+    if (micros > minimum) {
       order.emplace_back(micros, key);
     }
   }
@@ -347,10 +357,12 @@
     known = &Add(directory, change.Key, change.Engine, change.IsReading, now);
     known->UsedAt = change.UsedAt;
   } else {
+    gsPrefixSubject& subject = directory.Subjects[change.Key];
+    bool isNeeded = change.IsReading && !known->IsReading;
+    subject.NeededAt = isNeeded ? now : subject.NeededAt;
     known->IsReading = known->IsReading && change.IsReading;
     if (change.IsReading && !known->IsServing) {
-      BeginServing(directory, change.Key, directory.Subjects[change.Key],
-                   *known, now);
+      BeginServing(directory, change.Key, subject, *known, now);
     }
   }
   known->Tokens = change.Tokens;
@@ -419,8 +431,10 @@
       }
     }
     AddDemands(all, directory.OthersDemand);
-    hall = Largest(hall, maximum);
-    all = Largest(all, maximum);
+    auto minimum = static_cast<std::uint32_t>(
+      directory.Settings.MinRelayedDemand * MicrosPerSecond);
+    hall = Largest(hall, maximum, minimum);
+    all = Largest(all, maximum, minimum);
   }
   for (std::string const& host : peers.HallHosts) {
     AddMessage(messages, host,
@@ -509,8 +523,11 @@
   if (isAddition) {
     ++directory.Counts.Additions;
     Report(directory, key, *holding, true, now);
-  } else if (IsRefreshDue(directory.Settings, *holding, now)) {
-    Report(directory, key, *holding, holding->IsReading, now);
+  } else {
+    bool isNeeded = IsNeeded(directory.Settings, directory.Subjects[key], now);
+    if (IsRefreshDue(directory.Settings, *holding, isNeeded, now)) {
+      Report(directory, key, *holding, holding->IsReading || isNeeded, now);
+    }
   }
   return isAddition;
 }
@@ -527,7 +544,7 @@
   holding->Tokens = tokens;
   holding->UsedAt = now;
   holding->OwnReaders -= std::min(holding->OwnReaders, 1U);
-  if (isChange || IsRefreshDue(directory.Settings, *holding, now)) {
+  if (isChange || IsRefreshDue(directory.Settings, *holding, false, now)) {
     Report(directory, key, *holding, false, now);
   }
 }
@@ -658,7 +675,7 @@
                            {} };
     if (withDemand) {
       update.Demands = Largest(OwnDemands(directory, now),
-                               directory.Settings.MaxReportedDemands);
+                               directory.Settings.MaxReportedDemands, 0);
     }
     AddMessage(messages, peers.Relay, std::move(update));
   }
--- a/Source/Coord/gsPrefixDirectory.h
+++ b/Source/Coord/gsPrefixDirectory.h
@@ -82,8 +82,8 @@
   /** Since when more engines serve the subject than its demand needs; zero if
    * that is not the case. */
   gsTime ExcessSince{};
-  /** When an engine that serves the subject was last predicted to need more
-   * than half of the target for the first event of a request of this host. */
+  /** When an engine that serves the subject was last predicted by any host to
+   * need more than half of the target for a first event. */
   gsTime NeededAt{};
   /** Engine time of this host's requests in milliseconds, as an exponentially
    * decaying sum. */
@@ -97,7 +97,8 @@
   gsPrefixKey Key;
   std::uint32_t Engine = 0;
   std::uint32_t Tokens = 0;
-  /** The engine begins to serve the subject. */
+  /** The engine begins to serve the subject and processes the parts. Of an
+   * engine that is known to hold them: it is still needed. */
   bool IsReading = false;
   bool IsDropped = false; ///< The engine no longer holds the parts.
   gsTime UsedAt{};
@@ -144,7 +145,10 @@
   gsTime RefreshInterval = gsSeconds(1);
   gsTime LateRefreshInterval = gsSeconds(5);
   gsTime NewHoldingTime = gsSeconds(5);
-  gsTime DemandInterval = gsMilliseconds(500);  ///< Between demand reports.
+  gsTime DemandInterval = gsSeconds(1); ///< Between demand reports.
+  /** Relays report the demand of a subject from this share of an engine on.
+   * Less does not change the number of its engines. */
+  double MinRelayedDemand = 0.05;
   gsTime DemandLifetime = gsMilliseconds(2500); ///< Of received demands.
   /** Long enough that one request of ten times the usual length does not let
    * a subject need another engine; a queue adds one faster. */
--- a/Tests/Unit/gsTestSubjectPlacement.cxx
+++ b/Tests/Unit/gsTestSubjectPlacement.cxx
@@ -1,6 +1,7 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /** \file Which engines serve a subject, by the prefix directory. */
 #include <algorithm>
+#include <cstdio>
 #include <map>
 #include <set>
 #include <string>
@@ -45,7 +46,10 @@
 {
   double due = 0;
   system.Run(until, [&](gsTime) {
-    for (due += perSecond * 0.005; due >= 1; due -= 1) {
+    due += perSecond * 0.005;
+    auto count = static_cast<std::size_t>(due);
+    due -= static_cast<double>(count);
+    for (std::size_t i = 0; i < count; ++i) {
       std::uint64_t subject = firstSubject + system.Random() % subjects;
       system.Request(subject, kind,
                      isSameLength ? 0 : DrawOwnTokens(system, kind));
@@ -138,7 +142,10 @@
   double due = 0;
   std::uint64_t lateBefore = 0;
   system.Run(start + gsSeconds(12), [&](gsTime now) {
-    for (due += 2.7 * 20 * 0.005; due >= 1; due -= 1) {
+    due += 2.7 * 20 * 0.005;
+    auto count = static_cast<std::size_t>(due);
+    due -= static_cast<double>(count);
+    for (std::size_t i = 0; i < count; ++i) {
       system.Request(Subject, summary, DrawOwnTokens(system, summary));
     }
     if (now < start + gsSeconds(6)) {
@@ -378,6 +385,28 @@
   EXPECT_EQ(system.ChoiceCount(Subject, {}), 1U);
 }
 
+// Guards against hosts that use different engines since only some of them send
+// requests that find the first engine busy.
+TEST(SubjectPlacement, AnEngineThatOneHostNeedsIsKeptByAll)
+{
+  System system(9, 3, 20, 27);
+  std::string home = ServeOnce(system);
+  LoadEngine(system, home, 2500);
+  std::string second = system.Request(4, Subject, {});
+  int step = 0;
+  system.Run(system.Now + gsSeconds(15), [&](gsTime) {
+    if (step++ % 100 == 0) {
+      LoadEngine(system, home, 1500);
+      system.Request(4, Subject, {});
+    }
+  });
+  for (std::size_t i = 0; i < system.Hosts.size(); ++i) {
+    EXPECT_EQ(system.ServingAt(i, Subject),
+              (std::set<std::string>{ home, second }))
+      << i;
+  }
+}
+
 // Several hosts that exchange updates over relays with delay and loss choose
 // the same engines.
 TEST(SubjectPlacement, HostsChooseTheSameEnginesInSpiteOfDelayAndLoss)
