--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -122,6 +122,7 @@
   attempt->HasReservedSlot =
     gsReserveToken(this->Fleet.SlotLimits, row.Hash, now);
   gsMarkReportable(this->Fleet, row);
+  gsBeginPrefixUse(this->Fleet, *request, *attempt, placement, now);
   row.OwnLoad.PendingPromptTokens += attempt->ReadTokens;
   row.OwnLoad.MemoryTokens += attempt->MemoryTokens;
   request->Attempt = attempt;
@@ -206,6 +207,7 @@
   attempt.MayHaveSentBytes = true;
   attempt.SentAt = now;
   attempt.LastByteAt = now;
+  gsRecordPrefixUseSent(this->Fleet, request, attempt, now);
   ++request.SentAttempts;
   return true;
 }
@@ -413,6 +415,9 @@
     return;
   }
   attempt.FirstByteAt = now;
+  if (IsSuccess(attempt.Status)) {
+    gsRecordPrefixUseFirstEvent(this->Fleet, attempt, now);
+  }
   if (attempt.ExpectedWait.PendingPromptTokens >= MinMeasuredTokens) {
     double millis = gsToSeconds(now - attempt.SentAt) * 1e3;
     double millisPerToken =
@@ -438,6 +443,7 @@
 {
   attempt.CallId = 0;
   this->ReleaseTokens(attempt);
+  gsRecordPrefixUseEnd(this->Fleet, attempt, gsLoop::Now());
   gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
   if (row == nullptr) {
     return;
