Core: Measures the speed of each engine independently of load

Cause: A quarter of the engines may run at 0.46 of the speed of the others. The set of slow engines classified busy ones as slow, and homes were chosen without regard to speed.

Decisions use a speed in quarters with hysteresis: weighted homes, waits, the set of slow engines, and the division by tokens that are processed. Routes keep their class. All of it needs the mode `on` of engine_speed.

--- a/Source/Coord/gsLoadExchange.cxx
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -2,14 +2,40 @@
 #include "gsLoadExchange.h"
 
 #include <algorithm>
+#include <chrono>
 #include <tuple>
 
 namespace {
 
-/** Adds a part to a sum. Of arrangements, the newest is kept; of event
- * intervals, the shortest. */
-void Add(gsSystemLoad& sum, gsSystemLoad const& part)
+/** Keeps the newer of the measured speeds, and of their samples, in a sum.
+ * \param elapsedMillis Time since the part was received. */
+void AddSpeed(gsUpstreamLoad& total, gsUpstreamLoad const& load,
+              std::uint32_t elapsedMillis)
 {
+  std::uint32_t age = load.SpeedAgeMillis + elapsedMillis;
+  bool newer = load.SpeedPermille != 0 &&
+               (total.SpeedPermille == 0 || age < total.SpeedAgeMillis);
+  if (newer) {
+    total.SpeedPermille = load.SpeedPermille;
+    total.SpeedAgeMillis = age;
+  }
+  age = load.SpeedSampleAgeMillis + elapsedMillis;
+  newer = load.SpeedSampleNanos != 0 &&
+          (total.SpeedSampleNanos == 0 || age < total.SpeedSampleAgeMillis);
+  if (newer) {
+    total.SpeedSampleNanos = load.SpeedSampleNanos;
+    total.SpeedSampleKind = load.SpeedSampleKind;
+    total.SpeedSampleAgeMillis = age;
+  }
+}
+
+/** Adds a part to a sum. Of arrangements and speeds, the newest is kept; of
+ * event intervals, the shortest. \param elapsed Time since the part was
+ * received; zero for the own part. */
+void Add(gsSystemLoad& sum, gsSystemLoad const& part, gsTime elapsed = {})
+{
+  auto elapsedMillis = static_cast<std::uint32_t>(
+    std::chrono::duration_cast<gsMilliseconds>(elapsed).count());
   sum.UnreachableHalls.insert(part.UnreachableHalls.begin(),
                               part.UnreachableHalls.end());
   for (auto const& [service, arrangement] : part.Arrangements) {
@@ -28,6 +54,7 @@
     total.Running += load.Running;
     total.PendingPromptTokens += load.PendingPromptTokens;
     total.MemoryTokens += load.MemoryTokens;
+    AddSpeed(total, load, elapsedMillis);
     bool shorter =
       load.MinEventIntervalMicros != 0 &&
       (total.MinEventIntervalMicros == 0 ||
@@ -109,7 +136,7 @@
     sum = own;
   }
   for (gsReceivedLoad const* received : HallReports(exchange, excluded, now)) {
-    Add(sum, received->Report.Load);
+    Add(sum, received->Report.Load, now - received->ReceivedAt);
   }
   return sum;
 }
@@ -119,7 +146,7 @@
 {
   gsSystemLoad sum;
   for (gsReceivedLoad const* received : OtherHallReports(exchange, now)) {
-    Add(sum, received->Report.Load);
+    Add(sum, received->Report.Load, now - received->ReceivedAt);
   }
   // The reachability of halls from other halls is irrelevant to this hall.
   sum.UnreachableHalls.clear();
@@ -264,7 +291,15 @@
 gsSystemLoad gsLoadOfOthers(gsLoadExchange const& exchange, gsTime now)
 {
   if (gsReceivedLoad const* fromRelay = ReportFromRelay(exchange, now)) {
-    return fromRelay->Report.Load;
+    gsSystemLoad sum = fromRelay->Report.Load;
+    auto elapsed = std::chrono::duration_cast<gsMilliseconds>(
+      now - fromRelay->ReceivedAt);
+    for (auto& [upstream, load] : sum.Upstreams) {
+      load.SpeedAgeMillis += static_cast<std::uint32_t>(elapsed.count());
+      load.SpeedSampleAgeMillis +=
+        static_cast<std::uint32_t>(elapsed.count());
+    }
+    return sum;
   }
   gsSystemLoad sum = HallLoad(exchange, {}, exchange.Self, now);
   Add(sum, OtherHallsLoad(exchange, now));
--- a/Source/Coord/gsLoadExchange.h
+++ b/Source/Coord/gsLoadExchange.h
@@ -37,13 +37,25 @@
   /** Shortest interval between events that any host has measured; zero if none
    * has measured one. */
   std::uint32_t MinEventIntervalMicros = 0;
+  /** Newest speed that any of the hosts has measured, in thousandths; zero if
+   * none has measured one. */
+  std::uint32_t SpeedPermille = 0;
+  /** Age of that measurement when the report was sent. Not compared, as an
+   * unchanged speed needs no new report. */
+  std::uint32_t SpeedAgeMillis = 0;
+  /** Newest sample from which speeds are computed, its kind and its age; zero
+   * if there is none. Not compared either. */
+  std::uint32_t SpeedSampleNanos = 0;
+  std::uint32_t SpeedSampleKind = 0;
+  std::uint32_t SpeedSampleAgeMillis = 0;
 
   friend bool operator==(gsUpstreamLoad const& a, gsUpstreamLoad const& b)
   {
     return a.Running == b.Running &&
            a.PendingPromptTokens == b.PendingPromptTokens &&
            a.MemoryTokens == b.MemoryTokens &&
-           a.MinEventIntervalMicros == b.MinEventIntervalMicros;
+           a.MinEventIntervalMicros == b.MinEventIntervalMicros &&
+           a.SpeedPermille == b.SpeedPermille;
   }
 };
 
--- a/Source/Core/gsArrangement.cxx
+++ b/Source/Core/gsArrangement.cxx
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "gsCandidates.h"
+#include "gsEngineSpeed.h"
 
 namespace {
 
@@ -39,6 +40,18 @@
  * hosts.
  */
 constexpr double MinBusyShare = 0.02;
+/** Use of the engines for tight streams that their number is chosen for. */
+constexpr double TightUse = 0.5;
+/** Minimum share of the engines for tight streams while they have demand. */
+constexpr double MinTightShare = 0.1;
+/** Probability that an engine has cached the shared parts of a subject that
+ * this host has not requested, because other hosts have; as
+ * HomeHitProbability of gsPlacementCost. Reached SubjectWarmupTime after the
+ * first request to the service. */
+constexpr double SubjectHitProbability = 0.8;
+constexpr gsTime SubjectWarmupTime = gsSeconds(2);
+/** Maximum number of subjects that a host remembers for a service. */
+constexpr std::size_t MaxSubjects = 4096;
 
 gsEngineKey EngineKeyOf(gsFleetRow const& row)
 {
@@ -91,15 +104,48 @@
   demand.DecayedAt = now;
 }
 
+/** Records a request for a subject. \return Whether this host has requested
+ * it within the time for which prompt parts stay cached. */
+bool RecordSubject(gsFleetSettings const& settings, gsDemand& demand,
+                   std::uint64_t subject, gsTime now)
+{
+  auto [entry, isNew] = demand.Subjects.try_emplace(subject, now);
+  bool isRecent = !isNew && now - entry->second <= settings.PartRetention;
+  entry->second = now;
+  if (demand.Subjects.size() > MaxSubjects) {
+    demand.Subjects.clear();
+  }
+  return isRecent;
+}
+
+/** Expected number of prompt tokens that an engine will process, without
+ * those that it has cached. */
+double TokensToProcess(gsFleet const& fleet, gsDemand& demand,
+                       gsPlacementRequest const& ask, gsTime now)
+{
+  std::uint64_t subject = gsSubjectOf(ask);
+  if (!gsUsesEngineSpeed(fleet) || subject == 0) {
+    return ask.PromptTokens;
+  }
+  double shared = std::min(gsSharedTokens(ask), ask.PromptTokens);
+  bool isKnown = RecordSubject(fleet.Settings, demand, subject, now);
+  double warmth = std::clamp(gsToSeconds(now - demand.FirstRequestAt) /
+                               gsToSeconds(SubjectWarmupTime),
+                             0.0, 1.0);
+  double hit = isKnown ? 1 : SubjectHitProbability * warmth;
+  return ask.PromptTokens - hit * shared;
+}
+
 /** Time for which a request keeps an engine of its service busy, in prompt
  * tokens that an engine processes in that time. */
-double EngineTimeOf(gsFleet const& fleet, gsPlacementRequest const& ask)
+double EngineTimeOf(gsFleet const& fleet, gsPlacementRequest const& ask,
+                    double tokensToProcess)
 {
   auto rows = fleet.ByService.find(std::string(ask.Service));
   bool isEmpty = rows == fleet.ByService.end() || rows->second.empty();
   double slots =
     isEmpty ? 1 : std::max(1U, fleet.Rows[rows->second.front()].Listed.Slots);
-  return ask.PromptTokens +
+  return tokensToProcess +
          fleet.Settings.StepTokens / slots * ask.AnswerTokens;
 }
 
@@ -151,17 +197,63 @@
   return slow;
 }
 
+/** The engines that are slow by their decided speeds, ascending by hash. */
+std::vector<std::uint32_t> SlowEnginesBySpeed(
+  gsFleet const& fleet, std::vector<std::size_t> const& members)
+{
+  std::vector<std::uint32_t> slow;
+  for (std::size_t index : members) {
+    gsFleetRow const& row = fleet.Rows[index];
+    if (gsSpeedClassOf(row) != gsSpeedClass::Normal) {
+      slow.push_back(row.Hash);
+    }
+  }
+  std::sort(slow.begin(), slow.end());
+  return slow;
+}
+
+/**
+ * Number of engines for long prompts by the engine time of both groups: the
+ * group for tight streams gets what it needs at TightUse, and the long group
+ * the rest. If both need more, they are assigned in proportion.
+ */
+double LongEnginesByNeed(gsFleet const& fleet, gsDemand const& demand,
+                         std::vector<std::size_t> const& members,
+                         double tokenMillis)
+{
+  double count = static_cast<double>(members.size());
+  double capacity = 0;
+  for (std::size_t index : members) {
+    capacity += gsEngineSpeedOf(fleet, fleet.Rows[index]);
+  }
+  double enginesPerToken = std::log(2.0) /
+                           gsToSeconds(fleet.Settings.DemandHalfLife) *
+                           tokenMillis / 1e3;
+  double tight = (demand.TightTokens + demand.OthersTightTokens) *
+                 enginesPerToken / TightUse;
+  double longNeed =
+    (demand.LongTokens + demand.OthersLongTokens) * enginesPerToken;
+  if (tight + longNeed > capacity) {
+    tight = capacity * tight / (tight + longNeed);
+  }
+  // Slow engines are assigned to long prompts first, so that those of the
+  // other group have about speed 1.
+  return count - std::max(tight, MinTightShare * count);
+}
+
 /** Decides the number of engines for long prompts. It only changes if demand
  * has changed by more than the minimum change. */
 std::uint32_t DecideLongEngines(gsDemand const& demand, double count,
-                                double minChangeShare, std::uint32_t previous)
+                                double minChangeShare, std::uint32_t previous,
+                                std::optional<double> byNeed)
 {
   double longTokens = demand.LongTokens + demand.OthersLongTokens;
   double tightTokens = demand.TightTokens + demand.OthersTightTokens;
   if (longTokens < 1 || tightTokens < 1 || count < 2) {
     return 0;
   }
-  double engines = count * longTokens / (longTokens + tightTokens);
+  double engines =
+    byNeed.value_or(count * longTokens / (longTokens + tightTokens));
   double minChange = std::max(MinChange, minChangeShare * count);
   bool hasChanged = std::abs(engines - previous) > minChange;
   if (!hasChanged && previous != 0 && previous < count) {
@@ -287,7 +379,7 @@
   }
   bool isLong = ask.Group == gsFleetGroup::Long;
   (isLong ? demand.LongTokens : demand.TightTokens) +=
-    EngineTimeOf(fleet, ask);
+    EngineTimeOf(fleet, ask, TokensToProcess(fleet, demand, ask, now));
 }
 
 void gsSetOthersDemand(gsFleet& fleet, std::string const& service,
@@ -351,20 +443,29 @@
     gsEngineArrangement next = known;
     gsTime slowInterval = settings.SlowDecisionIntervalPerEngine *
                           static_cast<std::int64_t>(engines);
-    if (now - demand.SlowDecidedAt >= slowInterval) {
+    bool usesSpeed = gsUsesEngineSpeed(fleet);
+    if (usesSpeed) {
+      next.SlowEngines = SlowEnginesBySpeed(fleet, rows->second);
+    } else if (now - demand.SlowDecidedAt >= slowInterval) {
       demand.SlowDecidedAt = now;
       next.SlowEngines = DecideSlowEngines(fleet, rows->second, known);
     }
     if (now - demand.FirstRequestAt >= settings.MinDemandTime) {
       gsEngineTiming const& timing = fleet.EngineTimings[service];
-      double busy = gsBusyEngines(fleet, service, timing.TokenMillis, now);
+      double tokenMillis =
+        usesSpeed ? timing.LoadFreeTokenMillis : timing.TokenMillis;
+      double busy = gsBusyEngines(fleet, service, tokenMillis, now);
+      std::optional<double> byNeed;
+      if (usesSpeed) {
+        byNeed = LongEnginesByNeed(fleet, demand, rows->second, tokenMillis);
+      }
       double minChangeShare =
         gsAreLongPromptsUrgent(timing) ? UrgentMinChangeShare : MinChangeShare;
       next.LongEngines =
         IsTooIdleToDivide(busy, engines, known)
           ? 0
           : DecideLongEngines(demand, static_cast<double>(engines),
-                              minChangeShare, known.LongEngines);
+                              minChangeShare, known.LongEngines, byNeed);
     }
     if (!(next == known)) {
       StorePreviousGroups(fleet, known, rows->second);
--- a/Source/Core/gsExpectedWait.cxx
+++ b/Source/Core/gsExpectedWait.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "gsArrangement.h"
+#include "gsEngineSpeed.h"
 
 namespace {
 
@@ -21,6 +22,13 @@
   return gsFromSeconds(static_cast<double>(tokens) * tokenMillis / 1e3);
 }
 
+/** Speed for waits that extend timeouts. A wrong speed must not shorten them,
+ * so that it is at most 1. */
+double WaitSpeed(gsFleet const& fleet, gsFleetRow const& row)
+{
+  return std::min(1.0, gsEngineSpeedOf(fleet, row));
+}
+
 /** Mean slot hold time at an engine, milliseconds; zero if unknown. */
 double MeanHoldMillis(gsFleet const& fleet, gsFleetRow const& row)
 {
@@ -43,7 +51,7 @@
   }
   double queuedRequests = running - slots;
   return gsFromSeconds(queuedRequests * MeanHoldMillis(fleet, row) / slots /
-                       1e3);
+                       1e3 / WaitSpeed(fleet, row));
 }
 
 } // namespace
@@ -61,6 +69,7 @@
                                    double tokenMillis, gsTime now)
 {
   gsExpectedWait wait = waitWhenSent;
+  double speed = row == nullptr ? 1 : WaitSpeed(fleet, *row);
   if (row != nullptr) {
     // The load of the row already includes the attempt.
     gsOutstandingLoad work = gsTotalLoad(fleet, *row, now);
@@ -70,7 +79,8 @@
                              ExpectedSlotWait(fleet, *row, work.OpenAttempts));
   }
   double promptSeconds =
-    gsToSeconds(PromptProcessingTime(wait.PendingPromptTokens, tokenMillis)) *
+    gsToSeconds(
+      PromptProcessingTime(wait.PendingPromptTokens, tokenMillis / speed)) *
     PromptTimeMargin;
   return gsFromSeconds(promptSeconds +
                        SlotWaitMargin * gsToSeconds(wait.SlotWait));
@@ -82,5 +92,5 @@
   // The stream has a slot; in the worst case the engine processes all pending
   // prompts before the next event.
   return PromptProcessingTime(gsTotalLoad(fleet, row, now).PendingPromptTokens,
-                              tokenMillis);
+                              tokenMillis / WaitSpeed(fleet, row));
 }
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -184,6 +184,7 @@
       fleet.Rows[index].RestartedAt = now;
     }
     fleet.Rows[index].Listed = listed;
+    fleet.Rows[index].ListedAt = now;
     fleet.Rows[index].Hash = gsIncarnationHash(gsIncarnationOf(listed));
     fleet.Rows[index].Announced =
       TakeRetainedAnnouncements(fleet, listed, now);
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -23,6 +23,8 @@
 #include <vector>
 
 #include "gsEngineOrder.h"
+#include "gsEngineSpeedState.h"
+#include "gsFeatureMode.h"
 #include "gsHallReachability.h"
 #include "gsInterference.h"
 #include "gsLoadExchange.h"
@@ -97,6 +99,9 @@
   double LongHoldMillis = 0;
   double TightHoldMillis = 0;
   gsTime FirstRequestAt{}; ///< First request of any host; zero before.
+  /** Subjects of this host's requests, with the time of the last one. Used and
+   * bounded only if decisions use engine speeds. */
+  std::unordered_map<std::uint64_t, gsTime> Subjects;
   gsTime DecidedAt{};      ///< Last time this host decided the arrangement.
   gsTime
     SlowDecidedAt{}; ///< Last time this host decided which engines are slow.
@@ -111,6 +116,8 @@
   /** When this host detected a restart under the same id; zero if there was
    * none. */
   gsTime RestartedAt{};
+  gsTime ListedAt{}; ///< When the row was added.
+  gsEngineSpeedState Speed;
   /** Whether the arrangement shared by all hosts lists it as slow. */
   bool IsSlow = false;
   /** It is cold until then and overloads above a few requests per second. */
@@ -245,6 +252,7 @@
   /** Sufficient for the releases of a whole fleet; about 100 KB. */
   std::size_t MaxRetainedAnnouncements = 1024;
   gsHallReachabilitySettings HallReach;
+  gsFeatureMode EngineSpeed = gsFeatureMode::Off; ///< See gsEngineSpeed.h.
 };
 
 /**
@@ -283,6 +291,10 @@
   std::map<std::string, gsTime, std::less<>> EvacuatedSince;
   std::unordered_map<std::string, gsEngineTiming>
     EngineTimings; ///< Engine speed by service.
+  /** What the speeds of a service's engines are relative to; by service. */
+  std::unordered_map<std::string, gsServiceSpeed> ServiceSpeeds;
+  /** Hashes of the rows of which a host has measured the speed recently. */
+  std::vector<std::uint32_t> MeasuredRows;
   /** Announcements of upstreams without a row; by id. */
   std::unordered_map<std::string, gsRetainedAnnouncement>
     RetainedAnnouncements;
@@ -419,7 +431,8 @@
     }
     gsFleetRow& row = fleet.Rows[found->second];
     row.IsReportable = row.OwnLoad.OpenAttempts > 0 || now < row.FullUntil ||
-                       row.EventIntervalMillis > 0;
+                       row.EventIntervalMillis > 0 ||
+                       !row.Speed.Samples.empty();
     if (row.IsReportable) {
       fleet.ReportableRows[count++] = hash;
       function(row);
--- a/Source/Core/gsInterference.cxx
+++ b/Source/Core/gsInterference.cxx
@@ -34,11 +34,45 @@
 constexpr double MinTokenMillis = 0.002;
 constexpr double MaxTokenMillis = 1.0;
 
+/** Quantile of the event intervals that is considered free of load. */
+constexpr double LoadFreeQuantile = 0.05;
+/** Share of a bound below which a route leaves its class. Without it, routes
+ * changed their class, and all their subjects their homes, within seconds. */
+constexpr double LeaveShare = 0.8;
+/** Number of requests from which a new one has a constant weight in the stable
+ * mean prompt length of a route. */
+constexpr std::uint32_t StableMeanCount = 100;
+/** Number of requests from which a route keeps its class. The first prompts
+ * may have ten times the mean length. */
+constexpr std::uint32_t MinClassifiedCount = 20;
+
 /** Updates a low-quantile estimate with a sample. \return The new estimate. */
-double UpdateQuantile(double estimate, double sample)
+double UpdateQuantile(double estimate, double sample,
+                      double quantile = Quantile)
 {
   double isBelow = sample < estimate ? 1 : 0;
-  return estimate * (1 + QuantileStep * (Quantile - isBelow));
+  return estimate * (1 + QuantileStep * (quantile - isBelow));
+}
+
+/** Whether a route had a class at its last request and keeps it. */
+bool WasInGroup(gsEngineTiming const& timing, std::string const& route,
+                gsFleetGroup group)
+{
+  auto last = timing.LastGroups.find(route);
+  return timing.IsStable && last != timing.LastGroups.end() &&
+         last->second == group;
+}
+
+/** Weight of a new prompt in the mean prompt length of a route. */
+double MeanWeight(gsEngineTiming& timing, std::string const& route,
+                  double mean)
+{
+  if (timing.IsStable) {
+    std::uint32_t& count = timing.RequestCounts[route];
+    count = std::min(count + 1, StableMeanCount);
+    return 1.0 / count;
+  }
+  return mean <= 0 ? 1 : MeanSmoothing;
 }
 
 /** Whether prompt processing for a time exceeds the share of a stream's
@@ -47,7 +81,9 @@
 bool ExceedsShare(gsEngineTiming const& timing, double promptMillis,
                   double targetMillis, double share)
 {
-  double slackMillis = targetMillis * share - timing.EventMillis;
+  double eventMillis =
+    timing.IsStable ? timing.LoadFreeEventMillis : timing.EventMillis;
+  double slackMillis = targetMillis * share - eventMillis;
   return targetMillis > 0 && promptMillis > slackMillis;
 }
 
@@ -76,19 +112,31 @@
   timing.EventMillis = timing.EventMillis <= 0
                          ? millis
                          : UpdateQuantile(timing.EventMillis, millis);
+  double& loadFree = timing.LoadFreeEventMillis;
+  loadFree = loadFree <= 0
+               ? millis
+               : UpdateQuantile(loadFree, millis, LoadFreeQuantile);
 }
 
 double gsPromptMillis(gsEngineTiming const& timing, double tokens)
 {
-  return tokens * timing.TokenMillis;
+  return tokens *
+         (timing.IsStable ? timing.LoadFreeTokenMillis : timing.TokenMillis);
 }
 
 gsFleetGroup gsGroupByInterference(gsEngineTiming const& timing,
                                    gsStreamTargets const& targets,
-                                   double tokens, double meanTokens)
+                                   double tokens, double meanTokens,
+                                   std::string const& route)
 {
   double tightest = targets.TightestIntervalMillis;
-  bool isLong = ExceedsShare(timing, gsPromptMillis(timing, meanTokens),
+  // A route that has a class leaves it only below LeaveShare of the bound.
+  bool wasLong = WasInGroup(timing, route, gsFleetGroup::Long);
+  bool wasTight = WasInGroup(timing, route, gsFleetGroup::Tight);
+  double longScale = wasLong ? 1 / LeaveShare : 1;
+  double tightScale = wasTight ? 1 / LeaveShare : 1;
+  bool isLong = ExceedsShare(timing,
+                             longScale * gsPromptMillis(timing, meanTokens),
                              tightest, MaxMeanShare) ||
                 ExceedsShare(timing, gsPromptMillis(timing, tokens), tightest,
                              MaxSingleShare);
@@ -98,7 +146,7 @@
   bool isTightest =
     targets.MaxIntervalMillis > 0 && targets.MaxIntervalMillis <= tightest;
   bool isAffected =
-    isTightest || ExceedsShare(timing, timing.MeanLongPromptMillis,
+    isTightest || ExceedsShare(timing, tightScale * timing.MeanLongPromptMillis,
                                targets.MaxIntervalMillis, MaxMeanShare);
   return isAffected ? gsFleetGroup::Tight : gsFleetGroup::Any;
 }
@@ -108,8 +156,14 @@
                                gsStreamTargets const& targets, double tokens)
 {
   double& mean = timing.MeanPromptTokens[route];
-  mean += (mean <= 0 ? 1 : MeanSmoothing) * (tokens - mean);
-  gsFleetGroup group = gsGroupByInterference(timing, targets, tokens, mean);
+  mean += MeanWeight(timing, route, mean) * (tokens - mean);
+  gsFleetGroup group =
+    gsGroupByInterference(timing, targets, tokens, mean, route);
+  if (timing.IsStable && timing.RequestCounts[route] >= MinClassifiedCount) {
+    // A single very long prompt does not change the class of its route.
+    timing.LastGroups[route] =
+      gsGroupByInterference(timing, targets, mean, mean, route);
+  }
   if (group == gsFleetGroup::Long) {
     double millis = gsPromptMillis(timing, tokens);
     double weight = timing.MeanLongPromptMillis <= 0 ? 1 : LongPromptSmoothing;
--- a/Source/Core/gsInterference.h
+++ b/Source/Core/gsInterference.h
@@ -17,11 +17,25 @@
  */
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 
 #include "gsTypes.h"
 
+/** Classification of requests by interference. Engines are assigned to groups
+ * of requests by the same values. */
+enum class gsFleetGroup
+{
+  /** Neither interferes nor is affected by interference; any engine. */
+  Any,
+  /** Processing of the prompt can make concurrent streams miss their targets.
+   */
+  Long,
+  /** A stream that can miss its target because of concurrent long prompts. */
+  Tight
+};
+
 /** Speed of a service's engines and its prompt statistics, as measured by this
  * host. */
 struct gsEngineTiming
@@ -29,6 +43,19 @@
   /** Processing time of a prompt token, milliseconds. A low quantile, since
    * the samples include the time for which the request was queued. */
   double TokenMillis = 0.02;
+  /** Processing time of a prompt token at an engine of speed 1 without other
+   * work, milliseconds; see gsEngineSpeed. */
+  double LoadFreeTokenMillis = 0.02;
+  /** Classify routes by LoadFreeTokenMillis and with hysteresis, so that load
+   * does not move the homes of their subjects. */
+  bool IsStable = false;
+  /** Interval between events without load, milliseconds; the lowest of the
+   * quantiles. Zero before the first sample. */
+  double LoadFreeEventMillis = 0;
+  /** Number of requests by route, and the last class of routes whose prompt
+   * statistics are sufficient; used only if IsStable. */
+  std::unordered_map<std::string, std::uint32_t> RequestCounts;
+  std::unordered_map<std::string, gsFleetGroup> LastGroups;
   /** Interval between events without prompt processing, milliseconds. A low
    * quantile; zero before the first sample. */
   double EventMillis = 0;
@@ -54,19 +81,6 @@
   double FirstEventMillis = 0;
 };
 
-/** Classification of requests by interference. Engines are assigned to groups
- * of requests by the same values. */
-enum class gsFleetGroup
-{
-  /** Neither interferes nor is affected by interference; any engine. */
-  Any,
-  /** Processing of the prompt can make concurrent streams miss their targets.
-   */
-  Long,
-  /** A stream that can miss its target because of concurrent long prompts. */
-  Tight
-};
-
 /**
  * Whether long prompts have such short targets that they miss them when a few
  * of them are queued at an engine. They may then be sent to all engines when
@@ -90,11 +104,13 @@
  * Classifies a request by the mean prompt length of its route, so that all
  * requests for a subject use the same engines. A prompt that by itself makes
  * other streams miss their targets is classified by its own length. Lengths
- * are in tokens.
+ * are in tokens. With gsEngineTiming::IsStable, a route keeps its last class
+ * until it is clearly within the bounds of another.
  */
 gsFleetGroup gsGroupByInterference(gsEngineTiming const& timing,
                                    gsStreamTargets const& targets,
-                                   double tokens, double meanTokens);
+                                   double tokens, double meanTokens,
+                                   std::string const& route = {});
 
 /** Updates the prompt statistics with a new request and classifies it. */
 gsFleetGroup gsClassifyRequest(gsEngineTiming& timing,
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -35,6 +35,8 @@
   /** Prompt tokens that an engine reads within the target time to the first
    * token; 0 if unknown. */
   double TargetTokens = 0;
+  /** Maximum interval between events of its stream; 0 for no limit. */
+  double MaxIntervalMillis = 0;
   /** Milliseconds that an engine takes to read a token; 0 if unknown. */
   double MillisPerToken = 0;
   /** Engines can transfer cached prompt parts to each other. */
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -2,10 +2,13 @@
 #include "gsPlacementCost.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
+#include <tuple>
 
 #include "gsArrangement.h"
 #include "gsColdStart.h"
+#include "gsEngineSpeed.h"
 #include "gsRendezvous.h"
 
 namespace gsPlacementDetail {
@@ -67,12 +70,14 @@
 {
   gsFleetSettings const& settings = fleet.Settings;
   gsOutstandingLoad work = gsTotalLoad(fleet, row, now);
-  double cost =
-    WaitCost(settings, static_cast<double>(work.PendingPromptTokens) + toRead,
-             request.TargetTokens);
-  cost += settings.RunningCost * work.OpenAttempts;
+  double speed = gsEngineSpeedOf(fleet, row);
+  double cost = WaitCost(
+    settings, (static_cast<double>(work.PendingPromptTokens) + toRead) / speed,
+    request.TargetTokens);
+  cost += settings.RunningCost * work.OpenAttempts / speed;
   if (work.OpenAttempts >= row.Listed.Slots) {
-    cost += settings.QueuedCost * (1.0 + work.OpenAttempts - row.Listed.Slots);
+    cost += settings.QueuedCost *
+            (1.0 + work.OpenAttempts - row.Listed.Slots) / speed;
   }
   if (row.Listed.Hall != settings.Hall) {
     cost += settings.OtherHallCost;
@@ -187,23 +192,50 @@
 
 namespace {
 
+/** Score of an upstream in a subject's rendezvous order, weighted by its speed
+ * if decisions use it. The unweighted order is the same as in releases without
+ * speeds. */
+struct SubjectScore
+{
+  double Weighted = 0;
+  std::uint64_t Unweighted = 0;
+
+  bool operator>(SubjectScore const& other) const
+  {
+    return std::tie(this->Weighted, this->Unweighted) >
+           std::tie(other.Weighted, other.Unweighted);
+  }
+};
+
+SubjectScore SubjectScoreOf(gsFleet const& fleet, gsFleetRow const& row,
+                            std::uint64_t subject, gsTime now)
+{
+  std::string const& id = row.Listed.Id;
+  if (!gsUsesEngineSpeed(fleet)) {
+    return { 0, gsRendezvousWeight(id, subject) };
+  }
+  return { gsWeightedRendezvousScore(id, subject,
+                                     gsHomeWeightOf(fleet, row, now)),
+           0 };
+}
+
 /** The first upstream in a subject's rendezvous order that satisfies a
  * predicate; null if none does. */
 template<typename Predicate>
 gsFleetRow const* FirstInSubjectOrder(gsFleet const& fleet,
                                       std::vector<std::size_t> const& rows,
-                                      std::uint64_t subject,
+                                      std::uint64_t subject, gsTime now,
                                       Predicate const& predicate)
 {
   gsFleetRow const* best = nullptr;
-  std::uint64_t bestWeight = 0;
+  SubjectScore bestScore;
   for (std::size_t index : rows) {
     gsFleetRow const& row = fleet.Rows[index];
-    std::uint64_t weight = gsRendezvousWeight(row.Listed.Id, subject);
-    bool better = best == nullptr || weight > bestWeight;
+    SubjectScore score = SubjectScoreOf(fleet, row, subject, now);
+    bool better = best == nullptr || score > bestScore;
     if (better && predicate(row)) {
       best = &row;
-      bestWeight = weight;
+      bestScore = score;
     }
   }
   return best;
@@ -220,9 +252,20 @@
   if (subject == 0) {
     return nullptr;
   }
-  return FirstInSubjectOrder(fleet, rows, subject, [&](gsFleetRow const& row) {
+  auto mayServe = [&](gsFleetRow const& row) {
     return IsEligible(fleet, row, request, now) && IsInGroup(row, context);
-  });
+  };
+  if (gsUsesEngineSpeed(fleet)) {
+    gsFleetRow const* home = FirstInSubjectOrder(
+      fleet, rows, subject, now, [&](gsFleetRow const& row) {
+        return gsFitsPauseTarget(fleet, row, request.MaxIntervalMillis) &&
+               mayServe(row);
+      });
+    if (home != nullptr) {
+      return home;
+    }
+  }
+  return FirstInSubjectOrder(fleet, rows, subject, now, mayServe);
 }
 
 /** Whether other engines can probably obtain prompt parts from this one: it
@@ -242,7 +285,7 @@
                                    PlacementContext const& context, gsTime now)
 {
   return FirstInSubjectOrder(
-    fleet, rows, gsSubjectOf(request), [&](gsFleetRow const& row) {
+    fleet, rows, gsSubjectOf(request), now, [&](gsFleetRow const& row) {
       bool fits = row.PreviousGroup == gsFleetGroup::Any ||
                   row.PreviousGroup == context.Group;
       return fits && CanTransferFrom(fleet, row, request, now);
@@ -331,7 +374,8 @@
     isLong ? context.LongHoldMillis : context.TightHoldMillis;
   double wait = queued * holdMillis / slots / request.MillisPerToken;
   double tokens = static_cast<double>(work.PendingPromptTokens) + toRead;
-  return (tokens + wait) / request.TargetTokens;
+  return (tokens + wait) / request.TargetTokens /
+         gsEngineSpeedOf(fleet, row);
 }
 
 namespace {
@@ -393,7 +437,7 @@
   // Requests that the home could not take were sent to the next upstream in
   // the subject's order.
   return FirstInSubjectOrder(
-    fleet, candidates.HomeRows, gsSubjectOf(request),
+    fleet, candidates.HomeRows, gsSubjectOf(request), now,
     [&](gsFleetRow const& row) {
       return &row != &chosen && IsInGroup(row, context) &&
              CanTransferFrom(fleet, row, request, now);
@@ -421,14 +465,20 @@
  * have the subject cached. */
 double SpreadCost(gsFleet const& fleet, gsFleetRow const& row,
                   gsPlacementRequest const& request,
-                  PlacementContext const& context, bool holdsSubject)
+                  PlacementContext const& context, bool holdsSubject,
+                  gsTime now)
 {
   bool isHome = &row == context.Home;
   if (context.Home == nullptr || isHome || holdsSubject) {
     return 0;
   }
-  return fleet.Settings.MaxSpreadCost *
-         (1 - gsRendezvousFraction(row.Listed.Id, gsSubjectOf(request)));
+  double fraction =
+    gsRendezvousFraction(row.Listed.Id, gsSubjectOf(request));
+  if (gsUsesEngineSpeed(fleet)) {
+    // Has the same order as gsWeightedRendezvousScore.
+    fraction = std::pow(fraction, 1 / gsHomeWeightOf(fleet, row, now));
+  }
+  return fleet.Settings.MaxSpreadCost * (1 - fraction);
 }
 
 /** Cost of exceeding the engine's memory, which makes it preempt other
@@ -490,7 +540,7 @@
   // All engines soon have cached the parts that all subjects share, so only an
   // engine that has cached all shared parts holds the subject.
   bool holdsSubject = toRead + gsSharedTokens(request) <= request.PromptTokens;
-  cost += SpreadCost(fleet, row, request, context, holdsSubject);
+  cost += SpreadCost(fleet, row, request, context, holdsSubject, now);
   return IsInGroup(row, context)
            ? cost
            : cost + OtherGroupCost(fleet.Settings, context);
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -1,10 +1,12 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsLoadSharing.h"
 
+#include <chrono>
 #include <cmath>
 #include <vector>
 
 #include "gsArrangement.h"
+#include "gsEngineSpeed.h"
 #include "gsLog.h"
 #include "gsLoop.h"
 #include "gsRendezvous.h"
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr double MicrosPerMilli = 1000;
+constexpr double NanosPerMilli = 1e6;
 /**
  * Minimum interval between applying reports as they arrive. A relay receives a
  * hundred reports per second, and applying them sums up those of its whole
@@ -41,6 +44,36 @@
                                     MicrosPerMilli);
 }
 
+std::uint32_t ToPermille(double speed)
+{
+  return static_cast<std::uint32_t>(std::lround(speed * 1000));
+}
+
+/** Rounds a speed, so that small changes do not cause reports, and converts it
+ * to thousandths. */
+std::uint32_t RoundPermille(double speed)
+{
+  constexpr double step = 0.05;
+  return ToPermille(std::round(speed / step) * step);
+}
+
+std::uint32_t ToMillis(gsTime time)
+{
+  return static_cast<std::uint32_t>(
+    std::chrono::duration_cast<gsMilliseconds>(time).count());
+}
+
+gsReportedSpeed ReportedSpeed(gsUpstreamLoad const& load, gsTime now)
+{
+  gsReportedSpeed reported;
+  reported.Speed = load.SpeedPermille / 1e3;
+  reported.SpeedAt = now - gsMilliseconds(load.SpeedAgeMillis);
+  reported.SampleMillis = load.SpeedSampleNanos / NanosPerMilli;
+  reported.SampleKind = load.SpeedSampleKind;
+  reported.SampleAt = now - gsMilliseconds(load.SpeedSampleAgeMillis);
+  return reported;
+}
+
 /**
  * Interval between events to be reported, in microseconds; zero if another
  * host has reported one that is not longer.
@@ -53,6 +86,30 @@
   return isLowest ? RoundIntervalMicros(millis) : 0;
 }
 
+/** Logs a change of the speed in use with the measurements behind it. */
+void LogSpeed(gsFleet const& fleet, gsFleetRow const& row,
+              gsSpeedChange const& change, gsTime now)
+{
+  gsEngineSpeedState const& state = row.Speed;
+  auto service = fleet.ServiceSpeeds.find(row.Listed.Service);
+  bool isKnown = service != fleet.ServiceSpeeds.end();
+  gsLogLine("engine_speed")
+    .With("service", row.Listed.Service)
+    .With("upstream", row.Listed.Id)
+    .With("born", row.Listed.StartedAt)
+    .With("state", gsSpeedStateName(row))
+    .With("before", change.StateBefore)
+    .With("permille", ToPermille(state.Decided))
+    .With("permille_before", ToPermille(change.DecidedBefore))
+    .With("measured", ToPermille(state.Measured))
+    .With("age_ms", now - state.MeasuredAt)
+    .With("own", ToPermille(state.Own))
+    .With("reported", ToPermille(state.Reported))
+    .With("samples", std::uint64_t(state.Samples.size()))
+    .With("anchor", ToPermille(isKnown ? service->second.Anchor : 1))
+    .With("applied", gsUsesEngineSpeed(fleet));
+}
+
 void LogArrangement(std::string const& service,
                     gsEngineArrangement const& arrangement, char const* cause)
 {
@@ -81,12 +138,23 @@
   gsForEachReportable(this->Fleet, now, [&own, now](gsFleetRow const& row) {
     std::uint32_t intervalMicros = IntervalToReport(row);
     gsOutstandingLoad work = gsOwnLoad(row, now);
-    if (work.OpenAttempts > 0 || intervalMicros > 0) {
-      own.Upstreams[row.Hash] = {
-        work.OpenAttempts,
-        static_cast<std::uint32_t>(work.PendingPromptTokens),
-        static_cast<std::uint32_t>(work.MemoryTokens), intervalMicros
-      };
+    std::uint32_t speedPermille = RoundPermille(gsSpeedToReport(row, now));
+    auto sample = gsSampleToReport(row, now);
+    if (work.OpenAttempts > 0 || intervalMicros > 0 || speedPermille > 0 ||
+        sample) {
+      gsUpstreamLoad& load = own.Upstreams[row.Hash];
+      load = { work.OpenAttempts,
+               static_cast<std::uint32_t>(work.PendingPromptTokens),
+               static_cast<std::uint32_t>(work.MemoryTokens), intervalMicros };
+      load.SpeedPermille = speedPermille;
+      load.SpeedAgeMillis =
+        speedPermille > 0 ? ToMillis(now - row.Speed.OwnAt) : 0;
+      if (sample) {
+        load.SpeedSampleNanos =
+          static_cast<std::uint32_t>(sample->Millis * NanosPerMilli);
+        load.SpeedSampleKind = sample->Kind;
+        load.SpeedSampleAgeMillis = ToMillis(now - sample->At);
+      }
     }
   });
   for (auto const& [service, demand] : this->Fleet.Demand) {
@@ -130,6 +198,7 @@
   gsTime now = gsLoop::Now();
   gsRefreshHalls(this->Fleet, now);
   gsExpireEventIntervals(this->Fleet, now);
+  this->RefreshSpeeds(now);
   for (gsLoadMessage const& message :
        gsLoadTick(this->Exchange, this->Peers(now), this->OwnLoad(now), now)) {
     if (gradescale::Frame* frame = this->Cluster->ToHost(message.To)) {
@@ -178,11 +247,28 @@
   gsHallSetReportedUnreachable(this->Fleet.HallReachability, unreachable);
 }
 
+/** Updates the speeds of engines and logs changes of those in use. */
+void gsLoadSharing::RefreshSpeeds(gsTime now)
+{
+  if (now - this->SpeedsRefreshedAt < MinApplyInterval) {
+    return;
+  }
+  this->SpeedsRefreshedAt = now;
+  for (gsSpeedChange const& change :
+       gsRefreshEngineSpeeds(this->Fleet, now)) {
+    gsFleetRow const& row =
+      this->Fleet.Rows[this->Fleet.ByHash.at(change.Upstream)];
+    ++this->SpeedChangeCount;
+    LogSpeed(this->Fleet, row, change, now);
+  }
+}
+
 /**
  * Stores the load of other hosts in the rows that have any, and resets the
  * rows that have none any more.
  */
-void gsLoadSharing::ApplyUpstreams(gsLoadMap const& others, gsTime reportedAt)
+void gsLoadSharing::ApplyUpstreams(gsLoadMap const& others, gsTime reportedAt,
+                                   gsTime now)
 {
   for (std::uint32_t hash : this->RowsWithOthersLoad) {
     auto row = this->Fleet.ByHash.find(hash);
@@ -203,6 +289,7 @@
     row.OthersReportedAt = reportedAt;
     row.OthersEventIntervalMillis =
       load.MinEventIntervalMicros / MicrosPerMilli;
+    gsApplyReportedSpeed(this->Fleet, row, ReportedSpeed(load, now), now);
     this->RowsWithOthersLoad.push_back(hash);
   }
 }
@@ -215,7 +302,7 @@
   gsTime reportedAt =
     gsOldestHostReportAt(this->Exchange, now).value_or(gsTime{});
   this->ApplyUnreachableHalls(others.UnreachableHalls);
-  this->ApplyUpstreams(others.Upstreams, reportedAt);
+  this->ApplyUpstreams(others.Upstreams, reportedAt, now);
   for (auto const& [service, rows] : this->Fleet.ByService) {
     gsSetOthersDemand(this->Fleet, service, others.Services[NameHash(service)],
                       now);
--- a/Source/Daemon/gsLoadSharing.h
+++ b/Source/Daemon/gsLoadSharing.h
@@ -36,6 +36,8 @@
    * many times per second.
    */
   void SendReports();
+  /** Number of changes of the speeds that decisions use. */
+  std::uint64_t SpeedChanges() const { return this->SpeedChangeCount; }
   /** Minimum interval between two reports to the same host. */
   gsTime MinReportInterval() const;
 
@@ -43,7 +45,8 @@
   gsSystemLoad OwnLoad(gsTime now);
   gsLoadPeers Peers(gsTime now) const;
   void ApplyReceived(gsTime now);
-  void ApplyUpstreams(gsLoadMap const& others, gsTime reportedAt);
+  void ApplyUpstreams(gsLoadMap const& others, gsTime reportedAt, gsTime now);
+  void RefreshSpeeds(gsTime now);
   void ApplyUnreachableHalls(std::set<std::uint32_t> const& unreachableHalls);
   void DecideArrangements(gsTime now);
 
@@ -58,4 +61,6 @@
    */
   std::vector<std::uint32_t> RowsWithOthersLoad;
   gsTime AppliedAt{};
+  gsTime SpeedsRefreshedAt{};
+  std::uint64_t SpeedChangeCount = 0;
 };
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -121,6 +121,12 @@
       "Tokens of rate limits by upstream and use; routed mode." },
     { "gradescale_quarantined_requests", gsMetricKind::Gauge,
       "Requests refused because upstreams crashed under them." },
+    { "gradescale_engines_by_speed", gsMetricKind::Gauge,
+      "Engines that were measured recently, by service and class of speed." },
+    { "gradescale_engine_speed", gsMetricKind::Gauge,
+      "Mean measured speed of these engines, relative to their service." },
+    { "gradescale_engine_speed_changes_total", gsMetricKind::Counter,
+      "Changes of the speeds of engines that decisions use." },
     { "gradescale_stalls_total", gsMetricKind::Counter,
       "Times that this process was found to have stood still." },
   };
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gsArrangement.h"
+#include "gsEngineSpeed.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
 
@@ -551,6 +552,8 @@
   ask.OrganisationRegions = request.OrganisationRegions;
   ask.TargetTokens =
     gsToSeconds(request.Route->LatencyTarget) * 1e3 / ask.MillisPerToken;
+  ask.MaxIntervalMillis =
+    gsToSeconds(request.Route->EventIntervalTarget) * 1e3;
   this->SetServiceConstraints(request, ask);
   ask.Group = this->GroupOf(request, ask);
   if (request.SentAttempts == 0) {
@@ -620,11 +623,12 @@
     gsToSeconds(route.MinEventIntervalTarget) * 1e3;
   targets.FirstEventMillis = gsToSeconds(route.LatencyTarget) * 1e3;
   gsEngineTiming& pace = this->Fleet.EngineTimings[request.Service];
+  pace.IsStable = gsUsesEngineSpeed(this->Fleet);
   if (request.SentAttempts == 0) {
     return gsClassifyRequest(pace, route.Name, targets, ask.PromptTokens);
   }
   return gsGroupByInterference(pace, targets, ask.PromptTokens,
-                               pace.MeanPromptTokens[route.Name]);
+                               pace.MeanPromptTokens[route.Name], route.Name);
 }
 
 void gsRouteGateway::LogPlacement(gsRoutedRequest const& request,
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -10,6 +10,7 @@
 #include "gsHallStatus.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
+#include "gsSpeedStatus.h"
 
 namespace {
 
@@ -372,6 +373,10 @@
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
                       this->RateLimiter.Status(gsLoop::Now()).dump());
+  } else if (exchange->Path == "/v1/speeds") {
+    gsHeaders json{ { "Content-Type", "application/json" } };
+    exchange->Respond(gsStatusOk, json,
+                      gsSpeedStatus(this->Fleet, gsLoop::Now()).dump());
   } else if (exchange->Path == "/v1/duties" && this->Duties) {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
@@ -380,7 +385,8 @@
     exchange->Respond(
       gsStatusNotFound, plain,
       "This port serves /readyz, /healthz, /metrics, "
-      "/v1/halls, /v1/limits, /v1/quarantine and, where there are duties, "
+      "/v1/halls, /v1/limits, /v1/speeds, /v1/quarantine and, where there are "
+      "duties, "
       "/v1/duties.\n");
   }
 }
@@ -395,6 +401,8 @@
                       this->Gateway->CrashDetection().SuspectTable(), now)));
   this->RateLimiter.WriteGauges(this->Metrics, now);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
+  gsWriteSpeedGauges(this->Metrics, this->Fleet,
+                     this->LoadSharing.SpeedChanges());
   gsHallMembership const& members = this->Cluster->Members();
   this->Metrics.Set("gradescale_system_hosts", {},
                     static_cast<double>(this->Cluster->SystemSize()));
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "gsAdapter.h"
+#include "gsEngineSpeedState.h"
 #include "gsEventSplitter.h"
 #include "gsExpectedWait.h"
 #include "gsFingerprint.h"
@@ -90,6 +91,9 @@
   gsTime FirstByteAt{};
   gsTime LastByteAt{};
   gsTime LastEventAt{};
+  /** Work at the engine when the last events were received. */
+  gsEngineActivity ActivityAtLastEvent;
+  gsPromptMeasurement Prompt; ///< For the measurement of the engine's speed.
   gsTime
     MaxEventInterval{}; ///< Longest interval between two events of the answer.
   /**
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -185,6 +185,7 @@
   });
   fields.Object("engine_speed", [&](gsFieldReader& inner) {
     features.EngineSpeed = ReadMode(inner);
+    settings.Placement.EngineSpeed = features.EngineSpeed;
   });
   fields.Object("slot_sharing", [&](gsFieldReader& inner) {
     features.SlotSharing = ReadMode(inner);
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gsArrangement.h"
+#include "gsEngineSpeed.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
 
@@ -46,6 +47,17 @@
   }
 }
 
+/** Prompt tokens that no other request shares, so that the engine has to
+ * process them; the last part. */
+std::uint32_t OwnTokensOf(gsCallerRequest const& caller,
+                          gsPlacement const& placement)
+{
+  if (caller.PromptParts.empty()) {
+    return placement.TokensToRead;
+  }
+  return std::min(placement.TokensToRead, caller.PromptParts.back().Tokens);
+}
+
 bool IsSuccess(unsigned status)
 {
   constexpr unsigned first = 200;
@@ -114,6 +126,9 @@
   if (request->LastEventId) {
     attempt->EventSplitter.SkipThrough(*request->LastEventId);
   }
+  attempt->Prompt = gsBeginPromptMeasurement(
+    this->Fleet, row, placement.TokensToRead,
+    OwnTokensOf(request->Caller, placement), now);
   row.OwnLoad.OpenAttempts += 1;
   row.ColdSentAt = now < row.ColdUntil ? now : row.ColdSentAt;
   attempt->IsResumption = gsBeginSlowStartAttempt(row.Announced, now);
@@ -346,16 +361,27 @@
                                    gsAttempt& attempt, std::string_view bytes,
                                    gsTime now)
 {
+  std::uint64_t countBefore = attempt.EventSplitter.EventCount();
   std::string events = attempt.EventSplitter.Append(bytes);
   if (events.empty()) {
     return;
   }
+  gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
   if (attempt.LastEventAt.count() != 0) {
     gsTime interval = now - attempt.LastEventAt;
     attempt.MaxEventInterval = std::max(attempt.MaxEventInterval, interval);
-    if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream)) {
+    if (row != nullptr) {
       gsRecordEventInterval(this->Fleet, *row, interval, now);
     }
+    if (row != nullptr && !request->IsCallerPaused) {
+      gsRecordStreamEvents(this->Fleet, *row, attempt.ActivityAtLastEvent,
+                           interval,
+                           attempt.EventSplitter.EventCount() - countBefore,
+                           now);
+    }
+  }
+  if (row != nullptr) {
+    attempt.ActivityAtLastEvent = gsEngineActivityOf(this->Fleet, *row, now);
   }
   attempt.LastEventAt = now;
   this->Events.OnEvents(request, std::move(events));
@@ -380,6 +406,8 @@
       UpdateFastQuantile(this->FastTokenMillis, millisPerToken);
   }
   if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream)) {
+    gsRecordPromptSpeed(this->Fleet, *row, attempt.Prompt,
+                        now - attempt.SentAt, now);
     gsRecordPromptTime(this->Fleet.EngineTimings[row->Listed.Service],
                        attempt.ReadTokens, now - attempt.SentAt);
     row->OwnLoad.PendingPromptTokens -= std::min<std::uint64_t>(
--- a/Source/Daemon/gsWireCodec.cxx
+++ b/Source/Daemon/gsWireCodec.cxx
@@ -165,7 +165,15 @@
   report.Scope = static_cast<gsLoadScope>(wire.scope());
   for (gradescale::UpstreamLoad const& load : wire.loads()) {
     report.Load.Upstreams[load.upstream()] = {
-      load.running(), load.read_tokens(), load.memory_tokens(), load.pace_us()
+      load.running(),
+      load.read_tokens(),
+      load.memory_tokens(),
+      load.pace_us(),
+      load.speed_permille(),
+      load.speed_age_ms(),
+      load.speed_sample_ns(),
+      load.speed_sample_kind(),
+      load.speed_sample_age_ms()
     };
   }
   for (gradescale::ServiceDemand const& demand : wire.demands()) {
@@ -197,6 +205,13 @@
     entry->set_read_tokens(load.PendingPromptTokens);
     entry->set_memory_tokens(load.MemoryTokens);
     entry->set_pace_us(load.MinEventIntervalMicros);
+    entry->set_speed_permille(load.SpeedPermille);
+    entry->set_speed_age_ms(load.SpeedPermille != 0 ? load.SpeedAgeMillis : 0);
+    if (load.SpeedSampleNanos != 0) {
+      entry->set_speed_sample_ns(load.SpeedSampleNanos);
+      entry->set_speed_sample_kind(load.SpeedSampleKind);
+      entry->set_speed_sample_age_ms(load.SpeedSampleAgeMillis);
+    }
   }
   for (auto const& [service, demand] : report.Load.Services) {
     gradescale::ServiceDemand* entry = wire->add_demands();
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -95,6 +95,9 @@
     this->Add(&this->App, "limits",
               "Show the rate limits that upstreams have set for all hosts.",
               [this] { return gsShowLimits(this->Shared); });
+    this->Add(&this->App, "speeds",
+              "Show the measured speeds of engines as a host knows them.",
+              [this] { return gsShowSpeeds(this->Shared); });
     this->Add(&this->App, "duties",
               "Show who reports usage and orders upstreams for all hosts.",
               [this] { return gsShowDuties(this->Shared); });
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -33,6 +33,20 @@
   return gsToolOk;
 }
 
+int gsShowSpeeds(gsToolOptions const& options)
+{
+  gsResult<gsJson> rows =
+    gsCallOperator(options.Operator, "GET", "/v1/speeds");
+  if (!rows) {
+    return gsToolFail(rows.error());
+  }
+  gsPrintRows(options, rows.value(),
+              { "upstream", "service", "state", "speed", "measured", "age_ms",
+                "own", "reported", "samples", "home_weight", "pause_ms",
+                "in_use" });
+  return gsToolOk;
+}
+
 int gsShowDuties(gsToolOptions const& options)
 {
   gsResult<gsJson> status =
