--- a/Source/Coord/gsLoadExchange.cxx
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -292,12 +292,11 @@
 {
   if (gsReceivedLoad const* fromRelay = ReportFromRelay(exchange, now)) {
     gsSystemLoad sum = fromRelay->Report.Load;
-    auto elapsed = std::chrono::duration_cast<gsMilliseconds>(
-      now - fromRelay->ReceivedAt);
+    auto elapsed =
+      std::chrono::duration_cast<gsMilliseconds>(now - fromRelay->ReceivedAt);
     for (auto& [upstream, load] : sum.Upstreams) {
       load.SpeedAgeMillis += static_cast<std::uint32_t>(elapsed.count());
-      load.SpeedSampleAgeMillis +=
-        static_cast<std::uint32_t>(elapsed.count());
+      load.SpeedSampleAgeMillis += static_cast<std::uint32_t>(elapsed.count());
     }
     return sum;
   }
--- a/Source/Core/gsEngineSpeed.cxx
+++ b/Source/Core/gsEngineSpeed.cxx
@@ -30,14 +30,14 @@
  * makes a sample slower, and nothing makes it faster except jitter.
  */
 constexpr double FastShare = 1.0 / 3;
-/** The same share for samples without pending prompts, which are affected most,
- * and the minimum number of these. */
+/** The same share for samples without pending prompts, which are affected
+ * most, and the minimum number of these. */
 constexpr double IdleFastShare = 0.2;
 constexpr std::size_t MinIdleSamples = 5;
 /**
  * Time after which the reports of all hosts cover the time of a sample. In a
- * simulation, 20 in 100 engines of normal speed seemed slow or fast at times by
- * samples of which the pending prompts were not confirmed by later reports.
+ * simulation, 20 in 100 engines of normal speed seemed slow or fast at times
+ * by samples of which the pending prompts were not confirmed by later reports.
  */
 constexpr gsTime ConfirmationTime = gsMilliseconds(450);
 /** Share of the engines, ordered from fast to slow, at which the reference is
@@ -88,7 +88,10 @@
 constexpr gsTime ChangeTime = gsSeconds(1);
 /** The same for an engine that was first measured less than ChangeTime ago:
  * homes have just been chosen without knowing its speed. */
-constexpr gsTime FirstChangeTime = gsMilliseconds(200);
+constexpr gsTime FirstChangeTime = gsMilliseconds(400);
+/** Time after the first measurement in which an engine becomes normal again
+ * after SlumpEndTime, as its first class may be that of a disturbance. */
+constexpr gsTime FirstClassTime = gsSeconds(3);
 /** Maximum time that one measurement stands for. */
 constexpr gsTime MaxMeasurementGap = gsMilliseconds(300);
 /** Ratio of the decided to the measured speed, and its minimum duration, that
@@ -137,8 +140,8 @@
  * reordered. */
 double ValueAt(std::vector<double>& values, double share)
 {
-  auto index = static_cast<std::ptrdiff_t>(
-    share * static_cast<double>(values.size()));
+  auto index =
+    static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size()));
   std::nth_element(values.begin(), values.begin() + index, values.end());
   return values[static_cast<std::size_t>(index)];
 }
@@ -251,10 +254,10 @@
 }
 
 /**
- * Ratio of a sample to the time of an engine of speed 1; zero if it is unknown.
- * An interval that is about as short as without prompts, or clearly longer than
- * with prompts, shows the speed regardless of what was pending. Of the others,
- * only confirmed ones count.
+ * Ratio of a sample to the time of an engine of speed 1; zero if it is
+ * unknown. An interval that is about as short as without prompts, or clearly
+ * longer than with prompts, shows the speed regardless of what was pending. Of
+ * the others, only confirmed ones count.
  */
 double SlownessBy(gsServiceSpeed const& service, gsSpeedSample const& sample,
                   bool isConfirmed)
@@ -297,9 +300,9 @@
     }
     return !sample.IsConfirmed;
   };
-  state.Samples.erase(std::remove_if(state.Samples.begin(),
-                                     state.Samples.end(), isRefuted),
-                      state.Samples.end());
+  state.Samples.erase(
+    std::remove_if(state.Samples.begin(), state.Samples.end(), isRefuted),
+    state.Samples.end());
 }
 
 /** Speed by this host's samples that have a reference. */
@@ -324,8 +327,7 @@
         newest - sample->At > SampleWindow) {
       break;
     }
-    slowness.push_back(
-      std::clamp(ratio, 1 / MaxRelative, 1 / MinRelative));
+    slowness.push_back(std::clamp(ratio, 1 / MaxRelative, 1 / MinRelative));
     times.push_back(sample->At);
     weight += sample->IsOwn ? 1 : ReportedSampleWeight;
     state.IsOwnMeasured = state.IsOwnMeasured || sample->IsOwn;
@@ -337,6 +339,7 @@
   state.Own = 1 / ValueAt(slowness, FastShareOf(newestKind));
   std::sort(times.begin(), times.end());
   state.OwnAt = times[times.size() / 2];
+  state.OwnSpan = times.back() - times.front();
 }
 
 /**
@@ -420,10 +423,9 @@
     }
     double millis = ValueAt(collected.Times[kind], ReferenceShare);
     reference.Millis =
-      isKnown
-        ? reference.Millis *
-            std::pow(millis / reference.Millis, ReferenceSmoothing)
-        : millis;
+      isKnown ? reference.Millis *
+                  std::pow(millis / reference.Millis, ReferenceSmoothing)
+              : millis;
     reference.LearnedAt = now;
   }
 }
@@ -444,8 +446,8 @@
  * neither is known. */
 double NewestSpeed(gsEngineSpeedState const& state, gsTime& measuredAt)
 {
-  bool isOwn = state.Own > 0 &&
-               (state.Reported <= 0 || state.OwnAt >= state.ReportedAt);
+  bool isOwn =
+    state.Own > 0 && (state.Reported <= 0 || state.OwnAt >= state.ReportedAt);
   measuredAt = isOwn ? state.OwnAt : state.ReportedAt;
   return isOwn ? state.Own : state.Reported;
 }
@@ -531,9 +533,10 @@
 /** Takes in a new measurement. */
 void AddMeasurement(gsEngineSpeedState& state, double speed, gsTime measuredAt)
 {
-  gsTime gap = state.Measured > 0
-                 ? std::min(measuredAt - state.MeasuredAt, MaxMeasurementGap)
-                 : gsTime{};
+  // The first measurement stands for the time of its samples.
+  gsTime gap = std::min(state.Measured > 0 ? measuredAt - state.MeasuredAt
+                                           : state.OwnSpan,
+                        MaxMeasurementGap);
   state.Measured = speed;
   state.MeasuredAt = measuredAt;
   state.MeasuredFor += gap;
@@ -555,8 +558,8 @@
   bool isNew = state.MeasuredFor < ChangeTime;
   gsTime slumpTime =
     state.ReturningSince.count() != 0 ? SlumpEndTime : SlumpTime;
-  bool hasSlumped = state.SlumpsFor >= slumpTime ||
-                    state.ProvisionalSlumpFor >= SlumpTime;
+  bool hasSlumped =
+    state.SlumpsFor >= slumpTime || state.ProvisionalSlumpFor >= SlumpTime;
   if (!isNew && hasSlumped) {
     state.SuspendedAt = now;
     state.ReturningSince = {};
@@ -564,9 +567,11 @@
     return;
   }
   gsTime changeTime = isNew ? FirstChangeTime : ChangeTime;
+  gsTime recoveryTime =
+    state.MeasuredFor < FirstClassTime ? SlumpEndTime : ChangeTime;
   if (state.DeviatesFor >= changeTime) {
     DecideByMeasurements(state);
-  } else if (state.RecoversFor >= ChangeTime) {
+  } else if (state.RecoversFor >= recoveryTime) {
     state.Decided = 1;
     ResetDeviation(state);
   }
@@ -676,8 +681,11 @@
 gsEngineActivity gsEngineActivityOf(gsFleet const& fleet,
                                     gsFleetRow const& row, gsTime now)
 {
-  gsOutstandingLoad work = gsTotalLoad(fleet, row, now);
   gsEngineActivity activity;
+  if (!gsIsActive(fleet.Settings.EngineSpeed)) {
+    return activity;
+  }
+  gsOutstandingLoad work = gsTotalLoad(fleet, row, now);
   activity.OpenAttempts =
     std::min(work.OpenAttempts, std::max(1U, row.Listed.Slots));
   double millis = static_cast<double>(work.PendingPromptTokens) *
@@ -727,8 +735,8 @@
   prompt.Tokens = tokensToRead;
   prompt.OwnTokens = std::min(tokensToRead, ownTokens);
   prompt.WasAlone = gsTotalLoad(fleet, row, now).PendingPromptTokens == 0;
-  bool isNew = row.RestartedAt.count() != 0 ||
-               now - row.ListedAt >= UseKnownAfter;
+  bool isNew =
+    row.RestartedAt.count() != 0 || now - row.ListedAt >= UseKnownAfter;
   bool isColdForCertain = !row.Speed.WasUsed && isNew;
   prompt.IsExact = isColdForCertain || tokensToRead <= ownTokens;
   row.Speed.WasUsed = true;
@@ -752,10 +760,10 @@
     std::uint32_t tokens = prompt.IsExact ? prompt.Tokens : prompt.OwnTokens;
     double& estimate =
       fleet.EngineTimings[row.Listed.Service].LoadFreeTokenMillis;
-    estimate = std::clamp(
-      UpdateQuantile(estimate, millis * row.Speed.Decided / tokens,
-                     TokenQuantile, TokenStep),
-      MinTokenMillis, MaxTokenMillis);
+    estimate =
+      std::clamp(UpdateQuantile(estimate, millis * row.Speed.Decided / tokens,
+                                TokenQuantile, TokenStep),
+                 MinTokenMillis, MaxTokenMillis);
   }
   if (prompt.IsExact) {
     AddSample(
@@ -785,9 +793,8 @@
     now - reported.SampleAt <= SampleLifetime;
   if (isNewSample) {
     state.ReportedSampleAt = reported.SampleAt;
-    gsSpeedSample sample =
-      MakeSample(reported.SampleKind, reported.SampleMillis,
-                 reported.SampleAt);
+    gsSpeedSample sample = MakeSample(
+      reported.SampleKind, reported.SampleMillis, reported.SampleAt);
     sample.IsOwn = false;
     AddSample(fleet, row, sample);
   }
@@ -823,7 +830,8 @@
 double gsSpeedToReport(gsFleetRow const& row, gsTime now)
 {
   gsEngineSpeedState const& state = row.Speed;
-  bool isNewest = state.Own > 0 && state.IsOwnMeasured && now - state.OwnAt <= SampleLifetime &&
+  bool isNewest = state.Own > 0 && state.IsOwnMeasured &&
+                  now - state.OwnAt <= SampleLifetime &&
                   (state.Reported <= 0 || state.OwnAt >= state.ReportedAt);
   return isNewest ? state.Own : 0;
 }
--- a/Source/Core/gsEngineSpeedState.h
+++ b/Source/Core/gsEngineSpeedState.h
@@ -18,8 +18,8 @@
 {
   enum class Prompts
   {
-    None,   ///< No prompt is pending.
-    Some,   ///< Some are, but may have been processed since they were reported.
+    None, ///< No prompt is pending.
+    Some, ///< Some are, but may have been processed since they were reported.
     Certain ///< So many that the engine is certainly still processing them.
   };
   Prompts Pending = Prompts::None;
@@ -73,16 +73,17 @@
   bool IsListed = false; ///< Whether gsFleet::MeasuredRows lists the row.
   /** Whether any host has had work at this incarnation, as far as known. */
   bool WasUsed = false;
-  double Own = 0;            ///< Speed by Samples; zero if unknown.
+  double Own = 0;             ///< Speed by Samples; zero if unknown.
   bool IsOwnMeasured = false; ///< Whether Own rests on samples of this host.
-  gsTime OwnAt{};            ///< Time of the middle sample of Own.
-  double Reported = 0;       ///< Newest value of other hosts; zero if none.
-  gsTime ReportedAt{};       ///< When they measured it.
-  double Measured = 0;       ///< Relative to the service; zero if unknown.
-  gsTime MeasuredAt{};       ///< When Measured was measured.
-  double Decided = 1;        ///< In quarters; changes only with hysteresis.
-  gsTime MeasuredFor{};      ///< Time covered by measurements.
-  gsTime DeviatesFor{};      ///< The same while Measured contradicts Decided.
+  gsTime OwnAt{};             ///< Time of the middle sample of Own.
+  gsTime OwnSpan{};           ///< Time between the samples of Own.
+  double Reported = 0;        ///< Newest value of other hosts; zero if none.
+  gsTime ReportedAt{};        ///< When they measured it.
+  double Measured = 0;        ///< Relative to the service; zero if unknown.
+  gsTime MeasuredAt{};        ///< When Measured was measured.
+  double Decided = 1;         ///< In quarters; changes only with hysteresis.
+  gsTime MeasuredFor{};       ///< Time covered by measurements.
+  gsTime DeviatesFor{};       ///< The same while Measured contradicts Decided.
   double DeviationLogSum = 0; ///< Of Measured while it deviates.
   std::uint32_t DeviationCount = 0;
   gsTime RecoversFor{}; ///< The same while Measured is close to 1.
--- a/Source/Core/gsExpectedWait.cxx
+++ b/Source/Core/gsExpectedWait.cxx
@@ -78,10 +78,9 @@
     wait.SlotWait = std::max(wait.SlotWait,
                              ExpectedSlotWait(fleet, *row, work.OpenAttempts));
   }
-  double promptSeconds =
-    gsToSeconds(
-      PromptProcessingTime(wait.PendingPromptTokens, tokenMillis / speed)) *
-    PromptTimeMargin;
+  double promptSeconds = gsToSeconds(PromptProcessingTime(
+                           wait.PendingPromptTokens, tokenMillis / speed)) *
+                         PromptTimeMargin;
   return gsFromSeconds(promptSeconds +
                        SlotWaitMargin * gsToSeconds(wait.SlotWait));
 }
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -102,7 +102,7 @@
   /** Subjects of this host's requests, with the time of the last one. Used and
    * bounded only if decisions use engine speeds. */
   std::unordered_map<std::uint64_t, gsTime> Subjects;
-  gsTime DecidedAt{};      ///< Last time this host decided the arrangement.
+  gsTime DecidedAt{}; ///< Last time this host decided the arrangement.
   gsTime
     SlowDecidedAt{}; ///< Last time this host decided which engines are slow.
 };
--- a/Source/Core/gsInterference.cxx
+++ b/Source/Core/gsInterference.cxx
@@ -135,19 +135,20 @@
   bool wasTight = WasInGroup(timing, route, gsFleetGroup::Tight);
   double longScale = wasLong ? 1 / LeaveShare : 1;
   double tightScale = wasTight ? 1 / LeaveShare : 1;
-  bool isLong = ExceedsShare(timing,
-                             longScale * gsPromptMillis(timing, meanTokens),
-                             tightest, MaxMeanShare) ||
-                ExceedsShare(timing, gsPromptMillis(timing, tokens), tightest,
-                             MaxSingleShare);
+  bool isLong =
+    ExceedsShare(timing, longScale * gsPromptMillis(timing, meanTokens),
+                 tightest, MaxMeanShare) ||
+    ExceedsShare(timing, gsPromptMillis(timing, tokens), tightest,
+                 MaxSingleShare);
   if (isLong) {
     return gsFleetGroup::Long;
   }
   bool isTightest =
     targets.MaxIntervalMillis > 0 && targets.MaxIntervalMillis <= tightest;
   bool isAffected =
-    isTightest || ExceedsShare(timing, tightScale * timing.MeanLongPromptMillis,
-                               targets.MaxIntervalMillis, MaxMeanShare);
+    isTightest ||
+    ExceedsShare(timing, tightScale * timing.MeanLongPromptMillis,
+                 targets.MaxIntervalMillis, MaxMeanShare);
   return isAffected ? gsFleetGroup::Tight : gsFleetGroup::Any;
 }
 
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -214,9 +214,9 @@
   if (!gsUsesEngineSpeed(fleet)) {
     return { 0, gsRendezvousWeight(id, subject) };
   }
-  return { gsWeightedRendezvousScore(id, subject,
-                                     gsHomeWeightOf(fleet, row, now)),
-           0 };
+  return {
+    gsWeightedRendezvousScore(id, subject, gsHomeWeightOf(fleet, row, now)), 0
+  };
 }
 
 /** The first upstream in a subject's rendezvous order that satisfies a
@@ -374,8 +374,7 @@
     isLong ? context.LongHoldMillis : context.TightHoldMillis;
   double wait = queued * holdMillis / slots / request.MillisPerToken;
   double tokens = static_cast<double>(work.PendingPromptTokens) + toRead;
-  return (tokens + wait) / request.TargetTokens /
-         gsEngineSpeedOf(fleet, row);
+  return (tokens + wait) / request.TargetTokens / gsEngineSpeedOf(fleet, row);
 }
 
 namespace {
@@ -472,8 +471,7 @@
   if (context.Home == nullptr || isHome || holdsSubject) {
     return 0;
   }
-  double fraction =
-    gsRendezvousFraction(row.Listed.Id, gsSubjectOf(request));
+  double fraction = gsRendezvousFraction(row.Listed.Id, gsSubjectOf(request));
   if (gsUsesEngineSpeed(fleet)) {
     // Has the same order as gsWeightedRendezvousScore.
     fraction = std::pow(fraction, 1 / gsHomeWeightOf(fleet, row, now));
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -254,8 +254,7 @@
     return;
   }
   this->SpeedsRefreshedAt = now;
-  for (gsSpeedChange const& change :
-       gsRefreshEngineSpeeds(this->Fleet, now)) {
+  for (gsSpeedChange const& change : gsRefreshEngineSpeeds(this->Fleet, now)) {
     gsFleetRow const& row =
       this->Fleet.Rows[this->Fleet.ByHash.at(change.Upstream)];
     ++this->SpeedChangeCount;
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -126,9 +126,9 @@
   if (request->LastEventId) {
     attempt->EventSplitter.SkipThrough(*request->LastEventId);
   }
-  attempt->Prompt = gsBeginPromptMeasurement(
-    this->Fleet, row, placement.TokensToRead,
-    OwnTokensOf(request->Caller, placement), now);
+  attempt->Prompt =
+    gsBeginPromptMeasurement(this->Fleet, row, placement.TokensToRead,
+                             OwnTokensOf(request->Caller, placement), now);
   row.OwnLoad.OpenAttempts += 1;
   row.ColdSentAt = now < row.ColdUntil ? now : row.ColdSentAt;
   attempt->IsResumption = gsBeginSlowStartAttempt(row.Announced, now);
@@ -374,10 +374,9 @@
       gsRecordEventInterval(this->Fleet, *row, interval, now);
     }
     if (row != nullptr && !request->IsCallerPaused) {
-      gsRecordStreamEvents(this->Fleet, *row, attempt.ActivityAtLastEvent,
-                           interval,
-                           attempt.EventSplitter.EventCount() - countBefore,
-                           now);
+      gsRecordStreamEvents(
+        this->Fleet, *row, attempt.ActivityAtLastEvent, interval,
+        attempt.EventSplitter.EventCount() - countBefore, now);
     }
   }
   if (row != nullptr) {
--- a/Source/Daemon/gsWireCodec.cxx
+++ b/Source/Daemon/gsWireCodec.cxx
@@ -164,17 +164,15 @@
   gsLoadReport report;
   report.Scope = static_cast<gsLoadScope>(wire.scope());
   for (gradescale::UpstreamLoad const& load : wire.loads()) {
-    report.Load.Upstreams[load.upstream()] = {
-      load.running(),
-      load.read_tokens(),
-      load.memory_tokens(),
-      load.pace_us(),
-      load.speed_permille(),
-      load.speed_age_ms(),
-      load.speed_sample_ns(),
-      load.speed_sample_kind(),
-      load.speed_sample_age_ms()
-    };
+    report.Load.Upstreams[load.upstream()] = { load.running(),
+                                               load.read_tokens(),
+                                               load.memory_tokens(),
+                                               load.pace_us(),
+                                               load.speed_permille(),
+                                               load.speed_age_ms(),
+                                               load.speed_sample_ns(),
+                                               load.speed_sample_kind(),
+                                               load.speed_sample_age_ms() };
   }
   for (gradescale::ServiceDemand const& demand : wire.demands()) {
     report.Load.Services[demand.service()] = { demand.long_tokens(),
--- a/Tests/Unit/gsSpeedSimulation.h
+++ b/Tests/Unit/gsSpeedSimulation.h
@@ -256,9 +256,8 @@
     gsFleet& fleet = this->Hosts[request.Host];
     // Some subjects are requested more often than others.
     double draw = this->Uniform();
-    request.Subject =
-      (k + 1) * 100000 +
-      static_cast<std::uint64_t>(draw * draw * kind.Subjects);
+    request.Subject = (k + 1) * 100000 +
+                      static_cast<std::uint64_t>(draw * draw * kind.Subjects);
     double factor = this->Uniform() < 0.1 ? 3 : 0.78;
     auto own = static_cast<std::uint32_t>(kind.OwnTokens * factor);
     request.Parts = { { request.Subject, kind.SharedTokens },
@@ -336,8 +335,7 @@
         StepMillisPerRequest * static_cast<double>(engine.Running.size()) +
         engine.StepTokens / TokensPerMilli;
       engine.EngineMillis += millis;
-      engine.StepEndsAt +=
-        gsFromSeconds(millis / 1e3 / this->SpeedOf(engine));
+      engine.StepEndsAt += gsFromSeconds(millis / 1e3 / this->SpeedOf(engine));
       engine.IsBusy = true;
     }
   }
@@ -351,11 +349,12 @@
         this->OnEvent(request, e);
       }
     }
-    engine.Running.erase(
-      std::remove_if(
-        engine.Running.begin(), engine.Running.end(),
-        [](Request const& request) { return request.TokensLeft == 0; }),
-      engine.Running.end());
+    engine.Running.erase(std::remove_if(engine.Running.begin(),
+                                        engine.Running.end(),
+                                        [](Request const& request) {
+                                          return request.TokensLeft == 0;
+                                        }),
+                         engine.Running.end());
     if (engine.StepTokens > 0) {
       Request& head = engine.Pending.front();
       head.Remaining -= engine.StepTokens;
@@ -402,9 +401,9 @@
       row.OwnLoad.OpenAttempts -= 1;
       gsRecordSlotHold(fleet, row, now - request.SentAt);
       Kind const& kind = this->Config.Kinds[request.Kind];
-      bool isInTime = gsToSeconds(request.FirstEventAt - request.SentAt) *
-                        1e3 <=
-                      kind.TargetMillis;
+      bool isInTime =
+        gsToSeconds(request.FirstEventAt - request.SentAt) * 1e3 <=
+        kind.TargetMillis;
       bool isSteady =
         gsToSeconds(request.LongestPause) * 1e3 <= kind.PauseMillis;
       this->Results[request.Kind].InTarget += isInTime && isSteady ? 1 : 0;
@@ -484,8 +483,7 @@
     }
     gsFleet& fleet = this->Hosts[h];
     gsSetOthersDemand(fleet, "model", demand, this->Now);
-    gsAdoptArrangement(fleet, "model",
-                       this->Hosts[0].Arrangements["model"]);
+    gsAdoptArrangement(fleet, "model", this->Hosts[0].Arrangements["model"]);
     for (std::size_t e = 0; e < this->Engines.size(); ++e) {
       gsFleetRow& row = *gsFleetFind(fleet, "e" + std::to_string(e));
       row.OthersLoad = loads[e];
--- a/Tests/Unit/gsTestEngineSpeed.cxx
+++ b/Tests/Unit/gsTestEngineSpeed.cxx
@@ -50,8 +50,7 @@
       for (int i = 0; i < 3; ++i) {
         double millis = intervalMillis(row);
         if (millis > 0) {
-          gsRecordStreamEvents(fleet, row,
-                               gsEngineActivityOf(fleet, row, now),
+          gsRecordStreamEvents(fleet, row, gsEngineActivityOf(fleet, row, now),
                                gsFromSeconds(millis / 1e3), 1, now);
         }
       }
@@ -178,8 +177,7 @@
 {
   gsFleet fleet = MakeSpeedFleet(8);
   gsTime now = Now;
-  RunStreams(fleet, now, gsSeconds(3),
-             [](gsFleetRow const&) { return 20.0; });
+  RunStreams(fleet, now, gsSeconds(3), [](gsFleetRow const&) { return 20.0; });
   std::vector<std::string> before = Homes(fleet, 400, now);
   EXPECT_GT(std::count(before.begin(), before.end(), "u0"), 20);
   auto slow = [](gsFleetRow const& row) { return IsU0(row) ? 60.0 : 20.0; };
@@ -191,17 +189,14 @@
   }
   EXPECT_LT(gsEngineSpeedOf(fleet, *gsFleetFind(fleet, "u0")), 0.5);
   RunStreams(fleet, now, gsSeconds(6), slow);
-  RunStreams(fleet, now, gsSeconds(1),
-             [](gsFleetRow const&) { return 20.0; });
+  RunStreams(fleet, now, gsSeconds(1), [](gsFleetRow const&) { return 20.0; });
   gsFleetRow const& row = *gsFleetFind(fleet, "u0");
   EXPECT_STREQ(gsSpeedStateName(row), "returning");
   double weight = gsHomeWeightOf(fleet, row, now);
   EXPECT_LE(weight, 0.25);
-  RunStreams(fleet, now, gsSeconds(3),
-             [](gsFleetRow const&) { return 20.0; });
+  RunStreams(fleet, now, gsSeconds(3), [](gsFleetRow const&) { return 20.0; });
   EXPECT_NEAR(gsHomeWeightOf(fleet, row, now) - weight, 0.375, 0.13);
-  RunStreams(fleet, now, gsSeconds(6),
-             [](gsFleetRow const&) { return 20.0; });
+  RunStreams(fleet, now, gsSeconds(6), [](gsFleetRow const&) { return 20.0; });
   EXPECT_EQ(Homes(fleet, 400, now), before);
 }
 
@@ -211,8 +206,7 @@
 {
   gsFleet fleet = MakeSpeedFleet(8);
   gsTime now = Now;
-  RunStreams(fleet, now, gsSeconds(3),
-             [](gsFleetRow const&) { return 20.0; });
+  RunStreams(fleet, now, gsSeconds(3), [](gsFleetRow const&) { return 20.0; });
   RunStreams(fleet, now, gsSeconds(1),
              [](gsFleetRow const& row) { return IsU0(row) ? 60.0 : 20.0; });
   gsFleetRow const& row = *gsFleetFind(fleet, "u0");
@@ -228,16 +222,15 @@
 {
   gsFleet fleet = MakeSpeedFleet(20);
   gsTime now = Now;
-  RunStreams(fleet, now, gsSeconds(3),
-             [](gsFleetRow const&) { return 20.0; });
+  RunStreams(fleet, now, gsSeconds(3), [](gsFleetRow const&) { return 20.0; });
   std::size_t changes = 0;
   for (std::size_t episode = 0; episode < 40; ++episode) {
     std::set<std::string> disturbed;
     for (std::size_t i = 0; i < 3; ++i) {
       disturbed.insert("u" + std::to_string((episode * 7 + i * 5) % 20));
     }
-    changes += RunStreams(
-      fleet, now, gsMilliseconds(600), [&](gsFleetRow const& row) {
+    changes +=
+      RunStreams(fleet, now, gsMilliseconds(600), [&](gsFleetRow const& row) {
         return disturbed.count(row.Listed.Id) != 0 ? 50.0 : 20.0;
       });
   }
@@ -327,10 +320,9 @@
   gsFleetRow const& normal = *gsFleetFind(fleet, "u1");
   slow.OwnLoad.PendingPromptTokens = 10000;
   gsFleetFind(fleet, "u1")->OwnLoad.PendingPromptTokens = 10000;
-  EXPECT_NEAR(gsToSeconds(gsStreamTimeoutExtension(fleet, slow, 0.02, Now)),
-              2 * gsToSeconds(
-                    gsStreamTimeoutExtension(fleet, normal, 0.02, Now)),
-              1e-6);
+  EXPECT_NEAR(
+    gsToSeconds(gsStreamTimeoutExtension(fleet, slow, 0.02, Now)),
+    2 * gsToSeconds(gsStreamTimeoutExtension(fleet, normal, 0.02, Now)), 1e-6);
   gsPlacementRequest ask = MakeLongRequest();
   ask.PromptTokens = 4000;
   ask.TargetTokens = 50000;
@@ -338,8 +330,8 @@
   auto context = gsPlacementDetail::MakeContext(fleet, ask);
   double slowShare = gsPlacementDetail::ExpectedTargetShare(
     fleet, slow, ask, context, 4000, Now);
-  double share = gsPlacementDetail::ExpectedTargetShare(
-    fleet, normal, ask, context, 4000, Now);
+  double share = gsPlacementDetail::ExpectedTargetShare(fleet, normal, ask,
+                                                        context, 4000, Now);
   EXPECT_NEAR(slowShare, 2 * share, 1e-9);
 }
 
@@ -440,8 +432,7 @@
   gsFleet fleet = MakeSpeedFleet(8);
   gsFleetRow& row = fleet.Rows[0];
   gsTime now = Now;
-  RunStreams(fleet, now, gsSeconds(1),
-             [](gsFleetRow const&) { return 20.0; });
+  RunStreams(fleet, now, gsSeconds(1), [](gsFleetRow const&) { return 20.0; });
   for (int i = 0; i < 16; ++i) {
     gsRecordStreamEvents(fleet, row, {}, gsMilliseconds(100), 5, now);
   }
--- a/Tests/Unit/gsTestInterference.cxx
+++ b/Tests/Unit/gsTestInterference.cxx
@@ -150,3 +150,61 @@
   EXPECT_EQ(gsClassifyRequest(timing, "tags", targets, 12000),
             gsFleetGroup::Long);
 }
+
+// Guards against routes that change their class, and all homes of their
+// subjects, because the measured time per token rises with load.
+TEST(Interference, StableClassDoesNotDependOnLoad)
+{
+  gsEngineTiming timing = MakeMeasuredTiming();
+  timing.IsStable = true;
+  gsStreamTargets targets = MakeTargets(500, 300);
+  for (int i = 0; i < 200; ++i) {
+    gsClassifyRequest(timing, "notes", targets, 8000);
+  }
+  gsFleetGroup before = gsClassifyRequest(timing, "notes", targets, 8000);
+  for (int i = 0; i < 500; ++i) {
+    gsRecordPromptTime(timing, 8000, gsMilliseconds(1500));
+    gsRecordServiceEventInterval(timing, gsMilliseconds(i % 5 == 0 ? 25 : 90));
+  }
+  EXPECT_GT(timing.TokenMillis, 0.05);
+  EXPECT_EQ(gsClassifyRequest(timing, "notes", targets, 8000), before);
+}
+
+// Guards against a route near the bound that alternates between two classes.
+TEST(Interference, LongRouteStaysLongUntilClearlyBelowBound)
+{
+  gsEngineTiming timing;
+  timing.IsStable = true;
+  timing.LoadFreeTokenMillis = 0.02;
+  gsStreamTargets own = MakeTargets(1200, 300);
+  for (int i = 0; i < 30; ++i) {
+    gsClassifyRequest(timing, "summary", own, 12000); // 240 ms; bound 225.
+  }
+  EXPECT_EQ(gsGroupByInterference(timing, own, 10000, 10000, "summary"),
+            gsFleetGroup::Long); // 200 ms.
+  EXPECT_NE(gsGroupByInterference(timing, own, 8800, 8800, "summary"),
+            gsFleetGroup::Long); // 176 ms, below 0.8 of the bound.
+  // Another route of the same length does not become long.
+  EXPECT_NE(gsGroupByInterference(timing, own, 10000, 10000, "other"),
+            gsFleetGroup::Long);
+  // Without the feature there is no hysteresis.
+  timing.IsStable = false;
+  timing.TokenMillis = 0.02;
+  EXPECT_NE(gsGroupByInterference(timing, own, 10000, 10000, "summary"),
+            gsFleetGroup::Long);
+}
+
+// Guards against one very long prompt that makes its whole route long.
+TEST(Interference, SingleVeryLongPromptDoesNotChangeStableClassOfRoute)
+{
+  gsEngineTiming timing;
+  timing.IsStable = true;
+  gsStreamTargets targets = MakeTargets(500, 300);
+  for (int i = 0; i < 100; ++i) {
+    gsClassifyRequest(timing, "notes", targets, 8000);
+  }
+  EXPECT_EQ(gsClassifyRequest(timing, "notes", targets, 35000),
+            gsFleetGroup::Long);
+  EXPECT_NE(gsClassifyRequest(timing, "notes", targets, 8000),
+            gsFleetGroup::Long);
+}
--- a/Tests/Unit/gsTestLoadExchange.cxx
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -298,3 +298,67 @@
   EXPECT_LE(static_cast<double>(messages[1]),
             1.2 * static_cast<double>(messages[0]));
 }
+
+// Guards against an old speed that hides a newer one, and against ages that do
+// not count the time that a report was kept by a relay.
+TEST(LoadExchange, NewestSpeedCountsWithItsAge)
+{
+  gsTime now = gsSeconds(100);
+  gsLoadExchange relay;
+  relay.Self = "a0";
+  relay.Hall = "a";
+  auto report = [&](std::string const& host, std::uint32_t permille,
+                    std::uint32_t ageMillis, gsTime at) {
+    gsLoadReport sent;
+    gsUpstreamLoad& load = sent.Load.Upstreams[7];
+    load.SpeedPermille = permille;
+    load.SpeedAgeMillis = ageMillis;
+    load.SpeedSampleNanos = permille * 1000;
+    load.SpeedSampleKind = 3;
+    load.SpeedSampleAgeMillis = ageMillis;
+    gsApplyLoadReport(relay, host, "a", sent, at);
+  };
+  report("a1", 450, 100, now - gsMilliseconds(500)); // 600 ms old.
+  report("a2", 950, 400, now);
+  report("a3", 0, 0, now); // Knows none.
+  gsUpstreamLoad load = gsLoadOfOthers(relay, now).Upstreams[7];
+  EXPECT_EQ(load.SpeedPermille, 950U);
+  EXPECT_EQ(load.SpeedAgeMillis, 400U);
+  EXPECT_EQ(load.SpeedSampleNanos, 950000U);
+  EXPECT_EQ(load.SpeedSampleAgeMillis, 400U);
+  report("a2", 950, 700, now);
+  EXPECT_EQ(gsLoadOfOthers(relay, now).Upstreams[7].SpeedPermille, 450U);
+  EXPECT_EQ(gsLoadOfOthers(relay, now).Upstreams[7].SpeedAgeMillis, 600U);
+}
+
+// Guards against fields that get lost between hosts, and against hosts of an
+// earlier release, which neither send nor read them.
+TEST(LoadExchange, SpeedsAreSentAndMayBeMissing)
+{
+  gsLoadReport report;
+  gsUpstreamLoad& load = report.Load.Upstreams[7];
+  load.Running = 3;
+  load.SpeedPermille = 450;
+  load.SpeedAgeMillis = 120;
+  load.SpeedSampleNanos = 20500000;
+  load.SpeedSampleKind = 6;
+  load.SpeedSampleAgeMillis = 90;
+  gradescale::LoadReport wire;
+  gsToWire(report, &wire);
+  gsUpstreamLoad received = gsFromWire(wire).Load.Upstreams[7];
+  EXPECT_EQ(received, load);
+  EXPECT_EQ(received.SpeedAgeMillis, 120U);
+  EXPECT_EQ(received.SpeedSampleNanos, 20500000U);
+  EXPECT_EQ(received.SpeedSampleKind, 6U);
+  EXPECT_EQ(received.SpeedSampleAgeMillis, 90U);
+  gradescale::UpstreamLoad* entry = wire.mutable_loads(0);
+  entry->clear_speed_permille();
+  entry->clear_speed_age_ms();
+  entry->clear_speed_sample_ns();
+  entry->clear_speed_sample_kind();
+  entry->clear_speed_sample_age_ms();
+  received = gsFromWire(wire).Load.Upstreams[7];
+  EXPECT_EQ(received.Running, 3U);
+  EXPECT_EQ(received.SpeedPermille, 0U);
+  EXPECT_EQ(received.SpeedSampleNanos, 0U);
+}
