--- a/Source/Core/gsArrangement.cxx
+++ b/Source/Core/gsArrangement.cxx
@@ -391,8 +391,7 @@
   if (demand.FirstRequestAt.count() == 0) {
     demand.FirstRequestAt = now;
   }
-  bool isLong =
-    ask.Group == gsFleetGroup::Long || CountsAsLong(fleet, ask);
+  bool isLong = ask.Group == gsFleetGroup::Long || CountsAsLong(fleet, ask);
   (isLong ? demand.LongTokens : demand.TightTokens) +=
     EngineTimeOf(fleet, ask, TokensToProcess(fleet, demand, ask, now));
 }
