--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -10,6 +10,7 @@
 #include "gsHallStatus.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
+#include "gsSpeedStatus.h"
 
 namespace {
 
@@ -380,16 +381,20 @@
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
                       this->PrefixSharing.Status(gsLoop::Now()).dump());
+  } else if (exchange->Path == "/v1/speeds") {
+    gsHeaders json{ { "Content-Type", "application/json" } };
+    exchange->Respond(gsStatusOk, json,
+                      gsSpeedStatus(this->Fleet, gsLoop::Now()).dump());
   } else if (exchange->Path == "/v1/duties" && this->Duties) {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
                       this->Duties->Status(gsLoop::Now()).dump());
   } else {
-    exchange->Respond(gsStatusNotFound, plain,
-                      "This port serves /readyz, /healthz, /metrics, "
-                      "/v1/halls, /v1/limits, /v1/prefixes, /v1/quarantine "
-                      "and, where there are duties, "
-                      "/v1/duties.\n");
+    exchange->Respond(
+      gsStatusNotFound, plain,
+      "This port serves /readyz, /healthz, /metrics, /v1/halls, /v1/limits, "
+      "/v1/memory, /v1/overload, /v1/prefixes, /v1/quarantine, /v1/speeds "
+      "and, where there are duties, /v1/duties.\n");
   }
 }
 
@@ -404,6 +409,8 @@
   this->RateLimiter.WriteGauges(this->Metrics, now);
   this->PrefixSharing.WriteGauges(this->Metrics);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
+  gsWriteSpeedGauges(this->Metrics, this->Fleet,
+                     this->LoadSharing.SpeedChanges());
   gsHallMembership const& members = this->Cluster->Members();
   this->Metrics.Set("gradescale_system_hosts", {},
                     static_cast<double>(this->Cluster->SystemSize()));
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -98,6 +98,9 @@
     this->Add(&this->App, "prefixes",
               "Show which engines hold the prompt prefixes of subjects.",
               [this] { return gsShowPrefixes(this->Shared); });
+    this->Add(&this->App, "speeds",
+              "Show the measured speeds of engines as a host knows them.",
+              [this] { return gsShowSpeeds(this->Shared); });
     this->Add(&this->App, "duties",
               "Show who reports usage and orders upstreams for all hosts.",
               [this] { return gsShowDuties(this->Shared); });
--- a/Source/Tool/gsToolShow.h
+++ b/Source/Tool/gsToolShow.h
@@ -20,6 +20,9 @@
  * as known to one host. */
 int gsShowPrefixes(gsToolOptions const& options);
 
+/** Prints the measured speeds of engines as known to one host. */
+int gsShowSpeeds(gsToolOptions const& options);
+
 /** Who does the duties that one host at a time has, as one host knows. */
 int gsShowDuties(gsToolOptions const& options);
 
