Coord: Sends crash evidence in one message per interval

Cause: each piece of evidence was sent, processed and logged on its own. 22 crashes caused 1,109 reports, and each of 69 hosts logged each of those that it received (crash_report_received 22,467 times in 41 s).

Change: gsEvidenceQueue selects at most 64 requests for one message per 100 ms, the most strictly treated first, and up to eight restricted requests at once beside it. A message is encoded once for all receivers. A host checks an upstream once for all requests that ended there together, computes the digest of its restrictions at most once per 100 ms and change, and logs crash_reports_received once per upstream and 100 ms. Fields and their meaning on the wire are unchanged.

--- a/Source/Coord/gsQuarantine.cxx
+++ b/Source/Coord/gsQuarantine.cxx
@@ -293,3 +293,92 @@
   }
   return digest;
 }
+
+void gsQueueEvidence(gsEvidenceQueue& queue, gsFingerprint const& fingerprint,
+                     gsTime now)
+{
+  queue.QueuedAt.emplace(fingerprint, now);
+}
+
+bool gsIsEvidenceDue(gsEvidenceQueue const& queue, gsQuarantine const& table,
+                     gsFingerprint const& fingerprint, gsTime now)
+{
+  return !queue.IsMessageSent ||
+         (queue.UrgentRequests < gsMaxUrgentRequests &&
+          gsSuspicionLevelOf(table, fingerprint, now) >=
+            gsSuspicionLevel::Contained);
+}
+
+void gsBeginEvidenceInterval(gsEvidenceQueue& queue)
+{
+  queue.IsMessageSent = false;
+  queue.UrgentRequests = 0;
+}
+
+std::vector<gsFingerprint> gsTakeEvidence(gsEvidenceQueue& queue,
+                                          gsQuarantine const& table,
+                                          gsTime now)
+{
+  struct Entry
+  {
+    gsSuspicionLevel Suspicion;
+    gsTime QueuedAt;
+    gsFingerprint Fingerprint;
+  };
+  bool onlyUrgent = queue.IsMessageSent;
+  std::size_t limit = onlyUrgent ? gsMaxUrgentRequests - queue.UrgentRequests
+                                 : gsMaxRequestsPerMessage;
+  std::vector<Entry> entries;
+  if (limit == 0) {
+    return {};
+  }
+  for (auto const& [fingerprint, queuedAt] : queue.QueuedAt) {
+    gsSuspicionLevel suspicion = gsSuspicionLevelOf(table, fingerprint, now);
+    if (!onlyUrgent || suspicion >= gsSuspicionLevel::Contained) {
+      entries.push_back({ suspicion, queuedAt, fingerprint });
+    }
+  }
+  std::size_t count = std::min(entries.size(), limit);
+  auto end = entries.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(
+    entries.begin(), end, entries.end(), [](Entry const& a, Entry const& b) {
+      return a.Suspicion != b.Suspicion ? a.Suspicion > b.Suspicion
+                                        : a.QueuedAt < b.QueuedAt;
+    });
+  std::vector<gsFingerprint> taken;
+  taken.reserve(count);
+  for (auto entry = entries.begin(); entry != end; ++entry) {
+    taken.push_back(entry->Fingerprint);
+    queue.QueuedAt.erase(entry->Fingerprint);
+  }
+  if (onlyUrgent) {
+    queue.UrgentRequests += count;
+  } else {
+    queue.IsMessageSent = count > 0;
+  }
+  return taken;
+}
+
+void gsAddReceived(gsReceivedEvidence& received, gsCrashReport const& report,
+                   gsSuspicionLevel suspicion)
+{
+  gsTime observedAt = report.Evidence.ObservedAt;
+  bool isFirst = received.Requests() == 0;
+  received.FirstObservedAt =
+    isFirst ? observedAt : std::min(received.FirstObservedAt, observedAt);
+  if (isFirst || suspicion > received.Suspicion) {
+    received.Strictest = report.Fingerprint;
+    received.Suspicion = suspicion;
+  }
+  switch (report.Evidence.Verdict) {
+    case gsCrashVerdict::Crashed:
+      ++received.Crashed;
+      break;
+    case gsCrashVerdict::Alive:
+      ++received.Alive;
+      break;
+    case gsCrashVerdict::Survived:
+      ++received.Survived;
+      break;
+  }
+}
--- a/Source/Coord/gsQuarantine.h
+++ b/Source/Coord/gsQuarantine.h
@@ -167,3 +167,66 @@
  * of suspicion; equal on hosts that agree on these. Zero if there are none.
  */
 std::uint64_t gsQuarantineDigest(gsQuarantine const& table, gsTime now);
+
+/** Largest number of requests in one message of evidence. */
+constexpr std::size_t gsMaxRequestsPerMessage = 64;
+/** Largest number of restricted requests that are sent beside the message of
+ * an interval. */
+constexpr std::size_t gsMaxUrgentRequests = 8;
+
+/**
+ * Requests with new evidence that has not been sent. The evidence of an
+ * interval is sent in one message, immediately if there was none before in the
+ * interval. Evidence on restricted requests does not wait for the next
+ * interval, since other hosts run such a request until they know of it.
+ */
+struct gsEvidenceQueue
+{
+  /** When each request was queued. */
+  std::unordered_map<gsFingerprint, gsTime> QueuedAt;
+  bool IsMessageSent = false;     ///< In this interval.
+  std::size_t UrgentRequests = 0; ///< Sent after the message of the interval.
+};
+
+/** Queues a request. A request that is queued already keeps its place. */
+void gsQueueEvidence(gsEvidenceQueue& queue, gsFingerprint const& fingerprint,
+                     gsTime now);
+
+/** Whether a queued request is sent before the next interval. */
+bool gsIsEvidenceDue(gsEvidenceQueue const& queue, gsQuarantine const& table,
+                     gsFingerprint const& fingerprint, gsTime now);
+
+/** Begins an interval, which lasts about 100 ms. */
+void gsBeginEvidenceInterval(gsEvidenceQueue& queue);
+
+/**
+ * Removes the requests that are to be sent now as one message: the most
+ * strictly treated ones first, then in the order in which they were queued.
+ * After the message of an interval, these are restricted requests only, and at
+ * most gsMaxUrgentRequests in the interval.
+ */
+std::vector<gsFingerprint> gsTakeEvidence(gsEvidenceQueue& queue,
+                                          gsQuarantine const& table,
+                                          gsTime now);
+
+/** Evidence on one upstream that was received from other hosts and has not
+ * been logged. */
+struct gsReceivedEvidence
+{
+  std::size_t Crashed = 0; ///< Requests with each verdict.
+  std::size_t Alive = 0;
+  std::size_t Survived = 0;
+  gsTime FirstObservedAt{};
+  /** The most strictly treated of the requests, and its treatment. */
+  gsFingerprint Strictest;
+  gsSuspicionLevel Suspicion = gsSuspicionLevel::None;
+
+  std::size_t Requests() const
+  {
+    return this->Crashed + this->Alive + this->Survived;
+  }
+};
+
+/** Adds a new piece of evidence on the upstream to a summary. */
+void gsAddReceived(gsReceivedEvidence& received, gsCrashReport const& report,
+                   gsSuspicionLevel suspicion);
--- a/Source/Daemon/gsCrashGossip.cxx
+++ b/Source/Daemon/gsCrashGossip.cxx
@@ -12,12 +12,10 @@
 /** Evidence in transit makes digests differ briefly. */
 constexpr gsTime DigestMismatchGracePeriod = gsMilliseconds(400);
 /**
- * Limit on requests whose evidence is sent per tick; the others are sent in
- * later ticks.
+ * A digest of the same restrictions is used for this long. The time is well
+ * below the grace period, within which digests may differ.
  */
-constexpr std::size_t MaxRequestsPerTick = 8;
-/** Limit on requests whose evidence is sent in reply to a differing digest. */
-constexpr std::size_t MaxRequestsPerReply = 64;
+constexpr gsTime DigestLifetime = gsMilliseconds(100);
 
 void ToWire(gsCrashEvidence const& evidence, gsTime now,
             gradescale::CrashEvidence& wire)
@@ -64,15 +62,18 @@
 }
 
 /**
- * Schedules the publication of all unsent evidence for the end of this event
- * loop iteration.
+ * Queues new evidence. If it is due before the next tick, schedules its
+ * publication for the end of this event loop iteration.
  */
 void gsCrashGossip::SchedulePublish(gsFingerprint const& fingerprint)
 {
-  if (this->UnsentRequests.empty()) {
+  gsTime now = gsLoop::Now();
+  gsQueueEvidence(this->Unsent, fingerprint, now);
+  if (gsIsEvidenceDue(this->Unsent, this->Watch.SuspectTable(), fingerprint,
+                      now) &&
+      !std::exchange(this->IsPublishScheduled, true)) {
     this->Loop.Defer([this] { this->PublishUnsent(gsLoop::Now()); });
   }
-  this->UnsentRequests.insert(fingerprint);
 }
 
 bool gsCrashGossip::IsRelay(gsTime now) const
@@ -90,88 +91,77 @@
   return relays;
 }
 
-void gsCrashGossip::Send(gsFingerprint const& fingerprint,
-                         std::string const& host, gsTime now)
+/** Encodes all evidence on the requests under which at least minCrashes
+ * upstreams have crashed. */
+gsCrashGossip::Requests gsCrashGossip::Encode(
+  std::vector<gsFingerprint> const& fingerprints, std::size_t minCrashes,
+  gsTime now) const
 {
-  auto found = this->Watch.SuspectTable().Suspects.find(fingerprint);
-  gradescale::Frame* frame = this->Cluster->ToHost(host);
-  if (found == this->Watch.SuspectTable().Suspects.end() || frame == nullptr) {
-    return;
-  }
-  gradescale::SuspectRequest* wire = frame->add_suspects();
-  wire->set_fingerprint_high(fingerprint.High);
-  wire->set_fingerprint_low(fingerprint.Low);
-  wire->set_organisation(found->second.OrganisationHash);
-  for (gsCrashEvidence const& evidence : found->second.Evidence) {
-    ToWire(evidence, now, *wire->add_evidence());
+  Requests requests;
+  auto const& suspects = this->Watch.SuspectTable().Suspects;
+  for (gsFingerprint const& fingerprint : fingerprints) {
+    auto found = suspects.find(fingerprint);
+    if (found == suspects.end() || gsCrashCount(found->second) < minCrashes) {
+      continue;
+    }
+    gradescale::SuspectRequest* wire = requests.Add();
+    wire->set_fingerprint_high(fingerprint.High);
+    wire->set_fingerprint_low(fingerprint.Low);
+    wire->set_organisation(found->second.OrganisationHash);
+    for (gsCrashEvidence const& evidence : found->second.Evidence) {
+      ToWire(evidence, now, *wire->add_evidence());
+    }
   }
+  return requests;
 }
 
-/**
- * Sends all evidence on a request to its receivers: from a relay the other
- * relays, and the hosts of its hall if at least two upstreams have
- * crashed; from another host its relay.
- */
-void gsCrashGossip::Publish(gsFingerprint const& fingerprint, gsTime now)
+void gsCrashGossip::Send(Requests const& requests, std::string const& host)
 {
-  if (!this->IsRelay(now)) {
-    this->Send(fingerprint, gsHallRelay(this->Cluster->Members(), now), now);
+  if (requests.empty()) {
     return;
   }
-  for (std::string const& relay : this->OtherRelays(now)) {
-    this->Send(fingerprint, relay, now);
-  }
-  auto found = this->Watch.SuspectTable().Suspects.find(fingerprint);
-  if (found == this->Watch.SuspectTable().Suspects.end() ||
-      gsCrashCount(found->second) < 2) {
-    return;
-  }
-  for (std::string const& host : gsHallPeers(this->Cluster->Members(), now)) {
-    this->Send(fingerprint, host, now);
+  if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
+    frame->mutable_suspects()->MergeFrom(requests);
   }
 }
 
 /**
- * Removes the requests to be sent in this tick from the queue, the most
- * strictly treated ones first.
+ * Sends the evidence that is due to its receivers: from a relay the other
+ * relays, and the hosts of its hall for requests under which at least two
+ * upstreams have crashed; from another host its relay.
  */
-std::vector<gsFingerprint> gsCrashGossip::DequeueMostStrict(gsTime now)
-{
-  std::vector<gsFingerprint> selected(this->UnsentRequests.begin(),
-                                      this->UnsentRequests.end());
-  std::size_t count =
-    std::min(selected.size(), MaxRequestsPerTick - this->RequestsSentInTick);
-  this->RequestsSentInTick += count;
-  auto isStricter = [this, now](gsFingerprint const& a,
-                                gsFingerprint const& b) {
-    return gsSuspicionLevelOf(this->Watch.SuspectTable(), a, now) >
-           gsSuspicionLevelOf(this->Watch.SuspectTable(), b, now);
-  };
-  auto end = selected.begin() + static_cast<std::ptrdiff_t>(count);
-  std::partial_sort(selected.begin(), end, selected.end(), isStricter);
-  selected.resize(count);
-  for (gsFingerprint const& fingerprint : selected) {
-    this->UnsentRequests.erase(fingerprint);
-  }
-  return selected;
-}
-
 void gsCrashGossip::PublishUnsent(gsTime now)
 {
+  this->IsPublishScheduled = false;
   if (this->Cluster == nullptr) {
     return;
   }
-  for (gsFingerprint const& fingerprint : this->DequeueMostStrict(now)) {
-    this->Publish(fingerprint, now);
+  std::vector<gsFingerprint> due =
+    gsTakeEvidence(this->Unsent, this->Watch.SuspectTable(), now);
+  if (due.empty()) {
+    return;
+  }
+  Requests all = this->Encode(due, 0, now);
+  if (!this->IsRelay(now)) {
+    this->Send(all, gsHallRelay(this->Cluster->Members(), now));
+    return;
+  }
+  for (std::string const& relay : this->OtherRelays(now)) {
+    this->Send(all, relay);
+  }
+  Requests restricted = this->Encode(due, 2, now);
+  for (std::string const& host : gsHallPeers(this->Cluster->Members(), now)) {
+    this->Send(restricted, host);
   }
 }
 
 void gsCrashGossip::Tick(gsTime now)
 {
+  this->Watch.LogReceived(now);
   if (this->Cluster == nullptr) {
     return;
   }
-  this->RequestsSentInTick = 0;
+  gsBeginEvidenceInterval(this->Unsent);
   this->PublishUnsent(now);
   if (now - this->DigestSentAt >= DigestInterval) {
     this->DigestSentAt = now;
@@ -190,9 +180,23 @@
   return receivers;
 }
 
+/** Digest of the restricted requests. It is computed anew at most once per
+ * change and DigestLifetime, however many hosts send theirs. */
+std::uint64_t gsCrashGossip::Digest(gsTime now)
+{
+  std::uint64_t version = this->Watch.RestrictionsVersion();
+  if (version != this->DigestedVersion ||
+      now - this->DigestedAt >= DigestLifetime) {
+    this->LastDigest = gsQuarantineDigest(this->Watch.SuspectTable(), now);
+    this->DigestedVersion = version;
+    this->DigestedAt = now;
+  }
+  return this->LastDigest;
+}
+
 void gsCrashGossip::SendDigest(gsTime now)
 {
-  std::uint64_t digest = gsQuarantineDigest(this->Watch.SuspectTable(), now);
+  std::uint64_t digest = this->Digest(now);
   if (digest == 0) {
     return;
   }
@@ -210,7 +214,7 @@
 void gsCrashGossip::CompareDigest(std::string const& host,
                                   std::uint64_t digest, gsTime now)
 {
-  if (digest == gsQuarantineDigest(this->Watch.SuspectTable(), now)) {
+  if (digest == this->Digest(now)) {
     this->MismatchedSince.erase(host);
     return;
   }
@@ -227,14 +231,10 @@
 
 void gsCrashGossip::SendAllEvidence(std::string const& host, gsTime now)
 {
-  std::size_t sent = 0;
-  for (gsFingerprint const& fingerprint :
-       gsQuarantineRequestsToExchange(this->Watch.SuspectTable(), now)) {
-    if (++sent > MaxRequestsPerReply) {
-      break;
-    }
-    this->Send(fingerprint, host, now);
-  }
+  std::vector<gsFingerprint> requests =
+    gsQuarantineRequestsToExchange(this->Watch.SuspectTable(), now);
+  requests.resize(std::min(requests.size(), gsMaxRequestsPerMessage));
+  this->Send(this->Encode(requests, 0, now), host);
 }
 
 void gsCrashGossip::OnReceive(std::string const& host,
@@ -245,6 +245,7 @@
     return;
   }
   gsTime now = gsLoop::Now();
+  bool isRelay = this->IsRelay(now);
   for (gradescale::SuspectRequest const& wire : frame.suspects()) {
     gsCrashReport report;
     report.Fingerprint = { wire.fingerprint_high(), wire.fingerprint_low() };
@@ -255,7 +256,7 @@
       isNew =
         (isReadable && this->Watch.ApplyReport(report, host, now)) || isNew;
     }
-    if (isNew && this->IsRelay(now)) {
+    if (isNew && isRelay) {
       this->SchedulePublish(report.Fingerprint);
     }
   }
--- a/Source/Daemon/gsCrashGossip.h
+++ b/Source/Daemon/gsCrashGossip.h
@@ -5,7 +5,8 @@
  * sends new evidence to the relay of its hall, and a relay forwards it to the
  * relays of the other halls. A relay sends evidence to the hosts of its hall
  * only for requests under which at least two upstreams have crashed, since
- * only those are restricted.
+ * only those are restricted. The evidence of about 100 ms is sent as one
+ * message, which is encoded once for all of its receivers.
  *
  * While there are restricted requests, hosts exchange a digest of them twice a
  * second. A digest that keeps differing reveals evidence that was lost, or
@@ -15,7 +16,6 @@
 
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "gsCrashWatch.h"
@@ -44,26 +44,35 @@
 private:
   using Hosts = std::vector<std::string>;
 
+  using Requests =
+    google::protobuf::RepeatedPtrField<gradescale::SuspectRequest>;
+
   bool IsRelay(gsTime now) const;
   Hosts OtherRelays(gsTime now) const;
   Hosts DigestReceivers(gsTime now) const;
   void SchedulePublish(gsFingerprint const& fingerprint);
   void PublishUnsent(gsTime now);
-  void Publish(gsFingerprint const& fingerprint, gsTime now);
-  void Send(gsFingerprint const& fingerprint, std::string const& host,
-            gsTime now);
+  Requests Encode(std::vector<gsFingerprint> const& fingerprints,
+                  std::size_t minCrashes, gsTime now) const;
+  void Send(Requests const& requests, std::string const& host);
   void SendAllEvidence(std::string const& host, gsTime now);
   void SendDigest(gsTime now);
+  std::uint64_t Digest(gsTime now);
   void CompareDigest(std::string const& host, std::uint64_t digest,
                      gsTime now);
-  std::vector<gsFingerprint> DequeueMostStrict(gsTime now);
 
   gsLoop& Loop;
   gsCrashWatch& Watch;
   gsHallCluster* Cluster = nullptr; ///< Set by Start.
-  /** Requests with new evidence that has not been sent yet. */
-  std::unordered_set<gsFingerprint> UnsentRequests;
-  std::size_t RequestsSentInTick = 0;
+  gsEvidenceQueue Unsent;
+  bool IsPublishScheduled = false;
+  /**
+   * Digest of the restricted requests, computed at DigestedAt for
+   * DigestedVersion of the restrictions.
+   */
+  std::uint64_t LastDigest = 0;
+  std::uint64_t DigestedVersion = 0;
+  gsTime DigestedAt{};
   /**
    * Since when the digest of each host has differed; hosts whose last digest
    * matched are absent.
--- a/Source/Daemon/gsCrashWatch.cxx
+++ b/Source/Daemon/gsCrashWatch.cxx
@@ -24,7 +24,14 @@
  * without other requests may send nothing for a while.
  */
 constexpr gsTime SurvivalCheckTimeout = gsSeconds(10);
-constexpr std::size_t MaxPendingChecks = 4096;
+constexpr std::size_t MaxPendingReports = 4096;
+/**
+ * Connections to a crashed upstream break within this time of each other, so
+ * that one check covers their requests.
+ */
+constexpr gsTime CrashSpread = gsMilliseconds(100);
+/** Limit on upstreams whose received evidence is logged per interval. */
+constexpr std::size_t MaxUnlogged = 256;
 /** Interval between cleanups, and retention of the times of crashes. */
 constexpr gsTime CleanupInterval = gsSeconds(10);
 
@@ -109,6 +116,10 @@
   }
   gsSuspicionLevel after =
     gsSuspicionLevelOf(this->Quarantine, report.Fingerprint, now);
+  if (after != before &&
+      std::max(after, before) >= gsSuspicionLevel::Contained) {
+    ++this->Restrictions;
+  }
   bool isNewlyQuarantined =
     after == gsSuspicionLevel::Quarantined && after != before;
   if (isNewlyQuarantined && this->QuarantinedCallback) {
@@ -134,16 +145,43 @@
   if (!this->Merge(report, false, now)) {
     return false;
   }
-  gsLogLine("crash_report_received")
-    .With("fingerprint", gsFormatFingerprint(report.Fingerprint))
-    .With("from", host)
-    .With("age_ms", now - report.Evidence.ObservedAt)
-    .With("verdict", std::uint64_t(report.Evidence.Verdict))
-    .With("treated", gsSuspicionLevelName(gsSuspicionLevelOf(
-                       this->Quarantine, report.Fingerprint, now)));
+  std::uint32_t upstream = report.Evidence.UpstreamHash;
+  if (this->Unlogged.size() >= MaxUnlogged &&
+      this->Unlogged.count(upstream) == 0) {
+    this->LogReceived(now);
+  }
+  Received& received = this->Unlogged[upstream];
+  if (received.Evidence.Requests() == 0) {
+    received.From = host;
+  }
+  gsAddReceived(received.Evidence, report,
+                gsSuspicionLevelOf(this->Quarantine, report.Fingerprint, now));
   return true;
 }
 
+void gsCrashWatch::LogReceived(gsTime now)
+{
+  for (auto const& [upstream, received] : this->Unlogged) {
+    gsReceivedEvidence const& evidence = received.Evidence;
+    gsLogLine line("crash_reports_received");
+    auto row = this->Fleet.ByHash.find(upstream);
+    if (row != this->Fleet.ByHash.end()) {
+      gsListedUpstream const& listed = this->Fleet.Rows[row->second].Listed;
+      line.With("upstream", listed.Id).With("born", listed.StartedAt);
+    }
+    line.With("upstream_hash", std::uint64_t(upstream))
+      .With("from", received.From)
+      .With("requests", std::uint64_t(evidence.Requests()))
+      .With("crashed", std::uint64_t(evidence.Crashed))
+      .With("alive", std::uint64_t(evidence.Alive))
+      .With("survived", std::uint64_t(evidence.Survived))
+      .With("age_ms", now - evidence.FirstObservedAt)
+      .With("treated", gsSuspicionLevelName(evidence.Suspicion))
+      .With("fingerprint", gsFormatFingerprint(evidence.Strictest));
+  }
+  this->Unlogged.clear();
+}
+
 /** Merges evidence found by this host and reports it if it is new. */
 void gsCrashWatch::AddOwn(gsCrashReport const& report, gsTime now)
 {
@@ -152,50 +190,72 @@
   }
 }
 
+/** Adds a report to a check of its upstream, or to a new one. */
 void gsCrashWatch::AddPendingCheck(gsCrashReport const& report,
                                    gsCrashVerdict verdictIfAlive)
 {
-  if (this->PendingChecks.size() < MaxPendingChecks) {
-    this->PendingChecks.push_back({ report, verdictIfAlive });
+  if (this->PendingReports >= MaxPendingReports) {
+    return;
   }
+  ++this->PendingReports;
+  gsTime observedAt = report.Evidence.ObservedAt;
+  std::vector<PendingCheck>& checks =
+    this->PendingChecks[report.Evidence.UpstreamHash];
+  auto check = std::find_if(
+    checks.begin(), checks.end(), [&](PendingCheck const& candidate) {
+      return candidate.VerdictIfAlive == verdictIfAlive &&
+             observedAt >= candidate.FirstObservedAt &&
+             observedAt - candidate.FirstObservedAt < CrashSpread;
+    });
+  if (check == checks.end()) {
+    check = checks.insert(checks.end(),
+                          { verdictIfAlive, observedAt, observedAt, {} });
+  }
+  check->LastObservedAt = std::max(check->LastObservedAt, observedAt);
+  check->Reports.push_back(report);
 }
 
 /**
- * Records evidence if the upstream has sent something since the event that is
- * checked. \return Whether the check is complete, which includes its timeout
- * and the removal of the upstream.
+ * Records evidence if the upstream has sent something since the events that
+ * are checked. \return Whether the check is complete, which includes its
+ * timeout and the removal of the upstream.
  */
-bool gsCrashWatch::CompleteCheck(PendingCheck const& each, gsTime now)
+bool gsCrashWatch::CompleteCheck(std::uint32_t upstream,
+                                 PendingCheck const& check, gsTime now)
 {
-  gsTime observedAt = each.Report.Evidence.ObservedAt;
-  auto row = this->Fleet.ByHash.find(each.Report.Evidence.UpstreamHash);
-  gsTime timeout = each.VerdictIfAlive == gsCrashVerdict::Survived
+  auto row = this->Fleet.ByHash.find(upstream);
+  gsTime timeout = check.VerdictIfAlive == gsCrashVerdict::Survived
                      ? SurvivalCheckTimeout
                      : CrashCheckTimeout;
-  if (row == this->Fleet.ByHash.end() || now - observedAt > timeout) {
+  if (row == this->Fleet.ByHash.end() ||
+      now - check.LastObservedAt > timeout) {
     return true;
   }
-  if (this->Fleet.Rows[row->second].LastReceivedAt - observedAt <
+  if (this->Fleet.Rows[row->second].LastReceivedAt - check.LastObservedAt <
       MaxTransitTime) {
     return false;
   }
-  gsCrashReport report = each.Report;
-  report.Evidence.Verdict = each.VerdictIfAlive;
-  this->AddOwn(report, now);
+  for (gsCrashReport report : check.Reports) {
+    report.Evidence.Verdict = check.VerdictIfAlive;
+    this->AddOwn(report, now);
+  }
   return true;
 }
 
 void gsCrashWatch::ProcessPendingChecks(gsTime now)
 {
   // Checks that are added during this loop are processed by the next sweep.
-  std::vector<PendingCheck> pending = std::exchange(this->PendingChecks, {});
-  auto isComplete = [this, now](PendingCheck const& each) {
-    return this->CompleteCheck(each, now);
-  };
-  pending.erase(std::remove_if(pending.begin(), pending.end(), isComplete),
-                pending.end());
-  this->PendingChecks.insert(this->PendingChecks.end(), pending.begin(),
-                             pending.end());
+  CheckMap pending = std::exchange(this->PendingChecks, {});
+  this->PendingReports = 0;
+  for (auto& [upstream, checks] : pending) {
+    for (PendingCheck& check : checks) {
+      if (this->CompleteCheck(upstream, check, now)) {
+        continue;
+      }
+      this->PendingReports += check.Reports.size();
+      this->PendingChecks[upstream].push_back(std::move(check));
+    }
+  }
   if (now - this->CleanedUpAt >= CleanupInterval) {
     this->CleanedUpAt = now;
     gsQuarantineRemoveExpired(this->Quarantine, now);
--- a/Source/Daemon/gsCrashWatch.h
+++ b/Source/Daemon/gsCrashWatch.h
@@ -53,9 +53,17 @@
   /** Records the outcome of an attempt. */
   void RecordAttemptEnd(gsRoutedRequest& request, gsAttempt const& attempt,
                         gsAttemptResult const& result, gsTime now);
-  /** Merges evidence found by another host. \return Whether it is new. */
+  /**
+   * Merges evidence found by another host. LogReceived logs it later, one line
+   * for each upstream. \return Whether it is new.
+   */
   bool ApplyReport(gsCrashReport const& report, std::string_view host,
                    gsTime now);
+  /**
+   * Logs the evidence that was received since the last call, in one line for
+   * each upstream; to be called about ten times per second.
+   */
+  void LogReceived(gsTime now);
   /**
    * Checks whether upstreams with pending checks have sent anything, and
    * removes expired evidence; to be called many times per second.
@@ -85,23 +93,41 @@
   bool ClearSuspicion(gsFingerprint const& fingerprint, gsTime now);
 
   gsQuarantine const& SuspectTable() const { return this->Quarantine; }
+  /**
+   * Changes whenever evidence changes which requests are contained or
+   * quarantined. It does not change when they expire.
+   */
+  std::uint64_t RestrictionsVersion() const { return this->Restrictions; }
 
   /** One row per request that is contained or quarantined. */
   nlohmann::json Status(gsTime now) const;
 
 private:
-  /** A check, not completed yet, of whether an upstream is still alive. */
+  /**
+   * A check, not completed yet, of whether an upstream is still alive. It
+   * covers all requests that ended there at about the same time, so that the
+   * crash of an upstream is processed once.
+   */
   struct PendingCheck
   {
-    gsCrashReport Report;
     gsCrashVerdict VerdictIfAlive = gsCrashVerdict::Alive;
+    gsTime FirstObservedAt{};
+    gsTime LastObservedAt{};
+    std::vector<gsCrashReport> Reports; ///< All on one upstream.
+  };
+  /** Evidence received from other hosts that has not been logged. */
+  struct Received
+  {
+    gsReceivedEvidence Evidence;
+    std::string From; ///< Host that sent the first piece.
   };
 
   bool Merge(gsCrashReport const& report, bool isOwn, gsTime now);
   void AddOwn(gsCrashReport const& report, gsTime now);
   void AddPendingCheck(gsCrashReport const& report,
                        gsCrashVerdict verdictIfAlive);
-  bool CompleteCheck(PendingCheck const& each, gsTime now);
+  bool CompleteCheck(std::uint32_t upstream, PendingCheck const& check,
+                     gsTime now);
   bool HadCrashedBefore(gsAttempt const& attempt) const;
   void RecordCrash(gsRoutedRequest& request, gsAttempt const& attempt,
                    gsTime now);
@@ -111,7 +137,13 @@
   OnEvidence EvidenceCallback;
   OnQuarantined QuarantinedCallback;
   gsQuarantine Quarantine;
-  std::vector<PendingCheck> PendingChecks;
+  using CheckMap =
+    std::unordered_map<std::uint32_t, std::vector<PendingCheck>>;
+  CheckMap PendingChecks;         ///< By hash of the upstream's incarnation.
+  std::size_t PendingReports = 0; ///< Number of reports in PendingChecks.
+  /** By hash of the upstream's incarnation. */
+  std::unordered_map<std::uint32_t, Received> Unlogged;
+  std::uint64_t Restrictions = 1;
   /** Contained requests that run on this host. */
   std::unordered_set<gsFingerprint> RunningContained;
   /**
