--- /dev/null
+++ b/Source/Core/gsMemoryBudget.cxx
@@ -0,0 +1,84 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsMemoryBudget.h"
+
+#include <algorithm>
+
+namespace {
+
+/** Share of the budget above which large bodies are refused. */
+constexpr double BodyShare = 0.8;
+/** Part of the free bytes that one stream may use. With any number of streams
+ * that are not read, their sum stays below BodyShare. */
+constexpr std::uint64_t StreamDivisor = 16;
+/** Part of StalledTimeout within which a reader counts as steady. */
+constexpr int SteadyDivisor = 3;
+
+std::uint64_t BodyLimit(gsMemorySettings const& settings)
+{
+  return static_cast<std::uint64_t>(
+    BodyShare * static_cast<double>(gsMemoryLimit(settings)));
+}
+
+} // namespace
+
+char const* gsMemoryCauseName(gsMemoryCause cause)
+{
+  return cause == gsMemoryCause::Stalled ? "stalled" : "over_budget";
+}
+
+std::uint64_t gsMemoryLimit(gsMemorySettings const& settings)
+{
+  return static_cast<std::uint64_t>(settings.BuffersShare *
+                                    static_cast<double>(settings.TotalBytes));
+}
+
+bool gsAcceptsBody(gsMemorySettings const& settings, gsMemoryUse const& use,
+                   std::uint64_t bytes)
+{
+  if (bytes <= gsSmallBodyBytes) {
+    return true;
+  }
+  std::uint64_t committed = use.Total() + 2 * use.Expected;
+  return committed <= BodyLimit(settings) &&
+         committed + 2 * bytes <= gsMemoryLimit(settings);
+}
+
+std::uint64_t gsStreamLimit(gsMemorySettings const& settings,
+                            gsMemoryUse const& use)
+{
+  std::uint64_t limit = BodyLimit(settings);
+  std::uint64_t left = limit - std::min(limit, use.Total());
+  return std::min(left / StreamDivisor, gsMaxStreamBytes);
+}
+
+std::vector<gsMemoryEnding> gsSelectStalled(
+  gsMemorySettings const& settings, gsMemoryUse const& use,
+  std::vector<gsMemoryReader> const& readers, gsTime now)
+{
+  std::vector<gsMemoryEnding> endings;
+  std::vector<std::size_t> idle; // Not steady and not stalled yet.
+  std::uint64_t held = use.Total();
+  auto release = [&](std::size_t index, gsMemoryCause cause) {
+    endings.push_back({ index, cause });
+    held -= std::min(held, readers[index].Bytes);
+  };
+  for (std::size_t i = 0; i < readers.size(); ++i) {
+    gsTime waited = now - readers[i].TakenAt;
+    if (waited >= settings.StalledTimeout) {
+      release(i, gsMemoryCause::Stalled);
+    } else if (waited >= settings.StalledTimeout / SteadyDivisor) {
+      idle.push_back(i);
+    }
+  }
+  std::uint64_t limit = gsMemoryLimit(settings);
+  if (held <= limit) {
+    return endings;
+  }
+  std::sort(idle.begin(), idle.end(), [&](std::size_t a, std::size_t b) {
+    return readers[a].TakenAt < readers[b].TakenAt;
+  });
+  for (std::size_t i = 0; i < idle.size() && held > limit; ++i) {
+    release(idle[i], gsMemoryCause::OverBudget);
+  }
+  return endings;
+}
--- /dev/null
+++ b/Source/Core/gsMemoryBudget.h
@@ -0,0 +1,100 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Budget of the memory that a host holds for callers and upstreams: request
+ * bodies, answers and events that their callers have not taken yet. Near the
+ * budget, streams are paused earlier and large bodies are refused; callers
+ * that take nothing are ended.
+ */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "gsTypes.h"
+
+struct gsMemorySettings
+{
+  std::uint64_t TotalBytes = 120U << 20U; ///< Memory of the machine.
+  /** Share of it for bodies, answers and events. The rest is for the process
+   * itself and for the fixed part of each connection. */
+  double BuffersShare = 0.35;
+  /** A caller or upstream that takes nothing for so long is ended. */
+  gsTime StalledTimeout = gsMilliseconds(3000);
+};
+
+/** Bytes held, by kind. */
+struct gsMemoryUse
+{
+  std::uint64_t Bodies = 0;
+  std::uint64_t Expected = 0; ///< Announced bodies, not received yet.
+  std::uint64_t Answers = 0;
+  std::uint64_t Events = 0;
+  std::uint64_t Uploads = 0; ///< Copies of bodies for upstreams.
+
+  /** All that is held; Expected is not. */
+  std::uint64_t Total() const
+  {
+    return this->Bodies + this->Answers + this->Events + this->Uploads;
+  }
+};
+
+/** A caller or upstream for which bytes wait. */
+struct gsMemoryReader
+{
+  std::uint64_t Bytes = 0;
+  /** When it last took bytes, or when they began to wait. */
+  gsTime TakenAt{};
+};
+
+enum class gsMemoryCause
+{
+  Stalled,   ///< It took nothing for StalledTimeout.
+  OverBudget ///< It took nothing for the longest time while over the budget.
+};
+
+char const* gsMemoryCauseName(gsMemoryCause cause);
+
+/** A reader that is to be ended. */
+struct gsMemoryEnding
+{
+  std::size_t Index = 0; ///< Of the reader in the list that was passed in.
+  gsMemoryCause Cause = gsMemoryCause::Stalled;
+};
+
+/** Bytes that may be held for callers and upstreams. */
+std::uint64_t gsMemoryLimit(gsMemorySettings const& settings);
+
+/** Bodies up to this size are accepted regardless of the budget. */
+constexpr std::uint64_t gsSmallBodyBytes = 16U << 10U;
+/** Largest number of bytes of a stream that wait for its caller. */
+constexpr std::uint64_t gsMaxStreamBytes = 256U << 10U;
+
+/**
+ * Whether a new body is accepted. A large one is refused above 0.8 of the
+ * budget, and if it would exceed the budget together with the bodies that are
+ * being received. Each body counts twice until it is received, because it is
+ * copied for the upstream.
+ */
+bool gsAcceptsBody(gsMemorySettings const& settings, gsMemoryUse const& use,
+                   std::uint64_t bytes);
+
+/**
+ * Bytes that may wait for the caller of a stream before reading from the
+ * upstream pauses: a sixteenth of what is left below 0.8 of the budget, at
+ * most gsMaxStreamBytes. At zero a stream still moves on whenever its caller
+ * has taken everything.
+ */
+std::uint64_t gsStreamLimit(gsMemorySettings const& settings,
+                            gsMemoryUse const& use);
+
+/**
+ * Selects the readers to be ended: those that took nothing for StalledTimeout,
+ * and, over the budget, those that took nothing for the longest time until the
+ * rest is within the budget. A reader that took something within a third of
+ * StalledTimeout is never selected.
+ */
+std::vector<gsMemoryEnding> gsSelectStalled(
+  gsMemorySettings const& settings, gsMemoryUse const& use,
+  std::vector<gsMemoryReader> const& readers, gsTime now);
--- /dev/null
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -0,0 +1,287 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsMemoryGuard.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+#include <vector>
+
+#include "gsHttpStatus.h"
+#include "gsLog.h"
+
+namespace {
+
+/** The kernel doubles the value. Autotuned buffers of some MB a connection
+ * would exceed a small machine's memory with a few hundred callers that do not
+ * read. */
+constexpr int KernelBufferBytes = 32 << 10;
+/** Minimum interval between sweeps while over the budget. */
+constexpr gsTime MinSweepInterval = gsMilliseconds(20);
+constexpr double MaxRetryAfterFactor = 1.5;
+
+gsMemoryUse Sum(gsHeldTotals const& callers, gsHeldTotals const& client,
+                gsHeldTotals const& upstreams)
+{
+  gsMemoryUse use;
+  for (gsHeldTotals const* held : { &callers, &client, &upstreams }) {
+    use.Bodies += held->Bodies;
+    use.Expected += held->Expected;
+    use.Answers += held->Answers;
+    use.Events += held->Events;
+    use.Uploads += held->Uploads;
+  }
+  return use;
+}
+
+} // namespace
+
+int gsMemoryGuard::KernelBuffer(gsFeatureMode mode)
+{
+  return mode == gsFeatureMode::On ? KernelBufferBytes : 0;
+}
+
+gsMemoryGuard::gsMemoryGuard(gsLoop& loop, gsMemoryGuardSettings settings,
+                             gsHttpServer& callers, gsHttpClient& client,
+                             gsUpstreamCaller& upstreams, std::uint64_t seed)
+  : Loop(loop)
+  , Settings(settings)
+  , Callers(callers)
+  , Client(client)
+  , Upstreams(upstreams)
+  , Random(seed)
+  , SweepTimer(loop, [this] { this->Sweep(); })
+{
+  if (!gsIsActive(this->Settings.Mode)) {
+    return;
+  }
+  gsHttpBodyGate gate;
+  gate.Accepts = [this](gsHttpExchange const& exchange, std::uint64_t bytes) {
+    return this->AcceptsBody(exchange, bytes);
+  };
+  gate.Refuse = [this](gsHttpExchange& exchange) { this->Refuse(exchange); };
+  this->Callers.SetBodyGate(std::move(gate));
+  this->Upstreams.SetStreamLimit([this] { return this->StreamLimit(); });
+  this->SweepTimer.Every(this->Settings.SweepInterval);
+}
+
+gsMemoryGuard::~gsMemoryGuard()
+{
+  *this->Alive = false;
+  this->Callers.SetBodyGate({});
+  this->Upstreams.SetStreamLimit(nullptr);
+}
+
+gsMemoryUse gsMemoryGuard::Use() const
+{
+  return Sum(this->Callers.Held(), this->Client.Held(),
+             this->Upstreams.Held());
+}
+
+void gsMemoryGuard::RecordUse()
+{
+  this->PeakBytes = std::max(this->PeakBytes, this->Use().Total());
+}
+
+bool gsMemoryGuard::AcceptsBody(gsHttpExchange const& exchange,
+                                std::uint64_t bytes)
+{
+  gsMemoryUse use = this->Use();
+  this->RecordUse();
+  if (gsAcceptsBody(this->Settings.Budget, use, bytes)) {
+    return true;
+  }
+  ++this->Refusals;
+  gsLogLine("memory_refused")
+    .With("caller", exchange.Peer)
+    .With("path", exchange.Path)
+    .With("body_bytes", bytes)
+    .With("held_bytes", use.Total())
+    .With("expected_bytes", use.Expected)
+    .With("limit_bytes", gsMemoryLimit(this->Settings.Budget))
+    .With("dry_run", !this->IsOn());
+  return !this->IsOn();
+}
+
+/** Answers a request whose body was refused; it has not run. */
+void gsMemoryGuard::Refuse(gsHttpExchange& exchange)
+{
+  std::uniform_real_distribution<double> draw(1, MaxRetryAfterFactor);
+  char retryAfter[32];
+  std::snprintf(retryAfter, sizeof(retryAfter), "%.3f",
+                draw(this->Random) *
+                  gsToSeconds(this->Settings.MinRetryAfter));
+  nlohmann::json body{
+    { "error",
+      { { "code", "memory" },
+        { "message",
+          "The request was not run: this host has no memory for its body; "
+          "come back later." },
+        { "step", "accept" } } }
+  };
+  exchange.Respond(
+    gsStatusUnavailable,
+    { { "Content-Type", "application/json" }, { "Retry-After", retryAfter } },
+    body.dump());
+}
+
+std::uint64_t gsMemoryGuard::StreamLimit()
+{
+  this->RecordUse();
+  gsMemoryUse use = this->Use();
+  if (!this->IsOn()) {
+    return gsMaxStreamBytes;
+  }
+  bool isOver = use.Total() > gsMemoryLimit(this->Settings.Budget);
+  if (isOver && !this->IsSweepScheduled &&
+      gsLoop::Now() - this->SweptAt >= MinSweepInterval) {
+    this->IsSweepScheduled = true;
+    this->Loop.Defer([this, alive = this->Alive] {
+      if (*alive) {
+        this->Sweep();
+      }
+    });
+  }
+  return gsStreamLimit(this->Settings.Budget, use);
+}
+
+void gsMemoryGuard::Sweep()
+{
+  this->IsSweepScheduled = false;
+  gsTime now = gsLoop::Now();
+  this->SweptAt = now;
+  this->RecordUse();
+  this->Callers.ForgetExpected(this->Settings.Budget.StalledTimeout, now);
+  this->SweepCallers(now);
+  this->SweepUploads(now);
+}
+
+void gsMemoryGuard::SweepCallers(gsTime now)
+{
+  std::vector<gsWaitingCaller> waiting = this->Callers.WaitingCallers(now);
+  std::vector<gsMemoryReader> readers;
+  readers.reserve(waiting.size());
+  for (gsWaitingCaller const& caller : waiting) {
+    readers.push_back({ caller.Bytes, caller.TakenAt });
+  }
+  gsMemoryUse use = this->Use();
+  std::set<gsHttpExchange const*> logged;
+  for (gsMemoryEnding const& ending :
+       gsSelectStalled(this->Settings.Budget, use, readers, now)) {
+    gsWaitingCaller const& caller = waiting[ending.Index];
+    gsHttpExchange const* exchange = caller.Exchange.get();
+    logged.insert(exchange);
+    if (this->LoggedCallers.count(exchange) != 0) {
+      continue;
+    }
+    ++this->EndedCounts[ending.Cause == gsMemoryCause::Stalled
+                          ? Ended::CallerStalled
+                          : Ended::CallerOverBudget];
+    gsLogLine("caller_ended", gsLogLevel::Warn)
+      .With("request", exchange->Label)
+      .With("caller", exchange->Peer)
+      .With("path", exchange->Path)
+      .With("cause", gsMemoryCauseName(ending.Cause))
+      .With("waiting_bytes", caller.Bytes)
+      .With("took_nothing_ms", now - caller.TakenAt)
+      .With("held_bytes", use.Total())
+      .With("limit_bytes", gsMemoryLimit(this->Settings.Budget))
+      .With("dry_run", !this->IsOn());
+    if (this->IsOn()) {
+      caller.Exchange->EndStalled();
+    }
+  }
+  this->LoggedCallers =
+    this->IsOn() ? std::set<gsHttpExchange const*>{} : std::move(logged);
+}
+
+void gsMemoryGuard::SweepUploads(gsTime now)
+{
+  std::vector<gsWaitingUpload> waiting =
+    this->Client.WaitingUploads(gsSmallBodyBytes, now);
+  std::set<std::uint64_t> logged;
+  for (gsWaitingUpload const& upload : waiting) {
+    gsTime idle = now - upload.TakenAt;
+    if (idle < this->Settings.Budget.StalledTimeout) {
+      continue;
+    }
+    logged.insert(upload.Call);
+    if (this->LoggedUploads.count(upload.Call) != 0) {
+      continue;
+    }
+    ++this->EndedCounts[Ended::UpstreamStalled];
+    gsLogLine("upload_ended", gsLogLevel::Warn)
+      .With("request", upload.Label)
+      .With("url", upload.Url)
+      .With("body_bytes", upload.Bytes)
+      .With("took_nothing_ms", idle)
+      .With("held_bytes", this->Use().Total())
+      .With("dry_run", !this->IsOn());
+    if (this->IsOn()) {
+      this->Client.EndStalled(upload.Call);
+    }
+  }
+  this->LoggedUploads =
+    this->IsOn() ? std::set<std::uint64_t>{} : std::move(logged);
+}
+
+nlohmann::json gsMemoryGuard::Status() const
+{
+  gsMemoryUse use = this->Use();
+  auto ended = [this](Ended kind) {
+    auto found = this->EndedCounts.find(kind);
+    return found == this->EndedCounts.end() ? 0 : found->second;
+  };
+  char const* const modes[] = { "off", "dry_run", "on" };
+  return { { "mode", modes[static_cast<std::size_t>(this->Settings.Mode)] },
+           { "limit_bytes", gsMemoryLimit(this->Settings.Budget) },
+           { "held_bytes", use.Total() },
+           { "peak_bytes", this->PeakBytes },
+           { "bodies", use.Bodies },
+           { "expected", use.Expected },
+           { "answers", use.Answers },
+           { "events", use.Events },
+           { "uploads", use.Uploads },
+           { "paused_streams", this->Client.Paused() },
+           { "stream_limit_bytes",
+             this->IsOn() ? gsStreamLimit(this->Settings.Budget, use)
+                          : gsMaxStreamBytes },
+           { "refused", this->Refusals },
+           { "ended_stalled", ended(Ended::CallerStalled) },
+           { "ended_over_budget", ended(Ended::CallerOverBudget) },
+           { "ended_uploads", ended(Ended::UpstreamStalled) } };
+}
+
+void gsMemoryGuard::WriteGauges(gsMetrics& metrics) const
+{
+  if (!gsIsActive(this->Settings.Mode)) {
+    return;
+  }
+  gsMemoryUse use = this->Use();
+  auto held = [&metrics](char const* kind, std::uint64_t bytes) {
+    metrics.Set("gradescale_memory_bytes", gsLabels({ { "kind", kind } }),
+                static_cast<double>(bytes));
+  };
+  held("bodies", use.Bodies);
+  held("expected", use.Expected);
+  held("answers", use.Answers);
+  held("events", use.Events);
+  held("uploads", use.Uploads);
+  metrics.Set("gradescale_memory_limit_bytes", {},
+              static_cast<double>(gsMemoryLimit(this->Settings.Budget)));
+  metrics.Set("gradescale_memory_peak_bytes", {},
+              static_cast<double>(this->PeakBytes));
+  metrics.Set("gradescale_paused_streams", {},
+              static_cast<double>(this->Client.Paused()));
+  metrics.Set("gradescale_memory_refusals_total", {},
+              static_cast<double>(this->Refusals));
+  auto ended = [this, &metrics](char const* cause, Ended kind) {
+    auto found = this->EndedCounts.find(kind);
+    metrics.Set(
+      "gradescale_memory_ended_total", gsLabels({ { "cause", cause } }),
+      found == this->EndedCounts.end() ? 0
+                                       : static_cast<double>(found->second));
+  };
+  ended("caller_stalled", Ended::CallerStalled);
+  ended("caller_over_budget", Ended::CallerOverBudget);
+  ended("upstream_stalled", Ended::UpstreamStalled);
+}
--- /dev/null
+++ b/Source/Daemon/gsMemoryGuard.h
@@ -0,0 +1,90 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Applies the memory budget of a host (gsMemoryBudget) to its callers and
+ * upstreams: refuses bodies, limits what waits for the caller of a stream, and
+ * ends callers and upstreams that take nothing. In a dry run it decides and
+ * logs only.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "gsFeatureMode.h"
+#include "gsHttpClient.h"
+#include "gsHttpServer.h"
+#include "gsLoop.h"
+#include "gsMemoryBudget.h"
+#include "gsMetrics.h"
+#include "gsUpstreamCaller.h"
+
+struct gsMemoryGuardSettings
+{
+  gsFeatureMode Mode = gsFeatureMode::Off;
+  gsMemorySettings Budget;
+  gsTime MinRetryAfter = gsMilliseconds(300); ///< Of a refusal.
+  /** Interval between looks at what callers and upstreams have taken. */
+  gsTime SweepInterval = gsMilliseconds(200);
+};
+
+class gsMemoryGuard
+{
+public:
+  /** Takes effect if the mode is not off. The loop and the other objects must
+   * outlive this one. */
+  gsMemoryGuard(gsLoop& loop, gsMemoryGuardSettings settings,
+                gsHttpServer& callers, gsHttpClient& client,
+                gsUpstreamCaller& upstreams, std::uint64_t seed);
+  ~gsMemoryGuard();
+  gsMemoryGuard(gsMemoryGuard const&) = delete;
+  gsMemoryGuard& operator=(gsMemoryGuard const&) = delete;
+
+  /** Bytes that the kernel may hold for one connection; zero leaves it to the
+   * kernel. To be applied to servers and clients before connections exist. */
+  static int KernelBuffer(gsFeatureMode mode);
+
+  gsMemoryUse Use() const;
+  nlohmann::json Status() const;
+  void WriteGauges(gsMetrics& metrics) const;
+
+private:
+  enum class Ended
+  {
+    CallerStalled,
+    CallerOverBudget,
+    UpstreamStalled
+  };
+
+  bool IsOn() const { return this->Settings.Mode == gsFeatureMode::On; }
+  bool AcceptsBody(gsHttpExchange const& exchange, std::uint64_t bytes);
+  void Refuse(gsHttpExchange& exchange);
+  std::uint64_t StreamLimit();
+  void RecordUse();
+  void Sweep();
+  void SweepCallers(gsTime now);
+  void SweepUploads(gsTime now);
+
+  gsLoop& Loop;
+  gsMemoryGuardSettings Settings;
+  gsHttpServer& Callers;
+  gsHttpClient& Client;
+  gsUpstreamCaller& Upstreams;
+  gsRandom Random;
+  gsTimer SweepTimer;
+  bool IsSweepScheduled = false;
+  gsTime SweptAt{};
+  std::uint64_t PeakBytes = 0;
+  std::uint64_t Refusals = 0;
+  std::map<Ended, std::uint64_t> EndedCounts;
+  /** Callers and calls that a dry run has logged, until they take something or
+   * are gone. */
+  std::set<gsHttpExchange const*> LoggedCallers;
+  std::set<std::uint64_t> LoggedUploads;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -293,6 +293,7 @@
   request->LocalId = this->NextSequence++;
   this->Requests[request->LocalId] = request;
   gsEarnRetry(this->BudgetOf(request->Service), request->ArrivedAt);
+  request->Exchange->Label = request->Caller.AttemptId;
   std::weak_ptr<gsRoutedRequest> weak = request;
   request->Exchange->OnGone = [this, weak] {
     if (RequestPtr locked = weak.lock()) {
@@ -1035,7 +1036,8 @@
     return;
   }
   this->UpstreamCaller.CancelAll(*request);
-  this->Finish(request, "caller_left");
+  this->Finish(request, request->Exchange->IsStalled() ? "caller_stalled"
+                                                       : "caller_left");
 }
 
 void gsRouteGateway::Finish(RequestPtr const& request, char const* result)
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -132,6 +132,9 @@
    */
   void SetCatchingUp(bool isCatchingUp) { this->IsCatchingUp = isCatchingUp; }
 
+  /** Calls upstreams and holds their answers. */
+  gsUpstreamCaller& Upstreams() { return this->UpstreamCaller; }
+
   /** Detects requests under which upstreams crash. */
   gsCrashWatch& CrashDetection() { return this->CrashWatch; }
 
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -32,6 +32,11 @@
  */
 constexpr gsTime IdleMargin = gsSeconds(2);
 constexpr std::size_t BytesPerKib = 1024;
+/**
+ * Bytes read at once of an answer while the memory budget applies. Each paused
+ * stream holds up to so many beside those that wait for its caller.
+ */
+constexpr std::size_t ReadBufferBytes = 4096;
 /**
  * Assumed number of hosts until the actual one is known. It is so large that
  * this host uses only the minimum share of whatever is shared, regardless of
@@ -197,6 +202,12 @@
   callers.MaxConnectionsPerIp =
     static_cast<std::uint32_t>(from.MaxConnectionsPerIp);
   callers.ReceiveTimeout = from.ReceiveTimeout;
+  gsFeatureMode memory = this->Settings.Features.Memory;
+  callers.SendBuffer = gsMemoryGuard::KernelBuffer(memory);
+  if (memory == gsFeatureMode::On) {
+    this->Client.LimitBuffers(gsMemoryGuard::KernelBuffer(memory),
+                              ReadBufferBytes);
+  }
   auto server = gsHttpServer::Start(
     this->Loop, callers,
     [this](std::shared_ptr<gsHttpExchange> const& exchange) {
@@ -207,6 +218,13 @@
     return server.error();
   }
   this->CallerServer = std::move(server.value());
+  gsMemoryGuardSettings guard;
+  guard.Mode = memory;
+  guard.Budget = this->Settings.Memory;
+  guard.MinRetryAfter = this->Settings.Routing.RetryAfter;
+  this->MemoryGuard = std::make_unique<gsMemoryGuard>(
+    this->Loop, guard, *this->CallerServer, this->Client,
+    this->Gateway->Upstreams(), this->Incarnation);
   gsHttpServerSettings operators;
   operators.Address = this->Settings.Operators.Listen;
   server = gsHttpServer::Start(
@@ -372,6 +390,9 @@
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
                       this->RateLimiter.Status(gsLoop::Now()).dump());
+  } else if (exchange->Path == "/v1/memory") {
+    gsHeaders json{ { "Content-Type", "application/json" } };
+    exchange->Respond(gsStatusOk, json, this->MemoryGuard->Status().dump());
   } else if (exchange->Path == "/v1/duties" && this->Duties) {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
@@ -380,8 +401,8 @@
     exchange->Respond(
       gsStatusNotFound, plain,
       "This port serves /readyz, /healthz, /metrics, "
-      "/v1/halls, /v1/limits, /v1/quarantine and, where there are duties, "
-      "/v1/duties.\n");
+      "/v1/halls, /v1/limits, /v1/memory, /v1/quarantine and, where there are "
+      "duties, /v1/duties.\n");
   }
 }
 
@@ -394,6 +415,7 @@
                     static_cast<double>(gsQuarantinedCount(
                       this->Gateway->CrashDetection().SuspectTable(), now)));
   this->RateLimiter.WriteGauges(this->Metrics, now);
+  this->MemoryGuard->WriteGauges(this->Metrics);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
   gsHallMembership const& members = this->Cluster->Members();
   this->Metrics.Set("gradescale_system_hosts", {},
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -21,6 +21,7 @@
 #include "gsHttpClient.h"
 #include "gsHttpServer.h"
 #include "gsLoadSharing.h"
+#include "gsMemoryGuard.h"
 #include "gsMetrics.h"
 #include "gsQuarantineStore.h"
 #include "gsRateLimiter.h"
@@ -92,6 +93,7 @@
   std::unique_ptr<gsDuties> Duties; ///< Null if the host has no duties.
   std::unique_ptr<gsHttpServer> CallerServer;
   std::unique_ptr<gsHttpServer> OperatorServer;
+  std::unique_ptr<gsMemoryGuard> MemoryGuard; ///< Made by StartServers.
   gsTimer TickTimer;
   gsTimer LoadTimer;
   gsTimer StopTimer;
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -17,6 +17,7 @@
 #include "gsEventSplitter.h"
 #include "gsExpectedWait.h"
 #include "gsFingerprint.h"
+#include "gsHeldBytes.h"
 #include "gsHttpServer.h"
 #include "gsRouteTable.h"
 
@@ -72,6 +73,8 @@
   gsResponseHead AnswerHead;
   std::string
     AnswerBody; ///< Body of an answer that is not relayed event by event.
+  /** Counts AnswerBody; set when the attempt is started. */
+  std::shared_ptr<gsHeldBytes> HeldAnswer;
   gsEventSplitter EventSplitter;
   /**
    * Prompt tokens charged to the upstream's row until the first byte of the
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -174,6 +174,20 @@
   return modes[fields.Choice("mode", { "off", "dry_run", "on" }, 0)];
 }
 
+void ReadMemory(gsFieldReader& fields, gsMemorySettings& memory)
+{
+  constexpr std::uint64_t bytesPerMb = 1U << 20U;
+  constexpr gsRange sizes{ 120, 1U << 20U };
+  constexpr gsRange shares{ 0.05, 0.8 };
+  memory.TotalBytes =
+    fields.Unsigned("total_mb", sizes, memory.TotalBytes / bytesPerMb) *
+    bytesPerMb;
+  memory.BuffersShare =
+    fields.Number("buffers_share", shares, memory.BuffersShare);
+  memory.StalledTimeout = fields.Milliseconds("stalled_caller_ms", PeriodRange,
+                                              memory.StalledTimeout);
+}
+
 void ReadFeatures(gsFieldReader& fields, gsSettings& settings)
 {
   auto& features = settings.Features;
@@ -191,6 +205,7 @@
   });
   fields.Object("memory", [&](gsFieldReader& inner) {
     features.Memory = ReadMode(inner);
+    ReadMemory(inner, settings.Memory);
   });
 }
 
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -16,6 +16,7 @@
 #include "gsFeatureMode.h"
 #include "gsFleet.h"
 #include "gsMembership.h"
+#include "gsMemoryBudget.h"
 #include "gsPool.h"
 #include "gsReplica.h"
 #include "gsScaling.h"
@@ -126,6 +127,8 @@
     gsFeatureMode Memory = gsFeatureMode::Off;
   } Features;
 
+  gsMemorySettings Memory; ///< Applies while Features.Memory is active.
+
   /** Choice of an upstream in the routed mode; Hall is set from above. */
   gsFleetSettings Placement;
 
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -102,6 +102,8 @@
   gsFleetRow& row = *placement.Row;
   gsTime now = gsLoop::Now();
   auto attempt = std::make_shared<gsAttempt>();
+  attempt->HeldAnswer =
+    std::make_shared<gsHeldBytes>(this->Totals, &gsHeldTotals::Answers);
   attempt->Upstream = gsIncarnationOf(row.Listed);
   attempt->Address = row.Listed.Address;
   attempt->ReadTokens = placement.TokensToRead;
@@ -149,6 +151,7 @@
   call.Url = "http://" + row.Listed.Address + caller.Target;
   call.Headers = this->Adapter.MakeAttemptHeaders(caller, facts);
   call.Body = caller.Body;
+  call.Label = caller.AttemptId;
   call.ConnectTimeout = this->Settings.ConnectTimeout;
   call.UserTimeout = this->Settings.UserTimeout;
   call.Reuse = true;
@@ -312,7 +315,9 @@
   if (attempt.CallId == 0) {
     return true;
   }
-  if (request->Exchange->Buffered() > MaxBuffered) {
+  std::uint64_t limit =
+    this->StreamLimitCallback ? this->StreamLimitCallback() : MaxBuffered;
+  if (request->Exchange->Buffered() > limit) {
     request->IsCallerPaused = true;
     return false;
   }
@@ -334,6 +339,7 @@
     return true;
   }
   attempt.AnswerBody.append(bytes);
+  attempt.HeldAnswer->Set(attempt.AnswerBody.capacity());
   if (attempt.AnswerBody.size() > this->Settings.MaxAnswerBytes) {
     this->AbortAttempt(request, held,
                        "The upstream's answer is over the limit.");
@@ -467,7 +473,8 @@
         .With("upstream", row->Listed.Id);
     }
   } else if (!end.Whole) {
-    result.IsUpstreamLost = !end.Stopped;
+    // One that does not read a body has not crashed.
+    result.IsUpstreamLost = !end.Stopped && !end.Stalled;
     result.Detail = "The upstream's answer broke off: " + end.Error;
   } else if (attempt.AnswerHead.NotExecuted) {
     result.Outcome = gsAttemptOutcome::NotExecuted;
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -67,6 +67,16 @@
   /** Resumes the answers that are paused for a slow caller. */
   void Resume(gsRoutedRequest const& request);
 
+  /** Returns the number of bytes that may wait for the caller of a stream
+   * before reading its answer pauses. */
+  using StreamLimit = std::function<std::uint64_t()>;
+  void SetStreamLimit(StreamLimit limit)
+  {
+    this->StreamLimitCallback = std::move(limit);
+  }
+  /** Bytes held of answers that are not relayed event by event. */
+  gsHeldTotals const& Held() const { return *this->Totals; }
+
   /** Moving average of the measured prompt processing time, in milliseconds
    * per token. */
   double MeanMillisPerToken() const { return this->TokenMillis; }
@@ -106,6 +116,8 @@
   gsFleet& Fleet;
   gsUpstreamCallerSettings Settings;
   gsUpstreamCallerEvents Events;
+  StreamLimit StreamLimitCallback;
+  std::shared_ptr<gsHeldTotals> Totals = std::make_shared<gsHeldTotals>();
   double TokenMillis = 0.03;
   double FastTokenMillis = 0.03;
 };
--- /dev/null
+++ b/Source/Io/gsHeldBytes.h
@@ -0,0 +1,51 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Counts of the bytes that are held for callers and upstreams. Each holder
+ * contributes to a total and takes its part back when it is destroyed, so that
+ * a broken connection leaves nothing in the total.
+ */
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <utility>
+
+/** Bytes held, by kind. */
+struct gsHeldTotals
+{
+  std::uint64_t Bodies = 0;   ///< Request bodies that have been received.
+  std::uint64_t Expected = 0; ///< Announced by Content-Length, not received.
+  std::uint64_t Answers = 0; ///< Whole answers, until their callers have them.
+  std::uint64_t Events = 0;  ///< Of streams, until their callers have them.
+  std::uint64_t Uploads = 0; ///< Copies of bodies for upstreams.
+};
+
+/** One holder's part of a total. */
+class gsHeldBytes
+{
+public:
+  using Kind = std::uint64_t gsHeldTotals::*;
+
+  gsHeldBytes(std::shared_ptr<gsHeldTotals> totals, Kind kind)
+    : Totals(std::move(totals))
+    , Of(kind)
+  {
+  }
+  ~gsHeldBytes() { this->Set(0); }
+  gsHeldBytes(gsHeldBytes const&) = delete;
+  gsHeldBytes& operator=(gsHeldBytes const&) = delete;
+
+  /** Changes the part to a number of bytes. */
+  void Set(std::uint64_t bytes)
+  {
+    (*this->Totals).*this->Of += bytes - this->Bytes;
+    this->Bytes = bytes;
+  }
+  std::uint64_t Value() const { return this->Bytes; }
+
+private:
+  std::shared_ptr<gsHeldTotals> Totals;
+  Kind Of;
+  std::uint64_t Bytes = 0;
+};
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -4,13 +4,12 @@
 #include <algorithm>
 #include <cctype>
 
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace {
 
-constexpr long BufferSize = 16384;
 constexpr std::size_t MaxSpare = 64;
 constexpr long MaxKept = 1024; ///< Connections.
 
@@ -65,6 +64,35 @@
   bool Sent = false;
   bool Stopped = false;   ///< BeforeSend said no.
   bool Cancelled = false; ///< Nothing of it may be sent any more.
+  bool IsPaused = false;
+  std::uint64_t Uploaded = 0;     ///< Of the body, at the last look.
+  std::uint64_t Acknowledged = 0; ///< By the other end's TCP, likewise.
+  gsTime TakenAt{}; ///< When either last grew; zero before the first look.
+  gsHeldBytes HeldBody;
+  gsHeldBytes HeldPart; ///< Of the answer, kept by the library while paused.
+
+  explicit Active(gsHttpClient& client)
+    : Client(&client)
+    , HeldBody(client.Totals, &gsHeldTotals::Uploads)
+    , HeldPart(client.Totals, &gsHeldTotals::Events)
+  {
+  }
+  ~Active() { this->SetPaused(false); }
+  Active(Active const&) = delete;
+  Active& operator=(Active const&) = delete;
+
+  /** Notes whether the library keeps a part of the answer: what it has read
+   * at once and not handed over, at most its buffer. */
+  void SetPaused(bool paused)
+  {
+    if (paused && !this->IsPaused) {
+      ++this->Client->PausedCalls;
+    } else if (!paused && this->IsPaused) {
+      --this->Client->PausedCalls;
+    }
+    this->IsPaused = paused;
+    this->HeldPart.Set(paused ? this->Client->ReadBuffer : 0);
+  }
 };
 
 gsHttpClient::gsHttpClient(gsLoop& loop)
@@ -108,7 +136,8 @@
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BufferSize);
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE,
+                   static_cast<long>(this->ReadBuffer));
   // A greatest age of less than the library's second allows no kept one.
   bool limited = call.MaxAge.count() > 0;
   bool kept = call.Reuse && !(limited && call.MaxAge < gsSeconds(1));
@@ -159,10 +188,10 @@
 
 std::uint64_t gsHttpClient::Start(gsCall call)
 {
-  auto active = std::make_unique<Active>();
+  auto active = std::make_unique<Active>(*this);
   active->Number = this->Next++;
-  active->Client = this;
   active->Call = std::move(call);
+  active->HeldBody.Set(active->Call.Body.size());
   active->Easy = this->TakeHandle();
   this->SetUp(active->Easy, *active);
   std::uint64_t number = active->Number;
@@ -185,6 +214,7 @@
     return;
   }
   std::unique_ptr<Active> active = std::move(found->second);
+  active->SetPaused(false);
   this->Calls.erase(found);
   // A callback of this very handle may be running: remove it afterwards.
   CURL* easy = active->Easy;
@@ -209,6 +239,58 @@
   }
 }
 
+std::vector<gsWaitingUpload> gsHttpClient::WaitingUploads(std::uint64_t above,
+                                                          gsTime now)
+{
+  std::vector<gsWaitingUpload> waiting;
+  for (auto const& [number, active] : this->Calls) {
+    std::uint64_t size = active->Call.Body.size();
+    if (size <= above || !active->Sent) {
+      continue;
+    }
+    curl_off_t uploaded = 0;
+    curl_easy_getinfo(active->Easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    auto taken = static_cast<std::uint64_t>(uploaded);
+    if (taken >= size) {
+      continue;
+    }
+    curl_socket_t socket = CURL_SOCKET_BAD;
+    curl_easy_getinfo(active->Easy, CURLINFO_ACTIVESOCKET, &socket);
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    if (socket != CURL_SOCKET_BAD) {
+      getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length);
+    }
+    if (active->TakenAt.count() == 0 || taken != active->Uploaded ||
+        info.tcpi_bytes_acked != active->Acknowledged) {
+      active->TakenAt = now;
+      active->Uploaded = taken;
+      active->Acknowledged = info.tcpi_bytes_acked;
+    }
+    waiting.push_back(
+      { number, active->Call.Label, active->Call.Url, size, active->TakenAt });
+  }
+  return waiting;
+}
+
+void gsHttpClient::EndStalled(std::uint64_t call)
+{
+  auto found = this->Calls.find(call);
+  if (found == this->Calls.end()) {
+    return;
+  }
+  gsCallEnd end;
+  end.Status = found->second->Status;
+  end.Sent = true;
+  end.Stalled = true;
+  end.Error = "The other end did not read the body.";
+  auto done = found->second->Call.OnEnd;
+  this->Cancel(call);
+  if (done) {
+    done(end);
+  }
+}
+
 std::size_t gsHttpClient::OnBody(char* data, std::size_t size,
                                  std::size_t count, void* active)
 {
@@ -216,8 +298,10 @@
   std::size_t length = size * count;
   if (!self->Cancelled && self->Call.OnData &&
       !self->Call.OnData({ data, length })) {
+    self->SetPaused(true);
     return CURL_WRITEFUNC_PAUSE;
   }
+  self->SetPaused(false);
   return length;
 }
 
@@ -279,6 +363,10 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
                sizeof(timeout));
   }
+  int receive = self->Client->ReceiveBuffer;
+  if (receive > 0) {
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive, sizeof(receive));
+  }
   return CURL_SOCKOPT_OK;
 }
 
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -20,6 +20,7 @@
 
 #include <curl/curl.h>
 
+#include "gsHeldBytes.h"
 #include "gsHttpServer.h"
 #include "gsLoop.h"
 
@@ -33,6 +34,8 @@
    * was not sent on that. */
   bool Stopped = false;
   unsigned Status = 0;
+  /** It was ended because the other end did not read the body. */
+  bool Stalled = false;
   std::string Error; ///< One sentence; empty when whole.
 };
 
@@ -43,6 +46,7 @@
   std::string Url;
   gsHeaders Headers;
   std::string Body;
+  std::string Label; ///< Names the call in logs; may be empty.
   gsTime ConnectTimeout = gsMilliseconds(1000);
   gsTime TotalTimeout{}; ///< Zero for none.
   /** Allows a kept connection and keeps the call's own. */
@@ -70,6 +74,16 @@
   std::function<void(gsCallEnd const& end)> OnEnd;
 };
 
+/** A call whose body the other end has not taken completely. */
+struct gsWaitingUpload
+{
+  std::uint64_t Call = 0;
+  std::string Label; ///< Of the call.
+  std::string Url;
+  std::uint64_t Bytes = 0; ///< Size of the body.
+  gsTime TakenAt{};        ///< When the other end last took some of it.
+};
+
 /** Runs calls. A call's callbacks come from the loop, never from Start. */
 class gsHttpClient
 {
@@ -86,6 +100,30 @@
   /** Goes on with a call whose OnData returned false. */
   void Unpause(std::uint64_t call);
 
+  /**
+   * Bodies above a size that the other end has not taken completely. It takes
+   * something whenever its TCP acknowledges bytes, so the method has to be
+   * called several times within the shortest time that matters.
+   */
+  std::vector<gsWaitingUpload> WaitingUploads(std::uint64_t above, gsTime now);
+  /** Ends a call whose body is not taken; its connection is closed. */
+  void EndStalled(std::uint64_t call);
+
+  /** Bodies of calls, and what waits of paused ones. */
+  gsHeldTotals const& Held() const { return *this->Totals; }
+  /** Calls whose OnData returned false and that have not gone on. */
+  std::size_t Paused() const { return this->PausedCalls; }
+  /**
+   * Bounds the bytes of an answer that is not read: those that the kernel
+   * holds, where zero leaves the size to the kernel, and those that the
+   * library reads at once. For calls that are started from now on.
+   */
+  void LimitBuffers(int kernelBytes, std::size_t readBytes)
+  {
+    this->ReceiveBuffer = kernelBytes;
+    this->ReadBuffer = readBytes;
+  }
+
   /** Connections opened so far. */
   std::uint64_t Opened() const { return this->Connections; }
   std::size_t Open() const { return this->Calls.size(); }
@@ -119,6 +157,10 @@
   std::vector<CURL*> Spare; ///< Handles to be used again, reset.
   std::uint64_t Next = 1;
   std::uint64_t Connections = 0;
+  std::shared_ptr<gsHeldTotals> Totals = std::make_shared<gsHeldTotals>();
+  std::size_t PausedCalls = 0;
+  int ReceiveBuffer = 0;
+  std::size_t ReadBuffer = 16384;
   bool Acting = false; ///< Within the library, so that it may call back.
 };
 
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <linux/tcp.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -25,6 +26,11 @@
 /** The library accepts 10 callers or so each time that it runs. */
 constexpr int AcceptRounds = Backlog / 10;
 constexpr gsTime SweepPeriod = gsSeconds(1);
+/** Time for which a connection is read on after an early answer. */
+constexpr gsTime LingerTime = gsSeconds(2);
+/** Further connections are closed with their answer. */
+constexpr std::size_t MaxLingering = 256;
+constexpr std::size_t LingerBlock = 1U << 20U;
 
 ssize_t ReadStream(void* context, std::uint64_t /*position*/, char* buffer,
                    std::size_t size);
@@ -36,13 +42,18 @@
   return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-/** Bytes that a connection has brought so far, be they read or not. */
-std::uint64_t BytesCome(int descriptor)
+tcp_info ConnectionInfo(int descriptor)
 {
   tcp_info info{};
   socklen_t length = sizeof(info);
   int result = getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &length);
-  return result == 0 ? info.tcpi_bytes_received : 0;
+  return result == 0 ? info : tcp_info{};
+}
+
+/** Bytes that a connection has brought so far, be they read or not. */
+std::uint64_t BytesCome(int descriptor)
+{
+  return ConnectionInfo(descriptor).tcpi_bytes_received;
 }
 
 /** Those of them that the library has read. */
@@ -53,6 +64,17 @@
   return BytesCome(descriptor) - static_cast<std::uint64_t>(unread);
 }
 
+/** The announced size of a body; empty if there is none. */
+std::optional<std::uint64_t> AnnouncedSize(gsHttpExchange const& exchange)
+{
+  std::string_view text = exchange.Header(MHD_HTTP_HEADER_CONTENT_LENGTH);
+  std::uint64_t size = 0;
+  auto parsed = std::from_chars(text.data(), text.data() + text.size(), size);
+  bool good = !text.empty() && parsed.ec == std::errc() &&
+              parsed.ptr == text.data() + text.size();
+  return good ? std::optional(size) : std::nullopt;
+}
+
 } // namespace
 
 gsResult<std::pair<std::string, std::uint16_t>> gsSplitAddress(
@@ -82,6 +104,10 @@
                                MHD_Connection* connection)
   : Server(&server)
   , Connection(connection)
+  , HeldBody(server.Totals, &gsHeldTotals::Bodies)
+  , HeldExpected(server.Totals, &gsHeldTotals::Expected)
+  , HeldAnswer(server.Totals, &gsHeldTotals::Answers)
+  , HeldEvents(server.Totals, &gsHeldTotals::Events)
 {
 }
 
@@ -149,6 +175,7 @@
     return;
   }
   this->At = Phase::Ended;
+  this->HeldAnswer.Set(body.size());
   this->SetResponse(status, headers,
                     MHD_create_response_from_buffer(body.size(), body.data(),
                                                     MHD_RESPMEM_MUST_COPY));
@@ -172,9 +199,52 @@
     return;
   }
   this->Buffer.append(bytes);
+  this->CountBuffer();
   this->Resume();
 }
 
+/** Counts the memory of the buffer, which may exceed the bytes in it. */
+void gsHttpExchange::CountBuffer()
+{
+  this->HeldEvents.Set(this->Buffer.empty() ? 0 : this->Buffer.capacity());
+}
+
+/** Bytes of the answer that wait because the connection cannot take them. */
+std::uint64_t gsHttpExchange::WaitingBytes() const
+{
+  if (this->Connection == nullptr || !this->Queued) {
+    return 0;
+  }
+  return this->Buffered() > 0 ? this->HeldEvents.Value()
+                              : this->HeldAnswer.Value();
+}
+
+void gsHttpExchange::EndStalled()
+{
+  if (this->Connection == nullptr) {
+    return;
+  }
+  std::shared_ptr<gsHttpExchange> self = this->shared_from_this();
+  this->Stalled = true;
+  this->At = Phase::Aborted;
+  this->Buffer = {};
+  this->Read = 0;
+  this->CountBuffer();
+  if (this->Watch != nullptr) {
+    this->Watch->Events(0);
+  }
+  auto const* info = MHD_get_connection_info(
+    this->Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  linger reset{ 1, 0 };
+  setsockopt(info->connect_fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  shutdown(info->connect_fd, SHUT_RDWR);
+  if (this->OnGone) {
+    std::exchange(this->OnGone, nullptr)();
+  }
+  this->Resume();
+  this->Server->RunSoon();
+}
+
 void gsHttpExchange::End()
 {
   if (this->At == Phase::Streaming) {
@@ -240,7 +310,11 @@
     this->Read += count;
     if (this->Read == this->Buffer.size()) {
       this->Buffer.clear();
+      if (this->Buffer.capacity() > StreamBlock) {
+        this->Buffer = {};
+      }
       this->Read = 0;
+      this->CountBuffer();
       if (this->OnDrained) {
         this->Server->Loop.Defer([self = this->shared_from_this()] {
           if (self->OnDrained && !self->Gone()) {
@@ -351,6 +425,11 @@
       Link& link = that->Links[connection];
       link.Since = gsLoop::Now();
       link.Descriptor = info->connect_fd;
+      int size = that->Settings.SendBuffer;
+      if (size > 0) {
+        setsockopt(link.Descriptor, SOL_SOCKET, SO_SNDBUF, &size,
+                   sizeof(size));
+      }
     } else {
       that->Links.erase(connection);
     }
@@ -398,6 +477,10 @@
     }
     MHD_stop_daemon(this->Daemon);
   }
+  for (auto& [descriptor, lingering] : this->LingeringLinks) {
+    lingering.Watch.reset();
+    close(descriptor);
+  }
 }
 
 /** What the kernel has accepted for this host is lost with the listener. */
@@ -509,6 +592,7 @@
 void gsHttpServer::CutSlow()
 {
   gsTime now = gsLoop::Now();
+  this->EndLingering(now);
   for (auto& [connection, link] : this->Links) {
     bool comes = link.Open == nullptr ||
                  link.Open->At == gsHttpExchange::Phase::New ||
@@ -522,6 +606,40 @@
   }
 }
 
+std::vector<gsWaitingCaller> gsHttpServer::WaitingCallers(gsTime now)
+{
+  std::vector<gsWaitingCaller> waiting;
+  for (auto const& [connection, link] : this->Links) {
+    gsHttpExchange* exchange = link.Open;
+    std::uint64_t bytes = exchange != nullptr ? exchange->WaitingBytes() : 0;
+    if (bytes == 0 || exchange->Stalled) {
+      if (exchange != nullptr) {
+        exchange->TakenAt = gsTime{};
+      }
+      continue;
+    }
+    std::uint64_t acknowledged =
+      ConnectionInfo(link.Descriptor).tcpi_bytes_acked;
+    if (exchange->TakenAt.count() == 0 ||
+        acknowledged != exchange->Acknowledged) {
+      exchange->TakenAt = now;
+      exchange->Acknowledged = acknowledged;
+    }
+    waiting.push_back(
+      { exchange->shared_from_this(), bytes, exchange->TakenAt });
+  }
+  return waiting;
+}
+
+void gsHttpServer::ForgetExpected(gsTime idle, gsTime now)
+{
+  for (auto const& [connection, link] : this->Links) {
+    if (link.Open != nullptr && now - link.BodyAt >= idle) {
+      link.Open->HeldExpected.Set(0);
+    }
+  }
+}
+
 std::string gsHttpServer::PeerOf(MHD_Connection* connection)
 {
   auto const* info =
@@ -547,6 +665,118 @@
   return held;
 }
 
+/** Has the body decided on before it is read. \return As OnRequest. */
+int gsHttpServer::OnHead(MHD_Connection* connection, gsHttpExchange& exchange)
+{
+  if (!this->Gate.Accepts) {
+    return MHD_YES;
+  }
+  Link& link = this->Links[connection];
+  link.BodyAt = gsLoop::Now();
+  std::optional<std::uint64_t> size = AnnouncedSize(exchange);
+  if (!size || *size == 0) {
+    return MHD_YES;
+  }
+  exchange.Peer = PeerOf(connection);
+  if (this->Gate.Accepts(exchange, *size)) {
+    if (*size <= this->Settings.MaxBody) {
+      exchange.HeldExpected.Set(*size);
+    }
+    return MHD_YES;
+  }
+  exchange.BodyRefused = true;
+  return this->RefuseEarly(connection, exchange);
+}
+
+/**
+ * Answers a request whose body was refused without reading the body. \return
+ * As OnRequest.
+ */
+int gsHttpServer::RefuseEarly(MHD_Connection* connection,
+                              gsHttpExchange& exchange)
+{
+  // Of other methods, the library would take the body for the next request.
+  bool skips = exchange.Method == MHD_HTTP_METHOD_POST ||
+               exchange.Method == MHD_HTTP_METHOD_PUT;
+  Link& link = this->Links[connection];
+  if (!skips || this->LingeringLinks.size() >= MaxLingering) {
+    return MHD_YES; // Its body is dropped as it comes, and then answered.
+  }
+  this->Gate.Refuse(exchange);
+  if (exchange.Response == nullptr) {
+    return MHD_NO;
+  }
+  exchange.Queued = true;
+  link.Shut = true;
+  this->Linger(link.Descriptor);
+  return MHD_queue_response(connection, exchange.Status, exchange.Response);
+}
+
+/** Reads a connection to its end, beside and after the library's own use. */
+void gsHttpServer::Linger(int descriptor)
+{
+  int copy = fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+  if (copy < 0) {
+    return;
+  }
+  Lingering& lingering = this->LingeringLinks[copy];
+  lingering.Until = gsLoop::Now() + LingerTime;
+  auto read = [this, copy](int /*events*/) {
+    // With MSG_TRUNC the kernel drops the bytes.
+    ssize_t count = recv(copy, nullptr, LingerBlock, MSG_TRUNC | MSG_DONTWAIT);
+    bool ended =
+      count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    if (ended) {
+      this->LingeringLinks.at(copy).Watch->Events(0);
+      this->LingeringLinks.at(copy).Until = gsTime{};
+    }
+  };
+  lingering.Watch =
+    std::make_unique<gsIoWatch>(this->Loop, copy, EV_READ, read);
+}
+
+/** Closes the lingering connections that have ended or take too long. */
+void gsHttpServer::EndLingering(gsTime now)
+{
+  for (auto each = this->LingeringLinks.begin();
+       each != this->LingeringLinks.end();) {
+    if (now < each->second.Until) {
+      ++each;
+      continue;
+    }
+    each->second.Watch.reset();
+    close(each->first);
+    each = this->LingeringLinks.erase(each);
+  }
+}
+
+/** Takes in a part of a body, or drops it if the body is not accepted. */
+void gsHttpServer::OnBodyPart(gsHttpExchange& exchange, std::string_view bytes)
+{
+  if (exchange.TooLarge || exchange.BodyRefused) {
+    return;
+  }
+  std::size_t size = exchange.Body.size() + bytes.size();
+  std::uint64_t expected = exchange.HeldExpected.Value();
+  exchange.TooLarge = size > this->Settings.MaxBody;
+  // Without an announced size it has not been decided on yet.
+  exchange.BodyRefused = !exchange.TooLarge && this->Gate.Accepts &&
+                         !AnnouncedSize(exchange) &&
+                         !this->Gate.Accepts(exchange, size);
+  if (exchange.TooLarge || exchange.BodyRefused) {
+    exchange.Body = {};
+    exchange.HeldExpected.Set(0);
+  } else {
+    if (expected > 0) {
+      exchange.Body.reserve(exchange.Body.size() + expected);
+    }
+    exchange.Body.append(bytes);
+    exchange.HeldExpected.Set(expected -
+                              std::min<std::uint64_t>(expected, bytes.size()));
+  }
+  exchange.HeldBody.Set(exchange.Body.size());
+}
+
 int gsHttpServer::OnRequest(MHD_Connection* connection, char const* url,
                             char const* method, char const* data,
                             std::size_t* size, void** context)
@@ -557,16 +787,12 @@
     exchange->Method = method;
     exchange->Path = url;
     // One that crossed the close could not be answered: it is not read on.
-    return this->Links[connection].Shut ? MHD_NO : MHD_YES;
+    return this->Links[connection].Shut ? MHD_NO
+                                        : this->OnHead(connection, *exchange);
   }
   if (*size > 0) {
-    bool fits = exchange->Body.size() + *size <= this->Settings.MaxBody;
-    if (!fits) {
-      exchange->TooLarge = true;
-      exchange->Body.clear();
-    } else if (!exchange->TooLarge) {
-      exchange->Body.append(data, *size);
-    }
+    this->Links[connection].BodyAt = gsLoop::Now();
+    this->OnBodyPart(*exchange, { data, *size });
     *size = 0;
     return MHD_YES;
   }
@@ -576,9 +802,14 @@
     }
     exchange->At = gsHttpExchange::Phase::Handling;
     exchange->Peer = PeerOf(connection);
+    exchange->HeldExpected.Set(0);
     exchange->WatchCaller();
     std::shared_ptr<gsHttpExchange> keep = exchange;
-    this->Handle(keep);
+    if (exchange->BodyRefused) {
+      this->Gate.Refuse(*keep);
+    } else {
+      this->Handle(keep);
+    }
   }
   if (exchange->Response != nullptr) {
     if (exchange->Queued) {
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -12,11 +12,13 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "gsHeldBytes.h"
 #include "gsLoop.h"
 
 struct MHD_Connection;
@@ -34,6 +36,9 @@
   std::uint32_t MaxConnectionsPerIp = 4096;
   /** A request must have come in whole within this time. */
   gsTime ReceiveTimeout = gsSeconds(30);
+  /** Bytes that the kernel may hold for a caller that does not read; zero
+   * leaves the size to the kernel. */
+  int SendBuffer = 0;
 };
 
 class gsHttpServer;
@@ -50,6 +55,10 @@
   gsTime Since{};   ///< When its first line came in.
   /** Set when the body was over the limit; it has been dropped. */
   bool TooLarge = false;
+  /** Set when the body was refused; what has come of it was dropped. */
+  bool BodyRefused = false;
+  /** Names the request in logs; empty until it is known. */
+  std::string Label;
 
   /** Called once if the caller leaves before the answer is complete. */
   std::function<void()> OnGone;
@@ -78,6 +87,14 @@
   /** Cuts a stream, so that the caller sees that it is not complete. */
   void Abort();
 
+  /**
+   * Ends an exchange whose caller does not read. The connection is reset, so
+   * that the answer does not look complete and the kernel drops it, too.
+   */
+  void EndStalled();
+  /** Whether EndStalled has ended it. */
+  bool IsStalled() const { return this->Stalled; }
+
   bool Began() const { return this->Response != nullptr; }
   bool Gone() const { return this->Connection == nullptr; }
   /** Bytes written and not yet handed to the socket. */
@@ -102,6 +119,8 @@
                    MHD_Response* response);
   void Resume();
   void WatchCaller();
+  void CountBuffer();
+  std::uint64_t WaitingBytes() const;
 
   gsHttpServer* Server;
   MHD_Connection* Connection;
@@ -113,6 +132,37 @@
   std::string Buffer;
   std::size_t Read = 0;
   std::unique_ptr<gsIoWatch> Watch;
+  bool Stalled = false;
+  /** When the caller last took something of what waits; zero if nothing
+   * waited at the last look. */
+  gsTime TakenAt{};
+  std::uint64_t Acknowledged = 0; ///< By the caller's TCP, at the last look.
+  gsHeldBytes HeldBody;
+  gsHeldBytes HeldExpected;
+  gsHeldBytes HeldAnswer;
+  gsHeldBytes HeldEvents;
+};
+
+/** A caller for which bytes of an answer wait that its connection cannot
+ * take. */
+struct gsWaitingCaller
+{
+  std::shared_ptr<gsHttpExchange> Exchange;
+  std::uint64_t Bytes = 0;
+  gsTime TakenAt{}; ///< When it last took something, or the wait began.
+};
+
+/** Decides on the bodies of requests before they are read. */
+struct gsHttpBodyGate
+{
+  /**
+   * Whether a body of this size is accepted. Called when the head has come,
+   * and again for each part of a body whose size was not announced.
+   */
+  std::function<bool(gsHttpExchange const& exchange, std::uint64_t bytes)>
+    Accepts;
+  /** Answers a request whose body was refused. */
+  std::function<void(gsHttpExchange& exchange)> Refuse;
 };
 
 /** A listening server. */
@@ -142,6 +192,21 @@
   std::size_t OpenExchanges() const { return this->Exchanges; }
   /** Connections whose callers have sent what has not been read yet. */
   std::size_t Unread() const;
+  /** Has bodies decided on; without a gate all are accepted. */
+  void SetBodyGate(gsHttpBodyGate gate) { this->Gate = std::move(gate); }
+  /** Bytes held for callers. */
+  gsHeldTotals const& Held() const { return *this->Totals; }
+  /**
+   * Callers for which bytes wait. A caller takes something whenever its TCP
+   * acknowledges bytes, so the method has to be called several times within
+   * the shortest time that matters.
+   */
+  std::vector<gsWaitingCaller> WaitingCallers(gsTime now);
+  /**
+   * No longer counts the rest of announced bodies of which nothing has come
+   * for this time.
+   */
+  void ForgetExpected(gsTime idle, gsTime now);
   /** Whether answers tell callers to close the connection. */
   void CloseAfterAnswers(bool close) { this->Closing = close; }
   std::uint16_t Port() const { return this->BoundPort; }
@@ -159,6 +224,8 @@
     gsTime Since{}; ///< When it was opened, or its request began or ended.
     int Descriptor = -1;
     bool Shut = false; ///< Closed for sending; no request on it is handled.
+    /** When bytes of a body last came. */
+    gsTime BodyAt{};
     /** The request on it, from its first line to the end of its answer. */
     gsHttpExchange* Open = nullptr;
     /** Bytes of the requests that have been answered; what has come beyond
@@ -174,6 +241,11 @@
   void AcceptWaiting();
   static bool CloseIfIdle(Link& link);
   void* OnFirstLine(MHD_Connection* connection, char const* target);
+  int OnHead(MHD_Connection* connection, gsHttpExchange& exchange);
+  void OnBodyPart(gsHttpExchange& exchange, std::string_view bytes);
+  int RefuseEarly(MHD_Connection* connection, gsHttpExchange& exchange);
+  void Linger(int descriptor);
+  void EndLingering(gsTime now);
   int OnRequest(MHD_Connection* connection, char const* url,
                 char const* method, char const* data, std::size_t* size,
                 void** context);
@@ -190,6 +262,19 @@
   std::unique_ptr<gsTimer> Timer;
   std::unique_ptr<gsTimer> Sweep;
   std::map<MHD_Connection*, Link> Links;
+  gsHttpBodyGate Gate;
+  std::shared_ptr<gsHeldTotals> Totals = std::make_shared<gsHeldTotals>();
+  /**
+   * Connections whose request was answered before its body was read, by
+   * descriptor. They are read to their end, since a close with unread bytes
+   * would reset the connection before the caller has read the answer.
+   */
+  struct Lingering
+  {
+    std::unique_ptr<gsIoWatch> Watch;
+    gsTime Until{};
+  };
+  std::map<int, Lingering> LingeringLinks;
   bool Scheduled = false;
   bool Closing = false;
   std::size_t Exchanges = 0;
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -95,6 +95,9 @@
     this->Add(&this->App, "limits",
               "Show the rate limits that upstreams have set for all hosts.",
               [this] { return gsShowLimits(this->Shared); });
+    this->Add(&this->App, "memory",
+              "Show what a host holds for callers and upstreams.",
+              [this] { return gsShowMemory(this->Shared); });
     this->Add(&this->App, "duties",
               "Show who reports usage and orders upstreams for all hosts.",
               [this] { return gsShowDuties(this->Shared); });
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -33,6 +33,21 @@
   return gsToolOk;
 }
 
+int gsShowMemory(gsToolOptions const& options)
+{
+  gsResult<gsJson> status =
+    gsCallOperator(options.Operator, "GET", "/v1/memory");
+  if (!status) {
+    return gsToolFail(status.error());
+  }
+  gsPrintRows(options, gsJson::array({ status.value() }),
+              { "mode", "limit_bytes", "held_bytes", "peak_bytes", "bodies",
+                "expected", "answers", "events", "uploads", "paused_streams",
+                "refused", "ended_stalled", "ended_over_budget",
+                "ended_uploads" });
+  return gsToolOk;
+}
+
 int gsShowDuties(gsToolOptions const& options)
 {
   gsResult<gsJson> status =
--- a/Tests/Route/gsRouteBench.cxx
+++ b/Tests/Route/gsRouteBench.cxx
@@ -14,7 +14,7 @@
   return {};
 }
 
-gsRouteBench::gsRouteBench(gsRouteGatewaySettings settings)
+gsRouteBench::gsRouteBench(gsRouteGatewaySettings settings, int sendBuffer)
   : Adapter(gsMakeAdapter())
   , RateLimiter(Loop, Fleet)
   , Upstreams(Loop)
@@ -28,6 +28,7 @@
   this->RateLimiter.ConnectGateway(*this->Gateway);
   gsHttpServerSettings server;
   server.Address = "127.0.0.1:0";
+  server.SendBuffer = sendBuffer;
   this->Server =
     std::move(gsHttpServer::Start(
                 this->Loop, server,
--- a/Tests/Route/gsRouteBench.h
+++ b/Tests/Route/gsRouteBench.h
@@ -53,8 +53,10 @@
 {
 public:
   /** Routes: /plain/ (once), /safe/ (twice), /stream/, /resume/, and /patient/
-   * with a lower priority. */
-  explicit gsRouteBench(gsRouteGatewaySettings settings = {});
+   * with a lower priority. The kernel holds sendBuffer bytes for a caller that
+   * does not read; zero leaves the size to the kernel. */
+  explicit gsRouteBench(gsRouteGatewaySettings settings = {},
+                        int sendBuffer = 0);
   ~gsRouteBench();
 
   /** Adds an upstream and lists it. */
--- a/Tests/Route/gsScriptedUpstream.cxx
+++ b/Tests/Route/gsScriptedUpstream.cxx
@@ -36,7 +36,7 @@
   , Descriptor(descriptor)
   , Watch(std::make_unique<gsIoWatch>(
       owner.Loop, descriptor, EV_READ,
-      [this](int /*events*/) { this->OnReadable(); }))
+      [this](int events) { this->OnEvents(events); }))
 {
 }
 
@@ -48,7 +48,34 @@
 void gsScriptedUpstream::Connection::Write(std::string_view bytes)
 {
   if (this->Descriptor >= 0) {
-    send(this->Descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    this->Output.append(bytes);
+    this->SendOutput();
+  }
+}
+
+/** Sends what the kernel takes, and the rest when it takes more. */
+void gsScriptedUpstream::Connection::SendOutput()
+{
+  ssize_t count = send(this->Descriptor, this->Output.data(),
+                       this->Output.size(), MSG_NOSIGNAL);
+  if (count > 0) {
+    this->Output.erase(0, static_cast<std::size_t>(count));
+  }
+  this->Watch->Events(this->Output.empty() ? EV_READ : EV_READ | EV_WRITE);
+}
+
+void gsScriptedUpstream::Connection::OnEvents(int events)
+{
+  if ((events & EV_WRITE) != 0) {
+    this->SendOutput();
+  }
+  if ((events & EV_READ) == 0) {
+    return;
+  }
+  if (this->Owner.ReadsRequests) {
+    this->OnReadable();
+  } else {
+    this->Watch->Events(0);
   }
 }
 
--- a/Tests/Route/gsScriptedUpstream.h
+++ b/Tests/Route/gsScriptedUpstream.h
@@ -51,12 +51,15 @@
     bool Gone() const { return this->Descriptor < 0; }
 
   private:
+    void OnEvents(int events);
     void OnReadable();
+    void SendOutput();
     bool TakeRequest();
 
     gsScriptedUpstream& Owner;
     int Descriptor;
     std::string Input;
+    std::string Output; ///< Not taken by the kernel yet.
     std::unique_ptr<gsIoWatch> Watch;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -72,6 +75,8 @@
   std::string const& Address() const { return this->Bound; }
   void Follow(Script script) { this->Run = std::move(script); }
 
+  /** Whether bytes of requests are read. */
+  bool ReadsRequests = true;
   std::vector<gsScriptedRequest> Requests; ///< All that came, in order.
   std::vector<ConnectionPtr> Connections;  ///< All that were accepted.
 
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -73,7 +73,9 @@
     runner.Address = this->Processes.NewAddress();
     runner.Hall = this->HallOf(i);
     this->RunnerLinks[name] =
-      this->Processes.Link("up:" + name, runner.Address);
+      this->Plan.DirectRunners
+        ? runner.Address
+        : this->Processes.Link("up:" + name, runner.Address);
     this->RunnerNames.push_back(name);
   }
   for (int i = 0; i < this->Plan.Hosts; ++i) {
@@ -183,6 +185,7 @@
                                this->Processes.At("store").Address) } } },
     { "upstreams", { { "connect_timeout_ms", 300 } } },
     { "routing", { { "watch_wait_ms", 1000 } } },
+    { "memory", this->Plan.Memory },
     { "stop",
       { { "unready_ms", 300 }, { "longest_ms", 8000 }, { "margin_ms", 400 } } }
   };
@@ -475,7 +478,11 @@
                         "--gap-ms",
                         std::to_string(this->Plan.GapMs),
                         "--work-ms",
-                        std::to_string(this->Plan.WorkMs) };
+                        std::to_string(this->Plan.WorkMs),
+                        "--pad-bytes",
+                        std::to_string(this->Plan.PadBytes),
+                        "--most",
+                        std::to_string(this->Plan.Most) };
   }
   this->Processes.Launch(process);
   if (runner) {
@@ -554,6 +561,30 @@
   return runs;
 }
 
+gsJson gsRoutedSystem::Memory(std::string const& host)
+{
+  std::string text;
+  this->Fetch("GET",
+              "http://" + this->Processes.At(host).Operators + "/v1/memory",
+              {}, &text);
+  return gsJson::parse(text, nullptr, false);
+}
+
+std::uint64_t gsRoutedSystem::PeakMemoryKib(std::string const& host)
+{
+  std::ifstream status("/proc/" +
+                       std::to_string(this->Processes.At(host).Child.id()) +
+                       "/status");
+  std::string word;
+  std::uint64_t peak = 0;
+  while (status >> word) {
+    if (word == "VmHWM:") {
+      status >> peak;
+    }
+  }
+  return peak;
+}
+
 std::vector<gsRoutedRun> gsRoutedSystem::ArrivalsAt(
   std::string const& runner) const
 {
@@ -602,7 +633,9 @@
   for (int i = 1; i <= this->Plan.Events; ++i) {
     std::string number = std::to_string(i);
     body.append("id: ").append(number).append("\ndata: ").append(reply.Id);
-    body.append(":").append(number).append("\n\n");
+    body.append(":").append(number);
+    body.append(static_cast<std::size_t>(this->Plan.PadBytes), 'x');
+    body.append("\n\n");
   }
   return body;
 }
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -25,10 +25,16 @@
 {
   int Hosts = 3;
   int Runners = 3;
-  int Halls = 1;   ///< Hosts and runners belong to them in turn.
-  int Events = 10; ///< Of a stream.
-  int GapMs = 10;  ///< Between them.
-  int WorkMs = 10; ///< Of other requests.
+  int Halls = 1;    ///< Hosts and runners belong to them in turn.
+  int Events = 10;  ///< Of a stream.
+  int GapMs = 10;   ///< Between them.
+  int WorkMs = 10;  ///< Of other requests.
+  int PadBytes = 0; ///< Added to each event.
+  int Most = 32;    ///< Requests that a runner runs at once.
+  /** Hosts call runners without the proxy, where there are too many bytes for
+   * it. */
+  bool DirectRunners = false;
+  gsJson Memory = gsJson::object(); ///< Settings section of all hosts.
   /** Callers send on kept connections, until the process is gone. */
   bool KeepConnections = false;
   /** Daemon that hosts start with; empty for the one of this build. */
@@ -131,6 +137,15 @@
   unsigned ClearQuarantine(std::string const& host,
                            std::string const& fingerprint);
 
+  /** What a host holds for callers and upstreams. */
+  gsJson Memory(std::string const& host);
+  /** The peak of a host's resident memory since it started. */
+  std::uint64_t PeakMemoryKib(std::string const& host);
+  std::string const& AddressOf(std::string const& host) const
+  {
+    return this->Processes.At(host).Address;
+  }
+
   /** Coordinators of a host's hall as that host knows them, in order. */
   std::vector<std::string> Coordinators(std::string const& host);
 
--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -36,6 +36,7 @@
   int GapMs = 10;
   int WorkMs = 10;
   int Most = 32; ///< Requests at once.
+  int PadBytes = 0;
   int CrashMs = 30;
 };
 
@@ -209,9 +210,11 @@
     this->End();
     return;
   }
-  std::string event = "id: " + std::to_string(this->Next) +
-                      "\ndata: " + this->Id + ":" +
-                      std::to_string(this->Next) + "\n\n";
+  std::string event =
+    "id: " + std::to_string(this->Next) + "\ndata: " + this->Id + ":" +
+    std::to_string(this->Next) +
+    std::string(static_cast<std::size_t>(this->Owner.Chosen.PadBytes), 'x') +
+    "\n\n";
   if (this->Cut && this->Next > this->Owner.Chosen.Events / 2) {
     this->Call->Write(event.substr(0, event.size() / 2));
     this->Call->Abort();
@@ -243,6 +246,7 @@
   app.add_option("--gap-ms", options.GapMs, "Between events.");
   app.add_option("--work-ms", options.WorkMs, "Of other requests.");
   app.add_option("--most", options.Most, "Requests at once.");
+  app.add_option("--pad-bytes", options.PadBytes, "Added to each event.");
   app.add_option("--crash-ms", options.CrashMs,
                  "From the begin of a request that crashes it.");
   CLI11_PARSE(app, argc, argv);
--- /dev/null
+++ b/Tests/Unit/gsTestMemoryBudget.cxx
@@ -0,0 +1,268 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Tests of the memory budget for each of the loads that it is made for:
+ * callers that do not read beside others that do, upstreams that do not read,
+ * and large bodies from many callers simultaneously.
+ */
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "gsHeldBytes.h"
+#include "gsMemoryBudget.h"
+#include "gsSettings.h"
+
+namespace {
+
+constexpr gsTime Start = std::chrono::hours(1);
+constexpr std::uint64_t MiB = 1U << 20U;
+
+/** A stream whose upstream always has more to send. */
+struct Stream
+{
+  bool Reads = false;
+  std::uint64_t Waiting = 0;
+  std::uint64_t Delivered = 0;
+  gsTime TakenAt = Start;
+  bool Ended = false;
+};
+
+/** Streams of one host, as a server and a client would move their bytes. */
+struct Host
+{
+  gsMemorySettings Settings;
+  gsMemoryUse Use;
+  std::vector<Stream> Streams;
+  std::uint64_t Peak = 0;
+
+  /** One part of each answer comes in, unless its stream is paused. */
+  void Receive(std::uint64_t bytes)
+  {
+    for (Stream& stream : this->Streams) {
+      if (stream.Ended ||
+          stream.Waiting > gsStreamLimit(this->Settings, this->Use)) {
+        continue;
+      }
+      stream.Waiting += bytes;
+      this->Use.Events += bytes;
+      this->Peak = std::max(this->Peak, this->Use.Total());
+    }
+  }
+
+  void Read(gsTime now)
+  {
+    for (Stream& stream : this->Streams) {
+      if (stream.Reads && stream.Waiting > 0) {
+        this->Use.Events -= stream.Waiting;
+        stream.Delivered += stream.Waiting;
+        stream.Waiting = 0;
+        stream.TakenAt = now;
+      }
+    }
+  }
+
+  void EndStalled(gsTime now)
+  {
+    std::vector<gsMemoryReader> readers;
+    for (Stream const& stream : this->Streams) {
+      bool waits = !stream.Ended && stream.Waiting > 0;
+      readers.push_back({ stream.Waiting, waits ? stream.TakenAt : now });
+    }
+    for (gsMemoryEnding const& ending :
+         gsSelectStalled(this->Settings, this->Use, readers, now)) {
+      Stream& stream = this->Streams[ending.Index];
+      this->Use.Events -= stream.Waiting;
+      stream.Waiting = 0;
+      stream.Ended = true;
+    }
+  }
+};
+
+std::size_t CountEnded(Host const& host, bool reads)
+{
+  return static_cast<std::size_t>(std::count_if(
+    host.Streams.begin(), host.Streams.end(), [reads](Stream const& stream) {
+      return stream.Ended && stream.Reads == reads;
+    }));
+}
+
+} // namespace
+
+// Guards against a small host that runs out of memory, and against readers
+// that lose their streams to callers that do not read.
+TEST(MemoryBudget, TwoThousandCallersThatDoNotReadBesideFiftyThatDo)
+{
+  Host host;
+  host.Streams.resize(2050);
+  for (std::size_t i = 0; i < 50; ++i) {
+    host.Streams[i * 41].Reads = true;
+  }
+  constexpr std::uint64_t part = 1000;
+  for (int step = 0; step < 500; ++step) {
+    gsTime now = Start + gsMilliseconds(10 * step);
+    host.Receive(part);
+    host.Read(now);
+    if (step % 20 == 0) {
+      host.EndStalled(now);
+    }
+  }
+  EXPECT_LE(host.Peak, gsMemoryLimit(host.Settings));
+  EXPECT_EQ(CountEnded(host, true), 0U);
+  EXPECT_EQ(CountEnded(host, false), 2000U);
+  for (Stream const& stream : host.Streams) {
+    if (stream.Reads) {
+      EXPECT_EQ(stream.Delivered, 500 * part) << "was held up";
+    }
+  }
+  EXPECT_EQ(host.Use.Total(), 0U);
+}
+
+// Guards against bodies of many callers that are accepted together because
+// none of them has been received yet.
+TEST(MemoryBudget, BodiesOfFourMiBFromManyCallersSimultaneously)
+{
+  gsMemorySettings settings;
+  gsMemoryUse use;
+  std::size_t accepted = 0;
+  for (int i = 0; i < 100; ++i) {
+    if (gsAcceptsBody(settings, use, 4 * MiB)) {
+      use.Expected += 4 * MiB;
+      ++accepted;
+    }
+  }
+  EXPECT_GE(accepted, 3U);
+  // Received and copied for their upstreams.
+  use.Bodies = use.Uploads = use.Expected;
+  use.Expected = 0;
+  EXPECT_LE(use.Total(), gsMemoryLimit(settings));
+  EXPECT_TRUE(gsAcceptsBody(settings, use, 16U << 10U))
+    << "small bodies are always accepted";
+  EXPECT_FALSE(gsAcceptsBody(settings, use, 4 * MiB));
+  use = {};
+  EXPECT_TRUE(gsAcceptsBody(settings, use, 4 * MiB));
+}
+
+// Guards against bodies that are accepted while answers and events use the
+// budget.
+TEST(MemoryBudget, LargeBodiesAreRefusedAboveTheirShare)
+{
+  gsMemorySettings settings;
+  gsMemoryUse use;
+  use.Events = gsMemoryLimit(settings) * 79 / 100;
+  EXPECT_TRUE(gsAcceptsBody(settings, use, (16U << 10U) + 1));
+  use.Answers = gsMemoryLimit(settings) * 2 / 100;
+  EXPECT_FALSE(gsAcceptsBody(settings, use, (16U << 10U) + 1));
+  EXPECT_TRUE(gsAcceptsBody(settings, use, 16U << 10U));
+}
+
+// Guards against an upstream that does not read its body holding the memory
+// of the host, and against one that reads slowly being taken for such a one.
+TEST(MemoryBudget, UpstreamThatDoesNotReadItsBodyIsEndedAndASlowOneIsNot)
+{
+  gsMemorySettings settings;
+  gsMemoryUse use;
+  use.Uploads = 8 * MiB;
+  std::vector<gsMemoryReader> uploads{ { 4 * MiB, Start },
+                                       { 4 * MiB, Start } };
+  for (int step = 0; step < 20; ++step) {
+    gsTime now = Start + gsMilliseconds(200 * step);
+    if (step % 4 == 0) {
+      uploads[1].TakenAt = now;
+    }
+    std::vector<gsMemoryEnding> endings =
+      gsSelectStalled(settings, use, uploads, now);
+    bool isDue = now - Start >= settings.StalledTimeout;
+    ASSERT_EQ(endings.size(), isDue ? 1U : 0U) << step;
+    if (isDue) {
+      EXPECT_EQ(endings[0].Index, 0U);
+      EXPECT_EQ(endings[0].Cause, gsMemoryCause::Stalled);
+    }
+  }
+}
+
+// Guards against a caller that is ended although it reads, because the host
+// is over its budget.
+TEST(MemoryBudget, SteadyCallerIsNeverEndedEvenOverTheBudget)
+{
+  gsMemorySettings settings;
+  gsMemoryUse use;
+  use.Events = 2 * gsMemoryLimit(settings);
+  gsTime now = Start + gsSeconds(2);
+  std::vector<gsMemoryReader> readers(
+    100, { gsMemoryLimit(settings) / 50, now - gsMilliseconds(900) });
+  EXPECT_TRUE(gsSelectStalled(settings, use, readers, now).empty());
+}
+
+// Guards against ending more callers than the budget needs, or others than
+// those that took nothing for the longest time.
+TEST(MemoryBudget, LongestIdleCallersAreEndedUntilTheRestFits)
+{
+  gsMemorySettings settings;
+  std::uint64_t limit = gsMemoryLimit(settings);
+  gsMemoryUse use;
+  use.Events = limit + limit / 10;
+  std::vector<gsMemoryReader> readers;
+  for (int i = 0; i < 20; ++i) {
+    readers.push_back(
+      { limit / 15, Start + gsMilliseconds((i * 7) % 20 * 50) });
+  }
+  gsTime now = Start + gsMilliseconds(2500);
+  std::vector<gsMemoryEnding> endings =
+    gsSelectStalled(settings, use, readers, now);
+  ASSERT_EQ(endings.size(), 2U);
+  EXPECT_EQ(readers[endings[0].Index].TakenAt, Start);
+  EXPECT_EQ(readers[endings[1].Index].TakenAt, Start + gsMilliseconds(50));
+  EXPECT_EQ(endings[0].Cause, gsMemoryCause::OverBudget);
+}
+
+// Guards against a stream that stops for good: a caller that has taken
+// everything gets the next part, however little memory is left.
+TEST(MemoryBudget, StreamLimitFallsToZeroAndHasAnUpperBound)
+{
+  gsMemorySettings settings;
+  gsMemoryUse use;
+  EXPECT_EQ(gsStreamLimit(settings, use), gsMaxStreamBytes);
+  use.Bodies = gsMemoryLimit(settings) * 78 / 100;
+  std::uint64_t limit = gsStreamLimit(settings, use);
+  EXPECT_GT(limit, 0U);
+  EXPECT_LT(limit, gsMaxStreamBytes);
+  use.Answers = gsMemoryLimit(settings);
+  EXPECT_EQ(gsStreamLimit(settings, use), 0U);
+}
+
+// Guards against bytes that stay counted after their connection broke.
+TEST(MemoryBudget, BrokenConnectionReleasesItsBytes)
+{
+  auto totals = std::make_shared<gsHeldTotals>();
+  {
+    gsHeldBytes body(totals, &gsHeldTotals::Bodies);
+    gsHeldBytes events(totals, &gsHeldTotals::Events);
+    body.Set(100);
+    events.Set(50);
+    body.Set(70);
+    EXPECT_EQ(totals->Bodies, 70U);
+    EXPECT_EQ(totals->Events, 50U);
+  }
+  EXPECT_EQ(totals->Bodies, 0U);
+  EXPECT_EQ(totals->Events, 0U);
+}
+
+TEST(MemoryBudget, IsReadFromSettings)
+{
+  std::string text = R"({
+    "host": "a", "hall": "h", "callers": { "listen": "127.0.0.1:1" },
+    "operators": { "listen": "127.0.0.1:2", "token": "t" },
+    "platform": { "kind": "memory" },
+    "memory": { "mode": "on", "total_mb": 160, "buffers_share": 0.25,
+                "stalled_caller_ms": 2000 } })";
+  gsResult<gsSettings> read = gsSettingsFromText(text, "settings");
+  ASSERT_TRUE(read) << read.error().Message;
+  EXPECT_EQ(read.value().Features.Memory, gsFeatureMode::On);
+  EXPECT_EQ(gsMemoryLimit(read.value().Memory), 40 * MiB);
+  EXPECT_EQ(read.value().Memory.StalledTimeout, gsSeconds(2));
+  text.replace(text.find("160"), 3, "119");
+  EXPECT_FALSE(gsSettingsFromText(text, "settings"));
+}
