Io: Reduces what a paused stream holds

Cause: with 2,000 callers that do not read, 53 MB were held against a budget of 43 MB, and the process grew to 217 MB. Each stream could fill a sixteenth of what was left, events that were not complete were not counted, and each paused call kept up to 16 KB in the HTTP library.

Change: a stream may use a 64th of what is left below half of the budget; the other half holds one part of each stream. Partial events are counted. In the mode on, the client reads 4 KB at once, a stream has a block of 2 KB, and TCP segments are at most 1,460 bytes, so that a caller that reads slowly opens its window in smaller steps.

--- a/Source/Core/gsMemoryBudget.cxx
+++ b/Source/Core/gsMemoryBudget.cxx
@@ -7,16 +7,19 @@
 
 /** Share of the budget above which large bodies are refused. */
 constexpr double BodyShare = 0.8;
-/** Part of the free bytes that one stream may use. With any number of streams
- * that are not read, their sum stays below BodyShare. */
-constexpr std::uint64_t StreamDivisor = 16;
+/** Share of the budget up to which several parts of a stream may wait. The
+ * rest holds one part of each stream that waits, however many streams there
+ * are. */
+constexpr double StreamShare = 0.5;
+/** Part of what is left below StreamShare that one stream may use. */
+constexpr std::uint64_t StreamDivisor = 64;
 /** Part of StalledTimeout within which a reader counts as steady. */
 constexpr int SteadyDivisor = 3;
 
-std::uint64_t BodyLimit(gsMemorySettings const& settings)
+std::uint64_t ShareOfLimit(gsMemorySettings const& settings, double share)
 {
   return static_cast<std::uint64_t>(
-    BodyShare * static_cast<double>(gsMemoryLimit(settings)));
+    share * static_cast<double>(gsMemoryLimit(settings)));
 }
 
 } // namespace
@@ -39,14 +42,14 @@
     return true;
   }
   std::uint64_t committed = use.Total() + 2 * use.Expected;
-  return committed <= BodyLimit(settings) &&
+  return committed <= ShareOfLimit(settings, BodyShare) &&
          committed + 2 * bytes <= gsMemoryLimit(settings);
 }
 
 std::uint64_t gsStreamLimit(gsMemorySettings const& settings,
                             gsMemoryUse const& use)
 {
-  std::uint64_t limit = BodyLimit(settings);
+  std::uint64_t limit = ShareOfLimit(settings, StreamShare);
   std::uint64_t left = limit - std::min(limit, use.Total());
   return std::min(left / StreamDivisor, gsMaxStreamBytes);
 }
--- a/Source/Core/gsMemoryBudget.h
+++ b/Source/Core/gsMemoryBudget.h
@@ -82,8 +82,8 @@
 
 /**
  * Bytes that may wait for the caller of a stream before reading from the
- * upstream pauses: a sixteenth of what is left below 0.8 of the budget, at
- * most gsMaxStreamBytes. At zero a stream still moves on whenever its caller
+ * upstream pauses: a 64th of what is left below half of the budget, at most
+ * gsMaxStreamBytes. At zero a stream still moves on whenever its caller
  * has taken everything.
  */
 std::uint64_t gsStreamLimit(gsMemorySettings const& settings,
--- a/Source/Daemon/gsMemoryGuard.cxx
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -15,6 +15,16 @@
  * would exceed a small machine's memory with a few hundred callers that do not
  * read. */
 constexpr int KernelBufferBytes = 32 << 10;
+/**
+ * Bytes read at once of an answer. Each paused stream holds up to so many
+ * beside those that wait for its caller.
+ */
+constexpr std::size_t ReadBufferBytes = 4096;
+/** Every stream has such a block of its own. */
+constexpr std::size_t StreamBlockBytes = 2048;
+/** The usual size on Ethernet, so that it has an effect on other links only.
+ */
+constexpr int MaxSegmentBytes = 1460;
 /** Minimum interval between sweeps while over the budget. */
 constexpr gsTime MinSweepInterval = gsMilliseconds(20);
 constexpr double MaxRetryAfterFactor = 1.5;
@@ -35,9 +45,16 @@
 
 } // namespace
 
-int gsMemoryGuard::KernelBuffer(gsFeatureMode mode)
+void gsMemoryGuard::LimitBuffers(gsFeatureMode mode,
+                                 gsHttpServerSettings& callers,
+                                 gsHttpClient& client)
 {
-  return mode == gsFeatureMode::On ? KernelBufferBytes : 0;
+  if (mode == gsFeatureMode::On) {
+    callers.SendBuffer = KernelBufferBytes;
+    callers.MaxSegment = MaxSegmentBytes;
+    callers.StreamBlock = StreamBlockBytes;
+    client.Limit({ ReadBufferBytes, KernelBufferBytes, MaxSegmentBytes });
+  }
 }
 
 gsMemoryGuard::gsMemoryGuard(gsLoop& loop, gsMemoryGuardSettings settings,
--- a/Source/Daemon/gsMemoryGuard.h
+++ b/Source/Daemon/gsMemoryGuard.h
@@ -45,9 +45,10 @@
   gsMemoryGuard(gsMemoryGuard const&) = delete;
   gsMemoryGuard& operator=(gsMemoryGuard const&) = delete;
 
-  /** Bytes that the kernel may hold for one connection; zero leaves it to the
-   * kernel. To be applied to servers and clients before connections exist. */
-  static int KernelBuffer(gsFeatureMode mode);
+  /** Limits the buffers of a server and a client that do not have connections
+   * yet, if the mode is on. */
+  static void LimitBuffers(gsFeatureMode mode, gsHttpServerSettings& callers,
+                           gsHttpClient& client);
 
   gsMemoryUse Use() const;
   nlohmann::json Status() const;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -32,11 +32,6 @@
  */
 constexpr gsTime IdleMargin = gsSeconds(2);
 constexpr std::size_t BytesPerKib = 1024;
-/**
- * Bytes read at once of an answer while the memory budget applies. Each paused
- * stream holds up to so many beside those that wait for its caller.
- */
-constexpr std::size_t ReadBufferBytes = 4096;
 /**
  * Assumed number of hosts until the actual one is known. It is so large that
  * this host uses only the minimum share of whatever is shared, regardless of
@@ -203,11 +198,7 @@
     static_cast<std::uint32_t>(from.MaxConnectionsPerIp);
   callers.ReceiveTimeout = from.ReceiveTimeout;
   gsFeatureMode memory = this->Settings.Features.Memory;
-  callers.SendBuffer = gsMemoryGuard::KernelBuffer(memory);
-  if (memory == gsFeatureMode::On) {
-    this->Client.LimitBuffers(gsMemoryGuard::KernelBuffer(memory),
-                              ReadBufferBytes);
-  }
+  gsMemoryGuard::LimitBuffers(memory, callers, this->Client);
   auto server = gsHttpServer::Start(
     this->Loop, callers,
     [this](std::shared_ptr<gsHttpExchange> const& exchange) {
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -339,7 +339,7 @@
     return true;
   }
   attempt.AnswerBody.append(bytes);
-  attempt.HeldAnswer->Set(attempt.AnswerBody.capacity());
+  attempt.HeldAnswer->Set(attempt.AnswerBody.size());
   if (attempt.AnswerBody.size() > this->Settings.MaxAnswerBytes) {
     this->AbortAttempt(request, held,
                        "The upstream's answer is over the limit.");
@@ -353,6 +353,7 @@
                                    gsTime now)
 {
   std::string events = attempt.EventSplitter.Append(bytes);
+  attempt.HeldAnswer->Set(attempt.EventSplitter.BufferedBytes());
   if (events.empty()) {
     return;
   }
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -91,7 +91,7 @@
       --this->Client->PausedCalls;
     }
     this->IsPaused = paused;
-    this->HeldPart.Set(paused ? this->Client->ReadBuffer : 0);
+    this->HeldPart.Set(paused ? this->Client->Limits.ReadBuffer : 0);
   }
 };
 
@@ -137,7 +137,7 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE,
-                   static_cast<long>(this->ReadBuffer));
+                   static_cast<long>(this->Limits.ReadBuffer));
   // A greatest age of less than the library's second allows no kept one.
   bool limited = call.MaxAge.count() > 0;
   bool kept = call.Reuse && !(limited && call.MaxAge < gsSeconds(1));
@@ -363,9 +363,14 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
                sizeof(timeout));
   }
-  int receive = self->Client->ReceiveBuffer;
-  if (receive > 0) {
-    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive, sizeof(receive));
+  gsHttpClientLimits const& limits = self->Client->Limits;
+  if (limits.KernelBuffer > 0) {
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &limits.KernelBuffer,
+               sizeof(limits.KernelBuffer));
+  }
+  if (limits.MaxSegment > 0) {
+    setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &limits.MaxSegment,
+               sizeof(limits.MaxSegment));
   }
   return CURL_SOCKOPT_OK;
 }
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -74,6 +74,16 @@
   std::function<void(gsCallEnd const& end)> OnEnd;
 };
 
+/** Bounds of the bytes of an answer that is not read. */
+struct gsHttpClientLimits
+{
+  /** Bytes that the library reads at once. */
+  std::size_t ReadBuffer = 16384;
+  /** Bytes that the kernel holds; zero leaves the size to the kernel. */
+  int KernelBuffer = 0;
+  int MaxSegment = 0; ///< As in gsHttpServerSettings, of bodies.
+};
+
 /** A call whose body the other end has not taken completely. */
 struct gsWaitingUpload
 {
@@ -113,16 +123,8 @@
   gsHeldTotals const& Held() const { return *this->Totals; }
   /** Calls whose OnData returned false and that have not gone on. */
   std::size_t Paused() const { return this->PausedCalls; }
-  /**
-   * Bounds the bytes of an answer that is not read: those that the kernel
-   * holds, where zero leaves the size to the kernel, and those that the
-   * library reads at once. For calls that are started from now on.
-   */
-  void LimitBuffers(int kernelBytes, std::size_t readBytes)
-  {
-    this->ReceiveBuffer = kernelBytes;
-    this->ReadBuffer = readBytes;
-  }
+  /** Bounds buffers of calls that are started from now on. */
+  void Limit(gsHttpClientLimits const& limits) { this->Limits = limits; }
 
   /** Connections opened so far. */
   std::uint64_t Opened() const { return this->Connections; }
@@ -159,8 +161,7 @@
   std::uint64_t Connections = 0;
   std::shared_ptr<gsHeldTotals> Totals = std::make_shared<gsHeldTotals>();
   std::size_t PausedCalls = 0;
-  int ReceiveBuffer = 0;
-  std::size_t ReadBuffer = 16384;
+  gsHttpClientLimits Limits;
   bool Acting = false; ///< Within the library, so that it may call back.
 };
 
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr std::size_t StreamBlock = 8192;
+constexpr std::size_t KeptCapacity = 8192;
 constexpr std::size_t CompactAbove = 65536;
 constexpr int Backlog = 1024;
 /** The library accepts 10 callers or so each time that it runs. */
@@ -188,9 +188,9 @@
   }
   this->At = Phase::Streaming;
   this->SetResponse(status, headers,
-                    MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
-                                                      StreamBlock, &ReadStream,
-                                                      this, nullptr));
+                    MHD_create_response_from_callback(
+                      MHD_SIZE_UNKNOWN, this->Server->Settings.StreamBlock,
+                      &ReadStream, this, nullptr));
 }
 
 void gsHttpExchange::Write(std::string_view bytes)
@@ -203,10 +203,11 @@
   this->Resume();
 }
 
-/** Counts the memory of the buffer, which may exceed the bytes in it. */
+/** Counts the bytes in the buffer, with those that were read and not dropped
+ * yet. */
 void gsHttpExchange::CountBuffer()
 {
-  this->HeldEvents.Set(this->Buffer.empty() ? 0 : this->Buffer.capacity());
+  this->HeldEvents.Set(this->Buffer.size());
 }
 
 /** Bytes of the answer that wait because the connection cannot take them. */
@@ -310,7 +311,7 @@
     this->Read += count;
     if (this->Read == this->Buffer.size()) {
       this->Buffer.clear();
-      if (this->Buffer.capacity() > StreamBlock) {
+      if (this->Buffer.capacity() > KeptCapacity) {
         this->Buffer = {};
       }
       this->Read = 0;
@@ -378,6 +379,10 @@
   this->Listener = descriptor;
   int on = 1;
   setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  int segment = this->Settings.MaxSegment;
+  if (segment > 0) {
+    setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+  }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(split.value().second);
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -39,6 +39,15 @@
   /** Bytes that the kernel may hold for a caller that does not read; zero
    * leaves the size to the kernel. */
   int SendBuffer = 0;
+  /** Bytes of a stream that are handed to a connection at once. */
+  std::size_t StreamBlock = 8192;
+  /**
+   * Largest TCP segment in bytes; zero leaves it to the kernel. A receiver
+   * opens its window by whole segments, so one that reads slowly looks stalled
+   * for as long as it takes to read a segment. On links with an MTU of 64 KB
+   * that is many seconds.
+   */
+  int MaxSegment = 0;
 };
 
 class gsHttpServer;
--- a/Tests/Route/gsRouteBench.cxx
+++ b/Tests/Route/gsRouteBench.cxx
@@ -14,7 +14,8 @@
   return {};
 }
 
-gsRouteBench::gsRouteBench(gsRouteGatewaySettings settings, int sendBuffer)
+gsRouteBench::gsRouteBench(gsRouteGatewaySettings settings,
+                           gsFeatureMode memory)
   : Adapter(gsMakeAdapter())
   , RateLimiter(Loop, Fleet)
   , Upstreams(Loop)
@@ -28,7 +29,7 @@
   this->RateLimiter.ConnectGateway(*this->Gateway);
   gsHttpServerSettings server;
   server.Address = "127.0.0.1:0";
-  server.SendBuffer = sendBuffer;
+  gsMemoryGuard::LimitBuffers(memory, server, this->Upstreams);
   this->Server =
     std::move(gsHttpServer::Start(
                 this->Loop, server,
--- a/Tests/Route/gsRouteBench.h
+++ b/Tests/Route/gsRouteBench.h
@@ -16,6 +16,7 @@
 #include "gsFleet.h"
 #include "gsHttpClient.h"
 #include "gsHttpServer.h"
+#include "gsMemoryGuard.h"
 #include "gsMetrics.h"
 #include "gsRateLimiter.h"
 #include "gsRouteGateway.h"
@@ -53,10 +54,9 @@
 {
 public:
   /** Routes: /plain/ (once), /safe/ (twice), /stream/, /resume/, and /patient/
-   * with a lower priority. The kernel holds sendBuffer bytes for a caller that
-   * does not read; zero leaves the size to the kernel. */
+   * with a lower priority. The memory mode applies to buffers only. */
   explicit gsRouteBench(gsRouteGatewaySettings settings = {},
-                        int sendBuffer = 0);
+                        gsFeatureMode memory = gsFeatureMode::Off);
   ~gsRouteBench();
 
   /** Adds an upstream and lists it. */
--- a/Tests/Soak/gsTestSlowReaders.cxx
+++ b/Tests/Soak/gsTestSlowReaders.cxx
@@ -128,9 +128,9 @@
   gsRoutedPlan plan;
   plan.Hosts = 1;
   plan.Runners = 1;
-  plan.Events = 10;
-  plan.GapMs = 200;
-  plan.PadBytes = 16 << 10;
+  plan.Events = 40;
+  plan.GapMs = 50;
+  plan.PadBytes = 4 << 10;
   plan.Most = 4000;
   plan.DirectRunners = true;
   plan.Memory = { { "mode", "on" }, { "total_mb", 120 } };
--- a/Tests/Unit/gsTestMemoryBudget.cxx
+++ b/Tests/Unit/gsTestMemoryBudget.cxx
@@ -225,7 +225,7 @@
   gsMemorySettings settings;
   gsMemoryUse use;
   EXPECT_EQ(gsStreamLimit(settings, use), gsMaxStreamBytes);
-  use.Bodies = gsMemoryLimit(settings) * 78 / 100;
+  use.Bodies = gsMemoryLimit(settings) * 45 / 100;
   std::uint64_t limit = gsStreamLimit(settings, use);
   EXPECT_GT(limit, 0U);
   EXPECT_LT(limit, gsMaxStreamBytes);
