--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -202,6 +202,8 @@
   callers.MaxConnectionsPerIp =
     static_cast<std::uint32_t>(from.MaxConnectionsPerIp);
   callers.ReceiveTimeout = from.ReceiveTimeout;
+  gsFeatureMode memory = this->Settings.Features.Memory;
+  gsMemoryGuard::LimitBuffers(memory, callers, this->Client);
   auto server = gsHttpServer::Start(
     this->Loop, callers,
     [this](std::shared_ptr<gsHttpExchange> const& exchange) {
@@ -212,6 +214,13 @@
     return server.error();
   }
   this->CallerServer = std::move(server.value());
+  gsMemoryGuardSettings guard;
+  guard.Mode = memory;
+  guard.Budget = this->Settings.Memory;
+  guard.MinRetryAfter = this->Settings.Routing.RetryAfter;
+  this->MemoryGuard = std::make_unique<gsMemoryGuard>(
+    this->Loop, guard, *this->CallerServer, this->Client,
+    this->Gateway->Upstreams(), this->Incarnation);
   gsHttpServerSettings operators;
   operators.Address = this->Settings.Operators.Listen;
   server = gsHttpServer::Start(
@@ -385,6 +394,9 @@
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
                       gsSpeedStatus(this->Fleet, gsLoop::Now()).dump());
+  } else if (exchange->Path == "/v1/memory") {
+    gsHeaders json{ { "Content-Type", "application/json" } };
+    exchange->Respond(gsStatusOk, json, this->MemoryGuard->Status().dump());
   } else if (exchange->Path == "/v1/duties" && this->Duties) {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
@@ -408,6 +420,7 @@
                       this->Gateway->CrashDetection().SuspectTable(), now)));
   this->RateLimiter.WriteGauges(this->Metrics, now);
   this->PrefixSharing.WriteGauges(this->Metrics);
+  this->MemoryGuard->WriteGauges(this->Metrics);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
   gsWriteSpeedGauges(this->Metrics, this->Fleet,
                      this->LoadSharing.SpeedChanges());
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -101,6 +101,9 @@
     this->Add(&this->App, "speeds",
               "Show the measured speeds of engines as a host knows them.",
               [this] { return gsShowSpeeds(this->Shared); });
+    this->Add(&this->App, "memory",
+              "Show what a host holds for callers and upstreams.",
+              [this] { return gsShowMemory(this->Shared); });
     this->Add(&this->App, "duties",
               "Show who reports usage and orders upstreams for all hosts.",
               [this] { return gsShowDuties(this->Shared); });
--- a/Source/Tool/gsToolShow.h
+++ b/Source/Tool/gsToolShow.h
@@ -23,6 +23,9 @@
 /** Prints the measured speeds of engines as known to one host. */
 int gsShowSpeeds(gsToolOptions const& options);
 
+/** Prints what one host holds for callers and upstreams. */
+int gsShowMemory(gsToolOptions const& options);
+
 /** Who does the duties that one host at a time has, as one host knows. */
 int gsShowDuties(gsToolOptions const& options);
 
--- a/Tests/Route/gsRouteBench.h
+++ b/Tests/Route/gsRouteBench.h
@@ -16,6 +16,7 @@
 #include "gsFleet.h"
 #include "gsHttpClient.h"
 #include "gsHttpServer.h"
+#include "gsMemoryGuard.h"
 #include "gsMetrics.h"
 #include "gsRateLimiter.h"
 #include "gsRouteGateway.h"
@@ -53,8 +54,9 @@
 {
 public:
   /** Routes: /plain/ (once), /safe/ (twice), /stream/, /resume/, and /patient/
-   * with a lower priority. */
-  explicit gsRouteBench(gsRouteGatewaySettings settings = {});
+   * with a lower priority. The memory mode applies to buffers only. */
+  explicit gsRouteBench(gsRouteGatewaySettings settings = {},
+                        gsFeatureMode memory = gsFeatureMode::Off);
   ~gsRouteBench();
 
   /** Adds an upstream and lists it. */
