--- a/Tests/Route/gsTestMemoryGuard.cxx
+++ b/Tests/Route/gsTestMemoryGuard.cxx
@@ -181,6 +181,8 @@
   gsScriptedUpstream& upstream = this->Bench.Add("u1", StreamOf(3000));
   std::vector<std::unique_ptr<RawCaller>> silent;
   std::vector<std::unique_ptr<RawCaller>> readers;
+  silent.reserve(20);
+  readers.reserve(3);
   for (int i = 0; i < 20; ++i) {
     silent.push_back(this->Call("stream"));
   }
--- a/Tests/Unit/gsTestMemoryBudget.cxx
+++ b/Tests/Unit/gsTestMemoryBudget.cxx
@@ -204,10 +204,9 @@
   std::uint64_t limit = gsMemoryLimit(settings);
   gsMemoryUse use;
   use.Events = limit + limit / 10;
-  std::vector<gsMemoryReader> readers;
-  for (int i = 0; i < 20; ++i) {
-    readers.push_back(
-      { limit / 15, Start + gsMilliseconds((i * 7) % 20 * 50) });
+  std::vector<gsMemoryReader> readers(20, { limit / 15, Start });
+  for (std::size_t i = 0; i < readers.size(); ++i) {
+    readers[i].TakenAt = Start + gsMilliseconds((i * 7) % 20 * 50);
   }
   gsTime now = Start + gsMilliseconds(2500);
   std::vector<gsMemoryEnding> endings =
