--- a/Source/Daemon/gsPlacementAsk.cxx
+++ b/Source/Daemon/gsPlacementAsk.cxx
@@ -9,15 +9,6 @@
 
 namespace {
 
-/** Whether the request has not been placed before. One that has waited on this
- * host was counted when it arrived. */
-bool IsFirstPlacement(gsRoutedRequest const& request)
-{
-  bool hasWaited =
-    request.Admission && request.Admission->WaitingSince.count() != 0;
-  return request.SentAttempts == 0 && !hasWaited;
-}
-
 /**
  * Applies the settings of the request's service in the configuration to a
  * placement request.
@@ -51,7 +42,7 @@
  * other requests there.
  */
 gsFleetGroup GroupOf(gsFleet& fleet, gsRoutedRequest const& request,
-                     gsPlacementRequest const& ask)
+                     gsPlacementRequest const& ask, bool isFirst)
 {
   if (ask.PromptTokens == 0) {
     return gsFleetGroup::Any;
@@ -63,7 +54,7 @@
     gsToSeconds(route.MinEventIntervalTarget) * 1e3;
   targets.FirstEventMillis = gsToSeconds(route.LatencyTarget) * 1e3;
   gsEngineTiming& pace = fleet.EngineTimings[request.Service];
-  if (IsFirstPlacement(request)) {
+  if (isFirst) {
     return gsClassifyRequest(pace, route.Name, targets, ask.PromptTokens);
   }
   return gsGroupByInterference(pace, targets, ask.PromptTokens,
@@ -75,7 +66,7 @@
 gsPlacementRequest gsMakePlacementRequest(gsFleet& fleet,
                                           gsRoutedRequest const& request,
                                           gsPlacementState const& state,
-                                          bool alsoTried)
+                                          bool alsoTried, bool isFirst)
 {
   gsPlacementRequest ask;
   ask.Service = request.Service;
@@ -93,8 +84,8 @@
   ask.Priority = request.Route->Priority;
   ask.EventIntervalTarget = request.Route->EventIntervalTarget;
   SetServiceConstraints(request, ask);
-  ask.Group = GroupOf(fleet, request, ask);
-  if (IsFirstPlacement(request)) {
+  ask.Group = GroupOf(fleet, request, ask, isFirst);
+  if (isFirst) {
     gsRecordDemand(fleet, ask, gsLoop::Now());
   }
   // Each host of a hall that is cut off detects on its own that another hall
--- a/Source/Daemon/gsPlacementAsk.h
+++ b/Source/Daemon/gsPlacementAsk.h
@@ -21,13 +21,15 @@
 
 /**
  * The properties of a request that determine its placement. Refers to the
- * request. Updates the statistics of its route on the first call for it.
+ * request.
  * \param alsoTried Also allow the upstreams of earlier attempts.
+ * \param isFirst Count the request in the demand and in the statistics of its
+ * route.
  */
 gsPlacementRequest gsMakePlacementRequest(gsFleet& fleet,
                                           gsRoutedRequest const& request,
                                           gsPlacementState const& state,
-                                          bool alsoTried);
+                                          bool alsoTried, bool isFirst);
 
 /** Logs the choice of an upstream, or that there is none. */
 void gsLogPlacement(gsFleet const& fleet, gsRoutedRequest const& request,
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -160,8 +160,8 @@
                               settings.RetryBurst })
   , Admission(loop, fleet, metrics, settings.Admission, seed,
               { [this](gsRoutedRequest const& request) {
-                 return gsMakePlacementRequest(this->Fleet, request,
-                                               this->PlacementState(), false);
+                 return gsMakePlacementRequest(
+                   this->Fleet, request, this->PlacementState(), false, false);
                },
                 [this](RequestPtr const& request) { this->Place(request); },
                 [this](RequestPtr const& request, char const* cause,
@@ -458,8 +458,12 @@
                                    bool alsoTried)
 {
   gsTime now = gsLoop::Now();
-  gsPlacementRequest ask = gsMakePlacementRequest(
-    this->Fleet, request, this->PlacementState(), alsoTried);
+  // A request that has waited on this host was counted when it arrived.
+  bool hasWaited =
+    request.Admission && request.Admission->WaitingSince.count() != 0;
+  gsPlacementRequest ask =
+    gsMakePlacementRequest(this->Fleet, request, this->PlacementState(),
+                           alsoTried, request.SentAttempts == 0 && !hasWaited);
   gsPlacement placement = gsPlaceRequest(this->Fleet, ask, now, this->Random);
   if (placement.Row == nullptr && ask.OwnHallOnly) {
     ask.OwnHallOnly = false;
--- a/Source/Tool/gsToolShow.h
+++ b/Source/Tool/gsToolShow.h
@@ -15,6 +15,8 @@
 
 /** Prints the rate limits of upstreams as known to one host. */
 int gsShowLimits(gsToolOptions const& options);
+
+/** Pressure and admitted shares of each service, as one host knows them. */
 int gsShowOverload(gsToolOptions const& options);
 
 /** Who does the duties that one host at a time has, as one host knows. */
--- a/Tests/Unit/gsTestLoadExchange.cxx
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -257,6 +257,58 @@
   }
 }
 
+// Guards against demand that is lost or counted twice on its way over relays,
+// and against reports that grow with the number of organisations.
+TEST(LoadExchange, DemandByKindAndOrganisationIsSummed)
+{
+  Network net = ThreeHalls(3);
+  std::uint32_t name = 1;
+  for (auto& [host, exchange] : net.Hosts) {
+    gsServiceDemand& demand = net.Own[host].Services[5];
+    demand.Kinds[2] = { 100, 10 };
+    demand.Organisations[1000] = 50;
+    for (int i = 0; i < 4; ++i) {
+      demand.Organisations[name++] = 1;
+    }
+  }
+  gsTime now = gsSeconds(10);
+  for (int i = 0; i < 4; ++i) {
+    net.Tick(now += Period);
+  }
+  for (auto& [host, exchange] : net.Hosts) {
+    gsServiceDemand others = gsLoadOfOthers(exchange, now).Services[5];
+    EXPECT_EQ(others.Kinds[2].EngineMillis, 800U) << host;
+    EXPECT_EQ(others.Kinds[2].WaitingMillis, 80U) << host;
+    EXPECT_EQ(others.Organisations[1000], 400U) << host;
+  }
+  for (auto const& [host, sent] : net.Hosts.at(net.RelayOf("a")).Sent) {
+    auto demand = sent.Load.Services.find(5);
+    if (demand != sent.Load.Services.end()) {
+      EXPECT_LE(demand->second.Organisations.size(),
+                gsMaxReportedOrganisations);
+    }
+  }
+}
+
+TEST(LoadExchange, DemandByKindAndOrganisationIsEncoded)
+{
+  gsLoadReport report;
+  gsServiceDemand& demand = report.Load.Services[5];
+  demand.LongTokens = 7;
+  demand.Kinds[2] = { 100, 10 };
+  demand.Organisations[1000] = 50;
+  gradescale::LoadReport wire;
+  gsToWire(report, &wire);
+  EXPECT_TRUE(gsFromWire(wire).Load == report.Load);
+  // The fields are missing in reports of an earlier release.
+  wire.mutable_demands(0)->clear_kinds();
+  wire.mutable_demands(0)->clear_organisations();
+  gsServiceDemand earlier = gsFromWire(wire).Load.Services[5];
+  EXPECT_EQ(earlier.LongTokens, 7U);
+  EXPECT_TRUE(earlier.Kinds.empty());
+  EXPECT_TRUE(earlier.Organisations.empty());
+}
+
 TEST(LoadExchange, UnreachableHallIsReportedOnlyWithinTheOwnHall)
 {
   Network net = ThreeHalls(4);
