Core: Bounds the virtual times of organisations, and counts all demand for targets

gsFairClock kept more than its limit if all organisations were new. The shortest target by which congestion is measured now counts kinds that only other hosts have demand for.

--- a/Source/Core/gsFairOrder.cxx
+++ b/Source/Core/gsFairOrder.cxx
@@ -45,4 +45,9 @@
     bool isPast = entry->second <= clock.VirtualTime;
     entry = isPast ? clock.Organisations.erase(entry) : std::next(entry);
   }
+  if (clock.Organisations.size() > MaxOrganisations) {
+    clock.Organisations.erase(std::min_element(
+      clock.Organisations.begin(), clock.Organisations.end(),
+      [](auto const& a, auto const& b) { return a.second < b.second; }));
+  }
 }
--- a/Source/Core/gsOverload.cxx
+++ b/Source/Core/gsOverload.cxx
@@ -195,8 +195,7 @@
 {
   gsTime shortest = NoTarget;
   for (auto const& [priority, kind] : overload.Kinds) {
-    bool counts =
-      kind.Target.count() > 0 && kind.EngineMillis >= MinDemandMillis;
+    bool counts = kind.Target.count() > 0 && kind.Demand >= MinDemandMillis;
     shortest = counts ? std::min(shortest, kind.Target) : shortest;
   }
   return shortest;
