Core: Serves a subject after three refusals on a host

A subject could be refused every time that it was requested. Its next request now takes precedence once this host has refused three in a row; the store has 4,096 subjects. Tests for this and for the bounds of the queue by requests and bytes.

--- a/Source/Core/gsOverload.cxx
+++ b/Source/Core/gsOverload.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <random>
 #include <utility>
@@ -641,3 +642,28 @@
   bool isEarly = now < found->second;
   return { isEarly ? gsReturn::Early : gsReturn::OnTime, found->second };
 }
+
+void gsRecordSubject(gsSubjectRefusals& refusals, std::uint64_t subject,
+                     bool isRefused)
+{
+  if (subject == 0) {
+    return;
+  }
+  if (!isRefused) {
+    refusals.Refused.erase(subject);
+    return;
+  }
+  ++refusals.Refused[subject];
+  if (refusals.Refused.size() > refusals.MaxSubjects) {
+    auto other = refusals.Refused.begin();
+    other = other->first == subject ? std::next(other) : other;
+    refusals.Refused.erase(other);
+  }
+}
+
+bool gsIsSubjectDue(gsSubjectRefusals const& refusals, std::uint64_t subject)
+{
+  auto found = refusals.Refused.find(subject);
+  return found != refusals.Refused.end() &&
+         found->second >= refusals.MaxRefusals;
+}
--- a/Source/Core/gsOverload.h
+++ b/Source/Core/gsOverload.h
@@ -67,8 +67,9 @@
   gsTime Target{};                ///< For the first event; zero for none.
   /** Time until the caller leaves if there is no first event by then. */
   gsTime Patience{};
-  gsTime TimeLeft{};        ///< Until its deadline.
-  bool IsReturning = false; ///< Retried at the time it was given.
+  gsTime TimeLeft{}; ///< Until its deadline.
+  /** Retried at the time it was given, or of a subject that is due. */
+  bool IsReturning = false;
   /** Time until the return time that the caller was given, if it retries
    * before; zero otherwise. */
   gsTime TimeToReturn{};
@@ -245,3 +246,21 @@
 gsReturnState gsFindRefusal(gsRefusalStore const& store,
                             gsFingerprint const& fingerprint, gsTime window,
                             gsTime now);
+
+/** Consecutive refusals of the subjects of prompts, on one host. */
+struct gsSubjectRefusals
+{
+  std::size_t MaxSubjects = 4096;
+  /** Refusals after which a subject's next request takes precedence. */
+  std::uint32_t MaxRefusals = 3;
+  std::unordered_map<std::uint64_t, std::uint32_t> Refused; ///< By subject.
+};
+
+/** Records that a request of a subject was admitted or refused; does nothing
+ * for subject 0. */
+void gsRecordSubject(gsSubjectRefusals& refusals, std::uint64_t subject,
+                     bool isRefused);
+
+/** Whether a subject's next request takes precedence, so that a subject that
+ * is requested again and again is served at least once. */
+bool gsIsSubjectDue(gsSubjectRefusals const& refusals, std::uint64_t subject);
--- a/Source/Daemon/gsAdmissionControl.cxx
+++ b/Source/Daemon/gsAdmissionControl.cxx
@@ -136,6 +136,10 @@
     row.TimeToReturn =
       returned.Kind == gsReturn::Early ? returned.ReturnAt - now : gsTime{};
   }
+  request.Admission->Subject = gsSubjectOf(ask);
+  row.IsReturning =
+    row.IsReturning || (row.TimeToReturn.count() == 0 &&
+                        gsIsSubjectDue(this->Subjects, gsSubjectOf(ask)));
   if (row.TimeToReturn.count() == 0) {
     gsRecordArrival(overload, row, now);
   }
@@ -267,6 +271,7 @@
     case gsAdmission::Admit:
       admission.IsAdmitted = true;
       admission.AdmittedAt = now;
+      gsRecordSubject(this->Subjects, admission.Subject, false);
       this->Waiting.Charge(*request);
       return true;
     case gsAdmission::Wait:
@@ -317,6 +322,7 @@
   if (request->Admission->Row.TimeToReturn.count() == 0) {
     gsStoreRefusal(this->Refusals, gsRequestFingerprint(*request),
                    now + decision.RetryAfter);
+    gsRecordSubject(this->Subjects, request->Admission->Subject, true);
   }
   this->Metrics.Increment(
     "gradescale_overload_refusals_total",
--- a/Source/Daemon/gsAdmissionControl.h
+++ b/Source/Daemon/gsAdmissionControl.h
@@ -104,6 +104,7 @@
   gsAdmissionEvents Events;
   gsRandom Random;
   gsRefusalStore Refusals;
+  gsSubjectRefusals Subjects;
   gsAdmissionQueue Waiting;
   std::size_t HostCount = 1;
   std::size_t RecentPeakHosts = 1;
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -109,7 +109,8 @@
 /** Admission of a request under overload; see gsAdmissionControl.h. */
 struct gsRequestAdmission
 {
-  gsAdmissionRequest Row; ///< As of the last decision.
+  gsAdmissionRequest Row;    ///< As of the last decision.
+  std::uint64_t Subject = 0; ///< See gsSubjectOf.
   bool IsAdmitted = false;
   bool IsQueued = false; ///< It waits in gsAdmissionQueue.
   gsTime WaitingSince{}; ///< Zero if it has not waited.
--- a/Tests/Route/gsTestOverload.cxx
+++ b/Tests/Route/gsTestOverload.cxx
@@ -202,6 +202,30 @@
   EXPECT_NE(refused, nullptr);
 }
 
+// Guards against a queue without bounds, and against one that keeps less
+// urgent requests in favour of more urgent ones.
+TEST(Overload, TheLeastUrgentRequestIsRefusedWhenTheQueueIsFull)
+{
+  for (bool isBoundByBytes : { false, true }) {
+    gsRouteGatewaySettings settings = Settings();
+    settings.Admission.Queue.MaxRequests = isBoundByBytes ? 100 : 1;
+    settings.Admission.Queue.MaxBytes = isBoundByBytes ? 10 : 1000;
+    gsRouteBench bench(settings);
+    UseEngines(bench);
+    bench.Add("e1", Answer);
+    Load(bench, "e1", 3);
+    gsCallerViewPtr patient = bench.Send(RequestTo("patient", 1));
+    bench.RunFor(0.03);
+    EXPECT_FALSE(patient->Done);
+    gsCallerViewPtr urgent = bench.Send(RequestTo("plain", 2));
+    ASSERT_TRUE(bench.RunUntil([&] { return patient->Done; }, 0.2));
+    EXPECT_EQ(patient->Status, 503U);
+    EXPECT_FALSE(urgent->Done);
+    ASSERT_TRUE(bench.RunUntil([&] { return urgent->Done; }, 1));
+    EXPECT_EQ(urgent->Status, 200U);
+  }
+}
+
 TEST(Overload, DryRunAndOffRefuseNothing)
 {
   for (gsFeatureMode mode : { gsFeatureMode::Off, gsFeatureMode::DryRun }) {
--- a/Tests/Unit/gsTestOverload.cxx
+++ b/Tests/Unit/gsTestOverload.cxx
@@ -481,6 +481,31 @@
   EXPECT_NEAR(gsFirstEventCorrection(overload, Low), 0.25, 0.03);
 }
 
+// Guards against a subject all of whose requests are refused.
+TEST(Overload, ASubjectIsServedAfterThreeRefusals)
+{
+  gsOverload overload = Pressed(20, Now, 200);
+  gsSubjectRefusals subjects;
+  constexpr std::uint64_t subject = 7;
+  int admitted = 0;
+  for (int i = 0; i < 4; ++i) {
+    gsAdmissionRequest request = Request();
+    request.IsReturning = gsIsSubjectDue(subjects, subject);
+    bool isAdmitted =
+      gsDecideAdmission(overload, request, Now).Action == gsAdmission::Admit;
+    gsRecordSubject(subjects, subject, !isAdmitted);
+    admitted += isAdmitted ? 1 : 0;
+  }
+  EXPECT_GE(admitted, 1);
+  for (std::uint64_t i = 1; i <= 5000; ++i) {
+    gsRecordSubject(subjects, i, true);
+  }
+  EXPECT_EQ(subjects.Refused.size(), 4096U);
+  EXPECT_EQ(subjects.Refused.count(5000), 1U);
+  gsRecordSubject(subjects, 0, true);
+  EXPECT_EQ(subjects.Refused.count(0), 0U);
+}
+
 // Guards against a store that grows with the number of refusals, and against
 // callers that are recognised outside of their time.
 TEST(Overload, RefusalsAreStoredUpToALimit)
