--- a/Source/Core/gsEngineSpeed.cxx
+++ b/Source/Core/gsEngineSpeed.cxx
@@ -41,8 +41,9 @@
  */
 constexpr gsTime ConfirmationTime = gsMilliseconds(450);
 /** Share of the engines, ordered from fast to slow, at which the reference is
- * taken. A quarter of the engines may be slow and 15 in 100 disturbed. */
-constexpr double ReferenceShare = 0.3;
+ * taken: the median, so that most engines have the speed 1 that is assumed
+ * before the first measurement, whether the others are faster or slower. */
+constexpr double ReferenceShare = 0.5;
 /** Minimum number of engines that a reference is learned from, unless the
  * service has fewer: with fewer, slow engines are often in the majority. */
 constexpr std::size_t MinReferenceEngines = 5;
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -28,6 +28,7 @@
 #include "gsHallReachability.h"
 #include "gsInterference.h"
 #include "gsLoadExchange.h"
+#include "gsOverload.h"
 #include "gsPrefixDirectory.h"
 #include "gsRateLimit.h"
 #include "gsTypes.h"
@@ -316,6 +317,8 @@
    * gsFleetRow::Hash. */
   gsRateLimits SlotLimits = gsMakeSlotLimits();
   gsPrefixDirectory Prefixes; ///< Engines are identified by gsFleetRow::Hash.
+  /** Admission by service; empty unless the feature is active. */
+  std::unordered_map<std::string, gsOverload> Overload;
 };
 
 /**
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -66,6 +66,12 @@
   gatewaySettings.MinRetryAfter = settings.Routing.RetryAfter;
   gatewaySettings.RetryShare = settings.Retry.Share;
   gatewaySettings.RetryBurst = settings.Retry.Burst;
+  gatewaySettings.Admission.Mode = settings.Features.Overload;
+  gatewaySettings.Admission.Queue.MaxRequests = settings.Overload.MaxWaiting;
+  gatewaySettings.Admission.Queue.MaxBytes =
+    settings.Overload.MaxWaitingKib * BytesPerKib;
+  gatewaySettings.Admission.Overload.MinRetryAfter =
+    settings.Routing.RetryAfter;
   return gatewaySettings;
 }
 
@@ -134,6 +140,9 @@
     this->CheckForStall(gsLoop::Now());
     this->Tables->ReceiveFrame(host, link, frame);
     this->LoadSharing.OnReceive(host, frame);
+    if (!frame.load_reports().empty()) {
+      this->Gateway->AdmissionControl().OnLoadChange();
+    }
     this->DrainGossip.OnReceive(host, frame);
     this->PrefixSharing.OnReceive(host, frame);
     this->CrashGossip->OnReceive(host, frame);
@@ -397,6 +406,11 @@
   } else if (exchange->Path == "/v1/memory") {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json, this->MemoryGuard->Status().dump());
+  } else if (exchange->Path == "/v1/overload") {
+    gsHeaders json{ { "Content-Type", "application/json" } };
+    exchange->Respond(
+      gsStatusOk, json,
+      this->Gateway->AdmissionControl().Status(gsLoop::Now()).dump());
   } else if (exchange->Path == "/v1/duties" && this->Duties) {
     gsHeaders json{ { "Content-Type", "application/json" } };
     exchange->Respond(gsStatusOk, json,
@@ -421,6 +435,7 @@
   this->RateLimiter.WriteGauges(this->Metrics, now);
   this->PrefixSharing.WriteGauges(this->Metrics);
   this->MemoryGuard->WriteGauges(this->Metrics);
+  this->Gateway->AdmissionControl().WriteGauges(now);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
   gsWriteSpeedGauges(this->Metrics, this->Fleet,
                      this->LoadSharing.SpeedChanges());
@@ -581,6 +596,8 @@
                                this->Settings.Host);
   }
   this->Gateway->SetHostCounts(hosts, recentPeak);
+  this->Gateway->AdmissionControl().SetHostCounts(
+    isSizeKnown ? hosts : 1, isSizeKnown ? recentPeak : 1);
   this->RateLimiter.SetRecentPeakHosts(recentPeak);
   if (isSizeKnown && this->RouteTable != nullptr) {
     this->RateLimiter.UpdateSharedSlots(*this->RouteTable, gsLoop::Now());
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -20,6 +20,7 @@
 #include "gsFingerprint.h"
 #include "gsHeldBytes.h"
 #include "gsHttpServer.h"
+#include "gsOverload.h"
 #include "gsPrefixUse.h"
 #include "gsRouteTable.h"
 
@@ -118,6 +119,18 @@
   bool IsSilenceRecorded = false;
 };
 
+/** Admission of a request under overload; see gsAdmissionControl.h. */
+struct gsRequestAdmission
+{
+  gsAdmissionRequest Row;    ///< As of the last decision.
+  std::uint64_t Subject = 0; ///< See gsSubjectOf.
+  bool IsAdmitted = false;
+  bool IsQueued = false; ///< It waits in gsAdmissionQueue.
+  gsTime WaitingSince{}; ///< Zero if it has not waited.
+  gsTime NextCheckAt{};  ///< When it is decided on at the latest.
+  gsTime AdmittedAt{};   ///< Zero before.
+};
+
 /** A request held by this host. */
 struct gsRoutedRequest
 {
@@ -195,6 +208,8 @@
   std::vector<std::uint32_t> AlsoAwaitedUpstreams;
   /** Limit of the wait for a token; zero before the first wait. */
   gsTime TokenWaitUntil{};
+  /** Empty before the first decision on its admission. */
+  std::optional<gsRequestAdmission> Admission;
 
   /** Whether the request may run more than once. */
   bool MayRepeat() const
--- a/Source/Tool/gsTool.cxx
+++ b/Source/Tool/gsTool.cxx
@@ -104,6 +104,9 @@
     this->Add(&this->App, "memory",
               "Show what a host holds for callers and upstreams.",
               [this] { return gsShowMemory(this->Shared); });
+    this->Add(&this->App, "overload",
+              "Show pressure and admitted shares of the services.",
+              [this] { return gsShowOverload(this->Shared); });
     this->Add(&this->App, "duties",
               "Show who reports usage and orders upstreams for all hosts.",
               [this] { return gsShowDuties(this->Shared); });
--- a/Source/Tool/gsToolShow.h
+++ b/Source/Tool/gsToolShow.h
@@ -26,6 +26,9 @@
 /** Prints what one host holds for callers and upstreams. */
 int gsShowMemory(gsToolOptions const& options);
 
+/** Pressure and admitted shares of each service, as one host knows them. */
+int gsShowOverload(gsToolOptions const& options);
+
 /** Who does the duties that one host at a time has, as one host knows. */
 int gsShowDuties(gsToolOptions const& options);
 
