Core: Protects subjects from slow and full engines

Cause: a review of the prefix directory and of engine speeds. - The order of a subject used neither the reduced weights of suspended and returning engines nor the pause target, and a subject stayed with a suspended engine. - A request was refused as full if the engines of its subject had no queue place, although others were idle. Without a latency target a subject never got a second engine. A host that had used its own share of an engine's connections, or its cold quota, moved the subject. - Speeds: a rejection counted as a measurement of prompt processing, and the interval after a pause for a slow caller as one of the engine. A sample over 4.29 s overflowed. Hosts with different histories decided different speeds for good. - Directory: a drop that is older than the last use removed the holding, and 100 changes per tick were sent, with repeated ones for the same holding.

Change: - gsSubjectPlacement uses gsHomeWeightOf and gsFitsPauseTarget, adds an engine if the best one is suspended, and treats an engine as full where this host has used its share. PlaceBySubject evaluates all upstreams if the directory chooses none. A report of reading is not replaced by one of holding, as only the former says that the engine begins to serve the subject. - Decide also uses the mean of 5 s. Means within 1.2 of 1 decide 1, like the rule of recovery, and the difference must be at least 0.15; without these two conditions a speed near a bound would alternate.

SubjectPlacement.AFullSetIsReportedAsFull expected the refusal that is the fault. It now expects it when all engines are full, and otherwise another engine.

The changes in Source/Daemon have no test of their own.

--- a/Source/Coord/gsPrefixDirectory.cxx
+++ b/Source/Coord/gsPrefixDirectory.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <map>
 #include <utility>
 
 #include "gsRendezvous.h"
@@ -19,9 +20,12 @@
 /** Share of the holdings that are removed at once when there are too many, so
  * that the least recently used need not be searched for each new one. */
 constexpr std::size_t EvictionDivisor = 16;
-/** Changes that wait to be sent, in messages. More than this only accumulate
- * while there is no relay. */
+/** Changes that wait to be sent, in messages. More are lost until the holding
+ * is reported again. */
 constexpr std::size_t MaxPendingMessages = 20;
+/** Messages per receiver and tick. With one, the queue of a relay would last
+ * for seconds after a burst on engines with empty caches. */
+constexpr std::size_t MaxMessagesPerTick = 4;
 
 gsPrefixHolding* Find(gsPrefixSubject& subject, std::uint32_t engine)
 {
@@ -51,6 +55,43 @@
   }
 }
 
+/** Whether a newer change replaces an older one of the same holding. A report
+ * that the engine holds the parts does not contain that it begins to serve
+ * them, so it does not replace the report of that. */
+bool Replaces(gsPrefixChange const& newer, gsPrefixChange const& older)
+{
+  return newer.IsDropped || older.IsDropped ||
+         newer.IsReading == older.IsReading;
+}
+
+/** Keeps only the newest of the pending changes of each holding. */
+void MergePending(gsPrefixDirectory& directory)
+{
+  using Holding = std::pair<gsPrefixKey, std::uint32_t>;
+  std::vector<gsPendingPrefixChange> kept; // The newest first.
+  kept.reserve(directory.Pending.size());
+  std::map<Holding, std::vector<std::size_t>> keptOf; // Indices into kept.
+  for (auto pending = directory.Pending.rbegin();
+       pending != directory.Pending.rend(); ++pending) {
+    gsPrefixChange const& change = pending->Change;
+    std::vector<std::size_t>& newer = keptOf[{ change.Key, change.Engine }];
+    auto replacing =
+      std::find_if(newer.begin(), newer.end(), [&](std::size_t index) {
+        return Replaces(kept[index].Change, change);
+      });
+    if (replacing == newer.end()) {
+      newer.push_back(kept.size());
+      kept.push_back(std::move(*pending));
+    } else {
+      // Other halls do not know the change that is replaced.
+      kept[*replacing].IsOfHall =
+        kept[*replacing].IsOfHall || pending->IsOfHall;
+    }
+  }
+  std::reverse(kept.begin(), kept.end());
+  directory.Pending = std::move(kept);
+}
+
 /** Queues a report of an own holding. */
 void Report(gsPrefixDirectory& directory, gsPrefixKey const& key,
             gsPrefixHolding& holding, bool isReading, gsTime now)
@@ -341,8 +382,10 @@
 {
   if (change.IsDropped) {
     gsPrefixHolding const* known = Find(directory, change.Key, change.Engine);
-    // The engine is processing the parts for a request of this host.
-    bool isInUse = known != nullptr && known->OwnReaders > 0;
+    // The engine is processing the parts for a request of this host, or has
+    // been used since.
+    bool isInUse = known != nullptr &&
+                   (known->OwnReaders > 0 || change.UsedAt < known->UsedAt);
     if (!isInUse) {
       gsRemovePrefixHolding(directory, change.Key, change.Engine);
     }
@@ -456,6 +499,34 @@
   }
 }
 
+/** Messages with the next pending changes, which are removed. */
+void AddMessages(gsPrefixDirectory& directory, gsLoadPeers const& peers,
+                 bool withDemand, gsTime now,
+                 std::vector<gsPrefixMessage>& messages)
+{
+  std::size_t count = std::min(directory.Pending.size(),
+                               directory.Settings.MaxChangesPerMessage);
+  if (peers.Relay == directory.Self) {
+    AddRelayMessages(directory, peers, count, withDemand, now, messages);
+  } else if (!peers.Relay.empty()) {
+    // Received before this host ceased to be the relay: not its own changes.
+    auto isOwn = [](gsPendingPrefixChange const& pending) {
+      return pending.From.empty();
+    };
+    gsPrefixUpdate update{ gsLoadScope::Host,
+                           ChangesFor(directory, count, isOwn),
+                           {} };
+    if (withDemand) {
+      update.Demands = Largest(OwnDemands(directory, now),
+                               directory.Settings.MaxReportedDemands, 0);
+    }
+    AddMessage(messages, peers.Relay, std::move(update));
+  }
+  directory.Pending.erase(directory.Pending.begin(),
+                          directory.Pending.begin() +
+                            static_cast<std::ptrdiff_t>(count));
+}
+
 } // namespace
 
 gsPrefixSubject const* gsFindPrefixSubject(gsPrefixDirectory const& directory,
@@ -661,26 +732,9 @@
     directory.DemandSentAt = now;
     SumOthersDemand(directory);
   }
-  std::size_t count = std::min(directory.Pending.size(),
-                               directory.Settings.MaxChangesPerMessage);
-  if (peers.Relay == directory.Self) {
-    AddRelayMessages(directory, peers, count, withDemand, now, messages);
-  } else if (!peers.Relay.empty()) {
-    // Received before this host ceased to be the relay: not its own changes.
-    auto isOwn = [](gsPendingPrefixChange const& pending) {
-      return pending.From.empty();
-    };
-    gsPrefixUpdate update{ gsLoadScope::Host,
-                           ChangesFor(directory, count, isOwn),
-                           {} };
-    if (withDemand) {
-      update.Demands = Largest(OwnDemands(directory, now),
-                               directory.Settings.MaxReportedDemands, 0);
-    }
-    AddMessage(messages, peers.Relay, std::move(update));
+  MergePending(directory);
+  for (std::size_t i = 0; i < MaxMessagesPerTick; ++i) {
+    AddMessages(directory, peers, withDemand && i == 0, now, messages);
   }
-  directory.Pending.erase(directory.Pending.begin(),
-                          directory.Pending.begin() +
-                            static_cast<std::ptrdiff_t>(count));
   return messages;
 }
--- a/Source/Core/gsEngineSpeed.cxx
+++ b/Source/Core/gsEngineSpeed.cxx
@@ -93,6 +93,17 @@
 /** Time after the first measurement in which an engine becomes normal again
  * after SlumpEndTime, as its first class may be that of a disturbance. */
 constexpr gsTime FirstClassTime = gsSeconds(3);
+/**
+ * The mean of the measurements of MeanWindow that contradicts the decided
+ * speed for MeanChangeTime, by this ratio and difference, changes it although
+ * the single measurements keep within ChangeRatio. Otherwise hosts with
+ * different histories would use different speeds for good. The difference is
+ * over an eighth, so that a speed between two quarters does not alternate.
+ */
+constexpr gsTime MeanWindow = gsSeconds(5);
+constexpr gsTime MeanChangeTime = gsSeconds(3);
+constexpr double MeanChangeRatio = 1.15;
+constexpr double MinMeanChange = 0.15;
 /** Maximum time that one measurement stands for. */
 constexpr gsTime MaxMeasurementGap = gsMilliseconds(300);
 /** Ratio of the decided to the measured speed, and its minimum duration, that
@@ -466,6 +477,11 @@
   counter = applies ? counter + gap : gsTime{};
 }
 
+bool IsNormalSpeed(double speed)
+{
+  return speed <= NormalRatio && speed >= 1 / NormalRatio;
+}
+
 /** Counts for how long the measured speed has contradicted the decided one. */
 void CountDeviation(gsEngineSpeedState& state, gsTime gap)
 {
@@ -475,18 +491,55 @@
   state.DeviationLogSum =
     deviates ? state.DeviationLogSum + std::log(state.Measured) : 0;
   state.DeviationCount = deviates ? state.DeviationCount + 1 : 0;
-  bool isNormal =
-    state.Measured <= NormalRatio && state.Measured >= 1 / NormalRatio;
   // The end of a suspension is a return to the decided speed.
   bool recovers = state.SuspendedAt.count() != 0
                     ? !deviates
-                    : state.Decided != 1 && isNormal;
+                    : state.Decided != 1 && IsNormalSpeed(state.Measured);
   Count(state.RecoversFor, recovers, gap);
   Count(state.SlumpsFor, ratio < 1 / SlumpRatio, gap);
 }
 
+/** Mean of the recent measurements; of logarithms, like all means here. */
+double MeanOfRecent(gsEngineSpeedState const& state)
+{
+  double sum = 0;
+  for (gsSpeedMeasurement const& measurement : state.Recent) {
+    sum += measurement.LogSpeed;
+  }
+  return std::exp(sum / static_cast<double>(state.Recent.size()));
+}
+
+/** The speed to decide by a mean. A normal one is 1, as by RecoversFor. */
+double SpeedByMean(double mean)
+{
+  return IsNormalSpeed(mean) ? 1 : RoundToQuarters(mean);
+}
+
+/** Counts for how long the mean speed has contradicted the decided one. */
+void CountMean(gsEngineSpeedState& state, gsTime gap)
+{
+  if (state.SuspendedAt.count() != 0) {
+    return;
+  }
+  state.Recent.push_back({ state.MeasuredAt, std::log(state.Measured) });
+  state.Recent.erase(
+    state.Recent.begin(),
+    std::find_if(state.Recent.begin(), state.Recent.end(),
+                 [&state](gsSpeedMeasurement const& measurement) {
+                   return state.MeasuredAt - measurement.At <= MeanWindow;
+                 }));
+  double mean = MeanOfRecent(state);
+  double ratio = std::max(mean / state.Decided, state.Decided / mean);
+  bool differs = SpeedByMean(mean) != state.Decided &&
+                 ratio >= MeanChangeRatio &&
+                 std::abs(mean - state.Decided) >= MinMeanChange;
+  Count(state.MeanDiffersFor, differs, gap);
+}
+
 void ResetDeviation(gsEngineSpeedState& state)
 {
+  state.Recent.clear();
+  state.MeanDiffersFor = {};
   state.DeviatesFor = {};
   state.DeviationLogSum = 0;
   state.DeviationCount = 0;
@@ -542,6 +595,7 @@
   state.MeasuredAt = measuredAt;
   state.MeasuredFor += gap;
   CountDeviation(state, gap);
+  CountMean(state, gap);
 }
 
 /** Updates the decided speed of an engine. */
@@ -565,6 +619,8 @@
     state.SuspendedAt = now;
     state.ReturningSince = {};
     state.RecoversFor = {};
+    state.Recent.clear();
+    state.MeanDiffersFor = {};
     return;
   }
   gsTime changeTime = isNew ? FirstChangeTime : ChangeTime;
@@ -575,6 +631,9 @@
   } else if (state.RecoversFor >= recoveryTime) {
     state.Decided = 1;
     ResetDeviation(state);
+  } else if (state.MeanDiffersFor >= MeanChangeTime) {
+    state.Decided = SpeedByMean(MeanOfRecent(state));
+    ResetDeviation(state);
   }
 }
 
--- a/Source/Core/gsEngineSpeedState.h
+++ b/Source/Core/gsEngineSpeedState.h
@@ -60,6 +60,13 @@
   VerySlow
 };
 
+/** A value that Measured has had. */
+struct gsSpeedMeasurement
+{
+  gsTime At{};
+  double LogSpeed = 0;
+};
+
 /** Measured and decided speed of one incarnation of an engine. */
 struct gsEngineSpeedState
 {
@@ -88,6 +95,9 @@
   std::uint32_t DeviationCount = 0;
   gsTime RecoversFor{}; ///< The same while Measured is close to 1.
   gsTime SlumpsFor{};   ///< The same while Measured is far below Decided.
+  /** Measurements of the last 5 s, the newest last; none while suspended. */
+  std::vector<gsSpeedMeasurement> Recent;
+  gsTime MeanDiffersFor{}; ///< The same while their mean contradicts Decided.
   /** The same by samples that are not yet confirmed, and their newest time. */
   gsTime ProvisionalSlumpFor{};
   gsTime ProvisionalAt{};
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -112,7 +112,7 @@
   double RateLimitedCost; ///< Of Best.RateLimitedRow, without the wait.
   double RateLimitedCostWithWait; ///< Including the wait for a token.
   gsCandidates Candidates;
-  /** The prefix directory has chosen the upstreams to evaluate. */
+  /** Cached tokens and transfers are determined by the prefix directory. */
   bool IsBySubject = false;
 };
 
@@ -567,8 +567,9 @@
 
 /**
  * Lets the prefix directory choose among the engines that serve the request's
- * subject. \return Whether its choice is final: it is carried out, and at
- * least one of these engines is eligible.
+ * subject. \return Whether its choice is final: it is carried out, and one of
+ * these engines has room. Otherwise all upstreams are evaluated, so that a
+ * request is not refused while another engine is idle.
  */
 bool PlaceBySubject(Search& search)
 {
@@ -582,10 +583,10 @@
   if (choice.IsAnyBusy) {
     gsRecordSubjectNeed(fleet, search.Request, search.Now);
   }
-  bool isFinal =
+  search.IsBySubject =
     fleet.Settings.Prefixes.Mode == gsFeatureMode::On && !choice.Rows.empty();
+  bool isFinal = search.IsBySubject && choice.Decision.Row != nullptr;
   if (isFinal) {
-    search.IsBySubject = true;
     Evaluate(search, choice.Rows);
   }
   return isFinal;
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -148,19 +148,25 @@
     { fleet.Settings.Host, row.Listed.Id, request.RecentPeakHosts }, now);
 }
 
-bool IsEligible(gsFleet const& fleet, gsFleetRow const& row,
-                gsPlacementRequest const& request, gsTime now)
+bool IsAvailable(gsFleet const& fleet, gsFleetRow const& row,
+                 gsPlacementRequest const& request, gsTime now)
 {
-  return HasFreeConnection(row, request) &&
-         gsAcceptsRequests(fleet, row, now) &&
+  return gsAcceptsRequests(fleet, row, now) &&
          !MustDelayResumption(fleet, row, request, now) &&
          row.AvoidUntil <= now && !WasTried(request, row) &&
          gsHallMaySend(fleet.HallReachability, row.Listed.Hall, now) &&
          IsInAllowedRegion(fleet, row, request) &&
-         !ExceedsColdQuota(fleet, row, request, now) &&
          !(request.OwnHallOnly && row.Listed.Hall != fleet.Settings.Hall);
 }
 
+bool IsEligible(gsFleet const& fleet, gsFleetRow const& row,
+                gsPlacementRequest const& request, gsTime now)
+{
+  return HasFreeConnection(row, request) &&
+         IsAvailable(fleet, row, request, now) &&
+         !ExceedsColdQuota(fleet, row, request, now);
+}
+
 bool HasToken(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
 {
   return gsHasToken(fleet.RateLimits, row.Hash, now) &&
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -84,6 +84,12 @@
 bool MustDelayResumption(gsFleet const& fleet, gsFleetRow const& row,
                          gsPlacementRequest const& request, gsTime now);
 
+/** Whether the upstream may be sent the request by any host: the same as
+ * IsEligible regardless of this host's share of its connections and of its
+ * requests while it is cold. */
+bool IsAvailable(gsFleet const& fleet, gsFleetRow const& row,
+                 gsPlacementRequest const& request, gsTime now);
+
 /** Whether the upstream may be sent the request, regardless of its load and
  * its rate limit. */
 bool IsEligible(gsFleet const& fleet, gsFleetRow const& row,
--- a/Source/Core/gsSubjectPlacement.cxx
+++ b/Source/Core/gsSubjectPlacement.cxx
@@ -21,7 +21,8 @@
 /** The same share from which an engine of the subject counts as busy. */
 constexpr double BusyShare = 0.5;
 /** Weights of engines in a subject's order are rounded to this, so that small
- * changes of measured speeds move no subject. It is also the least weight. */
+ * changes of measured speeds move no subject. It is also the least weight of
+ * an engine that is neither suspended nor returning. */
 constexpr double WeightStep = 0.25;
 /** Share of an engine without room for the request. */
 constexpr double FullShare = std::numeric_limits<double>::max();
@@ -29,14 +30,31 @@
  * that serve a subject. Uses by other hosts are reported every 5 s. */
 constexpr gsTime UnusedTime = gsSeconds(10);
 
+/** Whether the engine is suspended for a sudden slowdown, and decisions use
+ * the speeds of engines. */
+bool IsSuspended(gsFleet const& fleet, gsFleetRow const& row)
+{
+  return gsUsesEngineSpeed(fleet) && row.Speed.SuspendedAt.count() != 0;
+}
+
+/** Weight of an engine in the order of a subject. That of an engine that is
+ * suspended or returns is not rounded, as it is below the least weight. */
+double SubjectWeight(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
+{
+  double weight = gsHomeWeightOf(fleet, row, now);
+  bool isReduced = row.Speed.SuspendedAt.count() != 0 ||
+                   row.Speed.ReturningSince.count() != 0;
+  return isReduced ? weight
+                   : std::max(WeightStep,
+                              std::round(weight / WeightStep) * WeightStep);
+}
+
 /** Score of an engine in the order of a subject; the highest is the first. */
 double SubjectScore(gsFleet const& fleet, gsFleetRow const& row,
-                    std::uint64_t subject)
+                    std::uint64_t subject, gsTime now)
 {
-  double speed = gsEngineSpeedOf(fleet, row);
-  double weight =
-    std::max(WeightStep, std::round(speed / WeightStep) * WeightStep);
-  return gsWeightedRendezvousScore(row.Listed.Id, subject, weight);
+  return gsWeightedRendezvousScore(row.Listed.Id, subject,
+                                   SubjectWeight(fleet, row, now));
 }
 
 gsPrefixKey KeyOf(gsPlacementRequest const& request)
@@ -94,6 +112,25 @@
     return this->Fleet.Rows[index];
   }
 
+  double Score(std::size_t index) const
+  {
+    return SubjectScore(this->Fleet, this->Row(index), this->Key.Subject,
+                        this->Now);
+  }
+
+  bool IsSuspendedAt(std::size_t index) const
+  {
+    return IsSuspended(this->Fleet, this->Row(index));
+  }
+
+  /** Whether an engine with this share is full, predicted to miss the target,
+   * or suspended. */
+  bool IsPressed(std::size_t index, double share) const
+  {
+    return share >= FullShare || (this->HasTarget() && share > 1) ||
+           this->IsSuspendedAt(index);
+  }
+
   bool IsUsable(std::size_t index) const
   {
     return IsEligible(this->Fleet, this->Row(index), this->Request, this->Now);
@@ -134,7 +171,8 @@
   double ShareAt(std::size_t index) const
   {
     gsFleetRow const& row = this->Row(index);
-    if (!HasQueuePlace(this->Fleet, row, this->Request, this->Now) ||
+    if (!this->IsUsable(index) ||
+        !HasQueuePlace(this->Fleet, row, this->Request, this->Now) ||
         !HasToken(this->Fleet, row, this->Now)) {
       return FullShare;
     }
@@ -154,11 +192,25 @@
 
   /**
    * The first engine in the subject's order that satisfies a predicate; empty
-   * if none does. Engines that hold the parts without serving the subject come
-   * before all others.
+   * if none does. Engines whose pauses keep within the request's target come
+   * before all others, then those that hold the parts without serving the
+   * subject.
    */
   template<typename Predicate>
   std::optional<std::size_t> FirstInOrder(Predicate const& predicate) const
+  {
+    std::optional<std::size_t> fitting =
+      this->FirstOfAny([&](std::size_t index) {
+        return gsFitsPauseTarget(this->Fleet, this->Row(index),
+                                 this->Request.MaxIntervalMillis) &&
+               predicate(index);
+      });
+    return fitting ? fitting : this->FirstOfAny(predicate);
+  }
+
+  /** The same regardless of pauses. */
+  template<typename Predicate>
+  std::optional<std::size_t> FirstOfAny(Predicate const& predicate) const
   {
     std::optional<std::size_t> first;
     std::pair<bool, double> firstRank;
@@ -166,9 +218,9 @@
       if (!this->IsUsable(index) || !predicate(index)) {
         return;
       }
-      std::pair<bool, double> rank{ this->HoldingAt(index) != nullptr,
-                                    SubjectScore(this->Fleet, this->Row(index),
-                                                 this->Key.Subject) };
+      bool isHolder =
+        this->HoldingAt(index) != nullptr && !this->IsSuspendedAt(index);
+      std::pair<bool, double> rank{ isHolder, this->Score(index) };
       if (!first || rank > firstRank) {
         first = index;
         firstRank = rank;
@@ -183,12 +235,16 @@
     return first;
   }
 
-  /** Eligible engines that serve the subject, in its group or outside. */
+  /** Available engines that serve the subject, in its group or outside. One
+   * of which this host has used its share counts as full, so that its subject
+   * does not move. */
   std::vector<std::size_t> Serving(bool isInGroup) const
   {
     std::vector<std::size_t> serving;
     for (Holder const& holder : this->Holders) {
-      if (holder.Holding->IsServing && this->IsUsable(holder.Index) &&
+      if (holder.Holding->IsServing &&
+          IsAvailable(this->Fleet, this->Row(holder.Index), this->Request,
+                      this->Now) &&
           this->IsOfGroup(holder.Index) == isInGroup) {
         serving.push_back(holder.Index);
       }
@@ -244,15 +300,16 @@
   return set;
 }
 
-/** The engine to add to a set; empty if none has a short enough queue. */
+/** The engine to add to a set; empty if none has a short enough queue. Without
+ * a target, any engine with room has. */
 std::optional<std::size_t> NextEngine(Chooser const& chooser,
                                       ServingSet const& set)
 {
   return chooser.FirstInOrder([&](std::size_t index) {
-    bool fits =
-      chooser.IsOfGroup(index) == set.IsInGroup && !Contains(set.Rows, index);
-    return fits && chooser.HasTarget() &&
-           chooser.ShareAt(index) < MaxAddedShare;
+    bool fits = chooser.IsOfGroup(index) == set.IsInGroup &&
+                !Contains(set.Rows, index) && !chooser.IsSuspendedAt(index);
+    double limit = chooser.HasTarget() ? MaxAddedShare : FullShare;
+    return fits && chooser.ShareAt(index) < limit;
   });
 }
 
@@ -302,9 +359,12 @@
   double slots =
     isEmpty ? 1 : std::max(1U, fleet.Rows[rows->second.front()].Listed.Slots);
   auto timing = fleet.EngineTimings.find(service);
-  double tokenMillis = timing == fleet.EngineTimings.end()
-                         ? gsEngineTiming{}.TokenMillis
-                         : timing->second.TokenMillis;
+  gsEngineTiming const known =
+    timing == fleet.EngineTimings.end() ? gsEngineTiming{} : timing->second;
+  // TokenMillis rises with load, so that a subject would seem to need more
+  // engines when they are busy.
+  double tokenMillis =
+    gsUsesEngineSpeed(fleet) ? known.LoadFreeTokenMillis : known.TokenMillis;
   double ownTokens = request.PromptTokens -
                      std::min(request.PromptTokens, gsSharedTokens(request));
   return tokenMillis * (ownTokens + fleet.Settings.StepTokens / slots *
@@ -362,7 +422,7 @@
   auto rank = [&](Holder const& holder) {
     bool isUsed = now - holder.Holding->UsedAt < UnusedTime;
     return std::make_pair(
-      isUsed, SubjectScore(fleet, fleet.Rows[holder.Index], key.Subject));
+      isUsed, SubjectScore(fleet, fleet.Rows[holder.Index], key.Subject, now));
   };
   auto last = std::min_element(
     serving.begin(), serving.end(),
@@ -435,11 +495,10 @@
     double share = chooser.ShareAt(index);
     // Of engines that are equally idle, the first in the order is used, so
     // that the others become free.
-    bool isBetter =
-      std::make_pair(share,
-                     -SubjectScore(fleet, chooser.Row(index), key.Subject)) <
-      std::make_pair(bestShare,
-                     -SubjectScore(fleet, chooser.Row(best), key.Subject));
+    bool isBetter = std::make_tuple(chooser.IsPressed(index, share), share,
+                                    -chooser.Score(index)) <
+                    std::make_tuple(chooser.IsPressed(best, bestShare),
+                                    bestShare, -chooser.Score(best));
     choice.IsAnyBusy =
       choice.IsAnyBusy ||
       (set.Rows.size() > 1 && chooser.HasTarget() && share > BusyShare);
@@ -449,15 +508,14 @@
     }
   }
   decision.ServingShare = bestShare;
-  bool isPressed =
-    bestShare >= FullShare || (chooser.HasTarget() && bestShare > 1);
+  bool isPressed = chooser.IsPressed(best, bestShare);
   bool needsMore = decision.NeededCount > set.Rows.size() &&
                    set.Cause == gsSubjectCause::Serving;
   if ((isPressed || needsMore) &&
       gsMayAddPrefixEngine(fleet.Prefixes, key, now)) {
     std::optional<std::size_t> next = NextEngine(chooser, set);
     double nextShare = next ? chooser.ShareAt(*next) : FullShare;
-    if (next && nextShare < bestShare) {
+    if (next && (nextShare < bestShare || chooser.IsSuspendedAt(best))) {
       best = *next;
       bestShare = nextShare;
       decision.Cause =
--- a/Source/Core/gsSubjectPlacement.h
+++ b/Source/Core/gsSubjectPlacement.h
@@ -8,11 +8,15 @@
  *   process them, else the first one in the subject's order (weighted
  *   rendezvous hashing by engine speed, the request's group first).
  * - Of these the one with the shortest predicted first event is used. A
- *   request leaves them only if none is eligible, never because they are busy.
+ *   request leaves them only if none is available or all are full, never
+ *   because they are busy.
  * - An engine is added if the subject's demand needs more engines, or if the
- *   predicted first event at all of them exceeds the target. It is the next
- *   one in the order whose own predicted first event is under half of the
+ *   predicted first event at all of them exceeds the target or the best of
+ *   them is suspended. It is the next one in the order whose own predicted
+ *   first event is under half of the target, or that has room if there is no
  *   target. Engines that still hold the parts come first.
+ * - Engines whose pauses under load exceed the request's target are only used
+ *   if there is no other; see gsEngineSpeed.h.
  * - An engine is removed when it has not been needed for some seconds.
  *
  * Each change of this set is recorded when a request is sent, not when it is
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -1,8 +1,10 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsLoadSharing.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 #include <vector>
 
 #include "gsArrangement.h"
@@ -63,6 +65,14 @@
     std::chrono::duration_cast<gsMilliseconds>(time).count());
 }
 
+/** Nanoseconds, at most the maximum of the field (4.29 s). */
+std::uint32_t ToNanos(double millis)
+{
+  constexpr double maximum = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(
+    std::clamp(millis * NanosPerMilli, 0.0, maximum));
+}
+
 gsReportedSpeed ReportedSpeed(gsUpstreamLoad const& load, gsTime now)
 {
   gsReportedSpeed reported;
@@ -150,8 +160,7 @@
       load.SpeedAgeMillis =
         speedPermille > 0 ? ToMillis(now - row.Speed.OwnAt) : 0;
       if (sample) {
-        load.SpeedSampleNanos =
-          static_cast<std::uint32_t>(sample->Millis * NanosPerMilli);
+        load.SpeedSampleNanos = ToNanos(sample->Millis);
         load.SpeedSampleKind = sample->Kind;
         load.SpeedSampleAgeMillis = ToMillis(now - sample->At);
       }
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -101,6 +101,9 @@
   gsTime FirstByteAt{};
   gsTime LastByteAt{};
   gsTime LastEventAt{};
+  /** Whether reading the answer has paused for a slow caller since the last
+   * event, so that the next interval is not one of the engine. */
+  bool WasPaused = false;
   /** Work at the engine when the last events were received. */
   gsEngineActivity ActivityAtLastEvent;
   gsPromptMeasurement Prompt; ///< For the measurement of the engine's speed.
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -380,6 +380,7 @@
     this->StreamLimitCallback ? this->StreamLimitCallback() : MaxBuffered;
   if (request->Exchange->Buffered() > limit) {
     request->IsCallerPaused = true;
+    attempt.WasPaused = true;
     return false;
   }
   gsTime now = gsLoop::Now();
@@ -420,7 +421,8 @@
     return;
   }
   gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
-  if (attempt.LastEventAt.count() != 0) {
+  bool wasPaused = std::exchange(attempt.WasPaused, false);
+  if (attempt.LastEventAt.count() != 0 && !wasPaused) {
     gsTime interval = now - attempt.LastEventAt;
     attempt.MaxEventInterval = std::max(attempt.MaxEventInterval, interval);
     if (row != nullptr) {
@@ -461,8 +463,11 @@
       UpdateFastQuantile(this->FastTokenMillis, millisPerToken);
   }
   if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream)) {
-    gsRecordPromptSpeed(this->Fleet, *row, attempt.Prompt,
-                        now - attempt.SentAt, now);
+    // A rejection arrives without the prompt having been processed.
+    if (IsSuccess(attempt.Status)) {
+      gsRecordPromptSpeed(this->Fleet, *row, attempt.Prompt,
+                          now - attempt.SentAt, now);
+    }
     gsRecordPromptTime(this->Fleet.EngineTimings[row->Listed.Service],
                        attempt.ReadTokens, now - attempt.SentAt);
     row->OwnLoad.PendingPromptTokens -= std::min<std::uint64_t>(
--- a/Tests/Unit/gsTestEngineSpeed.cxx
+++ b/Tests/Unit/gsTestEngineSpeed.cxx
@@ -406,6 +406,42 @@
   EXPECT_DOUBLE_EQ(left.Rows[0].Speed.Decided, 0.5);
 }
 
+// Guards against hosts that use different speeds for good, since they have
+// decided at different times and the difference is under ChangeRatio.
+TEST(EngineSpeed, HostsWithDifferentHistoriesDecideTheSameSpeed)
+{
+  auto decide = [](double first) {
+    gsFleet fleet = MakeSpeedFleet(1);
+    gsFleetRow& row = fleet.Rows[0];
+    for (int i = 1; i <= 100; ++i) {
+      gsReportedSpeed reported;
+      reported.Speed = i <= 20 ? first : 0.72;
+      reported.SpeedAt = Now + gsMilliseconds(100 * i);
+      gsApplyReportedSpeed(fleet, row, reported, reported.SpeedAt);
+      gsRefreshEngineSpeeds(fleet, reported.SpeedAt);
+    }
+    return row.Speed.Decided;
+  };
+  EXPECT_DOUBLE_EQ(decide(1), 0.75);
+  EXPECT_DOUBLE_EQ(decide(0.5), 0.75);
+  EXPECT_DOUBLE_EQ(decide(0.72), 0.75);
+}
+
+// Guards against a mean that contradicts the decided speed for less than 3 s.
+TEST(EngineSpeed, AShortDifferenceOfTheMeanChangesNothing)
+{
+  gsFleet fleet = MakeSpeedFleet(1);
+  gsFleetRow& row = fleet.Rows[0];
+  for (int i = 1; i <= 100; ++i) {
+    gsReportedSpeed reported;
+    reported.Speed = i > 50 && i <= 70 ? 0.72 : 1;
+    reported.SpeedAt = Now + gsMilliseconds(100 * i);
+    gsApplyReportedSpeed(fleet, row, reported, reported.SpeedAt);
+    gsRefreshEngineSpeeds(fleet, reported.SpeedAt);
+    EXPECT_DOUBLE_EQ(row.Speed.Decided, 1) << i;
+  }
+}
+
 // Guards against speeds that all hosts measure too low by the same factor,
 // for example after a reference was learned from disturbed engines.
 TEST(EngineSpeed, CommonErrorOfAllSpeedsIsCompensated)
--- a/Tests/Unit/gsTestPrefixDirectory.cxx
+++ b/Tests/Unit/gsTestPrefixDirectory.cxx
@@ -133,6 +133,83 @@
   EXPECT_TRUE(IsServing(directory, 6, Start));
 }
 
+// Guards against a drop that arrives after a newer use and removes it.
+TEST(PrefixDirectory, ADropThatIsOlderThanTheLastUseIsIgnored)
+{
+  gsPrefixDirectory directory;
+  gsApplyPrefixUpdate(directory, "b",
+                      Update({ { Key, 5, Tokens, false, false, Start } }),
+                      false, Start);
+  gsPrefixChange drop{ Key, 5, 0, false, true, Start - gsMilliseconds(50) };
+  gsApplyPrefixUpdate(directory, "c", Update({ drop }), false, Start);
+  EXPECT_TRUE(IsServing(directory, 5, Start));
+  drop.UsedAt = Start;
+  gsApplyPrefixUpdate(directory, "c", Update({ drop }), false, Start);
+  EXPECT_FALSE(IsServing(directory, 5, Start));
+}
+
+// Guards against a queue of changes that lasts for seconds after a burst, and
+// against one that is filled by reports of the same holdings.
+TEST(PrefixDirectory, ALongQueueIsMergedAndSentInSeveralMessages)
+{
+  gsPrefixDirectory directory;
+  directory.Self = "a";
+  gsLoadPeers peers;
+  peers.Relay = "a";
+  peers.HallHosts = { "x" };
+  for (int round = 0; round < 3; ++round) {
+    gsTime at = Start + gsMilliseconds(round);
+    std::vector<gsPrefixChange> changes;
+    for (std::uint32_t i = 0; i < 450; ++i) {
+      changes.push_back({ { 1, 1000 + i }, 5, Tokens, false, false, at });
+    }
+    for (auto first = changes.begin(); first != changes.end(); first += 50) {
+      gsApplyPrefixUpdate(directory, "b",
+                          Update({ first, first + 50 }, gsLoadScope::Host),
+                          true, at);
+    }
+  }
+  std::set<std::uint64_t> subjects;
+  auto tick = [&](gsTime now) {
+    std::vector<gsPrefixMessage> messages =
+      gsPrefixTick(directory, peers, now);
+    for (gsPrefixMessage const& message : messages) {
+      EXPECT_LE(message.Update.Changes.size(), 100U);
+      for (gsPrefixChange const& change : message.Update.Changes) {
+        EXPECT_TRUE(subjects.insert(change.Key.Subject).second);
+        EXPECT_EQ(change.UsedAt, Start + gsMilliseconds(2)) << "the newest";
+      }
+    }
+    return messages.size();
+  };
+  EXPECT_EQ(tick(Start + gsMilliseconds(100)), 4U);
+  EXPECT_EQ(tick(Start + gsMilliseconds(200)), 1U);
+  EXPECT_EQ(subjects.size(), 450U);
+}
+
+// Guards against a merge that loses that an engine begins to serve a subject,
+// or sends a report that a later drop has made invalid.
+TEST(PrefixDirectory, AMergeKeepsTheReportOfAnAddition)
+{
+  gsPrefixDirectory directory;
+  directory.Self = "a";
+  gsLoadPeers peers;
+  peers.Relay = "r";
+  gsRecordPrefixSent(directory, Key, 5, Tokens, Start);
+  gsRecordPrefixHeld(directory, Key, 5, Tokens, Start);
+  gsRecordPrefixSent(directory, Key, 6, Tokens, Start);
+  gsRecordPrefixFailed(directory, Key, 6, Start);
+  std::vector<gsPrefixMessage> messages =
+    gsPrefixTick(directory, peers, Start + gsMilliseconds(100));
+  ASSERT_EQ(messages.size(), 1U);
+  std::vector<gsPrefixChange> const& changes = messages[0].Update.Changes;
+  ASSERT_EQ(changes.size(), 3U);
+  EXPECT_TRUE(changes[0].IsReading);
+  EXPECT_FALSE(changes[1].IsReading);
+  EXPECT_EQ(changes[2].Engine, 6U);
+  EXPECT_TRUE(changes[2].IsDropped);
+}
+
 // Guards against hosts that keep different sets after they have added
 // different engines at the same time.
 TEST(PrefixDirectory, OfConcurrentAdditionsAllHostsKeepTheSameOne)
--- a/Tests/Unit/gsTestSubjectPlacement.cxx
+++ b/Tests/Unit/gsTestSubjectPlacement.cxx
@@ -499,8 +499,9 @@
   EXPECT_EQ(off.TokensToRead, dry.TokensToRead);
 }
 
-// Guards against a full engine that lets its subject be processed elsewhere
-// when no engine may be added.
+// Guards against a request that is refused since the engines of its subject
+// are full and none may be added, although other engines have room, and
+// against one that is placed when all are full.
 TEST(SubjectPlacement, AFullSetIsReportedAsFull)
 {
   System system(1, 1, 3, 26);
@@ -509,8 +510,8 @@
   for (gsFleetRow& row : fleet.Rows) {
     row.OthersReportedAt = system.Now;
     row.OthersLoad.PendingPromptTokens = 200000;
+    row.OthersLoad.OpenAttempts = 200;
   }
-  gsFleetFind(fleet, home)->OthersLoad.OpenAttempts = 200;
   std::vector<gsPromptPart> parts{ { Subject, 13300 }, { 1, 3720 } };
   gsPlacementRequest ask;
   ask.Service = "model";
@@ -523,6 +524,14 @@
   gsPlacement placement = gsPlaceRequest(fleet, ask, system.Now, random);
   EXPECT_EQ(placement.Row, nullptr);
   EXPECT_EQ(placement.Cause, gsPlacementCause::Full);
+  // The others have room, but are too busy to be added.
+  for (gsFleetRow& row : fleet.Rows) {
+    row.OthersLoad.OpenAttempts = row.Listed.Id == home ? 200 : 10;
+  }
+  placement = gsPlaceRequest(fleet, ask, system.Now, random);
+  ASSERT_NE(placement.Row, nullptr);
+  EXPECT_NE(placement.Row->Listed.Id, home);
+  EXPECT_EQ(placement.Subject.Row, nullptr) << "not chosen by the directory";
   // An engine with a short queue takes it.
   gsFleetRow* other = nullptr;
   for (gsFleetRow& row : fleet.Rows) {
@@ -534,6 +543,147 @@
   EXPECT_EQ(placement.Subject.Cause, gsSubjectCause::Pressure);
 }
 
+namespace {
+
+/** Lets all hosts use the speeds of engines. */
+void UseSpeeds(System& system)
+{
+  system.ForEachHost(
+    [](Host& host) { host.Fleet.Settings.EngineSpeed = gsFeatureMode::On; });
+}
+
+/** A request of Subject with neither a target nor a measured speed. */
+struct UntargetedRequest
+{
+  std::vector<gsPromptPart> Parts{ { Subject, 13300 }, { 1, 3720 } };
+  gsPlacementRequest Ask;
+
+  UntargetedRequest()
+  {
+    this->Ask.Service = "model";
+    this->Ask.Parts = &this->Parts;
+    this->Ask.PromptTokens = 17020;
+  }
+};
+
+/** Id of the engine that a host chooses for a request; empty if none. */
+std::string Place(System& system, gsPlacementRequest const& ask)
+{
+  gsPlacement placement =
+    gsPlaceRequest(system.Hosts[0].Fleet, ask, system.Now, system.Random);
+  return placement.Row == nullptr ? "" : placement.Row->Listed.Id;
+}
+
+} // namespace
+
+// Load: an engine three times slower for 7 s. Guards against a subject that
+// stays with a suspended engine, and one that gets it as its first engine.
+TEST(SubjectPlacement, ASuspendedEngineIsLeftWithAndWithoutATarget)
+{
+  System system(1, 1, 20, 28);
+  std::string home = ServeOnce(system);
+  gsFleetFind(system.Hosts[0].Fleet, home)->Speed.SuspendedAt = system.Now;
+  UntargetedRequest untargeted;
+  EXPECT_EQ(system.Choose(0, Subject, {}), home) << "speeds are not used";
+  EXPECT_EQ(Place(system, untargeted.Ask), home);
+  UseSpeeds(system);
+  EXPECT_NE(system.Choose(0, Subject, {}), home);
+  EXPECT_NE(Place(system, untargeted.Ask), home);
+  for (std::uint64_t subject = 1000; subject < 1400; ++subject) {
+    EXPECT_NE(system.Choose(0, subject, {}), home) << subject;
+  }
+  // Without another engine, it continues to serve.
+  for (gsFleetRow& row : system.Hosts[0].Fleet.Rows) {
+    row.AvoidUntil = row.Listed.Id == home ? gsTime{} : gsSeconds(1000);
+  }
+  EXPECT_EQ(system.Choose(0, Subject, {}), home);
+}
+
+// Guards against a returning engine that gets its whole share at once.
+TEST(SubjectPlacement, AReturningEngineIsFirstForAnEighthOfItsShare)
+{
+  System system(1, 1, 10, 29);
+  UseSpeeds(system);
+  gsFleetFind(system.Hosts[0].Fleet, "e0")->Speed.ReturningSince = system.Now;
+  int count = 0;
+  for (std::uint64_t subject = 1000; subject < 3000; ++subject) {
+    count += system.Choose(0, subject, {}) == "e0" ? 1 : 0;
+  }
+  EXPECT_GT(count, 10);
+  EXPECT_LT(count, 50) << "an eighth of 200";
+}
+
+// Guards against a first engine whose pauses under load exceed the target of
+// the kind.
+TEST(SubjectPlacement, EnginesThatKeepWithinThePauseTargetComeFirst)
+{
+  System system(1, 1, 4, 30);
+  UseSpeeds(system);
+  gsFleet& fleet = system.Hosts[0].Fleet;
+  fleet.ServiceSpeeds["model"].PauseMillis = 200;
+  gsFleetFind(fleet, "e0")->Speed.Decided = 0.5;
+  UntargetedRequest request;
+  int count = 0;
+  for (int i = 0; i < 200; ++i) {
+    request.Parts[0].Id = 1000 + static_cast<std::uint64_t>(i);
+    request.Ask.MaxIntervalMillis = 300;
+    EXPECT_NE(Place(system, request.Ask), "e0");
+    request.Ask.MaxIntervalMillis = 100;
+    EXPECT_NE(Place(system, request.Ask), "") << "none keeps within it";
+    request.Ask.MaxIntervalMillis = 1000;
+    count += Place(system, request.Ask) == "e0" ? 1 : 0;
+  }
+  EXPECT_GT(count, 5);
+}
+
+// Guards against a subject of a route without a latency target that stays at
+// one engine whatever its demand.
+TEST(SubjectPlacement, ASubjectWithoutATargetGrows)
+{
+  System system(1, 1, 4, 31);
+  std::string home = ServeOnce(system);
+  LoadEngine(system, home, 2000);
+  UntargetedRequest request;
+  EXPECT_EQ(Place(system, request.Ask), home);
+  gsRecordPrefixDemand(system.Hosts[0].Fleet.Prefixes,
+                       gsPrefixKeyOf("model", Subject), 4000, system.Now);
+  gsPlacement placement = gsPlaceRequest(system.Hosts[0].Fleet, request.Ask,
+                                         system.Now, system.Random);
+  ASSERT_NE(placement.Row, nullptr);
+  EXPECT_NE(placement.Row->Listed.Id, home);
+  EXPECT_EQ(placement.Subject.Cause, gsSubjectCause::Demand);
+}
+
+// Guards against a subject that moves since one host has used up its own share
+// of the engine's connections.
+TEST(SubjectPlacement, AnEngineWithoutAFreeConnectionOfTheHostKeepsItsSubject)
+{
+  System system(1, 1, 4, 32);
+  std::string home = ServeOnce(system);
+  gsFleetFind(system.Hosts[0].Fleet, home)->OwnLoad.OpenAttempts = 2;
+  UntargetedRequest request;
+  request.Ask.MaxOwnAttempts = 2;
+  gsPlacement placement = gsPlaceRequest(system.Hosts[0].Fleet, request.Ask,
+                                         system.Now, system.Random);
+  ASSERT_NE(placement.Row, nullptr);
+  EXPECT_NE(placement.Row->Listed.Id, home);
+  EXPECT_EQ(placement.Subject.Cause, gsSubjectCause::Pressure)
+    << "added, not moved";
+}
+
+// Guards against a subject that seems to need more engines when they are busy.
+TEST(SubjectPlacement, DemandUsesTheTokenTimeWithoutLoadIfSpeedsAreUsed)
+{
+  System system(1, 1, 4, 33);
+  gsFleet& fleet = system.Hosts[0].Fleet;
+  fleet.EngineTimings["model"].TokenMillis = 0.1;
+  fleet.EngineTimings["model"].LoadFreeTokenMillis = 0.02;
+  UntargetedRequest request;
+  EXPECT_DOUBLE_EQ(gsSubjectEngineMillis(fleet, request.Ask), 372);
+  UseSpeeds(system);
+  EXPECT_DOUBLE_EQ(gsSubjectEngineMillis(fleet, request.Ask), 74.4);
+}
+
 TEST(SubjectPlacement, SettingsReachPlacement)
 {
   std::string const text = R"({
