Core: Keeps the first request of a subject at the first engine of its order

Cause: hosts see an engine's load some tenths of a second late. At the start of a burst on empty caches several hosts placed the first requests of a subject on different engines, which all processed its shared parts.

--- a/Source/Core/gsSubjectPlacement.cxx
+++ b/Source/Core/gsSubjectPlacement.cxx
@@ -511,7 +511,11 @@
   bool isPressed = chooser.IsPressed(best, bestShare);
   bool needsMore = decision.NeededCount > set.Rows.size() &&
                    set.Cause == gsSubjectCause::Serving;
-  if ((isPressed || needsMore) &&
+  // Hosts see an engine's load late. If each of them placed the first request
+  // of a subject by that view, several engines would process its parts.
+  bool mayLeave =
+    set.Cause != gsSubjectCause::First || chooser.IsSuspendedAt(best);
+  if ((isPressed || needsMore) && mayLeave &&
       gsMayAddPrefixEngine(fleet.Prefixes, key, now)) {
     std::optional<std::size_t> next = NextEngine(chooser, set);
     double nextShare = next ? chooser.ShareAt(*next) : FullShare;
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -415,9 +415,8 @@
  * request's wait limit. The limit is the route's target time to the first
  * byte; for a shared slot less the expected duration of an attempt, and at
  * least half of the target. It counts from the arrival, or from now if the
- * request may have run or the caller has received bytes. With half of the
- * target for all slots, 133 of 877 requests with a target of 150 ms were
- * refused that could have been answered.
+ * request may have run or the caller has received bytes. Half of a short
+ * target alone is less than many waits for a slot under load.
  * \return Whether the request waits, or has been placed because a token was
  * available.
  */
