--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -603,6 +603,21 @@
     this->RateLimiter.UpdateSharedSlots(*this->RouteTable, gsLoop::Now());
   }
   this->Gateway->SetRetryBurst(burst);
+  this->ApplyMinHosts(isSizeKnown ? recentPeak : 0);
+}
+
+/** Uses the features that depend on the number of hosts only from their
+ * minimum on. The recent peak keeps them in use while a hall is cut off. */
+void gsRouteNode::ApplyMinHosts(std::size_t recentPeak)
+{
+  auto const& features = this->Settings.Features;
+  bool usesPrefixes = recentPeak >= features.PrefixMinHosts;
+  bool usesSpeeds = recentPeak >= features.SpeedMinHosts;
+  gsFleetSettings& placement = this->Fleet.Settings;
+  placement.Prefixes.Mode =
+    usesPrefixes ? features.PrefixDirectory : gsFeatureMode::Off;
+  placement.EngineSpeed =
+    usesSpeeds ? features.EngineSpeed : gsFeatureMode::Off;
 }
 
 void gsRouteNode::Stop()
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -72,6 +72,7 @@
   void ResumeIfCaughtUp(gsTime now);
   void ReloadIfChanged();
   void ApplySettings();
+  void ApplyMinHosts(std::size_t recentPeak);
   void WriteGauges();
 
   gsLoop& Loop;
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -206,6 +206,8 @@
     gsPrefixPlacementSettings& prefixes = settings.Placement.Prefixes;
     features.PrefixDirectory = ReadMode(inner);
     prefixes.Mode = features.PrefixDirectory;
+    features.PrefixMinHosts =
+      inner.Unsigned("min_hosts", CountRange, features.PrefixMinHosts);
     prefixes.EngineShare =
       inner.Number("engine_share", { 0.01, 1 }, prefixes.EngineShare);
     prefixes.MinTokens = static_cast<std::uint32_t>(
@@ -214,6 +216,8 @@
   fields.Object("engine_speed", [&](gsFieldReader& inner) {
     features.EngineSpeed = ReadMode(inner);
     settings.Placement.EngineSpeed = features.EngineSpeed;
+    features.SpeedMinHosts =
+      inner.Unsigned("min_hosts", CountRange, features.SpeedMinHosts);
   });
   fields.Object("slot_sharing", [&](gsFieldReader& inner) {
     features.SlotSharing = ReadMode(inner);
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -122,7 +122,12 @@
   {
     gsFeatureMode Overload = gsFeatureMode::Off;
     gsFeatureMode PrefixDirectory = gsFeatureMode::Off;
+    /** Number of hosts from which on the directory is used. With few hosts,
+     * each one knows most of what engines hold from its own requests. */
+    std::uint64_t PrefixMinHosts = 1;
     gsFeatureMode EngineSpeed = gsFeatureMode::Off;
+    /** Number of hosts from which on engine speeds are used. */
+    std::uint64_t SpeedMinHosts = 1;
     gsFeatureMode SlotSharing = gsFeatureMode::Off;
     gsFeatureMode Memory = gsFeatureMode::Off;
   } Features;
