Tests: Reserves the addresses of a test's processes until it ends

What was seen: tests and soaks that end with "hostN is not ready".

Cause, from the logs that were kept of 5 of them: "Could not listen on 127.0.0.1:45707: Address already in use". The tests bound free ports, closed them all, and then started the programs; until a program listened, the kernel gave its port to other tests or to outgoing connections. A program of another system may then also answer in its place.

Change: the test keeps its sockets bound, not listening, until it ends. With SO_REUSEADDR, which hosts, stand-ins and gRPC set, a program listens at the same address; the kernel hands a bound port to nobody else. It also covers the time in which a process is restarted.

--- a/Tests/Failure/gsTestSystem.cxx
+++ b/Tests/Failure/gsTestSystem.cxx
@@ -73,7 +73,6 @@
   this->AddPlatformAndUpstreams();
   this->AddHosts();
   this->Processes.AddProxy();
-  this->Processes.ReleaseAddresses();
   for (std::string const& name : this->Processes.Names()) {
     this->Processes.Launch(name);
   }
--- a/Tests/Processes/gsTestProcesses.cxx
+++ b/Tests/Processes/gsTestProcesses.cxx
@@ -41,7 +41,9 @@
       process.Child.wait(ignored);
     }
   }
-  this->ReleaseAddresses();
+  for (int descriptor : this->Held) {
+    close(descriptor);
+  }
   if (std::getenv("GRADESCALE_KEEP_LOGS") == nullptr) {
     std::error_code ignored;
     std::filesystem::remove_all(this->Directory, ignored);
@@ -66,14 +68,6 @@
   return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
-void gsTestProcesses::ReleaseAddresses()
-{
-  for (int descriptor : this->Held) {
-    close(descriptor);
-  }
-  this->Held.clear();
-}
-
 std::string gsTestProcesses::Link(std::string const& name,
                                   std::string const& target,
                                   std::string const& from,
--- a/Tests/Processes/gsTestProcesses.h
+++ b/Tests/Processes/gsTestProcesses.h
@@ -37,10 +37,12 @@
   gsTestProcesses(gsTestProcesses const&) = delete;
   gsTestProcesses& operator=(gsTestProcesses const&) = delete;
 
-  /** A free address on loopback; reserved until ReleaseAddresses. */
+  /**
+   * A free address on loopback. It stays reserved for the processes of this
+   * object: the kernel gives its port to no other program, whether as a free
+   * one or for a connection. They listen there with SO_REUSEADDR set.
+   */
   std::string NewAddress();
-  /** To be called before the first process starts. */
-  void ReleaseAddresses();
 
   /**
    * Adds a link of the proxy; the result is where to connect.
@@ -82,7 +84,7 @@
   std::string Directory;
   std::map<std::string, gsTestProcess> Table;
   gsJson LinkTable = gsJson::object();
-  std::vector<int> Held; ///< Sockets that keep addresses free until used.
+  std::vector<int> Held; ///< Bound sockets that reserve addresses.
 };
 
 /** Where a program of this build lies. */
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -39,7 +39,6 @@
 {
   this->AddProcesses();
   this->Processes.AddProxy();
-  this->Processes.ReleaseAddresses();
   this->Processes.Launch("proxy");
   this->Processes.Launch("store");
   this->RunUntil([&] {
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -10,6 +10,10 @@
 
 #include <gtest/gtest.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "gsNearMiss.h"
 #include "gsRoutedSystem.h"
 
@@ -60,6 +64,33 @@
 
 } // namespace
 
+// Guards against systems whose processes find their addresses taken, or talk
+// to another system's: a test's ports were free until its programs listened.
+TEST(RoutedAddresses, StayReservedUntilTheirProgramsListen)
+{
+  gsTestProcesses processes("gradescale-addresses");
+  std::string const address = processes.NewAddress();
+  gsTestProcess& store = processes["store"];
+  store.Address = address;
+  store.Arguments = { gsTestProgram("gsStandInStore"), "--listen", address };
+  int other = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in wanted{};
+  wanted.sin_family = AF_INET;
+  wanted.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  wanted.sin_port = htons(static_cast<std::uint16_t>(
+    std::stoul(address.substr(address.rfind(':') + 1))));
+  auto const* generic = reinterpret_cast<sockaddr const*>(&wanted);
+  EXPECT_NE(bind(other, generic, sizeof(wanted)), 0);
+  processes.Launch("store");
+  int reached = -1;
+  for (int i = 0; i < 100 && reached != 0; ++i) {
+    usleep(20'000);
+    reached = connect(other, generic, sizeof(wanted));
+  }
+  EXPECT_EQ(reached, 0);
+  close(other);
+}
+
 TEST(Routed, ACalmPassIsServedWholeByEveryHost)
 {
   gsRoutedSystem system({});
