Coordination: Hosts that have just started watch before changes are due

What callers saw: after all hosts of a system had started at once, a changed key was refused, and one that was taken away was served, by all hosts for up to 2.5 s.

Cause: a host that starts reads the tables once and leaves watching to others for 2.5 s. Where all have just started, nobody watches for that time, which is longer than the 2 s within which changes have to be in force.

Change: the delay is 1.2 s, as it was at the first start of all hosts already. It still exceeds the 0.7 s in which 295 hosts found their coordinators.

--- a/Source/Coord/gsWatchDuty.h
+++ b/Source/Coord/gsWatchDuty.h
@@ -51,9 +51,14 @@
   /** A host that is not assigned stops watching after it was covered for this
    * time without interruption. */
   gsTime StopDelay = gsMilliseconds(500);
-  /** Time after its start during which a host does not change its state, so
-   * that reports from watchers can arrive. */
-  gsTime StartupDelay = gsMilliseconds(2500);
+  /**
+   * Time after its start during which a host does not change its state, so
+   * that reports from watchers can arrive. 295 hosts with a tenth of a core
+   * each discovered their coordinators within 0.7 s. If all hosts have started
+   * at once, none watches until then. It is therefore shorter than the time
+   * within which changes have to be in force.
+   */
+  gsTime StartupDelay = gsMilliseconds(1200);
   /** Interval between the times at which successive hosts that are not
    * assigned start to watch. */
   gsTime TakeoverInterval = gsMilliseconds(250);
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -26,10 +26,6 @@
 /** Maximum delay of a watch's response beyond its wait, added to the maximum
  * age of tables. */
 constexpr gsTime TablesAgeMargin = gsMilliseconds(900);
-/** Delay before watchers read the tables at the first start of all hosts. 295
- * hosts with a tenth of a core each discovered their coordinators within
- * 0.7 s. */
-constexpr gsTime WatcherStartDelay = gsMilliseconds(1200);
 /** Delay after which the other hosts read the tables themselves at the first
  * start of all hosts, if no host has sent them the tables by then. */
 constexpr gsTime FirstReadTimeout = gsMilliseconds(3000);
@@ -133,7 +129,6 @@
   if (this->Settings.Routing.FirstStart) {
     // If each of 295 hosts read two tables, they would make as many calls to
     // the platform as their watchers do in the following 50 s.
-    this->Duty.Settings.StartupDelay = WatcherStartDelay;
     this->Routes->Pause();
     this->Upstreams->Pause();
     return;
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -167,6 +167,41 @@
   }
 }
 
+// Guards against a change that no host has in force because all have started
+// just before it. What is changed first is not known to the hosts from the
+// read that they make as they start.
+TEST(Routed, AChangeRightAfterAllHostsHaveStartedIsInForceInTime)
+{
+  constexpr double changeBound = 2.0;
+  gsRoutedSystem system({});
+  std::string before = "key-two";
+  for (double delay : { 0.0, 0.1, 0.3 }) {
+    SCOPED_TRACE(delay);
+    system.Links({ "store:host1" }, { { "mode", "pass" } });
+    for (std::string const& host : system.Hosts()) {
+      system.Signal(host, SIGKILL);
+    }
+    for (std::string const& host : system.Hosts()) {
+      system.Restart(host);
+    }
+    for (std::string const& host : system.Hosts()) {
+      system.WaitReady(host);
+    }
+    system.Links({ "store:host1" }, { { "mode", "hole" } });
+    system.RunFor(delay);
+    std::string const key = "key-after-" + std::to_string(delay);
+    system.Configure({ "key-one", key });
+    system.RunFor(changeBound);
+    for (std::string const& host : system.Hosts()) {
+      EXPECT_EQ(system.SendAndWait(host, "plain", before)->Status, 401U)
+        << host << ' ' << system.ConfigurationTrace();
+      EXPECT_TRUE(system.SendAndWait(host, "plain", key)->Good())
+        << host << ' ' << system.ConfigurationTrace();
+    }
+    before = key;
+  }
+}
+
 // Guards against a configuration being replaced by that of another system that
 // has the same peer token.
 TEST(RoutedTwoSystems, KeepTheirOwnConfigurations)
--- a/Tests/Unit/gsTestWatchDuty.cxx
+++ b/Tests/Unit/gsTestWatchDuty.cxx
@@ -189,6 +189,30 @@
             gsWatchState::Assigned);
 }
 
+// Guards against a change that no host learns because all have just started
+// and none of them watches yet.
+TEST(WatchDuty, HallThatHasJustStartedIsWatchedBeforeChangesHaveToBeInForce)
+{
+  constexpr gsTime changeBound = gsSeconds(2);
+  constexpr gsTime tick = gsMilliseconds(100);
+  for (int size : { 1, 2, 3, 20 }) {
+    SCOPED_TRACE(size);
+    std::vector<std::string> names = Names(size);
+    std::vector<gsWatchDuty> duties = AllCovered(names);
+    for (gsWatchDuty& duty : duties) {
+      duty.StartedAt = Begin;
+    }
+    for (gsTime at{}; at < changeBound; at += tick) {
+      for (gsWatchDuty& duty : duties) {
+        gsUpdateWatchState(duty, names, names.size(), Begin + at);
+      }
+    }
+    // The platform may be silent to the assigned host.
+    std::size_t expected = size == 1 ? 1 : 2;
+    EXPECT_GE(CountWatching(duties), expected);
+  }
+}
+
 TEST(WatchDuty, NextHostIsAssignedWhenWatcherFails)
 {
   std::vector<std::string> names = Names(10);
