Io: A pipelined request is handled when its connection closes at a stop

What callers saw: of two requests sent together, the second had no answer if the host was told to stop while it answered the first with a stream: that answer had begun without Connection: close.

Cause: the close was decided within the library's callback at the end of an answer, before the library had looked at what it had read already. All that was read counts as the request that was answered, so the second one was taken for nothing, and its connection was closed.

Change: the close is decided after the library has run. It has then begun the next request, if its first line was read; connections whose answers told their callers to close are gone by then.

Test: HttpServer.APipelinedRequestIsAnsweredAtAStop failed before, with a head and with a whole request read together with the one before.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -545,6 +545,33 @@
   return true;
 }
 
+/**
+ * Closes the connections whose answers are complete. One whose answer told its
+ * caller to close is gone by then; on others, the library may have found the
+ * next request in what it had read before.
+ */
+void gsHttpServer::CloseAnswered()
+{
+  this->CloseScheduled = false;
+  for (auto& [connection, link] : this->Links) {
+    if (std::exchange(link.CloseWhenIdle, false)) {
+      CloseIfIdle(link);
+    }
+  }
+}
+
+void gsHttpServer::ScheduleClose()
+{
+  if (std::exchange(this->CloseScheduled, true)) {
+    return;
+  }
+  this->Loop.Defer([this, alive = this->Alive] {
+    if (*alive) {
+      this->CloseAnswered();
+    }
+  });
+}
+
 void gsHttpServer::CloseIdle()
 {
   std::size_t closed = 0;
@@ -903,7 +930,8 @@
     link->second.Settled = BytesRead(link->second.Descriptor);
     if (this->Closing) {
       // Its answer may have begun before callers were told to close.
-      CloseIfIdle(link->second);
+      link->second.CloseWhenIdle = true;
+      this->ScheduleClose();
     }
   }
   exchange->Watch.reset();
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -246,6 +246,9 @@
     gsTime ShutAt{};   ///< When sending ended; zero before.
     /** Bytes that had come when sending ended. */
     std::uint64_t ComeBeforeShut = 0;
+    /** Its last answer was complete after callers were to be told to close;
+     * that answer may not have told so. */
+    bool CloseWhenIdle = false;
     /** When bytes of a body last came. */
     gsTime BodyAt{};
     /** The request on it, from its first line to the end of its answer. */
@@ -262,6 +265,8 @@
   void CutSlow();
   void AcceptWaiting();
   static bool CloseIfIdle(Link& link);
+  void ScheduleClose();
+  void CloseAnswered();
   void* OnFirstLine(MHD_Connection* connection, char const* target);
   int OnHead(MHD_Connection* connection, gsHttpExchange& exchange);
   void OnBodyPart(gsHttpExchange& exchange, std::string_view bytes);
@@ -300,6 +305,7 @@
   std::map<int, Lingering> LingeringLinks;
   bool Scheduled = false;
   bool Closing = false;
+  bool CloseScheduled = false;
   gsTime LastRequestAt{}; ///< When a request last began or ended.
   std::size_t Exchanges = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/Tests/Route/gsTestHttpServer.cxx
+++ b/Tests/Route/gsTestHttpServer.cxx
@@ -318,3 +318,33 @@
   }
   EXPECT_TRUE(this->RunUntil([this] { return this->Server->IsQuiet(); }));
 }
+
+// Guards against a request that was read together with the one before it and
+// is dropped when the connection closes after that one's answer, which had
+// begun before the stop and has not told the caller to close.
+TEST_F(HttpServer, APipelinedRequestIsAnsweredAtAStop)
+{
+  for (std::size_t sent : { Head.size(), Request.size() }) {
+    SCOPED_TRACE(sent);
+    this->Handled.clear();
+    this->Serve(gsSeconds(30));
+    RawCaller caller(this->Server->Port());
+    caller.Send(Request + Request.substr(0, sent));
+    ASSERT_TRUE(this->RunUntil([this] { return this->Handled.size() == 1; }));
+    this->Handled[0]->BeginStream(200, {});
+    this->Handled[0]->Write("first");
+    this->RunFor(gsMilliseconds(20));
+    this->CloseAsAtAStop();
+    this->Handled[0]->End();
+    this->RunFor(gsMilliseconds(20));
+    caller.Send(Request.substr(sent));
+    EXPECT_TRUE(this->RunUntil([&] {
+      this->AnswerAll();
+      caller.Read();
+      return caller.Ended;
+    }));
+    EXPECT_EQ(this->Handled.size(), 2U);
+    EXPECT_NE(caller.Answer.find("answer"), std::string::npos)
+      << caller.Answer;
+  }
+}
