Io: Answers 408 to a request that is too long in coming

What callers saw: a request whose first line, head or body did not come in whole within the idle time was cut without an answer, so that the caller could not tell whether it had run. A host that had forwarded it counted it as one that may have run and gave it up.

Cause: the connection was shut in both directions with nothing sent on it, the same class as a connection that closes on a request at a stop.

Change: where a part of a request has come and no answer has begun, the caller gets 408 with Connection: close before the close, and what it still sends is dropped for a while rather than reset. A connection without a part of a request is closed as before. A 408 without a request's id from another host means that it has not read the request, which is then forwarded elsewhere.

Tests: HttpServer.ARequestThatIsTooLongInComingIsToldThatItHasNotRun and RouteGateway.AForwardedRequestThatItsHostHasNotReadIsForwardedAgain failed before.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -44,7 +44,6 @@
 /** Cause of refusals for which no shared slot was available in time. */
 constexpr char const* NoSlotCause = "no_slot";
 constexpr unsigned FirstServerError = 500;
-constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusGatewayTimeout = 504;
 
 gsError MakeError(std::string code, std::string message, std::string step)
@@ -59,7 +58,7 @@
 bool ImpliesNotExecuted(unsigned status)
 {
   return status == gsStatusUnavailable || status == gsStatusTooMany ||
-         status == StatusRequestTimeout || status == gsStatusMisdirected;
+         status == gsStatusRequestTimeout || status == gsStatusMisdirected;
 }
 
 std::string FormatSeconds(gsTime time)
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -420,6 +420,11 @@
   attempt.AnswerHead = this->Adapter.ParseResponseHead(status, headers);
   if (attempt.ForwardedTo.empty()) {
     this->ApplyHead(*request, attempt, now);
+  } else if (status == gsStatusRequestTimeout &&
+             attempt.AnswerHead.RequestId.empty()) {
+    // The other host has closed the connection without reading the request.
+    attempt.AnswerHead.NotExecuted = true;
+    return;
   }
   if (attempt.AnswerHead.RequestId != request->Caller.AttemptId) {
     this->AbortAttempt(request, held,
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -35,6 +35,20 @@
  */
 constexpr gsTime QuietTime = gsMilliseconds(200);
 
+/** Answers a request that was too long in coming. */
+std::string const& IncompleteAnswer()
+{
+  static std::string const answer = [] {
+    std::string const body =
+      R"({"error":{"code":"incomplete_request","message":"The request was )"
+      R"(not run: it did not come in whole in time.","step":"read"}})";
+    return "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+           "Content-Type: application/json\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }();
+  return answer;
+}
+
 ssize_t ReadStream(void* context, std::uint64_t /*position*/, char* buffer,
                    std::size_t size);
 
@@ -646,12 +660,28 @@
     bool late = now - link.Since > this->Settings.ReceiveTimeout;
     // This process may have stood still while the rest came in.
     if (comes && late && !HasUnread(link.Descriptor)) {
-      link.Shut = true;
-      shutdown(link.Descriptor, SHUT_RDWR);
+      this->CloseUnfinished(link);
     }
   }
 }
 
+/** Closes a connection on which no whole request has come in. A caller that
+ * has sent a part of one is told that it has not run. */
+void gsHttpServer::CloseUnfinished(Link& link)
+{
+  bool hasPart =
+    link.Open != nullptr || BytesCome(link.Descriptor) != link.Settled;
+  bool isAnswered = link.Open != nullptr && link.Open->Queued;
+  if (hasPart && !isAnswered && !link.Shut) {
+    std::string const& answer = IncompleteAnswer();
+    send(link.Descriptor, answer.data(), answer.size(),
+         MSG_DONTWAIT | MSG_NOSIGNAL);
+    this->Linger(link.Descriptor);
+  }
+  link.Shut = true;
+  shutdown(link.Descriptor, SHUT_RDWR);
+}
+
 std::vector<gsWaitingCaller> gsHttpServer::WaitingCallers(gsTime now)
 {
   std::vector<gsWaitingCaller> waiting;
@@ -791,10 +821,12 @@
   return MHD_queue_response(connection, exchange.Status, exchange.Response);
 }
 
-/** Reads a connection to its end, beside and after the library's own use. */
+/** Reads a connection to its end, beside and after the library's own use, if
+ * there are not too many already. */
 void gsHttpServer::Linger(int descriptor)
 {
-  int copy = fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+  bool hasRoom = this->LingeringLinks.size() < MaxLingering;
+  int copy = hasRoom ? fcntl(descriptor, F_DUPFD_CLOEXEC, 0) : -1;
   if (copy < 0) {
     return;
   }
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -263,6 +263,7 @@
   void RunSoon();
   void Run();
   void CutSlow();
+  void CloseUnfinished(Link& link);
   void AcceptWaiting();
   static bool CloseIfIdle(Link& link);
   void ScheduleClose();
--- a/Source/Io/gsHttpStatus.h
+++ b/Source/Io/gsHttpStatus.h
@@ -11,6 +11,7 @@
 constexpr unsigned gsStatusUnauthorized = 401;
 constexpr unsigned gsStatusNotFound = 404;
 constexpr unsigned gsStatusWrongMethod = 405;
+constexpr unsigned gsStatusRequestTimeout = 408;
 constexpr unsigned gsStatusConflict = 409;
 constexpr unsigned gsStatusTooLarge = 413;
 constexpr unsigned gsStatusMisdirected = 421;
--- a/Tests/Route/gsTestHttpServer.cxx
+++ b/Tests/Route/gsTestHttpServer.cxx
@@ -348,3 +348,26 @@
       << caller.Answer;
   }
 }
+
+// Guards against a caller that cannot tell whether its request has run, as its
+// connection was closed without an answer before all of it had come in.
+TEST_F(HttpServer, ARequestThatIsTooLongInComingIsToldThatItHasNotRun)
+{
+  constexpr gsTime receiveTimeout = gsMilliseconds(100);
+  for (std::size_t sent : { std::size_t(6), Head.size(), Head.size() + 5 }) {
+    SCOPED_TRACE(sent);
+    this->Handled.clear();
+    this->Serve(receiveTimeout);
+    RawCaller caller(this->Server->Port());
+    caller.Send(Request.substr(0, sent));
+    ASSERT_TRUE(this->RunUntil([&] {
+      caller.Read();
+      return caller.Ended;
+    }));
+    caller.Send(Request.substr(sent));
+    this->RunFor(gsMilliseconds(20));
+    EXPECT_EQ(caller.Answer.find("HTTP/1.1 408"), 0U) << caller.Answer;
+    EXPECT_NE(caller.Answer.find("incomplete_request"), std::string::npos);
+    EXPECT_EQ(this->Handled.size(), 0U) << this->Lines();
+  }
+}
--- a/Tests/Route/gsTestRouteGateway.cxx
+++ b/Tests/Route/gsTestRouteGateway.cxx
@@ -517,6 +517,40 @@
   EXPECT_EQ(upstream.Requests.size(), 1U);
 }
 
+// Guards against a request that ends as one that may have run although the
+// host that it was forwarded to has closed the connection without reading it.
+TEST(RouteGateway, AForwardedRequestThatItsHostHasNotReadIsForwardedAgain)
+{
+  gsRouteBench bench;
+  for (char const* upstream : { "u1", "u2", "u3" }) {
+    bench.Add(upstream, Silent);
+  }
+  bench.Scripted.clear(); // They are still listed.
+  std::size_t asked = 0;
+  auto answer = [&asked](Connection const& to,
+                         gsScriptedRequest const& request) {
+    bool isFirst = asked++ == 0;
+    to->Write(isFirst ? std::string("HTTP/1.1 408 Request Timeout\r\n"
+                                    "Connection: close\r\n"
+                                    "Content-Length: 0\r\n\r\n")
+                      : gsWholeAnswer(request, "answer"));
+    if (isFirst) {
+      to->Close();
+    }
+  };
+  gsScriptedUpstream one(bench.Loop, "host1", answer);
+  gsScriptedUpstream two(bench.Loop, "host2", answer);
+  bench.Gateway->Forwarder().Enable({ "token", "cluster" }, [&one, &two] {
+    return std::vector<gsForwardPeer>{ { "host1", "north", one.Address(), 1 },
+                                       { "host2", "north", two.Address(),
+                                         1 } };
+  });
+  gsCallerViewPtr view = bench.SendAndWait(On("plain"));
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_EQ(view->Body, "answer");
+  EXPECT_EQ(asked, 2U);
+}
+
 TEST(RouteGateway, TheServerEndsWithRequestsOpen)
 {
   gsRouteBench bench;
