Tests: A rest binds a host that can have heard of it

What was seen: BUDGET once in six runs of soak ("host2 sent 3 to runner3-0 in its rest").

Cause: the check binds a host from the upstream's answer on. The answer was on a link that is delayed by 120 ms each way, and its caller left first: sent at 28.861 s, caller gone at 29.095 s, answer there at 29.10 s at the earliest. The host had closed the connection on which the answer would have come.

Evidence: Routed.AnAnswerOnItsWayWhenItsCallerLeavesIsNotHeard brings it about on real processes: the upstream has answered, attempt_abandoned says that no byte had arrived, and the host does not know of the rest.

Change: an answer over harmed links to a caller that left within the 0.5 s after which a rest binds does not bind the host.

--- a/Tests/Soak/gsSoakCheck.cxx
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -374,13 +374,24 @@
     }
     for (auto const& [who, arrivals] : sent) {
       for (gsRoutedRun const* asked : arrivals) {
-        if (!asked->Ran && !asked->Full) {
+        if (!asked->Ran && !asked->Full && !this->WasUnheard(*asked)) {
           this->CheckRest(who.first, *asked, arrivals);
         }
       }
     }
   }
 
+  /** Whether the answer to a request may not have reached its host: the links
+   * to runners were harmed, and the caller left before it binds the host. The
+   * host then closes the connection on which the answer would come. */
+  bool WasUnheard(gsRoutedRun const& asked) const
+  {
+    gsRoutedReply const& reply = *this->ReplyOf.at(asked.Request);
+    return reply.Left && reply.Ended < asked.At + RestBegins &&
+           Troubled(this->Record, { gsSoakScope::Upstreams }, reply.Host,
+                    asked.At, reply.Ended);
+  }
+
   void CheckRest(std::string const& host, gsRoutedRun const& asked,
                  std::vector<gsRoutedRun const*> const& arrivals)
   {
--- a/Tests/Soak/gsTestRouted.cxx
+++ b/Tests/Soak/gsTestRouted.cxx
@@ -351,6 +351,35 @@
   }
 }
 
+// Guards the soak's check of rests, which binds a host by answers that it has
+// had: one that is still on its way when its caller leaves is never read.
+TEST(Routed, AnAnswerOnItsWayWhenItsCallerLeavesIsNotHeard)
+{
+  gsRoutedPlan plan;
+  plan.Hosts = 2;
+  plan.Runners = 2;
+  gsRoutedSystem system(plan);
+  system.Links({ "up:*" }, { { "delay_ms", 300 } });
+  for (std::string const& runner : system.Runners()) {
+    system.Control(runner, { { "rest", "1.5" }, { "rest_ms", 5000 } });
+  }
+  gsRoutedReplyPtr reply = system.Send("host0", "plain");
+  ASSERT_TRUE(
+    system.RunUntil([&] { return system.AllArrivals().size() == 1; }));
+  EXPECT_FALSE(system.AllArrivals().front().Ran);
+  system.Leave(reply);
+  system.RunFor(1);
+  std::string log;
+  std::ifstream file(system.LogsOf("host0").front());
+  for (std::string line; std::getline(file, line);) {
+    log += line + '\n';
+  }
+  EXPECT_NE(log.find("event=attempt_abandoned request=" + reply->Id),
+            std::string::npos);
+  EXPECT_NE(log.find("answered=no unread=no"), std::string::npos);
+  EXPECT_EQ(log.find("event=upstream_says"), std::string::npos);
+}
+
 TEST(Routed, AKilledRunnersStreamsGoOnElsewhere)
 {
   gsRoutedPlan plan;
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -176,6 +176,28 @@
   EXPECT_EQ(this->Broken(), "");
 }
 
+// Seen once with seed 870002 of two releases: the caller of the request that
+// was asked for rest left while the answer was on a delayed link, and its host
+// never had it; Routed.AnAnswerOnItsWayWhenItsCallerLeavesIsNotHeard.
+TEST_F(SoakCheck, ARestThatItsHostHasNotHeardOfDoesNotBindIt)
+{
+  this->Record.Rest = gsSeconds(2);
+  this->Record.Arrivals = { { "q1", "runner0-0", Start, false } };
+  for (int i = 0; i < 3; ++i) {
+    this->Record.Arrivals.push_back(
+      { "q1", "runner0-0", Start + gsMilliseconds(600 + i), true });
+  }
+  this->Reply->Left = true;
+  EXPECT_EQ(this->Broken(), "BUDGET "); // No link was harmed.
+  this->Harm(gsSoakScope::Upstreams);
+  EXPECT_EQ(this->Broken(), "");
+  this->Reply->Ended = Start + gsMilliseconds(501);
+  EXPECT_EQ(this->Broken(), "BUDGET "); // It was there by then.
+  this->Reply->Ended = Start + gsMilliseconds(50);
+  this->Reply->Left = false;
+  EXPECT_EQ(this->Broken(), "BUDGET ");
+}
+
 TEST_F(SoakCheck, ARunThatNobodyAskedForIsCaught)
 {
   this->Ran("q7");
