Tests: A rest that is asked for over a silent link does not bind the host

Cause: the check binds a host from the upstream's answer on, but the link to that runner was muted. The runner turned 24 requests away from 1.27 s before the mute ended on; all answers reached host2 at 23:41:25.557, which then logged upstream_says rest_ms=1500 and sent nothing more to it.

Change: the soak records when no answer came through a runner's links (mute, cut), and the check leaves out what was answered then. An answer that comes through binds as before; so does one of another runner (SoakCheck.ARestThatIsAskedForOverASilentLinkDoesNotBind).

--- a/Tests/Soak/gsSoak.cxx
+++ b/Tests/Soak/gsSoak.cxx
@@ -424,6 +424,16 @@
     });
   }
 
+  /** To be called once the links are harmed, for as long as they will be. */
+  void RecordSilence(std::string const& runner, gsTime span)
+  {
+    std::size_t number = this->Record.Silences.size();
+    this->Record.Silences.push_back({ runner, gsLoop::Now(), Unknown });
+    this->After(span, [this, number] {
+      this->Record.Silences[number].Until = gsLoop::Now();
+    });
+  }
+
   void HarmRunnerLink(gsSoakStep const& step)
   {
     std::string link = "up:" + this->RunnerName(step.Target);
@@ -437,8 +447,12 @@
     } else if (step.Action == gsSoakAction::DelayRunnerLink) {
       harm = { { "delay_ms", delayMillis } };
     }
-    this->HarmLinks(this->System.LinksTo(this->RunnerName(step.Target)), harm,
+    std::string const runner = this->RunnerName(step.Target);
+    this->HarmLinks(this->System.LinksTo(runner), harm,
                     this->Trouble(gsSoakScope::Upstreams, {}), step.For, link);
+    if (harm.contains("mode")) {
+      this->RecordSilence(runner, step.For);
+    }
   }
 
   /** Cuts a host off from all runners. */
--- a/Tests/Soak/gsSoakCheck.cxx
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -381,15 +381,25 @@
     }
   }
 
-  /** Whether the answer to a request may not have reached its host: the links
-   * to runners were harmed, and the caller left before it binds the host. The
-   * host then closes the connection on which the answer would come. */
+  /** Whether the answer to a request may not have reached its host before it
+   * binds it: no answer came through, or the links to runners were harmed and
+   * the caller left, so that the host closed the connection on which the
+   * answer would have come. */
   bool WasUnheard(gsRoutedRun const& asked) const
   {
+    std::vector<gsSoakSilence> const& silences = this->Record.Silences;
+    bool isSilent =
+      std::any_of(silences.begin(), silences.end(),
+                  [&asked](gsSoakSilence const& silence) {
+                    return asked.Runner.rfind(silence.Runner + "-", 0) == 0 &&
+                           silence.From <= asked.At &&
+                           asked.At < silence.Until;
+                  });
     gsRoutedReply const& reply = *this->ReplyOf.at(asked.Request);
-    return reply.Left && reply.Ended < asked.At + RestBegins &&
-           Troubled(this->Record, { gsSoakScope::Upstreams }, reply.Host,
-                    asked.At, reply.Ended);
+    bool hasLeft = reply.Left && reply.Ended < asked.At + RestBegins &&
+                   Troubled(this->Record, { gsSoakScope::Upstreams },
+                            reply.Host, asked.At, reply.Ended);
+    return isSilent || hasLeft;
   }
 
   void CheckRest(std::string const& host, gsRoutedRun const& asked,
--- a/Tests/Soak/gsSoakCheck.h
+++ b/Tests/Soak/gsSoakCheck.h
@@ -48,6 +48,14 @@
   gsTime Until{};
 };
 
+/** A time in which no answer of a runner came through its links. */
+struct gsSoakSilence
+{
+  std::string Runner;
+  gsTime From{};
+  gsTime Until{};
+};
+
 /** All that was seen in one run. */
 struct gsSoakRecord
 {
@@ -63,6 +71,7 @@
   std::vector<gsSoakNotice> Leavings; ///< Of runners' incarnations.
   std::vector<gsSoakNotice> Revoked;  ///< Keys.
   std::vector<gsSoakLimit> Limits;
+  std::vector<gsSoakSilence> Silences;
   /** Keys that every configuration of the run has held. */
   std::vector<std::string> LastingKeys;
   /** What the caller of a whole answer should have got. */
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -198,6 +198,28 @@
   EXPECT_EQ(this->Broken(), "BUDGET ");
 }
 
+// Seen with seeds 880033 and 880042 of two releases: the link to the runner
+// was muted, all of its answers came as the mute ended, and the hosts heeded
+// them from then on.
+TEST_F(SoakCheck, ARestThatIsAskedForOverASilentLinkDoesNotBind)
+{
+  this->Record.Rest = gsSeconds(2);
+  this->Record.Arrivals = { { "q1", "runner0-0", Start, false } };
+  for (int i = 0; i < 3; ++i) {
+    this->Record.Arrivals.push_back(
+      { "q1", "runner0-0", Start + gsMilliseconds(600 + i), true });
+  }
+  EXPECT_EQ(this->Broken(), "BUDGET ");
+  this->Record.Silences.push_back(
+    { "runner0", Start - gsSeconds(1), Start + gsSeconds(1) });
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Silences[0].Until = Start; // The answer comes through.
+  EXPECT_EQ(this->Broken(), "BUDGET ");
+  this->Record.Silences[0] = { "runner1", Start - gsSeconds(1),
+                               Start + gsSeconds(1) };
+  EXPECT_EQ(this->Broken(), "BUDGET ");
+}
+
 TEST_F(SoakCheck, ARunThatNobodyAskedForIsCaught)
 {
   this->Ran("q7");
