--- a/Source/Coord/gsRateLimit.cxx
+++ b/Source/Coord/gsRateLimit.cxx
@@ -290,9 +290,38 @@
   return held;
 }
 
+/** Share of the listed slots that the upstream is estimated to accept. */
+double RoomRatio(gsLimitedUpstream const& upstream)
+{
+  double listed = std::max(1.0, upstream.Limit.Rate);
+  return gsRoomSize(upstream.Slots.Room, listed) / listed;
+}
+
+/** Share of the upstream's slots that this host may issue or spend. */
+double SpendableShare(gsRateLimits const& limits,
+                      gsLimitedUpstream const& upstream, gsTime now)
+{
+  return SpendableRate(limits, upstream, now) /
+         std::max(1.0, upstream.Limit.Rate);
+}
+
+/** Whether a host that spends its own share of estimated slots has one left.
+ * The rate at which its tokens accrue assumes a duration of attempts, which is
+ * unknown at first. */
+bool HasOwnSlot(gsRateLimits const& limits, gsLimitedUpstream const& upstream,
+                gsTime now)
+{
+  if (!SharesSlots(limits) || !upstream.Slots.Room.MaxRejections) {
+    return true;
+  }
+  double slots =
+    SpendableRate(limits, upstream, now) * RoomRatio(upstream) + ShareRounding;
+  return gsHeldSlots(upstream) < std::max(1.0, std::floor(slots));
+}
+
 /** Slots that this host may let be used: those received from the issuer, or
- * on a relay without an issuer the shares lent to it, rounded by ShareRounding
- * and at least one. */
+ * on a relay without an issuer the shares lent to it as far as the upstream is
+ * estimated to accept them, rounded by ShareRounding and at least one. */
 std::uint32_t AvailableSlots(gsRateLimits const& limits,
                              gsLimitedUpstream const& upstream,
                              bool isAccepted, gsTime now)
@@ -304,8 +333,8 @@
     return 0;
   }
   double slots =
-    std::floor(SpendableRate(limits, upstream, now) + ShareRounding);
-  return static_cast<std::uint32_t>(std::max(1.0, slots));
+    SpendableRate(limits, upstream, now) * RoomRatio(upstream) + ShareRounding;
+  return static_cast<std::uint32_t>(std::max(1.0, std::floor(slots)));
 }
 
 std::uint32_t FreeSlots(gsRateLimits const& limits,
@@ -489,6 +518,16 @@
       if (SharesSlots(this->Limits) && otherDemand > 0) {
         tokens.ExpectedWait = std::max(tokens.ExpectedWait, MinContendedWait);
       }
+      gsSlotRoom const& room = upstream.Slots.Room;
+      tokens.RoomSize = room.Size;
+      bool isOvercommitted =
+        room.Size > 0 && SlotsHeld(this->Limits, upstream, now) > room.Size;
+      if (isOvercommitted) {
+        tokens.ExpectedWait = std::max(tokens.ExpectedWait, MinContendedWait);
+      }
+      if (gsHasRecentRejection(room, now)) {
+        tokens.TimeSinceRejection = now - room.RejectedAt;
+      }
       messages.push_back({ host, std::nullopt, tokens });
     }
   }
@@ -551,7 +590,7 @@
                     gsTime now)
 {
   AccrueTokens(limits, upstream, now);
-  while (upstream.BucketLevel >= 1 &&
+  while (upstream.BucketLevel >= 1 && HasOwnSlot(limits, upstream, now) &&
          IssueNextToken(limits, hash, upstream, IsRelay(limits),
                         limits.Settings.TokenLifetime, replies, now)) {
     upstream.BucketLevel -= 1;
@@ -585,14 +624,34 @@
   return free >= MinFreeShareToKeep * available ? gsTime{} : UncontendedWait;
 }
 
+/** Whether the slots of this hall are returned to the issuer of estimated
+ * slots: other hosts wait for them, or the upstream has just rejected an
+ * attempt, so that the issuer has lowered its estimate. */
+bool MustReturnSlots(gsRateLimits const& limits,
+                     gsLimitedUpstream const& upstream, gsTime now)
+{
+  gsSlotRoom const& room = upstream.Slots.Room;
+  bool wasRejected =
+    room.RejectedAt.count() != 0 && now - room.RejectedAt < MaxTransitTime;
+  return room.MaxRejections.has_value() &&
+         (wasRejected || IsContended(limits, upstream, now));
+}
+
 /** Issues the free slots of a relay, or of this host, to its clients. A relay
  * whose distributor has other hosts waiting returns them instead. */
 void IssueFreeSlots(gsRateLimits& limits, std::uint32_t hash,
                     gsLimitedUpstream& upstream, bool isAccepted,
                     TokenReplies& replies, gsTime now)
 {
+  bool isWanted = TotalTokensWanted(upstream, true, now) > 0;
+  if (!isAccepted && isWanted &&
+      FreeSlots(limits, upstream, isAccepted, now) == 0) {
+    gsRaiseRoom(upstream.Slots.Room, upstream.Limit.Rate,
+                SpendableShare(limits, upstream, now), now);
+  }
   std::uint32_t free = FreeSlots(limits, upstream, isAccepted, now);
-  bool mayIssue = !isAccepted || !IsContended(limits, upstream, now);
+  bool mayIssue = !isAccepted || (!IsContended(limits, upstream, now) &&
+                                  !MustReturnSlots(limits, upstream, now));
   while (mayIssue && free > 0 &&
          IssueNextToken(limits, hash, upstream, !isAccepted,
                         limits.Settings.TokenLifetime, replies, now)) {
@@ -700,13 +759,18 @@
   slots.Supply = share.Held;
   slots.ReportedHeld = share.Held;
   slots.ReceivedSinceReport = 0;
+  share.Rejected = std::exchange(slots.UnreportedRejections, 0);
 }
 
 /** Whether a share update is due: the interval has elapsed, demand has
- * changed, or requested tokens did not arrive in time. */
+ * changed, requested tokens did not arrive in time, or the issuer has to stop
+ * issuing tokens because of a rejection. */
 bool IsShareDue(gsRateLimits const& limits, gsLimitedUpstream const& upstream,
                 std::string const& issuer, std::uint32_t demand, gsTime now)
 {
+  if (upstream.Slots.UnreportedRejections > 0) {
+    return true;
+  }
   gsTime elapsed = now - upstream.ShareSentAt;
   bool demandChanged = (demand != upstream.TokensRequested ||
                         IsSlotMessageDue(limits, upstream, issuer, now)) &&
@@ -800,7 +864,37 @@
 bool NeedsToken(gsRateLimits const& limits, gsLimitedUpstream const& upstream,
                 gsTime now)
 {
-  return limits.IsEnforced && now >= upstream.Slots.EnforcedFrom;
+  bool isEnforced =
+    limits.IsEnforced || upstream.Slots.Room.MaxRejections.has_value();
+  return isEnforced && now >= upstream.Slots.EnforcedFrom;
+}
+
+/** Lowers the estimate of an upstream's slots after rejections, or has them
+ * reported to the issuer, which counts the attempts of all hosts.
+ * \param inProgress Attempts that were in progress, as counted here. */
+void ApplyRejections(gsRateLimits const& limits, std::uint32_t hash,
+                     gsLimitedUpstream& upstream, std::uint32_t rejections,
+                     std::uint32_t inProgress, gsTime now)
+{
+  gsSlotUse& slots = upstream.Slots;
+  if (!slots.Room.MaxRejections) {
+    return;
+  }
+  std::string const issuer = IssuerFor(limits, hash, now);
+  if (IsShareAccepted(limits, upstream, issuer, now)) {
+    slots.UnreportedRejections += rejections;
+    slots.Room.RejectedAt = now;
+    return;
+  }
+  // This host may count only a share of the attempts.
+  double share = SpendableShare(limits, upstream, now);
+  double all = share > 0 ? inProgress / std::min(share, 1.0) : inProgress;
+  gsLowerRoom(slots.Room, upstream.Limit.Rate,
+              static_cast<std::uint32_t>(std::lround(all)), now);
+  for (auto& [host, client] : upstream.Clients) {
+    client.ReplyPending =
+      client.ReplyPending || SlotsHeldBy(limits, client, now) > 0;
+  }
 }
 
 /** Whether limit a takes precedence over a different limit b with the same
@@ -1032,10 +1126,61 @@
   }
 }
 
-void gsRecordSlotRejection(gsRateLimits& limits, std::uint32_t upstream)
+void gsRecordSlotRejection(gsRateLimits& limits, std::uint32_t upstream,
+                           gsTime now)
 {
   if (gsLimitedUpstream* entry = FindUpstream(limits, upstream)) {
     ++entry->Slots.Rejections;
+    ApplyRejections(limits, upstream, *entry, 1,
+                    SlotsHeld(limits, *entry, now) + 1, now);
+  }
+}
+
+bool gsSetRejectionLimits(
+  gsRateLimits& limits,
+  std::unordered_map<std::uint32_t, double> const& maxRejections, gsTime now)
+{
+  bool hasChanged = false;
+  for (auto& [upstream, entry] : limits.Upstreams) {
+    auto found = maxRejections.find(upstream);
+    std::optional<double> next;
+    if (found != maxRejections.end()) {
+      next = found->second;
+    }
+    gsSlotRoom& room = entry.Slots.Room;
+    if (next == room.MaxRejections) {
+      continue;
+    }
+    hasChanged = true;
+    room.MaxRejections = next;
+    if (next && entry.Limit.AppliedAt == now) {
+      // Attempts in progress are counted by gsAdoptAttempt.
+      entry.Slots.EnforcedFrom = now;
+    }
+  }
+  return hasChanged;
+}
+
+bool gsIsSlotEnforced(gsRateLimits const& limits, std::uint32_t upstream)
+{
+  gsLimitedUpstream const* entry = FindUpstream(limits, upstream);
+  return entry != nullptr &&
+         (limits.IsEnforced || entry->Slots.Room.MaxRejections.has_value());
+}
+
+gsSlotRoom const* gsFindRoom(gsRateLimits const& limits,
+                             std::uint32_t upstream)
+{
+  gsLimitedUpstream const* entry = FindUpstream(limits, upstream);
+  bool isEstimated =
+    entry != nullptr && entry->Slots.Room.MaxRejections.has_value();
+  return isEstimated ? &entry->Slots.Room : nullptr;
+}
+
+void gsAdoptAttempt(gsRateLimits& limits, std::uint32_t upstream)
+{
+  if (gsLimitedUpstream* entry = FindUpstream(limits, upstream)) {
+    ++entry->Slots.InUse;
   }
 }
 
@@ -1082,6 +1227,13 @@
   return limits;
 }
 
+gsRateLimits gsMakeRejectionLimits()
+{
+  gsRateLimits limits;
+  limits.Settings.MinRate = 0;
+  return limits;
+}
+
 bool gsSetSharedSlots(
   gsRateLimits& limits,
   std::unordered_map<std::uint32_t, std::uint32_t> const& slots, gsTime now)
@@ -1181,7 +1333,12 @@
   client.TokensWanted = share.TokensWanted;
   client.DemandUntil = now + limits.Settings.DemandLifetime;
   if (SharesSlots(limits)) {
+    std::uint32_t inProgress = SlotsHeld(limits, *entry, now);
     ApplyHeldSlots(limits, client, share, now);
+    if (share.Rejected > 0) {
+      ApplyRejections(limits, share.UpstreamHash, *entry, share.Rejected,
+                      inProgress, now);
+    }
   }
 }
 
@@ -1207,10 +1364,21 @@
     slots.ReceivedSinceReport += tokens.Count;
     // The issuer counts the slots from before it sent this reply.
     slots.SupplyUntil = now + lifetime - limits.Settings.MaxFrameDelay;
+    if (slots.Room.MaxRejections) {
+      // Kept in case this host issues the tokens later.
+      slots.Room.Size = tokens.RoomSize;
+    }
+    if (tokens.TimeSinceRejection) {
+      slots.Room.RejectedAt =
+        std::max(slots.Room.RejectedAt, now - *tokens.TimeSinceRejection);
+    }
     if (IsContended(limits, *entry, now)) {
       RemoveKeptTokens(limits, *entry, now);
     }
     undelivered = FreeSlots(limits, *entry, true, now);
+    if (MustReturnSlots(limits, *entry, now)) {
+      undelivered = std::min(undelivered, tokens.Count);
+    }
   }
   while (undelivered > 0 && IssueNextToken(limits, tokens.UpstreamHash, *entry,
                                            false, lifetime, replies, now)) {
@@ -1279,6 +1447,9 @@
     std::uint32_t demand = TotalTokensWanted(upstream, false, now);
     bool demandChanged = demand != upstream.TokensRequested ||
                          IsSlotMessageDue(limits, upstream, issuer, now);
+    if (!issuer.empty() && upstream.Slots.UnreportedRejections > 0) {
+      schedule(now);
+    }
     if (!issuer.empty() && (demandChanged || demand > 0)) {
       schedule(upstream.ShareSentAt +
                (demandChanged ? limits.Settings.MinTokenRequestInterval
@@ -1287,6 +1458,16 @@
     if (SharesSlots(limits) && !upstream.Tokens.empty()) {
       schedule(upstream.Tokens.front());
     }
+    bool mayRise = IsRelay(limits) &&
+                   !IsShareAccepted(limits, upstream, issuer, now) &&
+                   TotalTokensWanted(upstream, true, now) > 0;
+    std::optional<gsTime> rise =
+      mayRise ? gsNextRoomRise(upstream.Slots.Room, upstream.Limit.Rate,
+                               SpendableShare(limits, upstream, now))
+              : std::nullopt;
+    if (rise) {
+      schedule(*rise);
+    }
     bool usesBucket = !SharesSlots(limits) || !IsRelay(limits);
     if (!usesBucket || TotalTokensWanted(upstream, true, now) == 0) {
       continue;
--- a/Source/Coord/gsRateLimit.h
+++ b/Source/Coord/gsRateLimit.h
@@ -46,6 +46,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gsSlotRoom.h"
 #include "gsTypes.h"
 
 /** What a limit restricts. */
@@ -87,6 +88,8 @@
   std::uint32_t TokensWanted = 0; ///< Outstanding token demand of the sender.
   std::uint32_t Returned = 0; ///< Slots returned since the previous message.
   std::uint32_t Held = 0;     ///< Slots that the sender holds.
+  /** Attempts that the upstream rejected since the previous message. */
+  std::uint32_t Rejected = 0;
 };
 
 /** Issued tokens; Count is zero if the message only accepts a share. */
@@ -97,6 +100,10 @@
   gsTime Lifetime{};              ///< Validity of the tokens.
   /** Expected time until the next token, given the demand of other hosts. */
   gsTime ExpectedWait{};
+  /** Slots only: the issuer's gsSlotRoom::Size; zero without an estimate. */
+  std::uint32_t RoomSize = 0;
+  /** Slots only: time since the last rejection; empty if there was none. */
+  std::optional<gsTime> TimeSinceRejection = std::nullopt;
 };
 
 /** A message to another host: either a share or tokens. */
@@ -188,6 +195,10 @@
   std::uint64_t TokensReturned = 0;   ///< Attempts ended.
   std::uint64_t SentWithoutToken = 0; ///< Attempts without a token.
   std::uint64_t Rejections = 0;       ///< Attempts that the upstream rejected.
+  /** Rejections that the issuer has not been told of. */
+  std::uint32_t UnreportedRejections = 0;
+  /** Attempts that the upstream accepts at a time. */
+  gsSlotRoom Room;
 };
 
 /** Local state of a limited upstream. */
@@ -330,6 +341,10 @@
 gsTime gsExpectedTokenWait(gsRateLimits const& limits, std::uint32_t upstream,
                            std::size_t ahead, gsTime now);
 
+/** An empty table for the rejections in a second that upstreams bear. Its
+ * limits are replicated like rate limits; zero is a valid one. */
+gsRateLimits gsMakeRejectionLimits();
+
 /**
  * Sets the upstreams whose slots are shared, with their slots. The tables of
  * other upstreams are removed. \return Whether anything has changed.
@@ -347,8 +362,33 @@
 void gsReturnToken(gsRateLimits& limits, std::uint32_t upstream,
                    gsTime duration, gsTime now);
 
-/** Counts an attempt that the upstream has rejected. */
-void gsRecordSlotRejection(gsRateLimits& limits, std::uint32_t upstream);
+/** Counts an attempt that the upstream has rejected, after its slot has been
+ * returned. */
+void gsRecordSlotRejection(gsRateLimits& limits, std::uint32_t upstream,
+                           gsTime now);
+
+/**
+ * Sets the upstreams of which the slots are estimated and always shared, with
+ * the rejections in a second that each of them bears from all hosts combined.
+ * Others of gsSetSharedSlots are shared as listed. \return Whether anything
+ * has changed.
+ */
+bool gsSetRejectionLimits(
+  gsRateLimits& limits,
+  std::unordered_map<std::uint32_t, double> const& maxRejections, gsTime now);
+
+/** Whether attempts at the upstream need a token of its slots, also if the
+ * sharing of listed slots is a dry run or off. */
+bool gsIsSlotEnforced(gsRateLimits const& limits, std::uint32_t upstream);
+
+/** The estimate of the slots of an upstream with a rejection limit; null for
+ * any other. */
+gsSlotRoom const* gsFindRoom(gsRateLimits const& limits,
+                             std::uint32_t upstream);
+
+/** Counts an attempt that was sent before the slots were shared, so that it
+ * uses a slot until gsReturnToken. */
+void gsAdoptAttempt(gsRateLimits& limits, std::uint32_t upstream);
 
 /** When attempts began to need a token of the upstream's slots; zero if they
  * are not shared. Differs after the sharing has ended and begun again. */
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -441,7 +441,8 @@
 {
   gsRecordUnreachable(row, now);
   gsPathRecordFailure(fleet.Path, row.Hash, now);
-  if (row.Listed.Hall == fleet.Settings.Hall) {
+  bool hasCrashed = gsFindRoom(fleet.SlotLimits, row.Hash) != nullptr;
+  if (row.Listed.Hall == fleet.Settings.Hall || hasCrashed) {
     return false;
   }
   gsRefreshHalls(fleet, now);
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -325,6 +325,9 @@
   std::unordered_map<std::string, gsRetainedAnnouncement>
     RetainedAnnouncements;
   gsRateLimits RateLimits; ///< Limits by gsFleetRow::Hash.
+  /** Rejections in a second that upstreams bear, by gsFleetRow::Hash. Their
+   * slots are in SlotLimits. */
+  gsRateLimits RejectionLimits = gsMakeRejectionLimits();
   /** Shared slots of services with fewer slots than hosts, by
    * gsFleetRow::Hash. */
   gsRateLimits SlotLimits = gsMakeSlotLimits();
--- a/Source/Core/gsUpstreamAnnouncement.h
+++ b/Source/Core/gsUpstreamAnnouncement.h
@@ -32,6 +32,12 @@
   std::optional<double> RateLimit;
   /** The response has a limit that cannot be parsed. */
   bool IsRateLimitMalformed = false;
+  /** Rejections for want of room in a second, from all hosts combined, above
+   * which the upstream crashes; empty if the response has no limit. */
+  std::optional<double> RejectionLimit = std::nullopt;
+  /** The response has a rejection limit that cannot be parsed; RejectionLimit
+   * is zero. */
+  bool IsRejectionLimitMalformed = false;
 
   /** Whether it announces neither leaving nor a backoff. */
   bool IsEmpty() const
--- a/Source/Daemon/gsCrashWatch.cxx
+++ b/Source/Daemon/gsCrashWatch.cxx
@@ -64,7 +64,12 @@
                                     gsAttempt const& attempt,
                                     gsAttemptResult const& result, gsTime now)
 {
-  if (result.IsUpstreamLost && !this->HadCrashedBefore(attempt)) {
+  if (result.IsUpstreamLost && this->CrashedUnderRejections(attempt, now)) {
+    gsLogLine("crash_not_counted")
+      .With("request", request.Caller.AttemptId)
+      .With("upstream", attempt.Upstream.Id)
+      .With("cause", "rejections");
+  } else if (result.IsUpstreamLost && !this->HadCrashedBefore(attempt)) {
     this->RecordCrash(request, attempt, now);
   } else if (result.Outcome == gsAttemptOutcome::Complete &&
              this->SuspicionLevelOf(request, now) != gsSuspicionLevel::None) {
@@ -139,6 +144,16 @@
          attempt.SentAt > crashed->second;
 }
 
+/** Whether the upstream has rejected attempts shortly before, and states that
+ * it crashes under too many rejections. */
+bool gsCrashWatch::CrashedUnderRejections(gsAttempt const& attempt,
+                                          gsTime now) const
+{
+  gsSlotRoom const* room =
+    gsFindRoom(this->Fleet.SlotLimits, gsIncarnationHash(attempt.Upstream));
+  return room != nullptr && gsHasRecentRejection(*room, now);
+}
+
 bool gsCrashWatch::ApplyReport(gsCrashReport const& report,
                                std::string_view host, gsTime now)
 {
--- a/Source/Daemon/gsCrashWatch.h
+++ b/Source/Daemon/gsCrashWatch.h
@@ -129,6 +129,7 @@
   bool CompleteCheck(std::uint32_t upstream, PendingCheck const& check,
                      gsTime now);
   bool HadCrashedBefore(gsAttempt const& attempt) const;
+  bool CrashedUnderRejections(gsAttempt const& attempt, gsTime now) const;
   void RecordCrash(gsRoutedRequest& request, gsAttempt const& attempt,
                    gsTime now);
 
--- a/Source/Daemon/gsDrainGossip.cxx
+++ b/Source/Daemon/gsDrainGossip.cxx
@@ -60,8 +60,9 @@
       continue;
     }
     gsIncarnation const upstream{ wire.upstream(), *startedAt };
-    if (!gsApplyAnnouncement(this->Fleet, upstream, { true, {}, {}, false },
-                             now)) {
+    gsUpstreamAnnouncement announcement;
+    announcement.Leaving = true;
+    if (!gsApplyAnnouncement(this->Fleet, upstream, announcement, now)) {
       continue;
     }
     gsLogLine("upstream_told_leaving")
--- a/Source/Daemon/gsRateLimiter.cxx
+++ b/Source/Daemon/gsRateLimiter.cxx
@@ -65,6 +65,8 @@
   , Fleet(fleet)
   , Limits(fleet.RateLimits)
   , Slots(fleet.SlotLimits)
+  , Rates{ fleet.RateLimits, false, {} }
+  , Rejections{ fleet.RejectionLimits, true, {} }
   , DueTimer(loop, [this] { this->Run(gsLoop::Now()); })
 {
 }
@@ -94,13 +96,26 @@
 
 void gsRateLimiter::UpdateSharedSlots(gsRouteTable const& table, gsTime now)
 {
-  if (!gsIsActive(this->SlotMode) ||
-      now - this->SharedSlotsUpdatedAt < SharedSlotsInterval) {
+  bool isDue = now - this->SharedSlotsUpdatedAt >= SharedSlotsInterval;
+  if (!isDue) {
     return;
   }
   this->SharedSlotsUpdatedAt = now;
+  this->SmallServiceSlots =
+    gsIsActive(this->SlotMode) ? this->FindSmallServices(table) : SlotCounts();
+  if (this->ShareSlots(now)) {
+    this->ScheduleRun();
+    this->NotifyChange();
+  }
+}
+
+/** Slots of the upstreams of services that have fewer of them than there are
+ * hosts. */
+gsRateLimiter::SlotCounts gsRateLimiter::FindSmallServices(
+  gsRouteTable const& table) const
+{
   std::size_t hosts = this->Slots.Roles.RecentPeakHosts;
-  std::unordered_map<std::uint32_t, std::uint32_t> shared;
+  SlotCounts shared;
   for (gsRouteService const& service : table.Services) {
     auto rows = this->Fleet.ByService.find(service.Name);
     bool isCandidate = !service.Engine &&
@@ -121,15 +136,76 @@
       shared[row.Hash] = row.Listed.Slots;
     }
   }
-  if (!gsSetSharedSlots(this->Slots, shared, now)) {
-    return;
+  return shared;
+}
+
+/**
+ * Rejections in a second that the listed upstreams bear. An upstream from
+ * which no answer has come since others of its service began to state a limit
+ * is treated like the strictest of them: it may have started after a crash.
+ */
+std::unordered_map<std::uint32_t, double> gsRateLimiter::FindRejectionLimits(
+  gsTime now) const
+{
+  struct Statement
+  {
+    double MaxRejections;
+    gsTime FirstAt;
+  };
+  gsRateLimits const& limits = this->Fleet.RejectionLimits;
+  std::unordered_map<std::uint32_t, double> found;
+  std::unordered_map<std::string, Statement> byService;
+  for (auto const& [hash, entry] : limits.Upstreams) {
+    auto row = this->Fleet.ByHash.find(hash);
+    std::optional<double> limit = gsEffectiveRate(limits, hash, now);
+    if (row == this->Fleet.ByHash.end() || !limit) {
+      continue;
+    }
+    found[hash] = *limit;
+    if (entry.Limit.HasEnded) {
+      continue;
+    }
+    std::string const& service = this->Fleet.Rows[row->second].Listed.Service;
+    Statement const stated{ *limit, entry.Limit.AppliedAt };
+    Statement& strictest = byService.emplace(service, stated).first->second;
+    strictest.MaxRejections = std::min(strictest.MaxRejections, *limit);
+    strictest.FirstAt = std::min(strictest.FirstAt, stated.FirstAt);
+  }
+  for (auto const& [service, stated] : byService) {
+    for (std::size_t index : this->Fleet.ByService.at(service)) {
+      gsFleetRow const& row = this->Fleet.Rows[index];
+      if (row.LastReceivedAt < stated.FirstAt) {
+        found.emplace(row.Hash, stated.MaxRejections);
+      }
+    }
+  }
+  return found;
+}
+
+/** Sets which upstreams' slots are shared. \return Whether it has changed. */
+bool gsRateLimiter::ShareSlots(gsTime now)
+{
+  SlotCounts shared = this->SmallServiceSlots;
+  std::unordered_map<std::uint32_t, double> const limits =
+    this->FindRejectionLimits(now);
+  for (auto const& [hash, limit] : limits) {
+    shared[hash] = this->Fleet.Rows[this->Fleet.ByHash.at(hash)].Listed.Slots;
+  }
+  bool hasChanged = gsSetSharedSlots(this->Slots, shared, now);
+  hasChanged = gsSetRejectionLimits(this->Slots, limits, now) || hasChanged;
+  if (!hasChanged) {
+    return false;
+  }
+  if (this->Gateway != nullptr) {
+    this->Gateway->AdoptAttempts();
   }
   gsLogLine("slots_shared")
     .With("upstreams", static_cast<std::uint64_t>(shared.size()))
-    .With("hosts", static_cast<std::uint64_t>(hosts))
+    .With("with_rejection_limit", static_cast<std::uint64_t>(limits.size()))
+    .With("hosts",
+          static_cast<std::uint64_t>(this->Slots.Roles.RecentPeakHosts))
     .With("dry_run", !this->Slots.IsEnforced);
-  this->ScheduleRun();
-  this->NotifyChange();
+  return true;
 }
 
 /** Updates the issuing roles from membership. */
@@ -152,6 +228,7 @@
     roles.Relays[this->Fleet.Settings.Hall] = roles.Self;
   }
   this->Slots.Roles = roles;
+  this->Rejections.Limits.Roles = roles;
 }
 
 std::string gsRateLimiter::NameOf(std::uint32_t upstream) const
@@ -162,12 +239,15 @@
            : this->Fleet.Rows[row->second].Listed.Id;
 }
 
-void gsRateLimiter::SendNotice(gsRateLimitNotice const& notice,
+void gsRateLimiter::SendNotice(Replicated const& replicated,
+                               gsRateLimitNotice const& notice,
                                Hosts const& hosts)
 {
   for (std::string const& host : hosts) {
     if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
-      gradescale::RateLimit* wire = frame->add_rate_limits();
+      gradescale::RateLimit* wire = replicated.IsRejections
+                                      ? frame->add_rejection_limits()
+                                      : frame->add_rate_limits();
       wire->set_upstream(notice.UpstreamHash);
       wire->set_rate_milli(ToUnits(notice.Rate, MilliUnits));
       wire->set_ended(notice.HasEnded);
@@ -189,17 +269,24 @@
 void gsRateLimiter::Publish()
 {
   gsTime now = gsLoop::Now();
-  std::vector<std::uint32_t> changed =
-    std::exchange(this->Limits.UnsentUpstreams, {});
-  if (this->Cluster != nullptr) {
+  for (Replicated const* replicated : { &this->Rates, &this->Rejections }) {
+    std::vector<std::uint32_t> changed =
+      std::exchange(replicated->Limits.UnsentUpstreams, {});
+    if (this->Cluster == nullptr) {
+      continue;
+    }
     Hosts const receivers = gsGossipReceivers(
       *this->Cluster, this->Fleet.Settings.Hall, this->Fleet.Settings.Hall);
     for (std::uint32_t upstream : changed) {
-      this->SendNotice(gsMakeRateLimitNotice(this->Limits, upstream, now),
-                       receivers);
+      this->SendNotice(
+        *replicated, gsMakeRateLimitNotice(replicated->Limits, upstream, now),
+        receivers);
     }
+  }
+  if (this->Cluster != nullptr) {
     this->SendDigest(now);
   }
+  this->ShareSlots(now);
   this->ScheduleRun();
   this->NotifyChange();
 }
@@ -221,11 +308,28 @@
          gsHasToken(this->Slots, upstream, now);
 }
 
+/** Follows limits that end and upstreams that are listed anew while there are
+ * rejection limits. \return When to be called again. */
+std::optional<gsTime> gsRateLimiter::UpdateRejectionLimits(gsTime now)
+{
+  bool isUsed = !this->Rejections.Limits.Upstreams.empty();
+  if (!isUsed) {
+    return std::nullopt;
+  }
+  if (now - this->RejectionLimitsUpdatedAt >= SharedSlotsInterval) {
+    this->RejectionLimitsUpdatedAt = now;
+    if (this->ShareSlots(now)) {
+      this->NotifyChange();
+    }
+  }
+  return this->RejectionLimitsUpdatedAt + SharedSlotsInterval;
+}
+
 /** Issues, requests and delivers tokens, and schedules the next run. */
 void gsRateLimiter::Run(gsTime now)
 {
   this->RunScheduled = false;
-  std::optional<gsTime> due;
+  std::optional<gsTime> due = this->UpdateRejectionLimits(now);
   for (gsRateLimits* limits : { &this->Limits, &this->Slots }) {
     if (limits->Upstreams.empty()) {
       continue;
@@ -262,6 +366,7 @@
       wire->set_resource(WireResource(limits));
       wire->set_returned(message.Share->Returned);
       wire->set_held(message.Share->Held);
+      wire->set_rejected(message.Share->Rejected);
     }
     if (message.Tokens) {
       gradescale::RateTokens* wire = frame->add_rate_tokens();
@@ -270,6 +375,11 @@
       wire->set_life_us(ToMicros(message.Tokens->Lifetime));
       wire->set_wait_us(ToMicros(message.Tokens->ExpectedWait));
       wire->set_resource(WireResource(limits));
+      wire->set_room(message.Tokens->RoomSize);
+      if (message.Tokens->TimeSinceRejection) {
+        wire->set_rejected_for_us(
+          ToMicros(*message.Tokens->TimeSinceRejection) + 1);
+      }
     }
   }
 }
@@ -320,17 +430,27 @@
 
 void gsRateLimiter::SendAll(std::string const& host, gsTime now)
 {
-  for (gsRateLimitNotice const& notice :
-       gsMakeActiveRateLimitNotices(this->Limits, now)) {
-    this->SendNotice(notice, { host });
+  for (Replicated const* replicated : { &this->Rates, &this->Rejections }) {
+    for (gsRateLimitNotice const& notice :
+         gsMakeActiveRateLimitNotices(replicated->Limits, now)) {
+      this->SendNotice(*replicated, notice, { host });
+    }
   }
 }
 
+bool gsRateLimiter::HasLimits() const
+{
+  return !this->Limits.Upstreams.empty() ||
+         !this->Rejections.Limits.Upstreams.empty();
+}
+
 void gsRateLimiter::SendDigest(gsTime now)
 {
-  std::uint64_t digest = gsRateLimitDigest(this->Limits, now);
+  std::uint64_t rates = gsRateLimitDigest(this->Limits, now);
+  std::uint64_t rejections = gsRateLimitDigest(this->Rejections.Limits, now);
   this->UpdateRoles(now);
-  if (digest == 0 || this->Limits.Roles.Relay != this->Limits.Roles.Self) {
+  if ((rates == 0 && rejections == 0) ||
+      this->Limits.Roles.Relay != this->Limits.Roles.Self) {
     return;
   }
   this->DigestSentAt = now;
@@ -342,78 +462,97 @@
     gradescale::Frame* frame =
       host == this->Limits.Roles.Self ? nullptr : this->Cluster->ToHost(host);
     if (frame != nullptr) {
-      frame->set_rate_limits_digest(digest);
+      frame->set_rate_limits_digest(rates);
+      frame->set_rejection_limits_digest(rejections);
     }
   }
 }
 
 /** Exchanges all limits with a relay whose digest has differed for the grace
  * period. A host without limits requests them immediately. */
-void gsRateLimiter::CompareDigest(std::string const& host,
+void gsRateLimiter::CompareDigest(Replicated& replicated,
+                                  std::string const& host,
                                   std::uint64_t digest, gsTime now)
 {
-  this->Limits.RelayAnnouncedAt[host] = now;
-  if (digest == gsRateLimitDigest(this->Limits, now)) {
-    this->MismatchedSince.erase(host);
+  replicated.Limits.RelayAnnouncedAt[host] = now;
+  if (digest == gsRateLimitDigest(replicated.Limits, now)) {
+    replicated.MismatchedSince.erase(host);
     return;
   }
-  auto [since, isNew] = this->MismatchedSince.emplace(host, now);
+  auto [since, isNew] = replicated.MismatchedSince.emplace(host, now);
   bool inGracePeriod =
     isNew || now - since->second < DigestMismatchGracePeriod;
-  if (inGracePeriod && !this->Limits.Upstreams.empty()) {
+  if (inGracePeriod && !replicated.Limits.Upstreams.empty()) {
     return;
   }
-  this->MismatchedSince.erase(since);
+  replicated.MismatchedSince.erase(since);
   this->SendAll(host, now);
   if (gradescale::Frame* frame = this->Cluster->ToHost(host)) {
     frame->set_wants_rate_limits(true);
   }
 }
 
+/** Applies a limit of another host, and has a relay forward it. \return
+ * Whether the limit has changed. */
+bool gsRateLimiter::ApplyNotice(Replicated& replicated,
+                                gradescale::RateLimit const& wire,
+                                std::string const& host, gsTime now)
+{
+  gsRateLimitNotice notice;
+  notice.UpstreamHash = wire.upstream();
+  notice.Rate = FromUnits(wire.rate_milli(), MilliUnits);
+  notice.HasEnded = wire.ended();
+  notice.TimeSinceEnd = FromMicros(wire.ended_for_us());
+  notice.Version = wire.version();
+  if (!gsApplyRateLimitNotice(replicated.Limits, notice, now)) {
+    return false;
+  }
+  gsLogLine(replicated.IsRejections ? "rejection_limit_received"
+                                    : "rate_limit_received")
+    .With("upstream", this->NameOf(notice.UpstreamHash))
+    .With("upstream_hash", notice.UpstreamHash)
+    .With("per_second", gsFormatRate(notice.Rate))
+    .With("ended", notice.HasEnded)
+    .With("version", notice.Version)
+    .With("from", host);
+  if (this->Limits.Roles.Relay == this->Limits.Roles.Self) {
+    std::string const hall(gsHallOf(this->Cluster->Members(), host));
+    this->SendNotice(
+      replicated, notice,
+      gsGossipReceivers(*this->Cluster, hall, this->Fleet.Settings.Hall));
+  }
+  return true;
+}
+
 void gsRateLimiter::ApplyNotices(std::string const& host,
                                  gradescale::Frame const& frame, gsTime now)
 {
-  std::string const hall(gsHallOf(this->Cluster->Members(), host));
-  bool isRelay = this->Limits.Roles.Relay == this->Limits.Roles.Self;
   bool changed = false;
   for (gradescale::RateLimit const& wire : frame.rate_limits()) {
-    gsRateLimitNotice notice;
-    notice.UpstreamHash = wire.upstream();
-    notice.Rate = FromUnits(wire.rate_milli(), MilliUnits);
-    notice.HasEnded = wire.ended();
-    notice.TimeSinceEnd = FromMicros(wire.ended_for_us());
-    notice.Version = wire.version();
-    if (!gsApplyRateLimitNotice(this->Limits, notice, now)) {
-      continue;
-    }
-    changed = true;
-    gsLogLine("rate_limit_received")
-      .With("upstream", this->NameOf(notice.UpstreamHash))
-      .With("upstream_hash", notice.UpstreamHash)
-      .With("per_second", gsFormatRate(notice.Rate))
-      .With("ended", notice.HasEnded)
-      .With("version", notice.Version)
-      .With("from", host);
-    if (isRelay) {
-      this->SendNotice(notice, gsGossipReceivers(*this->Cluster, hall,
-                                                 this->Fleet.Settings.Hall));
-    }
+    changed = this->ApplyNotice(this->Rates, wire, host, now) || changed;
+  }
+  for (gradescale::RateLimit const& wire : frame.rejection_limits()) {
+    changed = this->ApplyNotice(this->Rejections, wire, host, now) || changed;
   }
   this->Limits.UnsentUpstreams.clear();
-  if (changed && isRelay) {
-    this->SendDigest(now);
+  this->Rejections.Limits.UnsentUpstreams.clear();
+  if (!changed) {
+    return;
   }
-  if (changed) {
-    this->NotifyChange();
+  if (this->Limits.Roles.Relay == this->Limits.Roles.Self) {
+    this->SendDigest(now);
   }
+  this->ShareSlots(now);
+  this->NotifyChange();
 }
 
 void gsRateLimiter::OnReceive(std::string const& host,
                               gradescale::Frame const& frame)
 {
   bool isRelevant =
-    !frame.rate_limits().empty() || !frame.rate_shares().empty() ||
-    !frame.rate_tokens().empty() || frame.rate_limits_digest() != 0 ||
+    !frame.rate_limits().empty() || !frame.rejection_limits().empty() ||
+    !frame.rate_shares().empty() || !frame.rate_tokens().empty() ||
+    frame.rate_limits_digest() != 0 || frame.rejection_limits_digest() != 0 ||
     frame.wants_rate_limits();
   if (!isRelevant) {
     return;
@@ -422,7 +561,11 @@
   this->UpdateRoles(now);
   this->ApplyNotices(host, frame, now);
   if (frame.rate_limits_digest() != 0) {
-    this->CompareDigest(host, frame.rate_limits_digest(), now);
+    this->CompareDigest(this->Rates, host, frame.rate_limits_digest(), now);
+  }
+  if (frame.rejection_limits_digest() != 0) {
+    this->CompareDigest(this->Rejections, host,
+                        frame.rejection_limits_digest(), now);
   }
   if (frame.wants_rate_limits()) {
     this->SendAll(host, now);
@@ -450,6 +593,7 @@
     share.TokensWanted = wire.wanted();
     share.Returned = wire.returned();
     share.Held = wire.held();
+    share.Rejected = wire.rejected();
     if (gsRateLimits* limits = limitsOf(wire.resource())) {
       gsApplyRateShare(*limits, host, share, now);
     }
@@ -460,6 +604,10 @@
     tokens.Count = wire.count();
     tokens.Lifetime = FromMicros(wire.life_us());
     tokens.ExpectedWait = FromMicros(wire.wait_us());
+    tokens.RoomSize = wire.room();
+    if (wire.rejected_for_us() > 0) {
+      tokens.TimeSinceRejection = FromMicros(wire.rejected_for_us() - 1);
+    }
     if (gsRateLimits* limits = limitsOf(wire.resource())) {
       gsApplyRateTokens(*limits, host, tokens, now);
     }
@@ -468,24 +616,28 @@
 
 void gsRateLimiter::Tick(gsTime now)
 {
-  bool isUnused =
-    this->Limits.Upstreams.empty() && this->Slots.Upstreams.empty();
+  bool isUnused = !this->HasLimits() && this->Slots.Upstreams.empty();
   if (isUnused || this->Cluster == nullptr) {
     return;
   }
   this->Run(now);
   this->LogIssuerChanges();
-  if (this->Limits.Upstreams.empty()) {
+  if (!this->HasLimits()) {
     return;
   }
   if (now - this->DigestSentAt >= DigestInterval) {
     this->SendDigest(now);
   }
   gsRateRoles const& roles = this->Limits.Roles;
-  auto announced = this->Limits.RelayAnnouncedAt.find(roles.Relay);
-  bool relayTimedOut =
-    announced == this->Limits.RelayAnnouncedAt.end() ||
-    now - announced->second > this->Limits.Settings.RelayTimeout;
+  gsTime announcedAt = gsTime::min();
+  for (Replicated const* replicated : { &this->Rates, &this->Rejections }) {
+    auto const& announced = replicated->Limits.RelayAnnouncedAt;
+    auto found = announced.find(roles.Relay);
+    announcedAt = std::max(
+      announcedAt, found == announced.end() ? announcedAt : found->second);
+  }
+  bool relayTimedOut = announcedAt == gsTime::min() ||
+                       now - announcedAt > this->Limits.Settings.RelayTimeout;
   if (roles.Relay != roles.Self && relayTimedOut &&
       now - this->AllLimitsSentAt >= RetransmissionInterval) {
     this->AllLimitsSentAt = now;
@@ -493,12 +645,14 @@
   }
   if (now - this->CleanedUpAt >= CleanupInterval) {
     this->CleanedUpAt = now;
-    gsRemoveExpiredRateLimits(
-      this->Limits,
-      [this](std::uint32_t upstream) {
-        return this->Fleet.ByHash.count(upstream) != 0;
-      },
-      now);
+    for (Replicated const* replicated : { &this->Rates, &this->Rejections }) {
+      gsRemoveExpiredRateLimits(
+        replicated->Limits,
+        [this](std::uint32_t upstream) {
+          return this->Fleet.ByHash.count(upstream) != 0;
+        },
+        now);
+    }
   }
 }
 
@@ -529,10 +683,15 @@
   }
   for (auto const& [hash, upstream] : this->Slots.Upstreams) {
     gsSlotUse const& slots = upstream.Slots;
+    bool isEstimated = slots.Room.MaxRejections.has_value();
     rows.push_back({ { "upstream", this->NameOf(hash) },
                      { "resource", "slots" },
                      { "slots", upstream.Limit.Rate },
-                     { "dry_run", !this->Slots.IsEnforced },
+                     { "room", gsRoomSize(slots.Room, upstream.Limit.Rate) },
+                     { "max_rejections_per_second",
+                       isEstimated ? nlohmann::json(*slots.Room.MaxRejections)
+                                   : nlohmann::json() },
+                     { "dry_run", !gsIsSlotEnforced(this->Slots, hash) },
                      { "age_ms", millis(now - upstream.Limit.AppliedAt) },
                      { "tokens", upstream.Tokens.size() },
                      { "in_use", slots.InUse },
@@ -578,6 +737,9 @@
     set(open, "lent", gsLentSlots(upstream, now));
     set(open, "held", gsHeldSlots(upstream));
     set(open, "waiting", gsWantedTokens(upstream, now));
+    set(open, "room",
+        static_cast<std::uint64_t>(
+          gsRoomSize(upstream.Slots.Room, upstream.Limit.Rate)));
     constexpr char const* total = "gradescale_shared_slots_total";
     set(total, "used", upstream.TokensSpent);
     set(total, "without_token", upstream.Slots.SentWithoutToken);
--- a/Source/Daemon/gsRateLimiter.h
+++ b/Source/Daemon/gsRateLimiter.h
@@ -6,6 +6,10 @@
  * than there are hosts. All hosts know these slots from the list of upstreams,
  * so only shares and tokens are exchanged.
  *
+ * Upstreams that state how many rejections in a second they bear share their
+ * slots too, whatever their number and the service; see gsSlotRoom.h. Their
+ * statements are exchanged as rate limits are.
+ *
  * A host sends a changed limit to the relay of its hall, which
  * forwards it to its hall and to the relays of other halls.
  *
@@ -56,8 +60,9 @@
   void SetSlotSharing(gsFeatureMode mode);
 
   /** Determines which upstreams' slots are shared: those of services without
-   * an engine whose upstreams have fewer slots than there are hosts. To be
-   * called when the size of the system is known. */
+   * an engine whose upstreams have fewer slots than there are hosts, and those
+   * of upstreams with a rejection limit. To be called when the size of the
+   * system is known. */
   void UpdateSharedSlots(gsRouteTable const& table, gsTime now);
 
   /** Processes the rate limit fields of a frame from another host. */
@@ -71,6 +76,16 @@
 
 private:
   using Hosts = std::vector<std::string>;
+  using SlotCounts = std::unordered_map<std::uint32_t, std::uint32_t>;
+  /** Limits that are replicated to all hosts by notices and digests. */
+  struct Replicated
+  {
+    gsRateLimits& Limits;
+    bool IsRejections; ///< Whether these are rejection limits.
+    /** Since when the digest of each host has differed; hosts whose last
+     * digest matched are absent. */
+    std::unordered_map<std::string, gsTime> MismatchedSince;
+  };
 
   void Publish();
   bool RequestTokens(std::uint32_t upstream, std::uint32_t count,
@@ -84,32 +99,40 @@
   void LogIssuerChanges();
   void ScheduleRun();
   void DeliverTokens();
-  void SendNotice(gsRateLimitNotice const& notice, Hosts const& hosts);
+  SlotCounts FindSmallServices(gsRouteTable const& table) const;
+  std::unordered_map<std::uint32_t, double> FindRejectionLimits(
+    gsTime now) const;
+  bool ShareSlots(gsTime now);
+  std::optional<gsTime> UpdateRejectionLimits(gsTime now);
+  bool HasLimits() const;
+  void SendNotice(Replicated const& replicated,
+                  gsRateLimitNotice const& notice, Hosts const& hosts);
   void SendAll(std::string const& host, gsTime now);
   void SendDigest(gsTime now);
   void ApplyNotices(std::string const& host, gradescale::Frame const& frame,
                     gsTime now);
-  void CompareDigest(std::string const& host, std::uint64_t digest,
-                     gsTime now);
+  bool ApplyNotice(Replicated& replicated, gradescale::RateLimit const& wire,
+                   std::string const& host, gsTime now);
+  void CompareDigest(Replicated& replicated, std::string const& host,
+                     std::uint64_t digest, gsTime now);
   std::string NameOf(std::uint32_t upstream) const;
 
   gsLoop& Loop;
   gsFleet& Fleet;
   gsRateLimits& Limits;
   gsRateLimits& Slots;
+  Replicated Rates;
+  Replicated Rejections;
+  SlotCounts SmallServiceSlots; ///< By hash of the upstream's incarnation.
   gsFeatureMode SlotMode = gsFeatureMode::Off;
   gsTime SharedSlotsUpdatedAt{};
+  gsTime RejectionLimitsUpdatedAt{};
   /** Issuer to which this host's slots were lent last, by upstream. */
   std::unordered_map<std::uint32_t, std::string> LoggedIssuers;
   gsHallCluster* Cluster = nullptr;  ///< Set by Start.
   gsRouteGateway* Gateway = nullptr; ///< Set by ConnectGateway.
   gsTimer DueTimer;
   bool RunScheduled = false;
-  /**
-   * Since when the digest of each host has differed; hosts whose last digest
-   * matched are absent.
-   */
-  std::unordered_map<std::string, gsTime> MismatchedSince;
   gsTime RolesUpdatedAt{};
   gsTime DigestSentAt{};
   gsTime AllLimitsSentAt{};
--- a/Source/Daemon/gsRetryPolicy.cxx
+++ b/Source/Daemon/gsRetryPolicy.cxx
@@ -9,6 +9,9 @@
 /** Maximum Retry-After of a refusal, as a multiple of the setting. */
 constexpr double MaxRetryAfterFactor = 1.5;
 constexpr unsigned FirstServerError = 500;
+/** Rejections of one request by upstreams that crash under too many of them.
+ * A request that no upstream can hold is not sent to all of them. */
+constexpr std::uint32_t MaxRoomRejections = 2;
 
 } // namespace
 
@@ -41,7 +44,8 @@
                    gsSuspicionLevel::Contained) {
     return false;
   }
-  if (now >= std::min(request.DeadlineAt, request.TimeoutAt)) {
+  if (now >= std::min(request.DeadlineAt, request.TimeoutAt) ||
+      request.RoomRejections >= MaxRoomRejections) {
     return false;
   }
   bool hasAnswer = gsIsAnswer(result.Outcome);
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -715,7 +715,7 @@
   }
   std::string const service = this->Fleet.Rows[row->second].Listed.Service;
   gsRateLimits const& slots = this->Fleet.SlotLimits;
-  bool isShared = slots.IsEnforced && slots.Upstreams.count(upstream) != 0;
+  bool isShared = gsIsSlotEnforced(slots, upstream);
   std::vector<RequestPtr> placed;
   RequestPtr next = this->NextForToken(upstream, service, placed);
   while (next != nullptr) {
@@ -766,6 +766,18 @@
   }
 }
 
+void gsRouteGateway::AdoptAttempts()
+{
+  for (auto const& [sequence, request] : this->Requests) {
+    for (gsAttemptPtr const& attempt :
+         { request->Attempt, request->Primary }) {
+      if (attempt != nullptr) {
+        this->UpstreamCaller.AdoptAttempt(*attempt);
+      }
+    }
+  }
+}
+
 /**
  * Has expired waits refused when the first one ends. The sweep is too late by
  * up to its interval of 50 ms, which exceeds the duration of an attempt that a
@@ -980,6 +992,10 @@
     this->ReportUnstreamedStart(*request, *attempt, result);
     this->RecordHallFailure(*request, *attempt, result);
     this->CrashWatch.RecordAttemptEnd(*request, *attempt, result, now);
+    bool isRejected =
+      result.Outcome == gsAttemptOutcome::NotExecuted &&
+      gsFindRoom(this->Fleet.SlotLimits, gsIncarnationHash(attempt->Upstream));
+    request->RoomRejections += isRejected ? 1 : 0;
   } else {
     this->RequestForwarder.RecordEnd(*request, *attempt, result, now);
   }
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -142,6 +142,9 @@
    * Places all waiting requests again after a change of limits or upstreams.
    */
   void RetryWaiting();
+  /** Counts the open attempts at upstreams whose slots are shared from now on
+   * as holders of these slots. */
+  void AdoptAttempts();
 
   /**
    * Sets whether this host is catching up after a stall. While it is, its
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -194,6 +194,8 @@
   std::uint32_t MaxAttempts = 1;
   /** Number of attempts for which no connection could be made. */
   std::uint32_t ConnectFailures = 0;
+  /** Number of rejections by upstreams that crash under too many of them. */
+  std::uint32_t RoomRejections = 0;
   /** Another host has forwarded the request to this one. */
   bool IsForwarded = false;
   std::vector<std::string> ForwardedTo; ///< Hosts that it was forwarded to.
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -352,6 +352,41 @@
   return true;
 }
 
+/** Logs the estimate of an upstream's slots after a rejection. */
+void gsUpstreamCaller::LogRoom(gsRoutedRequest const& request,
+                               gsFleetRow const& row, gsTime now) const
+{
+  gsSlotRoom const* room = gsFindRoom(this->Fleet.SlotLimits, row.Hash);
+  if (room == nullptr) {
+    return;
+  }
+  gsLimitedUpstream const& entry =
+    this->Fleet.SlotLimits.Upstreams.at(row.Hash);
+  gsLogLine("room_rejection")
+    .With("request", request.Caller.AttemptId)
+    .With("upstream", row.Listed.Id)
+    .With("per_second", gsFormatRate(room->MaxRejections.value_or(0)))
+    .With("slots", std::uint64_t(row.Listed.Slots))
+    .With("room", gsFormatRate(gsRoomSize(*room, entry.Limit.Rate)))
+    .With("held", std::uint64_t(gsHeldSlots(entry)))
+    .With("held_by_others", std::uint64_t(gsLentSlots(entry, now)))
+    .With("view_age_ms", now - entry.ShareAcceptedAt);
+}
+
+void gsUpstreamCaller::AdoptAttempt(gsAttempt& attempt)
+{
+  std::uint32_t upstream = gsIncarnationHash(attempt.Upstream);
+  gsRateLimits& slots = this->Fleet.SlotLimits;
+  bool isUncounted = attempt.CallId != 0 && attempt.MayHaveSentBytes &&
+                     attempt.ForwardedTo.empty() && !attempt.HasSlot &&
+                     gsFindRoom(slots, upstream) != nullptr;
+  if (isUncounted) {
+    gsAdoptAttempt(slots, upstream);
+    attempt.HasSlot = true;
+    attempt.SlotEnforcedFrom = gsEnforcedFrom(slots, upstream);
+  }
+}
+
 /** Cancels the reservations of an attempt that has ended, and returns its
  * shared slot. */
 void gsUpstreamCaller::ReleaseTokens(gsAttempt& attempt)
@@ -397,6 +432,7 @@
     this->Events.OnLeaving(attempt.Upstream);
   }
   this->ApplyRateLimit(request, attempt, now);
+  this->ApplyRejectionLimit(request, attempt, now);
   if (row != nullptr && std::exchange(attempt.IsResumption, false)) {
     bool accepted =
       !attempt.AnswerHead.NotExecuted && announcement.RetryAfter.count() == 0;
@@ -409,28 +445,59 @@
                                       gsAttempt const& attempt, gsTime now)
 {
   gsUpstreamAnnouncement const& announcement = attempt.AnswerHead.Announcement;
-  bool isRelevant = announcement.RateLimit.has_value() ||
-                    announcement.IsRateLimitMalformed ||
-                    !this->Fleet.RateLimits.Upstreams.empty();
-  if (!isRelevant || attempt.Status == gsStatusMisdirected) {
-    return;
-  }
   if (announcement.IsRateLimitMalformed) {
     gsLogLine("rate_limit_unreadable", gsLogLevel::Warn)
       .With("request", request.Caller.AttemptId)
       .With("upstream", attempt.Upstream.Id);
     return;
   }
+  if (this->ApplyLimit(this->Fleet.RateLimits, "rate_limit",
+                       announcement.RateLimit, request, attempt, now)) {
+    this->Events.OnRateLimit();
+  }
+}
+
+/** Applies the rejections in a second that an upstream bears by an answer. */
+void gsUpstreamCaller::ApplyRejectionLimit(gsRoutedRequest const& request,
+                                           gsAttempt const& attempt,
+                                           gsTime now)
+{
+  gsUpstreamAnnouncement const& announcement = attempt.AnswerHead.Announcement;
+  if (announcement.IsRejectionLimitMalformed) {
+    gsLogLine("rejection_limit_unreadable", gsLogLevel::Warn)
+      .With("request", request.Caller.AttemptId)
+      .With("upstream", attempt.Upstream.Id)
+      .With("read_as", "0");
+  }
+  if (this->ApplyLimit(this->Fleet.RejectionLimits, "rejection_limit",
+                       announcement.RejectionLimit, request, attempt, now)) {
+    this->Events.OnRateLimit();
+  }
+}
+
+/**
+ * Applies a limit that an answer states, or its absence.
+ * \param event Name of the log line.
+ * \return Whether the limit has changed.
+ */
+bool gsUpstreamCaller::ApplyLimit(gsRateLimits& limits, char const* event,
+                                  std::optional<double> const& value,
+                                  gsRoutedRequest const& request,
+                                  gsAttempt const& attempt, gsTime now)
+{
+  bool isRelevant = value.has_value() || !limits.Upstreams.empty();
+  if (!isRelevant || attempt.Status == gsStatusMisdirected) {
+    return false;
+  }
   // The answer may be to another request that was sent before this attempt.
   bool isOwn = attempt.AnswerHead.RequestId == request.Caller.AttemptId;
   std::uint32_t hash = gsIncarnationHash(attempt.Upstream);
-  if (!gsApplyObservedRateLimit(this->Fleet.RateLimits, hash,
-                                announcement.RateLimit,
+  if (!gsApplyObservedRateLimit(limits, hash, value,
                                 isOwn ? attempt.SentAt : gsTime{}, now)) {
-    return;
+    return false;
   }
-  gsRateLimit const& limit = this->Fleet.RateLimits.Upstreams.at(hash).Limit;
-  gsLogLine("rate_limit")
+  gsRateLimit const& limit = limits.Upstreams.at(hash).Limit;
+  gsLogLine(event)
     .With("request", request.Caller.AttemptId)
     .With("upstream", attempt.Upstream.Id)
     .With("born", attempt.Upstream.StartedAt)
@@ -438,7 +505,7 @@
     .With("per_second", gsFormatRate(limit.Rate))
     .With("ended", limit.HasEnded)
     .With("version", limit.Version);
-  this->Events.OnRateLimit();
+  return true;
 }
 
 void gsUpstreamCaller::OnHeaders(gsRoutedRequestPtr const& request,
@@ -787,7 +854,8 @@
                        result.Status == gsStatusTooMany);
     if (isRejected) {
       gsRecordRejection(this->Fleet, *row, now);
-      gsRecordSlotRejection(this->Fleet.SlotLimits, row->Hash);
+      gsRecordSlotRejection(this->Fleet.SlotLimits, row->Hash, now);
+      this->LogRoom(*request, *row, now);
     }
     if (result.Outcome == gsAttemptOutcome::Complete) {
       gsRecordSlotHold(this->Fleet, *row, now - attempt.SentAt);
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -78,6 +78,9 @@
   /** Cancels an attempt without calling OnEnd; its connection is closed. */
   void Cancel(gsAttempt& attempt);
   /** Cancels all attempts of a request without calling OnEnd. */
+  /** Counts an attempt that was sent before its upstream's slots were shared
+   * as one that uses such a slot. */
+  void AdoptAttempt(gsAttempt& attempt);
   void CancelAll(gsRoutedRequest& request);
   /** Cancels all attempts of a request whose caller has left, and logs them.
    */
@@ -132,6 +135,14 @@
                  gsTime now);
   void ApplyRateLimit(gsRoutedRequest const& request, gsAttempt const& attempt,
                       gsTime now);
+  void ApplyRejectionLimit(gsRoutedRequest const& request,
+                           gsAttempt const& attempt, gsTime now);
+  bool ApplyLimit(gsRateLimits& limits, char const* event,
+                  std::optional<double> const& value,
+                  gsRoutedRequest const& request, gsAttempt const& attempt,
+                  gsTime now);
+  void LogRoom(gsRoutedRequest const& request, gsFleetRow const& row,
+               gsTime now) const;
   bool OnData(gsRoutedRequestPtr const& request, gsAttemptPtr const& attempt,
               std::string_view bytes);
   void RelayEvents(gsRoutedRequestPtr const& request, gsAttempt& attempt,
--- a/Tests/Route/gsTestBrittleUpstream.cxx
+++ b/Tests/Route/gsTestBrittleUpstream.cxx
@@ -6,7 +6,9 @@
  */
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,7 +25,7 @@
 {
   std::size_t Upstreams = 4;
   std::size_t Room = 8; ///< Requests that one of them accepts at a time.
-  std::string Statement = "3"; ///< Empty for none.
+  std::optional<std::string> Statement = "3";
   std::size_t MaxRejections = 3; ///< In a second; one more crashes it.
   gsTime ServiceTime = gsMilliseconds(200);
   gsTime RestartTime = gsMilliseconds(1500);
@@ -38,11 +40,10 @@
                   std::string const& id)
     : Bench(bench)
     , Settings(settings)
-    , Scripted(bench.Add(id,
-                         [this](Connection const& to,
-                                gsScriptedRequest const& request) {
-                           this->Take(to, request);
-                         }))
+    , Scripted(bench.Add(
+        id, [this](Connection const& to, gsScriptedRequest const& request) {
+          this->Take(to, request);
+        }))
   {
   }
 
@@ -53,9 +54,9 @@
 private:
   std::string Headers() const
   {
-    return this->Settings.Statement.empty()
-             ? std::string()
-             : "Server-Brittle: " + this->Settings.Statement + "\r\n";
+    return this->Settings.Statement
+             ? "Server-Brittle: " + *this->Settings.Statement + "\r\n"
+             : std::string();
   }
 
   void Take(Connection const& to, gsScriptedRequest const& request)
@@ -92,9 +93,9 @@
       this->RejectedAt.pop_front();
     }
     if (this->RejectedAt.size() <= this->Settings.MaxRejections) {
-      to->Write(gsWholeAnswer(request, "full", 503,
-                              "Gradescale-Not-Executed: 1\r\n" +
-                                this->Headers()));
+      to->Write(
+        gsWholeAnswer(request, "full", 503,
+                      "Gradescale-Not-Executed: 1\r\n" + this->Headers()));
       return;
     }
     ++this->Falls;
@@ -128,6 +129,20 @@
     }
   }
 
+  /** Has the upstreams state what they bear: they do so in all their answers,
+   * and crash only some seconds after the first of these. */
+  void AwaitStatements()
+  {
+    for (std::size_t i = 0; i < 2 * this->Settings.Upstreams; ++i) {
+      this->SendOne();
+    }
+    this->RunUntil([this] {
+      return std::all_of(
+        this->Views.begin(), this->Views.end(),
+        [](gsCallerViewPtr const& view) { return view->Done; });
+    });
+  }
+
   /** Requests that all upstreams together can answer in a second. */
   double Capacity() const
   {
@@ -202,6 +217,7 @@
 TEST(BrittleUpstream, LoadAboveTheRoomIsServedWithoutFalls)
 {
   BrittleBench bench({});
+  bench.AwaitStatements();
   bench.SendFor(0.5, 0.8 * bench.Capacity());
   std::size_t before = bench.Served();
   bench.SendFor(4, 1.56 * bench.Capacity());
@@ -217,6 +233,7 @@
   BrittleSettings settings;
   settings.Room = 4;
   BrittleBench bench(settings);
+  bench.AwaitStatements();
   bench.SendFor(1, 1.5 * bench.Capacity());
   std::size_t before = bench.Served();
   bench.SendFor(4, 1.5 * bench.Capacity());
@@ -232,6 +249,7 @@
   settings.Statement = "0";
   settings.MaxRejections = 0;
   BrittleBench bench(settings);
+  bench.AwaitStatements();
   bench.SendFor(0.5, 0.8 * bench.Capacity());
   std::size_t before = bench.Served();
   bench.SendFor(4, 1.25 * bench.Capacity());
@@ -240,6 +258,53 @@
             MinUse * 4 * bench.Capacity());
 }
 
+// Guards against a limit that stays in force after the upstreams have ceased
+// to state it.
+TEST(BrittleUpstream, EndOfTheStatementOpensTheUpstreams)
+{
+  BrittleBench bench({});
+  bench.AwaitStatements();
+  bench.SendFor(1, 1.5 * bench.Capacity());
+  EXPECT_EQ(bench.Falls(), 0U);
+  bench.Settings.Statement.reset();
+  bench.Settings.MaxRejections = std::numeric_limits<std::size_t>::max();
+  bench.SendFor(5, 0.8 * bench.Capacity());
+  gsTime now = gsLoop::Now();
+  for (gsFleetRow const& row : bench.Fleet.Rows) {
+    EXPECT_EQ(gsFindRoom(bench.Fleet.SlotLimits, row.Hash), nullptr);
+    EXPECT_TRUE(gsHasToken(bench.Fleet.SlotLimits, row.Hash, now));
+  }
+}
+
+// Guards against strange statements that are ignored, and against ones that
+// stop the host.
+TEST(BrittleUpstream, UnreadableStatementCountsAsTheStrictest)
+{
+  std::vector<std::pair<std::string, double>> const cases = {
+    { "0", 0 },
+    { "-3", 0 },
+    { "nan", 0 },
+    { "many", 0 },
+    { "", 0 },
+    { "3, 2", 2 },
+    { "1e9", 1e6 },
+    { std::string(400, '9'), 1e6 },
+    { "3\r\nServer-Brittle: 1", 1 },
+  };
+  for (auto const& [text, expected] : cases) {
+    BrittleSettings settings;
+    settings.Upstreams = 1;
+    settings.Statement = text;
+    BrittleBench bench(settings);
+    bench.SendOne();
+    ASSERT_TRUE(bench.RunUntil([&] { return bench.Views.back()->Done; }));
+    std::uint32_t hash = bench.Fleet.Rows.front().Hash;
+    gsSlotRoom const* room = gsFindRoom(bench.Fleet.SlotLimits, hash);
+    ASSERT_NE(room, nullptr) << text;
+    EXPECT_EQ(room->MaxRejections, expected) << text;
+  }
+}
+
 // Guards against a request that no upstream can hold and that is rejected by
 // one after the other.
 TEST(BrittleUpstream, RequestThatFitsNowhereIsRejectedOnce)
--- a/Tests/Unit/gsTestSlotSharing.cxx
+++ b/Tests/Unit/gsTestSlotSharing.cxx
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -52,6 +53,14 @@
   std::string KilledRelayHall;
   /** Upstream 0 rejects all requests from 4 s to 8 s. */
   bool IsOneUnavailable = false;
+  /** Rejections in a second that an upstream bears, as all hosts know from the
+   * start; one more crashes it. Empty if any number does not. */
+  std::optional<double> MaxRejections;
+  /** Requests that an upstream accepts at a time from RoomCutAt on; zero for
+   * its slots and queue. */
+  std::uint32_t Room = 0;
+  gsTime RoomCutAt = gsSeconds(3);
+  gsTime RestartTime = gsSeconds(3); ///< From a crash until it is back.
   gsTime Duration = gsSeconds(12);
 };
 
@@ -99,6 +108,7 @@
     std::size_t Arrivals = 0; ///< At upstreams that are available.
     std::size_t Rejected = 0; ///< By those.
     std::size_t Served = 0;
+    std::size_t Falls = 0;  ///< Crashes under rejections.
     std::size_t InTime = 0; ///< Within two wait limits.
     std::size_t Refused = 0;
     std::vector<std::size_t> ServedBy;
@@ -142,6 +152,7 @@
                        " refused " + std::to_string(this->Count.Refused) +
                        " arrivals " + std::to_string(this->Count.Arrivals) +
                        " rejected " + std::to_string(this->Count.Rejected) +
+                       " falls " + std::to_string(this->Count.Falls) +
                        " max " + std::to_string(this->MaxPresent) +
                        " wait us " +
                        std::to_string(this->WaitAt(0.5).count()) + "/" +
@@ -191,6 +202,9 @@
     std::uint32_t Running = 0;
     std::deque<Attempt> Queue;
     gsTime SlowUntil{};
+    std::deque<gsTime> RejectedAt; ///< Within the last second.
+    gsTime DownUntil{};
+    std::uint64_t Life = 0; ///< Incremented when it crashes.
   };
 
   struct Event
@@ -326,6 +340,13 @@
       slots[i] = this->Plan.Slots;
     }
     gsSetSharedSlots(host.Limits, slots, this->Now);
+    if (this->Plan.MaxRejections) {
+      std::unordered_map<std::uint32_t, double> limits;
+      for (auto const& [upstream, count] : slots) {
+        limits[upstream] = *this->Plan.MaxRejections;
+      }
+      gsSetRejectionLimits(host.Limits, limits, this->Now);
+    }
   }
 
   void Send(std::size_t from, gsRateMessage const& message)
@@ -477,6 +498,7 @@
                 std::uint32_t upstream) const
   {
     return !this->IsCut(host.Hall, this->Upstreams[upstream].Hall) &&
+           this->Now >= this->Upstreams[upstream].DownUntil &&
            std::find(request.Tried.begin(), request.Tried.end(), upstream) ==
              request.Tried.end();
   }
@@ -548,12 +570,16 @@
                          this->Now < Start + gsSeconds(8);
     bool isCounted = this->IsMeasured() && !isUnavailable;
     this->Count.Arrivals += isCounted ? 1 : 0;
+    if (this->Now < upstream.DownUntil) {
+      this->EndAttempt(number, attempt, false);
+      return;
+    }
     auto present =
       static_cast<std::uint32_t>(upstream.Running + upstream.Queue.size());
-    if (isUnavailable ||
-        present >= this->Plan.Slots + this->Plan.UpstreamQueue) {
+    if (isUnavailable || present >= this->RoomNow()) {
       this->Count.Rejected += isCounted ? 1 : 0;
-      this->EndAttempt(number, attempt, false);
+      this->EndAttempt(number, attempt, false, true);
+      this->RecordRejection(number);
       return;
     }
     if (this->IsMeasured()) {
@@ -563,10 +589,45 @@
     this->StartWork(number);
   }
 
+  /** Requests that an upstream accepts at a time. */
+  std::uint32_t RoomNow() const
+  {
+    bool isCut =
+      this->Plan.Room > 0 && this->Now >= Start + this->Plan.RoomCutAt;
+    return isCut ? this->Plan.Room
+                 : this->Plan.Slots + this->Plan.UpstreamQueue;
+  }
+
+  /** Crashes an upstream that has rejected too many requests in a second. */
+  void RecordRejection(std::uint32_t number)
+  {
+    Upstream& upstream = this->Upstreams[number];
+    upstream.RejectedAt.push_back(this->Now);
+    while (this->Now - upstream.RejectedAt.front() > gsSeconds(1)) {
+      upstream.RejectedAt.pop_front();
+    }
+    bool isBorne = !this->Plan.MaxRejections ||
+                   static_cast<double>(upstream.RejectedAt.size()) <=
+                     *this->Plan.MaxRejections ||
+                   this->Now < Start + this->Plan.RoomCutAt;
+    if (isBorne) {
+      return;
+    }
+    ++this->Count.Falls;
+    ++upstream.Life;
+    upstream.DownUntil = this->Now + this->Plan.RestartTime;
+    upstream.RejectedAt.clear();
+    upstream.Running = 0;
+    for (Attempt const& lost : std::exchange(upstream.Queue, {})) {
+      this->EndAttempt(number, lost, false);
+    }
+  }
+
   void StartWork(std::uint32_t number)
   {
     Upstream& upstream = this->Upstreams[number];
-    if (upstream.Running >= this->Plan.Slots || upstream.Queue.empty()) {
+    std::uint32_t slots = std::min(this->Plan.Slots, this->RoomNow());
+    if (upstream.Running >= slots || upstream.Queue.empty()) {
       return;
     }
     Attempt attempt = upstream.Queue.front();
@@ -576,39 +637,49 @@
     double factor = this->Now < upstream.SlowUntil ? slowFactor : 1;
     gsTime end =
       this->Now + gsFromSeconds(factor * gsToSeconds(this->Plan.Work));
-    this->At(end, [this, number, attempt] {
+    std::uint64_t life = upstream.Life;
+    this->At(end, [this, number, attempt, life] {
+      if (this->Upstreams[number].Life != life) {
+        this->EndAttempt(number, attempt, false); // Lost in a crash.
+        return;
+      }
       --this->Upstreams[number].Running;
       this->EndAttempt(number, attempt, true);
       this->StartWork(number);
     });
   }
 
-  void EndAttempt(std::uint32_t number, Attempt const& attempt, bool served)
+  void EndAttempt(std::uint32_t number, Attempt const& attempt, bool served,
+                  bool isRejected = false)
   {
     std::size_t index = attempt.HostIndex;
     if (this->Hosts[index].Life != attempt.Life) {
       return;
     }
     gsTime at = this->Now + this->LinkDelay(this->Hosts[index].Hall, number);
-    this->AtHost(index, at, [this, index, number, attempt, served] {
-      Host& host = this->Hosts[index];
-      gsReturnToken(host.Limits, number, this->Now - attempt.SentAt,
-                    this->Now);
-      Request& request = *attempt.Req;
-      if (served && request.ArrivedAt >= this->MeasuredFrom) {
-        ++this->Count.Served;
-        this->Count.ServedBy.resize(this->Plan.Upstreams);
-        ++this->Count.ServedBy[number];
-        this->Count.InTime +=
-          this->Now - request.ArrivedAt <= 2 * this->Plan.WaitLimit ? 1 : 0;
-      } else if (!served && request.Tried.empty()) {
-        request.Tried.push_back(number);
-        this->Place(index, attempt.Req);
-      } else if (!served) {
-        this->Refuse(request);
-      }
-      this->TickHost(index);
-    });
+    this->AtHost(
+      index, at, [this, index, number, attempt, served, isRejected] {
+        Host& host = this->Hosts[index];
+        gsReturnToken(host.Limits, number, this->Now - attempt.SentAt,
+                      this->Now);
+        if (isRejected) {
+          gsRecordSlotRejection(host.Limits, number, this->Now);
+        }
+        Request& request = *attempt.Req;
+        if (served && request.ArrivedAt >= this->MeasuredFrom) {
+          ++this->Count.Served;
+          this->Count.ServedBy.resize(this->Plan.Upstreams);
+          ++this->Count.ServedBy[number];
+          this->Count.InTime +=
+            this->Now - request.ArrivedAt <= 2 * this->Plan.WaitLimit ? 1 : 0;
+        } else if (!served && request.Tried.empty()) {
+          request.Tried.push_back(number);
+          this->Place(index, attempt.Req);
+        } else if (!served) {
+          this->Refuse(request);
+        }
+        this->TickHost(index);
+      });
   }
 
   SlotPlan Plan;
@@ -1016,3 +1087,123 @@
     gsPlaceRequest(fleet, gsFleetCases::MakeLongRequest(), now, random);
   EXPECT_EQ(placement.Row->Listed.Id, "u0");
 }
+
+namespace {
+
+/** Upstreams that crash under rejections, before nine hosts. */
+SlotPlan BrittlePlan(double maxRejections)
+{
+  SlotPlan plan;
+  plan.HostsPerHall = 3;
+  plan.ExtraHosts = 0;
+  plan.Upstreams = 9;
+  plan.Slots = 16;
+  plan.Work = gsMilliseconds(200);
+  plan.WaitLimit = gsMilliseconds(200);
+  plan.UpstreamQueue = 8;
+  plan.Room = 16;
+  plan.MaxRejections = maxRejections;
+  plan.Demand = 1.4 * 9 * 16 / 0.2;
+  return plan;
+}
+
+/** Falls that the rule allows. */
+std::size_t AllowedFalls(SlotPlan const& plan)
+{
+  return 2 + plan.Upstreams / 10;
+}
+
+/** Seeds of a plan that breaks the rule; prints what each measured. */
+std::size_t CountBroken(char const* name, SlotPlan const& plan,
+                        std::uint64_t seeds)
+{
+  std::size_t broken = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    SlotSimulation simulation(plan, seed);
+    simulation.Run();
+    Show(name, seed, simulation);
+    broken += simulation.Count.Falls > AllowedFalls(plan) ? 1 : 0;
+  }
+  return broken;
+}
+
+/** Share of the work that the upstreams can do, by requests that arrived in
+ * the time measured; those that run at its end are not served yet. */
+double UseOf(SlotPlan const& plan, SlotSimulation const& simulation)
+{
+  double seconds =
+    gsToSeconds(Start + plan.Duration - simulation.MeasuredFrom - plan.Work);
+  double perSecond =
+    static_cast<double>(plan.Upstreams * plan.Room) / gsToSeconds(plan.Work);
+  return static_cast<double>(simulation.Count.Served) / (seconds * perSecond);
+}
+
+/** Seeds of each case: a few in CI, more by environment. */
+std::uint64_t SeedCount()
+{
+  char const* text = std::getenv("GRADESCALE_SEEDS");
+  return text == nullptr ? 2 : std::strtoull(text, nullptr, 10);
+}
+
+} // namespace
+
+// Guards against hosts that each keep within the room of upstreams, and
+// together make them crash.
+TEST(SlotSharingBrittle, NineHostsUseTheRoomWithoutFalls)
+{
+  SlotPlan const plan = BrittlePlan(3);
+  for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+    SlotSimulation simulation(plan, seed);
+    simulation.MeasuredFrom = Start + gsSeconds(4);
+    simulation.Run();
+    Show("brittle", seed, simulation);
+    EXPECT_LE(simulation.Count.Falls, AllowedFalls(plan)) << seed;
+    EXPECT_GE(UseOf(plan, simulation), 0.95) << seed;
+  }
+}
+
+// Guards against crashes in a burst while the room halves.
+TEST(SlotSharingBrittle, BurstWhileTheRoomHalves)
+{
+  SlotPlan plan = BrittlePlan(3);
+  plan.Room = 8;
+  plan.BurstFactor = 2.7;
+  plan.BurstAt = plan.RoomCutAt;
+  EXPECT_EQ(CountBroken("halved", plan, SeedCount()), 0U);
+}
+
+// Guards against crashes where no rejection is borne.
+TEST(SlotSharingBrittle, NoRejectionIsBorne)
+{
+  EXPECT_EQ(CountBroken("none borne", BrittlePlan(0), SeedCount()), 0U);
+}
+
+// Guards against hosts of a hall that is cut off which use the room twice.
+TEST(SlotSharingBrittle, AHallIsCutOff)
+{
+  SlotPlan plan = BrittlePlan(3);
+  plan.CutHall = "hall1";
+  EXPECT_EQ(CountBroken("cut", plan, SeedCount()), 0U);
+}
+
+// Guards against crashes of a small service before many hosts.
+TEST(SlotSharingBrittle, ThreeUpstreamsOfSixSlotsBefore79Hosts)
+{
+  SlotPlan plan;
+  plan.Room = 6;
+  plan.MaxRejections = 3;
+  plan.Demand = 800;
+  EXPECT_EQ(CountBroken("79 hosts", plan, SeedCount()), 0U);
+}
+
+// Guards against crashes while messages are lost and hosts are killed, freeze
+// and are cut off.
+TEST(SlotSharingBrittle, FaultsOfAllKinds)
+{
+  SlotPlan plan = BrittlePlan(3);
+  plan.Loss = 0.05;
+  plan.Kills = true;
+  plan.Freezes = true;
+  plan.Cuts = true;
+  EXPECT_EQ(CountBroken("faults", plan, SeedCount()), 0U);
+}
