Daemon: Counts a kept connection that breaks under a request as a crash

An upstream that crashed under a request on a kept connection was no evidence against the request if its address accepted connections again: the client library then connects anew, the call is stopped before it is sent twice, and this was taken for a kept connection that the upstream had closed before. The same request went on to crash the next upstream.

A connection that had been closed before breaks as soon as the request is sent. Later than 5 ms, the loss now counts as a crash; an upstream that sends anything afterwards revokes the evidence, as before.

--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -24,6 +24,9 @@
  * has other answers under way sends something in that time, unless it has
  * crashed. */
 constexpr gsTime EndHoldTime = gsMilliseconds(30);
+/** A kept connection that the upstream had closed before a request was sent
+ * on it breaks within this time. */
+constexpr gsTime MaxCloseDelay = gsMilliseconds(5);
 /** The connections of an upstream that crashes break within this time of each
  * other. */
 constexpr gsTime CrashSpread = gsMilliseconds(10);
@@ -764,8 +767,11 @@
         .With("upstream", row->Listed.Id);
     }
   } else if (end.BodyEnd == gsBodyEnd::Unknown) {
-    // One that does not read a body has not crashed.
-    result.IsUpstreamLost = !end.Stopped && !end.Stalled;
+    // One that does not read a body has not crashed, nor has one that closed
+    // a kept connection just when the request was sent.
+    bool wasClosedBefore =
+      end.Stopped && gsLoop::Now() - attempt.SentAt < MaxCloseDelay;
+    result.IsUpstreamLost = !wasClosedBefore && !end.Stalled;
     result.Detail = "The upstream's answer broke off: " + end.Error;
   } else if (attempt.AnswerHead.NotExecuted) {
     result.Outcome = gsAttemptOutcome::NotExecuted;
--- a/Tests/Route/gsTestPoisonRequest.cxx
+++ b/Tests/Route/gsTestPoisonRequest.cxx
@@ -4,7 +4,9 @@
  * A request under which upstreams end, at one host between scripted
  * upstreams: when it is refused, and that nothing else is refused with it.
  */
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -146,6 +148,34 @@
   EXPECT_EQ(bench.SendAndWait(With(Poison, "plain"))->Status, 200U);
 }
 
+// Guards against crashes that are not noticed because they break a connection
+// that had been used before, and the address accepts connections again.
+TEST(PoisonRequest, IsFoundOnKeptConnections)
+{
+  gsRouteBench bench;
+  std::vector<std::unique_ptr<gsTimer>> timers;
+  std::size_t arrivals = 0;
+  for (char const* id : { "u1", "u2", "u3", "u4", "u5", "u6" }) {
+    bench.Add(id, [&](Connection const& to, gsScriptedRequest const& request) {
+      if (request.Body != Poison) {
+        to->Write(gsWholeAnswer(request, "body"));
+        return;
+      }
+      ++arrivals;
+      timers.push_back(
+        std::make_unique<gsTimer>(bench.Loop, [to] { to->Close(); }));
+      timers.back()->Once(gsMilliseconds(20));
+    });
+  }
+  for (int i = 0; i < 60; ++i) {
+    bench.SendAndWait(With("other"));
+  }
+  for (int i = 0; i < 12; ++i) {
+    bench.SendAndWait(With(Poison, "plain"));
+  }
+  EXPECT_EQ(arrivals, 3U);
+}
+
 // Guards against requests held responsible for an upstream that had ended
 // before they were sent to it.
 TEST(PoisonRequest, IsNoneWhereTheUpstreamHadEndedBefore)
