Daemon: Quarantines parts of prompts under which upstreams crash

Cause: evidence is kept by a fingerprint of organisation, target and body. No two of these requests are alike, so each began without evidence.

The parts that requests share are now suspects beside whole requests, with the same sets, messages, digest, row and operator's commands; a part's fingerprint has a tag, so that no message changes its form. A crash accuses the parts of what was in progress and had not been written for half a second. Only crashes after the last success count, with crashes at the same moment once; three quarantine the part. A request whose parts' crashes another quarantined part explains runs one at a time a host, or freely if this host has used the part with success: that tells parts apart that came together.

--- a/Source/Coord/gsFingerprint.cxx
+++ b/Source/Coord/gsFingerprint.cxx
@@ -9,6 +9,10 @@
 
 namespace {
 
+/** Upper half of the fingerprints of parts; no request has it but by a
+ * collision of 64 bits. */
+constexpr std::uint64_t PartTag = 0x70726f6d70745f70;
+
 XXH128_hash_t HashOf(std::string_view text)
 {
   return XXH3_128bits(text.data(), text.size());
@@ -25,6 +29,17 @@
   return { hash.high64, hash.low64 };
 }
 
+gsFingerprint gsPartFingerprint(std::string_view service, std::uint64_t part)
+{
+  return { PartTag,
+           XXH3_64bits_withSeed(service.data(), service.size(), part) };
+}
+
+bool gsIsPartFingerprint(gsFingerprint const& fingerprint)
+{
+  return fingerprint.High == PartTag;
+}
+
 std::string gsFormatFingerprint(gsFingerprint const& fingerprint)
 {
   char text[33];
--- a/Source/Coord/gsFingerprint.h
+++ b/Source/Coord/gsFingerprint.h
@@ -1,9 +1,10 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /**
  * \file
- * Fingerprints of requests. A request that a caller repeats has the same
- * fingerprint on every host and under every request id, as it is computed only
- * from the parts that do not change.
+ * Fingerprints of requests and of parts of prompts. A request that a caller
+ * repeats has the same fingerprint on every host and under every request id,
+ * as it is computed only from the parts that do not change. A part of a prompt
+ * has the same fingerprint in all requests to a service.
  */
 #pragma once
 
@@ -13,7 +14,7 @@
 #include <string>
 #include <string_view>
 
-/** A 128-bit hash of a request. */
+/** A 128-bit hash of a request, or a tag and a 64-bit hash of a part. */
 struct gsFingerprint
 {
   std::uint64_t High = 0;
@@ -39,6 +40,12 @@
 gsFingerprint gsFingerprintOf(std::string_view organisation,
                               std::string_view target, std::string_view body);
 
+/** Computes the fingerprint of a part of prompts to a service. */
+gsFingerprint gsPartFingerprint(std::string_view service, std::uint64_t part);
+
+/** Whether a fingerprint is that of a part. */
+bool gsIsPartFingerprint(gsFingerprint const& fingerprint);
+
 /** Formats a fingerprint as 32 hexadecimal digits, for logs, operators and
  * keys. */
 std::string gsFormatFingerprint(gsFingerprint const& fingerprint);
--- a/Source/Coord/gsQuarantine.cxx
+++ b/Source/Coord/gsQuarantine.cxx
@@ -29,9 +29,78 @@
   return lastCrashAt;
 }
 
+/** Minimum time between crashes that count separately for a part. Upstreams
+ * that fail together, such as those of a hall that loses power, do so within a
+ * shorter time. */
+constexpr gsTime MinPartCrashInterval = gsMilliseconds(100);
+/** Times of a success at one upstream that differ by less, because of message
+ * delays, are those of the same success. */
+constexpr gsTime MaxReportDelay = gsMilliseconds(200);
+
+gsTime LastSuccessAt(gsSuspectRequest const& suspect)
+{
+  gsTime last = gsTime::min();
+  for (gsCrashEvidence const& piece : suspect.Evidence) {
+    if (piece.Verdict == gsCrashVerdict::Survived) {
+      last = std::max(last, piece.ObservedAt);
+    }
+  }
+  return last;
+}
+
+/** Crashes with a part in progress since its last success, in order. */
+std::vector<gsCrashEvidence> PartCrashes(gsSuspectRequest const& suspect)
+{
+  gsTime lastSuccessAt = LastSuccessAt(suspect);
+  std::vector<gsCrashEvidence> crashes;
+  std::copy_if(suspect.Evidence.begin(), suspect.Evidence.end(),
+               std::back_inserter(crashes),
+               [lastSuccessAt](gsCrashEvidence const& piece) {
+                 return piece.Verdict == gsCrashVerdict::Crashed &&
+                        piece.ObservedAt > lastSuccessAt;
+               });
+  std::sort(crashes.begin(), crashes.end(),
+            [](gsCrashEvidence const& a, gsCrashEvidence const& b) {
+              return a.ObservedAt < b.ObservedAt;
+            });
+  return crashes;
+}
+
+std::size_t CountPartCrashes(gsSuspectRequest const& suspect)
+{
+  std::size_t count = 0;
+  gsTime previous{};
+  for (gsCrashEvidence const& piece : PartCrashes(suspect)) {
+    if (count == 0 || piece.ObservedAt - previous >= MinPartCrashInterval) {
+      ++count;
+      previous = piece.ObservedAt;
+    }
+  }
+  return count;
+}
+
+gsSuspicionLevel ComputePartSuspicion(gsQuarantineSettings const& settings,
+                                      gsSuspectRequest const& suspect,
+                                      gsTime now)
+{
+  std::size_t crashes = CountPartCrashes(suspect);
+  if (crashes == 0 || now - LastCrashAt(suspect) >= settings.PartDuration) {
+    return gsSuspicionLevel::None;
+  }
+  if (crashes >= settings.CrashThreshold) {
+    return gsSuspicionLevel::Quarantined;
+  }
+  return crashes > 1 ? gsSuspicionLevel::Contained
+                     : gsSuspicionLevel::Suspected;
+}
+
 gsSuspicionLevel ComputeSuspicion(gsQuarantineSettings const& settings,
+                                  gsFingerprint const& fingerprint,
                                   gsSuspectRequest const& suspect, gsTime now)
 {
+  if (gsIsPartFingerprint(fingerprint)) {
+    return ComputePartSuspicion(settings, suspect, now);
+  }
   std::size_t crashes = gsSequentialCrashCount(suspect);
   std::size_t survived = CountVerdicts(suspect, gsCrashVerdict::Survived);
   gsTime sinceLastCrash = now - LastCrashAt(suspect);
@@ -59,6 +128,7 @@
   if (count != table.SuspectsPerOrganisation.end() && --count->second == 0) {
     table.SuspectsPerOrganisation.erase(count);
   }
+  table.PartCount -= gsIsPartFingerprint(suspect->first) ? 1 : 0;
   table.Suspects.erase(suspect);
 }
 
@@ -106,6 +176,7 @@
     EvictSuspect(table, nullptr);
   }
   ++table.SuspectsPerOrganisation[report.OrganisationHash];
+  table.PartCount += gsIsPartFingerprint(report.Fingerprint) ? 1 : 0;
   gsSuspectRequest& suspect = table.Suspects[report.Fingerprint];
   suspect.OrganisationHash = report.OrganisationHash;
   return suspect;
@@ -143,25 +214,67 @@
   return "none";
 }
 
+gsTime gsEvidenceRetention(gsQuarantineSettings const& settings,
+                           gsFingerprint const& fingerprint)
+{
+  return gsIsPartFingerprint(fingerprint)
+           ? settings.PartDuration
+           : settings.Duration + settings.ProbationDuration;
+}
+
+namespace {
+
+/** Whether a piece of evidence takes the place of a new one. The last success
+ * with a part is kept beside its crashes, also at the same upstream. */
+bool IsSamePiece(gsCrashReport const& report, gsCrashEvidence const& existing)
+{
+  bool isSuccess = report.Evidence.Verdict == gsCrashVerdict::Survived;
+  bool wasSuccess = existing.Verdict == gsCrashVerdict::Survived;
+  bool isSameUpstream = existing.UpstreamHash == report.Evidence.UpstreamHash;
+  if (!gsIsPartFingerprint(report.Fingerprint)) {
+    return isSameUpstream;
+  }
+  return isSuccess ? wasSuccess : !wasSuccess && isSameUpstream;
+}
+
+/** Merges two pieces of evidence of which one takes the place of the other.
+ * \return Whether the existing one has changed. */
+bool MergePiece(gsCrashReport const& report, gsCrashEvidence& existing)
+{
+  bool isSuccessOfPart = gsIsPartFingerprint(report.Fingerprint) &&
+                         existing.Verdict == gsCrashVerdict::Survived;
+  if (isSuccessOfPart) {
+    if (report.Evidence.ObservedAt - existing.ObservedAt < MaxReportDelay) {
+      return false;
+    }
+    existing = report.Evidence;
+    return true;
+  }
+  if (existing.Verdict >= report.Evidence.Verdict) {
+    return false;
+  }
+  existing.Verdict = report.Evidence.Verdict;
+  return true;
+}
+
+} // namespace
+
 bool gsQuarantineMergeReport(gsQuarantine& table, gsCrashReport const& report,
                              gsTime now)
 {
-  gsTime retention =
-    table.Settings.Duration + table.Settings.ProbationDuration;
-  if (now - report.Evidence.ObservedAt >= retention) {
+  if (now - report.Evidence.ObservedAt >=
+      gsEvidenceRetention(table.Settings, report.Fingerprint)) {
     return false;
   }
   gsSuspectRequest& suspect = FindOrAddSuspect(table, report);
   auto piece = std::find_if(suspect.Evidence.begin(), suspect.Evidence.end(),
                             [&report](gsCrashEvidence const& existing) {
-                              return existing.UpstreamHash ==
-                                     report.Evidence.UpstreamHash;
+                              return IsSamePiece(report, existing);
                             });
   if (piece != suspect.Evidence.end()) {
-    if (piece->Verdict >= report.Evidence.Verdict) {
+    if (!MergePiece(report, *piece)) {
       return false;
     }
-    piece->Verdict = report.Evidence.Verdict;
   } else {
     if (suspect.Evidence.size() >= table.Settings.MaxEvidencePerSuspect) {
       RemoveLeastRelevant(suspect.Evidence);
@@ -185,7 +298,7 @@
   auto found = table.Suspects.find(fingerprint);
   return found == table.Suspects.end()
            ? gsSuspicionLevel::None
-           : ComputeSuspicion(table.Settings, found->second, now);
+           : ComputeSuspicion(table.Settings, fingerprint, found->second, now);
 }
 
 std::size_t gsCrashCount(gsSuspectRequest const& suspect)
@@ -225,26 +338,66 @@
       gsSuspicionLevel::Quarantined) {
     return {};
   }
-  return LastCrashAt(table.Suspects.at(fingerprint)) +
-         table.Settings.Duration - now;
+  gsTime duration = gsIsPartFingerprint(fingerprint)
+                      ? table.Settings.PartDuration
+                      : table.Settings.Duration;
+  return LastCrashAt(table.Suspects.at(fingerprint)) + duration - now;
+}
+
+bool gsIsExplainedByOtherPart(gsQuarantine const& table,
+                              gsFingerprint const& part,
+                              std::vector<gsFingerprint> const& among,
+                              gsTime now)
+{
+  auto found = table.Suspects.find(part);
+  if (found == table.Suspects.end()) {
+    return false;
+  }
+  std::vector<gsCrashEvidence> const crashes = PartCrashes(found->second);
+  auto explains = [&crashes](gsSuspectRequest const& other) {
+    std::vector<gsCrashEvidence> const others = PartCrashes(other);
+    return std::all_of(
+      crashes.begin(), crashes.end(), [&others](auto const& crash) {
+        return std::any_of(
+          others.begin(), others.end(), [&crash](auto const& candidate) {
+            return candidate.UpstreamHash == crash.UpstreamHash;
+          });
+      });
+  };
+  return std::any_of(
+    table.Suspects.begin(), table.Suspects.end(), [&](auto const& entry) {
+      bool isOther =
+        gsIsPartFingerprint(entry.first) &&
+        std::find(among.begin(), among.end(), entry.first) == among.end();
+      return isOther &&
+             ComputeSuspicion(table.Settings, entry.first, entry.second,
+                              now) == gsSuspicionLevel::Quarantined &&
+             explains(entry.second);
+    });
+}
+
+gsTime gsLastCrashAt(gsQuarantine const& table,
+                     gsFingerprint const& fingerprint)
+{
+  auto found = table.Suspects.find(fingerprint);
+  return found == table.Suspects.end() ? gsTime{} : LastCrashAt(found->second);
 }
 
 std::size_t gsQuarantinedCount(gsQuarantine const& table, gsTime now)
 {
   return static_cast<std::size_t>(std::count_if(
     table.Suspects.begin(), table.Suspects.end(), [&](auto const& suspect) {
-      return ComputeSuspicion(table.Settings, suspect.second, now) ==
-             gsSuspicionLevel::Quarantined;
+      return ComputeSuspicion(table.Settings, suspect.first, suspect.second,
+                              now) == gsSuspicionLevel::Quarantined;
     }));
 }
 
 void gsQuarantineRemoveExpired(gsQuarantine& table, gsTime now)
 {
-  gsTime retention =
-    table.Settings.Duration + table.Settings.ProbationDuration;
   for (auto entry = table.Suspects.begin(); entry != table.Suspects.end();) {
     auto next = std::next(entry);
-    if (now - entry->second.ChangedAt >= retention) {
+    if (now - entry->second.ChangedAt >=
+        gsEvidenceRetention(table.Settings, entry->first)) {
       EraseSuspect(table, entry);
     }
     entry = next;
@@ -254,11 +407,11 @@
 std::vector<gsFingerprint> gsQuarantineRequestsToExchange(
   gsQuarantine const& table, gsTime now)
 {
-  gsTime retention =
-    table.Settings.Duration + table.Settings.ProbationDuration;
   std::vector<gsFingerprint> shared;
   for (auto const& [fingerprint, suspect] : table.Suspects) {
-    if (gsCrashCount(suspect) > 1 && now - LastCrashAt(suspect) < retention) {
+    if (gsCrashCount(suspect) > 1 &&
+        now - LastCrashAt(suspect) <
+          gsEvidenceRetention(table.Settings, fingerprint)) {
       shared.push_back(fingerprint);
     }
   }
@@ -270,7 +423,7 @@
 {
   std::vector<gsFingerprint> restricted;
   for (auto const& [fingerprint, suspect] : table.Suspects) {
-    if (ComputeSuspicion(table.Settings, suspect, now) >=
+    if (ComputeSuspicion(table.Settings, fingerprint, suspect, now) >=
         gsSuspicionLevel::Contained) {
       restricted.push_back(fingerprint);
     }
@@ -283,7 +436,7 @@
   std::uint64_t digest = 0;
   for (auto const& [fingerprint, suspect] : table.Suspects) {
     gsSuspicionLevel suspicion =
-      ComputeSuspicion(table.Settings, suspect, now);
+      ComputeSuspicion(table.Settings, fingerprint, suspect, now);
     if (suspicion >= gsSuspicionLevel::Contained) {
       std::uint64_t const hashInput[] = { fingerprint.High, fingerprint.Low,
                                           static_cast<std::uint64_t>(
--- a/Source/Coord/gsQuarantine.h
+++ b/Source/Coord/gsQuarantine.h
@@ -1,8 +1,9 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /**
  * \file
- * Quarantine of requests that crash upstreams. A request is identified by its
- * fingerprint, so that a repetition of it is recognised on any host. For each
+ * Quarantine of requests, and of parts of prompts, that crash upstreams. Both
+ * are identified by a fingerprint, so that a repetition is recognised on any
+ * host; what follows on requests applies to parts except as stated. For each
  * suspect request, a host holds a set of evidence with at most one piece for
  * each upstream that executed it. Hosts exchange these sets and merge them.
  * The merge is commutative and idempotent: pieces may arrive in any order and
@@ -14,6 +15,14 @@
  * gsQuarantineSettings bounds the number of suspects on a host, of suspects of
  * one organisation on a host, and of pieces of evidence for one suspect.
  *
+ * A part is in progress at an upstream whenever a request with it is. Most
+ * parts are therefore suspected with the one that caused a crash, and are used
+ * with success soon afterwards. Only the crashes after the last success count,
+ * and crashes at the same moment count once. If a part is quarantined for
+ * crashes that another quarantined part may have caused, a request with the
+ * former only is contained: its outcome tells the two apart. Nothing but a
+ * success or an operator ends the quarantine of a part within PartDuration.
+ *
  * The state is one plain struct. Callers pass in the current time.
  */
 #pragma once
@@ -76,6 +85,8 @@
   std::size_t CrashThreshold = 3;
   /** A request is quarantined for this time after its last crash. */
   gsTime Duration = std::chrono::minutes(10);
+  /** The same for a part of prompts. */
+  gsTime PartDuration = std::chrono::hours(24);
   /** Time after the quarantine during which one more crash starts it again. */
   gsTime ProbationDuration = std::chrono::minutes(10);
   std::size_t MaxSuspects = 2048; ///< Per host; about 200 bytes each.
@@ -91,6 +102,7 @@
   /** Number of suspects by the hash of their organisation's name;
    * organisations without suspects have no entry. */
   std::unordered_map<std::uint32_t, std::size_t> SuspectsPerOrganisation;
+  std::size_t PartCount = 0; ///< Suspects that are parts of prompts.
 };
 
 /** Level of suspicion of a request, which determines how a host handles it.
@@ -128,6 +140,24 @@
                                     gsFingerprint const& fingerprint,
                                     gsTime now);
 
+/**
+ * Whether each crash for which a quarantined part is held responsible may have
+ * been caused by another quarantined part that is not among the given ones.
+ */
+bool gsIsExplainedByOtherPart(gsQuarantine const& table,
+                              gsFingerprint const& part,
+                              std::vector<gsFingerprint> const& among,
+                              gsTime now);
+
+/** When the last crash with a request or part in progress was observed; zero
+ * if there was none. */
+gsTime gsLastCrashAt(gsQuarantine const& table,
+                     gsFingerprint const& fingerprint);
+
+/** Time after its last crash for which evidence on a suspect is kept. */
+gsTime gsEvidenceRetention(gsQuarantineSettings const& settings,
+                           gsFingerprint const& fingerprint);
+
 /** Number of upstreams that have crashed while executing a request. */
 std::size_t gsCrashCount(gsSuspectRequest const& suspect);
 
--- a/Source/Daemon/gsCrashWatch.cxx
+++ b/Source/Daemon/gsCrashWatch.cxx
@@ -34,6 +34,25 @@
 constexpr std::size_t MaxUnlogged = 256;
 /** Interval between cleanups, and retention of the times of crashes. */
 constexpr gsTime CleanupInterval = gsSeconds(10);
+/** An answer that has been written for this time is a success with the parts
+ * of its prompt: these are read before it begins. */
+constexpr gsTime MinWritingTime = gsMilliseconds(500);
+/** Parts of one request that are suspected for one crash, those without a
+ * success first. */
+constexpr std::size_t MaxSuspectedParts = 64;
+constexpr std::size_t MaxSuccesses = 8192;
+/** Delay of the first probe of a quarantined part after its last crash, and
+ * factor from one probe to the next. */
+constexpr gsTime FirstProbeDelay = gsSeconds(3);
+constexpr int ProbeBackoffFactor = 4;
+constexpr unsigned MaxProbeBackoffs = 8;
+/** Maximum Retry-After of a request with a quarantined part. */
+constexpr gsTime MaxPartRetryAfter = std::chrono::minutes(10);
+
+bool IsSuccessStatus(unsigned status)
+{
+  return status / 100 == 2;
+}
 
 std::uint32_t OrganisationHash(std::string const& organisation)
 {
@@ -71,10 +90,100 @@
       .With("cause", "rejections");
   } else if (result.IsUpstreamLost && !this->HadCrashedBefore(attempt)) {
     this->RecordCrash(request, attempt, now);
-  } else if (result.Outcome == gsAttemptOutcome::Complete &&
-             this->SuspicionLevelOf(request, now) != gsSuspicionLevel::None) {
-    this->AddPendingCheck(ReportOf(request, attempt, now),
-                          gsCrashVerdict::Survived);
+  } else if (result.Outcome == gsAttemptOutcome::Complete) {
+    if (IsSuccessStatus(result.Status)) {
+      this->RecordSuccess(request, attempt, now);
+    }
+    if (this->RequestSuspicion(request, now) != gsSuspicionLevel::None) {
+      this->AddPendingCheck(ReportOf(request, attempt, now),
+                            gsCrashVerdict::Survived);
+    }
+  }
+}
+
+void gsCrashWatch::RecordProgress(gsRoutedRequest& request, gsAttempt& attempt,
+                                  gsTime now)
+{
+  bool isDue = !attempt.IsSuccessRecorded && attempt.ForwardedTo.empty() &&
+               attempt.FirstByteAt.count() != 0 &&
+               now - attempt.FirstByteAt >= MinWritingTime;
+  if (isDue) {
+    attempt.IsSuccessRecorded = true;
+    this->RecordSuccess(request, attempt, now);
+  }
+}
+
+/** Records that the parts of a request's prompt were used with success. Other
+ * hosts are told of parts that are suspected. */
+void gsCrashWatch::RecordSuccess(gsRoutedRequest& request,
+                                 gsAttempt const& attempt, gsTime now)
+{
+  std::uint32_t upstream = gsIncarnationHash(attempt.Upstream);
+  if (this->CrashedAt.count(upstream) != 0) {
+    return;
+  }
+  for (gsFingerprint const& part : gsSharedPartFingerprints(request)) {
+    this->RememberSuccess(part, now);
+    bool isSuspected = this->Quarantine.PartCount > 0 &&
+                       gsSuspicionLevelOf(this->Quarantine, part, now) !=
+                         gsSuspicionLevel::None;
+    if (isSuspected) {
+      gsCrashReport report = ReportOf(request, attempt, now);
+      report.Fingerprint = part;
+      report.Evidence.Verdict = gsCrashVerdict::Survived;
+      this->AddOwn(report, now);
+      this->ProbesOf.erase(part);
+    }
+  }
+}
+
+void gsCrashWatch::RememberSuccess(gsFingerprint const& part, gsTime now)
+{
+  if (this->Successes.size() >= MaxSuccesses &&
+      this->Successes.count(part) == 0) {
+    // Any half: those in use are added again by their next success.
+    std::size_t excess = this->Successes.size() / 2;
+    auto entry = this->Successes.begin();
+    for (std::size_t i = 0; i < excess; ++i) {
+      entry = this->Successes.erase(entry);
+    }
+  }
+  this->Successes[part] = now;
+}
+
+/** Suspects the parts of the prompt of a request that was in progress at an
+ * upstream that crashed, unless its answer had been written for a while. */
+void gsCrashWatch::RecordPartCrash(gsRoutedRequest& request,
+                                   gsAttempt const& attempt, gsTime now)
+{
+  bool wasWriting = attempt.FirstByteAt.count() != 0 &&
+                    now - attempt.FirstByteAt >= MinWritingTime;
+  if (wasWriting) {
+    return;
+  }
+  std::vector<gsFingerprint> parts = gsSharedPartFingerprints(request);
+  std::stable_partition(parts.begin(), parts.end(),
+                        [this](gsFingerprint const& part) {
+                          return this->Successes.count(part) == 0;
+                        });
+  parts.resize(std::min(parts.size(), MaxSuspectedParts));
+  for (gsFingerprint const& part : parts) {
+    gsCrashReport report = ReportOf(request, attempt, now);
+    report.Fingerprint = part;
+    this->AddOwn(report, now);
+    auto suspect = this->Quarantine.Suspects.find(part);
+    if (suspect == this->Quarantine.Suspects.end()) {
+      continue;
+    }
+    gsLogLine("crash_report_part")
+      .With("request", request.Caller.AttemptId)
+      .With("fingerprint", gsFormatFingerprint(part))
+      .With("organisation", request.Organisation)
+      .With("upstream", attempt.Upstream.Id)
+      .With("crashes", std::uint64_t(gsCrashCount(suspect->second)))
+      .With("used_with_success", this->Successes.count(part) != 0)
+      .With("treated", gsSuspicionLevelName(
+                         gsSuspicionLevelOf(this->Quarantine, part, now)));
   }
 }
 
@@ -84,8 +193,12 @@
   gsCrashReport report = ReportOf(request, attempt, now);
   this->Metrics.Increment("gradescale_crash_reports_total");
   this->AddOwn(report, now);
-  gsSuspectRequest const& suspect =
-    this->Quarantine.Suspects.at(report.Fingerprint);
+  this->RecordPartCrash(request, attempt, now);
+  auto found = this->Quarantine.Suspects.find(report.Fingerprint);
+  if (found == this->Quarantine.Suspects.end()) {
+    return; // Evicted by its own parts at a bound of the table.
+  }
+  gsSuspectRequest const& suspect = found->second;
   gsLogLine("crash_report")
     .With("request", request.Caller.AttemptId)
     .With("fingerprint", gsFormatFingerprint(report.Fingerprint))
@@ -116,7 +229,8 @@
     this->AddPendingCheck(report, gsCrashVerdict::Alive);
     this->CrashedAt.emplace(report.Evidence.UpstreamHash,
                             report.Evidence.ObservedAt);
-  } else {
+  } else if (!gsIsPartFingerprint(report.Fingerprint) ||
+             report.Evidence.Verdict == gsCrashVerdict::Alive) {
     this->CrashedAt.erase(report.Evidence.UpstreamHash);
   }
   gsSuspicionLevel after =
@@ -283,6 +397,19 @@
 
 gsSuspicionLevel gsCrashWatch::SuspicionLevelOf(gsRoutedRequest& request,
                                                 gsTime now) const
+{
+  gsSuspicionLevel level = this->RequestSuspicion(request, now);
+  if (this->HasSuspectParts(request)) {
+    for (gsFingerprint const& part : gsSharedPartFingerprints(request)) {
+      level = std::max(level, this->PartSuspicion(request, part, now));
+    }
+  }
+  return level;
+}
+
+/** Suspicion of the request as a whole. */
+gsSuspicionLevel gsCrashWatch::RequestSuspicion(gsRoutedRequest& request,
+                                                gsTime now) const
 {
   bool hasSuspects =
     !this->Quarantine.Suspects.empty() &&
@@ -293,27 +420,121 @@
                      : gsSuspicionLevel::None;
 }
 
-bool gsCrashWatch::TryBeginContained(gsRoutedRequest& request)
+bool gsCrashWatch::HasSuspectParts(gsRoutedRequest& request) const
 {
-  if (!request.IsContainedCopy) {
-    request.IsContainedCopy =
-      this->RunningContained.insert(gsRequestFingerprint(request)).second;
+  return this->Quarantine.PartCount > 0 &&
+         request.Caller.PromptParts.size() > 1;
+}
+
+/** How a request is treated for one part of its prompt. */
+gsSuspicionLevel gsCrashWatch::PartSuspicion(gsRoutedRequest& request,
+                                             gsFingerprint const& part,
+                                             gsTime now) const
+{
+  gsSuspicionLevel level = gsSuspicionLevelOf(this->Quarantine, part, now);
+  bool hadSuccess = this->Successes.count(part) != 0;
+  bool isUnlikely =
+    level == gsSuspicionLevel::Contained ||
+    (level == gsSuspicionLevel::Quarantined &&
+     gsIsExplainedByOtherPart(this->Quarantine, part,
+                              gsSharedPartFingerprints(request), now));
+  if (isUnlikely) {
+    return hadSuccess ? gsSuspicionLevel::Suspected
+                      : gsSuspicionLevel::Contained;
   }
-  return request.IsContainedCopy;
+  bool mayProbe = level == gsSuspicionLevel::Quarantined && hadSuccess &&
+                  (request.IsProbe || this->IsProbeDue(part, now));
+  return mayProbe ? gsSuspicionLevel::Contained : level;
+}
+
+/** Whether one request with a quarantined part may run, which had been used
+ * with success before. All such requests are refused, so that nothing else
+ * would show that the part is sound. */
+bool gsCrashWatch::IsProbeDue(gsFingerprint const& part, gsTime now) const
+{
+  if (this->Prober && !this->Prober(part)) {
+    return false;
+  }
+  Probes probes;
+  auto found = this->ProbesOf.find(part);
+  if (found != this->ProbesOf.end()) {
+    probes = found->second;
+  }
+  gsTime delay = FirstProbeDelay;
+  for (unsigned i = 0; i < std::min(probes.Count, MaxProbeBackoffs); ++i) {
+    delay *= ProbeBackoffFactor;
+  }
+  gsTime last = std::max(gsLastCrashAt(this->Quarantine, part), probes.LastAt);
+  return now - last >= delay;
+}
+
+bool gsCrashWatch::TryBeginContained(gsRoutedRequest& request, gsTime now)
+{
+  if (!request.ContainedFor.empty()) {
+    return true;
+  }
+  std::vector<gsFingerprint> suspects;
+  std::vector<gsFingerprint> probed;
+  if (this->RequestSuspicion(request, now) == gsSuspicionLevel::Contained) {
+    suspects.push_back(gsRequestFingerprint(request));
+  }
+  if (this->HasSuspectParts(request)) {
+    for (gsFingerprint const& part : gsSharedPartFingerprints(request)) {
+      if (this->PartSuspicion(request, part, now) ==
+          gsSuspicionLevel::Contained) {
+        suspects.push_back(part);
+      }
+      bool isProbed = gsSuspicionLevelOf(this->Quarantine, part, now) ==
+                        gsSuspicionLevel::Quarantined &&
+                      this->Successes.count(part) != 0;
+      if (isProbed) {
+        probed.push_back(part);
+      }
+    }
+  }
+  bool isRunning = std::any_of(
+    suspects.begin(), suspects.end(), [this](gsFingerprint const& each) {
+      return this->RunningContained.count(each) != 0;
+    });
+  if (isRunning) {
+    return false;
+  }
+  this->RunningContained.insert(suspects.begin(), suspects.end());
+  request.ContainedFor = std::move(suspects);
+  request.IsProbe = !probed.empty();
+  for (gsFingerprint const& part : probed) {
+    Probes& probes = this->ProbesOf[part];
+    ++probes.Count;
+    probes.LastAt = now;
+    gsLogLine("quarantine_probe")
+      .With("request", request.Caller.AttemptId)
+      .With("fingerprint", gsFormatFingerprint(part))
+      .With("probes", std::uint64_t(probes.Count));
+  }
+  return true;
 }
 
 void gsCrashWatch::EndContained(gsRoutedRequest& request)
 {
-  if (std::exchange(request.IsContainedCopy, false)) {
-    this->RunningContained.erase(gsRequestFingerprint(request));
+  for (gsFingerprint const& suspect :
+       std::exchange(request.ContainedFor, {})) {
+    this->RunningContained.erase(suspect);
   }
 }
 
 gsTime gsCrashWatch::QuarantineTimeLeft(gsRoutedRequest& request,
                                         gsTime now) const
 {
-  return gsQuarantineTimeLeft(this->Quarantine, gsRequestFingerprint(request),
-                              now);
+  gsTime left =
+    gsQuarantineTimeLeft(this->Quarantine, gsRequestFingerprint(request), now);
+  if (this->HasSuspectParts(request)) {
+    for (gsFingerprint const& part : gsSharedPartFingerprints(request)) {
+      left = std::max(
+        left, std::min(gsQuarantineTimeLeft(this->Quarantine, part, now),
+                       MaxPartRetryAfter));
+    }
+  }
+  return left;
 }
 
 bool gsCrashWatch::ClearSuspicion(gsFingerprint const& fingerprint, gsTime now)
@@ -347,7 +568,9 @@
        gsQuarantineRestrictedRequests(this->Quarantine, now)) {
     gsSuspectRequest const& suspect =
       this->Quarantine.Suspects.at(fingerprint);
+    bool isPart = gsIsPartFingerprint(fingerprint);
     rows.push_back({ { "fingerprint", gsFormatFingerprint(fingerprint) },
+                     { "kind", isPart ? "part" : "request" },
                      { "treated", gsSuspicionLevelName(gsSuspicionLevelOf(
                                     this->Quarantine, fingerprint, now)) },
                      { "crashes", gsCrashCount(suspect) },
--- a/Source/Daemon/gsCrashWatch.h
+++ b/Source/Daemon/gsCrashWatch.h
@@ -9,6 +9,12 @@
  * upstream at that time become suspects. The outcomes of their later attempts
  * distinguish the cause from the others: an upstream that answers a request
  * completely and stays alive is evidence against the suspicion.
+ *
+ * The parts of prompts that requests share are suspects in the same way,
+ * unless the answer had been written for a while when the upstream crashed.
+ * This host remembers the parts that have been used with success. A suspected
+ * part that never has is treated more strictly; one that has may run once in a
+ * while on one host of the system even if it is quarantined.
  */
 #pragma once
 
@@ -70,16 +76,24 @@
    */
   void ProcessPendingChecks(gsTime now);
 
+  /** Records that the answer of an attempt is being written. */
+  void RecordProgress(gsRoutedRequest& request, gsAttempt& attempt,
+                      gsTime now);
+  /** Sets how to find out whether this host is the one of the system that
+   * probes a quarantined part. By default it is. */
+  using IsProber = std::function<bool(gsFingerprint const& part)>;
+  void SetProber(IsProber isProber) { this->Prober = std::move(isProber); }
+
   /** How a request is treated now. */
   gsSuspicionLevel SuspicionLevelOf(gsRoutedRequest& request,
                                     gsTime now) const;
 
   /**
-   * Marks a contained request as running, unless another copy of it runs on
-   * this host. The mark lasts until EndContained. \return Whether the request
-   * may run.
+   * Marks a contained request as running, unless another request that is
+   * suspected for the same reason runs on this host. The mark lasts until
+   * EndContained. \return Whether the request may run.
    */
-  bool TryBeginContained(gsRoutedRequest& request);
+  bool TryBeginContained(gsRoutedRequest& request, gsTime now);
   void EndContained(gsRoutedRequest& request);
 
   /** Time until the quarantine of a request ends. */
@@ -132,6 +146,17 @@
   bool CrashedUnderRejections(gsAttempt const& attempt, gsTime now) const;
   void RecordCrash(gsRoutedRequest& request, gsAttempt const& attempt,
                    gsTime now);
+  void RecordPartCrash(gsRoutedRequest& request, gsAttempt const& attempt,
+                       gsTime now);
+  void RecordSuccess(gsRoutedRequest& request, gsAttempt const& attempt,
+                     gsTime now);
+  void RememberSuccess(gsFingerprint const& part, gsTime now);
+  bool HasSuspectParts(gsRoutedRequest& request) const;
+  gsSuspicionLevel RequestSuspicion(gsRoutedRequest& request,
+                                    gsTime now) const;
+  gsSuspicionLevel PartSuspicion(gsRoutedRequest& request,
+                                 gsFingerprint const& part, gsTime now) const;
+  bool IsProbeDue(gsFingerprint const& part, gsTime now) const;
 
   gsFleet const& Fleet;
   gsMetrics& Metrics;
@@ -145,8 +170,19 @@
   /** By hash of the upstream's incarnation. */
   std::unordered_map<std::uint32_t, Received> Unlogged;
   std::uint64_t Restrictions = 1;
-  /** Contained requests that run on this host. */
+  /** Requests and parts for which contained requests run on this host. */
   std::unordered_set<gsFingerprint> RunningContained;
+  /** Parts that this host's requests have used with success, with the last
+   * time. At most MaxSuccesses. */
+  std::unordered_map<gsFingerprint, gsTime> Successes;
+  /** Probes of a quarantined part by this host. */
+  struct Probes
+  {
+    unsigned Count = 0;
+    gsTime LastAt{};
+  };
+  std::unordered_map<gsFingerprint, Probes> ProbesOf;
+  IsProber Prober; ///< Null if this host is the only one.
   /**
    * When upstreams crashed, by hash of their incarnation. Entries are removed
    * after CleanupInterval, or when the upstream turns out to be alive.
--- a/Source/Daemon/gsQuarantineStore.cxx
+++ b/Source/Daemon/gsQuarantineStore.cxx
@@ -294,7 +294,7 @@
       report.Evidence = ParseEvidence(piece, now);
       isExpired =
         isExpired && now - report.Evidence.ObservedAt >=
-                       settings.Duration + settings.ProbationDuration;
+                       gsEvidenceRetention(settings, report.Fingerprint);
       if (fingerprint) {
         this->Watch.ApplyReport(report, "platform", now);
       }
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -445,9 +445,10 @@
 {
   gsSuspicionLevel suspicion =
     this->CrashWatch.SuspicionLevelOf(*request, gsLoop::Now());
-  bool refused = suspicion == gsSuspicionLevel::Quarantined ||
-                 (suspicion == gsSuspicionLevel::Contained &&
-                  !this->CrashWatch.TryBeginContained(*request));
+  bool refused =
+    suspicion == gsSuspicionLevel::Quarantined ||
+    (suspicion == gsSuspicionLevel::Contained &&
+     !this->CrashWatch.TryBeginContained(*request, gsLoop::Now()));
   if (refused) {
     this->RefuseSuspect(request, suspicion);
   }
@@ -892,7 +893,8 @@
                               std::string const& events)
 {
   gsHttpExchange& exchange = *request->Exchange;
-  gsAttempt const& attempt = *request->Attempt;
+  gsAttempt& attempt = *request->Attempt;
+  this->CrashWatch.RecordProgress(*request, attempt, gsLoop::Now());
   if (!request->CallerHasBytes) {
     this->Admission.OnFirstEvent(*request);
     request->CallerHasBytes = true;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -10,6 +10,7 @@
 #include "gsHallStatus.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
+#include "gsRendezvous.h"
 #include "gsSpeedStatus.h"
 
 namespace {
@@ -189,6 +190,8 @@
     return this->Tables->IsCurrentSince(gsLoop::Now() - MaxTableAge);
   });
   this->CrashGossip->Start(*this->Cluster);
+  this->Gateway->CrashDetection().SetProber(
+    [this](gsFingerprint const& part) { return this->IsProber(part); });
   this->QuarantineStore->Start(*this->Cluster, gsLoop::Now());
   if (this->Duties) {
     this->Duties->Start(*this->Cluster);
@@ -664,6 +667,25 @@
   this->ApplyMinHosts(isSizeKnown ? recentPeak : 0);
 }
 
+/** Whether this host probes a quarantined part of prompts: one relay of the
+ * system does, or one in each group of halls that are cut off from others. */
+bool gsRouteNode::IsProber(gsFingerprint const& part) const
+{
+  gsHallMembership const& members = this->Cluster->Members();
+  gsTime now = gsLoop::Now();
+  if (gsHallRelay(members, now) != this->Cluster->Self()) {
+    return false;
+  }
+  std::vector<std::string_view> halls{ this->Fleet.Settings.Hall };
+  std::map<std::string, std::string> const relays =
+    gsOtherRelays(members, now);
+  for (auto const& [hall, relay] : relays) {
+    halls.push_back(hall);
+  }
+  return gsRendezvous(halls, gsFormatFingerprint(part)) ==
+         this->Fleet.Settings.Hall;
+}
+
 /** Uses the features that depend on the number of hosts only from their
  * minimum on. The recent peak keeps them in use while a hall is cut off. */
 void gsRouteNode::ApplyMinHosts(std::size_t recentPeak)
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -76,6 +76,7 @@
   void ResumeIfCaughtUp(gsTime now);
   void ReloadIfChanged();
   void ApplySettings();
+  bool IsProber(gsFingerprint const& part) const;
   void ApplyMinHosts(std::size_t recentPeak);
   void WriteGauges();
 
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -140,6 +140,9 @@
    * answered is weak evidence about an upstream that may answer all others.
    */
   bool IsSilenceRecorded = false;
+  /** Whether its answer has been counted as a success with the parts of its
+   * prompt. */
+  bool IsSuccessRecorded = false;
 };
 
 /** Admission of a request under overload; see gsAdmissionControl.h. */
@@ -231,11 +234,15 @@
   bool HasEnded = false;
   /** Set on first use by gsRequestFingerprint. */
   std::optional<gsFingerprint> Fingerprint;
-  /**
-   * Whether it is the only copy of a contained request that may run on this
-   * host.
-   */
-  bool IsContainedCopy = false;
+  /** Of the parts of its prompt that other requests share; set on first use
+   * by gsSharedPartFingerprints. */
+  std::optional<std::vector<gsFingerprint>> SharedParts;
+  /** What it is suspected for, if it is the only request so suspected that may
+   * run on this host; empty otherwise. */
+  std::vector<gsFingerprint> ContainedFor;
+  /** Whether it may run although a part of its prompt is quarantined, to find
+   * out whether the part is sound. */
+  bool IsProbe = false;
   /**
    * Upstream (gsFleetRow::Hash) for whose token the request waits. A token of
    * another upstream of the same service also ends the wait. Empty if the
@@ -262,5 +269,10 @@
 /** The fingerprint of a request, computed on the first call. */
 gsFingerprint const& gsRequestFingerprint(gsRoutedRequest& request);
 
+/** The fingerprints of all parts of its prompt but the last, which no other
+ * request shares, computed on the first call. */
+std::vector<gsFingerprint> const& gsSharedPartFingerprints(
+  gsRoutedRequest& request);
+
 using gsRoutedRequestPtr = std::shared_ptr<gsRoutedRequest>;
 using gsAttemptPtr = std::shared_ptr<gsAttempt>;
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -124,6 +124,22 @@
   return *request.Fingerprint;
 }
 
+std::vector<gsFingerprint> const& gsSharedPartFingerprints(
+  gsRoutedRequest& request)
+{
+  constexpr std::size_t maxParts = 256;
+  if (!request.SharedParts) {
+    std::vector<gsPromptPart> const& parts = request.Caller.PromptParts;
+    std::size_t count = parts.empty() ? 0 : parts.size() - 1;
+    std::vector<gsFingerprint> shared;
+    for (std::size_t i = 0; i < std::min(count, maxParts); ++i) {
+      shared.push_back(gsPartFingerprint(request.Service, parts[i].Id));
+    }
+    request.SharedParts = std::move(shared);
+  }
+  return *request.SharedParts;
+}
+
 bool gsRelaysEvents(gsRoutedRequest const& request, gsAttempt const& attempt)
 {
   return request.Route->StreamsEvents && IsSuccess(attempt.Status);
