--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -15,11 +15,15 @@
  * {"rest": "VALUE", "rest_ms": N}: for so long it turns requests away and asks
  * for rest of that value;
  * {"limit": "VALUE"}: all later answers name that rate limit, or none if the
- * value is empty. A request whose body is "crash" ends the process
+ * value is empty; {"brittle": N}: all later answers say so, and the process
+ * ends when it has turned away more than N requests at capacity in a second. A
+ * request whose body is "crash" ends the process
  * --crash-ms after it began.
  */
 #include <cstdlib>
+#include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -96,6 +100,7 @@
     if (this->Running.size() >= static_cast<std::size_t>(this->Chosen.Most)) {
       Tell("full", id);
       exchange->Respond(503, refusal, "");
+      this->CountRejection();
       return;
     }
     if (gsLoop::Now() < this->RestUntil) {
@@ -125,6 +130,10 @@
     if (!this->Limit.empty()) {
       head.emplace_back("Server-Limit", this->Limit);
     }
+    if (this->MaxRejections) {
+      head.emplace_back("Server-Brittle",
+                        std::to_string(*this->MaxRejections));
+    }
     return head;
   }
 
@@ -142,14 +151,34 @@
   bool Unframed = false;
   bool Leaving = false;
   std::string Limit; ///< Named in answers; empty for none.
-  std::string Rest;  ///< Asked for until RestUntil.
+  /** Rejections at capacity in a second; one more ends the process. */
+  std::optional<std::size_t> MaxRejections;
+  std::string Rest; ///< Asked for until RestUntil.
   gsTime RestUntil{};
 
 private:
   gsTimer Crash;
+  std::deque<gsTime> RejectedAt; ///< Within the last second.
+
+  void CountRejection()
+  {
+    gsTime now = gsLoop::Now();
+    this->RejectedAt.push_back(now);
+    while (now - this->RejectedAt.front() > gsSeconds(1)) {
+      this->RejectedAt.pop_front();
+    }
+    if (this->MaxRejections &&
+        this->RejectedAt.size() > *this->MaxRejections) {
+      std::_Exit(EXIT_FAILURE);
+    }
+  }
 
   void Control(gsJson const& body)
   {
+    if (body.contains("brittle")) {
+      this->MaxRejections = body["brittle"].get<std::size_t>();
+      this->RejectedAt.clear();
+    }
     this->Cuts = body.value("cut", this->Cuts);
     this->Unframed = body.value("unframed", this->Unframed);
     this->Leaving = body.value("leaving", this->Leaving);
