--- a/review/standIns/case2.cxx
+++ b/review/standIns/case2.cxx
@@ -19,7 +19,9 @@
 using namespace review;
 
 constexpr int Clients = 8;
-constexpr std::size_t AnswerBytes = 1000000;
+constexpr std::size_t AnswerBytes = 200000;
+/** Links have small windows. */
+constexpr int ReceiveBuffer = 8192;
 constexpr double Pause = 4.0;
 /** Without the trouble, clients read on in so many steps in that time. */
 constexpr int Steps = 10;
@@ -39,7 +41,7 @@
                std::atomic<int>& waiting, std::atomic<bool>& go,
                Outcome& outcome)
 {
-  int descriptor = Connect(host.Front);
+  int descriptor = Connect(host.Front, ReceiveBuffer);
   Reader reader(descriptor);
   outcome.Id = "slow." + std::to_string(number);
   outcome.First =
@@ -67,7 +69,7 @@
   }
   for (int step = 0; !trouble && step < Steps; ++step) {
     Sleep(Pause / Steps);
-    reader.Some(60000, outcome.Second.Body);
+    reader.Some(15000, outcome.Second.Body);
   }
   std::size_t rest = size - outcome.Second.Body.size();
   outcome.Second.Whole = reader.Bytes(rest, outcome.Second.Body);
@@ -117,6 +119,7 @@
   std::atomic<bool> go{ false };
   std::vector<Outcome> outcomes(Clients);
   std::vector<std::thread> threads;
+  threads.reserve(Clients);
   for (int i = 0; i < Clients; ++i) {
     threads.emplace_back([&, i] {
       RunClient(record, a, i, trouble, waiting, go,
--- a/review/standIns/standIns.cxx
+++ b/review/standIns/standIns.cxx
@@ -355,6 +355,13 @@
   this->Changed.notify_all();
 }
 
+void Store::Remove(std::string const& table, std::string const& key)
+{
+  std::lock_guard<std::mutex> lock(this->Mutex);
+  this->Tables[table][key] = { ++this->Version, "" };
+  this->Changed.notify_all();
+}
+
 Json Store::Above(std::string const& table, std::uint64_t version,
                   bool gone) const
 {
--- a/review/standIns/standIns.h
+++ b/review/standIns/standIns.h
@@ -105,6 +105,7 @@
   /** What the operator or a runner writes; acknowledged on return. */
   void Put(std::string const& table, std::string const& key,
            Json const& value);
+  void Remove(std::string const& table, std::string const& key);
 
 private:
   struct Row
