--- a/review/standIns/standIns.cxx
+++ b/review/standIns/standIns.cxx
@@ -16,6 +16,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -623,6 +624,8 @@
   std::string log = this->Folder + "/" + this->Name + ".log";
   this->Process = fork();
   if (this->Process == 0) {
+    // Ends with its parent, also if that is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
