Daemon: Ends a stream whose next event is over a limit

Callers of a host lost what they had under way there: one upstream sent a stream whose first event had no end, the host kept all of it, went over the memory of its machine and was killed. Their requests ran at sound upstreams and may not be repeated; they got no byte of an answer.

Cause: gsEventSplitter keeps the bytes of an event until its blank line, without a limit. Nobody reads what waits there, so that the memory guard, which ends readers, had nobody to end, and the request was held until the timeout of its route. The kinds of gradescale_memory_bytes could not tell this, as incomplete events counted among answers. They are a kind of their own now (partial), and the peak of each kind is kept.

An event has a limit now (callers.max_event_kib, 1024). Over it the attempt ends as one that broke: resumed or repeated as its route allows, else 502 at once in place of 504 at the timeout. It is logged (answer_ended) and counted, and it is a failure of the upstream, not a crash, so that neither the request nor parts of its prompt are suspected. What an attempt without an answer has received is freed at its end, not with the request.

--- a/Source/Core/gsMemoryBudget.h
+++ b/Source/Core/gsMemoryBudget.h
@@ -31,12 +31,14 @@
   std::uint64_t Expected = 0; ///< Announced bodies, not received yet.
   std::uint64_t Answers = 0;
   std::uint64_t Events = 0;
+  std::uint64_t Partial = 0; ///< Incomplete events, which no caller awaits.
   std::uint64_t Uploads = 0; ///< Copies of bodies for upstreams.
 
   /** All that is held; Expected is not. */
   std::uint64_t Total() const
   {
-    return this->Bodies + this->Answers + this->Events + this->Uploads;
+    return this->Bodies + this->Answers + this->Events + this->Partial +
+           this->Uploads;
   }
 };
 
--- a/Source/Daemon/gsEventSplitter.cxx
+++ b/Source/Daemon/gsEventSplitter.cxx
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view IdField = "id:";
+/** Memory that a stream keeps between events. */
+constexpr std::size_t MaxSpareBytes = 16U << 10U;
 
 /** The id of an event; empty if it has none or the id is not a number. */
 std::optional<std::uint64_t> ParseEventId(std::string_view event)
@@ -82,6 +84,9 @@
     length = FindEventEnd(text, begin);
   }
   this->Buffer.erase(0, begin);
+  if (this->Buffer.capacity() > MaxSpareBytes && this->Buffer.empty()) {
+    this->Buffer.shrink_to_fit();
+  }
   // The last two bytes may be the start of an event terminator.
   this->Scanned = this->Buffer.size() < 2 ? 0 : this->Buffer.size() - 2;
   return complete;
--- a/Source/Daemon/gsEventSplitter.h
+++ b/Source/Daemon/gsEventSplitter.h
@@ -35,6 +35,8 @@
   std::optional<std::uint64_t> LastId() const { return this->Last; }
   std::uint64_t EventCount() const { return this->Count; }
   std::size_t BufferedBytes() const { return this->Buffer.size(); }
+  /** Bytes allocated for the incomplete event. */
+  std::size_t HeldBytes() const { return this->Buffer.capacity(); }
 
 private:
   std::string Buffer; ///< Bytes from the start of the first incomplete event.
--- a/Source/Daemon/gsMemoryGuard.cxx
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -34,6 +34,19 @@
 constexpr int StandstillIntervals = 4;
 constexpr double MaxRetryAfterFactor = 1.5;
 
+/** A kind of held bytes, by its name in status and metrics. */
+struct gsMemoryKind
+{
+  char const* Name;
+  std::uint64_t gsMemoryUse::*Bytes;
+};
+
+constexpr gsMemoryKind MemoryKinds[] = {
+  { "bodies", &gsMemoryUse::Bodies },   { "expected", &gsMemoryUse::Expected },
+  { "answers", &gsMemoryUse::Answers }, { "events", &gsMemoryUse::Events },
+  { "partial", &gsMemoryUse::Partial }, { "uploads", &gsMemoryUse::Uploads },
+};
+
 gsMemoryUse Sum(gsHeldTotals const& callers, gsHeldTotals const& client,
                 gsHeldTotals const& upstreams)
 {
@@ -43,6 +56,7 @@
     use.Expected += held->Expected;
     use.Answers += held->Answers;
     use.Events += held->Events;
+    use.Partial += held->Partial;
     use.Uploads += held->Uploads;
   }
   return use;
@@ -101,7 +115,12 @@
 
 void gsMemoryGuard::RecordUse()
 {
-  this->PeakBytes = std::max(this->PeakBytes, this->Use().Total());
+  gsMemoryUse use = this->Use();
+  this->PeakBytes = std::max(this->PeakBytes, use.Total());
+  for (gsMemoryKind const& kind : MemoryKinds) {
+    std::uint64_t& peak = this->Peaks.*kind.Bytes;
+    peak = std::max(peak, use.*kind.Bytes);
+  }
 }
 
 bool gsMemoryGuard::AcceptsBody(gsHttpExchange& exchange, std::uint64_t bytes)
@@ -266,6 +285,10 @@
     auto found = this->EndedCounts.find(kind);
     return found == this->EndedCounts.end() ? 0 : found->second;
   };
+  nlohmann::json peaks;
+  for (gsMemoryKind const& kind : MemoryKinds) {
+    peaks[kind.Name] = this->Peaks.*kind.Bytes;
+  }
   char const* const modes[] = { "off", "dry_run", "on" };
   return { { "mode", modes[static_cast<std::size_t>(this->Settings.Mode)] },
            { "limit_bytes", gsMemoryLimit(this->Settings.Budget) },
@@ -275,7 +298,9 @@
            { "expected", use.Expected },
            { "answers", use.Answers },
            { "events", use.Events },
+           { "partial", use.Partial },
            { "uploads", use.Uploads },
+           { "peaks", peaks },
            { "paused_streams", this->Client.Paused() },
            { "stream_limit_bytes",
              this->IsOn() ? gsStreamLimit(this->Settings.Budget, use)
@@ -292,15 +317,13 @@
     return;
   }
   gsMemoryUse use = this->Use();
-  auto held = [&metrics](char const* kind, std::uint64_t bytes) {
-    metrics.Set("gradescale_memory_bytes", gsLabels({ { "kind", kind } }),
-                static_cast<double>(bytes));
-  };
-  held("bodies", use.Bodies);
-  held("expected", use.Expected);
-  held("answers", use.Answers);
-  held("events", use.Events);
-  held("uploads", use.Uploads);
+  for (gsMemoryKind const& kind : MemoryKinds) {
+    std::string const labels = gsLabels({ { "kind", kind.Name } });
+    metrics.Set("gradescale_memory_bytes", labels,
+                static_cast<double>(use.*kind.Bytes));
+    metrics.Set("gradescale_memory_peak_kind_bytes", labels,
+                static_cast<double>(this->Peaks.*kind.Bytes));
+  }
   metrics.Set("gradescale_memory_limit_bytes", {},
               static_cast<double>(gsMemoryLimit(this->Settings.Budget)));
   metrics.Set("gradescale_memory_peak_bytes", {},
--- a/Source/Daemon/gsMemoryGuard.h
+++ b/Source/Daemon/gsMemoryGuard.h
@@ -81,6 +81,7 @@
   bool IsSweepScheduled = false;
   gsTime SweptAt{};
   std::uint64_t PeakBytes = 0;
+  gsMemoryUse Peaks; ///< Of each kind, at different times.
   std::uint64_t Refusals = 0;
   std::map<Ended, std::uint64_t> EndedCounts;
   /** Callers and calls that a dry run has logged, until they take something or
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -100,6 +100,11 @@
       "Bytes that may be held for callers and upstreams; routed mode." },
     { "gradescale_memory_peak_bytes", gsMetricKind::Gauge,
       "Most bytes held since the start; routed mode." },
+    { "gradescale_memory_peak_kind_bytes", gsMetricKind::Gauge,
+      "Most bytes held of each kind since the start; routed mode." },
+    { "gradescale_answers_ended_total", gsMetricKind::Counter,
+      "Answers of upstreams ended over a limit, by part and cause; routed "
+      "mode." },
     { "gradescale_paused_streams", gsMetricKind::Gauge,
       "Answers not read on, since their callers do not read; routed mode." },
     { "gradescale_memory_refusals_total", gsMetricKind::Counter,
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -990,6 +990,12 @@
                                      gsAttemptResult const& result)
 {
   gsTime now = gsLoop::Now();
+  if (result.Excess) {
+    this->Metrics.Increment(
+      "gradescale_answers_ended_total",
+      gsLabels({ { "part", gsAnswerPartName(result.Excess->Part) },
+                 { "cause", "limit" } }));
+  }
   if (attempt->ForwardedTo.empty()) {
     this->ReportUnstreamedStart(*request, *attempt, result);
     this->RecordHallFailure(*request, *attempt, result);
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -66,6 +66,8 @@
     settings.Upstreams.ConnectTimeout;
   gatewaySettings.UpstreamCaller.MaxAnswerBytes =
     settings.Callers.MaxAnswerKib * BytesPerKib;
+  gatewaySettings.UpstreamCaller.MaxEventBytes =
+    settings.Callers.MaxEventKib * BytesPerKib;
   gatewaySettings.UpstreamCaller.Routes = settings.Upstreams.Routes;
   gatewaySettings.SilenceTimeout = settings.Routing.Silence;
   gatewaySettings.MinRetryAfter = settings.Routing.RetryAfter;
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -45,6 +45,14 @@
          outcome == gsAttemptOutcome::Unconfirmed;
 }
 
+/** Why this host ended an answer before its end. */
+struct gsAnswerExcess
+{
+  gsAnswerPart Part = gsAnswerPart::Event;
+  std::uint64_t Bytes = 0; ///< Of the part, when it was ended.
+  std::uint64_t Limit = 0;
+};
+
 struct gsAttemptResult
 {
   gsAttemptOutcome Outcome = gsAttemptOutcome::Incomplete;
@@ -60,6 +68,9 @@
   bool IsUpstreamLost = false;
   /** How the end of the answer was known. */
   gsBodyEnd BodyEnd = gsBodyEnd::Unknown;
+  /** Set if this host has ended the answer at a limit. That is a failure of
+   * the upstream, and no evidence of a crash. */
+  std::optional<gsAnswerExcess> Excess;
 };
 
 /** One transmission of a request to one upstream. */
@@ -102,6 +113,8 @@
     AnswerBody; ///< Body of an answer that is not relayed event by event.
   /** Counts AnswerBody; set when the attempt is started. */
   std::shared_ptr<gsHeldBytes> HeldAnswer;
+  /** Counts the incomplete event in EventSplitter; likewise. */
+  std::shared_ptr<gsHeldBytes> HeldEvent;
   gsEventSplitter EventSplitter;
   /**
    * Prompt tokens charged to the upstream's row until the first byte of the
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -25,6 +25,8 @@
     fields.Unsigned("max_header_kib", { 4, 1024 }, callers.MaxHeaderKib);
   callers.MaxAnswerKib =
     fields.Unsigned("max_answer_kib", KibRange, callers.MaxAnswerKib);
+  callers.MaxEventKib =
+    fields.Unsigned("max_event_kib", KibRange, callers.MaxEventKib);
   callers.MaxConnections =
     fields.Unsigned("max_connections", CountRange, callers.MaxConnections);
   callers.MaxConnectionsPerIp = fields.Unsigned(
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -37,6 +37,7 @@
     std::uint64_t MaxBodyKib = 1024;
     std::uint64_t MaxHeaderKib = 16;
     std::uint64_t MaxAnswerKib = 8192;
+    std::uint64_t MaxEventKib = 1024; ///< Of one event of a stream.
     std::uint64_t MaxConnections = 4096;
     std::uint64_t MaxConnectionsPerIp = 4096;
     gsTime ReceiveTimeout = gsSeconds(30);
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -31,6 +31,26 @@
  * other. */
 constexpr gsTime CrashSpread = gsMilliseconds(10);
 
+std::string DescribeExcess(gsAnswerExcess const& excess)
+{
+  return std::string("The upstream's answer is over the limit of its ") +
+         gsAnswerPartName(excess.Part) + ".";
+}
+
+void LogExcess(gsRoutedRequest const& request, gsAttempt const& attempt,
+               gsAnswerExcess const& excess)
+{
+  gsLogLine("answer_ended", gsLogLevel::Warn)
+    .With("request", request.Caller.AttemptId)
+    .With("upstream", attempt.Upstream.Id)
+    .With("address", attempt.Address)
+    .With("status", attempt.Status)
+    .With("part", gsAnswerPartName(excess.Part))
+    .With("bytes", excess.Bytes)
+    .With("limit_bytes", excess.Limit)
+    .With("events", attempt.EventSplitter.EventCount());
+}
+
 /** Updates an estimate of the quantile below which fastShare of the values
  * lie.
  */
@@ -77,6 +97,15 @@
   return status >= first && status <= last;
 }
 
+/** Frees what was received of an answer that is not used. */
+void ReleaseAnswer(gsAttempt& attempt)
+{
+  attempt.AnswerBody = {};
+  attempt.HeldAnswer->Set(0);
+  attempt.EventSplitter.TakeRemainder();
+  attempt.HeldEvent->Set(0);
+}
+
 /** Whether an answer that has ended is a stream that lacks the end of an
  * event, or that has no event and states no end. */
 bool IsPartialStream(gsRoutedRequest const& request, gsAttempt const& attempt)
@@ -164,8 +193,7 @@
   gsFleetRow& row = *placement.Row;
   gsTime now = gsLoop::Now();
   auto attempt = std::make_shared<gsAttempt>();
-  attempt->HeldAnswer =
-    std::make_shared<gsHeldBytes>(this->Totals, &gsHeldTotals::Answers);
+  this->CountHeld(*attempt);
   attempt->Upstream = gsIncarnationOf(row.Listed);
   attempt->Address = row.Listed.Address;
   attempt->SoftwareVersion = row.Listed.SoftwareVersion;
@@ -206,8 +234,7 @@
 {
   gsTime now = gsLoop::Now();
   auto attempt = std::make_shared<gsAttempt>();
-  attempt->HeldAnswer =
-    std::make_shared<gsHeldBytes>(this->Totals, &gsHeldTotals::Answers);
+  this->CountHeld(*attempt);
   attempt->Upstream.Id = peer.Host;
   attempt->Address = peer.Address;
   attempt->ForwardedTo = peer.Host;
@@ -237,6 +264,15 @@
   attempt->CallId = this->Client.Start(std::move(call));
 }
 
+/** Has the bytes that an attempt keeps of its answer counted. */
+void gsUpstreamCaller::CountHeld(gsAttempt& attempt)
+{
+  attempt.HeldAnswer =
+    std::make_shared<gsHeldBytes>(this->Totals, &gsHeldTotals::Answers);
+  attempt.HeldEvent =
+    std::make_shared<gsHeldBytes>(this->Totals, &gsHeldTotals::Partial);
+}
+
 /** Checks just before the first byte whether an attempt at another host is
  * still valid. */
 bool gsUpstreamCaller::CanForward(gsRoutedRequest& request, gsAttempt& attempt)
@@ -599,29 +635,47 @@
     this->Events.OnBodyData(request, held);
   }
   if (gsRelaysEvents(*request, attempt)) {
-    this->RelayEvents(request, attempt, bytes, now);
+    this->RelayEvents(request, held, bytes, now);
     return true;
   }
   attempt.AnswerBody.append(bytes);
   attempt.HeldAnswer->Set(attempt.AnswerBody.size());
   if (attempt.AnswerBody.size() > this->Settings.MaxAnswerBytes) {
-    this->AbortAttempt(request, held,
-                       "The upstream's answer is over the limit.");
+    this->EndAnswer(request, held,
+                    { gsAnswerPart::Body, attempt.AnswerBody.size(),
+                      this->Settings.MaxAnswerBytes });
   }
   return true;
 }
 
-/** Relays complete events and records the intervals between them. */
+/** Relays complete events. Ends an answer whose next event exceeds the limit.
+ */
 void gsUpstreamCaller::RelayEvents(gsRoutedRequestPtr const& request,
-                                   gsAttempt& attempt, std::string_view bytes,
-                                   gsTime now)
+                                   gsAttemptPtr const& held,
+                                   std::string_view bytes, gsTime now)
 {
+  gsAttempt& attempt = *held;
   std::uint64_t countBefore = attempt.EventSplitter.EventCount();
   std::string events = attempt.EventSplitter.Append(bytes);
-  attempt.HeldAnswer->Set(attempt.EventSplitter.BufferedBytes());
-  if (events.empty()) {
-    return;
+  attempt.HeldEvent->Set(attempt.EventSplitter.HeldBytes());
+  if (!events.empty()) {
+    this->RecordEvents(*request, attempt,
+                       attempt.EventSplitter.EventCount() - countBefore, now);
+    this->Events.OnEvents(request, std::move(events));
   }
+  std::uint64_t partial = attempt.EventSplitter.BufferedBytes();
+  if (attempt.CallId != 0 && partial > this->Settings.MaxEventBytes) {
+    this->EndAnswer(
+      request, held,
+      { gsAnswerPart::Event, partial, this->Settings.MaxEventBytes });
+  }
+}
+
+/** Records the interval since the last events of an answer. */
+void gsUpstreamCaller::RecordEvents(gsRoutedRequest const& request,
+                                    gsAttempt& attempt, std::uint64_t count,
+                                    gsTime now)
+{
   gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
   bool wasPaused = std::exchange(attempt.WasPaused, false);
   if (attempt.LastEventAt.count() != 0 && !wasPaused) {
@@ -630,17 +684,15 @@
     if (row != nullptr) {
       gsRecordEventInterval(this->Fleet, *row, interval, now);
     }
-    if (row != nullptr && !request->IsCallerPaused) {
-      gsRecordStreamEvents(
-        this->Fleet, *row, attempt.ActivityAtLastEvent, interval,
-        attempt.EventSplitter.EventCount() - countBefore, now);
+    if (row != nullptr && !request.IsCallerPaused) {
+      gsRecordStreamEvents(this->Fleet, *row, attempt.ActivityAtLastEvent,
+                           interval, count, now);
     }
   }
   if (row != nullptr) {
     attempt.ActivityAtLastEvent = gsEngineActivityOf(this->Fleet, *row, now);
   }
   attempt.LastEventAt = now;
-  this->Events.OnEvents(request, std::move(events));
 }
 
 /** Records the prompt processing time, which ends with the first byte. */
@@ -705,9 +757,23 @@
                                     std::string detail)
 {
   this->Client.Cancel(std::exchange(attempt->CallId, 0));
-  this->Finish(
-    request, attempt,
-    { gsAttemptOutcome::Incomplete, attempt->Status, std::move(detail) });
+  gsAttemptResult result;
+  result.Status = attempt->Status;
+  result.Detail = std::move(detail);
+  this->Finish(request, attempt, result);
+}
+
+/** Ends an attempt whose answer exceeds a limit. */
+void gsUpstreamCaller::EndAnswer(gsRoutedRequestPtr const& request,
+                                 gsAttemptPtr const& attempt,
+                                 gsAnswerExcess const& excess)
+{
+  this->Client.Cancel(std::exchange(attempt->CallId, 0));
+  gsAttemptResult result;
+  result.Status = attempt->Status;
+  result.Excess = excess;
+  result.Detail = DescribeExcess(excess);
+  this->Finish(request, attempt, result);
 }
 
 /** Logs an attempt that ends with its caller. Its answer is not read, nor what
@@ -858,6 +924,9 @@
                               gsAttemptResult const& result)
 {
   gsAttempt& attempt = *held;
+  if (result.Excess) {
+    LogExcess(*request, attempt, *result.Excess);
+  }
   this->ReleaseWork(attempt);
   gsTime now = gsLoop::Now();
   if (gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream)) {
@@ -884,4 +953,7 @@
     }
   }
   this->Events.OnEnd(request, held, result);
+  if (!gsIsAnswer(result.Outcome)) {
+    ReleaseAnswer(attempt);
+  }
 }
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -23,6 +23,8 @@
   gsTime UserTimeout = gsMilliseconds(1500);
   std::size_t MaxAnswerBytes =
     8U << 20U; ///< Bytes of an answer that is not relayed.
+  /** Bytes of one event of an answer that is relayed event by event. */
+  std::size_t MaxEventBytes = 1U << 20U;
   /** Address to dial in place of the one that an upstream lists. */
   std::map<std::string, std::string> Routes;
 };
@@ -145,8 +147,11 @@
                gsTime now) const;
   bool OnData(gsRoutedRequestPtr const& request, gsAttemptPtr const& attempt,
               std::string_view bytes);
-  void RelayEvents(gsRoutedRequestPtr const& request, gsAttempt& attempt,
-                   std::string_view bytes, gsTime now);
+  void RelayEvents(gsRoutedRequestPtr const& request,
+                   gsAttemptPtr const& attempt, std::string_view bytes,
+                   gsTime now);
+  void RecordEvents(gsRoutedRequest const& request, gsAttempt& attempt,
+                    std::uint64_t count, gsTime now);
   void OnEnd(gsRoutedRequestPtr const& request, gsAttemptPtr const& attempt,
              gsCallEnd const& end);
   void HoldEnd(gsRoutedRequestPtr const& request, gsAttemptPtr const& attempt,
@@ -155,6 +160,9 @@
   bool HasCrashedAt(gsIncarnation const& upstream, gsTime ended);
   void AbortAttempt(gsRoutedRequestPtr const& request,
                     gsAttemptPtr const& attempt, std::string detail);
+  void EndAnswer(gsRoutedRequestPtr const& request,
+                 gsAttemptPtr const& attempt, gsAnswerExcess const& excess);
+  void CountHeld(gsAttempt& attempt);
   void RecordFirstByte(gsRoutedRequest const& request, gsAttempt& attempt,
                        gsTime now);
   bool SpendTokens(gsAttempt& attempt, std::uint32_t upstream, gsTime now);
--- a/Source/Io/gsHeldBytes.h
+++ b/Source/Io/gsHeldBytes.h
@@ -18,6 +18,7 @@
   std::uint64_t Expected = 0; ///< Announced by Content-Length, not received.
   std::uint64_t Answers = 0; ///< Whole answers, until their callers have them.
   std::uint64_t Events = 0;  ///< Of streams, until their callers have them.
+  std::uint64_t Partial = 0; ///< Incomplete events, which no caller awaits.
   std::uint64_t Uploads = 0; ///< Copies of bodies for upstreams.
 };
 
--- a/Source/Io/gsHttpMessage.cxx
+++ b/Source/Io/gsHttpMessage.cxx
@@ -20,6 +20,17 @@
   return "unknown";
 }
 
+char const* gsAnswerPartName(gsAnswerPart part)
+{
+  switch (part) {
+    case gsAnswerPart::Event:
+      return "event";
+    case gsAnswerPart::Body:
+      break;
+  }
+  return "body";
+}
+
 gsBodyEnd gsStatedBodyEnd(std::string_view method, unsigned status,
                           gsHeaders const& headers)
 {
--- a/Source/Io/gsHttpMessage.h
+++ b/Source/Io/gsHttpMessage.h
@@ -29,6 +29,15 @@
 
 char const* gsBodyEndName(gsBodyEnd end);
 
+/** A part of an answer that has a limit of its own. */
+enum class gsAnswerPart
+{
+  Event, ///< An incomplete event of a stream.
+  Body   ///< A body that is received as a whole.
+};
+
+char const* gsAnswerPartName(gsAnswerPart part);
+
 /** How the end of an answer's body is to be known by its head, the names of
  * whose headers are in lower case. */
 gsBodyEnd gsStatedBodyEnd(std::string_view method, unsigned status,
--- a/Tests/Route/gsScriptedUpstream.h
+++ b/Tests/Route/gsScriptedUpstream.h
@@ -51,6 +51,8 @@
     void Reset();
     /** Whether the other side has closed it. */
     bool Gone() const { return this->Descriptor < 0; }
+    /** Bytes written that the kernel has not taken yet. */
+    std::size_t Pending() const { return this->Output.size(); }
 
   private:
     void OnEvents(int events);
--- /dev/null
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -0,0 +1,366 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Answers that have no end, in each of their parts: what a host keeps of them,
+ * when it ends them, what their callers get, and whether sound requests beside
+ * them are served. Memory is measured as the heap of this process, less what
+ * the test itself holds.
+ */
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <malloc.h>
+
+#include "gsMemoryGuard.h"
+#include "gsRouteBench.h"
+
+namespace {
+
+using Connection = gsScriptedUpstream::ConnectionPtr;
+
+constexpr std::size_t KiB = 1U << 10U;
+constexpr std::size_t MiB = 1U << 20U;
+/** Memory of the machine that the host is configured for. */
+constexpr std::size_t MachineBytes = 64 * MiB;
+constexpr double BuffersShare = 0.25;
+constexpr std::size_t EventLimit = 1 * MiB;  ///< callers.max_event_kib
+constexpr std::size_t AnswerLimit = 8 * MiB; ///< callers.max_answer_kib
+/** Where the pump gives up. */
+constexpr std::size_t MaxPumped = 48 * MiB;
+/** Bytes that the kernel's buffers of a connection may hold. */
+constexpr std::size_t KernelBytes = 8 * MiB;
+/** Well below the timeout of the bench's routes. */
+constexpr gsTime SoonEnough = gsMilliseconds(2000);
+
+std::size_t HeapBytes()
+{
+  struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+/** A part of an answer that does not end. */
+struct Unending
+{
+  std::string Name;
+  std::string Route;
+  /** Bytes up to the part, by the request. */
+  std::function<std::string(gsScriptedRequest const&)> Before;
+  std::string Block;      ///< Sent again and again.
+  bool HasEvents = false; ///< Whether events come before the part.
+  /** Bytes of the part after which it has to be ended. */
+  std::size_t Limit = 0;
+};
+
+/** Names a case in the output of a failure. */
+void PrintTo(Unending const& each, std::ostream* stream)
+{
+  *stream << each.Name << ", " << each.Route;
+}
+
+std::string SignedHead(gsScriptedRequest const& request,
+                       std::string const& framing,
+                       std::string const& status = "200 OK")
+{
+  return "HTTP/1.1 " + status + "\r\nGradescale-Attempt-Id: " + request.Id() +
+         "\r\nGradescale-Response-Signature: sig\r\n" + framing + "\r\n";
+}
+
+std::string const InChunks = "Transfer-Encoding: chunked\r\n";
+std::string const OfLength = "Content-Length: 10000000000\r\n";
+std::string const EventType = "Content-Type: text/event-stream\r\n";
+
+std::string Repeat(std::string const& unit, std::size_t bytes)
+{
+  std::string text;
+  while (text.size() < bytes) {
+    text += unit;
+  }
+  return text;
+}
+
+std::vector<Unending> UnendingEvents(std::string const& route)
+{
+  std::size_t const block = 32 * KiB;
+  std::string const bytes(block, '#');
+  auto head = [](std::string const& framing) {
+    return [framing](gsScriptedRequest const& request) {
+      return SignedHead(request, EventType + framing);
+    };
+  };
+  auto afterTwo = [](gsScriptedRequest const& request) {
+    return gsStreamHead(request) + gsChunk(gsEvent(1, "a") + gsEvent(2, "b"));
+  };
+  return {
+    { "first event in chunks", route, head(InChunks), gsChunk(bytes), false,
+      EventLimit },
+    { "first event of a stated length", route, head(OfLength), bytes, false,
+      EventLimit },
+    { "first event until the close", route, head(""), bytes, false,
+      EventLimit },
+    { "event after two", route, afterTwo, gsChunk(bytes), true, EventLimit },
+    { "event of many lines", route, head(InChunks),
+      gsChunk(Repeat("data: line\n", block)), false, EventLimit },
+    { "event of lines that end in CR", route, head(InChunks),
+      gsChunk(Repeat("data: line\r", block)), false, EventLimit },
+  };
+}
+
+std::vector<Unending> UnendingBodies(std::string const& route)
+{
+  std::string const bytes(32 * KiB, '#');
+  auto head = [](std::string const& framing,
+                 std::string const& status = "200 OK") {
+    return [framing, status](gsScriptedRequest const& request) {
+      return SignedHead(request, framing, status);
+    };
+  };
+  return {
+    { "body in chunks", route, head(InChunks), gsChunk(bytes), false,
+      AnswerLimit },
+    { "body of a stated length", route, head(OfLength), bytes, false,
+      AnswerLimit },
+    { "body until the close", route, head(""), bytes, false, AnswerLimit },
+    { "body of an error", route, head(InChunks, "500 Error"), gsChunk(bytes),
+      false, AnswerLimit },
+  };
+}
+
+class UnendingAnswers : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    gsMemoryGuardSettings settings;
+    settings.Mode = gsFeatureMode::On;
+    settings.Budget.TotalBytes = MachineBytes;
+    settings.Budget.BuffersShare = BuffersShare;
+    this->Memory = std::make_unique<gsMemoryGuard>(
+      this->Bench.Loop, settings, *this->Bench.Server, this->Bench.Upstreams,
+      this->Bench.Gateway->Upstreams(), 1);
+  }
+
+  /** Sends to a connection as fast as it takes bytes. */
+  struct Flow
+  {
+    Connection To;
+    std::size_t Sent = 0;
+  };
+
+  /** Adds an upstream that answers with the case, in place of all others. */
+  gsScriptedUpstream& AddUnending(Unending const& each, char const* id = "u1")
+  {
+    return this->Bench.Add(id, [this, each](Connection const& to,
+                                            gsScriptedRequest const& request) {
+      if (request.Target.find("/sound") != std::string::npos) {
+        to->Write(gsWholeAnswer(request, "sound"));
+        return;
+      }
+      to->Write(each.Before(request));
+      this->Flows.push_back({ to, 0 });
+      this->Block = each.Block;
+    });
+  }
+
+  void Pump()
+  {
+    for (Flow& flow : this->Flows) {
+      bool mayWrite =
+        !flow.To->Gone() && flow.To->Pending() == 0 && flow.Sent < MaxPumped;
+      if (mayWrite) {
+        flow.To->Write(this->Block);
+        flow.Sent += this->Block.size();
+      }
+    }
+  }
+
+  std::size_t OwnBytes() const
+  {
+    std::size_t bytes = 0;
+    for (Flow const& flow : this->Flows) {
+      bytes += flow.To->Pending();
+    }
+    for (gsCallerViewPtr const& view : this->Views) {
+      bytes += view->Body.capacity();
+    }
+    return bytes;
+  }
+
+  /** Sends so many requests, and runs until all have been answered. */
+  void Play(std::string const& route, int count)
+  {
+    this->Start = gsLoop::Now();
+    std::size_t const before = HeapBytes() - this->OwnBytes();
+    this->Peak = 0;
+    gsTimer pump(this->Bench.Loop, [this, before] {
+      this->Pump();
+      std::size_t const used = HeapBytes() - this->OwnBytes();
+      this->Peak = std::max(this->Peak, used > before ? used - before : 0);
+    });
+    pump.Every(gsMilliseconds(1));
+    for (int i = 0; i < count; ++i) {
+      gsCallerSends sends;
+      sends.Target = "/" + route + "/x";
+      sends.Id = "id-" + std::to_string(++this->Ids);
+      this->Views.push_back(this->Bench.Send(sends));
+    }
+    EXPECT_TRUE(this->Bench.RunUntil(
+      [this] {
+        return std::all_of(this->Views.begin(), this->Views.end(),
+                           [](auto const& view) { return view->Done; });
+      },
+      20));
+  }
+
+  /** A sound request beside, which is to be answered at once. */
+  gsCallerViewPtr SendSound()
+  {
+    gsCallerSends sends;
+    sends.Target = "/plain/sound";
+    sends.Id = "sound-" + std::to_string(++this->Ids);
+    return this->Bench.Send(sends);
+  }
+
+  std::uint64_t Figure(char const* name) const
+  {
+    return this->Memory->Status()[name].get<std::uint64_t>();
+  }
+
+  std::size_t MostSent() const
+  {
+    std::size_t most = 0;
+    for (Flow const& flow : this->Flows) {
+      most = std::max(most, flow.Sent);
+    }
+    return most;
+  }
+
+  /** Plays a case once and expects that it is ended at its limit. */
+  void ExpectEndedAtItsLimit(Unending const& each)
+  {
+    SCOPED_TRACE(each.Name + ", " + each.Route);
+    this->AddUnending(each);
+    this->Play(each.Route, 1);
+    ASSERT_EQ(this->Views.size(), 1U);
+    gsCallerView const& view = *this->Views[0];
+    EXPECT_FALSE(view.Whole && view.Status == 200U) << "looks complete";
+    EXPECT_EQ(view.Status, each.HasEvents ? 200U : 502U);
+    EXPECT_LE(view.Ended - this->Start, SoonEnough);
+    EXPECT_LE(this->MostSent(), each.Limit + KernelBytes);
+    // A buffer may double, and is copied once while it does.
+    EXPECT_LE(this->Peak, 4 * each.Limit + MiB);
+    EXPECT_EQ(
+      this->Bench.Gateway->CrashDetection().SuspectTable().Suspects.size(), 0U)
+      << "taken for a crash";
+    EXPECT_TRUE(this->Bench.RunUntil([this] {
+      return this->Memory->Use().Total() == 0 && this->Flows.back().To->Gone();
+    }))
+      << "bytes stay held, or the connection stays open";
+  }
+
+  gsRouteBench Bench{ {}, gsFeatureMode::On };
+  std::unique_ptr<gsMemoryGuard> Memory; ///< Refers to Bench.
+  std::vector<Flow> Flows;
+  std::vector<gsCallerViewPtr> Views;
+  std::string Block;
+  std::size_t Peak = 0; ///< Of the heap, above that before Play.
+  gsTime Start{};
+  int Ids = 0;
+};
+
+struct UnendingCase
+  : UnendingAnswers
+  , testing::WithParamInterface<Unending>
+{};
+
+std::string CaseName(testing::TestParamInfo<Unending> const& info)
+{
+  std::string name = info.param.Route + "_" + info.param.Name;
+  std::replace_if(
+    name.begin(), name.end(), [](char c) { return std::isalnum(c) == 0; },
+    '_');
+  return name;
+}
+
+using UnendingEvent = UnendingCase;
+using UnendingBody = UnendingCase;
+
+} // namespace
+
+// Guards against a host that keeps an event without an end until it is out of
+// memory, and against its caller being told only at the timeout.
+TEST_P(UnendingEvent, IsEndedAtTheLimitOfAnEvent)
+{
+  this->ExpectEndedAtItsLimit(this->GetParam());
+}
+INSTANTIATE_TEST_SUITE_P(Stream, UnendingEvent,
+                         testing::ValuesIn(UnendingEvents("stream")),
+                         CaseName);
+INSTANTIATE_TEST_SUITE_P(Resume, UnendingEvent,
+                         testing::ValuesIn(UnendingEvents("resume")),
+                         CaseName);
+
+// Guards against whole answers that are kept beyond their limit.
+TEST_P(UnendingBody, IsEndedAtTheLimitOfAnAnswer)
+{
+  this->ExpectEndedAtItsLimit(this->GetParam());
+}
+INSTANTIATE_TEST_SUITE_P(Plain, UnendingBody,
+                         testing::ValuesIn(UnendingBodies("plain")), CaseName);
+
+// Guards against sound answers that are cut because an event is large.
+TEST_F(UnendingAnswers, EventOfTheLimitIsPassedOnWhole)
+{
+  std::string const begin = "id: 1\ndata: ";
+  std::string const event =
+    begin + std::string(EventLimit - begin.size() - 2, 'x') + "\n\n";
+  std::string const small = gsEvent(2, "small");
+  this->Bench.Add(
+    "u1", [&](Connection const& to, gsScriptedRequest const& request) {
+      std::string body = gsStreamHead(request);
+      for (std::size_t at = 0; at < event.size(); at += 10 * KiB) {
+        body += gsChunk(event.substr(at, 10 * KiB));
+      }
+      to->Write(body + gsChunk(small) + gsChunk(""));
+    });
+  gsCallerSends sends;
+  sends.Target = "/stream/x";
+  gsCallerViewPtr view = this->Bench.SendAndWait(sends);
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_TRUE(view->Whole);
+  EXPECT_EQ(view->Body, event + small);
+  EXPECT_LE(this->Memory->Status()["peaks"]["partial"].get<std::size_t>(),
+            2 * EventLimit);
+}
+
+// Guards against a caller that gets no answer although its request may be
+// repeated and another upstream is sound.
+TEST_F(UnendingAnswers, ResumableStreamGoesOnAtAnotherUpstream)
+{
+  std::string const rest = gsEvent(3, "c") + gsEvent(4, "d");
+  bool isFirst = true;
+  auto script = [&](Connection const& to, gsScriptedRequest const& request) {
+    if (std::exchange(isFirst, false)) {
+      to->Write(gsStreamHead(request) +
+                gsChunk(gsEvent(1, "a") + gsEvent(2, "b")) +
+                gsChunk(std::string(2 * EventLimit, '#')));
+      return;
+    }
+    EXPECT_EQ(request.Header("last-event-id"), "2");
+    to->Write(gsStreamHead(request) + gsChunk(rest) + gsChunk(""));
+  };
+  this->Bench.Add("u1", script);
+  this->Bench.Add("u2", script);
+  gsCallerSends sends;
+  sends.Target = "/resume/x";
+  gsCallerViewPtr view = this->Bench.SendAndWait(sends);
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_TRUE(view->Whole);
+  EXPECT_EQ(view->Body, gsEvent(1, "a") + gsEvent(2, "b") + rest);
+}
