HttpClient: Limits the header lines of an answer, with its trailers

A host under an upstream that sends trailers without an end held 210 MB of heap for the 48 MiB that the test sends: 4 bytes for each of theirs, until the timeout of the route, and its caller got 504 after 4 s. In a head, lines of 4 bytes took 13 MB before the library gave up.

Cause: gsHttpClient::OnHeader keeps every line, and the library a copy of its own; neither has a limit for trailers, and that of the library for a head counts bytes and not what a line takes. Nobody reads trailers, and they were added to the headers of an answer that had been passed on.

Header lines have a limit in all now, with those of interim answers and trailers: 64 KiB, 32 bytes more for each line. It holds for every call, those to the store and to other hosts too. Trailers are dropped. The call ends with a typed cause (gsCallEnd::Excess), also at the library's own limit of a line, so that such an answer is a failure of its upstream and no crash: before, each of the heads left its request suspected.

Before: all 12 tests of heads and trailers fail (10 of heads: the request is suspected; trailers: 504, 50 MB, +210 MB). After: they pass, with one of a head and trailers of 4 KiB each, which was run on the new code only.

--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -45,14 +45,6 @@
          outcome == gsAttemptOutcome::Unconfirmed;
 }
 
-/** Why this host ended an answer before its end. */
-struct gsAnswerExcess
-{
-  gsAnswerPart Part = gsAnswerPart::Event;
-  std::uint64_t Bytes = 0; ///< Of the part, when it was ended.
-  std::uint64_t Limit = 0;
-};
-
 struct gsAttemptResult
 {
   gsAttemptOutcome Outcome = gsAttemptOutcome::Incomplete;
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -31,12 +31,6 @@
  * other. */
 constexpr gsTime CrashSpread = gsMilliseconds(10);
 
-std::string DescribeExcess(gsAnswerExcess const& excess)
-{
-  return std::string("The upstream's answer is over the limit of its ") +
-         gsAnswerPartName(excess.Part) + ".";
-}
-
 void LogExcess(gsRoutedRequest const& request, gsAttempt const& attempt,
                gsAnswerExcess const& excess)
 {
@@ -772,7 +766,7 @@
   gsAttemptResult result;
   result.Status = attempt->Status;
   result.Excess = excess;
-  result.Detail = DescribeExcess(excess);
+  result.Detail = gsDescribeExcess(excess);
   this->Finish(request, attempt, result);
 }
 
@@ -849,11 +843,13 @@
         .With("upstream", row->Listed.Id);
     }
   } else if (end.BodyEnd == gsBodyEnd::Unknown) {
-    // One that does not read a body has not crashed, nor has one that closed
-    // a kept connection just when the request was sent.
+    // One that does not read a body has not crashed, nor has one whose answer
+    // exceeds a limit, nor one that closed a kept connection just when the
+    // request was sent.
     bool wasClosedBefore =
       end.Stopped && gsLoop::Now() - attempt.SentAt < MaxCloseDelay;
-    result.IsUpstreamLost = !wasClosedBefore && !end.Stalled;
+    result.IsUpstreamLost = !wasClosedBefore && !end.Stalled && !end.Excess;
+    result.Excess = end.Excess;
     result.Detail = "The upstream's answer broke off: " + end.Error;
   } else if (attempt.AnswerHead.NotExecuted) {
     result.Outcome = gsAttemptOutcome::NotExecuted;
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -12,6 +12,8 @@
 
 constexpr std::size_t MaxSpare = 64;
 constexpr long MaxKept = 1024; ///< Connections.
+/** Returned by a callback of the library in place of the number of bytes. */
+constexpr std::size_t EndTransfer = 0;
 
 std::string_view Trim(std::string_view text)
 {
@@ -59,6 +61,9 @@
   CURL* Easy = nullptr;
   curl_slist* HeaderList = nullptr;
   gsHeaders Headers;
+  /** Of all header lines so far; see gsMaxHeaderBytes. */
+  std::uint64_t HeaderBytes = 0;
+  std::optional<gsAnswerExcess> Excess;
   unsigned Status = 0;
   /** How the end of the answer is to be known; Unknown before its head. */
   gsBodyEnd StatedEnd = gsBodyEnd::Unknown;
@@ -82,6 +87,10 @@
   Active(Active const&) = delete;
   Active& operator=(Active const&) = delete;
 
+  /** Whether the head of the final answer has come; header lines after it are
+   * trailers. */
+  bool HasHead() const { return this->StatedEnd != gsBodyEnd::Unknown; }
+
   /** Notes whether the library keeps a part of the answer: what it has read
    * at once and not handed over, at most its buffer. */
   void SetPaused(bool paused)
@@ -332,6 +341,16 @@
 {
   auto* self = static_cast<Active*>(active);
   std::string_view line(data, size * count);
+  self->HeaderBytes += line.size() + gsHeaderLineOverhead;
+  if (self->HeaderBytes > gsMaxHeaderBytes) {
+    gsAnswerPart part =
+      self->HasHead() ? gsAnswerPart::Trailers : gsAnswerPart::Head;
+    self->Excess = { part, self->HeaderBytes, gsMaxHeaderBytes };
+    return EndTransfer;
+  }
+  if (self->HasHead()) {
+    return line.size();
+  }
   if (line.substr(0, 5) == "HTTP/") {
     self->Headers.clear();
     return line.size();
@@ -462,12 +481,21 @@
   std::unique_ptr<Active> active = std::move(found->second);
   this->Calls.erase(found);
 
+  // The library's own limit of a line; the line is not handed over.
+  bool isLongLine = code == CURLE_OUT_OF_MEMORY;
+  if (isLongLine && active->Sent && !active->HasHead()) {
+    active->Excess = { gsAnswerPart::Head, CURL_MAX_HTTP_HEADER,
+                       CURL_MAX_HTTP_HEADER };
+  }
   gsCallEnd end;
   end.Status = active->Status;
   end.Sent = active->Sent;
+  end.Excess = active->Excess;
   end.Stopped = active->Sent && code == CURLE_ABORTED_BY_CALLBACK;
   end.Refused = !active->Sent && !active->Stopped;
-  if (code != CURLE_OK) {
+  if (end.Excess) {
+    end.Error = gsDescribeExcess(*end.Excess);
+  } else if (code != CURLE_OK) {
     end.Error = std::string(curl_easy_strerror(code)) + ".";
   } else {
     end.BodyEnd = active->StatedEnd;
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -6,6 +6,9 @@
  * call on a kept connection is sent once all the same: the library asks before
  * it sends, and is refused the second time. Whoever keeps connections has to
  * see by the answer's own marks that it belongs to the call.
+ *
+ * All header lines of an answer together have a limit, also those of interim
+ * answers and of trailers, which are dropped.
  */
 #pragma once
 
@@ -13,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -39,6 +43,8 @@
   unsigned Status = 0;
   /** It was ended because the other end did not read the body. */
   bool Stalled = false;
+  /** Set if it was ended because the answer exceeds a limit. */
+  std::optional<gsAnswerExcess> Excess;
   std::string Error; ///< One sentence; empty when whole.
 
   /** Whether the answer came in whole, as it states itself. */
@@ -49,6 +55,11 @@
   }
 };
 
+/** Largest total of an answer's header lines, each of which counts its bytes
+ * and gsHeaderLineOverhead (as in RFC 9113, 6.5.2). */
+constexpr std::uint64_t gsMaxHeaderBytes = 64U << 10U;
+constexpr std::uint64_t gsHeaderLineOverhead = 32;
+
 /** A call to make. */
 struct gsCall
 {
--- a/Source/Io/gsHttpMessage.cxx
+++ b/Source/Io/gsHttpMessage.cxx
@@ -23,14 +23,24 @@
 char const* gsAnswerPartName(gsAnswerPart part)
 {
   switch (part) {
+    case gsAnswerPart::Head:
+      return "head";
     case gsAnswerPart::Event:
       return "event";
+    case gsAnswerPart::Trailers:
+      return "trailers";
     case gsAnswerPart::Body:
       break;
   }
   return "body";
 }
 
+std::string gsDescribeExcess(gsAnswerExcess const& excess)
+{
+  return std::string("The answer is over the limit of its ") +
+         gsAnswerPartName(excess.Part) + ".";
+}
+
 gsBodyEnd gsStatedBodyEnd(std::string_view method, unsigned status,
                           gsHeaders const& headers)
 {
--- a/Source/Io/gsHttpMessage.h
+++ b/Source/Io/gsHttpMessage.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,12 +33,25 @@
 /** A part of an answer that has a limit of its own. */
 enum class gsAnswerPart
 {
-  Event, ///< An incomplete event of a stream.
-  Body   ///< A body that is received as a whole.
+  Head,     ///< Its header lines, with those of interim answers before it.
+  Event,    ///< An incomplete event of a stream.
+  Body,     ///< A body that is received as a whole.
+  Trailers, ///< The header lines after a body in chunks.
 };
 
 char const* gsAnswerPartName(gsAnswerPart part);
 
+/** Why an answer was ended before its end. */
+struct gsAnswerExcess
+{
+  gsAnswerPart Part = gsAnswerPart::Event;
+  std::uint64_t Bytes = 0; ///< Of the part, when the answer was ended.
+  std::uint64_t Limit = 0;
+};
+
+/** One sentence on it. */
+std::string gsDescribeExcess(gsAnswerExcess const& excess);
+
 /** How the end of an answer's body is to be known by its head, the names of
  * whose headers are in lower case. */
 gsBodyEnd gsStatedBodyEnd(std::string_view method, unsigned status,
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -32,6 +32,7 @@
 constexpr double BuffersShare = 0.25;
 constexpr std::size_t EventLimit = 1 * MiB;  ///< callers.max_event_kib
 constexpr std::size_t AnswerLimit = 8 * MiB; ///< callers.max_answer_kib
+constexpr std::size_t HeadLimit = 512 * KiB; ///< Of a head, with its trailers.
 /** Where the pump gives up. */
 constexpr std::size_t MaxPumped = 48 * MiB;
 /** Bytes that the kernel's buffers of a connection may hold. */
@@ -132,6 +133,41 @@
   };
 }
 
+std::vector<Unending> UnendingHeads(std::string const& route)
+{
+  auto begin = [](std::string const& text) {
+    return [text](gsScriptedRequest const& /*request*/) { return text; };
+  };
+  std::string const status = "HTTP/1.1 200 OK\r\n";
+  return {
+    { "header lines", route, begin(status),
+      Repeat("X-Line: " + std::string(80, 'v') + "\r\n", 32 * KiB), false,
+      HeadLimit },
+    { "short header lines", route, begin(status), Repeat("a:\r\n", 32 * KiB),
+      false, HeadLimit },
+    { "a header line", route, begin(status + "X-Line: "),
+      std::string(32 * KiB, 'v'), false, HeadLimit },
+    { "interim answers", route, begin(""),
+      Repeat("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 32 * KiB), false,
+      HeadLimit },
+    { "status line", route, begin("HTTP/1.1 200 "), std::string(32 * KiB, 'x'),
+      false, HeadLimit },
+  };
+}
+
+std::vector<Unending> UnendingTrailers(std::string const& route)
+{
+  bool isStream = route == "stream" || route == "resume";
+  auto before = [isStream](gsScriptedRequest const& request) {
+    std::string const body = isStream ? gsEvent(1, "a") : "answer";
+    return SignedHead(request, (isStream ? EventType : "") + InChunks) +
+           gsChunk(body) + "0\r\n";
+  };
+  return { { "trailers", route, before,
+             Repeat("X-Line: " + std::string(80, 'v') + "\r\n", 32 * KiB),
+             isStream, HeadLimit } };
+}
+
 class UnendingAnswers : public testing::Test
 {
 protected:
@@ -290,6 +326,8 @@
 
 using UnendingEvent = UnendingCase;
 using UnendingBody = UnendingCase;
+using UnendingHead = UnendingCase;
+using UnendingTrailer = UnendingCase;
 
 } // namespace
 
@@ -314,6 +352,30 @@
 INSTANTIATE_TEST_SUITE_P(Plain, UnendingBody,
                          testing::ValuesIn(UnendingBodies("plain")), CaseName);
 
+// Guards against heads that are kept without a limit, and against one that is
+// taken for a crash of its upstream.
+TEST_P(UnendingHead, IsEndedAtTheLimitOfAHead)
+{
+  this->ExpectEndedAtItsLimit(this->GetParam());
+}
+INSTANTIATE_TEST_SUITE_P(Plain, UnendingHead,
+                         testing::ValuesIn(UnendingHeads("plain")), CaseName);
+INSTANTIATE_TEST_SUITE_P(Stream, UnendingHead,
+                         testing::ValuesIn(UnendingHeads("stream")), CaseName);
+
+// Guards against trailers that are kept without a limit, several bytes of
+// memory for each of theirs.
+TEST_P(UnendingTrailer, IsEndedAtTheLimitOfAHead)
+{
+  this->ExpectEndedAtItsLimit(this->GetParam());
+}
+INSTANTIATE_TEST_SUITE_P(Plain, UnendingTrailer,
+                         testing::ValuesIn(UnendingTrailers("plain")),
+                         CaseName);
+INSTANTIATE_TEST_SUITE_P(Stream, UnendingTrailer,
+                         testing::ValuesIn(UnendingTrailers("stream")),
+                         CaseName);
+
 // Guards against sound answers that are cut because an event is large.
 TEST_F(UnendingAnswers, EventOfTheLimitIsPassedOnWhole)
 {
@@ -364,3 +426,23 @@
   EXPECT_TRUE(view->Whole);
   EXPECT_EQ(view->Body, gsEvent(1, "a") + gsEvent(2, "b") + rest);
 }
+
+// Guards against sound answers that are cut for their headers or trailers, and
+// against trailers that reach a caller as headers.
+TEST_F(UnendingAnswers, HeadersAndTrailersOfAnOrdinarySizeAreRead)
+{
+  std::string const lines =
+    Repeat("X-Line: " + std::string(80, 'v') + "\r\n", 4 * KiB);
+  this->Bench.Add(
+    "u1", [&](Connection const& to, gsScriptedRequest const& request) {
+      to->Write("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" +
+                SignedHead(request, lines + InChunks) + gsChunk("answer") +
+                "0\r\n" + "X-Trailer: t\r\n" + lines + "\r\n");
+    });
+  gsCallerViewPtr view = this->Bench.SendAndWait({});
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_TRUE(view->Whole);
+  EXPECT_EQ(view->Body, "answer");
+  EXPECT_EQ(view->Header("x-line"), std::string(80, 'v'));
+  EXPECT_EQ(view->Header("x-trailer"), "");
+}
