HttpClient: Tells bytes that are no HTTP from a lost connection

A request whose upstream answered it with bytes that are no HTTP counted as one under which an upstream had crashed; requests with several such counts are contained or refused.

Cause: every answer without an end of its own counted as a lost upstream. The connection was not lost: it still sent. The library tells the two apart by its code, which gsCallEnd now passes on (Malformed); such an answer counts as a failure of the upstream alone.

--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -844,11 +844,12 @@
     }
   } else if (end.BodyEnd == gsBodyEnd::Unknown) {
     // One that does not read a body has not crashed, nor has one whose answer
-    // exceeds a limit, nor one that closed a kept connection just when the
-    // request was sent.
+    // exceeds a limit or is no HTTP, nor one that closed a kept connection
+    // just when the request was sent.
     bool wasClosedBefore =
       end.Stopped && gsLoop::Now() - attempt.SentAt < MaxCloseDelay;
-    result.IsUpstreamLost = !wasClosedBefore && !end.Stalled && !end.Excess;
+    result.IsUpstreamLost =
+      !wasClosedBefore && !end.Stalled && !end.Excess && !end.Malformed;
     result.Excess = end.Excess;
     result.Detail = "The upstream's answer broke off: " + end.Error;
   } else if (attempt.AnswerHead.NotExecuted) {
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -491,6 +491,8 @@
   end.Status = active->Status;
   end.Sent = active->Sent;
   end.Excess = active->Excess;
+  end.Malformed = active->Sent && (code == CURLE_UNSUPPORTED_PROTOCOL ||
+                                   code == CURLE_WEIRD_SERVER_REPLY);
   end.Stopped = active->Sent && code == CURLE_ABORTED_BY_CALLBACK;
   end.Refused = !active->Sent && !active->Stopped;
   if (end.Excess) {
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -43,6 +43,8 @@
   unsigned Status = 0;
   /** It was ended because the other end did not read the body. */
   bool Stalled = false;
+  /** It ended because what was received is no HTTP. */
+  bool Malformed = false;
   /** Set if it was ended because the answer exceeds a limit. */
   std::optional<gsAnswerExcess> Excess;
   std::string Error; ///< One sentence; empty when whole.
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -150,6 +150,8 @@
     { "interim answers", route, begin(""),
       Repeat("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 32 * KiB), false,
       HeadLimit },
+    { "no HTTP", route, begin(""), std::string(32 * KiB, '#'), false,
+      HeadLimit },
     { "status line", route, begin("HTTP/1.1 200 "), std::string(32 * KiB, 'x'),
       false, HeadLimit },
   };
