HttpClient: Limits the answers that a host gathers for itself

A host kept an answer of the platform's store without an end until the call's timeout: in the test all 48 MiB that are sent in 4 s, on a loopback that could carry more. Nothing of it counted against the memory budget.

Cause: gsFetch appends what comes, and a call had no limit. A limit is part of the call now (MaxBodyBytes, 16 MiB), so that none of the duties, watches, polls and the tool can forget it; only what is passed on as it comes sets none, and bounds what it keeps. What is gathered counts against the budget (fetched).

--- a/Source/Core/gsMemoryBudget.h
+++ b/Source/Core/gsMemoryBudget.h
@@ -33,12 +33,13 @@
   std::uint64_t Events = 0;
   std::uint64_t Partial = 0; ///< Incomplete events, which no caller awaits.
   std::uint64_t Uploads = 0; ///< Copies of bodies for upstreams.
+  std::uint64_t Fetched = 0; ///< Answers for this host itself.
 
   /** All that is held; Expected is not. */
   std::uint64_t Total() const
   {
     return this->Bodies + this->Answers + this->Events + this->Partial +
-           this->Uploads;
+           this->Uploads + this->Fetched;
   }
 };
 
--- a/Source/Daemon/gsGrantExecutor.cxx
+++ b/Source/Daemon/gsGrantExecutor.cxx
@@ -73,6 +73,7 @@
   call.Url = "http://" + request->Grant.Address + request->Path;
   call.ConnectTimeout = this->Settings.Upstreams.ConnectTimeout;
   call.Body = request->Body;
+  call.MaxBodyBytes = 0; // OnAnswerData has limits by kind of answer.
   call.Headers = { { "X-Request-Id",
                      gsFormatRequestId(request->GrantRequest.Id) } };
   if (!request->ContentType.empty()) {
--- a/Source/Daemon/gsMemoryGuard.cxx
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -45,6 +45,7 @@
   { "bodies", &gsMemoryUse::Bodies },   { "expected", &gsMemoryUse::Expected },
   { "answers", &gsMemoryUse::Answers }, { "events", &gsMemoryUse::Events },
   { "partial", &gsMemoryUse::Partial }, { "uploads", &gsMemoryUse::Uploads },
+  { "fetched", &gsMemoryUse::Fetched },
 };
 
 gsMemoryUse Sum(gsHeldTotals const& callers, gsHeldTotals const& client,
@@ -58,6 +59,7 @@
     use.Events += held->Events;
     use.Partial += held->Partial;
     use.Uploads += held->Uploads;
+    use.Fetched += held->Fetched;
   }
   return use;
 }
@@ -300,6 +302,7 @@
            { "events", use.Events },
            { "partial", use.Partial },
            { "uploads", use.Uploads },
+           { "fetched", use.Fetched },
            { "peaks", peaks },
            { "paused_streams", this->Client.Paused() },
            { "stream_limit_bytes",
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -327,6 +327,7 @@
   gsCall call;
   call.Method = request->Caller.Method;
   call.Body = request->Caller.Body;
+  call.MaxBodyBytes = 0; // OnData has limits by kind of answer.
   call.Label = request->Caller.AttemptId;
   call.ConnectTimeout = this->Settings.ConnectTimeout;
   call.UserTimeout = this->Settings.UserTimeout;
--- a/Source/Io/gsHeldBytes.h
+++ b/Source/Io/gsHeldBytes.h
@@ -20,6 +20,7 @@
   std::uint64_t Events = 0;  ///< Of streams, until their callers have them.
   std::uint64_t Partial = 0; ///< Incomplete events, which no caller awaits.
   std::uint64_t Uploads = 0; ///< Copies of bodies for upstreams.
+  std::uint64_t Fetched = 0; ///< Answers for this host itself (gsFetch).
 };
 
 /** One holder's part of a total. */
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -63,6 +63,7 @@
   gsHeaders Headers;
   /** Of all header lines so far; see gsMaxHeaderBytes. */
   std::uint64_t HeaderBytes = 0;
+  std::uint64_t BodyBytes = 0; ///< Handed over.
   std::optional<gsAnswerExcess> Excess;
   unsigned Status = 0;
   /** How the end of the answer is to be known; Unknown before its head. */
@@ -327,12 +328,19 @@
 {
   auto* self = static_cast<Active*>(active);
   std::size_t length = size * count;
+  std::uint64_t limit = self->Call.MaxBodyBytes;
+  std::uint64_t received = self->BodyBytes + length;
+  if (limit != 0 && received > limit) {
+    self->Excess = { gsAnswerPart::Body, received, limit };
+    return EndTransfer;
+  }
   if (!self->Cancelled && self->Call.OnData &&
       !self->Call.OnData({ data, length })) {
     self->SetPaused(true);
     return CURL_WRITEFUNC_PAUSE;
   }
   self->SetPaused(false);
+  self->BodyBytes = received;
   return length;
 }
 
@@ -521,11 +529,14 @@
                       std::function<void()> const& onProgress)
 {
   auto answer = std::make_shared<gsAnswer>();
+  auto held =
+    std::make_shared<gsHeldBytes>(client.SharedHeld(), &gsHeldTotals::Fetched);
   call.OnHeaders = [answer](unsigned /*status*/, gsHeaders const& headers) {
     answer->Headers = headers;
   };
-  call.OnData = [answer, onProgress](std::string_view bytes) {
+  call.OnData = [answer, held, onProgress](std::string_view bytes) {
     answer->Body.append(bytes);
+    held->Set(answer->Body.capacity());
     if (onProgress) {
       onProgress();
     }
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -62,6 +62,11 @@
 constexpr std::uint64_t gsMaxHeaderBytes = 64U << 10U;
 constexpr std::uint64_t gsHeaderLineOverhead = 32;
 
+/** Largest body of an answer that is not passed on as it comes, such as those
+ * of the platform. Its tables are read in pages of 1 MB, objects have 8 MiB.
+ */
+constexpr std::uint64_t gsMaxFetchedBytes = 16U << 20U;
+
 /** A call to make. */
 struct gsCall
 {
@@ -72,6 +77,9 @@
   std::string Label; ///< Names the call in logs; may be empty.
   gsTime ConnectTimeout = gsMilliseconds(1000);
   gsTime TotalTimeout{}; ///< Zero for none.
+  /** The call ends once the body of its answer exceeds this; zero for no
+   * limit: OnData bounds what it keeps. */
+  std::uint64_t MaxBodyBytes = gsMaxFetchedBytes;
   /** Allows a kept connection and keeps the call's own. */
   bool Reuse = false;
   /** Longest rest of a kept connection that is used; whole seconds. */
@@ -144,8 +152,13 @@
   /** Ends a call whose body is not taken; its connection is closed. */
   void EndStalled(std::uint64_t call);
 
-  /** Bodies of calls, and what waits of paused ones. */
+  /** Bodies of calls, what waits of paused ones, and what gsFetch gathers. */
   gsHeldTotals const& Held() const { return *this->Totals; }
+  /** For what is gathered of this client's answers. */
+  std::shared_ptr<gsHeldTotals> const& SharedHeld() const
+  {
+    return this->Totals;
+  }
   /** Calls whose OnData returned false and that have not gone on. */
   std::size_t Paused() const { return this->PausedCalls; }
   /** Bounds buffers of calls that are started from now on. */
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -71,7 +71,7 @@
   gsPrintRows(options, gsJson::array({ status.value() }),
               { "mode", "limit_bytes", "held_bytes", "peak_bytes", "bodies",
                 "expected", "answers", "events", "partial", "uploads",
-                "paused_streams", "refused", "ended_stalled",
+                "fetched", "paused_streams", "refused", "ended_stalled",
                 "ended_over_budget", "ended_uploads" });
   return gsToolOk;
 }
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -32,6 +33,7 @@
 constexpr double BuffersShare = 0.25;
 constexpr std::size_t EventLimit = 1 * MiB;  ///< callers.max_event_kib
 constexpr std::size_t AnswerLimit = 8 * MiB; ///< callers.max_answer_kib
+constexpr std::size_t FetchLimit = 16 * MiB; ///< gsMaxFetchedBytes
 constexpr std::size_t HeadLimit = 512 * KiB; ///< Of a head, with its trailers.
 /** Where the pump gives up. */
 constexpr std::size_t MaxPumped = 48 * MiB;
@@ -448,3 +450,39 @@
   EXPECT_EQ(view->Header("x-line"), std::string(80, 'v'));
   EXPECT_EQ(view->Header("x-trailer"), "");
 }
+
+// Guards against a host that keeps an answer of the platform without an end.
+TEST_F(UnendingAnswers, FetchedAnswerIsEndedAtItsLimit)
+{
+  for (Unending const& each : UnendingBodies("plain")) {
+    SCOPED_TRACE(each.Name);
+    this->Flows.clear();
+    gsScriptedUpstream& platform = this->AddUnending(each);
+    std::optional<gsAnswer> answer;
+    gsCall call;
+    call.Url = "http://" + platform.Address() + "/rows";
+    call.TotalTimeout = gsSeconds(4);
+    gsFetch(this->Bench.Upstreams, std::move(call),
+            [&answer](gsAnswer const& done) { answer = done; });
+    std::size_t const before = HeapBytes();
+    std::size_t peak = 0;
+    gsTimer pump(this->Bench.Loop, [&] {
+      this->Pump();
+      peak = std::max(peak, HeapBytes() - this->OwnBytes());
+    });
+    pump.Every(gsMilliseconds(1));
+    gsTime const start = gsLoop::Now();
+    ASSERT_TRUE(this->Bench.RunUntil([&] { return answer.has_value(); }));
+    EXPECT_LE(gsLoop::Now() - start, SoonEnough);
+    EXPECT_FALSE(answer->End.IsWhole());
+    EXPECT_LE(this->MostSent(), FetchLimit + KernelBytes);
+    EXPECT_LE(peak, before + 4 * FetchLimit);
+    EXPECT_EQ(answer->End.Error, "The answer is over the limit of its body.");
+    answer.reset();
+    EXPECT_TRUE(this->Bench.RunUntil(
+      [this] { return this->Memory->Use().Total() == 0; }));
+    EXPECT_GT(this->Memory->Status()["peaks"]["fetched"].get<std::size_t>(),
+              0U)
+      << "not counted";
+  }
+}
