Daemon: Takes empty lines of a stream for no event

A stream of empty lines began its caller's answer with 200 and went on to the timeout of the route: 50 MB of line ends were passed on to the caller, and the request could no longer go to a sound upstream.

Cause: gsEventSplitter ended an event at each second line end, also where there was nothing before it. Line ends before an event are a part of it now: passed on with it unaltered, but alone they are no event, begin no answer, and have the limit of an event.

--- a/Source/Daemon/gsEventSplitter.cxx
+++ b/Source/Daemon/gsEventSplitter.cxx
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::string_view IdField = "id:";
+constexpr std::string_view LineEnds = "\r\n";
 /** Memory that a stream keeps between events. */
 constexpr std::size_t MaxSpareBytes = 16U << 10U;
 
@@ -46,17 +47,16 @@
  * blank line; 0 if the event is incomplete. */
 std::size_t FindEventEnd(std::string_view text, std::size_t from)
 {
-  constexpr std::string_view lineEnds = "\r\n";
-  std::size_t at = text.find_first_of(lineEnds, from);
+  std::size_t at = text.find_first_of(LineEnds, from);
   while (at != std::string_view::npos) {
     std::size_t next = AfterLineEnd(text, at);
     bool isLoneReturn = text[at] == '\r' && next == at + 1;
-    if (next < text.size() && lineEnds.find(text[next]) != std::string::npos) {
+    if (next < text.size() && LineEnds.find(text[next]) != std::string::npos) {
       // A CR at the end of the text may be the first half of a line end.
       bool isHalf = text[next] == '\r' && next + 1 == text.size();
       return isHalf && !isLoneReturn ? 0 : AfterLineEnd(text, next);
     }
-    at = text.find_first_of(lineEnds, next);
+    at = text.find_first_of(LineEnds, next);
   }
   return 0;
 }
@@ -67,12 +67,12 @@
 {
   this->Buffer.append(bytes);
   std::string complete;
-  std::size_t begin = 0;
   std::string_view text = this->Buffer;
+  std::size_t begin = 0;
   std::size_t from = this->Scanned;
-  std::size_t length = FindEventEnd(text, from);
-  while (length != 0) {
-    std::string_view event = text.substr(begin, length - begin);
+  std::size_t end = this->FindNextEnd(from);
+  while (end != 0) {
+    std::string_view event = text.substr(begin, end - begin);
     std::optional<std::uint64_t> id = ParseEventId(event);
     bool isSkipped = this->Skip && id && *id <= *this->Skip;
     if (!isSkipped) {
@@ -80,25 +80,40 @@
       this->Last = id ? id : this->Last;
       ++this->Count;
     }
-    begin = length;
-    length = FindEventEnd(text, begin);
+    begin = end;
+    from = end;
+    this->HasContent = false;
+    end = this->FindNextEnd(from);
   }
   this->Buffer.erase(0, begin);
   if (this->Buffer.capacity() > MaxSpareBytes && this->Buffer.empty()) {
     this->Buffer.shrink_to_fit();
   }
   // The last two bytes may be the start of an event terminator.
-  this->Scanned = this->Buffer.size() < 2 ? 0 : this->Buffer.size() - 2;
+  std::size_t left = this->HasContent ? 2 : 0;
+  this->Scanned = this->Buffer.size() - std::min(left, this->Buffer.size());
   return complete;
 }
 
+/** Offset just after the next event; 0 if it is incomplete. Line ends before
+ * an event are a part of it, so that they alone are no event. */
+std::size_t gsEventSplitter::FindNextEnd(std::size_t from)
+{
+  if (!this->HasContent) {
+    from = this->Buffer.find_first_not_of(LineEnds, from);
+    this->HasContent = from != std::string::npos;
+  }
+  return this->HasContent ? FindEventEnd(this->Buffer, from) : 0;
+}
+
 bool gsEventSplitter::IsInsideEvent() const
 {
-  return this->Buffer.find_first_not_of("\r\n") != std::string::npos;
+  return this->HasContent;
 }
 
 std::string gsEventSplitter::TakeRemainder()
 {
   this->Scanned = 0;
+  this->HasContent = false;
   return std::exchange(this->Buffer, {});
 }
--- a/Source/Daemon/gsEventSplitter.h
+++ b/Source/Daemon/gsEventSplitter.h
@@ -39,8 +39,12 @@
   std::size_t HeldBytes() const { return this->Buffer.capacity(); }
 
 private:
+  std::size_t FindNextEnd(std::size_t from);
+
   std::string Buffer; ///< Bytes from the start of the first incomplete event.
   std::size_t Scanned = 0; ///< No event ends before this offset in Buffer.
+  /** Whether there is more than line ends before Scanned. */
+  bool HasContent = false;
   std::optional<std::uint64_t>
     Skip; ///< Events with ids up to this one are dropped.
   std::optional<std::uint64_t>
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -112,6 +112,8 @@
       gsChunk(Repeat("data: line\n", block)), false, EventLimit },
     { "event of lines that end in CR", route, head(InChunks),
       gsChunk(Repeat("data: line\r", block)), false, EventLimit },
+    { "empty lines", route, head(InChunks), gsChunk(std::string(block, '\n')),
+      false, EventLimit },
   };
 }
 
--- a/Tests/Unit/gsTestEventSplitter.cxx
+++ b/Tests/Unit/gsTestEventSplitter.cxx
@@ -67,3 +67,42 @@
   splitter.Append("id");
   EXPECT_TRUE(splitter.IsInsideEvent());
 }
+
+// Guards against empty lines that begin an answer or count as its progress.
+TEST(EventSplitter, LineEndsAloneAreNoEvent)
+{
+  gsEventSplitter splitter;
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_EQ(splitter.Append("\n\n\r\n\r\r"), "");
+  }
+  EXPECT_EQ(splitter.EventCount(), 0U);
+  EXPECT_EQ(splitter.BufferedBytes(), 600U);
+  EXPECT_FALSE(splitter.IsInsideEvent());
+}
+
+// Guards against empty lines that are lost or begin a second event.
+TEST(EventSplitter, LineEndsBeforeAnEventArePassedOnWithIt)
+{
+  std::string const text = "\n\r\nid: 1\ndata: a\n\n\n\n\nid: 2\ndata: b\n\n";
+  for (std::size_t part = 1; part <= text.size(); ++part) {
+    gsEventSplitter splitter;
+    std::string events;
+    for (std::size_t at = 0; at < text.size(); at += part) {
+      events += splitter.Append(std::string_view(text).substr(at, part));
+    }
+    EXPECT_EQ(events, text) << part;
+    EXPECT_EQ(splitter.EventCount(), 2U) << part;
+    EXPECT_EQ(splitter.LastId(), 2U) << part;
+  }
+}
+
+// Guards against the memory of a large event that a stream keeps to its end.
+TEST(EventSplitter, MemoryOfALargeEventIsFreedAfterIt)
+{
+  gsEventSplitter splitter;
+  std::string const large(1U << 20U, 'x');
+  splitter.Append("data: " + large);
+  EXPECT_GE(splitter.HeldBytes(), large.size());
+  splitter.Append("\n\n");
+  EXPECT_LT(splitter.HeldBytes(), 64U << 10U);
+}
