Daemon: Counts only whole events as progress of a stream

An upstream that sends 12 bytes of an event each 50 ms kept a request until its timeout, on a route whose requests may be repeated and with a sound upstream beside: its caller got 504 after 4 s, or an answer that was cut.

Cause: each byte was a sign of life of the request and of its upstream, so that neither was found silent and no hedge was started; a byte of the silent one also cancelled its hedge. In a stream, progress is an event now, also one that the caller has already as long as their ids rise. The first bytes still report that the request has begun to run. A part of a body that is not relayed event by event stays progress, as it cannot be told from a sound one.

The unit test is of a figure that is new.

--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -153,7 +153,7 @@
    * time. */
   double FailureRate = 0;
   gsTime FailureRateUpdatedAt{};
-  gsTime LastReceivedAt{}; ///< Last byte of any answer.
+  gsTime LastReceivedAt{}; ///< Last progress of any answer.
   gsTime LastBrokenAt{};   ///< When an answer last broke off.
   gsTime MaxConnectionIdle =
     gsSeconds(4); ///< Maximum idle time of a reused
--- a/Source/Daemon/gsEventSplitter.cxx
+++ b/Source/Daemon/gsEventSplitter.cxx
@@ -79,6 +79,9 @@
       complete.append(event);
       this->Last = id ? id : this->Last;
       ++this->Count;
+    } else if (!this->LastDropped || *id > *this->LastDropped) {
+      this->LastDropped = id;
+      ++this->Dropped;
     }
     begin = end;
     from = end;
--- a/Source/Daemon/gsEventSplitter.h
+++ b/Source/Daemon/gsEventSplitter.h
@@ -34,6 +34,9 @@
   /** Id of the last returned event that has one. */
   std::optional<std::uint64_t> LastId() const { return this->Last; }
   std::uint64_t EventCount() const { return this->Count; }
+  /** Events returned, and those dropped whose id is above that of all dropped
+   * before. */
+  std::uint64_t ProgressCount() const { return this->Count + this->Dropped; }
   std::size_t BufferedBytes() const { return this->Buffer.size(); }
   /** Bytes allocated for the incomplete event. */
   std::size_t HeldBytes() const { return this->Buffer.capacity(); }
@@ -48,6 +51,8 @@
   std::optional<std::uint64_t>
     Skip; ///< Events with ids up to this one are dropped.
   std::optional<std::uint64_t>
-    Last;                  ///< Id of the last returned event that has one.
-  std::uint64_t Count = 0; ///< Events returned.
+    Last;                    ///< Id of the last returned event that has one.
+  std::uint64_t Count = 0;   ///< Events returned.
+  std::uint64_t Dropped = 0; ///< Events dropped, each id above the last one's.
+  std::optional<std::uint64_t> LastDropped; ///< Highest id of those.
 };
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -1330,7 +1330,7 @@
     return false;
   }
   gsFleetRow const* row = gsFleetFind(this->Fleet, attempt->Upstream);
-  gsTime receivedAt = attempt->LastByteAt;
+  gsTime receivedAt = attempt->LastProgressAt;
   if (row != nullptr) {
     receivedAt = std::max(receivedAt, row->LastReceivedAt);
   }
@@ -1359,7 +1359,7 @@
     .With("upstream", attempt.Upstream.Id)
     .With("address", attempt.Address)
     .With("silent_ms",
-          now - std::max(attempt.LastByteAt, row->LastReceivedAt));
+          now - std::max(attempt.LastProgressAt, row->LastReceivedAt));
 }
 
 /**
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -123,8 +123,11 @@
   gsPrefixUse Prefix; ///< What it shows about the engine's prefix cache.
   gsTime StartedAt{};
   gsTime SentAt{};
-  gsTime FirstByteAt{};
-  gsTime LastByteAt{};
+  gsTime FirstByteAt{}; ///< Of a stream, when its first event came.
+  /** When the request was sent, or the head of its answer, an event or a part
+   * of a body that is not relayed last came. Bytes of an incomplete event are
+   * no progress. */
+  gsTime LastProgressAt{};
   gsTime LastEventAt{};
   /** Whether reading the answer has paused for a slow caller since the last
    * event, so that the next interval is not one of the engine. */
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -197,7 +197,7 @@
   attempt->ExpectedWait =
     gsExpectedWaitAt(this->Fleet, row, placement.TokensToRead, now);
   attempt->StartedAt = now;
-  attempt->LastByteAt = now;
+  attempt->LastProgressAt = now;
   if (request->LastEventId) {
     attempt->EventSplitter.SkipThrough(*request->LastEventId);
   }
@@ -233,7 +233,7 @@
   attempt->Address = peer.Address;
   attempt->ForwardedTo = peer.Host;
   attempt->StartedAt = now;
-  attempt->LastByteAt = now;
+  attempt->LastProgressAt = now;
   if (request->LastEventId) {
     attempt->EventSplitter.SkipThrough(*request->LastEventId);
   }
@@ -278,7 +278,7 @@
   }
   attempt.MayHaveSentBytes = true;
   attempt.SentAt = now;
-  attempt.LastByteAt = now;
+  attempt.LastProgressAt = now;
   ++request.SentAttempts;
   return true;
 }
@@ -372,7 +372,7 @@
   }
   attempt.MayHaveSentBytes = true;
   attempt.SentAt = now;
-  attempt.LastByteAt = now;
+  attempt.LastProgressAt = now;
   gsRecordPrefixUseSent(this->Fleet, request, attempt, now);
   ++request.SentAttempts;
   return true;
@@ -564,7 +564,7 @@
 {
   gsAttempt& attempt = *held;
   gsTime now = gsLoop::Now();
-  attempt.LastByteAt = now;
+  attempt.LastProgressAt = now;
   attempt.Status = status;
   attempt.StatedEnd = gsStatedBodyEnd(request->Caller.Method, status, headers);
   attempt.AnswerHead = this->Adapter.ParseResponseHead(status, headers);
@@ -614,25 +614,11 @@
     return false;
   }
   gsTime now = gsLoop::Now();
-  attempt.LastByteAt = now;
-  gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
-  if (row != nullptr && attempt.Status != gsStatusMisdirected) {
-    gsRecordReceived(this->Fleet, *row, now);
-  }
-  bool isStart = attempt.FirstByteAt.count() == 0 &&
-                 attempt.ForwardedTo.empty() &&
-                 gsRelaysEvents(*request, attempt);
-  if (isStart) {
-    this->Events.OnExecutionStarted(request, now);
-  }
-  this->RecordFirstByte(*request, attempt, now);
-  if (IsSuccess(attempt.Status)) {
-    this->Events.OnBodyData(request, held);
-  }
   if (gsRelaysEvents(*request, attempt)) {
     this->RelayEvents(request, held, bytes, now);
     return true;
   }
+  this->RecordProgress(request, held, now);
   attempt.AnswerBody.append(bytes);
   attempt.HeldAnswer->Set(attempt.AnswerBody.size());
   if (attempt.AnswerBody.size() > this->Settings.MaxAnswerBytes) {
@@ -643,6 +629,23 @@
   return true;
 }
 
+/** Records that a part of the answer's body has come that counts as progress.
+ */
+void gsUpstreamCaller::RecordProgress(gsRoutedRequestPtr const& request,
+                                      gsAttemptPtr const& held, gsTime now)
+{
+  gsAttempt& attempt = *held;
+  attempt.LastProgressAt = now;
+  gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
+  if (row != nullptr && attempt.Status != gsStatusMisdirected) {
+    gsRecordReceived(this->Fleet, *row, now);
+  }
+  this->RecordFirstByte(*request, attempt, now);
+  if (IsSuccess(attempt.Status)) {
+    this->Events.OnBodyData(request, held);
+  }
+}
+
 /** Relays complete events. Ends an answer whose next event exceeds the limit.
  */
 void gsUpstreamCaller::RelayEvents(gsRoutedRequestPtr const& request,
@@ -650,9 +653,16 @@
                                    std::string_view bytes, gsTime now)
 {
   gsAttempt& attempt = *held;
+  if (attempt.FirstByteAt.count() == 0 && attempt.ForwardedTo.empty()) {
+    this->Events.OnExecutionStarted(request, now);
+  }
   std::uint64_t countBefore = attempt.EventSplitter.EventCount();
+  std::uint64_t progressBefore = attempt.EventSplitter.ProgressCount();
   std::string events = attempt.EventSplitter.Append(bytes);
   attempt.HeldEvent->Set(attempt.EventSplitter.HeldBytes());
+  if (attempt.EventSplitter.ProgressCount() != progressBefore) {
+    this->RecordProgress(request, held, now);
+  }
   if (!events.empty()) {
     this->RecordEvents(*request, attempt,
                        attempt.EventSplitter.EventCount() - countBefore, now);
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -46,8 +46,8 @@
   std::function<void(gsIncarnation const& upstream)> OnLeaving;
   /** An answer has changed an upstream's rate limit. */
   std::function<void()> OnRateLimit;
-  /** The body of a successful answer is being received; called before each
-   * part of it. */
+  /** The body of a successful answer makes progress: a part of it has come,
+   * or an event of a stream. */
   std::function<void(gsRoutedRequestPtr const& request,
                      gsAttemptPtr const& attempt)>
     OnBodyData;
@@ -150,6 +150,8 @@
   void RelayEvents(gsRoutedRequestPtr const& request,
                    gsAttemptPtr const& attempt, std::string_view bytes,
                    gsTime now);
+  void RecordProgress(gsRoutedRequestPtr const& request,
+                      gsAttemptPtr const& attempt, gsTime now);
   void RecordEvents(gsRoutedRequest const& request, gsAttempt& attempt,
                     std::uint64_t count, gsTime now);
   void OnEnd(gsRoutedRequestPtr const& request, gsAttemptPtr const& attempt,
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -488,3 +488,45 @@
       << "not counted";
   }
 }
+
+// Guards against a request that is kept at an upstream until its deadline by
+// bytes that complete no event, although another upstream is sound.
+TEST_F(UnendingAnswers, BytesOfAnIncompleteEventAreNoSignOfLife)
+{
+  for (std::string const begin : { "", "id: 1\ndata: a\n\n" }) {
+    SCOPED_TRACE(begin.empty() ? "in the first event" : "after an event");
+    Connection drips;
+    std::string const whole = gsEvent(1, "a") + gsEvent(2, "b");
+    auto script = [&](Connection const& to, gsScriptedRequest const& request) {
+      if (drips == nullptr) {
+        drips = to;
+        to->Write(gsStreamHead(request) +
+                  (begin.empty() ? "" : gsChunk(begin)));
+        return;
+      }
+      bool resumes = !request.Header("last-event-id").empty();
+      to->Write(gsStreamHead(request) +
+                gsChunk(resumes ? gsEvent(2, "b") : whole) + gsChunk(""));
+    };
+    this->Bench.Scripted.clear();
+    this->Bench.Add("u1", script);
+    this->Bench.Add("u2", script);
+    gsTimer drip(this->Bench.Loop, [&drips] {
+      if (drips != nullptr) {
+        drips->Write(gsChunk(std::string(12, '#')));
+      }
+    });
+    drip.Every(gsMilliseconds(50));
+    gsCallerSends sends;
+    sends.Target = "/resume/x";
+    sends.Id = "id-" + std::to_string(++this->Ids);
+    gsTime const start = gsLoop::Now();
+    gsCallerViewPtr view = this->Bench.SendAndWait(sends);
+    EXPECT_EQ(view->Status, 200U);
+    EXPECT_TRUE(view->Whole);
+    EXPECT_EQ(view->Body, whole);
+    EXPECT_LE(view->Ended - start, SoonEnough);
+    EXPECT_TRUE(this->Bench.RunUntil([&drips] { return drips->Gone(); }))
+      << "the attempt is not cancelled";
+  }
+}
--- a/Tests/Unit/gsTestEventSplitter.cxx
+++ b/Tests/Unit/gsTestEventSplitter.cxx
@@ -106,3 +106,20 @@
   splitter.Append("\n\n");
   EXPECT_LT(splitter.HeldBytes(), 64U << 10U);
 }
+
+// Guards against an upstream that counts as alive for sending again and again
+// an event that the caller has.
+TEST(EventSplitter, DroppedEventsAreProgressWhileTheirIdsRise)
+{
+  gsEventSplitter splitter;
+  splitter.SkipThrough(3);
+  splitter.Append("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_EQ(splitter.ProgressCount(), 2U);
+  for (int i = 0; i < 10; ++i) {
+    splitter.Append("id: 2\ndata: b\n\n");
+  }
+  EXPECT_EQ(splitter.ProgressCount(), 2U);
+  splitter.Append("id: 4\ndata: d\n\n");
+  EXPECT_EQ(splitter.ProgressCount(), 3U);
+  EXPECT_EQ(splitter.EventCount(), 1U);
+}
