Daemon: Ends answers that together exceed the memory budget

40 answers at once, each within its limit, took a host with a budget of 16 MiB to 330 MB counted and 492 MB of heap (bodies), or 47 MB counted (events).

Cause: bodies of callers were refused by the budget and readers ended by it, but nothing bounded answers in sum. Stopping to read was weighed: it costs no answer, but an answer without an end frees nothing while it waits, and all that wait hold their upstreams. Answers up to 16 KiB are not ended, and the last large one is not: its own limit bounds it, and one at a time has to come through when readers use the budget.

Each attempt ends as at a limit: repeated or resumed as the route allows, else 502. Sound requests sent each 20 ms beside were answered whole in all runs.

Before: 5 of the 7 new tests of 40 at once fail (peak of the heap above the machine's 64 MiB for bodies, the counted peak above the budget and one answer for all 5); those of heads and trailers pass, as their limits do. After: all pass. The unit test of the choice plays 1,000 seeded sets.

--- a/Source/Core/gsMemoryBudget.cxx
+++ b/Source/Core/gsMemoryBudget.cxx
@@ -2,6 +2,7 @@
 #include "gsMemoryBudget.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace {
 
@@ -22,6 +23,13 @@
     share * static_cast<double>(gsMemoryLimit(settings)));
 }
 
+/** Rank of an answer among those to be ended; the lowest first. */
+std::tuple<bool, bool, std::uint64_t> EndingOrder(
+  gsIncomingAnswer const& answer)
+{
+  return { !answer.IsEvent, answer.StatesLength, ~answer.Bytes };
+}
+
 } // namespace
 
 char const* gsMemoryCauseName(gsMemoryCause cause)
@@ -54,6 +62,31 @@
   return std::min(left / StreamDivisor, gsMaxStreamBytes);
 }
 
+std::vector<std::size_t> gsSelectIncoming(
+  gsMemorySettings const& settings, gsMemoryUse const& use,
+  std::vector<gsIncomingAnswer> const& answers)
+{
+  std::vector<std::size_t> selected;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    if (answers[i].Bytes > gsSmallAnswerBytes) {
+      selected.push_back(i);
+    }
+  }
+  std::stable_sort(selected.begin(), selected.end(),
+                   [&answers](std::size_t a, std::size_t b) {
+                     return EndingOrder(answers[a]) < EndingOrder(answers[b]);
+                   });
+  std::uint64_t limit = gsMemoryLimit(settings);
+  std::uint64_t held = use.Total();
+  std::size_t count = 0;
+  while (held > limit && count + 1 < selected.size()) {
+    held -= std::min(held, answers[selected[count]].Bytes);
+    ++count;
+  }
+  selected.resize(std::min(count, selected.size()));
+  return selected;
+}
+
 std::vector<gsMemoryEnding> gsSelectStalled(
   gsMemorySettings const& settings, gsMemoryUse const& use,
   std::vector<gsMemoryReader> const& readers, gsTime now)
--- a/Source/Core/gsMemoryBudget.h
+++ b/Source/Core/gsMemoryBudget.h
@@ -4,7 +4,8 @@
  * Budget of the memory that a host holds for callers and upstreams: request
  * bodies, answers and events that their callers have not taken yet. Near the
  * budget, streams are paused earlier and large bodies are refused; callers
- * that take nothing are ended.
+ * that take nothing are ended. Over the budget, answers are ended that are
+ * still being received.
  */
 #pragma once
 
@@ -66,6 +67,15 @@
   gsMemoryCause Cause = gsMemoryCause::Stalled;
 };
 
+/** An answer that is being received from an upstream. */
+struct gsIncomingAnswer
+{
+  std::uint64_t Bytes = 0;
+  /** Whether the bytes are an incomplete event, and not a body. */
+  bool IsEvent = false;
+  bool StatesLength = false;
+};
+
 /** Bytes that may be held for callers and upstreams. */
 std::uint64_t gsMemoryLimit(gsMemorySettings const& settings);
 
@@ -92,6 +102,22 @@
 std::uint64_t gsStreamLimit(gsMemorySettings const& settings,
                             gsMemoryUse const& use);
 
+/** Answers up to this size are not ended for the budget. */
+constexpr std::uint64_t gsSmallAnswerBytes = 16U << 10U;
+
+/**
+ * Selects the answers to be ended while over the budget, until the rest is
+ * within it: incomplete events first, then bodies that state no length, then
+ * others; of each the largest first. The last one above gsSmallAnswerBytes is
+ * never selected, since its own limit bounds it, and one answer at a time has
+ * to come through also when readers use the budget.
+ *
+ * \return Indices in the order in which they are to be ended.
+ */
+std::vector<std::size_t> gsSelectIncoming(
+  gsMemorySettings const& settings, gsMemoryUse const& use,
+  std::vector<gsIncomingAnswer> const& answers);
+
 /**
  * Selects the readers to be ended: those that took nothing for StalledTimeout,
  * and, over the budget, those that took nothing for the longest time until the
--- a/Source/Daemon/gsMemoryGuard.cxx
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -99,6 +99,7 @@
   gate.Refuse = [this](gsHttpExchange& exchange) { this->Refuse(exchange); };
   this->Callers.SetBodyGate(std::move(gate));
   this->Upstreams.SetStreamLimit([this] { return this->StreamLimit(); });
+  this->Upstreams.SetGrowthCallback([this] { this->OnAnswerGrown(); });
   this->SweepTimer.Every(this->Settings.SweepInterval);
 }
 
@@ -107,6 +108,7 @@
   *this->Alive = false;
   this->Callers.SetBodyGate({});
   this->Upstreams.SetStreamLimit(nullptr);
+  this->Upstreams.SetGrowthCallback(nullptr);
 }
 
 gsMemoryUse gsMemoryGuard::Use() const
@@ -207,10 +209,60 @@
     return;
   }
   this->Callers.ForgetExpected(this->Settings.Budget.StalledTimeout, now);
+  this->SweepAnswers();
   this->SweepCallers(now);
   this->SweepUploads(now);
 }
 
+/** Answers grow faster than sweeps follow, so that they are looked at with
+ * each part that comes while over the budget. */
+void gsMemoryGuard::OnAnswerGrown()
+{
+  this->RecordUse();
+  bool isOver = this->Use().Total() > gsMemoryLimit(this->Settings.Budget);
+  if (this->IsOn() && isOver) {
+    this->SweepAnswers();
+  }
+}
+
+void gsMemoryGuard::SweepAnswers()
+{
+  std::uint64_t limit = gsMemoryLimit(this->Settings.Budget);
+  std::vector<gsUpstreamCaller::LargeAnswer> large =
+    this->Upstreams.LargeAnswers();
+  std::vector<gsIncomingAnswer> answers;
+  answers.reserve(large.size());
+  for (gsUpstreamCaller::LargeAnswer const& answer : large) {
+    gsAttempt const& attempt = *answer.Attempt;
+    answers.push_back(
+      { attempt.HeldAnswer->Value() + attempt.HeldEvent->Value(),
+        attempt.HeldEvent->Value() > 0,
+        attempt.StatedEnd == gsBodyEnd::Length });
+  }
+  std::set<gsAttempt const*> logged;
+  for (std::size_t index :
+       gsSelectIncoming(this->Settings.Budget, this->Use(), answers)) {
+    gsAttempt const* attempt = large[index].Attempt.get();
+    logged.insert(attempt);
+    if (this->LoggedAnswers.count(attempt) != 0) {
+      continue;
+    }
+    ++this->EndedCounts[Ended::AnswerOverBudget];
+    if (this->IsOn()) {
+      this->Upstreams.EndOverBudget(large[index], limit);
+      continue;
+    }
+    gsLogLine("answer_over_budget", gsLogLevel::Warn)
+      .With("upstream", attempt->Upstream.Id)
+      .With("bytes", answers[index].Bytes)
+      .With("held_bytes", this->Use().Total())
+      .With("limit_bytes", limit)
+      .With("dry_run", true);
+  }
+  this->LoggedAnswers =
+    this->IsOn() ? std::set<gsAttempt const*>{} : std::move(logged);
+}
+
 void gsMemoryGuard::SweepCallers(gsTime now)
 {
   std::vector<gsWaitingCaller> waiting = this->Callers.WaitingCallers(now);
@@ -311,7 +363,8 @@
            { "refused", this->Refusals },
            { "ended_stalled", ended(Ended::CallerStalled) },
            { "ended_over_budget", ended(Ended::CallerOverBudget) },
-           { "ended_uploads", ended(Ended::UpstreamStalled) } };
+           { "ended_uploads", ended(Ended::UpstreamStalled) },
+           { "ended_answers", ended(Ended::AnswerOverBudget) } };
 }
 
 void gsMemoryGuard::WriteGauges(gsMetrics& metrics) const
@@ -345,4 +398,5 @@
   ended("caller_stalled", Ended::CallerStalled);
   ended("caller_over_budget", Ended::CallerOverBudget);
   ended("upstream_stalled", Ended::UpstreamStalled);
+  ended("answer_over_budget", Ended::AnswerOverBudget);
 }
--- a/Source/Daemon/gsMemoryGuard.h
+++ b/Source/Daemon/gsMemoryGuard.h
@@ -3,8 +3,8 @@
  * \file
  * Applies the memory budget of a host (gsMemoryBudget) to its callers and
  * upstreams: refuses bodies, limits what waits for the caller of a stream, and
- * ends callers and upstreams that take nothing. In a dry run it decides and
- * logs only.
+ * ends callers and upstreams that take nothing, and answers that exceed the
+ * budget while they are received. In a dry run it decides and logs only.
  */
 #pragma once
 
@@ -59,7 +59,8 @@
   {
     CallerStalled,
     CallerOverBudget,
-    UpstreamStalled
+    UpstreamStalled,
+    AnswerOverBudget
   };
 
   bool IsOn() const { return this->Settings.Mode == gsFeatureMode::On; }
@@ -67,7 +68,9 @@
   void Refuse(gsHttpExchange& exchange);
   std::uint64_t StreamLimit();
   void RecordUse();
+  void OnAnswerGrown();
   void Sweep();
+  void SweepAnswers();
   void SweepCallers(gsTime now);
   void SweepUploads(gsTime now);
 
@@ -88,5 +91,6 @@
    * are gone. */
   std::set<gsHttpExchange const*> LoggedCallers;
   std::set<std::uint64_t> LoggedUploads;
+  std::set<gsAttempt const*> LoggedAnswers;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -994,7 +994,7 @@
     this->Metrics.Increment(
       "gradescale_answers_ended_total",
       gsLabels({ { "part", gsAnswerPartName(result.Excess->Part) },
-                 { "cause", "limit" } }));
+                 { "cause", gsExcessCauseName(*result.Excess) } }));
   }
   if (attempt->ForwardedTo.empty()) {
     this->ReportUnstreamedStart(*request, *attempt, result);
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -8,6 +8,7 @@
 #include "gsEngineSpeed.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
+#include "gsMemoryBudget.h"
 
 namespace {
 
@@ -40,6 +41,7 @@
     .With("address", attempt.Address)
     .With("status", attempt.Status)
     .With("part", gsAnswerPartName(excess.Part))
+    .With("cause", gsExcessCauseName(excess))
     .With("bytes", excess.Bytes)
     .With("limit_bytes", excess.Limit)
     .With("events", attempt.EventSplitter.EventCount());
@@ -91,6 +93,11 @@
   return status >= first && status <= last;
 }
 
+std::uint64_t HeldOf(gsAttempt const& attempt)
+{
+  return attempt.HeldAnswer->Value() + attempt.HeldEvent->Value();
+}
+
 /** Frees what was received of an answer that is not used. */
 void ReleaseAnswer(gsAttempt& attempt)
 {
@@ -621,10 +628,12 @@
   this->RecordProgress(request, held, now);
   attempt.AnswerBody.append(bytes);
   attempt.HeldAnswer->Set(attempt.AnswerBody.size());
-  if (attempt.AnswerBody.size() > this->Settings.MaxAnswerBytes) {
+  this->OnHeldChanged(request, held);
+  bool isOver = attempt.AnswerBody.size() > this->Settings.MaxAnswerBytes;
+  if (attempt.CallId != 0 && isOver) {
     this->EndAnswer(request, held,
                     { gsAnswerPart::Body, attempt.AnswerBody.size(),
-                      this->Settings.MaxAnswerBytes });
+                      this->Settings.MaxAnswerBytes, false });
   }
   return true;
 }
@@ -668,11 +677,12 @@
                        attempt.EventSplitter.EventCount() - countBefore, now);
     this->Events.OnEvents(request, std::move(events));
   }
+  this->OnHeldChanged(request, held);
   std::uint64_t partial = attempt.EventSplitter.BufferedBytes();
   if (attempt.CallId != 0 && partial > this->Settings.MaxEventBytes) {
     this->EndAnswer(
       request, held,
-      { gsAnswerPart::Event, partial, this->Settings.MaxEventBytes });
+      { gsAnswerPart::Event, partial, this->Settings.MaxEventBytes, false });
   }
 }
 
@@ -740,6 +750,7 @@
 void gsUpstreamCaller::ReleaseWork(gsAttempt& attempt)
 {
   attempt.CallId = 0;
+  this->Large.erase(&attempt);
   this->ReleaseTokens(attempt);
   gsRecordPrefixUseEnd(this->Fleet, attempt, gsLoop::Now());
   gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
@@ -781,6 +792,46 @@
   this->Finish(request, attempt, result);
 }
 
+/** To be called when the bytes that are held of an answer have changed. */
+void gsUpstreamCaller::OnHeldChanged(gsRoutedRequestPtr const& request,
+                                     gsAttemptPtr const& attempt)
+{
+  bool isOpen = attempt->CallId != 0;
+  if (!isOpen || HeldOf(*attempt) <= gsSmallAnswerBytes) {
+    this->Large.erase(attempt.get());
+    return;
+  }
+  this->Large[attempt.get()] = { request, attempt };
+  if (this->GrowthCallback) {
+    this->GrowthCallback();
+  }
+}
+
+std::vector<gsUpstreamCaller::LargeAnswer> gsUpstreamCaller::LargeAnswers()
+  const
+{
+  std::vector<LargeAnswer> answers;
+  answers.reserve(this->Large.size());
+  for (auto const& [attempt, answer] : this->Large) {
+    answers.push_back(answer);
+  }
+  return answers;
+}
+
+void gsUpstreamCaller::EndOverBudget(LargeAnswer const& answer,
+                                     std::uint64_t limit)
+{
+  gsAttempt const& attempt = *answer.Attempt;
+  gsRoutedRequestPtr request = answer.Request.lock();
+  if (request == nullptr || attempt.CallId == 0) {
+    return;
+  }
+  gsAnswerPart part = gsRelaysEvents(*request, attempt) ? gsAnswerPart::Event
+                                                        : gsAnswerPart::Body;
+  this->EndAnswer(request, answer.Attempt,
+                  { part, HeldOf(attempt), limit, true });
+}
+
 /** Logs an attempt that ends with its caller. Its answer is not read, nor what
  * that would announce about the upstream. */
 void gsUpstreamCaller::LogAbandoned(gsRoutedRequest const& request,
--- a/Source/Daemon/gsUpstreamCaller.h
+++ b/Source/Daemon/gsUpstreamCaller.h
@@ -10,7 +10,10 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "gsAdapter.h"
 #include "gsHttpClient.h"
@@ -98,7 +101,25 @@
   {
     this->StreamLimitCallback = std::move(limit);
   }
-  /** Bytes held of answers that are not relayed event by event. */
+  /** Called when a part of a large answer has come. */
+  using OnGrowth = std::function<void()>;
+  void SetGrowthCallback(OnGrowth callback)
+  {
+    this->GrowthCallback = std::move(callback);
+  }
+
+  /** An answer of which more than gsSmallAnswerBytes are held. */
+  struct LargeAnswer
+  {
+    std::weak_ptr<gsRoutedRequest> Request;
+    gsAttemptPtr Attempt;
+  };
+  /** Those that are being received. */
+  std::vector<LargeAnswer> LargeAnswers() const;
+  /** Ends one of them for the memory that all answers together use. */
+  void EndOverBudget(LargeAnswer const& answer, std::uint64_t limit);
+
+  /** Bytes held of answers that are being received. */
   gsHeldTotals const& Held() const { return *this->Totals; }
 
   /** Moving average of the measured prompt processing time, in milliseconds
@@ -165,6 +186,8 @@
   void EndAnswer(gsRoutedRequestPtr const& request,
                  gsAttemptPtr const& attempt, gsAnswerExcess const& excess);
   void CountHeld(gsAttempt& attempt);
+  void OnHeldChanged(gsRoutedRequestPtr const& request,
+                     gsAttemptPtr const& attempt);
   void RecordFirstByte(gsRoutedRequest const& request, gsAttempt& attempt,
                        gsTime now);
   bool SpendTokens(gsAttempt& attempt, std::uint32_t upstream, gsTime now);
@@ -179,6 +202,9 @@
   gsUpstreamCallerSettings Settings;
   gsUpstreamCallerEvents Events;
   StreamLimit StreamLimitCallback;
+  OnGrowth GrowthCallback;
+  /** Open attempts that hold more than gsSmallAnswerBytes. */
+  std::unordered_map<gsAttempt const*, LargeAnswer> Large;
   std::deque<HeldEnd> HeldEnds; ///< By Until.
   gsTimer HeldEndTimer;
   std::shared_ptr<gsHeldTotals> Totals = std::make_shared<gsHeldTotals>();
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -331,7 +331,7 @@
   std::uint64_t limit = self->Call.MaxBodyBytes;
   std::uint64_t received = self->BodyBytes + length;
   if (limit != 0 && received > limit) {
-    self->Excess = { gsAnswerPart::Body, received, limit };
+    self->Excess = { gsAnswerPart::Body, received, limit, false };
     return EndTransfer;
   }
   if (!self->Cancelled && self->Call.OnData &&
@@ -353,7 +353,7 @@
   if (self->HeaderBytes > gsMaxHeaderBytes) {
     gsAnswerPart part =
       self->HasHead() ? gsAnswerPart::Trailers : gsAnswerPart::Head;
-    self->Excess = { part, self->HeaderBytes, gsMaxHeaderBytes };
+    self->Excess = { part, self->HeaderBytes, gsMaxHeaderBytes, false };
     return EndTransfer;
   }
   if (self->HasHead()) {
@@ -493,7 +493,7 @@
   bool isLongLine = code == CURLE_OUT_OF_MEMORY;
   if (isLongLine && active->Sent && !active->HasHead()) {
     active->Excess = { gsAnswerPart::Head, CURL_MAX_HTTP_HEADER,
-                       CURL_MAX_HTTP_HEADER };
+                       CURL_MAX_HTTP_HEADER, false };
   }
   gsCallEnd end;
   end.Status = active->Status;
--- a/Source/Io/gsHttpMessage.cxx
+++ b/Source/Io/gsHttpMessage.cxx
@@ -35,8 +35,16 @@
   return "body";
 }
 
+char const* gsExcessCauseName(gsAnswerExcess const& excess)
+{
+  return excess.IsOverBudget ? "over_budget" : "limit";
+}
+
 std::string gsDescribeExcess(gsAnswerExcess const& excess)
 {
+  if (excess.IsOverBudget) {
+    return "The answers of all upstreams are over the limit of their memory.";
+  }
   return std::string("The answer is over the limit of its ") +
          gsAnswerPartName(excess.Part) + ".";
 }
--- a/Source/Io/gsHttpMessage.h
+++ b/Source/Io/gsHttpMessage.h
@@ -47,8 +47,11 @@
   gsAnswerPart Part = gsAnswerPart::Event;
   std::uint64_t Bytes = 0; ///< Of the part, when the answer was ended.
   std::uint64_t Limit = 0;
+  /** The limit is that of all answers together. */
+  bool IsOverBudget = false;
 };
 
+char const* gsExcessCauseName(gsAnswerExcess const& excess);
 /** One sentence on it. */
 std::string gsDescribeExcess(gsAnswerExcess const& excess);
 
--- a/Source/Tool/gsToolShow.cxx
+++ b/Source/Tool/gsToolShow.cxx
@@ -72,7 +72,7 @@
               { "mode", "limit_bytes", "held_bytes", "peak_bytes", "bodies",
                 "expected", "answers", "events", "partial", "uploads",
                 "fetched", "paused_streams", "refused", "ended_stalled",
-                "ended_over_budget", "ended_uploads" });
+                "ended_over_budget", "ended_uploads", "ended_answers" });
   return gsToolOk;
 }
 
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -530,3 +530,70 @@
       << "the attempt is not cancelled";
   }
 }
+
+// Guards against answers that are each within their limit and together take
+// the host over its memory, and against sound requests that suffer beside
+// them.
+TEST_P(UnendingCase, ManyAtOnceStayWithinTheBudget)
+{
+  Unending const& each = this->GetParam();
+  constexpr int count = 40;
+  for (char const* id : { "u1", "u2", "u3", "u4", "u5" }) {
+    this->AddUnending(each, id);
+  }
+  std::vector<gsCallerViewPtr> sound{ this->SendSound() };
+  gsTimer beside(this->Bench.Loop,
+                 [&] { sound.push_back(this->SendSound()); });
+  beside.Every(gsMilliseconds(20));
+  this->Play(each.Route, count);
+  beside.Stop();
+  EXPECT_TRUE(this->Bench.RunUntil([&] {
+    return std::all_of(sound.begin(), sound.end(),
+                       [](auto const& view) { return view->Done; });
+  }));
+  for (gsCallerViewPtr const& view : sound) {
+    EXPECT_EQ(view->Body, "sound") << view->Status;
+  }
+  for (gsCallerViewPtr const& view : this->Views) {
+    EXPECT_FALSE(view->Whole && view->Status == 200U) << "looks complete";
+    EXPECT_LE(view->Ended - this->Start, 2 * SoonEnough);
+  }
+  EXPECT_LE(this->Peak, MachineBytes);
+  std::size_t const limit = this->Figure("limit_bytes");
+  // One answer may exceed the budget, up to a limit of its own.
+  EXPECT_LE(this->Figure("peak_bytes"), limit + 2 * AnswerLimit);
+  EXPECT_TRUE(
+    this->Bench.RunUntil([this] { return this->Memory->Use().Total() == 0; }));
+}
+
+std::vector<Unending> OneOfEachPart()
+{
+  return { UnendingEvents("stream")[0], UnendingEvents("resume")[0],
+           UnendingBodies("plain")[0],  UnendingBodies("plain")[2],
+           UnendingBodies("safe")[0],   UnendingHeads("plain")[1],
+           UnendingTrailers("plain")[0] };
+}
+INSTANTIATE_TEST_SUITE_P(Many, UnendingCase,
+                         testing::ValuesIn(OneOfEachPart()), CaseName);
+
+// Guards against a sound answer that is ended although no other could be.
+TEST_F(UnendingAnswers, OneLargeAnswerComesThroughAFullBudget)
+{
+  gsMemoryGuardSettings settings;
+  settings.Mode = gsFeatureMode::On;
+  settings.Budget.TotalBytes = 2 * MiB;
+  settings.Budget.BuffersShare = BuffersShare;
+  this->Memory.reset();
+  this->Memory = std::make_unique<gsMemoryGuard>(
+    this->Bench.Loop, settings, *this->Bench.Server, this->Bench.Upstreams,
+    this->Bench.Gateway->Upstreams(), 1);
+  std::string const body(6 * MiB, 'a');
+  this->Bench.Add(
+    "u1", [&body](Connection const& to, gsScriptedRequest const& request) {
+      to->Write(gsWholeAnswer(request, body));
+    });
+  gsCallerViewPtr view = this->Bench.SendAndWait({});
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_EQ(view->Body, body);
+  EXPECT_EQ(this->Figure("ended_answers"), 0U);
+}
--- a/Tests/Unit/gsTestMemoryBudget.cxx
+++ b/Tests/Unit/gsTestMemoryBudget.cxx
@@ -6,6 +6,8 @@
  * and large bodies from many callers simultaneously.
  */
 #include <algorithm>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -265,3 +267,48 @@
   text.replace(text.find("160"), 3, "119");
   EXPECT_FALSE(gsSettingsFromText(text, "settings"));
 }
+
+// Guards against answers that together exceed the budget, and against the end
+// of one that has shown more while another could be ended in its place.
+TEST(MemoryBudget, IncomingAnswersAreEndedUntilTheRestIsWithinTheBudget)
+{
+  std::mt19937_64 random(20261204);
+  gsMemorySettings settings;
+  std::uint64_t const limit = gsMemoryLimit(settings);
+  for (int seed = 0; seed < 1000; ++seed) {
+    std::vector<gsIncomingAnswer> answers(random() % 60);
+    gsMemoryUse use;
+    use.Events = random() % (limit + limit / 4);
+    for (gsIncomingAnswer& answer : answers) {
+      answer.Bytes = random() % (random() % 2 == 0 ? 20000U : 8 * MiB);
+      answer.IsEvent = random() % 3 == 0;
+      answer.StatesLength = !answer.IsEvent && random() % 2 == 0;
+      use.Answers += answer.Bytes;
+    }
+    auto order = [&answers](std::size_t i) {
+      return answers[i].IsEvent ? 0 : answers[i].StatesLength ? 2 : 1;
+    };
+    std::vector<std::size_t> ended = gsSelectIncoming(settings, use, answers);
+    std::set<std::size_t> const set(ended.begin(), ended.end());
+    ASSERT_EQ(set.size(), ended.size()) << seed;
+    std::uint64_t held = use.Total();
+    for (std::size_t i = 0; i < ended.size(); ++i) {
+      ASSERT_GT(held, limit) << "ended more than was needed, seed " << seed;
+      ASSERT_GT(answers[ended[i]].Bytes, gsSmallAnswerBytes) << seed;
+      held -= answers[ended[i]].Bytes;
+    }
+    std::size_t large = 0;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+      bool isLeft = answers[i].Bytes > gsSmallAnswerBytes && set.count(i) == 0;
+      large += isLeft ? 1 : 0;
+      for (std::size_t other : ended) {
+        ASSERT_FALSE(isLeft && order(i) < order(other)) << seed;
+        ASSERT_FALSE(isLeft && order(i) == order(other) &&
+                     answers[i].Bytes > answers[other].Bytes)
+          << seed;
+      }
+    }
+    ASSERT_TRUE(held <= limit || large <= 1) << seed;
+    ASSERT_TRUE(ended.empty() || large >= 1) << seed;
+  }
+}
