Daemon: Counts the memory of answers, not their sizes

A host whose budget counted 330 MB held 492 MB of heap: 4.8 MB counted of an answer took 8.6 MB.

Cause: an answer's buffer doubles as it grows, and its size was counted. Its capacity is counted now, as is that of what waits for a caller, and the buffers of bodies do not double beyond their limit.

Before: the new test fails (8,595,424 bytes of heap, 4,784,138 allowed). After: it passes. That the same holds for what waits for a caller has no test of its own. All tests of units and the route pass.

--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -626,8 +626,9 @@
     return true;
   }
   this->RecordProgress(request, held, now);
-  attempt.AnswerBody.append(bytes);
-  attempt.HeldAnswer->Set(attempt.AnswerBody.size());
+  gsAppendWithin(attempt.AnswerBody, bytes,
+                 this->Settings.MaxAnswerBytes + bytes.size());
+  attempt.HeldAnswer->Set(attempt.AnswerBody.capacity());
   this->OnHeldChanged(request, held);
   bool isOver = attempt.AnswerBody.size() > this->Settings.MaxAnswerBytes;
   if (attempt.CallId != 0 && isOver) {
--- a/Source/Io/gsHeldBytes.h
+++ b/Source/Io/gsHeldBytes.h
@@ -7,8 +7,12 @@
  */
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <utility>
 
 /** Bytes held, by kind. */
@@ -23,6 +27,18 @@
   std::uint64_t Fetched = 0; ///< Answers for this host itself (gsFetch).
 };
 
+/** Appends to a buffer that grows by doubling, but not beyond a limit as long
+ * as its contents are within that. */
+inline void gsAppendWithin(std::string& buffer, std::string_view bytes,
+                           std::size_t limit)
+{
+  std::size_t needed = buffer.size() + bytes.size();
+  if (needed > buffer.capacity()) {
+    buffer.reserve(std::max(needed, std::min(2 * buffer.capacity(), limit)));
+  }
+  buffer.append(bytes);
+}
+
 /** One holder's part of a total. */
 class gsHeldBytes
 {
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -534,8 +534,10 @@
   call.OnHeaders = [answer](unsigned /*status*/, gsHeaders const& headers) {
     answer->Headers = headers;
   };
-  call.OnData = [answer, held, onProgress](std::string_view bytes) {
-    answer->Body.append(bytes);
+  std::size_t limit =
+    call.MaxBodyBytes != 0 ? call.MaxBodyBytes : std::string::npos;
+  call.OnData = [answer, held, onProgress, limit](std::string_view bytes) {
+    gsAppendWithin(answer->Body, bytes, limit);
     held->Set(answer->Body.capacity());
     if (onProgress) {
       onProgress();
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -255,11 +255,10 @@
   this->Resume();
 }
 
-/** Counts the bytes in the buffer, with those that were read and not dropped
- * yet. */
+/** Counts the memory of the buffer while it holds anything. */
 void gsHttpExchange::CountBuffer()
 {
-  this->HeldEvents.Set(this->Buffer.size());
+  this->HeldEvents.Set(this->Buffer.empty() ? 0 : this->Buffer.capacity());
 }
 
 /** Bytes of the answer that wait because the connection cannot take them. */
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -597,3 +597,43 @@
   EXPECT_EQ(view->Body, body);
   EXPECT_EQ(this->Figure("ended_answers"), 0U);
 }
+
+// Guards against a budget that counts less than is allocated.
+TEST_F(UnendingAnswers, CountedBytesAreThoseOfTheHeap)
+{
+  std::size_t const part = 64 * KiB;
+  for (char const* route : { "plain", "stream" }) {
+    SCOPED_TRACE(route);
+    // Just above a power of two, where a buffer that doubles wastes the most.
+    std::size_t const size =
+      (std::string(route) == "plain" ? 4 * MiB : 512 * KiB) + part;
+    Connection held;
+    std::size_t sent = 0;
+    this->Bench.Scripted.clear();
+    this->Bench.Add(
+      "u1", [&](Connection const& to, gsScriptedRequest const& request) {
+        to->Write(SignedHead(request, EventType + InChunks));
+        held = to;
+      });
+    std::string const chunk = gsChunk(std::string(part, '#'));
+    std::size_t const before = HeapBytes();
+    gsTimer pump(this->Bench.Loop, [&] {
+      if (held != nullptr && held->Pending() == 0 && sent < size) {
+        held->Write(chunk);
+        sent += part;
+      }
+    });
+    pump.Every(gsMilliseconds(1));
+    gsCallerSends sends;
+    sends.Target = std::string("/") + route + "/x";
+    sends.Id = "id-" + std::to_string(++this->Ids);
+    gsCallerViewPtr view = this->Bench.Send(sends);
+    EXPECT_TRUE(this->Bench.RunUntil(
+      [&] { return sent >= size && this->Memory->Use().Total() >= size; }));
+    this->Bench.RunFor(0.05);
+    // The rest is of the connections, of the caller and of the upstream.
+    EXPECT_LE(HeapBytes() - before, this->Memory->Use().Total() + 512 * KiB);
+    held->Close();
+    EXPECT_TRUE(this->Bench.RunUntil([&] { return view->Done; }));
+  }
+}
