Tests: Soaks with answers that have no end, and the memory of each host

The soak's hosts have the memory budget of a machine now (260 MB), and each host's peak, read from outside, is a promise (MEMORY).

--- a/Tests/Soak/gsSoak.cxx
+++ b/Tests/Soak/gsSoak.cxx
@@ -72,6 +72,7 @@
       this->DoDue();
       this->SendDue();
       this->RestartEnded();
+      this->CheckMemory();
       this->System.RunFor(gsToSeconds(Turn));
     }
     this->Heal();
@@ -81,6 +82,7 @@
 
 private:
   static constexpr std::uint64_t TrafficSalt = 0x5bd1e995;
+  static constexpr std::uint64_t MaxHostMemoryMib = 260;
 
   static gsRoutedPlan SystemPlan(gsSoakPlan const& plan)
   {
@@ -93,9 +95,32 @@
     system.KeepConnections = true;
     system.Program = plan.OtherProgram;
     system.LinkPerHost = plan.LinkPerHost;
+    system.Memory = { { "mode", "on" }, { "total_mb", MaxHostMemoryMib } };
     return system;
   }
 
+  /** Hosts are killed on the platform when they use more than their limit. */
+  void CheckMemory()
+  {
+    constexpr gsTime interval = gsMilliseconds(200);
+    gsTime now = gsLoop::Now();
+    if (now - this->MemoryCheckedAt < interval) {
+      return;
+    }
+    this->MemoryCheckedAt = now;
+    for (int number = 0; number < this->Plan.Hosts; ++number) {
+      std::string const host = this->HostName(number);
+      if (!this->System.Running(host)) {
+        continue;
+      }
+      std::uint64_t peak = this->System.PeakMemoryKib(host) >> 10U;
+      if (peak > MaxHostMemoryMib && this->OverMemory.insert(host).second) {
+        this->Result.Breaches.push_back(
+          { "MEMORY", host, "It has used " + std::to_string(peak) + " MiB." });
+      }
+    }
+  }
+
   gsTime Elapsed() const { return gsLoop::Now() - this->Begin; }
 
   void Say(std::string const& text)
@@ -198,7 +223,7 @@
         this->DrainRunner(this->RunnerName(step.Target));
         break;
       case gsSoakAction::CutAnswers:
-        this->CutAnswers(this->RunnerName(step.Target));
+        this->SpoilAnswers(this->RunnerName(step.Target), "cut");
         break;
       case gsSoakAction::CutRunnerLink:
       case gsSoakAction::MuteRunnerLink:
@@ -249,6 +274,9 @@
       case gsSoakAction::AnswerUnframed:
         this->AnswerUnframed(this->RunnerName(step.Target), step.For);
         break;
+      case gsSoakAction::AnswerUnending:
+        this->SpoilAnswers(this->RunnerName(step.Target), "unending");
+        break;
     }
   }
 
@@ -422,16 +450,17 @@
     });
   }
 
-  void CutAnswers(std::string const& runner)
+  /** Has some of the runner's next answers spoilt, by a command to it. */
+  void SpoilAnswers(std::string const& runner, char const* command)
   {
     if (!this->Claim(runner)) {
       return;
     }
     constexpr int answers = 5;
     std::size_t trouble = this->Trouble(gsSoakScope::Upstreams, {});
-    this->System.Control(runner, { { "cut", answers } });
-    this->After(gsSeconds(2), [this, runner, trouble] {
-      this->System.Control(runner, { { "cut", 0 } });
+    this->System.Control(runner, { { command, answers } });
+    this->After(gsSeconds(2), [this, runner, command, trouble] {
+      this->System.Control(runner, { { command, 0 } });
       this->EndTrouble(trouble, gsSeconds(1));
       this->Busy.erase(runner);
     });
@@ -721,7 +750,9 @@
   gsSoakRecord Record;
   gsSoakResult Result;
   std::vector<Later> Laters;
-  std::set<std::string> Busy; ///< Processes and links that have a fault.
+  gsTime MemoryCheckedAt{};
+  std::set<std::string> OverMemory; ///< Hosts that were over their limit.
+  std::set<std::string> Busy;       ///< Processes and links that have a fault.
   std::map<std::string, EndingHost> Ending;
   std::set<std::string> Replaced; ///< Hosts that run this release by now.
   std::vector<std::string> Keys;  ///< In the newest configuration.
--- a/Tests/Soak/gsSoakPlan.cxx
+++ b/Tests/Soak/gsSoakPlan.cxx
@@ -76,7 +76,7 @@
 
 char const* gsSoakActionWord(gsSoakAction action)
 {
-  constexpr std::array<char const*, Kinds.size() + 7> words{
+  constexpr std::array<char const*, Kinds.size() + 8> words{
     "stop_host",         "kill_host",
     "freeze_host",       "kill_all_hosts",
     "kill_runner",       "drain_runner",
@@ -90,7 +90,7 @@
     "say_leaving",       "ask_for_rest",
     "name_limit",        "replace_host",
     "cut_upstreams",     "large_configuration",
-    "answer_unframed"
+    "answer_unframed",   "answer_unending"
   };
   return words.at(static_cast<std::size_t>(action));
 }
@@ -203,6 +203,25 @@
     [](gsSoakStep const& a, gsSoakStep const& b) { return a.At < b.At; });
 }
 
+void gsAddUnendingAnswers(gsSoakPlan& plan)
+{
+  constexpr std::uint64_t salt = 0xe7037ed1a0b428db;
+  std::mt19937_64 random(plan.Seed ^ salt);
+  std::uniform_real_distribution<double> pause(0.3, 1.5);
+  std::uniform_int_distribution<int> runner(0, plan.Runners - 1);
+  for (gsTime at = FirstStep; at < plan.Length - Calm;
+       at += gsFromSeconds(pause(random))) {
+    gsSoakStep step;
+    step.At = at;
+    step.Action = gsSoakAction::AnswerUnending;
+    step.Target = runner(random);
+    plan.Steps.push_back(step);
+  }
+  std::stable_sort(
+    plan.Steps.begin(), plan.Steps.end(),
+    [](gsSoakStep const& a, gsSoakStep const& b) { return a.At < b.At; });
+}
+
 void gsLeaveWordsOut(gsSoakPlan& plan)
 {
   auto isWord = [](gsSoakStep const& step) {
--- a/Tests/Soak/gsSoakPlan.h
+++ b/Tests/Soak/gsSoakPlan.h
@@ -42,7 +42,8 @@
   CutUpstreams,   ///< Of one host: no connection to any runner can be made.
   /** The configuration has many routes and changes often, on slow links. */
   LargeConfiguration,
-  AnswerUnframed ///< A runner's answers state no end for a while.
+  AnswerUnframed, ///< A runner's answers state no end for a while.
+  AnswerUnending  ///< Some of the runner's next answers have no end.
 };
 
 char const* gsSoakActionWord(gsSoakAction action);
@@ -93,6 +94,10 @@
  * answers break off; other steps are unchanged. */
 void gsAddUnframedAnswers(gsSoakPlan& plan);
 
+/** Adds steps in which runners' answers have no end, in an event or in a body;
+ * other steps are unchanged. */
+void gsAddUnendingAnswers(gsSoakPlan& plan);
+
 /** Takes out what runners say of themselves in their answers. */
 void gsLeaveWordsOut(gsSoakPlan& plan);
 
--- a/Tests/Soak/gsSoakTool.cxx
+++ b/Tests/Soak/gsSoakTool.cxx
@@ -26,6 +26,7 @@
   bool noWords = false;
   bool cuts = false;
   bool unframed = false;
+  bool unending = false;
   app.add_option("--seed", seed, "First seed; without it a fresh one.");
   app.add_option("--seconds", seconds, "Length of each run.")
     ->check(CLI::Range(8.0, 3600.0));
@@ -46,6 +47,8 @@
                "changes often.");
   app.add_flag("--unframed", unframed,
                "Runners' answers state no end for a while.");
+  app.add_flag("--unending", unending,
+               "Some of the runners' answers have no end.");
   app.add_flag("--quiet", quiet, "Verdicts only.");
   CLI11_PARSE(app, argc, argv);
   if (seed == 0) {
@@ -68,6 +71,9 @@
       if (unframed) {
         gsAddUnframedAnswers(plan);
       }
+      if (unending) {
+        gsAddUnendingAnswers(plan);
+      }
       if (otherOnly) {
         plan.OtherProgram = other;
       } else if (!other.empty()) {
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -494,3 +494,21 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, UnframedSoak, testing::Values(1, 2));
+
+/** Soak with runners some of whose answers have no end. Guards against hosts
+ * that go over their memory, and against what callers lose with them. */
+class UnendingSoak : public testing::TestWithParam<std::uint64_t>
+{};
+
+TEST_P(UnendingSoak, BreaksNoPromise)
+{
+  gsSoakPlan plan = gsMakeSoakPlan(this->GetParam(), gsSeconds(20), 4, 4);
+  gsAddUnendingAnswers(plan);
+  std::ostringstream story;
+  gsSoakResult result = gsRunSoak(plan, story);
+  std::ostringstream verdict;
+  gsPrintSoak(plan, result, verdict);
+  EXPECT_TRUE(result.Breaches.empty()) << verdict.str() << story.str();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, UnendingSoak, testing::Values(1, 2));
--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -9,7 +9,10 @@
  * each event also holds a line "version: TEXT". A request that it
  * turns away for its rest is one line "away ID MICROSECONDS", and one that it
  * turns away at capacity is one line "full ID MICROSECONDS". POST /control
- * takes {"cut": N}: so many of the next answers break off; {"unframed": true}:
+ * takes {"cut": N}: so many of the next answers break off; {"unending": N}: so
+ * many of the next answers go on without an end, 64 MB a second, a stream with
+ * an event after the first half of its events or in place of the first;
+ * {"unframed": true}:
  * later answers state no end, and those that break off are closed in an
  * orderly way; {"leaving": true}: all answers from then on say that it leaves;
  * {"rest": "VALUE", "rest_ms": N}: for so long it turns requests away and asks
@@ -58,6 +61,8 @@
   std::string Id;
   int Next = 1;
   bool Cut = false;
+  /** Value of Next at which the part without an end begins; empty for none. */
+  std::optional<int> EndlessFrom;
   bool Unframed = false;
   gsTimer Timer;
 
@@ -65,6 +70,7 @@
   void Begin();
   void Step();
   void BreakOff(std::string const& part);
+  void GoOnWithoutEnd();
   void End();
 };
 
@@ -148,6 +154,7 @@
   Options Chosen;
   std::set<std::shared_ptr<Run>> Running;
   int Cuts = 0;
+  int Unending = 0;
   bool Unframed = false;
   bool Leaving = false;
   std::string Limit; ///< Named in answers; empty for none.
@@ -180,6 +187,7 @@
       this->RejectedAt.clear();
     }
     this->Cuts = body.value("cut", this->Cuts);
+    this->Unending = body.value("unending", this->Unending);
     this->Unframed = body.value("unframed", this->Unframed);
     this->Leaving = body.value("leaving", this->Leaving);
     this->Limit = body.value("limit", this->Limit);
@@ -214,7 +222,17 @@
   this->Unframed = this->Owner.Unframed;
   bool events = this->Call->Path.rfind("/stream/", 0) == 0 ||
                 this->Call->Path.rfind("/resume/", 0) == 0;
+  bool isUnending = !this->Cut && this->Owner.Unending > 0;
+  if (isUnending) {
+    int half = this->Owner.Chosen.Events / 2;
+    this->EndlessFrom = this->Owner.Unending % 2 == 0 ? 1 : half;
+    --this->Owner.Unending;
+  }
   if (!events) {
+    if (isUnending) {
+      this->Call->BeginStream(200, this->Owner.SignedHead(this->Id));
+      this->EndlessFrom = -1;
+    }
     this->Next = -1;
     this->Timer.Once(gsMilliseconds(this->Owner.Chosen.WorkMs));
     return;
@@ -241,8 +259,22 @@
   }
 }
 
+/** Sends bytes that complete nothing, until the connection is closed. */
+void Run::GoOnWithoutEnd()
+{
+  constexpr std::size_t blockBytes = 64U << 10U;
+  if (this->Call->Buffered() == 0) {
+    this->Call->Write(std::string(blockBytes, '#'));
+  }
+  this->Timer.Once(gsMilliseconds(1));
+}
+
 void Run::Step()
 {
+  if (this->EndlessFrom && this->Next >= *this->EndlessFrom) {
+    this->GoOnWithoutEnd();
+    return;
+  }
   if (this->Next < 0) {
     std::string const answer = "answer to " + this->Id;
     if (this->Unframed) {
