Tests: A sound answer whose head does not fit the caller's connection

Found by a test of ordinary header sizes: with a head of 16 KiB the caller's connection closes without an answer. The server library has max_header_kib for the head of the request and that of the answer together.

--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -433,6 +433,21 @@
   EXPECT_EQ(view->Body, gsEvent(1, "a") + gsEvent(2, "b") + rest);
 }
 
+// Guards against a caller whose connection is closed without an answer, since
+// the head of a sound one does not fit the memory of that connection.
+TEST_F(UnendingAnswers, HeadOfALargeSizeIsPassedOnOrTheCallerIsTold)
+{
+  std::string const lines =
+    Repeat("X-Line: " + std::string(80, 'v') + "\r\n", 16 * KiB);
+  this->Bench.Add("u1",
+                  [&](Connection const& to, gsScriptedRequest const& request) {
+                    to->Write(SignedHead(request, lines + InChunks) +
+                              gsChunk("answer") + gsChunk(""));
+                  });
+  gsCallerViewPtr view = this->Bench.SendAndWait({});
+  EXPECT_TRUE(view->Status == 200U || view->Status == 502U) << view->Status;
+}
+
 // Guards against sound answers that are cut for their headers or trailers, and
 // against trailers that reach a caller as headers.
 TEST_F(UnendingAnswers, HeadersAndTrailersOfAnOrdinarySizeAreRead)
