Tests: Answers over a limit, also across a forwarding host

Four routes, direct and forwarded: repeated or resumed where the route allows, else cut or 502, each in under 2 s of a timeout of 4.

--- a/Tests/Route/gsTestAnswerEnds.cxx
+++ b/Tests/Route/gsTestAnswerEnds.cxx
@@ -624,3 +624,36 @@
   EXPECT_EQ(streams.Callers[1]->Answer().Body, EventsFrom(1, 1));
   EXPECT_TRUE(streams.Callers[1]->LooksComplete());
 }
+
+// Guards against answers that a host ends at a limit and that then look whole,
+// are not repeated, or are held to the timeout; also across a forwarding host.
+TEST(AnswerEnd, AnswersOverALimitAreRepeatedOrDoNotLookComplete)
+{
+  constexpr std::size_t overAnyLimit = 9U << 20U;
+  std::string const rest = gsChunk(std::string(overAnyLimit, '#'));
+  for (bool isForwarded : { false, true }) {
+    for (std::string const route : { "plain", "safe", "stream", "resume" }) {
+      SCOPED_TRACE(route + (isForwarded ? ", forwarded" : ""));
+      System stage(
+        [&](System& /*system*/, Connection const& to,
+            gsScriptedRequest const& request) {
+          to->Write(Head(request, Framing::Chunks, 0) +
+                    gsChunk(EventsFrom(1, 1)) + rest);
+        },
+        isForwarded);
+      gsTime const start = gsLoop::Now();
+      std::unique_ptr<gsRawCaller> caller = stage.SendAndWait(route);
+      EXPECT_LT(gsLoop::Now() - start, gsSeconds(2));
+      bool repeats = route == "safe" || route == "resume";
+      if (repeats) {
+        EXPECT_EQ(caller->Answer().Body, EventsFrom(1));
+        EXPECT_TRUE(caller->LooksComplete());
+      } else if (route == "stream") {
+        EXPECT_EQ(caller->Answer().Body, EventsFrom(1, 1));
+        EXPECT_FALSE(caller->LooksComplete());
+      } else {
+        EXPECT_EQ(caller->Answer().Status, 502U);
+      }
+    }
+  }
+}
