Daemon: Keeps no spare memory for each stream

Cause: since capacities are counted, the budget sees what was allocated before as well. A stream's splitter copied all that came into a buffer that doubles and kept it between events: 16.2 MB of the peak were 8 KiB for each stream (the kind "partial"), nearly all of it spare. What waits for a caller doubled likewise.

The splitter reads events where they are and keeps only the incomplete rest, in a buffer of its size; both buffers grow by a quarter. gsAppendWithin did not keep its limit, since std::string::reserve at least doubles: 1,024,000 bytes for a limit of 921,600. It moves the contents to a new buffer now.

Before: EventSplitter.HoldsLittleMoreMemoryThanBytesOfTheNextEvent (8,000 bytes held of 485) and HeldBytes.CompactBufferHasAQuarterToSpareAtMost fail, and HeldBytes.BufferDoublesButNotBeyondItsLimit in a program with the header of before. The test shows its peaks by kind.

--- a/Source/Daemon/gsEventSplitter.cxx
+++ b/Source/Daemon/gsEventSplitter.cxx
@@ -5,12 +5,12 @@
 #include <charconv>
 #include <utility>
 
+#include "gsHeldBytes.h"
+
 namespace {
 
 constexpr std::string_view IdField = "id:";
 constexpr std::string_view LineEnds = "\r\n";
-/** Memory that a stream keeps between events. */
-constexpr std::size_t MaxSpareBytes = 16U << 10U;
 
 /** The id of an event; empty if it has none or the id is not a number. */
 std::optional<std::uint64_t> ParseEventId(std::string_view event)
@@ -65,12 +65,15 @@
 
 std::string gsEventSplitter::Append(std::string_view bytes)
 {
-  this->Buffer.append(bytes);
+  std::string_view text = bytes;
+  if (!this->Buffer.empty()) {
+    gsAppendCompactly(this->Buffer, bytes);
+    text = this->Buffer;
+  }
   std::string complete;
-  std::string_view text = this->Buffer;
   std::size_t begin = 0;
   std::size_t from = this->Scanned;
-  std::size_t end = this->FindNextEnd(from);
+  std::size_t end = this->FindNextEnd(text, from);
   while (end != 0) {
     std::string_view event = text.substr(begin, end - begin);
     std::optional<std::uint64_t> id = ParseEventId(event);
@@ -86,11 +89,11 @@
     begin = end;
     from = end;
     this->HasContent = false;
-    end = this->FindNextEnd(from);
+    end = this->FindNextEnd(text, from);
   }
-  this->Buffer.erase(0, begin);
-  if (this->Buffer.capacity() > MaxSpareBytes && this->Buffer.empty()) {
-    this->Buffer.shrink_to_fit();
+  if (begin > 0 || this->Buffer.empty()) {
+    std::string rest(text.substr(begin));
+    this->Buffer.swap(rest);
   }
   // The last two bytes may be the start of an event terminator.
   std::size_t left = this->HasContent ? 2 : 0;
@@ -100,13 +103,14 @@
 
 /** Offset just after the next event; 0 if it is incomplete. Line ends before
  * an event are a part of it, so that they alone are no event. */
-std::size_t gsEventSplitter::FindNextEnd(std::size_t from)
+std::size_t gsEventSplitter::FindNextEnd(std::string_view text,
+                                         std::size_t from)
 {
   if (!this->HasContent) {
-    from = this->Buffer.find_first_not_of(LineEnds, from);
-    this->HasContent = from != std::string::npos;
+    from = text.find_first_not_of(LineEnds, from);
+    this->HasContent = from != std::string_view::npos;
   }
-  return this->HasContent ? FindEventEnd(this->Buffer, from) : 0;
+  return this->HasContent ? FindEventEnd(text, from) : 0;
 }
 
 bool gsEventSplitter::IsInsideEvent() const
--- a/Source/Daemon/gsEventSplitter.h
+++ b/Source/Daemon/gsEventSplitter.h
@@ -42,7 +42,7 @@
   std::size_t HeldBytes() const { return this->Buffer.capacity(); }
 
 private:
-  std::size_t FindNextEnd(std::size_t from);
+  std::size_t FindNextEnd(std::string_view text, std::size_t from);
 
   std::string Buffer; ///< Bytes from the start of the first incomplete event.
   std::size_t Scanned = 0; ///< No event ends before this offset in Buffer.
--- a/Source/Io/gsHeldBytes.h
+++ b/Source/Io/gsHeldBytes.h
@@ -34,11 +34,23 @@
 {
   std::size_t needed = buffer.size() + bytes.size();
   if (needed > buffer.capacity()) {
-    buffer.reserve(std::max(needed, std::min(2 * buffer.capacity(), limit)));
+    // A string that has contents at least doubles when it reserves.
+    std::string grown;
+    grown.reserve(std::max(needed, std::min(2 * buffer.capacity(), limit)));
+    grown.append(buffer);
+    buffer.swap(grown);
   }
   buffer.append(bytes);
 }
 
+/** Appends to one of many small buffers, which has little spare memory. */
+inline void gsAppendCompactly(std::string& buffer, std::string_view bytes)
+{
+  constexpr std::size_t spareDivisor = 4;
+  std::size_t needed = buffer.size() + bytes.size();
+  gsAppendWithin(buffer, bytes, needed + needed / spareDivisor);
+}
+
 /** One holder's part of a total. */
 class gsHeldBytes
 {
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -250,7 +250,7 @@
   if (this->Connection == nullptr || this->At != Phase::Streaming) {
     return;
   }
-  this->Buffer.append(bytes);
+  gsAppendCompactly(this->Buffer, bytes);
   this->CountBuffer();
   this->Resume();
 }
--- a/Tests/Soak/gsTestSlowReaders.cxx
+++ b/Tests/Soak/gsTestSlowReaders.cxx
@@ -177,6 +177,10 @@
   Show("budget_kib", limit / KibPerMib);
   Show("peak_budget_kib",
        memory["peak_bytes"].get<std::uint64_t>() / KibPerMib);
+  Show("peak_events_kib",
+       memory["peaks"]["events"].get<std::uint64_t>() / KibPerMib);
+  Show("peak_partial_kib",
+       memory["peaks"]["partial"].get<std::uint64_t>() / KibPerMib);
   EXPECT_EQ(readers.Lost(), 0U);
   EXPECT_GT(readers.Count(), 2 * Readers);
   EXPECT_LE(memory["peak_bytes"].get<std::uint64_t>(), limit);
--- a/Tests/Unit/gsTestEventSplitter.cxx
+++ b/Tests/Unit/gsTestEventSplitter.cxx
@@ -123,3 +123,23 @@
   EXPECT_EQ(splitter.ProgressCount(), 3U);
   EXPECT_EQ(splitter.EventCount(), 1U);
 }
+
+// Guards against thousands of paused streams that each hold more memory than
+// bytes of their next event.
+TEST(EventSplitter, HoldsLittleMoreMemoryThanBytesOfTheNextEvent)
+{
+  std::string const event = "data: " + std::string(4200, 'x') + "\n\n";
+  gsEventSplitter splitter;
+  std::string const none;
+  std::string stream;
+  for (int i = 0; i < 100; ++i) {
+    stream += event;
+  }
+  constexpr std::size_t part = 1000;
+  for (std::size_t at = 0; at < stream.size(); at += part) {
+    splitter.Append(std::string_view(stream).substr(at, part));
+    std::size_t bytes = splitter.BufferedBytes();
+    EXPECT_LE(splitter.HeldBytes(), bytes + bytes / 4 + none.capacity()) << at;
+  }
+  EXPECT_EQ(splitter.EventCount(), 100U);
+}
--- a/Tests/Unit/gsTestMemoryBudget.cxx
+++ b/Tests/Unit/gsTestMemoryBudget.cxx
@@ -312,3 +312,32 @@
     ASSERT_TRUE(ended.empty() || large >= 1) << seed;
   }
 }
+
+// Guards against buffers that double beyond the limit of what they hold.
+TEST(HeldBytes, BufferDoublesButNotBeyondItsLimit)
+{
+  constexpr std::size_t limit = 900U << 10U;
+  std::string const part(1000, 'x');
+  std::string buffer;
+  std::size_t growths = 0;
+  while (buffer.size() + part.size() <= limit) {
+    std::size_t before = buffer.capacity();
+    gsAppendWithin(buffer, part, limit);
+    growths += buffer.capacity() != before ? 1 : 0;
+    ASSERT_LE(buffer.capacity(), limit);
+  }
+  EXPECT_LE(growths, 20U);
+  EXPECT_EQ(buffer, std::string(buffer.size(), 'x'));
+}
+
+// Guards against small buffers that hold twice the memory of their contents.
+TEST(HeldBytes, CompactBufferHasAQuarterToSpareAtMost)
+{
+  std::string const none;
+  std::string buffer;
+  for (std::size_t size = 1; size < 5000; size += 7) {
+    gsAppendCompactly(buffer, std::string(size % 300, 'x'));
+    ASSERT_LE(buffer.capacity(),
+              buffer.size() + buffer.size() / 4 + none.capacity());
+  }
+}
