HttpServer: Leaves room for the heads of answers

A sound answer with a head of 16 KiB closed its caller's connection without an answer (UnendingAnswers.HeadOfALargeSizeIsPassedOnOrTheCallerIsTold, known to fail), and so did an ordinary answer to a request with a path of 15.5 KiB, which had run.

Cause: the server library has one block of memory for a connection, of the size of max_header_kib, for the request's head, its tables and the answer's head. An answer's head that does not fit ends the connection without a word. That it is the sum of both heads shows in the two cases.

The block is 20 KiB larger now, and max_header_kib is a limit of its own for the head of a request, with 431 as before, also if its tables leave too little for an answer. The head of an upstream's answer is compared with the room before it is passed on; if it does not fit, the attempt has failed as with other heads over a limit, and is repeated or gets 502. A host that forwards a request and gets 431 from the other host knows that it has not run.

--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -37,6 +37,8 @@
  */
 constexpr gsTime IdleMargin = gsSeconds(2);
 constexpr std::size_t BytesPerKib = 1024;
+/** Headers that a host adds to a request that it forwards. */
+constexpr std::size_t ForwardedHeadBytes = 4 * BytesPerKib;
 /**
  * Assumed number of hosts until the actual one is known. It is so large that
  * this host uses only the minimum share of whatever is shared, regardless of
@@ -273,6 +275,7 @@
     return true;
   }
   settings.Address = this->Settings.Peers.ForwardListen;
+  settings.MaxHeader += ForwardedHeadBytes;
   auto server = gsHttpServer::Start(
     this->Loop, settings,
     [this](std::shared_ptr<gsHttpExchange> const& exchange) {
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -578,8 +578,9 @@
   attempt.AnswerHead = this->Adapter.ParseResponseHead(status, headers);
   if (attempt.ForwardedTo.empty()) {
     this->ApplyHead(*request, attempt, now);
-  } else if (status == gsStatusRequestTimeout &&
-             attempt.AnswerHead.RequestId.empty()) {
+  } else if (attempt.AnswerHead.RequestId.empty() &&
+             (status == gsStatusRequestTimeout ||
+              status == gsStatusHeadTooLarge)) {
     // The other host has closed the connection without reading the request.
     attempt.AnswerHead.NotExecuted = true;
     return;
@@ -601,6 +602,14 @@
   if (IsSuccess(status) && !attempt.AnswerHead.IsSigned) {
     this->AbortAttempt(request, held,
                        "The upstream's answer carries no signature.");
+    return;
+  }
+  bool isPassedOn =
+    !request->CallerHasBytes && !attempt.AnswerHead.NotExecuted;
+  std::size_t head = gsAnswerHeadBytes(attempt.AnswerHead.Headers);
+  std::size_t room = request->Exchange->RoomForHead();
+  if (isPassedOn && head > room) {
+    this->EndAnswer(request, held, { gsAnswerPart::Head, head, room, false });
   }
 }
 
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <limits>
 #include <tuple>
 
 #include <arpa/inet.h>
@@ -35,6 +36,42 @@
  */
 constexpr gsTime QuietTime = gsMilliseconds(200);
 
+/** Memory of a connection beside the largest head of a request: for the
+ * library's tables of that head, and for the head of the answer. */
+constexpr std::size_t HeadReserve = 20U << 10U;
+/** Part of it that every request leaves for the head of its answer. */
+constexpr std::size_t MinAnswerHead = 4U << 10U;
+/** Memory of the library for a header, a cookie or an argument. */
+constexpr std::size_t TableEntryBytes = 64;
+/** Status line, and headers that the library adds. */
+constexpr std::size_t AddedHeadBytes = 256;
+
+std::size_t PoolBytes(gsHttpServerSettings const& settings)
+{
+  return settings.MaxHeader + HeadReserve;
+}
+
+std::size_t RequestHeadBytes(MHD_Connection* connection)
+{
+  auto const* info = MHD_get_connection_info(
+    connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  return info != nullptr ? info->header_size : 0;
+}
+
+/** Memory of a connection that its request takes at most. */
+std::size_t RequestPoolBytes(MHD_Connection* connection)
+{
+  auto kinds = static_cast<MHD_ValueKind>(
+    MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND |
+    MHD_FOOTER_KIND);
+  int entries = MHD_get_connection_values(connection, kinds, nullptr, nullptr);
+  char const* cookies = MHD_lookup_connection_value(
+    connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_COOKIE);
+  std::size_t cookieBytes = cookies != nullptr ? std::strlen(cookies) : 0;
+  return RequestHeadBytes(connection) + cookieBytes +
+         static_cast<std::size_t>(std::max(entries, 0)) * TableEntryBytes;
+}
+
 /** Answers a request that was too long in coming. */
 std::string const& IncompleteAnswer()
 {
@@ -171,6 +208,24 @@
   return value == nullptr ? std::string_view() : std::string_view(value);
 }
 
+std::size_t gsHttpExchange::RoomForHead() const
+{
+  if (this->Connection == nullptr) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  std::size_t pool = PoolBytes(this->Server->Settings);
+  return pool - std::min(pool, RequestPoolBytes(this->Connection));
+}
+
+std::size_t gsAnswerHeadBytes(gsHeaders const& headers)
+{
+  std::size_t bytes = AddedHeadBytes;
+  for (auto const& [name, value] : headers) {
+    bytes += name.size() + value.size() + std::strlen(": \r\n");
+  }
+  return bytes;
+}
+
 void gsHttpExchange::SetResponse(unsigned status, gsHeaders const& headers,
                                  MHD_Response* response)
 {
@@ -505,7 +560,7 @@
     static_cast<MHD_NotifyConnectionCallback>(+connected), server.get(),
     MHD_OPTION_CONNECTION_LIMIT, chosen.MaxConnections,
     MHD_OPTION_PER_IP_CONNECTION_LIMIT, chosen.MaxConnectionsPerIp,
-    MHD_OPTION_CONNECTION_MEMORY_LIMIT, chosen.MaxHeader, MHD_OPTION_END);
+    MHD_OPTION_CONNECTION_MEMORY_LIMIT, PoolBytes(chosen), MHD_OPTION_END);
   if (server->Daemon == nullptr) {
     return gsError{ "listen_failed",
                     "The HTTP server on " + chosen.Address + " did not start.",
@@ -861,6 +916,28 @@
   return MHD_queue_response(connection, exchange.Status, exchange.Response);
 }
 
+/** Answers a request whose head is not accepted, and which has not run.
+ * \return As OnRequest. */
+int gsHttpServer::RejectHead(MHD_Connection* connection,
+                             gsHttpExchange& exchange, unsigned status,
+                             std::string_view code, std::string_view reason)
+{
+  Link& link = this->Links[connection];
+  std::string body = R"({"error":{"code":")";
+  body += code;
+  body += R"(","message":"The request was not run: )";
+  body += reason;
+  body += R"(","step":"read"}})";
+  exchange.Respond(
+    status,
+    { { "Content-Type", "application/json" }, { "Connection", "close" } },
+    std::move(body));
+  exchange.Queued = true;
+  link.Shut = true;
+  this->Linger(link.Descriptor);
+  return MHD_queue_response(connection, exchange.Status, exchange.Response);
+}
+
 /** Reads a connection to its end, beside and after the library's own use, if
  * there are not too many already. */
 void gsHttpServer::Linger(int descriptor)
@@ -945,9 +1022,18 @@
     exchange->Method = method;
     exchange->Path = url;
     exchange->ReadsChunks = std::strcmp(version, MHD_HTTP_VERSION_1_0) != 0;
-    // One that crossed the close could not be answered: it is not read on.
-    return this->Links[connection].Shut ? MHD_NO
-                                        : this->OnHead(connection, *exchange);
+    if (this->Links[connection].Shut) {
+      return MHD_NO; // It crossed the close and could not be answered.
+    }
+    bool isTooLarge =
+      RequestHeadBytes(connection) > this->Settings.MaxHeader ||
+      exchange->RoomForHead() < MinAnswerHead;
+    if (isTooLarge) {
+      return this->RejectHead(connection, *exchange,
+                              MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+                              "head_too_large", "its head is over the limit.");
+    }
+    return this->OnHead(connection, *exchange);
   }
   if (*size > 0) {
     this->Links[connection].BodyAt = gsLoop::Now();
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -30,7 +30,8 @@
 {
   std::string Address;                ///< IP:port; port 0 takes a free one.
   std::size_t MaxBody = 1U << 20U;    ///< Bytes.
-  std::size_t MaxHeader = 16U << 10U; ///< Bytes a connection.
+  /** Largest head of a request in bytes; larger ones get 431. */
+  std::size_t MaxHeader = 16U << 10U;
   std::uint32_t MaxConnections = 4096;
   std::uint32_t MaxConnectionsPerIp = 4096;
   /** A request must have come in whole within this time. */
@@ -113,6 +114,9 @@
   /** Whether EndStalled has ended it. */
   bool IsStalled() const { return this->Stalled; }
 
+  /** Largest head of an answer, as gsAnswerHeadBytes counts it, for which the
+   * connection has memory beside the head of the request. */
+  std::size_t RoomForHead() const;
   /** Whether the answer states its end, so that a cut shows by itself. */
   bool StatesEnd() const { return !this->EndsByClose; }
   bool Began() const { return this->Response != nullptr; }
@@ -173,6 +177,10 @@
   gsHeldBytes HeldEvents;
 };
 
+/** Bytes of an answer's head on the wire, with room for what the server adds
+ * to it. */
+std::size_t gsAnswerHeadBytes(gsHeaders const& headers);
+
 /** A caller for which bytes of an answer wait that its connection cannot
  * take. */
 struct gsWaitingCaller
@@ -291,6 +299,9 @@
   int OnHead(MHD_Connection* connection, gsHttpExchange& exchange);
   void OnBodyPart(gsHttpExchange& exchange, std::string_view bytes);
   int RefuseEarly(MHD_Connection* connection, gsHttpExchange& exchange);
+  int RejectHead(MHD_Connection* connection, gsHttpExchange& exchange,
+                 unsigned status, std::string_view code,
+                 std::string_view reason);
   void Linger(int descriptor);
   void EndLingering(gsTime now);
   int OnRequest(MHD_Connection* connection, char const* url,
--- a/Source/Io/gsHttpStatus.h
+++ b/Source/Io/gsHttpStatus.h
@@ -16,6 +16,7 @@
 constexpr unsigned gsStatusTooLarge = 413;
 constexpr unsigned gsStatusMisdirected = 421;
 constexpr unsigned gsStatusTooMany = 429;
+constexpr unsigned gsStatusHeadTooLarge = 431;
 constexpr unsigned gsStatusServerError = 500;
 constexpr unsigned gsStatusBadGateway = 502;
 constexpr unsigned gsStatusUnavailable = 503;
--- a/Tests/Route/gsTestHttpServer.cxx
+++ b/Tests/Route/gsTestHttpServer.cxx
@@ -150,6 +150,53 @@
                          "Content-Length: 10\r\n\r\n";
 std::string const Request = Head + "0123456789";
 
+/** What a head of a request is filled up with. */
+enum class Filling
+{
+  OneHeader,
+  ShortHeaders,
+  Arguments,
+  Cookies
+};
+
+/** A request whose head has a size in bytes, or a little less. */
+std::string RequestOfSize(Filling filling, std::size_t size)
+{
+  std::string target = "/x";
+  std::string headers = "Host: h\r\n";
+  std::string const method = "GET ";
+  std::string const version = " HTTP/1.1\r\n";
+  std::string const end = "\r\n";
+  std::size_t fixed = method.size() + target.size() + version.size() +
+                      headers.size() + end.size();
+  std::string fill;
+  auto fillWith = [&fill, size, fixed](std::string const& unit,
+                                       std::size_t more) {
+    while (fixed + more + fill.size() + unit.size() <= size) {
+      fill += unit;
+    }
+  };
+  switch (filling) {
+    case Filling::OneHeader:
+      fillWith("v", 5);
+      headers += "X: " + fill + end;
+      break;
+    case Filling::ShortHeaders:
+      fillWith("X: 0123456789012345678901234567890123456789\r\n", 0);
+      headers += fill;
+      break;
+    case Filling::Arguments:
+      fillWith("&a=" + std::string(100, '0'), 1);
+      target += "?" + fill;
+      break;
+    case Filling::Cookies:
+      fillWith("c=0123456789012345678901234567890123456789; ", 12);
+      headers += "Cookie: " + fill + end;
+      break;
+  }
+  return method + target + version + headers + end;
+}
+
 } // namespace
 
 TEST_F(HttpServer, ARequestThatIsComingInAtAStopIsAnswered)
@@ -371,3 +418,79 @@
     EXPECT_EQ(this->Handled.size(), 0U) << this->Lines();
   }
 }
+
+// Guards against a caller whose connection is closed without an answer, since
+// the heads of its request and of the answer exceed the connection's memory.
+TEST_F(HttpServer, AnAnswerIsSentIfThereIsRoomForItsHead)
+{
+  this->Serve(gsSeconds(5));
+  constexpr std::size_t largest = 16U << 10U;
+  constexpr std::size_t step = 509;
+  for (Filling filling : { Filling::OneHeader, Filling::ShortHeaders,
+                           Filling::Arguments, Filling::Cookies }) {
+    for (std::size_t size = 100; size <= largest; size += step) {
+      for (bool isStream : { false, true }) {
+        SCOPED_TRACE(std::to_string(static_cast<int>(filling)) + ", " +
+                     std::to_string(size) + (isStream ? ", stream" : ""));
+        RawCaller caller(this->Server->Port());
+        this->Handled.clear();
+        caller.Send(RequestOfSize(filling, size));
+        ASSERT_TRUE(this->RunUntil([&] {
+          caller.Read();
+          return !this->Handled.empty() || !caller.Answer.empty();
+        }));
+        if (this->Handled.empty()) {
+          EXPECT_EQ(caller.Answer.substr(0, 12), "HTTP/1.1 431");
+          EXPECT_NE(filling, Filling::OneHeader);
+          EXPECT_GT(size, largest / 2);
+          continue;
+        }
+        gsHttpExchange& exchange = *this->Handled.front();
+        std::string const name = "X-Fill";
+        std::size_t const rest = gsAnswerHeadBytes({ { name, "" } });
+        std::size_t const room = exchange.RoomForHead();
+        ASSERT_GE(room, 4U << 10U);
+        gsHeaders const headers{ { name, std::string(room - rest, 'v') } };
+        ASSERT_EQ(gsAnswerHeadBytes(headers), room);
+        if (isStream) {
+          exchange.BeginStream(200, headers);
+          exchange.Write("answer");
+          exchange.End();
+        } else {
+          exchange.Respond(200, headers, "answer");
+        }
+        EXPECT_TRUE(this->RunUntil([&] {
+          caller.Read();
+          return caller.Answer.find("answer") != std::string::npos ||
+                 caller.Ended;
+        }));
+        EXPECT_NE(caller.Answer.find(headers.front().second),
+                  std::string::npos);
+        EXPECT_NE(caller.Answer.find("answer"), std::string::npos);
+      }
+    }
+  }
+}
+
+// Guards against heads within the limit that are rejected, and against larger
+// ones that are passed on.
+TEST_F(HttpServer, HeadOfARequestIsRejectedAboveItsLimitOnly)
+{
+  this->Serve(gsSeconds(5));
+  constexpr std::size_t limit = 16U << 10U;
+  for (std::size_t size : { limit - 1, limit, limit + 1, limit + 4096 }) {
+    SCOPED_TRACE(size);
+    this->Handled.clear();
+    RawCaller caller(this->Server->Port());
+    caller.Send(RequestOfSize(Filling::OneHeader, size));
+    EXPECT_TRUE(this->RunUntil([&] {
+      caller.Read();
+      return !this->Handled.empty() || caller.Ended;
+    }));
+    EXPECT_EQ(this->Handled.size(), size <= limit ? 1U : 0U);
+    if (size > limit) {
+      EXPECT_EQ(caller.Answer.substr(0, 12), "HTTP/1.1 431");
+    }
+    this->AnswerAll();
+  }
+}
--- a/Tests/Route/gsTestTargets.cxx
+++ b/Tests/Route/gsTestTargets.cxx
@@ -239,6 +239,32 @@
   }
 }
 
+// Guards against long targets that are cut, or that run though their caller is
+// told otherwise.
+TEST_F(Targets, LongOnesArriveWholeOrAreRejected)
+{
+  constexpr std::size_t largest = 17U << 10U;
+  constexpr std::size_t step = 512;
+  for (bool isForwarded : { false, true }) {
+    for (std::size_t size = step; size <= largest; size += step) {
+      std::string target = "/plain/";
+      while (target.size() < size) {
+        target += "../a%2f/";
+      }
+      SCOPED_TRACE(std::to_string(size) + (isForwarded ? ", forwarded" : ""));
+      unsigned status = this->SendAndWait(target, "key-one", isForwarded);
+      std::vector<std::string> received = this->Received(this->LatestId());
+      if (status == 200U) {
+        EXPECT_EQ(received, std::vector<std::string>{ target });
+      } else {
+        EXPECT_TRUE(status == 431U || status == 503U) << status;
+        EXPECT_EQ(received.size(), 0U);
+        EXPECT_GT(size, 8U << 10U);
+      }
+    }
+  }
+}
+
 // Guards against a form of targets that nobody has thought of.
 TEST_F(Targets, TenThousandSeededOnesReachTheUpstreamByteByByte)
 {
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -456,6 +456,36 @@
   EXPECT_TRUE(view->Status == 200U || view->Status == 502U) << view->Status;
 }
 
+// Guards against an answer that is begun though its head cannot be sent: the
+// attempt ends, and the request is repeated where that is allowed.
+TEST_F(UnendingAnswers, HeadThatCannotBePassedOnEndsTheAttempt)
+{
+  std::string const lines =
+    Repeat("X-Line: " + std::string(80, 'v') + "\r\n", 40 * KiB);
+  auto isFirst = std::make_shared<bool>(true);
+  for (std::string const id : { "u1", "u2" }) {
+    this->Bench.Add(id,
+                    [&lines, isFirst](Connection const& to,
+                                      gsScriptedRequest const& request) {
+                      bool isLarge = std::exchange(*isFirst, false);
+                      to->Write(
+                        SignedHead(request,
+                                   (isLarge ? lines : "") + InChunks) +
+                        gsChunk("answer") + gsChunk(""));
+                    });
+  }
+  gsCallerSends sends;
+  gsCallerViewPtr view = this->Bench.SendAndWait(sends);
+  EXPECT_EQ(view->Status, 502U);
+  *isFirst = true;
+  sends.Target = "/safe/x";
+  sends.Id = "id-2";
+  view = this->Bench.SendAndWait(sends);
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_EQ(view->Body, "answer");
+  EXPECT_EQ(this->Bench.Arrivals(), 3U);
+}
+
 // Guards against sound answers that are cut for their headers or trailers, and
 // against trailers that reach a caller as headers.
 TEST_F(UnendingAnswers, HeadersAndTrailersOfAnOrdinarySizeAreRead)
