HttpServer: Rejects targets with a null byte

Cause: the server library hands over the target as a text that ends with a null byte, and takes the first one in the request line for it.

The target has to end where the HTTP version begins, both of which point into the line that was read; otherwise the request is answered with 400 before it runs. A library that copies either would have every request rejected, which no test would miss.

Before: the null byte in Targets.ThoseThatCannotBePassedOnAreRejectedBeforeTheyRun gets 200 and arrives, directly and forwarded (2 of 2). After: 400, nothing arrives. The other 41 tests of targets, the server, answers' ends and answers without an end pass.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -155,9 +155,12 @@
 }
 
 gsHttpExchange::gsHttpExchange(gsHttpServer& server,
-                               MHD_Connection* connection)
-  : Server(&server)
+                               MHD_Connection* connection,
+                               char const* target)
+  : Target(target)
+  , Server(&server)
   , Connection(connection)
+  , TargetAt(target)
   , HeldBody(server.Totals, &gsHeldTotals::Bodies)
   , HeldExpected(server.Totals, &gsHeldTotals::Expected)
   , HeldAnswer(server.Totals, &gsHeldTotals::Answers)
@@ -208,6 +211,14 @@
   return value == nullptr ? std::string_view() : std::string_view(value);
 }
 
+/** Whether the target ends where the HTTP version begins. The library takes a
+ * null byte for its end; it leaves the line in place and points into it. */
+bool gsHttpExchange::HasWholeTarget(char const* version) const
+{
+  return version - this->TargetAt ==
+         static_cast<std::ptrdiff_t>(this->Target.size()) + 1;
+}
+
 std::size_t gsHttpExchange::RoomForHead() const
 {
   if (this->Connection == nullptr) {
@@ -858,8 +869,7 @@
 void* gsHttpServer::OnFirstLine(MHD_Connection* connection, char const* target)
 {
   auto* held = new std::shared_ptr<gsHttpExchange>(
-    std::make_shared<gsHttpExchange>(*this, connection));
-  (*held)->Target = target;
+    std::make_shared<gsHttpExchange>(*this, connection, target));
   (*held)->Since = gsLoop::Now();
   Link& link = this->Links[connection];
   link.Open = held->get();
@@ -1033,6 +1043,10 @@
                               MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
                               "head_too_large", "its head is over the limit.");
     }
+    if (!exchange->HasWholeTarget(version)) {
+      return this->RejectHead(connection, *exchange, MHD_HTTP_BAD_REQUEST,
+                              "bad_target", "its path holds a null byte.");
+    }
     return this->OnHead(connection, *exchange);
   }
   if (*size > 0) {
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -78,7 +78,8 @@
   /** Called when a stream's buffer has been handed to the socket. */
   std::function<void()> OnDrained;
 
-  gsHttpExchange(gsHttpServer& server, MHD_Connection* connection);
+  gsHttpExchange(gsHttpServer& server, MHD_Connection* connection,
+                 char const* target);
   ~gsHttpExchange();
   gsHttpExchange(gsHttpExchange const&) = delete;
   gsHttpExchange& operator=(gsHttpExchange const&) = delete;
@@ -148,9 +149,11 @@
   void ResetConnection();
   void CountBuffer();
   std::uint64_t WaitingBytes() const;
+  bool HasWholeTarget(char const* version) const;
 
   gsHttpServer* Server;
   MHD_Connection* Connection;
+  char const* TargetAt; ///< In the request line, of which Target is a copy.
   MHD_Response* Response = nullptr;
   unsigned Status = 0;
   Phase At = Phase::New;
--- a/Tests/Route/gsTestTargets.cxx
+++ b/Tests/Route/gsTestTargets.cxx
@@ -228,6 +228,7 @@
   }
   targets.emplace_back("/plain/a\x7f");
   targets.emplace_back("/plain/a?b c");
+  targets.push_back(std::string("/plain/a") + '\0' + "b");
   for (bool isForwarded : { false, true }) {
     for (std::string const& target : targets) {
       unsigned status = this->SendAndWait(target, "key-one", isForwarded);
