--- a/Source/Daemon/gsRequestIntake.cxx
+++ b/Source/Daemon/gsRequestIntake.cxx
@@ -79,9 +79,8 @@
   }
   request.Caller = std::move(caller.value());
   if (!IsPassable(request.Caller.Target)) {
-    return MakeError("bad_target",
-                     "The path or query holds a space or a control.",
-                     "accept");
+    return MakeError(
+      "bad_target", "The path or query holds a space or a control.", "accept");
   }
   request.RouteTable = state.RouteTable;
   request.Route =
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -302,10 +302,9 @@
       active->Uploaded = taken;
       active->Acknowledged = info.tcpi_bytes_acked;
     }
-    waiting.push_back(
-      { number, active->Call.Label,
-        active->Call.Url + active->Call.Target.value_or(""), size,
-        active->TakenAt });
+    waiting.push_back({ number, active->Call.Label,
+                        active->Call.Url + active->Call.Target.value_or(""),
+                        size, active->TakenAt });
   }
   return waiting;
 }
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -61,9 +61,9 @@
 /** Memory of a connection that its request takes at most. */
 std::size_t RequestPoolBytes(MHD_Connection* connection)
 {
-  auto kinds = static_cast<MHD_ValueKind>(
-    MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND |
-    MHD_FOOTER_KIND);
+  auto kinds =
+    static_cast<MHD_ValueKind>(MHD_HEADER_KIND | MHD_COOKIE_KIND |
+                               MHD_GET_ARGUMENT_KIND | MHD_FOOTER_KIND);
   int entries = MHD_get_connection_values(connection, kinds, nullptr, nullptr);
   char const* cookies = MHD_lookup_connection_value(
     connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_COOKIE);
@@ -155,8 +155,7 @@
 }
 
 gsHttpExchange::gsHttpExchange(gsHttpServer& server,
-                               MHD_Connection* connection,
-                               char const* target)
+                               MHD_Connection* connection, char const* target)
   : Target(target)
   , Server(&server)
   , Connection(connection)
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -28,8 +28,8 @@
 
 struct gsHttpServerSettings
 {
-  std::string Address;                ///< IP:port; port 0 takes a free one.
-  std::size_t MaxBody = 1U << 20U;    ///< Bytes.
+  std::string Address;             ///< IP:port; port 0 takes a free one.
+  std::size_t MaxBody = 1U << 20U; ///< Bytes.
   /** Largest head of a request in bytes; larger ones get 431. */
   std::size_t MaxHeader = 16U << 10U;
   std::uint32_t MaxConnections = 4096;
--- a/Tests/Route/gsTestTargets.cxx
+++ b/Tests/Route/gsTestTargets.cxx
@@ -59,10 +59,10 @@
 
 /** Parts of seeded targets. */
 std::vector<std::string> const Pieces{
-  ".",  "..", "%2e", "%2E%2e", "%2f", "%5c", "a", "b1", "",     "#",
-  ";",  "=",  "@",   ":",      "\\",  "^",   "{", "}",  "|",    "[",
-  "]",  "\"", "'",   "<",      ">",   "`",   "~", "%",  "%00",  "\xff",
-  "\x80", "\xc3\xa4", "+", "&", ",", "!", "*", "(", ")", "http:",
+  ".",    "..",       "%2e", "%2E%2e", "%2f", "%5c", "a", "b1", "",    "#",
+  ";",    "=",        "@",   ":",      "\\",  "^",   "{", "}",  "|",   "[",
+  "]",    "\"",       "'",   "<",      ">",   "`",   "~", "%",  "%00", "\xff",
+  "\x80", "\xc3\xa4", "+",   "&",      ",",   "!",   "*", "(",  ")",   "http:",
 };
 
 std::string DrawTarget(std::mt19937& random)
@@ -96,11 +96,10 @@
   Targets()
   {
     for (std::string const id : { "u1", "u2" }) {
-      this->Bench.Add(id,
-                      [](Connection const& to,
-                         gsScriptedRequest const& request) {
-                        to->Write(gsWholeAnswer(request, "answer"));
-                      });
+      this->Bench.Add(
+        id, [](Connection const& to, gsScriptedRequest const& request) {
+          to->Write(gsWholeAnswer(request, "answer"));
+        });
     }
   }
 
@@ -289,9 +288,8 @@
       pending.push_back({ this->LatestId(), target, std::move(caller) });
     }
     ASSERT_TRUE(this->Bench.RunUntil([&] {
-      return std::all_of(pending.begin(), pending.end(), [](Pending const& p) {
-        return p.Caller->Done();
-      });
+      return std::all_of(pending.begin(), pending.end(),
+                         [](Pending const& p) { return p.Caller->Done(); });
     }));
     for (Pending const& each : pending) {
       EXPECT_EQ(each.Caller->Answer().Status, 200U) << each.Target;
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -464,15 +464,12 @@
     Repeat("X-Line: " + std::string(80, 'v') + "\r\n", 40 * KiB);
   auto isFirst = std::make_shared<bool>(true);
   for (std::string const id : { "u1", "u2" }) {
-    this->Bench.Add(id,
-                    [&lines, isFirst](Connection const& to,
-                                      gsScriptedRequest const& request) {
-                      bool isLarge = std::exchange(*isFirst, false);
-                      to->Write(
-                        SignedHead(request,
-                                   (isLarge ? lines : "") + InChunks) +
-                        gsChunk("answer") + gsChunk(""));
-                    });
+    this->Bench.Add(id, [&lines, isFirst](Connection const& to,
+                                          gsScriptedRequest const& request) {
+      bool isLarge = std::exchange(*isFirst, false);
+      to->Write(SignedHead(request, (isLarge ? lines : "") + InChunks) +
+                gsChunk("answer") + gsChunk(""));
+    });
   }
   gsCallerSends sends;
   gsCallerViewPtr view = this->Bench.SendAndWait(sends);
