HttpServer: Keeps connections to 32 KiB of memory

A stream hands 8 KiB at most to the library at once, which holds them beside what waits here, and would now hold up to 30.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -22,6 +22,9 @@
 namespace {
 
 constexpr std::size_t KeptCapacity = 8192;
+/** Bytes of a stream that are handed to the library at once. It holds them
+ * while its connection takes nothing, beside what waits here. */
+constexpr std::size_t MaxStreamPart = 8192;
 constexpr std::size_t CompactAbove = 65536;
 constexpr int Backlog = 1024;
 /** The library accepts 10 callers or so each time that it runs. */
@@ -38,7 +41,7 @@
 
 /** Memory of a connection beside the largest head of a request: for the
  * library's tables of that head, and for the head of the answer. */
-constexpr std::size_t HeadReserve = 20U << 10U;
+constexpr std::size_t HeadReserve = 16U << 10U;
 /** Part of it that every request leaves for the head of its answer. */
 constexpr std::size_t MinAnswerHead = 4U << 10U;
 /** Memory of the library for a header, a cookie or an argument. */
@@ -419,7 +422,7 @@
 {
   std::size_t ready = this->Buffer.size() - this->Read;
   if (ready > 0) {
-    std::size_t count = std::min(ready, size);
+    std::size_t count = std::min({ ready, size, MaxStreamPart });
     std::memcpy(buffer, this->Buffer.data() + this->Read, count);
     this->Read += count;
     if (this->Read == this->Buffer.size()) {
