Daemon: Ends callers that pause only for the memory they take

Cause: callers that took nothing for stalled_caller_ms were ended whatever was held.

A caller may rest for the idle timeout of the configuration now. It is ended earlier only where its memory is needed: above 0.8 of the budget, where large bodies are refused, after stalled_caller_ms and until they are accepted again; over the budget as before. The longest pause is ended first.

--- a/Source/Core/gsMemoryBudget.cxx
+++ b/Source/Core/gsMemoryBudget.cxx
@@ -2,6 +2,7 @@
 #include "gsMemoryBudget.h"
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 namespace {
@@ -89,32 +90,30 @@
 
 std::vector<gsMemoryEnding> gsSelectStalled(
   gsMemorySettings const& settings, gsMemoryUse const& use,
-  std::vector<gsMemoryReader> const& readers, gsTime now)
+  std::vector<gsMemoryReader> const& readers, gsTime idleTimeout, gsTime now)
 {
-  std::vector<gsMemoryEnding> endings;
-  std::vector<std::size_t> idle; // Not steady and not stalled yet.
+  std::vector<std::size_t> order(readers.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::stable_sort(order.begin(), order.end(),
+                   [&readers](std::size_t a, std::size_t b) {
+                     return readers[a].TakenAt < readers[b].TakenAt;
+                   });
+  std::uint64_t limit = gsMemoryLimit(settings);
+  std::uint64_t bodyLimit = ShareOfLimit(settings, BodyShare);
   std::uint64_t held = use.Total();
-  auto release = [&](std::size_t index, gsMemoryCause cause) {
-    endings.push_back({ index, cause });
-    held -= std::min(held, readers[index].Bytes);
-  };
-  for (std::size_t i = 0; i < readers.size(); ++i) {
-    gsTime waited = now - readers[i].TakenAt;
-    if (waited >= settings.StalledTimeout) {
-      release(i, gsMemoryCause::Stalled);
-    } else if (waited >= settings.StalledTimeout / SteadyDivisor) {
-      idle.push_back(i);
+  std::vector<gsMemoryEnding> endings;
+  for (std::size_t index : order) {
+    gsTime waited = now - readers[index].TakenAt;
+    bool isIdle = waited >= idleTimeout;
+    bool isInTheWay =
+      (held > bodyLimit && waited >= settings.StalledTimeout) ||
+      (held > limit && waited >= settings.StalledTimeout / SteadyDivisor);
+    if (!isIdle && !isInTheWay) {
+      break; // Those that follow have waited less.
     }
-  }
-  std::uint64_t limit = gsMemoryLimit(settings);
-  if (held <= limit) {
-    return endings;
-  }
-  std::sort(idle.begin(), idle.end(), [&](std::size_t a, std::size_t b) {
-    return readers[a].TakenAt < readers[b].TakenAt;
-  });
-  for (std::size_t i = 0; i < idle.size() && held > limit; ++i) {
-    release(idle[i], gsMemoryCause::OverBudget);
+    endings.push_back(
+      { index, isIdle ? gsMemoryCause::Stalled : gsMemoryCause::OverBudget });
+    held -= std::min(held, readers[index].Bytes);
   }
   return endings;
 }
--- a/Source/Core/gsMemoryBudget.h
+++ b/Source/Core/gsMemoryBudget.h
@@ -3,7 +3,7 @@
  * \file
  * Budget of the memory that a host holds for callers and upstreams: request
  * bodies, answers and events that their callers have not taken yet. Near the
- * budget, streams are paused earlier and large bodies are refused; callers
+ * budget, streams are paused earlier, large bodies are refused, and callers
  * that take nothing are ended. Over the budget, answers are ended that are
  * still being received.
  */
@@ -21,7 +21,8 @@
   /** Share of it for bodies, answers and events. The rest is for the process
    * itself and for the fixed part of each connection. */
   double BuffersShare = 0.35;
-  /** A caller or upstream that takes nothing for so long is ended. */
+  /** An upstream that takes nothing for so long is ended, and so is a caller
+   * once large bodies are refused for lack of memory. */
   gsTime StalledTimeout = gsMilliseconds(3000);
 };
 
@@ -54,8 +55,8 @@
 
 enum class gsMemoryCause
 {
-  Stalled,   ///< It took nothing for StalledTimeout.
-  OverBudget ///< It took nothing for the longest time while over the budget.
+  Stalled,   ///< It took nothing for its idle timeout.
+  OverBudget ///< It took nothing for the longest time while memory was short.
 };
 
 char const* gsMemoryCauseName(gsMemoryCause cause);
@@ -119,11 +120,14 @@
   std::vector<gsIncomingAnswer> const& answers);
 
 /**
- * Selects the readers to be ended: those that took nothing for StalledTimeout,
- * and, over the budget, those that took nothing for the longest time until the
- * rest is within the budget. A reader that took something within a third of
- * StalledTimeout is never selected.
+ * Selects the readers to be ended, those that took nothing for the longest
+ * time first:
+ * - those that took nothing for idleTimeout;
+ * - where large bodies are refused: those that took nothing for
+ *   StalledTimeout, until such bodies are accepted again;
+ * - over the budget: those that took nothing for a third of StalledTimeout,
+ *   until the rest is within the budget.
  */
 std::vector<gsMemoryEnding> gsSelectStalled(
   gsMemorySettings const& settings, gsMemoryUse const& use,
-  std::vector<gsMemoryReader> const& readers, gsTime now);
+  std::vector<gsMemoryReader> const& readers, gsTime idleTimeout, gsTime now);
--- a/Source/Daemon/gsMemoryGuard.cxx
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -274,7 +274,8 @@
   gsMemoryUse use = this->Use();
   std::set<gsHttpExchange const*> logged;
   for (gsMemoryEnding const& ending :
-       gsSelectStalled(this->Settings.Budget, use, readers, now)) {
+       gsSelectStalled(this->Settings.Budget, use, readers,
+                       this->Callers.ReceiveTimeout(), now)) {
     gsWaitingCaller const& caller = waiting[ending.Index];
     gsHttpExchange const* exchange = caller.Exchange.get();
     logged.insert(exchange);
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -34,7 +34,8 @@
   std::size_t MaxHeader = 16U << 10U;
   std::uint32_t MaxConnections = 4096;
   std::uint32_t MaxConnectionsPerIp = 4096;
-  /** A request must have come in whole within this time. */
+  /** A request must have come in whole within this time. A caller may rest
+   * for so long, between requests and while it reads. */
   gsTime ReceiveTimeout = gsSeconds(30);
   /** Bytes that the kernel may hold for a caller that does not read; zero
    * leaves the size to the kernel. */
@@ -222,6 +223,7 @@
   void Quiesce();
   /** Bounds what callers may send and how long they may rest. */
   void Limit(std::size_t maxBody, gsTime receiveTimeout);
+  gsTime ReceiveTimeout() const { return this->Settings.ReceiveTimeout; }
   /**
    * Closes the connections whose callers wait for nothing: no request is open
    * there, and nothing has come that was not read.
--- a/Tests/Soak/gsTestSlowReaders.cxx
+++ b/Tests/Soak/gsTestSlowReaders.cxx
@@ -5,6 +5,7 @@
  * one host with the memory of a small machine, on real processes.
  */
 #include <algorithm>
+#include <csignal>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -56,6 +57,26 @@
   SilentCaller(SilentCaller const&) = delete;
   SilentCaller& operator=(SilentCaller const&) = delete;
 
+  /** Reads what has come. */
+  void Read()
+  {
+    char buffer[16384];
+    ssize_t count = 0;
+    while ((count = recv(this->Descriptor, buffer, sizeof(buffer),
+                         MSG_DONTWAIT)) > 0) {
+      this->Answer.append(buffer, static_cast<std::size_t>(count));
+    }
+  }
+
+  /** Whether the last chunk of the answer has been read. */
+  bool IsWhole() const
+  {
+    std::string const last = "\r\n0\r\n\r\n";
+    return this->Answer.size() > last.size() &&
+           this->Answer.compare(this->Answer.size() - last.size(),
+                                std::string::npos, last) == 0;
+  }
+
   /** Whether the host has reset the connection. */
   bool IsReset() const
   {
@@ -67,6 +88,7 @@
 
 private:
   int Descriptor;
+  std::string Answer;
 };
 
 /** Callers that read what they asked for, and ask again. */
@@ -164,7 +186,7 @@
       look = gsLoop::Now();
       return ended() >= SilentCallers;
     },
-    12);
+    30);
   EXPECT_TRUE(allEnded) << ended() << " ended";
   EXPECT_TRUE(system.RunUntil([&] { return readers.IsDone(); }, 5));
   gsJson memory = system.Memory("host0");
@@ -194,3 +216,39 @@
                   [](auto const& caller) { return caller->IsReset(); });
   EXPECT_EQ(static_cast<std::size_t>(reset), SilentCallers);
 }
+
+// Guards against answers that are lost at a planned stop since their callers
+// pause, although there is memory for them: review/2.
+TEST(SlowReaders, CallersThatPauseDuringAPlannedStopGetTheirAnswers)
+{
+  constexpr std::size_t callers = 8;
+  gsRoutedPlan plan;
+  plan.Hosts = 2;
+  plan.Runners = 2;
+  plan.Events = 50;
+  plan.GapMs = 2;
+  plan.PadBytes = 4 << 10;
+  plan.DirectRunners = true;
+  plan.Memory = { { "mode", "on" }, { "total_mb", 260 } };
+  gsRoutedSystem system(plan);
+  std::vector<std::unique_ptr<SilentCaller>> pausing;
+  for (std::size_t i = 0; i < callers; ++i) {
+    pausing.push_back(std::make_unique<SilentCaller>(system.AddressOf("host0"),
+                                                     "p" + std::to_string(i)));
+  }
+  ASSERT_TRUE(
+    system.RunUntil([&] { return system.AllRuns().size() >= callers; }, 5));
+  system.RunFor(0.5);
+  system.Signal("host0", SIGTERM);
+  system.RunFor(4);
+  auto isWhole = [](auto const& caller) { return caller->IsWhole(); };
+  EXPECT_TRUE(system.RunUntil(
+    [&] {
+      for (auto const& caller : pausing) {
+        caller->Read();
+      }
+      return std::all_of(pausing.begin(), pausing.end(), isWhole);
+    },
+    3))
+    << std::count_if(pausing.begin(), pausing.end(), isWhole) << " are whole";
+}
