--- a/Tests/Route/gsTestMemoryGuard.cxx
+++ b/Tests/Route/gsTestMemoryGuard.cxx
@@ -229,8 +229,10 @@
         to->Write(gsWholeAnswer(request, std::string(200 * KiB, 'a')));
       }
     });
+  constexpr std::size_t count = 8;
   std::vector<std::unique_ptr<RawCaller>> callers;
-  for (int i = 0; i < 8; ++i) {
+  callers.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
     callers.push_back(this->Call(i % 2 == 0 ? "stream" : "plain"));
   }
   this->Bench.RunFor(4 * gsToSeconds(Stalled));
