Tests: A short idle timeout where callers do not read

SlowReaders.TwoThousand... waited for the idle timeout of 15 s and 2 of margin, 3 s before its callers' deadline of 20. A host that stands still for 0.8 s under load begins the idle times anew, and the deadlines would have come first. The configuration of that test has an idle timeout of 8 s.

--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -424,11 +424,13 @@
                  RouteJson("stream", "streaming", 2),
                  RouteJson("resume", "streaming", 2) };
   routes.insert(routes.end(), furtherRoutes.begin(), furtherRoutes.end());
-  gsJson value{ { "version", ++this->ConfigVersion },
-                { "routes", routes },
-                { "services", { { { "name", "model" } } } },
-                { "tenants",
-                  { { { "name", "club" }, { "api_keys", keys } } } } };
+  gsJson value{
+    { "version", ++this->ConfigVersion },
+    { "routes", routes },
+    { "services", { { { "name", "model" } } } },
+    { "limits", { { "idle_timeout_ms", this->Plan.IdleTimeoutMs } } },
+    { "tenants", { { { "name", "club" }, { "api_keys", keys } } } }
+  };
   this->ConfigureStatus = this->Fetch(
     "POST", "http://" + this->Processes.At("store").Address + "/put",
     { { "table", "op" }, { "key", "config" }, { "value", value } });
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -43,6 +43,7 @@
    * of one link to each runner. */
   bool LinkPerHost = false;
   gsJson Memory = gsJson::object(); ///< Settings section of all hosts.
+  int IdleTimeoutMs = 15000;        ///< Limit of the configuration.
   /** Callers send on kept connections, until the process is gone. */
   bool KeepConnections = false;
   /** Daemon that hosts start with; empty for the one of this build. */
--- a/Tests/Soak/gsTestSlowReaders.cxx
+++ b/Tests/Soak/gsTestSlowReaders.cxx
@@ -154,6 +154,7 @@
   plan.GapMs = 50;
   plan.PadBytes = 4 << 10;
   plan.Slots = 4000;
+  plan.IdleTimeoutMs = 8000;
   plan.DirectRunners = true;
   plan.Memory = { { "mode", "on" }, { "total_mb", 120 } };
   gsRoutedSystem system(plan);
