Placement: Tells the parts of a cost, and the load by urgency

Where urgent requests wait although upstreams serve less urgent ones, one sum in the log of a choice does not tell why it was made. A choice now logs the parts of its cost and of the next lowest one, what comes before the request at the upstream by urgency, and the predicted time to the first event, which attempts log beside the measured one; a metric has both by class.

Hosts report the load of an upstream by urgency where the order of requests may matter: one of theirs waits there, or half of the slots are in use. The form is recorded in LoadExchange.LoadByUrgencyIsEncodedAsRecorded; the reports of an earlier release count as of unknown urgency. No decision uses it yet.

--- a/Source/Coord/gsLoadExchange.cxx
+++ b/Source/Coord/gsLoadExchange.cxx
@@ -31,6 +31,16 @@
   }
 }
 
+/** The first entry whose priority is not below the given one. */
+gsUrgencyLoads::iterator FindPriority(gsUrgencyLoads& loads,
+                                      std::uint32_t priority)
+{
+  return std::lower_bound(loads.begin(), loads.end(), priority,
+                          [](gsUrgencyLoad const& load, std::uint32_t value) {
+                            return load.Priority < value;
+                          });
+}
+
 /** Adds a part to a sum. Of arrangements and speeds, the newest is kept; of
  * event intervals, the shortest. \param elapsed Time since the part was
  * received; zero for the own part. */
@@ -50,6 +60,9 @@
     gsServiceDemand& total = sum.Services[service];
     total.LongTokens += demand.LongTokens;
     total.TightTokens += demand.TightTokens;
+    for (auto const& [priority, open] : demand.OpenAttempts) {
+      total.OpenAttempts[priority] += open;
+    }
     for (auto const& [priority, kind] : demand.Kinds) {
       total.Kinds[priority].EngineMillis += kind.EngineMillis;
       total.Kinds[priority].WaitingMillis += kind.WaitingMillis;
@@ -63,6 +76,9 @@
     total.Running += load.Running;
     total.PendingPromptTokens += load.PendingPromptTokens;
     total.MemoryTokens += load.MemoryTokens;
+    for (gsUrgencyLoad const& urgency : load.ByUrgency) {
+      gsAddUrgencyLoad(total.ByUrgency, urgency);
+    }
     AddSpeed(total, load, elapsedMillis);
     bool shorter =
       load.MinEventIntervalMicros != 0 &&
@@ -224,6 +240,35 @@
 
 } // namespace
 
+void gsAddUrgencyLoad(gsUrgencyLoads& sum, gsUrgencyLoad const& part)
+{
+  auto entry = FindPriority(sum, part.Priority);
+  if (entry == sum.end() || entry->Priority != part.Priority) {
+    sum.insert(entry, part);
+    return;
+  }
+  entry->OpenAttempts += part.OpenAttempts;
+  entry->Waiting += part.Waiting;
+  entry->PendingPromptTokens += part.PendingPromptTokens;
+  entry->MemoryTokens += part.MemoryTokens;
+}
+
+void gsSubtractUrgencyLoad(gsUrgencyLoads& sum, gsUrgencyLoad const& part)
+{
+  auto entry = FindPriority(sum, part.Priority);
+  if (entry == sum.end() || entry->Priority != part.Priority) {
+    return;
+  }
+  entry->OpenAttempts -= std::min(entry->OpenAttempts, part.OpenAttempts);
+  entry->Waiting -= std::min(entry->Waiting, part.Waiting);
+  entry->PendingPromptTokens -=
+    std::min(entry->PendingPromptTokens, part.PendingPromptTokens);
+  entry->MemoryTokens -= std::min(entry->MemoryTokens, part.MemoryTokens);
+  if (entry->OpenAttempts == 0) {
+    sum.erase(entry);
+  }
+}
+
 void gsKeepLargest(gsOrganisationDemandMap& organisations)
 {
   if (organisations.size() <= gsMaxReportedOrganisations) {
--- a/Source/Coord/gsLoadExchange.h
+++ b/Source/Coord/gsLoadExchange.h
@@ -26,6 +26,37 @@
 
 #include "gsTypes.h"
 
+/**
+ * The part of the open work at one upstream that belongs to the requests of
+ * one priority. Upstreams admit waiting requests by urgency, so the wait of a
+ * request depends on how much of the work is as urgent or more urgent.
+ */
+struct gsUrgencyLoad
+{
+  std::uint32_t Priority = 0;     ///< Of the route; 0 is the most urgent.
+  std::uint32_t OpenAttempts = 0; ///< Attempts, including those queued.
+  std::uint32_t Waiting = 0; ///< Those of them without a first output token.
+  std::uint32_t PendingPromptTokens = 0; ///< Prompts of Waiting.
+  std::uint32_t MemoryTokens = 0;        ///< Prompts and answers combined.
+
+  friend bool operator==(gsUrgencyLoad const& a, gsUrgencyLoad const& b)
+  {
+    return a.Priority == b.Priority && a.OpenAttempts == b.OpenAttempts &&
+           a.Waiting == b.Waiting &&
+           a.PendingPromptTokens == b.PendingPromptTokens &&
+           a.MemoryTokens == b.MemoryTokens;
+  }
+};
+
+/** Load by priority, ascending; priorities without load are omitted. */
+using gsUrgencyLoads = std::vector<gsUrgencyLoad>;
+
+/** Adds the load of one priority to a sum. */
+void gsAddUrgencyLoad(gsUrgencyLoads& sum, gsUrgencyLoad const& part);
+
+/** Subtracts the load of one priority from a sum that contains it. */
+void gsSubtractUrgencyLoad(gsUrgencyLoads& sum, gsUrgencyLoad const& part);
+
 /** Open work at one upstream. */
 struct gsUpstreamLoad
 {
@@ -48,6 +79,9 @@
   std::uint32_t SpeedSampleNanos = 0;
   std::uint32_t SpeedSampleKind = 0;
   std::uint32_t SpeedSampleAgeMillis = 0;
+  /** Parts of the load by priority. What is not contained, such as the load
+   * of hosts with an earlier release, is of unknown urgency. */
+  gsUrgencyLoads ByUrgency = {};
 
   friend bool operator==(gsUpstreamLoad const& a, gsUpstreamLoad const& b)
   {
@@ -55,7 +89,7 @@
            a.PendingPromptTokens == b.PendingPromptTokens &&
            a.MemoryTokens == b.MemoryTokens &&
            a.MinEventIntervalMicros == b.MinEventIntervalMicros &&
-           a.SpeedPermille == b.SpeedPermille;
+           a.SpeedPermille == b.SpeedPermille && a.ByUrgency == b.ByUrgency;
   }
 };
 
@@ -86,6 +120,9 @@
 /** Removes all but the gsMaxReportedOrganisations largest ones. */
 void gsKeepLargest(gsOrganisationDemandMap& organisations);
 
+/** Open attempts at the upstreams of a service, by priority of the route. */
+using gsOpenAttemptsMap = std::map<std::uint32_t, std::uint32_t>;
+
 /** Recent demand for a service, in tokens. */
 struct gsServiceDemand
 {
@@ -93,6 +130,8 @@
    * engine. */
   std::uint32_t LongTokens = 0;
   std::uint32_t TightTokens = 0; ///< Demand of all other requests.
+  /** Open attempts at all upstreams by priority. */
+  gsOpenAttemptsMap OpenAttempts = {};
   /** For admission; empty unless it is active. */
   gsKindDemandMap Kinds = {};
   gsOrganisationDemandMap Organisations = {};
@@ -100,7 +139,8 @@
   friend bool operator==(gsServiceDemand const& a, gsServiceDemand const& b)
   {
     return a.LongTokens == b.LongTokens && a.TightTokens == b.TightTokens &&
-           a.Kinds == b.Kinds && a.Organisations == b.Organisations;
+           a.OpenAttempts == b.OpenAttempts && a.Kinds == b.Kinds &&
+           a.Organisations == b.Organisations;
   }
 };
 
--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -47,6 +47,13 @@
 
 namespace {
 
+/** The load of one attempt as a part of its upstream's load. */
+gsUrgencyLoad UrgencyLoadOf(gsAttemptLoad const& load)
+{
+  return { load.Priority, 1, load.IsWaiting ? 1U : 0U,
+           load.PendingPromptTokens, load.MemoryTokens };
+}
+
 gsRingEntry RingEntryOf(gsFleet const& fleet, std::size_t index)
 {
   return { gsRingPosition(fleet.Rows[index].Listed.Id),
@@ -328,7 +335,7 @@
                               gsTime now)
 {
   gsOutstandingLoad work = gsOwnLoad(row, now);
-  if (now - row.OthersReportedAt <= fleet.Settings.OthersLoadLifetime) {
+  if (gsIsOthersLoadValid(fleet, row, now)) {
     work.OpenAttempts += row.OthersLoad.OpenAttempts;
     work.PendingPromptTokens += row.OthersLoad.PendingPromptTokens;
     work.MemoryTokens += row.OthersLoad.MemoryTokens;
@@ -336,6 +343,43 @@
   return work;
 }
 
+bool gsIsOthersLoadValid(gsFleet const& fleet, gsFleetRow const& row,
+                         gsTime now)
+{
+  return now - row.OthersReportedAt <= fleet.Settings.OthersLoadLifetime;
+}
+
+void gsAddAttempt(gsFleet& fleet, gsFleetRow& row, gsAttemptLoad const& load)
+{
+  row.OwnLoad.OpenAttempts += 1;
+  row.OwnLoad.PendingPromptTokens += load.PendingPromptTokens;
+  row.OwnLoad.MemoryTokens += load.MemoryTokens;
+  gsAddUrgencyLoad(row.OwnByUrgency, UrgencyLoadOf(load));
+  gsMarkReportable(fleet, row);
+}
+
+void gsRecordFirstToken(gsFleetRow& row, gsAttemptLoad& load)
+{
+  if (!std::exchange(load.IsWaiting, false)) {
+    return;
+  }
+  gsUrgencyLoad processed{ load.Priority, 0, 1, load.PendingPromptTokens, 0 };
+  gsSubtractUrgencyLoad(row.OwnByUrgency, processed);
+  row.OwnLoad.PendingPromptTokens -= std::min<std::uint64_t>(
+    row.OwnLoad.PendingPromptTokens, processed.PendingPromptTokens);
+  load.PendingPromptTokens = 0;
+}
+
+void gsRemoveAttempt(gsFleetRow& row, gsAttemptLoad const& load)
+{
+  row.OwnLoad.OpenAttempts -= std::min(row.OwnLoad.OpenAttempts, 1U);
+  row.OwnLoad.PendingPromptTokens -= std::min<std::uint64_t>(
+    row.OwnLoad.PendingPromptTokens, load.PendingPromptTokens);
+  row.OwnLoad.MemoryTokens -=
+    std::min<std::uint64_t>(row.OwnLoad.MemoryTokens, load.MemoryTokens);
+  gsSubtractUrgencyLoad(row.OwnByUrgency, UrgencyLoadOf(load));
+}
+
 double gsEventIntervalMillis(gsFleetRow const& row)
 {
   if (row.EventIntervalMillis <= 0 || row.OthersEventIntervalMillis <= 0) {
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -86,6 +86,15 @@
   std::uint64_t MemoryTokens = 0; ///< Prompts and answers combined.
 };
 
+/** Load of one attempt at its upstream. */
+struct gsAttemptLoad
+{
+  std::uint32_t Priority = 0;            ///< Of the route.
+  std::uint32_t PendingPromptTokens = 0; ///< Zero from the first token on.
+  std::uint32_t MemoryTokens = 0;        ///< Until the attempt ends.
+  bool IsWaiting = true;                 ///< Without a first token.
+};
+
 /** Recent demand for a service, as exponentially decaying sums. */
 struct gsDemand
 {
@@ -105,6 +114,8 @@
   double LongHoldMillis = 0;
   double TightHoldMillis = 0;
   gsTime FirstRequestAt{}; ///< First request of any host; zero before.
+  /** Open attempts of all hosts at all upstreams, by priority of the route. */
+  gsOpenAttemptsMap OpenAttempts;
   /** Subjects of this host's requests, with the time of the last one. Used and
    * bounded only if decisions use engine speeds. */
   std::unordered_map<std::uint64_t, gsTime> Subjects;
@@ -136,8 +147,10 @@
   std::optional<gsFleetGroup> PreviousGroup;
   gsOutstandingLoad OwnLoad; ///< Attempts of this host; exact.
   gsOutstandingLoad
-    OthersLoad;              ///< Sum of the last reports of all other hosts.
-  gsTime OthersReportedAt{}; ///< Time of the oldest report in OthersLoad.
+    OthersLoad;                ///< Sum of the last reports of all other hosts.
+  gsUrgencyLoads OwnByUrgency; ///< Parts of OwnLoad.
+  gsUrgencyLoads OthersByUrgency; ///< Known parts of OthersLoad.
+  gsTime OthersReportedAt{};      ///< Time of the oldest report in OthersLoad.
   /** Backoff after connection failures: no requests are sent until then. */
   gsTime AvoidUntil{};
   std::uint32_t ConsecutiveConnectFailures =
@@ -416,6 +429,19 @@
 gsOutstandingLoad gsTotalLoad(gsFleet const& fleet, gsFleetRow const& row,
                               gsTime now);
 
+/** Adds an attempt of this host to the load of its upstream. */
+void gsAddAttempt(gsFleet& fleet, gsFleetRow& row, gsAttemptLoad const& load);
+
+/** Updates the load when the first token of an attempt has come. */
+void gsRecordFirstToken(gsFleetRow& row, gsAttemptLoad& load);
+
+/** Removes an attempt that has ended from the load of its upstream. */
+void gsRemoveAttempt(gsFleetRow& row, gsAttemptLoad const& load);
+
+/** Whether the reports in the row's OthersLoad have not expired. */
+bool gsIsOthersLoadValid(gsFleet const& fleet, gsFleetRow const& row,
+                         gsTime now);
+
 /** Records that an upstream has processed, and may have cached, the parts of
  * a prompt. */
 void gsRecordCachedParts(gsFleet const& fleet, gsFleetRow& row,
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -165,6 +165,16 @@
   }
 }
 
+/** Keeps the upstream with the lowest cost of those that are not chosen. */
+void RecordRunnerUp(gsPlacement& best, gsEvaluatedUpstream const& other)
+{
+  bool isNext = best.RunnerUp.Row == nullptr ||
+                gsTotalOf(other.Cost) < gsTotalOf(best.RunnerUp.Cost);
+  if (isNext) {
+    best.RunnerUp = other;
+  }
+}
+
 /** Evaluates the given rows. Updates the best upstream by those that may be
  * sent the request, and the cause by the others. */
 void Evaluate(Search& search, std::vector<std::size_t> const& rows)
@@ -190,17 +200,23 @@
       search.IsBySubject
         ? gsSubjectTokensToRead(search.Fleet, row, search.Request, search.Now)
         : gsTokensToRead(search.Fleet, row, search.Request, search.Now);
-    double cost = TotalCost(search.Fleet, row, search.Request, search.Context,
-                            toRead, search.Now) +
-                  CrowdedCost(search, row) + tieBreak(search.Random);
+    gsCostParts parts = CostOf(search.Fleet, row, search.Request,
+                               search.Context, toRead, search.Now);
+    parts.Random = CrowdedCost(search, row) + tieBreak(search.Random);
+    double cost = gsTotalOf(parts);
     if (!HasToken(search.Fleet, row, search.Now)) {
       RecordRateLimited(search, row, cost);
       continue;
     }
     ++best.CandidateCount;
-    if (best.Row != nullptr && cost >= best.Cost) {
+    bool isBest = best.Row == nullptr || cost < best.Cost;
+    if (!isBest) {
+      RecordRunnerUp(best, { &row, parts, 0 });
       continue;
     }
+    if (best.Row != nullptr) {
+      RecordRunnerUp(best, best.Chosen);
+    }
     bool cached = toRead < search.Request.PromptTokens;
     bool preferred = &row == search.Context.Home;
     best.Row = &row;
@@ -214,6 +230,7 @@
       ExpectedTokensToRead(search.Fleet, row, search.Request, search.Context,
                            toRead, search.Now),
       search.Now);
+    best.Chosen = { &row, parts, search.TargetShare };
   }
 }
 
@@ -444,6 +461,13 @@
   return moreUrgentKinds == 0 ? 0 : slots + slots / moreUrgentKinds;
 }
 
+double gsTotalOf(gsCostParts const& parts)
+{
+  return parts.Wait + parts.Running + parts.Queued + parts.Hall +
+         parts.Failures + parts.Reread + parts.Memory + parts.TargetMiss +
+         parts.Spread + parts.OtherGroup + parts.Random;
+}
+
 char const* gsPlacementCauseName(gsPlacementCause cause)
 {
   switch (cause) {
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -127,6 +127,34 @@
   double RowShare = 0;
 };
 
+/** The cost of an upstream for a request by its causes, in tokens. */
+struct gsCostParts
+{
+  double Wait = 0;       ///< Prompt tokens to be processed before its first.
+  double Running = 0;    ///< Open requests.
+  double Queued = 0;     ///< Open requests above the slots.
+  double Hall = 0;       ///< The upstream is in another hall.
+  double Failures = 0;   ///< Failures above the mean.
+  double Reread = 0;     ///< Shared parts that are read again.
+  double Memory = 0;     ///< Memory that would be exhausted.
+  double TargetMiss = 0; ///< The first event would miss the target.
+  double Spread = 0;     ///< By the order of upstreams for the subject.
+  double OtherGroup = 0; ///< The engine belongs to the other group.
+  double Random = 0;     ///< Draws that keep hosts from choosing alike.
+};
+
+double gsTotalOf(gsCostParts const& parts);
+
+/** An upstream that was evaluated, with its cost. */
+struct gsEvaluatedUpstream
+{
+  gsFleetRow const* Row = nullptr;
+  gsCostParts Cost;
+  /** Predicted time to the first event as a share of the target; zero if it
+   * cannot be predicted. */
+  double TargetShare = 0;
+};
+
 /** The result of the choice. */
 struct gsPlacement
 {
@@ -138,7 +166,9 @@
   /** Prompt tokens that the upstream has neither cached nor can obtain by a
    * transfer. */
   std::uint32_t TokensToRead = 0;
-  double Cost = 0; ///< Of Row, in tokens.
+  double Cost = 0;              ///< Of Row, in tokens.
+  gsEvaluatedUpstream Chosen;   ///< Row, as it was evaluated.
+  gsEvaluatedUpstream RunnerUp; ///< The one with the next lowest cost.
   /** Number of evaluated upstreams that could have been chosen. */
   std::uint32_t CandidateCount = 0;
   /** Time until the first of the evaluated upstreams accepts work again; valid
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -55,29 +55,29 @@
          settings.LateWaitWeight * (tokens - inTarget);
 }
 
-/** Cost of an upstream for this request in tokens, by its load, hall and
+/** Sets the cost of an upstream for this request by its load, hall and
  * failures. */
-double BaseCost(gsFleet const& fleet, gsFleetRow const& row,
-                gsPlacementRequest const& request, std::uint32_t toRead,
-                double meanFailureShare, gsTime now)
+void SetBaseCost(gsCostParts& cost, gsFleet const& fleet,
+                 gsFleetRow const& row, gsPlacementRequest const& request,
+                 std::uint32_t toRead, double meanFailureShare, gsTime now)
 {
   gsFleetSettings const& settings = fleet.Settings;
   gsOutstandingLoad work = gsTotalLoad(fleet, row, now);
   double speed = gsEngineSpeedOf(fleet, row);
-  double cost = WaitCost(
+  cost.Wait = WaitCost(
     settings, (static_cast<double>(work.PendingPromptTokens) + toRead) / speed,
     request.TargetTokens);
-  cost += settings.RunningCost * work.OpenAttempts / speed;
+  cost.Running = settings.RunningCost * work.OpenAttempts / speed;
   if (work.OpenAttempts >= row.Listed.Slots) {
-    cost += settings.QueuedCost *
-            (1.0 + work.OpenAttempts - row.Listed.Slots) / speed;
+    cost.Queued = settings.QueuedCost *
+                  (1.0 + work.OpenAttempts - row.Listed.Slots) / speed;
   }
   if (row.Listed.Hall != settings.Hall) {
-    cost += settings.OtherHallCost;
+    cost.Hall = settings.OtherHallCost;
   }
   double excess =
     gsFailureRate(row, now) - meanFailureShare - FailureTolerance;
-  return cost + settings.FailureCost * std::max(0.0, excess);
+  cost.Failures = settings.FailureCost * std::max(0.0, excess);
 }
 
 /** Whether this host has fewer open attempts at the upstream than allowed. */
@@ -539,25 +539,27 @@
   context.Home = FindHome(fleet, candidates.HomeRows, request, context, now);
 }
 
-double TotalCost(gsFleet const& fleet, gsFleetRow const& row,
-                 gsPlacementRequest const& request,
-                 PlacementContext const& context, std::uint32_t toRead,
-                 gsTime now)
+gsCostParts CostOf(gsFleet const& fleet, gsFleetRow const& row,
+                   gsPlacementRequest const& request,
+                   PlacementContext const& context, std::uint32_t toRead,
+                   gsTime now)
 {
   std::uint32_t expected =
     ExpectedTokensToRead(fleet, row, request, context, toRead, now);
-  double cost =
-    BaseCost(fleet, row, request, expected, context.MeanFailureShare, now);
-  cost += RereadCost(fleet, row, request, context, toRead, now);
-  cost += MemoryCost(fleet, row, request, now);
-  cost += MissCost(fleet, row, request, context, expected, now);
+  gsCostParts cost;
+  SetBaseCost(cost, fleet, row, request, expected, context.MeanFailureShare,
+              now);
+  cost.Reread = RereadCost(fleet, row, request, context, toRead, now);
+  cost.Memory = MemoryCost(fleet, row, request, now);
+  cost.TargetMiss = MissCost(fleet, row, request, context, expected, now);
   // All engines soon have cached the parts that all subjects share, so only an
   // engine that has cached all shared parts holds the subject.
   bool holdsSubject = toRead + gsSharedTokens(request) <= request.PromptTokens;
-  cost += SpreadCost(fleet, row, request, context, holdsSubject, now);
-  return IsInGroup(row, context)
-           ? cost
-           : cost + OtherGroupCost(fleet.Settings, context);
+  cost.Spread = SpreadCost(fleet, row, request, context, holdsSubject, now);
+  if (!IsInGroup(row, context)) {
+    cost.OtherGroup = OtherGroupCost(fleet.Settings, context);
+  }
+  return cost;
 }
 
 } // namespace gsPlacementDetail
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -146,12 +146,12 @@
                            PlacementContext const& context,
                            std::uint32_t toRead, gsTime now);
 
-/** Cost of sending the request to the upstream, in tokens, including the cost
- * to other requests. */
-double TotalCost(gsFleet const& fleet, gsFleetRow const& row,
-                 gsPlacementRequest const& request,
-                 PlacementContext const& context, std::uint32_t toRead,
-                 gsTime now);
+/** Cost of sending the request to the upstream, including the cost to other
+ * requests. */
+gsCostParts CostOf(gsFleet const& fleet, gsFleetRow const& row,
+                   gsPlacementRequest const& request,
+                   PlacementContext const& context, std::uint32_t toRead,
+                   gsTime now);
 
 /** Finds the engine from which the chosen one can obtain the shared parts of
  * the prompt; null if there is none or the chosen one has them. */
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -96,6 +96,20 @@
   return isLowest ? RoundIntervalMicros(millis) : 0;
 }
 
+/**
+ * Whether the wait of a request at an upstream may depend on the order in
+ * which it admits requests: one of this host waits there, or half of its slots
+ * are in use. The load is reported by urgency only then.
+ */
+bool IsOrderRelevant(gsFleet const& fleet, gsFleetRow const& row, gsTime now)
+{
+  bool isAnyWaiting =
+    std::any_of(row.OwnByUrgency.begin(), row.OwnByUrgency.end(),
+                [](gsUrgencyLoad const& load) { return load.Waiting > 0; });
+  return isAnyWaiting ||
+         2 * gsTotalLoad(fleet, row, now).OpenAttempts >= row.Listed.Slots;
+}
+
 /** Logs a change of the speed in use with the measurements behind it. */
 void LogSpeed(gsFleet const& fleet, gsFleetRow const& row,
               gsSpeedChange const& change, gsTime now)
@@ -145,7 +159,11 @@
 gsSystemLoad gsLoadSharing::OwnLoad(gsTime now)
 {
   gsSystemLoad own;
-  gsForEachReportable(this->Fleet, now, [&own, now](gsFleetRow const& row) {
+  gsForEachReportable(this->Fleet, now, [&](gsFleetRow const& row) {
+    for (gsUrgencyLoad const& urgency : row.OwnByUrgency) {
+      own.Services[NameHash(row.Listed.Service)]
+        .OpenAttempts[urgency.Priority] += urgency.OpenAttempts;
+    }
     std::uint32_t intervalMicros = IntervalToReport(row);
     gsOutstandingLoad work = gsOwnLoad(row, now);
     std::uint32_t speedPermille = RoundPermille(gsSpeedToReport(row, now));
@@ -156,6 +174,9 @@
       load = { work.OpenAttempts,
                static_cast<std::uint32_t>(work.PendingPromptTokens),
                static_cast<std::uint32_t>(work.MemoryTokens), intervalMicros };
+      if (IsOrderRelevant(this->Fleet, row, now)) {
+        load.ByUrgency = row.OwnByUrgency;
+      }
       load.SpeedPermille = speedPermille;
       load.SpeedAgeMillis =
         speedPermille > 0 ? ToMillis(now - row.Speed.OwnAt) : 0;
@@ -167,8 +188,9 @@
     }
   });
   for (auto const& [service, demand] : this->Fleet.Demand) {
-    own.Services[NameHash(service)] = { RoundTokens(demand.LongTokens),
-                                        RoundTokens(demand.TightTokens) };
+    gsServiceDemand& entry = own.Services[NameHash(service)];
+    entry.LongTokens = RoundTokens(demand.LongTokens);
+    entry.TightTokens = RoundTokens(demand.TightTokens);
   }
   for (auto& [service, overload] : this->Fleet.Overload) {
     gsReportDemand(overload, own.Services[NameHash(service)], now);
@@ -288,6 +310,7 @@
     auto row = this->Fleet.ByHash.find(hash);
     if (row != this->Fleet.ByHash.end() && others.count(hash) == 0) {
       this->Fleet.Rows[row->second].OthersLoad = {};
+      this->Fleet.Rows[row->second].OthersByUrgency.clear();
       this->Fleet.Rows[row->second].OthersEventIntervalMillis = 0;
     }
   }
@@ -300,6 +323,7 @@
     gsFleetRow& row = this->Fleet.Rows[found->second];
     row.OthersLoad = { load.Running, load.PendingPromptTokens,
                        load.MemoryTokens };
+    row.OthersByUrgency = load.ByUrgency;
     row.OthersReportedAt = reportedAt;
     row.OthersEventIntervalMillis =
       load.MinEventIntervalMicros / MicrosPerMilli;
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -52,6 +52,9 @@
       "Whole answers whose first token and token gap were in target." },
     { "gradescale_first_token_seconds", gsMetricKind::Summary,
       "Time from a request's arrival to its first token." },
+    { "gradescale_predicted_first_token_seconds", gsMetricKind::Summary,
+      "Predicted time from the choice of an upstream to the first token, of "
+      "requests that got it; routed mode." },
     { "gradescale_answer_seconds", gsMetricKind::Summary,
       "Time from a request's arrival to its whole answer; routed mode." },
     { "gradescale_overload_pressure", gsMetricKind::Gauge,
--- a/Source/Daemon/gsPlacementAsk.cxx
+++ b/Source/Daemon/gsPlacementAsk.cxx
@@ -2,11 +2,14 @@
 #include "gsPlacementAsk.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 
 #include "gsArrangement.h"
 #include "gsEngineSpeed.h"
 #include "gsLog.h"
 #include "gsLoop.h"
+#include "gsWorkAhead.h"
 
 namespace {
 
@@ -90,8 +93,53 @@
   }
 }
 
+/** Formats the parts of a cost that are not zero, as name:tokens joined by
+ * commas. */
+std::string FormatCost(gsCostParts const& cost)
+{
+  std::pair<char const*, double> const parts[] = {
+    { "wait", cost.Wait },         { "running", cost.Running },
+    { "queued", cost.Queued },     { "hall", cost.Hall },
+    { "failures", cost.Failures }, { "reread", cost.Reread },
+    { "memory", cost.Memory },     { "miss", cost.TargetMiss },
+    { "spread", cost.Spread },     { "group", cost.OtherGroup },
+    { "random", cost.Random },
+  };
+  std::string text;
+  for (auto const& [name, tokens] : parts) {
+    auto rounded = static_cast<std::uint64_t>(std::max(0.0, tokens));
+    if (rounded > 0) {
+      text += text.empty() ? "" : ",";
+      text += name;
+      text += ":" + std::to_string(rounded);
+    }
+  }
+  return text;
+}
+
+/** Logs why the chosen upstream was preferred to the next one. */
+void LogCosts(gsLogLine& line, gsPlacement const& placement)
+{
+  line.With("cost", static_cast<std::uint64_t>(std::max(0.0, placement.Cost)))
+    .With("costs", FormatCost(placement.Chosen.Cost));
+  gsEvaluatedUpstream const& next = placement.RunnerUp;
+  if (next.Row != nullptr) {
+    line.With("next", next.Row->Listed.Id)
+      .With("next_running",
+            next.Row->OwnLoad.OpenAttempts + next.Row->OthersLoad.OpenAttempts)
+      .With("next_costs", FormatCost(next.Cost));
+  }
+}
+
 } // namespace
 
+gsTime gsPredictedFirstEvent(gsRoutedRequest const& request,
+                             gsPlacement const& placement)
+{
+  return gsFromSeconds(placement.Chosen.TargetShare *
+                       gsToSeconds(request.Route->LatencyTarget));
+}
+
 gsPlacementRequest gsMakePlacementRequest(gsFleet& fleet,
                                           gsRoutedRequest const& request,
                                           gsPlacementState const& state,
@@ -165,6 +213,12 @@
     .With("group", gsFleetGroupName(placement.Group))
     .With("rank", gsRankOf(fleet, row))
     .With("long_engines", gsLongEngineCount(fleet, request.Service))
-    .With("pace", static_cast<std::uint64_t>(gsEventIntervalMillis(row)))
-    .With("cost", static_cast<std::uint64_t>(std::max(0.0, placement.Cost)));
+    .With("pace", static_cast<std::uint64_t>(gsEventIntervalMillis(row)));
+  gsWorkAhead ahead = gsWorkAheadOf(fleet, row, ask.Priority, now);
+  line.With("ahead", static_cast<std::uint64_t>(ahead.Requests))
+    .With("ahead_tokens", static_cast<std::uint64_t>(ahead.PromptTokens));
+  if (placement.Chosen.TargetShare > 0) {
+    line.With("predicted_ms", gsPredictedFirstEvent(request, placement));
+  }
+  LogCosts(line, placement);
 }
--- a/Source/Daemon/gsPlacementAsk.h
+++ b/Source/Daemon/gsPlacementAsk.h
@@ -31,6 +31,11 @@
                                           gsPlacementState const& state,
                                           bool alsoTried, bool isFirst);
 
+/** Predicted time to the first event at the chosen upstream; zero if it cannot
+ * be predicted. */
+gsTime gsPredictedFirstEvent(gsRoutedRequest const& request,
+                             gsPlacement const& placement);
+
 /** Logs the choice of an upstream, or that there is none. */
 void gsLogPlacement(gsFleet const& fleet, gsRoutedRequest const& request,
                     gsPlacementRequest const& ask,
--- a/Source/Daemon/gsPrefixUse.cxx
+++ b/Source/Daemon/gsPrefixUse.cxx
@@ -36,8 +36,8 @@
             gsAttempt const& attempt, gsTime now)
 {
   return gsTotalLoad(fleet, row, now).OpenAttempts <= row.Listed.Slots &&
-         OtherPendingTokens(fleet, row, attempt.ReadTokens, now) <=
-           attempt.Prefix.SharedTokens / IdleDivisor;
+         OtherPendingTokens(fleet, row, attempt.Load.PendingPromptTokens,
+                            now) <= attempt.Prefix.SharedTokens / IdleDivisor;
 }
 
 /** Whether the time until the first event shows that the engine has processed
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -133,6 +133,7 @@
     .With("again", willRetry);
   if (attempt.FirstByteAt.count() != 0) {
     line.With("first_ms", attempt.FirstByteAt - attempt.SentAt)
+      .With("predicted_ms", attempt.PredictedFirstEvent)
       .With("longest_gap_ms", attempt.MaxEventInterval);
   }
   if (attempt.EventSplitter.BufferedBytes() > 0) {
@@ -906,6 +907,11 @@
     this->Metrics.Observe("gradescale_first_token_seconds",
                           gsLabels({ { "class", request->Route->Name } }),
                           firstEventTime, gsLoop::Now());
+    if (attempt.PredictedFirstEvent.count() > 0) {
+      this->Metrics.Observe("gradescale_predicted_first_token_seconds",
+                            gsLabels({ { "class", request->Route->Name } }),
+                            attempt.PredictedFirstEvent, gsLoop::Now());
+    }
   }
   exchange.Write(events);
   if (attempt.EventSplitter.LastId()) {
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -108,18 +108,12 @@
   /** Counts the incomplete event in EventSplitter; likewise. */
   std::shared_ptr<gsHeldBytes> HeldEvent;
   gsEventSplitter EventSplitter;
-  /**
-   * Prompt tokens charged to the upstream's row until the first byte of the
-   * answer.
-   */
-  std::uint32_t ReadTokens = 0;
-  /**
-   * Tokens of memory charged to the upstream's row until the end of the
-   * attempt.
-   */
-  std::uint32_t MemoryTokens = 0;
+  gsAttemptLoad Load; ///< Contained in the load of the upstream's row.
   /** Expected wait at the upstream when the attempt was started. */
   gsExpectedWait ExpectedWait;
+  /** Predicted time to the first event when the upstream was chosen; zero if
+   * it could not be predicted. */
+  gsTime PredictedFirstEvent{};
   gsPrefixUse Prefix; ///< What it shows about the engine's prefix cache.
   gsTime StartedAt{};
   gsTime SentAt{};
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -9,6 +9,7 @@
 #include "gsHttpStatus.h"
 #include "gsLog.h"
 #include "gsMemoryBudget.h"
+#include "gsPlacementAsk.h"
 
 namespace {
 
@@ -198,11 +199,12 @@
   attempt->Upstream = gsIncarnationOf(row.Listed);
   attempt->Address = row.Listed.Address;
   attempt->SoftwareVersion = row.Listed.SoftwareVersion;
-  attempt->ReadTokens = placement.TokensToRead;
-  attempt->MemoryTokens =
-    request->Caller.PromptTokens + request->Caller.MaxOutputTokens;
+  attempt->Load = { request->Route->Priority, placement.TokensToRead,
+                    request->Caller.PromptTokens +
+                      request->Caller.MaxOutputTokens };
   attempt->ExpectedWait =
     gsExpectedWaitAt(this->Fleet, row, placement.TokensToRead, now);
+  attempt->PredictedFirstEvent = gsPredictedFirstEvent(*request, placement);
   attempt->StartedAt = now;
   attempt->LastProgressAt = now;
   if (request->LastEventId) {
@@ -211,7 +213,6 @@
   attempt->Prompt =
     gsBeginPromptMeasurement(this->Fleet, row, placement.TokensToRead,
                              OwnTokensOf(request->Caller, placement), now);
-  row.OwnLoad.OpenAttempts += 1;
   row.ColdSentAt = now < row.ColdUntil ? now : row.ColdSentAt;
   attempt->IsResumption = gsBeginSlowStartAttempt(row.Announced, now);
   attempt->HasReservedToken =
@@ -220,10 +221,8 @@
     gsEnforcedFrom(this->Fleet.SlotLimits, placement.Row->Hash);
   attempt->HasReservedSlot =
     gsReserveToken(this->Fleet.SlotLimits, row.Hash, now);
-  gsMarkReportable(this->Fleet, row);
   gsBeginPrefixUse(this->Fleet, *request, *attempt, placement, now);
-  row.OwnLoad.PendingPromptTokens += attempt->ReadTokens;
-  row.OwnLoad.MemoryTokens += attempt->MemoryTokens;
+  gsAddAttempt(this->Fleet, row, attempt->Load);
   request->Attempt = attempt;
   attempt->CallId =
     this->Client.Start(this->MakeCall(request, attempt, placement));
@@ -749,12 +748,10 @@
                           now - attempt.SentAt, now);
     }
     gsRecordPromptTime(this->Fleet.EngineTimings[row->Listed.Service],
-                       attempt.ReadTokens, now - attempt.SentAt);
-    row->OwnLoad.PendingPromptTokens -= std::min<std::uint64_t>(
-      row->OwnLoad.PendingPromptTokens, attempt.ReadTokens);
+                       attempt.Load.PendingPromptTokens, now - attempt.SentAt);
+    gsRecordFirstToken(*row, attempt.Load);
     gsRecordCachedParts(this->Fleet, *row, request.Caller.PromptParts, now);
   }
-  attempt.ReadTokens = 0;
 }
 
 /** Subtracts the attempt's work from the counts in the upstream's row. */
@@ -771,11 +768,7 @@
   if (std::exchange(attempt.IsResumption, false)) {
     gsEndSlowStartAttempt(row->Announced, false, row->Listed.Slots);
   }
-  row->OwnLoad.OpenAttempts -= std::min(row->OwnLoad.OpenAttempts, 1U);
-  row->OwnLoad.PendingPromptTokens -= std::min<std::uint64_t>(
-    row->OwnLoad.PendingPromptTokens, attempt.ReadTokens);
-  row->OwnLoad.MemoryTokens -=
-    std::min<std::uint64_t>(row->OwnLoad.MemoryTokens, attempt.MemoryTokens);
+  gsRemoveAttempt(*row, attempt.Load);
 }
 
 /** Ends an attempt whose answer cannot be used and closes its connection. */
@@ -855,6 +848,7 @@
     .With("request", request.Caller.AttemptId)
     .With("upstream", attempt.Upstream.Id)
     .With("sent_ms", gsLoop::Now() - attempt.SentAt)
+    .With("predicted_ms", attempt.PredictedFirstEvent)
     .With("answered", attempt.Status != 0)
     .With("unread", this->Client.HasUnread(attempt.CallId));
 }
--- a/Source/Daemon/gsWireCodec.cxx
+++ b/Source/Daemon/gsWireCodec.cxx
@@ -166,20 +166,29 @@
   gsLoadReport report;
   report.Scope = static_cast<gsLoadScope>(wire.scope());
   for (gradescale::UpstreamLoad const& load : wire.loads()) {
-    report.Load.Upstreams[load.upstream()] = { load.running(),
-                                               load.read_tokens(),
-                                               load.memory_tokens(),
-                                               load.pace_us(),
-                                               load.speed_permille(),
-                                               load.speed_age_ms(),
-                                               load.speed_sample_ns(),
-                                               load.speed_sample_kind(),
-                                               load.speed_sample_age_ms() };
+    gsUpstreamLoad& entry = report.Load.Upstreams[load.upstream()];
+    entry = { load.running(),
+              load.read_tokens(),
+              load.memory_tokens(),
+              load.pace_us(),
+              load.speed_permille(),
+              load.speed_age_ms(),
+              load.speed_sample_ns(),
+              load.speed_sample_kind(),
+              load.speed_sample_age_ms() };
+    for (gradescale::UrgencyLoad const& part : load.by_urgency()) {
+      gsAddUrgencyLoad(entry.ByUrgency,
+                       { part.priority(), part.running(), part.waiting(),
+                         part.read_tokens(), part.memory_tokens() });
+    }
   }
   for (gradescale::ServiceDemand const& demand : wire.demands()) {
     gsServiceDemand& entry = report.Load.Services[demand.service()];
     entry.LongTokens = demand.long_tokens();
     entry.TightTokens = demand.tight_tokens();
+    for (gradescale::OpenAttempts const& open : demand.open_attempts()) {
+      entry.OpenAttempts[open.priority()] = open.running();
+    }
     for (gradescale::KindDemand const& kind : demand.kinds()) {
       entry.Kinds[kind.priority()] = { kind.engine_millis(),
                                        kind.waiting_millis() };
@@ -222,12 +231,25 @@
       entry->set_speed_sample_kind(load.SpeedSampleKind);
       entry->set_speed_sample_age_ms(load.SpeedSampleAgeMillis);
     }
+    for (gsUrgencyLoad const& urgency : load.ByUrgency) {
+      gradescale::UrgencyLoad* part = entry->add_by_urgency();
+      part->set_priority(urgency.Priority);
+      part->set_running(urgency.OpenAttempts);
+      part->set_waiting(urgency.Waiting);
+      part->set_read_tokens(urgency.PendingPromptTokens);
+      part->set_memory_tokens(urgency.MemoryTokens);
+    }
   }
   for (auto const& [service, demand] : report.Load.Services) {
     gradescale::ServiceDemand* entry = wire->add_demands();
     entry->set_service(service);
     entry->set_long_tokens(demand.LongTokens);
     entry->set_tight_tokens(demand.TightTokens);
+    for (auto const& [priority, running] : demand.OpenAttempts) {
+      gradescale::OpenAttempts* open = entry->add_open_attempts();
+      open->set_priority(priority);
+      open->set_running(running);
+    }
     for (auto const& [priority, demanded] : demand.Kinds) {
       gradescale::KindDemand* kind = entry->add_kinds();
       kind->set_priority(priority);
--- a/Tests/Unit/gsTestLoadExchange.cxx
+++ b/Tests/Unit/gsTestLoadExchange.cxx
@@ -414,3 +414,95 @@
   EXPECT_EQ(received.SpeedPermille, 0U);
   EXPECT_EQ(received.SpeedSampleNanos, 0U);
 }
+
+// Guards against load by urgency that is lost or counted twice on its way over
+// relays, which would change the order in which requests are expected to be
+// admitted.
+TEST(LoadExchange, LoadByUrgencyIsSummed)
+{
+  Network net = ThreeHalls(3);
+  for (auto& [host, exchange] : net.Hosts) {
+    net.Own[host].Upstreams[7] = { 5, 300, 900 };
+    net.Own[host].Upstreams[7].ByUrgency = { { 0, 1, 0, 0, 100 },
+                                             { 2, 3, 2, 200, 600 } };
+    net.Own[host].Services[5].OpenAttempts = { { 0, 2 }, { 2, 4 } };
+  }
+  gsTime now = gsSeconds(10);
+  for (int i = 0; i < 4; ++i) {
+    net.Tick(now += Period);
+  }
+  for (auto& [host, exchange] : net.Hosts) {
+    gsSystemLoad others = gsLoadOfOthers(exchange, now);
+    EXPECT_EQ(
+      others.Upstreams[7].ByUrgency,
+      (gsUrgencyLoads{ { 0, 8, 0, 0, 800 }, { 2, 24, 16, 1600, 4800 } }))
+      << host;
+    EXPECT_EQ(others.Services[5].OpenAttempts,
+              (gsOpenAttemptsMap{ { 0, 16 }, { 2, 32 } }))
+      << host;
+  }
+}
+
+namespace {
+
+/** Bytes of a report as text with two hexadecimal digits each. */
+std::string ToHex(gradescale::LoadReport const& wire)
+{
+  constexpr char digits[] = "0123456789abcdef";
+  std::string hex;
+  for (char byte : wire.SerializeAsString()) {
+    auto value = static_cast<unsigned char>(byte);
+    hex += digits[value / 16];
+    hex += digits[value % 16];
+  }
+  return hex;
+}
+
+gsLoadReport FromHex(std::string const& hex)
+{
+  std::string bytes;
+  for (std::size_t i = 0; i + 1 < hex.size(); i += 2) {
+    bytes += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+  }
+  gradescale::LoadReport wire;
+  EXPECT_TRUE(wire.ParseFromString(bytes));
+  return gsFromWire(wire);
+}
+
+gsLoadReport ReportByUrgency()
+{
+  gsLoadReport report;
+  report.Scope = gsLoadScope::Hall;
+  report.Load.Upstreams[7] = { 5, 300, 900, 8000 };
+  report.Load.Upstreams[7].ByUrgency = { { 0, 1, 0, 0, 100 },
+                                         { 2, 3, 2, 200, 600 } };
+  report.Load.Services[5].LongTokens = 5000;
+  report.Load.Services[5].OpenAttempts = { { 0, 2 }, { 2, 4 } };
+  report.Age = gsMilliseconds(1234);
+  return report;
+}
+
+} // namespace
+
+// Guards against a form of load by urgency that other releases do not read.
+TEST(LoadExchange, LoadByUrgencyIsEncodedAsRecorded)
+{
+  gradescale::LoadReport wire;
+  gsToWire(ReportByUrgency(), &wire);
+  EXPECT_EQ(ToHex(wire),
+            "080112240d07000000100518ac0220840728c03e5a04100128645a0c080210031"
+            "80220c80128d8041a120d050000001088273202100232040802100430d209");
+  EXPECT_TRUE(gsFromWire(wire).Load == ReportByUrgency().Load);
+}
+
+// A report of the release before that form, as it encoded it.
+TEST(LoadExchange, ReportWithoutUrgencyIsReadAsRecorded)
+{
+  gsLoadReport report = FromHex(
+    "080112100d07000000100518ac0220840728c03e1a080d0500000010882730d209");
+  gsLoadReport expected = ReportByUrgency();
+  expected.Load.Upstreams[7].ByUrgency.clear();
+  expected.Load.Services[5].OpenAttempts.clear();
+  EXPECT_TRUE(report.Load == expected.Load);
+  EXPECT_EQ(report.Age, expected.Age);
+}
