--- a/Tests/Unit/gsTestUrgency.cxx
+++ b/Tests/Unit/gsTestUrgency.cxx
@@ -8,6 +8,7 @@
 
 #include "gsArrangement.h"
 #include "gsFleetCases.h"
+#include "gsUrgencySimulation.h"
 #include "gsWorkAhead.h"
 
 using namespace gsFleetCases;
@@ -24,6 +25,8 @@
   gsAddUrgencyLoad(row.OthersByUrgency, load);
 }
 
+constexpr std::size_t Top = 0; ///< The most urgent kind.
+
 } // namespace
 
 TEST(Urgency, LoadOfAttemptsIsTrackedByPriority)
@@ -77,3 +80,99 @@
   EXPECT_EQ(ahead.PromptTokens, 60000);
   EXPECT_EQ(ahead.MemoryTokens, 90000);
 }
+
+// Guards against a request that queues behind more urgent ones, because an
+// engine full of less urgent ones looks worse.
+TEST(Urgency, MiddleKindAvoidsEngineFullOfMoreUrgentRequests)
+{
+  constexpr std::uint32_t slots = 64;
+  constexpr int engines = 9;
+  gsFleet fleet = MakeFleet(engines);
+  for (gsFleetRow& row : fleet.Rows) {
+    row.Listed.Slots = slots;
+    gsRecordSlotHold(fleet, row, gsSeconds(2));
+    AddOthers(row, { 2, 40, 25, 165000, 270000 });
+  }
+  gsFleetRow& full = fleet.Rows[4];
+  full.OthersLoad = {};
+  full.OthersByUrgency.clear();
+  AddOthers(full, { 0, 100, 36, 22000, 90000 });
+  constexpr std::uint64_t requests = 200;
+  std::uint64_t placedAtFull = 0;
+  for (std::uint64_t i = 0; i < requests; ++i) {
+    std::vector<gsPromptPart> parts{ { 1 + i % 20, 900 }, { 1000 + i, 900 } };
+    gsPlacementRequest ask;
+    ask.Service = "model";
+    ask.Group = gsFleetGroup::Tight;
+    ask.Parts = &parts;
+    ask.PromptTokens = 1800;
+    ask.AnswerTokens = 20;
+    ask.MillisPerToken = 0.015;
+    ask.TargetTokens = 400 / ask.MillisPerToken;
+    ask.Hosts = 8;
+    ask.Priority = 1;
+    ask.MoreUrgentKinds = 1;
+    gsRandom random(i);
+    gsPlacement placement = gsPlaceRequest(fleet, ask, Now, random);
+    placedAtFull += placement.Row == &full ? 1 : 0;
+  }
+  EXPECT_EQ(placedAtFull, 0U);
+}
+
+namespace {
+
+using gsUrgencySimulation::Outcome;
+using gsUrgencySimulation::Phase;
+
+/** Demand in which the least urgent kind comes first and is followed by the
+ * others, at a total share of the slots. */
+gsUrgencySimulation::Settings Pressed(double load)
+{
+  gsUrgencySimulation::Settings settings;
+  settings.Phases = { Phase{ 3, { 0.15, 0.05, 0.2 } },
+                      Phase{ 3, { 0.15, 0.05, load - 0.2 } },
+                      Phase{ 8, { 0.3 * load, 0.2 * load, 0.5 * load } } };
+  return settings;
+}
+
+constexpr std::uint64_t SeedCount = 100;
+constexpr double MaxStarvedShare = 1.0 / 12;
+
+} // namespace
+
+// Guards against urgent requests that get nothing while less urgent and larger
+// ones begin: with hosts that know the load of the others late, and engines
+// whose slots are held for seconds by the least urgent kind.
+TEST(Urgency, NoUrgentKindIsStarvedWhileLessUrgentRequestsBegin)
+{
+  for (double load : { 0.8, 1.2, 2.0 }) {
+    gsUrgencySimulation::Settings settings = Pressed(load);
+    for (std::uint64_t seed = 1; seed <= SeedCount; ++seed) {
+      Outcome outcome = gsUrgencySimulation::Run(settings, seed);
+      EXPECT_LE(gsUrgencySimulation::WorstStarvedShare(outcome),
+                MaxStarvedShare)
+        << "load " << load << " seed " << seed;
+    }
+  }
+}
+
+// Guards against overload that reaches the most urgent kind although less
+// urgent ones could give way.
+TEST(Urgency, MostUrgentKindIsServedUnderOverloadAsWithoutIt)
+{
+  constexpr std::size_t from = 6;
+  constexpr std::size_t to = 12;
+  constexpr double tolerance = 0.05;
+  auto meanServed = [](double load) {
+    gsUrgencySimulation::Settings settings = Pressed(load);
+    double sum = 0;
+    for (std::uint64_t seed = 1; seed <= SeedCount; ++seed) {
+      Outcome outcome = gsUrgencySimulation::Run(settings, seed);
+      sum += gsUrgencySimulation::ServedShare(outcome, Top, from, to);
+    }
+    return sum / SeedCount;
+  };
+  double served = meanServed(0.8);
+  EXPECT_GE(meanServed(1.2), served - tolerance);
+  EXPECT_GE(meanServed(2.0), served - tolerance);
+}
