Placement: Predicts waits by urgency

The predicted time to the first event added all pending prompts and all queued requests of an upstream, as if it were first in, first out, but upstreams admit by urgency: one full of less urgent work looked bad, one full of more urgent work looked good.

The prediction, the cost of a queue and the cost of memory now count what is as urgent or more urgent, the less urgent requests that run, and one prompt that may be in process. The wait for a slot rests on how long requests of each kind run, and grows by the share of the slots that more urgent requests hold, since those that arrive meanwhile go first. The cost of pending prompts stays as it was: prompts of less urgent requests still delay the events after the first.

--- a/Source/Core/gsArrangement.cxx
+++ b/Source/Core/gsArrangement.cxx
@@ -439,6 +439,14 @@
   hold += (hold == 0 ? 1 : HoldSmoothing) * (millis - hold);
 }
 
+void gsRecordRunTime(gsFleet& fleet, gsFleetRow const& row,
+                     std::uint32_t priority, gsTime runTime)
+{
+  double& run = fleet.Demand[row.Listed.Service].RunMillis[priority];
+  double millis = gsToSeconds(runTime) * 1e3;
+  run += (run == 0 ? 1 : HoldSmoothing) * (millis - run);
+}
+
 void gsDecideArrangements(gsFleet& fleet, gsTime now)
 {
   gsFleetSettings const& settings = fleet.Settings;
--- a/Source/Core/gsArrangement.h
+++ b/Source/Core/gsArrangement.h
@@ -39,6 +39,10 @@
 /** Records the time for which a completed attempt has held a slot. */
 void gsRecordSlotHold(gsFleet& fleet, gsFleetRow const& row, gsTime holdTime);
 
+/** Records the time from the first token of an attempt to its end. */
+void gsRecordRunTime(gsFleet& fleet, gsFleetRow const& row,
+                     std::uint32_t priority, gsTime runTime);
+
 /** The group to which an arrangement of its service assigns an engine. */
 gsFleetGroup gsGroupInArrangement(gsFleet const& fleet,
                                   gsEngineArrangement const& arrangement,
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -113,9 +113,10 @@
    */
   double LongHoldMillis = 0;
   double TightHoldMillis = 0;
+  /** Smoothed time from the first token of an attempt to its end, by priority
+   * of the route; milliseconds. */
+  std::map<std::uint32_t, double> RunMillis;
   gsTime FirstRequestAt{}; ///< First request of any host; zero before.
-  /** Open attempts of all hosts at all upstreams, by priority of the route. */
-  gsOpenAttemptsMap OpenAttempts;
   /** Subjects of this host's requests, with the time of the last one. Used and
    * bounded only if decisions use engine speeds. */
   std::unordered_map<std::uint64_t, gsTime> Subjects;
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -226,7 +226,7 @@
                  : preferred ? gsPlacementCause::Preferred
                              : gsPlacementCause::LeastLoaded;
     search.TargetShare = ExpectedTargetShare(
-      search.Fleet, row, search.Request, search.Context,
+      search.Fleet, row, search.Request,
       ExpectedTokensToRead(search.Fleet, row, search.Request, search.Context,
                            toRead, search.Now),
       search.Now);
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -10,6 +10,7 @@
 #include "gsColdStart.h"
 #include "gsEngineSpeed.h"
 #include "gsRendezvous.h"
+#include "gsWorkAhead.h"
 
 namespace gsPlacementDetail {
 
@@ -63,14 +64,17 @@
 {
   gsFleetSettings const& settings = fleet.Settings;
   gsOutstandingLoad work = gsTotalLoad(fleet, row, now);
+  gsWorkAhead ahead = gsWorkAheadOf(fleet, row, request.Priority, now);
   double speed = gsEngineSpeedOf(fleet, row);
+  // Prompts of less urgent requests are processed after its first event, but
+  // then delay its further events.
   cost.Wait = WaitCost(
     settings, (static_cast<double>(work.PendingPromptTokens) + toRead) / speed,
     request.TargetTokens);
   cost.Running = settings.RunningCost * work.OpenAttempts / speed;
-  if (work.OpenAttempts >= row.Listed.Slots) {
-    cost.Queued = settings.QueuedCost *
-                  (1.0 + work.OpenAttempts - row.Listed.Slots) / speed;
+  if (ahead.Requests >= row.Listed.Slots) {
+    cost.Queued =
+      settings.QueuedCost * (1 + ahead.Requests - row.Listed.Slots) / speed;
   }
   if (row.Listed.Hall != settings.Hall) {
     cost.Hall = settings.OtherHallCost;
@@ -376,20 +380,15 @@
 
 double ExpectedTargetShare(gsFleet const& fleet, gsFleetRow const& row,
                            gsPlacementRequest const& request,
-                           PlacementContext const& context,
                            std::uint32_t toRead, gsTime now)
 {
   if (request.TargetTokens <= 0 || request.MillisPerToken <= 0) {
     return 0;
   }
-  gsOutstandingLoad work = gsTotalLoad(fleet, row, now);
-  double slots = std::max(1U, row.Listed.Slots);
-  double queued = std::max(0.0, work.OpenAttempts + 1.0 - slots);
-  bool isLong = gsIsAtOrBefore(row, context.GroupBoundary);
-  double holdMillis =
-    isLong ? context.LongHoldMillis : context.TightHoldMillis;
-  double wait = queued * holdMillis / slots / request.MillisPerToken;
-  double tokens = static_cast<double>(work.PendingPromptTokens) + toRead;
+  gsWorkAhead ahead = gsWorkAheadOf(fleet, row, request.Priority, now);
+  double wait =
+    gsSlotWaitMillis(fleet, row, ahead, now) / request.MillisPerToken;
+  double tokens = ahead.PromptTokens + toRead;
   return (tokens + wait) / request.TargetTokens / gsEngineSpeedOf(fleet, row);
 }
 
@@ -397,12 +396,10 @@
 
 /** Cost of the risk that the first token misses its target. */
 double MissCost(gsFleet const& fleet, gsFleetRow const& row,
-                gsPlacementRequest const& request,
-                PlacementContext const& context, std::uint32_t toRead,
+                gsPlacementRequest const& request, std::uint32_t toRead,
                 gsTime now)
 {
-  double share =
-    ExpectedTargetShare(fleet, row, request, context, toRead, now);
+  double share = ExpectedTargetShare(fleet, row, request, toRead, now);
   double probability = std::clamp(
     (share - MinMissShare) / (CertainMissShare - MinMissShare), 0.0, 1.0);
   // Beyond a certain miss the cost still grows, so that of several upstreams
@@ -503,9 +500,8 @@
   if (request.UpstreamMemoryTokens == 0) {
     return 0;
   }
-  double used =
-    static_cast<double>(gsTotalLoad(fleet, row, now).MemoryTokens +
-                        request.PromptTokens + request.AnswerTokens);
+  double used = gsWorkAheadOf(fleet, row, request.Priority, now).MemoryTokens +
+                request.PromptTokens + request.AnswerTokens;
   double limit = fleet.Settings.MaxMemoryShare *
                  static_cast<double>(request.UpstreamMemoryTokens);
   return used <= limit
@@ -521,11 +517,6 @@
   PlacementContext context;
   context.Group = request.Group;
   context.GroupBoundary = gsLastLongEngine(fleet, request.Service);
-  auto demand = fleet.Demand.find(std::string(request.Service));
-  if (demand != fleet.Demand.end()) {
-    context.LongHoldMillis = demand->second.LongHoldMillis;
-    context.TightHoldMillis = demand->second.TightHoldMillis;
-  }
   auto pace = fleet.EngineTimings.find(std::string(request.Service));
   context.Pace = pace == fleet.EngineTimings.end() ? nullptr : &pace->second;
   return context;
@@ -551,7 +542,7 @@
               now);
   cost.Reread = RereadCost(fleet, row, request, context, toRead, now);
   cost.Memory = MemoryCost(fleet, row, request, now);
-  cost.TargetMiss = MissCost(fleet, row, request, context, expected, now);
+  cost.TargetMiss = MissCost(fleet, row, request, expected, now);
   // All engines soon have cached the parts that all subjects share, so only an
   // engine that has cached all shared parts holds the subject.
   bool holdsSubject = toRead + gsSharedTokens(request) <= request.PromptTokens;
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -46,12 +46,6 @@
   /** Last engine of the group for long prompts in the service's order; empty
    * if the engines are not divided into groups. */
   std::optional<gsEngineKey> GroupBoundary;
-  /** Mean time in milliseconds for which an attempt holds a slot of an engine
-   * for long prompts; see gsDemand. */
-  double LongHoldMillis = 0;
-  /** Mean time in milliseconds for which an attempt holds a slot of any other
-   * engine; see gsDemand. */
-  double TightHoldMillis = 0;
   gsEngineTiming const* Pace = nullptr; ///< Of the service; null if unknown.
 };
 
@@ -143,7 +137,6 @@
 /** Expected time to the first token as a share of the target; 0 if unknown. */
 double ExpectedTargetShare(gsFleet const& fleet, gsFleetRow const& row,
                            gsPlacementRequest const& request,
-                           PlacementContext const& context,
                            std::uint32_t toRead, gsTime now);
 
 /** Cost of sending the request to the upstream, including the cost to other
--- a/Source/Core/gsSubjectPlacement.cxx
+++ b/Source/Core/gsSubjectPlacement.cxx
@@ -10,6 +10,7 @@
 
 #include "gsEngineSpeed.h"
 #include "gsRendezvous.h"
+#include "gsWorkAhead.h"
 
 using namespace gsPlacementDetail;
 
@@ -178,11 +179,12 @@
     }
     std::uint32_t tokens = this->TokensAt(index);
     if (this->HasTarget()) {
-      return ExpectedTargetShare(this->Fleet, row, this->Request,
-                                 this->Context, tokens, this->Now);
+      return ExpectedTargetShare(this->Fleet, row, this->Request, tokens,
+                                 this->Now);
     }
-    gsOutstandingLoad load = gsTotalLoad(this->Fleet, row, this->Now);
-    return static_cast<double>(load.PendingPromptTokens) + tokens;
+    return gsWorkAheadOf(this->Fleet, row, this->Request.Priority, this->Now)
+             .PromptTokens +
+           tokens;
   }
 
   bool HasTarget() const
--- a/Source/Core/gsWorkAhead.h
+++ b/Source/Core/gsWorkAhead.h
@@ -21,8 +21,22 @@
   double Requests = 0;     ///< Requests that have a slot or get one before.
   double PromptTokens = 0; ///< Prompts that are processed before.
   double MemoryTokens = 0; ///< Of these requests.
+  double MoreUrgent = 0;   ///< Those of them that are known to be more urgent.
 };
 
+/** Expected number of running requests that end at an upstream in a
+ * millisecond, each of which releases a slot; zero if unknown. */
+double gsSlotReleaseRate(gsFleet const& fleet, gsFleetRow const& row,
+                         gsTime now);
+
+/**
+ * Expected time in milliseconds until a slot is free for one more request.
+ * More urgent requests that arrive meanwhile are admitted first, and are
+ * expected to need as many slots as they hold now.
+ */
+double gsSlotWaitMillis(gsFleet const& fleet, gsFleetRow const& row,
+                        gsWorkAhead const& ahead, gsTime now);
+
 /** The work that comes before one more request with a route's priority. */
 gsWorkAhead gsWorkAheadOf(gsFleet const& fleet, gsFleetRow const& row,
                           std::uint32_t priority, gsTime now);
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -748,7 +748,8 @@
                           now - attempt.SentAt, now);
     }
     gsRecordPromptTime(this->Fleet.EngineTimings[row->Listed.Service],
-                       attempt.Load.PendingPromptTokens, now - attempt.SentAt);
+                       attempt.Load.PendingPromptTokens,
+                       now - attempt.SentAt);
     gsRecordFirstToken(*row, attempt.Load);
     gsRecordCachedParts(this->Fleet, *row, request.Caller.PromptParts, now);
   }
@@ -1014,6 +1015,10 @@
     }
     if (result.Outcome == gsAttemptOutcome::Complete) {
       gsRecordSlotHold(this->Fleet, *row, now - attempt.SentAt);
+      if (gsRelaysEvents(*request, attempt)) {
+        gsRecordRunTime(this->Fleet, *row, attempt.Load.Priority,
+                        now - attempt.FirstByteAt);
+      }
     }
   }
   this->Events.OnEnd(request, held, result);
--- a/Tests/Unit/gsTestEngineSpeed.cxx
+++ b/Tests/Unit/gsTestEngineSpeed.cxx
@@ -327,11 +327,10 @@
   ask.PromptTokens = 4000;
   ask.TargetTokens = 50000;
   ask.MillisPerToken = 0.02;
-  auto context = gsPlacementDetail::MakeContext(fleet, ask);
-  double slowShare = gsPlacementDetail::ExpectedTargetShare(
-    fleet, slow, ask, context, 4000, Now);
-  double share = gsPlacementDetail::ExpectedTargetShare(fleet, normal, ask,
-                                                        context, 4000, Now);
+  double slowShare =
+    gsPlacementDetail::ExpectedTargetShare(fleet, slow, ask, 4000, Now);
+  double share =
+    gsPlacementDetail::ExpectedTargetShare(fleet, normal, ask, 4000, Now);
   EXPECT_NEAR(slowShare, 2 * share, 1e-9);
 }
 
