Placement: Keeps slots for more urgent requests

The least urgent kind could have half as many open requests at an upstream as it has slots beyond these. Under load it held nearly all slots for 5 to 15 s, and urgent requests that came then waited for a slot at every upstream, or left.

Requests of a kind now leave slots to more urgent ones: twice as many as these lately used, an average over the upstreams that decays with a half-life of 5 s, less those that the kind itself would release within the target of the more urgent ones. A kind that ends its requests quickly therefore gives way to none, and nothing is kept for demand that there is not. Only the kind's own requests count against its limit: that a less urgent kind holds too many slots is no reason to refuse it. The open attempts by kind come with the load reports.

Two figures of the tests changed with this commit: their demand at twice the capacity, because the urgent kinds alone had needed all slots and more prompts than the engines read, and requests without a target for pauses name none.

--- a/Source/Core/gsArrangement.cxx
+++ b/Source/Core/gsArrangement.cxx
@@ -439,6 +439,26 @@
   hold += (hold == 0 ? 1 : HoldSmoothing) * (millis - hold);
 }
 
+void gsSetOpenAttempts(gsFleet& fleet, std::string const& service,
+                       gsOpenAttemptsMap const& open, gsTime now)
+{
+  if (open.empty() && fleet.Demand.count(service) == 0) {
+    return;
+  }
+  gsDemand& demand = fleet.Demand[service];
+  double halfLives = gsToSeconds(now - demand.OpenAttemptsSetAt) /
+                     gsToSeconds(fleet.Settings.ReservedSlotHalfLife);
+  double factor = std::exp2(-std::max(0.0, halfLives));
+  demand.OpenAttemptsSetAt = now;
+  for (auto& [priority, recent] : demand.RecentOpenAttempts) {
+    recent *= factor;
+  }
+  for (auto const& [priority, count] : open) {
+    double& recent = demand.RecentOpenAttempts[priority];
+    recent = std::max(recent, static_cast<double>(count));
+  }
+}
+
 void gsRecordRunTime(gsFleet& fleet, gsFleetRow const& row,
                      std::uint32_t priority, gsTime runTime)
 {
--- a/Source/Core/gsArrangement.h
+++ b/Source/Core/gsArrangement.h
@@ -39,6 +39,11 @@
 /** Records the time for which a completed attempt has held a slot. */
 void gsRecordSlotHold(gsFleet& fleet, gsFleetRow const& row, gsTime holdTime);
 
+/** Updates the recent use of slots by priority with the open attempts of all
+ * hosts. */
+void gsSetOpenAttempts(gsFleet& fleet, std::string const& service,
+                       gsOpenAttemptsMap const& open, gsTime now);
+
 /** Records the time from the first token of an attempt to its end. */
 void gsRecordRunTime(gsFleet& fleet, gsFleetRow const& row,
                      std::uint32_t priority, gsTime runTime);
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -117,6 +117,10 @@
    * of the route; milliseconds. */
   std::map<std::uint32_t, double> RunMillis;
   gsTime FirstRequestAt{}; ///< First request of any host; zero before.
+  /** Open attempts of all hosts at all upstreams by priority of the route: the
+   * recent maximum, which decays. See gsSetOpenAttempts. */
+  std::map<std::uint32_t, double> RecentOpenAttempts;
+  gsTime OpenAttemptsSetAt{}; ///< When RecentOpenAttempts was last updated.
   /** Subjects of this host's requests, with the time of the last one. Used and
    * bounded only if decisions use engine speeds. */
   std::unordered_map<std::uint64_t, gsTime> Subjects;
@@ -263,6 +267,15 @@
   gsTime MinDemandTime = gsMilliseconds(300);
   /** Long enough for a stable group size, short enough to follow a burst. */
   gsTime DemandHalfLife = gsSeconds(2);
+  /**
+   * Slots that are kept for more urgent requests, as a multiple of those that
+   * they recently used.
+   */
+  double ReservedSlotFactor = 2;
+  /** Maximum share of an upstream's slots that is kept for them. */
+  double MaxReservedSlotShare = 0.75;
+  /** Half-life of the use of slots by which they are kept. */
+  gsTime ReservedSlotHalfLife = gsSeconds(5);
   /**
    * Minimum interval between decisions on the arrangement: a constant plus a
    * time per engine of the service. Each change moves subjects to other
--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -359,16 +359,19 @@
 std::uint32_t FreePlacesAt(Search const& search, gsFleetRow const& row,
                            std::uint32_t maxRunning)
 {
-  std::uint32_t kinds = search.Request.MoreUrgentKinds;
-  std::uint32_t limit =
-    gsMaxOpenRequests(row.Listed.Slots, std::max(1U, kinds));
-  if (kinds == 0) {
-    limit = std::max(limit, maxRunning);
-  }
   bool isEligible =
     IsEligible(search.Fleet, row, search.Request, search.Now) &&
     HasToken(search.Fleet, row, search.Now);
-  return isEligible ? limit - std::min(limit, RunningAt(search, row)) : 0;
+  if (!isEligible) {
+    return 0;
+  }
+  if (search.Request.MoreUrgentKinds > 0) {
+    return static_cast<std::uint32_t>(
+      FreePlaces(search.Fleet, row, search.Request, search.Now));
+  }
+  std::uint32_t limit =
+    std::max(gsMaxOpenRequests(row.Listed.Slots, 1), maxRunning);
+  return limit - std::min(limit, RunningAt(search, row));
 }
 
 /**
--- a/Source/Core/gsPlacement.h
+++ b/Source/Core/gsPlacement.h
@@ -70,6 +70,9 @@
   /** Number of request kinds of the service that are more urgent than this
    * one. Less urgent requests leave queue places at the engines to them. */
   std::uint32_t MoreUrgentKinds = 0;
+  /** Shortest target for the first event of these kinds, milliseconds; 0 for
+   * none. */
+  double MoreUrgentTargetMillis = 0;
   /** The only software version that the request may be sent to, as its stream
    * began there; zero for none at all. Empty for any. */
   std::optional<std::uint32_t> RequiredVersion;
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <string>
 #include <tuple>
 
@@ -193,12 +194,56 @@
                   gsExpectedTokenWait(fleet.SlotLimits, row.Hash, 0, now));
 }
 
-bool HasQueuePlace(gsFleet const& fleet, gsFleetRow const& row,
-                   gsPlacementRequest const& request, gsTime now)
+double ReservedSlots(gsFleet const& fleet, gsFleetRow const& row,
+                     gsPlacementRequest const& request, gsTime now)
+{
+  auto found = fleet.Demand.find(std::string(request.Service));
+  auto rows = fleet.ByService.find(std::string(request.Service));
+  if (found == fleet.Demand.end() || rows == fleet.ByService.end()) {
+    return 0;
+  }
+  double recent = 0;
+  for (auto const& [priority, open] : found->second.RecentOpenAttempts) {
+    recent += priority < request.Priority ? open : 0;
+  }
+  gsFleetSettings const& settings = fleet.Settings;
+  double wanted =
+    settings.ReservedSlotFactor * recent /
+    static_cast<double>(std::max<std::size_t>(1, rows->second.size()));
+  auto runTime = found->second.RunMillis.find(request.Priority);
+  bool isKnown =
+    runTime != found->second.RunMillis.end() && runTime->second > 0;
+  double releaseRate = isKnown ? row.Listed.Slots / runTime->second
+                               : gsSlotReleaseRate(fleet, row, now);
+  double released = releaseRate * request.MoreUrgentTargetMillis;
+  return std::clamp(wanted - released, 0.0,
+                    settings.MaxReservedSlotShare * row.Listed.Slots);
+}
+
+double FreePlaces(gsFleet const& fleet, gsFleetRow const& row,
+                  gsPlacementRequest const& request, gsTime now)
 {
   std::uint32_t limit =
     gsMaxOpenRequests(row.Listed.Slots, request.MoreUrgentKinds);
-  return limit == 0 || gsTotalLoad(fleet, row, now).OpenAttempts < limit;
+  if (limit == 0) {
+    return std::numeric_limits<double>::infinity();
+  }
+  double open = gsTotalLoad(fleet, row, now).OpenAttempts;
+  double places = std::max(0.0, limit - open);
+  double reserved = places > 0 ? ReservedSlots(fleet, row, request, now) : 0;
+  if (reserved <= 0) {
+    return places;
+  }
+  // Less urgent requests have a lower limit of their own. That they hold more
+  // slots than they should is no reason to refuse this one.
+  double occupied = gsRequestsOfKind(fleet, row, request.Priority, now);
+  return std::clamp(row.Listed.Slots - reserved - occupied, 0.0, places);
+}
+
+bool HasQueuePlace(gsFleet const& fleet, gsFleetRow const& row,
+                   gsPlacementRequest const& request, gsTime now)
+{
+  return FreePlaces(fleet, row, request, now) >= 1;
 }
 
 bool IsInGroup(gsFleetRow const& row, PlacementContext const& context)
--- a/Source/Core/gsPlacementCost.h
+++ b/Source/Core/gsPlacementCost.h
@@ -100,8 +100,22 @@
 /** Expected time until a token of each limit of the upstream is available. */
 gsTime TokenWait(gsFleet const& fleet, gsFleetRow const& row, gsTime now);
 
-/** Whether the upstream has a queue place that is not reserved for more urgent
- * requests. */
+/**
+ * Number of slots of the upstream that are kept for requests that are more
+ * urgent than this one: for as many as there were recently and a sudden
+ * increase, unless enough slots are released within their target. Zero if
+ * there was none.
+ */
+double ReservedSlots(gsFleet const& fleet, gsFleetRow const& row,
+                     gsPlacementRequest const& request, gsTime now);
+
+/** Number of further requests like this one that the upstream may be sent
+ * without taking slots or queue places that are kept for more urgent ones. */
+double FreePlaces(gsFleet const& fleet, gsFleetRow const& row,
+                  gsPlacementRequest const& request, gsTime now);
+
+/** Whether the upstream has a slot or a queue place that is not kept for more
+ * urgent requests. */
 bool HasQueuePlace(gsFleet const& fleet, gsFleetRow const& row,
                    gsPlacementRequest const& request, gsTime now);
 
--- a/Source/Core/gsRouteTable.cxx
+++ b/Source/Core/gsRouteTable.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cctype>
 #include <limits>
+#include <map>
 #include <set>
 
 namespace {
@@ -62,15 +63,23 @@
 
 void CollectPriorities(gsRouteTable& table)
 {
-  std::unordered_map<std::string, std::set<std::uint32_t>> priorities;
+  std::unordered_map<std::string, std::map<std::uint32_t, gsTime>> targets;
   for (gsRoute const& route : table.Routes) {
     for (gsRouteShare const& share : route.Shares) {
-      priorities[share.Service].insert(route.Priority);
+      gsTime& target = targets[share.Service][route.Priority];
+      target =
+        IsStricter(route.LatencyTarget, target) ? route.LatencyTarget : target;
     }
   }
   table.PrioritiesByService.clear();
-  for (auto const& [service, values] : priorities) {
-    table.PrioritiesByService[service].assign(values.begin(), values.end());
+  for (auto const& [service, byPriority] : targets) {
+    std::vector<gsServicePriority>& entries =
+      table.PrioritiesByService[service];
+    gsTime minTarget{};
+    for (auto const& [priority, target] : byPriority) {
+      minTarget = IsStricter(target, minTarget) ? target : minTarget;
+      entries.push_back({ priority, minTarget });
+    }
   }
 }
 
@@ -124,17 +133,40 @@
   return static_cast<std::uint32_t>(position - table.PriorityPairs.begin());
 }
 
+namespace {
+
+/** The priorities of a service's routes that are higher than a route's. */
+std::pair<gsServicePriority const*, std::size_t> HigherPriorities(
+  gsRouteTable const& table, std::string const& service, gsRoute const& route)
+{
+  auto found = table.PrioritiesByService.find(service);
+  if (found == table.PrioritiesByService.end()) {
+    return { nullptr, 0 };
+  }
+  std::vector<gsServicePriority> const& entries = found->second;
+  auto end = std::lower_bound(
+    entries.begin(), entries.end(), route.Priority,
+    [](gsServicePriority const& entry, std::uint32_t priority) {
+      return entry.Priority < priority;
+    });
+  return { entries.data(), static_cast<std::size_t>(end - entries.begin()) };
+}
+
+} // namespace
+
 std::uint32_t gsCountHigherPriorities(gsRouteTable const& table,
                                       std::string const& service,
                                       gsRoute const& route)
 {
-  auto priorities = table.PrioritiesByService.find(service);
-  if (priorities == table.PrioritiesByService.end()) {
-    return 0;
-  }
-  auto position = std::lower_bound(priorities->second.begin(),
-                                   priorities->second.end(), route.Priority);
-  return static_cast<std::uint32_t>(position - priorities->second.begin());
+  return static_cast<std::uint32_t>(
+    HigherPriorities(table, service, route).second);
+}
+
+gsTime gsMoreUrgentTarget(gsRouteTable const& table,
+                          std::string const& service, gsRoute const& route)
+{
+  auto [entries, count] = HigherPriorities(table, service, route);
+  return count == 0 ? gsTime{} : entries[count - 1].MinTarget;
 }
 
 gsRoute const* gsFindRoute(gsRouteTable const& table, std::string_view host,
--- a/Source/Core/gsRouteTable.h
+++ b/Source/Core/gsRouteTable.h
@@ -108,6 +108,15 @@
   gsTime IdleTimeout = gsSeconds(15);
 };
 
+/** One of the priorities of the routes of a service. */
+struct gsServicePriority
+{
+  std::uint32_t Priority = 0;
+  /** Shortest target for the first event of the routes with this priority or a
+   * higher one; zero if none has a target. */
+  gsTime MinTarget{};
+};
+
 /** One version of the configuration. */
 struct gsRouteTable
 {
@@ -125,7 +134,7 @@
   /** Index in Services, by name. */
   std::unordered_map<std::string, std::size_t> ServiceIndex;
   /** Distinct priorities of the routes of a service, ascending; by service. */
-  std::unordered_map<std::string, std::vector<std::uint32_t>>
+  std::unordered_map<std::string, std::vector<gsServicePriority>>
     PrioritiesByService;
   /** All pairs of a route's and an organisation's priority, ascending. The
    * position of a pair is the urgency of its requests. */
@@ -170,6 +179,11 @@
                                       std::string const& service,
                                       gsRoute const& route);
 
+/** Shortest target for the first event of the routes of a service that are
+ * more urgent than a route. \return Zero if there is none. */
+gsTime gsMoreUrgentTarget(gsRouteTable const& table,
+                          std::string const& service, gsRoute const& route);
+
 /** Selects the service for a request at random, by weight. \param draw A
  * uniformly distributed number from 0 to 1. */
 std::string const& gsSelectService(gsRoute const& route, double draw);
--- a/Source/Core/gsWorkAhead.cxx
+++ b/Source/Core/gsWorkAhead.cxx
@@ -90,6 +90,22 @@
   return running.ReleaseRate + (holdMillis > 0 ? unknown / holdMillis : 0);
 }
 
+double gsRequestsOfKind(gsFleet const& fleet, gsFleetRow const& row,
+                        std::uint32_t priority, gsTime now)
+{
+  std::uint64_t others = 0;
+  auto add = [&](gsUrgencyLoads const& loads) {
+    for (gsUrgencyLoad const& load : loads) {
+      others += load.Priority != priority ? load.OpenAttempts : 0;
+    }
+  };
+  add(row.OwnByUrgency);
+  if (gsIsOthersLoadValid(fleet, row, now)) {
+    add(row.OthersByUrgency);
+  }
+  return Remainder(gsTotalLoad(fleet, row, now).OpenAttempts, others);
+}
+
 double gsSlotWaitMillis(gsFleet const& fleet, gsFleetRow const& row,
                         gsWorkAhead const& ahead, gsTime now)
 {
--- a/Source/Core/gsWorkAhead.h
+++ b/Source/Core/gsWorkAhead.h
@@ -37,6 +37,11 @@
 double gsSlotWaitMillis(gsFleet const& fleet, gsFleetRow const& row,
                         gsWorkAhead const& ahead, gsTime now);
 
+/** Open requests at an upstream with a route's priority, or of unknown
+ * urgency. */
+double gsRequestsOfKind(gsFleet const& fleet, gsFleetRow const& row,
+                        std::uint32_t priority, gsTime now);
+
 /** The work that comes before one more request with a route's priority. */
 gsWorkAhead gsWorkAheadOf(gsFleet const& fleet, gsFleetRow const& row,
                           std::uint32_t priority, gsTime now);
--- a/Source/Daemon/gsLoadSharing.cxx
+++ b/Source/Daemon/gsLoadSharing.cxx
@@ -159,10 +159,11 @@
 gsSystemLoad gsLoadSharing::OwnLoad(gsTime now)
 {
   gsSystemLoad own;
+  this->OwnOpenAttempts.clear();
   gsForEachReportable(this->Fleet, now, [&](gsFleetRow const& row) {
     for (gsUrgencyLoad const& urgency : row.OwnByUrgency) {
-      own.Services[NameHash(row.Listed.Service)]
-        .OpenAttempts[urgency.Priority] += urgency.OpenAttempts;
+      this->OwnOpenAttempts[row.Listed.Service][urgency.Priority] +=
+        urgency.OpenAttempts;
     }
     std::uint32_t intervalMicros = IntervalToReport(row);
     gsOutstandingLoad work = gsOwnLoad(row, now);
@@ -187,6 +188,9 @@
       }
     }
   });
+  for (auto const& [service, open] : this->OwnOpenAttempts) {
+    own.Services[NameHash(service)].OpenAttempts = open;
+  }
   for (auto const& [service, demand] : this->Fleet.Demand) {
     gsServiceDemand& entry = own.Services[NameHash(service)];
     entry.LongTokens = RoundTokens(demand.LongTokens);
@@ -345,6 +349,11 @@
   for (auto const& [service, rows] : this->Fleet.ByService) {
     gsSetOthersDemand(this->Fleet, service, others.Services[NameHash(service)],
                       now);
+    gsOpenAttemptsMap open = others.Services[NameHash(service)].OpenAttempts;
+    for (auto const& [priority, count] : this->OwnOpenAttempts[service]) {
+      open[priority] += count;
+    }
+    gsSetOpenAttempts(this->Fleet, service, open, now);
     auto overload = this->Fleet.Overload.find(service);
     if (overload != this->Fleet.Overload.end()) {
       gsSetReportedDemand(overload->second, others.Services[NameHash(service)],
--- a/Source/Daemon/gsLoadSharing.h
+++ b/Source/Daemon/gsLoadSharing.h
@@ -60,6 +60,8 @@
    * upstreams.
    */
   std::vector<std::uint32_t> RowsWithOthersLoad;
+  /** Open attempts of this host by service, as last reported. */
+  std::map<std::string, gsOpenAttemptsMap> OwnOpenAttempts;
   gsTime AppliedAt{};
   gsTime SpeedsRefreshedAt{};
   std::uint64_t SpeedChangeCount = 0;
--- a/Source/Daemon/gsPlacementAsk.cxx
+++ b/Source/Daemon/gsPlacementAsk.cxx
@@ -39,6 +39,10 @@
       hasBegun ? 0
                : gsCountHigherPriorities(*request.RouteTable, request.Service,
                                          *request.Route);
+    ask.MoreUrgentTargetMillis =
+      gsToSeconds(gsMoreUrgentTarget(*request.RouteTable, request.Service,
+                                     *request.Route)) *
+      1e3;
   }
 }
 
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -167,6 +167,13 @@
     fields.Number("target_share", ShareRange, placement.TargetShare);
   placement.MaxMemoryShare =
     fields.Number("memory_share", ShareRange, placement.MaxMemoryShare);
+  constexpr gsRange factors{ 0, 10 };
+  placement.ReservedSlotFactor = fields.Number("reserved_slot_factor", factors,
+                                               placement.ReservedSlotFactor);
+  placement.MaxReservedSlotShare = fields.Number(
+    "reserved_slot_share", ShareRange, placement.MaxReservedSlotShare);
+  placement.ReservedSlotHalfLife = fields.Milliseconds(
+    "reserved_slot_half_life_ms", PeriodRange, placement.ReservedSlotHalfLife);
   placement.DivideEngines = fields.Boolean("groups", placement.DivideEngines);
   placement.PartRetention = fields.Milliseconds("part_memory_ms", PeriodRange,
                                                 placement.PartRetention);
--- a/Tests/Unit/gsTestUrgency.cxx
+++ b/Tests/Unit/gsTestUrgency.cxx
@@ -124,14 +124,21 @@
 using gsUrgencySimulation::Outcome;
 using gsUrgencySimulation::Phase;
 
-/** Demand in which the least urgent kind comes first and is followed by the
- * others, at a total share of the slots. */
+/**
+ * Demand that the least urgent kind raises to a multiple of the slots,
+ * followed by three times the demand of the middle kind. The urgent kinds
+ * alone need at most 0.4 of the slots.
+ */
 gsUrgencySimulation::Settings Pressed(double load)
 {
+  constexpr double top = 0.25;
+  constexpr double middle = 0.05;
   gsUrgencySimulation::Settings settings;
-  settings.Phases = { Phase{ 3, { 0.15, 0.05, 0.2 } },
-                      Phase{ 3, { 0.15, 0.05, load - 0.2 } },
-                      Phase{ 8, { 0.3 * load, 0.2 * load, 0.5 * load } } };
+  settings.Phases = {
+    Phase{ 3, { top, middle, 0.2 } },
+    Phase{ 3, { top, middle, load - top - middle } },
+    Phase{ 8, { top, 3 * middle, load - top - 3 * middle } },
+  };
   return settings;
 }
 
@@ -140,22 +147,24 @@
 
 } // namespace
 
+class UrgencyAtLoad : public testing::TestWithParam<double>
+{};
+
 // Guards against urgent requests that get nothing while less urgent and larger
 // ones begin: with hosts that know the load of the others late, and engines
 // whose slots are held for seconds by the least urgent kind.
-TEST(Urgency, NoUrgentKindIsStarvedWhileLessUrgentRequestsBegin)
+TEST_P(UrgencyAtLoad, NoUrgentKindIsStarvedWhileLessUrgentRequestsBegin)
 {
-  for (double load : { 0.8, 1.2, 2.0 }) {
-    gsUrgencySimulation::Settings settings = Pressed(load);
-    for (std::uint64_t seed = 1; seed <= SeedCount; ++seed) {
-      Outcome outcome = gsUrgencySimulation::Run(settings, seed);
-      EXPECT_LE(gsUrgencySimulation::WorstStarvedShare(outcome),
-                MaxStarvedShare)
-        << "load " << load << " seed " << seed;
-    }
+  gsUrgencySimulation::Settings settings = Pressed(GetParam());
+  for (std::uint64_t seed = 1; seed <= SeedCount; ++seed) {
+    Outcome outcome = gsUrgencySimulation::Run(settings, seed);
+    EXPECT_LE(gsUrgencySimulation::WorstStarvedShare(outcome), MaxStarvedShare)
+      << "seed " << seed;
   }
 }
 
+INSTANTIATE_TEST_SUITE_P(Loads, UrgencyAtLoad, testing::Values(0.8, 1.2, 2.0));
+
 // Guards against overload that reaches the most urgent kind although less
 // urgent ones could give way.
 TEST(Urgency, MostUrgentKindIsServedUnderOverloadAsWithoutIt)
--- a/Tests/Unit/gsUrgencySimulation.cxx
+++ b/Tests/Unit/gsUrgencySimulation.cxx
@@ -118,11 +118,13 @@
     std::size_t engines = this->Engines.size();
     std::vector<gsOutstandingLoad> total(engines);
     std::vector<gsUrgencyLoads> byUrgency(engines);
+    gsOpenAttemptsMap open;
     for (gsFleet const& host : this->Hosts) {
       for (std::size_t i = 0; i < engines; ++i) {
         Add(total[i], host.Rows[i].OwnLoad);
         for (gsUrgencyLoad const& load : host.Rows[i].OwnByUrgency) {
           gsAddUrgencyLoad(byUrgency[i], load);
+          open[load.Priority] += load.OpenAttempts;
         }
       }
     }
@@ -139,6 +141,7 @@
         }
         row.OthersReportedAt = this->Now();
       }
+      gsSetOpenAttempts(host, "model", open, this->Now());
     }
   }
 
@@ -209,10 +212,16 @@
     ask.AnswerTokens = of.AnswerTokens;
     ask.MillisPerToken = TokenMillis;
     ask.TargetTokens = of.TargetMillis / TokenMillis;
+    ask.MaxIntervalMillis = kind == 0 ? of.TargetMillis : 0;
     ask.Hosts = this->Hosts.size();
     ask.RecentPeakHosts = this->Hosts.size();
     ask.Priority = static_cast<std::uint32_t>(kind);
     ask.MoreUrgentKinds = static_cast<std::uint32_t>(kind);
+    for (std::size_t other = 0; other < kind; ++other) {
+      double target = Kinds()[other].TargetMillis;
+      ask.MoreUrgentTargetMillis =
+        other == 0 ? target : std::min(ask.MoreUrgentTargetMillis, target);
+    }
     gsFleet& fleet = this->Hosts[host];
     gsPlacement placement =
       gsPlaceRequest(fleet, ask, this->Now(), this->Random);
@@ -344,6 +353,9 @@
     double arrivedAt = request.LeavesAt - of.PatienceMillis;
     gsRecordSlotHold(fleet, fleet.Rows[index],
                      gsFromSeconds((this->Millis - arrivedAt) / 1e3));
+    gsRecordRunTime(fleet, fleet.Rows[index],
+                    static_cast<std::uint32_t>(request.Kind),
+                    gsFromSeconds(of.HoldMillis / 1e3));
   }
 
   std::size_t Second() const
