Interference: Measures the processing of prompts that did not wait

The time of a prompt token was sampled from the time to the first byte, waits for a slot and for prompts of others included. A low quantile does not exclude waits that nearly all requests have.

It has no test of its own yet.

--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -108,6 +108,16 @@
   attempt.HeldEvent->Set(0);
 }
 
+/** Whether the first byte of an attempt was expected to come after a wait for
+ * a slot, or for more prompt tokens of others than of its own. */
+bool HadToWait(gsAttempt const& attempt)
+{
+  gsExpectedWait const& wait = attempt.ExpectedWait;
+  return wait.SlotWait.count() > 0 ||
+         wait.PendingPromptTokens >
+           2 * std::uint64_t(attempt.Load.PendingPromptTokens);
+}
+
 /** Whether an answer that has ended is a stream that lacks the end of an
  * event, or that has no event and states no end. */
 bool IsPartialStream(gsRoutedRequest const& request, gsAttempt const& attempt)
@@ -747,9 +757,11 @@
       gsRecordPromptSpeed(this->Fleet, *row, attempt.Prompt,
                           now - attempt.SentAt, now);
     }
-    gsRecordPromptTime(this->Fleet.EngineTimings[row->Listed.Service],
-                       attempt.Load.PendingPromptTokens,
-                       now - attempt.SentAt);
+    if (!HadToWait(attempt)) {
+      gsRecordPromptTime(this->Fleet.EngineTimings[row->Listed.Service],
+                         attempt.Load.PendingPromptTokens,
+                         now - attempt.SentAt);
+    }
     gsRecordFirstToken(*row, attempt.Load);
     gsRecordCachedParts(this->Fleet, *row, request.Caller.PromptParts, now);
   }
