Placement: Keeps long prompts and streams apart by urgency

A long prompt of a less urgent kind is now sent among streams only if no engine for long prompts is eligible; where places there are only kept, it is refused. A stream with a target for its pauses weighs an engine for long prompts as a probable miss. Deployments whose long prompts are as pressing (see gsAreLongPromptsUrgent) keep sharing all engines.

--- a/Source/Core/gsPlacement.cxx
+++ b/Source/Core/gsPlacement.cxx
@@ -114,6 +114,9 @@
   gsCandidates Candidates;
   /** Cached tokens and transfers are determined by the prefix directory. */
   bool IsBySubject = false;
+  /** An engine of the request's group has no place that is not kept for more
+   * urgent requests. */
+  bool IsGroupReserved = false;
 };
 
 /** Number of upstreams of the service per candidate, by which counts over the
@@ -165,6 +168,34 @@
   }
 }
 
+/** Whether a long prompt would have been placed on the engine, if its places
+ * were not kept for more urgent requests. */
+bool IsReservedInGroup(Search const& search, gsFleetRow const& row)
+{
+  return search.Request.MoreUrgentKinds > 0 &&
+         search.Context.Group == gsFleetGroup::Long &&
+         search.Context.GroupBoundary && IsInGroup(row, search.Context) &&
+         IsEligible(search.Fleet, row, search.Request, search.Now) &&
+         !HasQueuePlace(search.Fleet, row, search.Request, search.Now);
+}
+
+/**
+ * Drops the choice of an engine for tight streams for a less urgent long
+ * prompt, if places at the engines for long prompts are only kept for more
+ * urgent requests. It would delay these at the other engines too.
+ */
+void RejectReservedGroup(Search& search)
+{
+  gsPlacement& best = search.Best;
+  bool isUrgentLong = search.Context.Pace != nullptr &&
+                      gsAreLongPromptsUrgent(*search.Context.Pace);
+  if (best.Row != nullptr && search.IsGroupReserved && !isUrgentLong &&
+      !IsInGroup(*best.Row, search.Context)) {
+    best.Row = nullptr;
+    best.Cause = gsPlacementCause::Full;
+  }
+}
+
 /** Keeps the upstream with the lowest cost of those that are not chosen. */
 void RecordRunnerUp(gsPlacement& best, gsEvaluatedUpstream const& other)
 {
@@ -186,6 +217,8 @@
     bool isEligible =
       IsEligible(search.Fleet, row, search.Request, search.Now) &&
       HasQueuePlace(search.Fleet, row, search.Request, search.Now);
+    search.IsGroupReserved =
+      search.IsGroupReserved || IsReservedInGroup(search, row);
     if (!isEligible) {
       if (best.Row == nullptr) {
         best.Cause = CombineCause(search.Fleet, row, search.Request,
@@ -676,6 +709,7 @@
       Evaluate(search, gsDrawFurtherCandidates(fleet, query, random));
     }
   }
+  RejectReservedGroup(search);
   CompletePlacement(search);
   return search.Best;
 }
--- a/Source/Core/gsPlacementCost.cxx
+++ b/Source/Core/gsPlacementCost.cxx
@@ -20,6 +20,12 @@
 /** Expected time to the first token, as a share of the target, from which on a
  * missed target is considered certain; see MinMissShare. */
 constexpr double CertainMissShare = 1.3;
+/** Share of the tight streams at an engine for long prompts of which an
+ * interval between events exceeds its target. */
+constexpr double StreamMissShare = 0.9;
+/** Cost of an upstream that is used only if no other one is eligible; above
+ * all other costs. */
+constexpr double ExcludedGroupCost = 1e8;
 /** Difference between an upstream's failure share and the mean that is
  * attributed to chance and costs nothing. */
 constexpr double FailureTolerance = 0.2;
@@ -503,18 +509,26 @@
 
 namespace {
 
-/** Cost of an engine of another group. A long prompt also delays the streams
+/**
+ * Cost of an engine of another group. A long prompt also delays the streams
  * there, but costs nothing while the engines for long prompts are overloaded.
+ * Otherwise, the prompt of a less urgent request is not sent there at all
+ * while an engine for long prompts is eligible.
  */
 double OtherGroupCost(gsFleetSettings const& settings,
+                      gsPlacementRequest const& request,
                       PlacementContext const& context)
 {
   bool isLong = context.Group == gsFleetGroup::Long;
-  if (isLong && context.Pace != nullptr &&
-      gsAreLongPromptsUrgent(*context.Pace)) {
+  if (!isLong) {
+    double missShare = request.MaxIntervalMillis > 0 ? StreamMissShare : 0;
+    return settings.OtherGroupCost + missShare * settings.TargetMissCost;
+  }
+  if (context.Pace != nullptr && gsAreLongPromptsUrgent(*context.Pace)) {
     return 0;
   }
-  return settings.OtherGroupCost + (isLong ? settings.InterferenceCost : 0);
+  double exclusion = request.MoreUrgentKinds > 0 ? ExcludedGroupCost : 0;
+  return settings.OtherGroupCost + settings.InterferenceCost + exclusion;
 }
 
 /** Cost by a hash of engine and subject, which orders the alternatives to the
@@ -593,7 +607,7 @@
   bool holdsSubject = toRead + gsSharedTokens(request) <= request.PromptTokens;
   cost.Spread = SpreadCost(fleet, row, request, context, holdsSubject, now);
   if (!IsInGroup(row, context)) {
-    cost.OtherGroup = OtherGroupCost(fleet.Settings, context);
+    cost.OtherGroup = OtherGroupCost(fleet.Settings, request, context);
   }
   return cost;
 }
--- a/Tests/Unit/gsTestUrgency.cxx
+++ b/Tests/Unit/gsTestUrgency.cxx
@@ -8,6 +8,7 @@
 
 #include "gsArrangement.h"
 #include "gsFleetCases.h"
+#include "gsPlacementCost.h"
 #include "gsUrgencySimulation.h"
 #include "gsWorkAhead.h"
 
@@ -185,3 +186,74 @@
   EXPECT_GE(meanServed(1.2), served - tolerance);
   EXPECT_GE(meanServed(2.0), served - tolerance);
 }
+
+namespace {
+
+/** A request of the least urgent of three kinds with a long prompt. */
+gsPlacementRequest MakeLeastUrgentRequest()
+{
+  gsPlacementRequest ask;
+  ask.Service = "model";
+  ask.Group = gsFleetGroup::Long;
+  ask.PromptTokens = 6000;
+  ask.Priority = 2;
+  ask.MoreUrgentKinds = 2;
+  ask.MoreUrgentTargetMillis = 250;
+  return ask;
+}
+
+/** Whether the second of two engines would take a request. */
+bool HasPlace(gsFleet const& fleet, gsPlacementRequest const& ask)
+{
+  return gsPlacementDetail::HasQueuePlace(fleet, fleet.Rows[1], ask, Now);
+}
+
+} // namespace
+
+// Guards against a least urgent kind that takes all slots, so that urgent
+// requests wait until its own end, and against slots that are kept for nobody.
+TEST(Urgency, SlotsAreKeptInProportionToRecentUrgentDemand)
+{
+  gsFleet fleet = MakeFleet(2); // Eight slots each.
+  gsPlacementRequest ask = MakeLeastUrgentRequest();
+  gsRecordRunTime(fleet, fleet.Rows[1], ask.Priority, gsSeconds(8));
+  AddOthers(fleet.Rows[1], { 2, 5, 0, 0, 0 });
+  EXPECT_TRUE(HasPlace(fleet, ask));
+  // Two slots of each engine were used lately, so four are kept.
+  gsSetOpenAttempts(fleet, "model", { { 0, 4 } }, Now);
+  EXPECT_FALSE(HasPlace(fleet, ask));
+  // A kind whose requests end at once gives its slots back in time.
+  gsRecordRunTime(fleet, fleet.Rows[1], 1, gsMilliseconds(100));
+  gsPlacementRequest middle = ask;
+  middle.Priority = 1;
+  EXPECT_TRUE(HasPlace(fleet, middle));
+  gsSetOpenAttempts(fleet, "model", {}, Now + gsSeconds(20));
+  EXPECT_TRUE(HasPlace(fleet, ask));
+}
+
+// Guards against a less urgent kind that leaves the engines for long prompts,
+// where slots are kept for urgent requests, and delays their streams instead.
+TEST(Urgency, LessUrgentLongPromptsAreNotSentAmongStreams)
+{
+  gsFleet fleet = MakeFleet(2);
+  gsEngineArrangement arrangement;
+  arrangement.Version = 1;
+  arrangement.LongEngines = 1;
+  gsAdoptArrangement(fleet, "model", arrangement);
+  gsPlacementRequest ask = MakeLeastUrgentRequest();
+  gsRecordRunTime(fleet, fleet.Rows[0], ask.Priority, gsSeconds(8));
+  gsSetOpenAttempts(fleet, "model", { { 0, 4 } }, Now);
+  std::size_t longRow = gsIsLongEngine(fleet, fleet.Rows[0]) ? 0 : 1;
+  AddOthers(fleet.Rows[longRow], { 2, 5, 0, 0, 0 });
+  constexpr std::uint64_t requests = 100;
+  std::uint64_t placed = 0;
+  for (std::uint64_t i = 0; i < requests; ++i) {
+    gsRandom random(i);
+    gsPlacement placement = gsPlaceRequest(fleet, ask, Now, random);
+    bool isStreamEngine = placement.Row == &fleet.Rows[1 - longRow];
+    EXPECT_FALSE(isStreamEngine);
+    placed += placement.Row != nullptr ? 1 : 0;
+  }
+  // A few pass, so that the kind is not starved.
+  EXPECT_LE(placed, requests / 10);
+}
