Routing: Names the connection of an attempt and the id of a foreign answer

Answers joined in one head, an answer read on the connection of a refused one, and the late copy of a former attempt of the same id look alike in the log: the line of an attempt names upstream, status and outcome only.

The line now names the connection, how many requests it had carried before, and the id of an answer that belongs to another request; such answers are counted by whether their connection had been used before and whether another host sent them. The client numbers its connections as it opens them and forgets them as the library closes them.

--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -108,6 +108,10 @@
     { "gradescale_answers_ended_total", gsMetricKind::Counter,
       "Answers of upstreams ended over a limit, by part and cause; routed "
       "mode." },
+    { "gradescale_foreign_answers_total", gsMetricKind::Counter,
+      "Answers that belong to another request, by whether the connection had "
+      "carried requests before and whether another host sent it; routed "
+      "mode." },
     { "gradescale_paused_streams", gsMetricKind::Gauge,
       "Answers not read on, since their callers do not read; routed mode." },
     { "gradescale_memory_refusals_total", gsMetricKind::Counter,
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -129,6 +129,8 @@
     .With("end", gsAttemptOutcomeName(result.Outcome))
     .With("status", result.Status)
     .With("ended_by", gsBodyEndName(result.BodyEnd))
+    .With("connection", attempt.Connection.Number)
+    .With("carried", attempt.Connection.Carried)
     .With("took_ms", gsLoop::Now() - attempt.StartedAt)
     .With("again", willRetry);
   if (attempt.FirstByteAt.count() != 0) {
@@ -136,6 +138,9 @@
       .With("predicted_ms", attempt.PredictedFirstEvent)
       .With("longest_gap_ms", attempt.MaxEventInterval);
   }
+  if (!attempt.ForeignId.empty()) {
+    line.With("foreign_id", attempt.ForeignId);
+  }
   if (attempt.EventSplitter.BufferedBytes() > 0) {
     line.With("bytes_of_event",
               std::uint64_t(attempt.EventSplitter.BufferedBytes()));
@@ -1002,6 +1007,13 @@
       gsLabels({ { "part", gsAnswerPartName(result.Excess->Part) },
                  { "cause", gsExcessCauseName(*result.Excess) } }));
   }
+  if (!attempt->ForeignId.empty()) {
+    this->Metrics.Increment(
+      "gradescale_foreign_answers_total",
+      gsLabels(
+        { { "kept", attempt->Connection.Carried > 0 ? "yes" : "no" },
+          { "forwarded", attempt->ForwardedTo.empty() ? "no" : "yes" } }));
+  }
   if (attempt->ForwardedTo.empty()) {
     this->ReportUnstreamedStart(*request, *attempt, result);
     this->RecordHallFailure(*request, *attempt, result);
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -19,6 +19,7 @@
 #include "gsExpectedWait.h"
 #include "gsFingerprint.h"
 #include "gsHeldBytes.h"
+#include "gsHttpClient.h"
 #include "gsHttpServer.h"
 #include "gsOverload.h"
 #include "gsPrefixUse.h"
@@ -70,6 +71,10 @@
 {
   gsIncarnation Upstream;
   std::string Address;
+  gsCallConnection Connection; ///< Set when the request is sent.
+  /** Id in the head of an answer that belongs to another request; "none" if it
+   * names none. Empty if there was no such answer. */
+  std::string ForeignId;
   /** Host that the request was forwarded to, in place of an upstream; empty
    * for none. */
   std::string ForwardedTo;
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -293,6 +293,7 @@
     return false;
   }
   attempt.MayHaveSentBytes = true;
+  attempt.Connection = this->Client.ConnectionOf(attempt.CallId);
   attempt.SentAt = now;
   attempt.LastProgressAt = now;
   ++request.SentAttempts;
@@ -388,6 +389,7 @@
     return false;
   }
   attempt.MayHaveSentBytes = true;
+  attempt.Connection = this->Client.ConnectionOf(attempt.CallId);
   attempt.SentAt = now;
   attempt.LastProgressAt = now;
   gsRecordPrefixUseSent(this->Fleet, request, attempt, now);
@@ -595,6 +597,8 @@
     return;
   }
   if (attempt.AnswerHead.RequestId != request->Caller.AttemptId) {
+    std::string const& id = attempt.AnswerHead.RequestId;
+    attempt.ForeignId = id.empty() ? "none" : id;
     this->AbortAttempt(request, held,
                        "The upstream answered another request.");
     return;
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -7,6 +7,7 @@
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace {
 
@@ -72,6 +73,7 @@
   bool Stopped = false;   ///< BeforeSend said no.
   bool Cancelled = false; ///< Nothing of it may be sent any more.
   bool IsPaused = false;
+  gsCallConnection Connection;    ///< Set just before it is sent.
   std::uint64_t Uploaded = 0;     ///< Of the body, at the last look.
   std::uint64_t Acknowledged = 0; ///< By the other end's TCP, likewise.
   gsTime TakenAt{}; ///< When either last grew; zero before the first look.
@@ -173,6 +175,8 @@
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnConnecting);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &active);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnClosing);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   if (call.Method == "HEAD") {
     curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
   } else if (call.Method != "GET" || !call.Body.empty()) {
@@ -253,6 +257,13 @@
   }
 }
 
+gsCallConnection gsHttpClient::ConnectionOf(std::uint64_t call) const
+{
+  auto found = this->Calls.find(call);
+  return found == this->Calls.end() ? gsCallConnection()
+                                    : found->second->Connection;
+}
+
 bool gsHttpClient::HasUnread(std::uint64_t call) const
 {
   auto found = this->Calls.find(call);
@@ -397,12 +408,21 @@
                                int /*rport*/, int /*lport*/)
 {
   auto* self = static_cast<Active*>(active);
+  curl_socket_t socket = CURL_SOCKET_BAD;
+  curl_easy_getinfo(self->Easy, CURLINFO_ACTIVESOCKET, &socket);
+  auto kept = self->Client->Kept.find(socket);
+  if (kept != self->Client->Kept.end() && !self->Sent) {
+    self->Connection = { kept->second.Number, kept->second.Carried };
+  }
   if (self->Cancelled || self->Sent ||
       (self->Call.BeforeSend && !self->Call.BeforeSend())) {
     self->Stopped = !self->Sent;
     return CURL_PREREQFUNC_ABORT;
   }
   self->Sent = true;
+  if (kept != self->Client->Kept.end()) {
+    ++kept->second.Carried;
+  }
   return CURL_PREREQFUNC_OK;
 }
 
@@ -410,7 +430,7 @@
                                curlsocktype /*purpose*/)
 {
   auto* self = static_cast<Active*>(active);
-  ++self->Client->Connections;
+  self->Client->Kept[socket] = { ++self->Client->Connections, 0 };
   auto timeout =
     static_cast<unsigned int>(self->Call.UserTimeout.count() / 1000);
   if (timeout > 0) {
@@ -429,6 +449,12 @@
   return CURL_SOCKOPT_OK;
 }
 
+int gsHttpClient::OnClosing(void* self, curl_socket_t socket)
+{
+  static_cast<gsHttpClient*>(self)->Kept.erase(socket);
+  return close(socket);
+}
+
 int gsHttpClient::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
                            void* self, void* /*socketState*/)
 {
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -29,6 +29,13 @@
 #include "gsHttpServer.h"
 #include "gsLoop.h"
 
+/** The connection that a call was sent on. */
+struct gsCallConnection
+{
+  std::uint64_t Number = 0;  ///< In the order of opening; zero if unknown.
+  std::uint64_t Carried = 0; ///< Calls that were sent on it before this one.
+};
+
 /** How a call ended. */
 struct gsCallEnd
 {
@@ -141,6 +148,8 @@
   void Cancel(std::uint64_t call);
   /** Goes on with a call whose OnData returned false. */
   void Unpause(std::uint64_t call);
+  /** The connection of a call that has been, or is about to be, sent. */
+  gsCallConnection ConnectionOf(std::uint64_t call) const;
   /** Whether bytes for a call have arrived that it has not read. */
   bool HasUnread(std::uint64_t call) const;
 
@@ -173,6 +182,12 @@
 
 private:
   struct Active;
+  /** An open connection, idle or not. */
+  struct Connection
+  {
+    std::uint64_t Number = 0;
+    std::uint64_t Carried = 0; ///< Calls that were sent on it.
+  };
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                             void* active);
@@ -182,6 +197,7 @@
                           int lport);
   static int OnConnecting(void* active, curl_socket_t socket,
                           curlsocktype purpose);
+  static int OnClosing(void* self, curl_socket_t socket);
   static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* self,
                       void* socketState);
   static int OnTimer(CURLM* multi, long timeout, void* self);
@@ -197,9 +213,10 @@
   gsTimer Timer;
   std::unordered_map<std::uint64_t, std::unique_ptr<Active>> Calls;
   std::map<curl_socket_t, std::unique_ptr<gsIoWatch>> Sockets;
+  std::unordered_map<curl_socket_t, Connection> Kept; ///< By socket.
   std::vector<CURL*> Spare; ///< Handles to be used again, reset.
   std::uint64_t Next = 1;
-  std::uint64_t Connections = 0;
+  std::uint64_t Connections = 0; ///< Opened so far.
   std::shared_ptr<gsHeldTotals> Totals = std::make_shared<gsHeldTotals>();
   std::size_t PausedCalls = 0;
   gsHttpClientLimits Limits;
