HttpClient: Finds the connection of a call

Callers saw nothing of it, but the line of each attempt named connection 0 and no request before it, a stalled upload counted no acknowledgement, and no abandoned attempt had unread bytes: the library's CURLINFO_ACTIVESOCKET is -1 while a call runs, on new and on kept connections alike (7.88.1), and becomes known only afterwards.

The client now notes the sockets that are opened for a call, and finds that of a kept connection by the addresses of both its ends, which the library passes to the prerequest callback.

The test fails on the code before in 8 of its checks (number 0 and 0 carried in each of three calls, unread bytes not seen) and passes now. What a scripted upstream writes leaves at once (TCP_NODELAY), so that a test knows what has arrived. Two more tests state what must stay: 200 sound answers (length, chunks, trailers, no body by length, status and method) need one connection, before and after.

--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -37,6 +37,14 @@
   return std::max<long>(static_cast<long>(whole) - 1, 0);
 }
 
+/** Names a connection by the addresses of both ends. */
+std::string AddressesOf(char const* remote, int remotePort, char const* local,
+                        int localPort)
+{
+  return std::string(local) + " " + std::to_string(localPort) + " " + remote +
+         " " + std::to_string(remotePort);
+}
+
 int ToEvents(int what)
 {
   switch (what) {
@@ -73,6 +81,10 @@
   bool Stopped = false;   ///< BeforeSend said no.
   bool Cancelled = false; ///< Nothing of it may be sent any more.
   bool IsPaused = false;
+  std::vector<curl_socket_t> Opened; ///< For it; some may be closed.
+  /** That it is sent on; set just before that. The library names it only
+   * after the call. */
+  curl_socket_t Socket = CURL_SOCKET_BAD;
   gsCallConnection Connection;    ///< Set just before it is sent.
   std::uint64_t Uploaded = 0;     ///< Of the body, at the last look.
   std::uint64_t Acknowledged = 0; ///< By the other end's TCP, likewise.
@@ -267,10 +279,8 @@
 bool gsHttpClient::HasUnread(std::uint64_t call) const
 {
   auto found = this->Calls.find(call);
-  curl_socket_t socket = CURL_SOCKET_BAD;
-  if (found != this->Calls.end()) {
-    curl_easy_getinfo(found->second->Easy, CURLINFO_ACTIVESOCKET, &socket);
-  }
+  curl_socket_t socket =
+    found == this->Calls.end() ? CURL_SOCKET_BAD : found->second->Socket;
   char byte = 0;
   return socket != CURL_SOCKET_BAD &&
          recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
@@ -300,12 +310,10 @@
     if (taken >= size) {
       continue;
     }
-    curl_socket_t socket = CURL_SOCKET_BAD;
-    curl_easy_getinfo(active->Easy, CURLINFO_ACTIVESOCKET, &socket);
     tcp_info info{};
     socklen_t length = sizeof(info);
-    if (socket != CURL_SOCKET_BAD) {
-      getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length);
+    if (active->Socket != CURL_SOCKET_BAD) {
+      getsockopt(active->Socket, IPPROTO_TCP, TCP_INFO, &info, &length);
     }
     if (active->TakenAt.count() == 0 || taken != active->Uploaded ||
         info.tcpi_bytes_acked != active->Acknowledged) {
@@ -404,15 +412,53 @@
   return line.size();
 }
 
-int gsHttpClient::OnPrerequest(void* active, char* /*remote*/, char* /*local*/,
-                               int /*rport*/, int /*lport*/)
+gsHttpClient::Connection* gsHttpClient::FindConnection(curl_socket_t socket)
+{
+  auto found = this->Kept.find(socket);
+  return found == this->Kept.end() ? nullptr : &found->second;
+}
+
+/** The open connection that was opened for a call. The library has closed the
+ * others, to other addresses of the same name, before the call is sent. */
+curl_socket_t gsHttpClient::OpenedFor(Active const& active) const
+{
+  for (curl_socket_t socket : active.Opened) {
+    auto found = this->Kept.find(socket);
+    if (found != this->Kept.end() && found->second.Opener == active.Number) {
+      return socket;
+    }
+  }
+  return CURL_SOCKET_BAD;
+}
+
+/** The socket that a call is about to be sent on: the one that was opened for
+ * it, or that of a former call between the same addresses. */
+curl_socket_t gsHttpClient::FindSocket(Active const& active,
+                                       std::string addresses)
+{
+  curl_socket_t opened = this->OpenedFor(active);
+  if (Connection* connection = this->FindConnection(opened)) {
+    connection->Addresses = addresses;
+    this->SocketsByAddresses[std::move(addresses)] = opened;
+    return opened;
+  }
+  auto found = this->SocketsByAddresses.find(addresses);
+  return found == this->SocketsByAddresses.end() ? CURL_SOCKET_BAD
+                                                 : found->second;
+}
+
+int gsHttpClient::OnPrerequest(void* active, char* remote, char* local,
+                               int rport, int lport)
 {
   auto* self = static_cast<Active*>(active);
-  curl_socket_t socket = CURL_SOCKET_BAD;
-  curl_easy_getinfo(self->Easy, CURLINFO_ACTIVESOCKET, &socket);
-  auto kept = self->Client->Kept.find(socket);
-  if (kept != self->Client->Kept.end() && !self->Sent) {
-    self->Connection = { kept->second.Number, kept->second.Carried };
+  Connection* connection = nullptr;
+  if (!self->Sent) {
+    self->Socket = self->Client->FindSocket(
+      *self, AddressesOf(remote, rport, local, lport));
+    connection = self->Client->FindConnection(self->Socket);
+  }
+  if (connection != nullptr) {
+    self->Connection = { connection->Number, connection->Carried };
   }
   if (self->Cancelled || self->Sent ||
       (self->Call.BeforeSend && !self->Call.BeforeSend())) {
@@ -420,8 +466,8 @@
     return CURL_PREREQFUNC_ABORT;
   }
   self->Sent = true;
-  if (kept != self->Client->Kept.end()) {
-    ++kept->second.Carried;
+  if (connection != nullptr) {
+    ++connection->Carried;
   }
   return CURL_PREREQFUNC_OK;
 }
@@ -430,7 +476,11 @@
                                curlsocktype /*purpose*/)
 {
   auto* self = static_cast<Active*>(active);
-  self->Client->Kept[socket] = { ++self->Client->Connections, 0 };
+  Connection opened;
+  opened.Number = ++self->Client->Connections;
+  opened.Opener = self->Number;
+  self->Client->Kept[socket] = std::move(opened);
+  self->Opened.push_back(socket);
   auto timeout =
     static_cast<unsigned int>(self->Call.UserTimeout.count() / 1000);
   if (timeout > 0) {
@@ -451,7 +501,11 @@
 
 int gsHttpClient::OnClosing(void* self, curl_socket_t socket)
 {
-  static_cast<gsHttpClient*>(self)->Kept.erase(socket);
+  auto* client = static_cast<gsHttpClient*>(self);
+  if (Connection* closed = client->FindConnection(socket)) {
+    client->SocketsByAddresses.erase(closed->Addresses);
+    client->Kept.erase(socket);
+  }
   return close(socket);
 }
 
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -187,6 +187,8 @@
   {
     std::uint64_t Number = 0;
     std::uint64_t Carried = 0; ///< Calls that were sent on it.
+    std::uint64_t Opener = 0;  ///< The call that it was opened for.
+    std::string Addresses;     ///< Key in SocketsByAddresses; may be empty.
   };
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
@@ -205,6 +207,9 @@
   void Act(curl_socket_t socket, int events);
   void Reap();
   void Finish(CURL* easy, CURLcode code);
+  Connection* FindConnection(curl_socket_t socket);
+  curl_socket_t OpenedFor(Active const& active) const;
+  curl_socket_t FindSocket(Active const& active, std::string addresses);
   CURL* TakeHandle();
   void SetUp(CURL* easy, Active& active);
 
@@ -214,6 +219,8 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Active>> Calls;
   std::map<curl_socket_t, std::unique_ptr<gsIoWatch>> Sockets;
   std::unordered_map<curl_socket_t, Connection> Kept; ///< By socket.
+  /** Sockets of connections that have carried a call, by both addresses. */
+  std::unordered_map<std::string, curl_socket_t> SocketsByAddresses;
   std::vector<CURL*> Spare; ///< Handles to be used again, reset.
   std::uint64_t Next = 1;
   std::uint64_t Connections = 0; ///< Opened so far.
--- a/Tests/Route/gsScriptedUpstream.cxx
+++ b/Tests/Route/gsScriptedUpstream.cxx
@@ -9,6 +9,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -189,6 +190,9 @@
   int descriptor =
     accept4(this->Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (descriptor >= 0) {
+    // What is written arrives before the script goes on.
+    int enable = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
     this->Connections.push_back(
       std::make_shared<Connection>(*this, descriptor));
   }
--- /dev/null
+++ b/Tests/Route/gsTestHttpClient.cxx
@@ -0,0 +1,344 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Which connections of the HTTP client carry another call, and what a call
+ * takes for its answer, whatever else an upstream writes and when.
+ */
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "gsHttpClient.h"
+#include "gsLoop.h"
+#include "gsScriptedUpstream.h"
+
+namespace {
+
+using Connection = gsScriptedUpstream::ConnectionPtr;
+
+constexpr unsigned NoContent = 204;
+constexpr unsigned Busy = 503;
+constexpr gsTime Patience = gsSeconds(5);
+
+/** What states the end of an answer. */
+enum class Framing
+{
+  Length,
+  Chunks,
+  Trailers, ///< Chunks, and a header line after them.
+  Empty,    ///< A length of zero.
+  Status,   ///< A status that has no body.
+  Head,     ///< The method HEAD.
+  Close
+};
+
+Framing const Kept[] = { Framing::Length, Framing::Chunks, Framing::Trailers,
+                         Framing::Empty,  Framing::Status, Framing::Head };
+
+char const* Name(Framing framing)
+{
+  char const* const names[] = { "length", "chunks", "trailers", "empty",
+                                "status", "head",   "close" };
+  return names[static_cast<int>(framing)];
+}
+
+/** An answer as it is meant. */
+struct Answer
+{
+  Framing States = Framing::Length;
+  unsigned Status = 200;
+  std::string Id; ///< Of the request that it answers.
+  std::string Body;
+  std::string Signature = "signed"; ///< Tells it from all others.
+};
+
+Answer MakeAnswer(Framing framing, std::string id, std::string body,
+                  unsigned status = 200)
+{
+  bool isEmpty = framing == Framing::Status || framing == Framing::Empty ||
+                 framing == Framing::Head;
+  return { framing, framing == Framing::Status ? NoContent : status,
+           std::move(id), isEmpty ? "" : std::move(body) };
+}
+
+std::string FramingHeader(Answer const& answer)
+{
+  constexpr std::size_t headLength = 7; ///< Of a body that is not sent.
+  switch (answer.States) {
+    case Framing::Chunks:
+    case Framing::Trailers:
+      return "Transfer-Encoding: chunked\r\n";
+    case Framing::Head:
+      return "Content-Length: " + std::to_string(headLength) + "\r\n";
+    case Framing::Status:
+    case Framing::Close:
+      return {};
+    case Framing::Length:
+    case Framing::Empty:
+      break;
+  }
+  return "Content-Length: " + std::to_string(answer.Body.size()) + "\r\n";
+}
+
+/** The bytes of an answer. */
+std::string Written(Answer const& answer)
+{
+  std::string bytes =
+    "HTTP/1.1 " + std::to_string(answer.Status) +
+    " Word\r\nGradescale-Attempt-Id: " + answer.Id +
+    "\r\nGradescale-Response-Signature: " + answer.Signature + "\r\n" +
+    FramingHeader(answer) + "\r\n";
+  bool inChunks =
+    answer.States == Framing::Chunks || answer.States == Framing::Trailers;
+  if (!inChunks) {
+    return bytes + answer.Body;
+  }
+  std::size_t half = answer.Body.size() / 2;
+  bytes += gsChunk(answer.Body.substr(0, half));
+  bytes += gsChunk(answer.Body.substr(half)) + "0\r\n";
+  return bytes +
+         (answer.States == Framing::Trailers ? "After: all\r\n\r\n" : "\r\n");
+}
+
+/** What a caller got. */
+struct View
+{
+  bool Done = false;
+  bool IsForeign = false; ///< Ended, for the id that the answer names.
+  unsigned Status = 0;
+  std::string Signature;
+  std::string Body;
+  gsCallEnd End;
+  std::uint64_t Call = 0;
+  gsCallConnection Connection; ///< That it was sent on.
+  int Asked = 0;               ///< How often it was asked before the send.
+
+  /** Whether it got a whole answer that it took for its own. */
+  bool HasAnswer() const
+  {
+    return this->Done && !this->IsForeign && this->End.IsWhole();
+  }
+  bool Got(Answer const& answer) const
+  {
+    return this->HasAnswer() && this->Status == answer.Status &&
+           this->Signature == answer.Signature && this->Body == answer.Body;
+  }
+};
+
+using ViewPtr = std::shared_ptr<View>;
+
+/** A client and a server whose every byte the test decides. */
+class ClientBench
+{
+public:
+  explicit ClientBench(gsScriptedUpstream::Script script = {})
+    : Client(this->Loop)
+    , Server(this->Loop, "u1", std::move(script))
+  {
+  }
+
+  gsCall MakeCall(std::string const& id, std::string method = "GET") const
+  {
+    gsCall call;
+    call.Method = std::move(method);
+    call.Url = "http://" + this->Server.Address() + "/x";
+    call.Headers.emplace_back("Gradescale-Attempt-Id", id);
+    call.Reuse = true;
+    call.BareHeaders = true;
+    return call;
+  }
+
+  /** Starts a call that ends when its answer names another id. */
+  ViewPtr Start(std::string const& id, gsCall call)
+  {
+    auto view = std::make_shared<View>();
+    auto before = std::move(call.BeforeSend);
+    call.BeforeSend = [this, view, before] {
+      ++view->Asked;
+      view->Connection = this->Client.ConnectionOf(view->Call);
+      return !before || before();
+    };
+    auto onHeaders = std::move(call.OnHeaders);
+    call.OnHeaders = [this, view, id, onHeaders](unsigned status,
+                                                 gsHeaders const& headers) {
+      view->Status = status;
+      view->Signature = gsFindHeader(headers, "gradescale-response-signature");
+      if (gsFindHeader(headers, "gradescale-attempt-id") != id) {
+        view->IsForeign = true;
+        this->Cancel(view);
+      } else if (onHeaders) {
+        onHeaders(status, headers);
+      }
+    };
+    auto onData = std::move(call.OnData);
+    call.OnData = [view, onData](std::string_view bytes) {
+      view->Body.append(bytes);
+      return !onData || onData(bytes);
+    };
+    call.OnEnd = [this, view](gsCallEnd const& end) {
+      view->End = end;
+      this->Finish(view);
+    };
+    view->Call = this->Client.Start(std::move(call));
+    return view;
+  }
+
+  ViewPtr Start(std::string const& id, std::string method = "GET")
+  {
+    return this->Start(id, this->MakeCall(id, std::move(method)));
+  }
+
+  ViewPtr Run(std::string const& id, gsCall call)
+  {
+    ViewPtr view = this->Start(id, std::move(call));
+    this->RunUntilDone(view);
+    return view;
+  }
+
+  ViewPtr Run(std::string const& id, std::string method = "GET")
+  {
+    return this->Run(id, this->MakeCall(id, std::move(method)));
+  }
+
+  /** Runs a call that an answer of the framing may answer. */
+  ViewPtr RunFor(std::string const& id, Framing framing)
+  {
+    return this->Run(id, framing == Framing::Head ? "HEAD" : "GET");
+  }
+
+  void Cancel(ViewPtr const& view)
+  {
+    this->Client.Cancel(view->Call);
+    this->Finish(view);
+  }
+
+  void RunUntilDone(ViewPtr const& view)
+  {
+    this->RunUntil([&] { return view->Done; });
+  }
+
+  /** Runs the loop until it holds, which is looked at when a call ends and in
+   * short intervals. */
+  void RunUntil(std::function<bool()> const& holds)
+  {
+    constexpr gsTime interval = gsMilliseconds(1);
+    gsTimer look(this->Loop, [this] { this->Loop.Stop(); });
+    look.Every(interval);
+    gsTime end = gsLoop::Now() + Patience;
+    while (!holds() && gsLoop::Now() < end) {
+      this->Loop.Run();
+    }
+    EXPECT_TRUE(holds());
+  }
+
+  gsLoop Loop;
+  gsHttpClient Client;
+  gsScriptedUpstream Server;
+
+private:
+  void Finish(ViewPtr const& view)
+  {
+    view->Done = true;
+    this->Loop.Stop();
+  }
+};
+
+/** Writes bytes one by one. */
+class SlowWriter
+{
+public:
+  SlowWriter(gsLoop& loop, Connection to, std::string bytes)
+    : To(std::move(to))
+    , Bytes(std::move(bytes))
+    , Timer(loop, [this] { this->WriteNext(); })
+  {
+    constexpr gsTime pause = gsMilliseconds(1);
+    this->Timer.Every(pause);
+  }
+
+private:
+  void WriteNext()
+  {
+    this->To->Write(this->Bytes.substr(this->Next++, 1));
+    if (this->Next == this->Bytes.size()) {
+      this->Timer.Stop();
+    }
+  }
+
+  Connection To;
+  std::string Bytes;
+  std::size_t Next = 0;
+  gsTimer Timer;
+};
+
+} // namespace
+
+// Guards against log lines and checks of calls whose connection is not found:
+// each would be the first call of connection 0.
+TEST(HttpClient, TheConnectionOfACallIsFound)
+{
+  std::uint64_t call = 0;
+  ClientBench bench;
+  bench.Server.Follow(
+    [&](Connection const& to, gsScriptedRequest const& request) {
+      EXPECT_FALSE(bench.Client.HasUnread(call));
+      to->Write(Written(MakeAnswer(Framing::Length, request.Id(), "own")));
+      EXPECT_TRUE(bench.Client.HasUnread(call));
+    });
+  for (std::uint64_t carried : { 0U, 1U, 2U }) {
+    ViewPtr view = bench.Start("id");
+    call = view->Call;
+    bench.RunUntilDone(view);
+    EXPECT_EQ(view->Connection.Number, 1U);
+    EXPECT_EQ(view->Connection.Carried, carried);
+  }
+}
+
+// Guards against a new connection for each call, where what ends an answer is
+// not seen.
+TEST(HttpClient, SoundAnswersNeedOneConnection)
+{
+  constexpr std::size_t calls = 200;
+  std::size_t count = 0;
+  std::vector<Answer> answers;
+  for (std::size_t i = 0; i < calls; ++i) {
+    Framing framing = Kept[i % std::size(Kept)];
+    unsigned status = framing == Framing::Empty ? Busy : 200;
+    answers.push_back(MakeAnswer(framing, "id-" + std::to_string(i),
+                                 std::string(1 + i * 97 % 40000, 'b'),
+                                 status));
+  }
+  ClientBench bench([&](Connection const& to, gsScriptedRequest const&) {
+    to->Write(Written(answers[count++]));
+  });
+  for (std::size_t i = 0; i < calls; ++i) {
+    ViewPtr view = bench.RunFor(answers[i].Id, answers[i].States);
+    EXPECT_TRUE(view->Got(answers[i])) << i << " " << view->End.Error;
+  }
+  EXPECT_EQ(bench.Client.Opened(), 1U);
+}
+
+// Guards against a new connection for an answer that comes in single bytes,
+// or after interim answers.
+TEST(HttpClient, SoundAnswersInPartsNeedOneConnection)
+{
+  for (Framing framing : Kept) {
+    ClientBench bench;
+    std::vector<std::unique_ptr<SlowWriter>> writers;
+    bench.Server.Follow(
+      [&](Connection const& to, gsScriptedRequest const& request) {
+        writers.push_back(std::make_unique<SlowWriter>(
+          bench.Loop, to,
+          "HTTP/1.1 100 Continue\r\n\r\n" +
+            Written(MakeAnswer(framing, request.Id(), "own"))));
+      });
+    for (char const* id : { "first", "second" }) {
+      ViewPtr view = bench.RunFor(id, framing);
+      EXPECT_TRUE(view->Got(MakeAnswer(framing, id, "own"))) << Name(framing);
+    }
+    EXPECT_EQ(bench.Client.Opened(), 1U) << Name(framing);
+  }
+}
