HttpClient: Closes the connection of a call that is cancelled in a callback

After one late answer, upstreams served 3 of the next 20 requests, and an attempt of the same id got the answer of the attempt before: 200 for a run that answered 500. The late answer is refused by its id and its call is cancelled, but the callbacks of a cancelled call went on to take what the library passed to them. A small answer was whole for the library in the same read, which then kept the connection, with the own answer still to come on it.

Each callback of a cancelled call now ends the transfer, also one that cancels it itself, before the send, at the head and in the body, and the connection of a cancelled call is not kept whatever else the library finds. The users of Cancel need no care of their own: refused and too long answers, hedges, callers that leave, stalled uploads, and calls of the platform's duties.

--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -78,8 +78,10 @@
   /** How the end of the answer is to be known; Unknown before its head. */
   gsBodyEnd StatedEnd = gsBodyEnd::Unknown;
   bool Sent = false;
-  bool Stopped = false;   ///< BeforeSend said no.
-  bool Cancelled = false; ///< Nothing of it may be sent any more.
+  bool Stopped = false; ///< BeforeSend said no.
+  /** Nothing of it may be sent or read any more: each callback of the library
+   * ends the transfer, so that the library closes its connection. */
+  bool Cancelled = false;
   bool IsPaused = false;
   std::vector<curl_socket_t> Opened; ///< For it; some may be closed.
   /** That it is sent on; set just before that. The library names it only
@@ -180,7 +182,7 @@
                    static_cast<long>(call.TotalTimeout.count() / 1000));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &active);
-  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &active);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnPrerequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &active);
@@ -249,6 +251,7 @@
   // A callback of this very handle may be running: remove it afterwards.
   CURL* easy = active->Easy;
   curl_easy_setopt(easy, CURLOPT_PRIVATE, nullptr);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   // Its connection may come to stand before that; it must not be used. The
   // callbacks stay until then, since one of them may be running.
   active->Cancelled = true;
@@ -350,6 +353,9 @@
                                  std::size_t count, void* active)
 {
   auto* self = static_cast<Active*>(active);
+  if (self->Cancelled) {
+    return EndTransfer;
+  }
   std::size_t length = size * count;
   std::uint64_t limit = self->Call.MaxBodyBytes;
   std::uint64_t received = self->BodyBytes + length;
@@ -357,8 +363,11 @@
     self->Excess = { gsAnswerPart::Body, received, limit, false };
     return EndTransfer;
   }
-  if (!self->Cancelled && self->Call.OnData &&
-      !self->Call.OnData({ data, length })) {
+  bool goesOn = !self->Call.OnData || self->Call.OnData({ data, length });
+  if (self->Cancelled) {
+    return EndTransfer;
+  }
+  if (!goesOn) {
     self->SetPaused(true);
     return CURL_WRITEFUNC_PAUSE;
   }
@@ -367,6 +376,17 @@
   return length;
 }
 
+std::size_t gsHttpClient::OnHeaderLine(char* data, std::size_t size,
+                                       std::size_t count, void* active)
+{
+  auto* self = static_cast<Active*>(active);
+  if (self->Cancelled) {
+    return EndTransfer;
+  }
+  std::size_t taken = OnHeader(data, size, count, active);
+  return self->Cancelled ? EndTransfer : taken;
+}
+
 std::size_t gsHttpClient::OnHeader(char* data, std::size_t size,
                                    std::size_t count, void* active)
 {
@@ -460,8 +480,9 @@
   if (connection != nullptr) {
     self->Connection = { connection->Number, connection->Carried };
   }
-  if (self->Cancelled || self->Sent ||
-      (self->Call.BeforeSend && !self->Call.BeforeSend())) {
+  bool maySend = !self->Cancelled && !self->Sent &&
+                 (!self->Call.BeforeSend || self->Call.BeforeSend());
+  if (!maySend || self->Cancelled) {
     self->Stopped = !self->Sent;
     return CURL_PREREQFUNC_ABORT;
   }
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -144,7 +144,8 @@
 
   /** Starts a call; the number names it. */
   std::uint64_t Start(gsCall call);
-  /** Ends a call without further callbacks; its connection is closed. */
+  /** Ends a call without further callbacks, also from within one of them. Its
+   * connection carries no other call, whatever has come in by then. */
   void Cancel(std::uint64_t call);
   /** Goes on with a call whose OnData returned false. */
   void Unpause(std::uint64_t call);
@@ -193,6 +194,8 @@
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                             void* active);
+  static std::size_t OnHeaderLine(char* data, std::size_t size,
+                                  std::size_t count, void* active);
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                               void* active);
   static int OnPrerequest(void* active, char* remote, char* local, int rport,
--- a/Tests/Route/gsTestHttpClient.cxx
+++ b/Tests/Route/gsTestHttpClient.cxx
@@ -274,6 +274,61 @@
   gsTimer Timer;
 };
 
+/** Where a caller cancels. */
+enum class Place
+{
+  BeforeSend,
+  OnHeaders,
+  OnFirstData,
+  OnLastData,
+  Outside ///< When its answer has come and has not been read.
+};
+
+Place const Places[] = { Place::BeforeSend, Place::OnHeaders,
+                         Place::OnFirstData, Place::OnLastData,
+                         Place::Outside };
+
+/** Runs a call that is cancelled at a place; whether it came to that. */
+bool RunCancelled(ClientBench& bench, Framing framing, Place place)
+{
+  bool isAnswered = place != Place::Outside;
+  bench.Server.Follow(
+    [=](Connection const& to, gsScriptedRequest const& request) {
+      if (isAnswered || request.Id() != "first") {
+        to->Write(Written(MakeAnswer(framing, request.Id(), "own")));
+      }
+    });
+  gsCall call =
+    bench.MakeCall("first", framing == Framing::Head ? "HEAD" : "GET");
+  auto view = std::make_shared<ViewPtr>();
+  auto cancelIf = [&bench, view](bool isThere) {
+    if (isThere) {
+      bench.Cancel(*view);
+    }
+    return true;
+  };
+  call.BeforeSend = [=] { return cancelIf(place == Place::BeforeSend); };
+  call.OnHeaders = [=](unsigned /*status*/, gsHeaders const& /*headers*/) {
+    cancelIf(place == Place::OnHeaders);
+  };
+  call.OnData = [=](std::string_view /*bytes*/) {
+    bool isLast = (*view)->Body == "own";
+    return cancelIf(place == Place::OnFirstData ||
+                    (place == Place::OnLastData && isLast));
+  };
+  *view = bench.Start("first", std::move(call));
+  if (place == Place::Outside) {
+    bench.RunUntil([&] { return !bench.Server.Requests.empty(); });
+    bench.Server.Connections.front()->Write(
+      Written(MakeAnswer(framing, "first", "own")));
+    bench.Cancel(*view);
+  }
+  bench.RunUntilDone(*view);
+  bool isCancelled = (*view)->End.BodyEnd == gsBodyEnd::Unknown;
+  *view = nullptr;
+  return isCancelled;
+}
+
 } // namespace
 
 // Guards against log lines and checks of calls whose connection is not found:
@@ -342,3 +397,20 @@
     EXPECT_EQ(bench.Client.Opened(), 1U) << Name(framing);
   }
 }
+
+// Guards against an answer that is read in the place of the next one: who
+// cancels a call does not read its answer.
+TEST(HttpClient, TheConnectionOfACancelledCallCarriesNoOther)
+{
+  for (Framing framing : Kept) {
+    for (Place place : Places) {
+      ClientBench bench;
+      bool isCancelled = RunCancelled(bench, framing, place);
+      ViewPtr next = bench.RunFor("next", framing);
+      EXPECT_TRUE(next->Got(MakeAnswer(framing, "next", "own")))
+        << Name(framing) << " " << static_cast<int>(place);
+      EXPECT_EQ(next->Connection.Carried, isCancelled ? 0U : 1U)
+        << Name(framing) << " " << static_cast<int>(place);
+    }
+  }
+}
