HttpClient: Keeps a connection only after a whole answer with nothing behind

Bytes that an upstream writes behind an answer or on an idle connection were read where the next call's answer was due, which got them, or failed. Only bytes behind a stated length made it close.

A connection is closed after a call unless the client releases it, in one function: the call was not cancelled, its request has been sent whole, its answer is complete by its framing, and the kernel has received not one byte more than the answers that were read from the connection. The same count is looked at again just before each send; if it is exceeded there, the call is started anew on a new connection, before BeforeSend is asked. On a new connection, bytes before the request end the call unsent.

The ends of bodies are followed by gsAnswerFraming, which is stricter than the library; chunks as they were received, by the library's debug callback, which is switched on for answers in chunks alone. Where the kernel keeps no count, what waits unread decides, with the framing: then bytes that the library has read and dropped behind an answer without a body stay unseen, and the id check and the parser meet the rest of them. A connection for each empty refusal would be the price of seeing them.

Costs two getsockopt calls for each call.

--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -3,12 +3,16 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
+#include <cstddef>
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "gsAnswerFraming.h"
+
 namespace {
 
 constexpr std::size_t MaxSpare = 64;
@@ -45,6 +49,28 @@
          " " + std::to_string(remotePort);
 }
 
+/** Bytes that the kernel has received on a connection, with one for the other
+ * end's close; zero if it does not count them. */
+std::uint64_t ReceivedBytes(curl_socket_t socket)
+{
+  constexpr std::size_t needed =
+    offsetof(tcp_info, tcpi_bytes_received) + sizeof(std::uint64_t);
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  bool known =
+    getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 &&
+    length >= needed;
+  return known ? info.tcpi_bytes_received : 0;
+}
+
+/** Whether nothing waits on a connection to be read, and it is open. */
+bool IsQuiet(curl_socket_t socket)
+{
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 int ToEvents(int what)
 {
   switch (what) {
@@ -77,8 +103,11 @@
   unsigned Status = 0;
   /** How the end of the answer is to be known; Unknown before its head. */
   gsBodyEnd StatedEnd = gsBodyEnd::Unknown;
+  std::uint64_t RawHeadBytes = 0; ///< As received, with interim answers.
+  gsAnswerFraming Framing;        ///< Of the body, once the head has come.
   bool Sent = false;
-  bool Stopped = false; ///< BeforeSend said no.
+  bool IsUnclean = false; ///< Its connection must not carry it.
+  bool Stopped = false;   ///< BeforeSend said no.
   /** Nothing of it may be sent or read any more: each callback of the library
    * ends the transfer, so that the library closes its connection. */
   bool Cancelled = false;
@@ -175,7 +204,8 @@
   curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
                    limited ? static_cast<long>(gsToSeconds(call.MaxAge)) : 0L);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, RestSeconds(call.MaxIdle));
-  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.Reuse ? 0L : 1L);
+  // Until ReleaseIfClean says otherwise; the library reads it at the end.
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.ConnectTimeout.count() / 1000));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
@@ -184,6 +214,8 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &active);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &active);
+  curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &OnRaw);
+  curl_easy_setopt(easy, CURLOPT_DEBUGDATA, &active);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnPrerequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &active);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
@@ -373,6 +405,10 @@
   }
   self->SetPaused(false);
   self->BodyBytes = received;
+  if (self->StatedEnd == gsBodyEnd::Length) {
+    self->Framing.Take({ data, length });
+    self->Client->ReleaseIfClean(*self);
+  }
   return length;
 }
 
@@ -383,8 +419,74 @@
   if (self->Cancelled) {
     return EndTransfer;
   }
+  bool isOfHead = !self->HasHead();
   std::size_t taken = OnHeader(data, size, count, active);
-  return self->Cancelled ? EndTransfer : taken;
+  if (self->Cancelled || taken != size * count) {
+    return EndTransfer;
+  }
+  if (isOfHead) {
+    self->RawHeadBytes += taken;
+  }
+  if (isOfHead && self->HasHead()) {
+    self->Client->OnHead(*self);
+  }
+  return taken;
+}
+
+/** Called when the head of the final answer has come. */
+void gsHttpClient::OnHead(Active& active)
+{
+  active.Framing = gsAnswerFraming(active.StatedEnd, active.Headers);
+  if (active.StatedEnd == gsBodyEnd::Chunks) {
+    // Only what is received, with what lies behind the last chunk, tells
+    // whether the connection is clean; the library drops that.
+    curl_easy_setopt(active.Easy, CURLOPT_VERBOSE, 1L);
+  }
+  this->ReleaseIfClean(active);
+}
+
+/** Called with the bytes of bodies in chunks as they were received. */
+int gsHttpClient::OnRaw(CURL* /*easy*/, curl_infotype type, char* data,
+                        std::size_t size, void* active)
+{
+  auto* self = static_cast<Active*>(active);
+  if (type == CURLINFO_DATA_IN && self->StatedEnd == gsBodyEnd::Chunks) {
+    self->Framing.Take({ data, size });
+    self->Client->ReleaseIfClean(*self);
+  }
+  return 0;
+}
+
+/** Releases the connection of a call for another one, once its request has
+ * been sent and its answer has come, both whole, and nothing lies behind. */
+void gsHttpClient::ReleaseIfClean(Active& active)
+{
+  Connection* connection = this->FindConnection(active.Socket);
+  if (active.Cancelled || !active.Call.Reuse || connection == nullptr ||
+      !active.Framing.IsComplete()) {
+    return;
+  }
+  curl_off_t uploaded = 0;
+  curl_easy_getinfo(active.Easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  std::uint64_t consumed =
+    connection->Consumed + active.RawHeadBytes + active.Framing.Bytes();
+  if (static_cast<std::uint64_t>(uploaded) < active.Call.Body.size() ||
+      !this->HasReceivedOnly(active.Socket, consumed)) {
+    return;
+  }
+  connection->Consumed = consumed;
+  curl_easy_setopt(active.Easy, CURLOPT_FORBID_REUSE, 0L);
+}
+
+/** Whether just so many bytes have been received on an open connection. Where
+ * the kernel does not count them, whether none waits to be read. */
+bool gsHttpClient::HasReceivedOnly(curl_socket_t socket,
+                                   std::uint64_t bytes) const
+{
+  std::uint64_t received =
+    this->Limits.UsesKernelCount ? ReceivedBytes(socket) : 0;
+  bool isCounted = received > 0 && received >= bytes;
+  return isCounted ? received == bytes : IsQuiet(socket);
 }
 
 std::size_t gsHttpClient::OnHeader(char* data, std::size_t size,
@@ -467,23 +569,37 @@
                                                  : found->second;
 }
 
+/** Whether the connection that a call is about to be sent on may carry it. */
+bool gsHttpClient::MayCarry(Active const& active) const
+{
+  auto found = this->Kept.find(active.Socket);
+  if (found == this->Kept.end()) {
+    return !active.Opened.empty();
+  }
+  return this->HasReceivedOnly(active.Socket, found->second.Consumed);
+}
+
 int gsHttpClient::OnPrerequest(void* active, char* remote, char* local,
                                int rport, int lport)
 {
   auto* self = static_cast<Active*>(active);
-  Connection* connection = nullptr;
-  if (!self->Sent) {
-    self->Socket = self->Client->FindSocket(
-      *self, AddressesOf(remote, rport, local, lport));
-    connection = self->Client->FindConnection(self->Socket);
+  if (self->Cancelled || self->Sent) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  gsHttpClient& client = *self->Client;
+  self->Socket =
+    client.FindSocket(*self, AddressesOf(remote, rport, local, lport));
+  if (!client.MayCarry(*self)) {
+    self->IsUnclean = true;
+    return CURL_PREREQFUNC_ABORT;
   }
+  Connection* connection = client.FindConnection(self->Socket);
   if (connection != nullptr) {
     self->Connection = { connection->Number, connection->Carried };
   }
-  bool maySend = !self->Cancelled && !self->Sent &&
-                 (!self->Call.BeforeSend || self->Call.BeforeSend());
+  bool maySend = !self->Call.BeforeSend || self->Call.BeforeSend();
   if (!maySend || self->Cancelled) {
-    self->Stopped = !self->Sent;
+    self->Stopped = true;
     return CURL_PREREQFUNC_ABORT;
   }
   self->Sent = true;
@@ -583,6 +699,16 @@
   }
 }
 
+/** Starts a call on a new connection that was about to be sent on a kept one,
+ * which the library has closed. */
+void gsHttpClient::StartAnew(Active& active)
+{
+  active.IsUnclean = false;
+  curl_multi_remove_handle(this->Multi, active.Easy);
+  curl_easy_setopt(active.Easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle(this->Multi, active.Easy);
+}
+
 void gsHttpClient::Finish(CURL* easy, CURLcode code)
 {
   char* raw = nullptr;
@@ -591,6 +717,10 @@
     return; // Cancelled.
   }
   auto found = this->Calls.find(reinterpret_cast<Active*>(raw)->Number);
+  if (found->second->IsUnclean && found->second->Opened.empty()) {
+    this->StartAnew(*found->second);
+    return;
+  }
   std::unique_ptr<Active> active = std::move(found->second);
   this->Calls.erase(found);
 
@@ -610,6 +740,8 @@
   end.Refused = !active->Sent && !active->Stopped;
   if (end.Excess) {
     end.Error = gsDescribeExcess(*end.Excess);
+  } else if (active->IsUnclean) {
+    end.Error = "The other end wrote before the request, or closed.";
   } else if (code != CURLE_OK) {
     end.Error = std::string(curl_easy_strerror(code)) + ".";
   } else {
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -4,8 +4,11 @@
  * HTTP client on libcurl's multi interface, driven by the loop. Unless a call
  * says otherwise it has a connection of its own that is never used again. A
  * call on a kept connection is sent once all the same: the library asks before
- * it sends, and is refused the second time. Whoever keeps connections has to
- * see by the answer's own marks that it belongs to the call.
+ * it sends, and is refused the second time. A kept connection carries another
+ * call only after a whole answer to a request that was sent whole, and only if
+ * nothing else has come on it by then. What comes after that is read as the
+ * answer: whoever keeps connections has to see by the answer's own marks that
+ * it belongs to the call, and to cancel the call if it does not.
  *
  * All header lines of an answer together have a limit, also those of interim
  * answers and of trailers, which are dropped.
@@ -42,8 +45,10 @@
   /** How it is known that the body has come in whole. By Close, nothing says
    * so: a process that ends closes its connections in the same way. */
   gsBodyEnd BodyEnd = gsBodyEnd::Unknown;
-  bool Refused = false; ///< No connection was made; nothing was sent.
-  bool Sent = false;    ///< Bytes of the request may have left.
+  /** No connection was made, or the other end wrote or closed before the
+   * request; nothing was sent. */
+  bool Refused = false;
+  bool Sent = false; ///< Bytes of the request may have left.
   /** The kept connection was gone, and another one could be made; the request
    * was not sent on that. */
   bool Stopped = false;
@@ -121,6 +126,8 @@
   /** Bytes that the kernel holds; zero leaves the size to the kernel. */
   int KernelBuffer = 0;
   int MaxSegment = 0; ///< As in gsHttpServerSettings, of bodies.
+  /** Whether the kernel's count of received bytes is used, if it keeps one. */
+  bool UsesKernelCount = true;
 };
 
 /** A call whose body the other end has not taken completely. */
@@ -183,13 +190,19 @@
 
 private:
   struct Active;
-  /** An open connection, idle or not. */
+  /**
+   * An open connection, idle or not. It is closed after a call unless
+   * ReleaseIfClean has released it for another one, and carries no call once
+   * more has been received on it than the answers that Consumed counts.
+   */
   struct Connection
   {
     std::uint64_t Number = 0;
     std::uint64_t Carried = 0; ///< Calls that were sent on it.
     std::uint64_t Opener = 0;  ///< The call that it was opened for.
-    std::string Addresses;     ///< Key in SocketsByAddresses; may be empty.
+    /** Bytes of whole answers, each of which was the answer to its call. */
+    std::uint64_t Consumed = 0;
+    std::string Addresses; ///< Key in SocketsByAddresses; may be empty.
   };
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
@@ -198,6 +211,8 @@
                                   std::size_t count, void* active);
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                               void* active);
+  static int OnRaw(CURL* easy, curl_infotype type, char* data,
+                   std::size_t size, void* active);
   static int OnPrerequest(void* active, char* remote, char* local, int rport,
                           int lport);
   static int OnConnecting(void* active, curl_socket_t socket,
@@ -210,6 +225,11 @@
   void Act(curl_socket_t socket, int events);
   void Reap();
   void Finish(CURL* easy, CURLcode code);
+  void StartAnew(Active& active);
+  void OnHead(Active& active);
+  void ReleaseIfClean(Active& active);
+  bool MayCarry(Active const& active) const;
+  bool HasReceivedOnly(curl_socket_t socket, std::uint64_t bytes) const;
   Connection* FindConnection(curl_socket_t socket);
   curl_socket_t OpenedFor(Active const& active) const;
   curl_socket_t FindSocket(Active const& active, std::string addresses);
--- a/Tests/Route/gsTestHttpClient.cxx
+++ b/Tests/Route/gsTestHttpClient.cxx
@@ -6,11 +6,16 @@
  */
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "gsHttpClient.h"
 #include "gsLoop.h"
 #include "gsScriptedUpstream.h"
@@ -246,6 +251,14 @@
   }
 };
 
+/** Answers each request with an answer of the framing. */
+gsScriptedUpstream::Script Answering(Framing framing)
+{
+  return [framing](Connection const& to, gsScriptedRequest const& request) {
+    to->Write(Written(MakeAnswer(framing, request.Id(), "own")));
+  };
+}
+
 /** Writes bytes one by one. */
 class SlowWriter
 {
@@ -274,6 +287,54 @@
   gsTimer Timer;
 };
 
+/** Writes on each connection before it reads. */
+class EagerServer
+{
+public:
+  explicit EagerServer(std::string bytes)
+    : Bytes(std::move(bytes))
+    , Listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    if (bind(this->Listener, generic, length) != 0 ||
+        listen(this->Listener, SOMAXCONN) != 0) {
+      throw std::runtime_error("no free address");
+    }
+    getsockname(this->Listener, generic, &length);
+    this->Port = ntohs(address.sin_port);
+  }
+  ~EagerServer()
+  {
+    close(this->Accepted);
+    close(this->Listener);
+  }
+  EagerServer(EagerServer const&) = delete;
+  EagerServer& operator=(EagerServer const&) = delete;
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(this->Port);
+  }
+  void AcceptAndWrite()
+  {
+    int accepted = accept4(this->Listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (accepted >= 0) {
+      this->Accepted = accepted;
+      send(accepted, this->Bytes.data(), this->Bytes.size(), MSG_NOSIGNAL);
+    }
+  }
+
+private:
+  std::string Bytes;
+  int Listener;
+  int Accepted = -1;
+  int Port = 0;
+};
+
 /** Where a caller cancels. */
 enum class Place
 {
@@ -398,6 +459,57 @@
   }
 }
 
+// Guards against bytes behind an answer that are read as the begin of the next
+// one: the rest of them comes once the next call has been sent.
+TEST(HttpClient, BytesBehindAnAnswerCloseItsConnection)
+{
+  for (Framing framing : Kept) {
+    std::string const stale =
+      Written(MakeAnswer(Framing::Length, "earlier", "stale"));
+    for (std::size_t cut :
+         { std::size_t(1), stale.size() / 2, stale.size() }) {
+      int count = 0;
+      ClientBench bench;
+      bench.Server.Follow(
+        [&](Connection const& to, gsScriptedRequest const& request) {
+          std::string own = Written(MakeAnswer(framing, request.Id(), "own"));
+          if (++count == 1) {
+            to->Write(own + stale.substr(0, cut));
+            return;
+          }
+          bench.Server.Connections.front()->Write(stale.substr(cut));
+          to->Write(own);
+        });
+      for (char const* id : { "first", "second" }) {
+        ViewPtr view = bench.RunFor(id, framing);
+        EXPECT_TRUE(view->Got(MakeAnswer(framing, id, "own")))
+          << Name(framing) << " " << cut << " " << id;
+      }
+      EXPECT_EQ(bench.Client.Opened(), 2U) << Name(framing) << " " << cut;
+    }
+  }
+}
+
+// Guards against bytes that come while a connection rests, and are read as the
+// answer of the next call.
+TEST(HttpClient, BytesAtRestCloseAConnection)
+{
+  std::string const stale =
+    Written(MakeAnswer(Framing::Length, "second", "stale"));
+  for (Framing framing : Kept) {
+    for (std::size_t cut :
+         { std::size_t(1), stale.size() / 2, stale.size() }) {
+      ClientBench bench(Answering(framing));
+      bench.RunFor("first", framing);
+      bench.Server.Connections.front()->Write(stale.substr(0, cut));
+      ViewPtr view = bench.RunFor("second", framing);
+      EXPECT_TRUE(view->Got(MakeAnswer(framing, "second", "own")))
+        << Name(framing) << " " << cut;
+      EXPECT_EQ(bench.Client.Opened(), 2U) << Name(framing) << " " << cut;
+    }
+  }
+}
+
 // Guards against an answer that is read in the place of the next one: who
 // cancels a call does not read its answer.
 TEST(HttpClient, TheConnectionOfACancelledCallCarriesNoOther)
@@ -414,3 +526,76 @@
     }
   }
 }
+
+// Guards against the rest of a body that is sent where the next request is
+// due, or the other way round.
+TEST(HttpClient, AnAnswerBeforeTheEndOfItsRequestClosesItsConnection)
+{
+  constexpr std::size_t size = 32U << 20U; ///< More than the kernel takes.
+  ClientBench bench(
+    [](Connection const& to, gsScriptedRequest const& request) {
+      if (request.Body.empty()) {
+        to->Write(Written(MakeAnswer(Framing::Length, request.Id(), "own")));
+      }
+    });
+  bool isAnswered = false;
+  bench.Loop.BeforeWait([&] {
+    if (!isAnswered && !bench.Server.Connections.empty()) {
+      isAnswered = true;
+      bench.Server.Connections.front()->Write(
+        Written(MakeAnswer(Framing::Length, "first", "own")));
+    }
+  });
+  gsCall call = bench.MakeCall("first", "POST");
+  call.Body.assign(size, 'x');
+  EXPECT_EQ(bench.Run("first", std::move(call))->Status, 200U);
+  EXPECT_EQ(bench.Run("second")->Status, 200U);
+  EXPECT_EQ(bench.Client.Opened(), 2U);
+}
+
+// Guards against a new connection for each call, and against bytes behind
+// chunks, where the kernel does not count what it receives.
+TEST(HttpClient, ConnectionsAreJudgedWithoutTheKernelsCount)
+{
+  gsHttpClientLimits limits;
+  limits.UsesKernelCount = false;
+  for (Framing framing : Kept) {
+    ClientBench bench;
+    bench.Client.Limit(limits);
+    std::string behind;
+    bench.Server.Follow(
+      [&](Connection const& to, gsScriptedRequest const& request) {
+        to->Write(Written(MakeAnswer(framing, request.Id(), "own")) + behind);
+      });
+    bench.RunFor("first", framing);
+    EXPECT_EQ(bench.RunFor("second", framing)->Connection.Number, 1U)
+      << Name(framing);
+    bench.Server.Connections.front()->Write("x");
+    EXPECT_EQ(bench.RunFor("third", framing)->Connection.Number, 2U)
+      << Name(framing);
+    bool isSeen = framing == Framing::Length || framing == Framing::Chunks ||
+                  framing == Framing::Trailers;
+    if (isSeen) {
+      behind = "x";
+      bench.RunFor("fourth", framing);
+      EXPECT_EQ(bench.RunFor("fifth", framing)->Connection.Number, 3U)
+        << Name(framing);
+    }
+  }
+}
+
+// Guards against a call that is answered before it was sent, on a connection
+// of its own.
+TEST(HttpClient, BytesBeforeTheFirstRequestEndItUnsent)
+{
+  ClientBench bench;
+  EagerServer server("early");
+  // The connection stands, and its bytes are there, before the loop sees it.
+  bench.Loop.BeforeWait([&] { server.AcceptAndWrite(); });
+  gsCall call = bench.MakeCall("first");
+  call.Url = "http://" + server.Address();
+  ViewPtr view = bench.Run("first", std::move(call));
+  EXPECT_TRUE(view->End.Refused);
+  EXPECT_FALSE(view->End.Sent);
+  EXPECT_EQ(view->Asked, 0);
+}
