HttpClient: Sends an identity once on a connection

A caller got the first attempt's failure where the second attempt had succeeded: the late copy of the first answer came on the connection that the second attempt of the same id had been sent on, and no id tells the two apart.

A call may name an identity; attempts at upstreams and at other hosts name their id. A connection keeps hashes of those that were sent on it. A call whose identity is among them is started anew on a new connection, before BeforeSend is asked, so that it spends no tokens twice. A connection that has carried 1,024 identities carries no other call: 8 KiB at most, 8 MiB for the 1,024 connections that are kept.

--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -347,6 +347,7 @@
   call.Body = request->Caller.Body;
   call.MaxBodyBytes = 0; // OnData has limits by kind of answer.
   call.Label = request->Caller.AttemptId;
+  call.Identity = request->Caller.AttemptId;
   call.ConnectTimeout = this->Settings.ConnectTimeout;
   call.UserTimeout = this->Settings.UserTimeout;
   call.Reuse = true;
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -17,6 +17,8 @@
 
 constexpr std::size_t MaxSpare = 64;
 constexpr long MaxKept = 1024; ///< Connections.
+/** Calls with an identity that one connection carries. */
+constexpr std::size_t MaxIdentities = 1024;
 /** Returned by a callback of the library in place of the number of bytes. */
 constexpr std::size_t EndTransfer = 0;
 
@@ -49,6 +51,11 @@
          " " + std::to_string(remotePort);
 }
 
+std::uint64_t HashOf(std::string const& identity)
+{
+  return std::hash<std::string>()(identity);
+}
+
 /** Bytes that the kernel has received on a connection, with one for the other
  * end's close; zero if it does not count them. */
 std::uint64_t ReceivedBytes(curl_socket_t socket)
@@ -463,6 +470,7 @@
 {
   Connection* connection = this->FindConnection(active.Socket);
   if (active.Cancelled || !active.Call.Reuse || connection == nullptr ||
+      connection->Identities.size() >= MaxIdentities ||
       !active.Framing.IsComplete()) {
     return;
   }
@@ -576,7 +584,20 @@
   if (found == this->Kept.end()) {
     return !active.Opened.empty();
   }
-  return this->HasReceivedOnly(active.Socket, found->second.Consumed);
+  Connection const& connection = found->second;
+  auto last = connection.Identities.end();
+  bool isKnown = !active.Call.Identity.empty() &&
+                 std::find(connection.Identities.begin(), last,
+                           HashOf(active.Call.Identity)) != last;
+  return !isKnown && this->HasReceivedOnly(active.Socket, connection.Consumed);
+}
+
+void gsHttpClient::CountSent(Active const& active, Connection& connection)
+{
+  ++connection.Carried;
+  if (!active.Call.Identity.empty()) {
+    connection.Identities.push_back(HashOf(active.Call.Identity));
+  }
 }
 
 int gsHttpClient::OnPrerequest(void* active, char* remote, char* local,
@@ -604,7 +625,7 @@
   }
   self->Sent = true;
   if (connection != nullptr) {
-    ++connection->Carried;
+    client.CountSent(*self, *connection);
   }
   return CURL_PREREQFUNC_OK;
 }
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -90,6 +90,10 @@
   gsHeaders Headers;
   std::string Body;
   std::string Label; ///< Names the call in logs; may be empty.
+  /** What an answer names to tell which call it belongs to; may be empty.
+   * Calls of one identity are not sent on the same connection, since a late
+   * copy of the first one's answer could not be told from the second one's. */
+  std::string Identity;
   gsTime ConnectTimeout = gsMilliseconds(1000);
   gsTime TotalTimeout{}; ///< Zero for none.
   /** The call ends once the body of its answer exceeds this; zero for no
@@ -202,6 +206,9 @@
     std::uint64_t Opener = 0;  ///< The call that it was opened for.
     /** Bytes of whole answers, each of which was the answer to its call. */
     std::uint64_t Consumed = 0;
+    /** Hashes of the identities that were sent on it, no two the same; at most
+     * MaxIdentities, then it carries no other call. */
+    std::vector<std::uint64_t> Identities;
     std::string Addresses; ///< Key in SocketsByAddresses; may be empty.
   };
 
@@ -229,6 +236,7 @@
   void OnHead(Active& active);
   void ReleaseIfClean(Active& active);
   bool MayCarry(Active const& active) const;
+  void CountSent(Active const& active, Connection& connection);
   bool HasReceivedOnly(curl_socket_t socket, std::uint64_t bytes) const;
   Connection* FindConnection(curl_socket_t socket);
   curl_socket_t OpenedFor(Active const& active) const;
--- a/Tests/Route/gsTestHttpClient.cxx
+++ b/Tests/Route/gsTestHttpClient.cxx
@@ -553,6 +553,28 @@
   EXPECT_EQ(bench.Client.Opened(), 2U);
 }
 
+// Guards against the late copy of an answer that is taken for the answer to
+// the next call of the same identity.
+TEST(HttpClient, AnIdentityIsSentOnceOnAConnection)
+{
+  ClientBench bench(Answering(Framing::Length));
+  auto run = [&](std::string const& identity) {
+    gsCall call = bench.MakeCall(identity);
+    call.Identity = identity;
+    ViewPtr view = bench.Run(identity, std::move(call));
+    EXPECT_TRUE(view->Got(MakeAnswer(Framing::Length, identity, "own")));
+    EXPECT_EQ(view->Asked, 1);
+    return view->Connection.Number;
+  };
+  EXPECT_EQ(run("a"), 1U);
+  EXPECT_EQ(run("b"), 1U);
+  EXPECT_EQ(run("a"), 2U);
+  EXPECT_EQ(run("b"), 2U);
+  EXPECT_EQ(run("c"), 2U);
+  EXPECT_EQ(run("c"), 3U);
+  EXPECT_EQ(bench.Server.Requests.size(), 6U);
+}
+
 // Guards against a new connection for each call, and against bytes behind
 // chunks, where the kernel does not count what it receives.
 TEST(HttpClient, ConnectionsAreJudgedWithoutTheKernelsCount)
@@ -584,6 +606,19 @@
   }
 }
 
+// Guards against identities that are kept without a limit.
+TEST(HttpClient, AConnectionCarriesALimitedNumberOfIdentities)
+{
+  constexpr std::uint64_t most = 1024;
+  ClientBench bench(Answering(Framing::Length));
+  for (std::uint64_t i = 0; i <= most; ++i) {
+    gsCall call = bench.MakeCall(std::to_string(i));
+    call.Identity = std::to_string(i);
+    ViewPtr view = bench.Run(std::to_string(i), std::move(call));
+    ASSERT_EQ(view->Connection.Number, i < most ? 1U : 2U) << i;
+  }
+}
+
 // Guards against a call that is answered before it was sent, on a connection
 // of its own.
 TEST(HttpClient, BytesBeforeTheFirstRequestEndItUnsent)
