Tests: All orders of an own and a surplus answer at the HTTP client

Guards against any other answer than the own one. Three calls, one after the other, and a surplus answer in two parts, each written before or behind the first answer, at rest, or before or behind the second one; of another id or a copy of the first call's; in seven framings of each; cut at a byte that is drawn; the second call with the id of the first or with another one. What a call gets is its own answer exactly as it was written, or the call fails; it is asked for its send once; it fails only where the surplus answer was written between its send and its answer; and no call is sent on a connection on which anything else has been written by then. Left out is a surplus head that is cut and joined with the own one, which the connection cannot tell.

--- a/Tests/Route/gsTestHttpClient.cxx
+++ b/Tests/Route/gsTestHttpClient.cxx
@@ -6,6 +6,8 @@
  */
 #include <functional>
 #include <memory>
+#include <ostream>
+#include <random>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -24,6 +26,7 @@
 
 using Connection = gsScriptedUpstream::ConnectionPtr;
 
+constexpr unsigned Failed = 500;
 constexpr unsigned NoContent = 204;
 constexpr unsigned Busy = 503;
 constexpr gsTime Patience = gsSeconds(5);
@@ -390,6 +393,227 @@
   return isCancelled;
 }
 
+/** When a part of a surplus answer is written on the connection of the first
+ * of three calls. */
+enum class When
+{
+  Ahead,    ///< Before the answer to the first call, at once with it.
+  Behind,   ///< After it, at once with it.
+  AtRest,   ///< Before the second call starts.
+  InNext,   ///< Before the answer to the second call.
+  AfterNext ///< After it, at once with it.
+};
+
+constexpr int WhenCount = static_cast<int>(When::AfterNext) + 1;
+constexpr int FramingCount = static_cast<int>(Framing::Close) + 1;
+
+/** Three calls one after the other, and a surplus answer in two parts. */
+struct Order
+{
+  Framing Own = Framing::Length;
+  Framing Surplus = Framing::Length;
+  bool IsCopy = false;     ///< It names the id of the first call.
+  bool IsRepeated = false; ///< The second call has the id of the first one.
+  bool InTurns = false;    ///< The client reads before the second answer.
+  When First = When::Behind;
+  When Rest = When::Behind;
+  std::size_t Cut = 0; ///< Size of the first part.
+};
+
+/** Names an order in the output of a failure. */
+std::ostream& operator<<(std::ostream& out, Order const& order)
+{
+  return out << "own " << Name(order.Own) << ", surplus "
+             << Name(order.Surplus) << (order.IsCopy ? ", copy" : "")
+             << (order.IsRepeated ? ", repeated" : "")
+             << (order.InTurns ? ", in turns" : "") << ", first part of "
+             << order.Cut << " at " << static_cast<int>(order.First)
+             << ", rest at " << static_cast<int>(order.Rest);
+}
+
+std::string SurplusOf(Order const& order)
+{
+  Answer answer = MakeAnswer(order.Surplus, order.IsCopy ? "a" : "earlier",
+                             "surplus", Failed);
+  answer.Signature = "surplus";
+  return Written(answer);
+}
+
+/** Whether the second call may meet the surplus answer: it comes after the
+ * call was sent, on its connection. */
+bool MeetsSurplus(Order const& order)
+{
+  return order.First >= When::InNext && !order.IsRepeated &&
+         order.Own != Framing::Close;
+}
+
+/** Whether nothing tells the surplus answer from the own one, or the first
+ * lines of both are one head. */
+bool IsAmbiguous(Order const& order)
+{
+  std::size_t head = SurplusOf(order).find("\r\n\r\n") + 4;
+  bool isJoined = order.Cut < head && order.Rest != order.First &&
+                  (order.First == When::Ahead ||
+                   (order.First == When::InNext && MeetsSurplus(order)));
+  return isJoined || (order.IsCopy && order.First == When::Ahead);
+}
+
+/** Plays an order and checks what each call gets, and on which connection. */
+class OrderPlay
+{
+public:
+  explicit OrderPlay(Order const& order)
+    : Played(order)
+    , Surplus(SurplusOf(order))
+  {
+    this->Bench.Server.Follow(
+      [this](Connection const& to, gsScriptedRequest const& request) {
+        this->OnRequest(to, request);
+      });
+  }
+
+  void Run()
+  {
+    bool isServed = this->Played.Own != Framing::Close;
+    bool isFirst = isServed && this->Played.First != When::Ahead;
+    this->Call(1, "a", isFirst);
+    this->WritePart(When::AtRest);
+    ViewPtr second = this->Call(2, this->Played.IsRepeated ? "a" : "b",
+                                isServed && !this->MayFail());
+    EXPECT_EQ(second->Connection.Number == 1, MeetsSurplus(this->Played))
+      << this->Played;
+    EXPECT_NE(this->Call(3, "c", isServed)->Connection.Number, 1U)
+      << this->Played;
+  }
+
+private:
+  /** Whether the second call may lose its answer to the surplus one. */
+  bool MayFail() const
+  {
+    return this->Played.First == When::InNext && MeetsSurplus(this->Played);
+  }
+
+  std::string PartAt(When when) const
+  {
+    std::string part;
+    if (this->Played.First == when) {
+      part += this->Surplus.substr(0, this->Played.Cut);
+    }
+    if (this->Played.Rest == when) {
+      part += this->Surplus.substr(this->Played.Cut);
+    }
+    return part;
+  }
+
+  void WritePart(When when)
+  {
+    std::string part = this->PartAt(when);
+    if (!part.empty()) {
+      this->Bench.Server.Connections.front()->Write(part);
+    }
+  }
+
+  Answer OwnOf(int number, std::string const& id) const
+  {
+    Answer answer =
+      MakeAnswer(this->Played.Own, id, "own " + std::to_string(number),
+                 number == 2 ? Failed : 200);
+    answer.Signature = "run " + std::to_string(number);
+    return answer;
+  }
+
+  void OnRequest(Connection const& to, gsScriptedRequest const& request)
+  {
+    std::string own = Written(this->OwnOf(this->Number, request.Id()));
+    if (this->Number == 1) {
+      to->Write(this->PartAt(When::Ahead) + own + this->PartAt(When::Behind));
+      this->CloseIfNeeded(to);
+      return;
+    }
+    if (this->Number == 2) {
+      this->WritePart(When::InNext);
+    }
+    if (!this->Played.InTurns) {
+      this->AnswerNext(to, own);
+      return;
+    }
+    this->Later = std::make_unique<gsTimer>(
+      this->Bench.Loop, [this, to, own] { this->AnswerNext(to, own); });
+    this->Later->Once(gsTime(1));
+  }
+
+  void AnswerNext(Connection const& to, std::string const& own)
+  {
+    to->Write(own);
+    if (this->Number == 2) {
+      this->WritePart(When::AfterNext);
+    }
+    this->CloseIfNeeded(to);
+  }
+
+  void CloseIfNeeded(Connection const& to)
+  {
+    if (this->Played.Own == Framing::Close) {
+      to->Close();
+    }
+  }
+
+  /** Makes a call, which must not get any other than its own answer. */
+  ViewPtr Call(int number, std::string const& id, bool isServed)
+  {
+    this->Number = number;
+    gsCall call = this->Bench.MakeCall(
+      id, this->Played.Own == Framing::Head ? "HEAD" : "GET");
+    call.Identity = id;
+    ViewPtr view = this->Bench.Run(id, std::move(call));
+    bool isOwn = view->Got(this->OwnOf(number, id));
+    EXPECT_EQ(view->HasAnswer(), isOwn) << this->Played << ": " << number;
+    EXPECT_TRUE(isOwn || !isServed) << this->Played << ": " << number;
+    EXPECT_EQ(view->Asked, 1) << this->Played << ": " << number;
+    return view;
+  }
+
+  Order Played;
+  std::string Surplus;
+  ClientBench Bench;
+  int Number = 0; ///< Of the call that is made.
+  std::unique_ptr<gsTimer> Later;
+};
+
+/** All orders, each with a cut that is drawn. */
+std::vector<Order> DrawOrders(unsigned seed)
+{
+  constexpr unsigned wholeOnceIn = 4;
+  std::mt19937 random(seed);
+  std::vector<Order> orders;
+  auto flags = { false, true };
+  for (int own = 0; own < FramingCount; ++own) {
+    for (int surplus = 0; surplus < FramingCount; ++surplus) {
+      for (int first = 0; first < WhenCount; ++first) {
+        for (int rest = first; rest < WhenCount; ++rest) {
+          for (bool isCopy : flags) {
+            for (bool isRepeated : flags) {
+              Order order{ static_cast<Framing>(own),
+                           static_cast<Framing>(surplus),
+                           isCopy,
+                           isRepeated,
+                           random() % 2 == 0,
+                           static_cast<When>(first),
+                           static_cast<When>(rest),
+                           0 };
+              std::size_t size = SurplusOf(order).size();
+              order.Cut =
+                random() % wholeOnceIn == 0 ? size : 1 + random() % size;
+              orders.push_back(order);
+            }
+          }
+        }
+      }
+    }
+  }
+  return orders;
+}
+
 } // namespace
 
 // Guards against log lines and checks of calls whose connection is not found:
@@ -634,3 +858,22 @@
   EXPECT_FALSE(view->End.Sent);
   EXPECT_EQ(view->Asked, 0);
 }
+
+class HttpClientOrders : public testing::TestWithParam<unsigned>
+{};
+
+// Guards against any other answer than the own one, and against connections
+// that carry a call after a surplus answer, in all orders of the two.
+TEST_P(HttpClientOrders, ACallGetsItsOwnAnswerOrFails)
+{
+  std::size_t played = 0;
+  for (Order const& order : DrawOrders(GetParam())) {
+    if (!IsAmbiguous(order)) {
+      OrderPlay(order).Run();
+      ++played;
+    }
+  }
+  EXPECT_GT(played, 2000U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, HttpClientOrders, testing::Values(1));
