--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -3,16 +3,22 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
+#include <cstddef>
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "gsAnswerFraming.h"
+
 namespace {
 
 constexpr std::size_t MaxSpare = 64;
 constexpr long MaxKept = 1024; ///< Connections.
+/** Calls with an identity that one connection carries. */
+constexpr std::size_t MaxIdentities = 1024;
 /** Returned by a callback of the library in place of the number of bytes. */
 constexpr std::size_t EndTransfer = 0;
 
@@ -37,6 +43,41 @@
   return std::max<long>(static_cast<long>(whole) - 1, 0);
 }
 
+/** Names a connection by the addresses of both ends. */
+std::string AddressesOf(char const* remote, int remotePort, char const* local,
+                        int localPort)
+{
+  return std::string(local) + " " + std::to_string(localPort) + " " + remote +
+         " " + std::to_string(remotePort);
+}
+
+std::uint64_t HashOf(std::string const& identity)
+{
+  return std::hash<std::string>()(identity);
+}
+
+/** Bytes that the kernel has received on a connection, with one for the other
+ * end's close; zero if it does not count them. */
+std::uint64_t ReceivedBytes(curl_socket_t socket)
+{
+  constexpr std::size_t needed =
+    offsetof(tcp_info, tcpi_bytes_received) + sizeof(std::uint64_t);
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  bool known =
+    getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 &&
+    length >= needed;
+  return known ? info.tcpi_bytes_received : 0;
+}
+
+/** Whether nothing waits on a connection to be read, and it is open. */
+bool IsQuiet(curl_socket_t socket)
+{
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 int ToEvents(int what)
 {
   switch (what) {
@@ -69,10 +110,19 @@
   unsigned Status = 0;
   /** How the end of the answer is to be known; Unknown before its head. */
   gsBodyEnd StatedEnd = gsBodyEnd::Unknown;
+  std::uint64_t RawHeadBytes = 0; ///< As received, with interim answers.
+  gsAnswerFraming Framing;        ///< Of the body, once the head has come.
   bool Sent = false;
+  bool IsUnclean = false; ///< Its connection must not carry it.
   bool Stopped = false;   ///< BeforeSend said no.
-  bool Cancelled = false; ///< Nothing of it may be sent any more.
+  /** Nothing of it may be sent or read any more: each callback of the library
+   * ends the transfer, so that the library closes its connection. */
+  bool Cancelled = false;
   bool IsPaused = false;
+  std::vector<curl_socket_t> Opened; ///< For it; some may be closed.
+  /** That it is sent on; set just before that. The library names it only
+   * after the call. */
+  curl_socket_t Socket = CURL_SOCKET_BAD;
   gsCallConnection Connection;    ///< Set just before it is sent.
   std::uint64_t Uploaded = 0;     ///< Of the body, at the last look.
   std::uint64_t Acknowledged = 0; ///< By the other end's TCP, likewise.
@@ -161,15 +211,18 @@
   curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
                    limited ? static_cast<long>(gsToSeconds(call.MaxAge)) : 0L);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, RestSeconds(call.MaxIdle));
-  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.Reuse ? 0L : 1L);
+  // Until ReleaseIfClean says otherwise; the library reads it at the end.
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.ConnectTimeout.count() / 1000));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(call.TotalTimeout.count() / 1000));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &active);
-  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &active);
+  curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &OnRaw);
+  curl_easy_setopt(easy, CURLOPT_DEBUGDATA, &active);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnPrerequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &active);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
@@ -237,6 +290,7 @@
   // A callback of this very handle may be running: remove it afterwards.
   CURL* easy = active->Easy;
   curl_easy_setopt(easy, CURLOPT_PRIVATE, nullptr);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   // Its connection may come to stand before that; it must not be used. The
   // callbacks stay until then, since one of them may be running.
   active->Cancelled = true;
@@ -267,10 +321,8 @@
 bool gsHttpClient::HasUnread(std::uint64_t call) const
 {
   auto found = this->Calls.find(call);
-  curl_socket_t socket = CURL_SOCKET_BAD;
-  if (found != this->Calls.end()) {
-    curl_easy_getinfo(found->second->Easy, CURLINFO_ACTIVESOCKET, &socket);
-  }
+  curl_socket_t socket =
+    found == this->Calls.end() ? CURL_SOCKET_BAD : found->second->Socket;
   char byte = 0;
   return socket != CURL_SOCKET_BAD &&
          recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
@@ -300,12 +352,10 @@
     if (taken >= size) {
       continue;
     }
-    curl_socket_t socket = CURL_SOCKET_BAD;
-    curl_easy_getinfo(active->Easy, CURLINFO_ACTIVESOCKET, &socket);
     tcp_info info{};
     socklen_t length = sizeof(info);
-    if (socket != CURL_SOCKET_BAD) {
-      getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length);
+    if (active->Socket != CURL_SOCKET_BAD) {
+      getsockopt(active->Socket, IPPROTO_TCP, TCP_INFO, &info, &length);
     }
     if (active->TakenAt.count() == 0 || taken != active->Uploaded ||
         info.tcpi_bytes_acked != active->Acknowledged) {
@@ -342,6 +392,9 @@
                                  std::size_t count, void* active)
 {
   auto* self = static_cast<Active*>(active);
+  if (self->Cancelled) {
+    return EndTransfer;
+  }
   std::size_t length = size * count;
   std::uint64_t limit = self->Call.MaxBodyBytes;
   std::uint64_t received = self->BodyBytes + length;
@@ -349,16 +402,101 @@
     self->Excess = { gsAnswerPart::Body, received, limit, false };
     return EndTransfer;
   }
-  if (!self->Cancelled && self->Call.OnData &&
-      !self->Call.OnData({ data, length })) {
+  bool goesOn = !self->Call.OnData || self->Call.OnData({ data, length });
+  if (self->Cancelled) {
+    return EndTransfer;
+  }
+  if (!goesOn) {
     self->SetPaused(true);
     return CURL_WRITEFUNC_PAUSE;
   }
   self->SetPaused(false);
   self->BodyBytes = received;
+  if (self->StatedEnd == gsBodyEnd::Length) {
+    self->Framing.Take({ data, length });
+    self->Client->ReleaseIfClean(*self);
+  }
   return length;
 }
 
+std::size_t gsHttpClient::OnHeaderLine(char* data, std::size_t size,
+                                       std::size_t count, void* active)
+{
+  auto* self = static_cast<Active*>(active);
+  if (self->Cancelled) {
+    return EndTransfer;
+  }
+  bool isOfHead = !self->HasHead();
+  std::size_t taken = OnHeader(data, size, count, active);
+  if (self->Cancelled || taken != size * count) {
+    return EndTransfer;
+  }
+  if (isOfHead) {
+    self->RawHeadBytes += taken;
+  }
+  if (isOfHead && self->HasHead()) {
+    self->Client->OnHead(*self);
+  }
+  return taken;
+}
+
+/** Called when the head of the final answer has come. */
+void gsHttpClient::OnHead(Active& active)
+{
+  active.Framing = gsAnswerFraming(active.StatedEnd, active.Headers);
+  if (active.StatedEnd == gsBodyEnd::Chunks) {
+    // Only what is received, with what lies behind the last chunk, tells
+    // whether the connection is clean; the library drops that.
+    curl_easy_setopt(active.Easy, CURLOPT_VERBOSE, 1L);
+  }
+  this->ReleaseIfClean(active);
+}
+
+/** Called with the bytes of bodies in chunks as they were received. */
+int gsHttpClient::OnRaw(CURL* /*easy*/, curl_infotype type, char* data,
+                        std::size_t size, void* active)
+{
+  auto* self = static_cast<Active*>(active);
+  if (type == CURLINFO_DATA_IN && self->StatedEnd == gsBodyEnd::Chunks) {
+    self->Framing.Take({ data, size });
+    self->Client->ReleaseIfClean(*self);
+  }
+  return 0;
+}
+
+/** Releases the connection of a call for another one, once its request has
+ * been sent and its answer has come, both whole, and nothing lies behind. */
+void gsHttpClient::ReleaseIfClean(Active& active)
+{
+  Connection* connection = this->FindConnection(active.Socket);
+  if (active.Cancelled || !active.Call.Reuse || connection == nullptr ||
+      connection->Identities.size() >= MaxIdentities ||
+      !active.Framing.IsComplete()) {
+    return;
+  }
+  curl_off_t uploaded = 0;
+  curl_easy_getinfo(active.Easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  std::uint64_t consumed =
+    connection->Consumed + active.RawHeadBytes + active.Framing.Bytes();
+  if (static_cast<std::uint64_t>(uploaded) < active.Call.Body.size() ||
+      !this->HasReceivedOnly(active.Socket, consumed)) {
+    return;
+  }
+  connection->Consumed = consumed;
+  curl_easy_setopt(active.Easy, CURLOPT_FORBID_REUSE, 0L);
+}
+
+/** Whether just so many bytes have been received on an open connection. Where
+ * the kernel does not count them, whether none waits to be read. */
+bool gsHttpClient::HasReceivedOnly(curl_socket_t socket,
+                                   std::uint64_t bytes) const
+{
+  std::uint64_t received =
+    this->Limits.UsesKernelCount ? ReceivedBytes(socket) : 0;
+  bool isCounted = received > 0 && received >= bytes;
+  return isCounted ? received == bytes : IsQuiet(socket);
+}
+
 std::size_t gsHttpClient::OnHeader(char* data, std::size_t size,
                                    std::size_t count, void* active)
 {
@@ -404,24 +542,90 @@
   return line.size();
 }
 
-int gsHttpClient::OnPrerequest(void* active, char* /*remote*/, char* /*local*/,
-                               int /*rport*/, int /*lport*/)
+gsHttpClient::Connection* gsHttpClient::FindConnection(curl_socket_t socket)
+{
+  auto found = this->Kept.find(socket);
+  return found == this->Kept.end() ? nullptr : &found->second;
+}
+
+/** The open connection that was opened for a call. The library has closed the
+ * others, to other addresses of the same name, before the call is sent. */
+curl_socket_t gsHttpClient::OpenedFor(Active const& active) const
+{
+  for (curl_socket_t socket : active.Opened) {
+    auto found = this->Kept.find(socket);
+    if (found != this->Kept.end() && found->second.Opener == active.Number) {
+      return socket;
+    }
+  }
+  return CURL_SOCKET_BAD;
+}
+
+/** The socket that a call is about to be sent on: the one that was opened for
+ * it, or that of a former call between the same addresses. */
+curl_socket_t gsHttpClient::FindSocket(Active const& active,
+                                       std::string addresses)
+{
+  curl_socket_t opened = this->OpenedFor(active);
+  if (Connection* connection = this->FindConnection(opened)) {
+    connection->Addresses = addresses;
+    this->SocketsByAddresses[std::move(addresses)] = opened;
+    return opened;
+  }
+  auto found = this->SocketsByAddresses.find(addresses);
+  return found == this->SocketsByAddresses.end() ? CURL_SOCKET_BAD
+                                                 : found->second;
+}
+
+/** Whether the connection that a call is about to be sent on may carry it. */
+bool gsHttpClient::MayCarry(Active const& active) const
+{
+  auto found = this->Kept.find(active.Socket);
+  if (found == this->Kept.end()) {
+    return !active.Opened.empty();
+  }
+  Connection const& connection = found->second;
+  auto last = connection.Identities.end();
+  bool isKnown = !active.Call.Identity.empty() &&
+                 std::find(connection.Identities.begin(), last,
+                           HashOf(active.Call.Identity)) != last;
+  return !isKnown && this->HasReceivedOnly(active.Socket, connection.Consumed);
+}
+
+void gsHttpClient::CountSent(Active const& active, Connection& connection)
+{
+  ++connection.Carried;
+  if (!active.Call.Identity.empty()) {
+    connection.Identities.push_back(HashOf(active.Call.Identity));
+  }
+}
+
+int gsHttpClient::OnPrerequest(void* active, char* remote, char* local,
+                               int rport, int lport)
 {
   auto* self = static_cast<Active*>(active);
-  curl_socket_t socket = CURL_SOCKET_BAD;
-  curl_easy_getinfo(self->Easy, CURLINFO_ACTIVESOCKET, &socket);
-  auto kept = self->Client->Kept.find(socket);
-  if (kept != self->Client->Kept.end() && !self->Sent) {
-    self->Connection = { kept->second.Number, kept->second.Carried };
-  }
-  if (self->Cancelled || self->Sent ||
-      (self->Call.BeforeSend && !self->Call.BeforeSend())) {
-    self->Stopped = !self->Sent;
+  if (self->Cancelled || self->Sent) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  gsHttpClient& client = *self->Client;
+  self->Socket =
+    client.FindSocket(*self, AddressesOf(remote, rport, local, lport));
+  if (!client.MayCarry(*self)) {
+    self->IsUnclean = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  Connection* connection = client.FindConnection(self->Socket);
+  if (connection != nullptr) {
+    self->Connection = { connection->Number, connection->Carried };
+  }
+  bool maySend = !self->Call.BeforeSend || self->Call.BeforeSend();
+  if (!maySend || self->Cancelled) {
+    self->Stopped = true;
     return CURL_PREREQFUNC_ABORT;
   }
   self->Sent = true;
-  if (kept != self->Client->Kept.end()) {
-    ++kept->second.Carried;
+  if (connection != nullptr) {
+    client.CountSent(*self, *connection);
   }
   return CURL_PREREQFUNC_OK;
 }
@@ -430,7 +634,11 @@
                                curlsocktype /*purpose*/)
 {
   auto* self = static_cast<Active*>(active);
-  self->Client->Kept[socket] = { ++self->Client->Connections, 0 };
+  Connection opened;
+  opened.Number = ++self->Client->Connections;
+  opened.Opener = self->Number;
+  self->Client->Kept[socket] = std::move(opened);
+  self->Opened.push_back(socket);
   auto timeout =
     static_cast<unsigned int>(self->Call.UserTimeout.count() / 1000);
   if (timeout > 0) {
@@ -451,7 +659,11 @@
 
 int gsHttpClient::OnClosing(void* self, curl_socket_t socket)
 {
-  static_cast<gsHttpClient*>(self)->Kept.erase(socket);
+  auto* client = static_cast<gsHttpClient*>(self);
+  if (Connection* closed = client->FindConnection(socket)) {
+    client->SocketsByAddresses.erase(closed->Addresses);
+    client->Kept.erase(socket);
+  }
   return close(socket);
 }
 
@@ -508,6 +720,16 @@
   }
 }
 
+/** Starts a call on a new connection that was about to be sent on a kept one,
+ * which the library has closed. */
+void gsHttpClient::StartAnew(Active& active)
+{
+  active.IsUnclean = false;
+  curl_multi_remove_handle(this->Multi, active.Easy);
+  curl_easy_setopt(active.Easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle(this->Multi, active.Easy);
+}
+
 void gsHttpClient::Finish(CURL* easy, CURLcode code)
 {
   char* raw = nullptr;
@@ -516,6 +738,10 @@
     return; // Cancelled.
   }
   auto found = this->Calls.find(reinterpret_cast<Active*>(raw)->Number);
+  if (found->second->IsUnclean && found->second->Opened.empty()) {
+    this->StartAnew(*found->second);
+    return;
+  }
   std::unique_ptr<Active> active = std::move(found->second);
   this->Calls.erase(found);
 
@@ -535,6 +761,8 @@
   end.Refused = !active->Sent && !active->Stopped;
   if (end.Excess) {
     end.Error = gsDescribeExcess(*end.Excess);
+  } else if (active->IsUnclean) {
+    end.Error = "The other end wrote before the request, or closed.";
   } else if (code != CURLE_OK) {
     end.Error = std::string(curl_easy_strerror(code)) + ".";
   } else {
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -4,8 +4,11 @@
  * HTTP client on libcurl's multi interface, driven by the loop. Unless a call
  * says otherwise it has a connection of its own that is never used again. A
  * call on a kept connection is sent once all the same: the library asks before
- * it sends, and is refused the second time. Whoever keeps connections has to
- * see by the answer's own marks that it belongs to the call.
+ * it sends, and is refused the second time. A kept connection carries another
+ * call only after a whole answer to a request that was sent whole, and only if
+ * nothing else has come on it by then. What comes after that is read as the
+ * answer: whoever keeps connections has to see by the answer's own marks that
+ * it belongs to the call, and to cancel the call if it does not.
  *
  * All header lines of an answer together have a limit, also those of interim
  * answers and of trailers, which are dropped.
@@ -42,8 +45,10 @@
   /** How it is known that the body has come in whole. By Close, nothing says
    * so: a process that ends closes its connections in the same way. */
   gsBodyEnd BodyEnd = gsBodyEnd::Unknown;
-  bool Refused = false; ///< No connection was made; nothing was sent.
-  bool Sent = false;    ///< Bytes of the request may have left.
+  /** No connection was made, or the other end wrote or closed before the
+   * request; nothing was sent. */
+  bool Refused = false;
+  bool Sent = false; ///< Bytes of the request may have left.
   /** The kept connection was gone, and another one could be made; the request
    * was not sent on that. */
   bool Stopped = false;
@@ -85,6 +90,10 @@
   gsHeaders Headers;
   std::string Body;
   std::string Label; ///< Names the call in logs; may be empty.
+  /** What an answer names to tell which call it belongs to; may be empty.
+   * Calls of one identity are not sent on the same connection, since a late
+   * copy of the first one's answer could not be told from the second one's. */
+  std::string Identity;
   gsTime ConnectTimeout = gsMilliseconds(1000);
   gsTime TotalTimeout{}; ///< Zero for none.
   /** The call ends once the body of its answer exceeds this; zero for no
@@ -121,6 +130,8 @@
   /** Bytes that the kernel holds; zero leaves the size to the kernel. */
   int KernelBuffer = 0;
   int MaxSegment = 0; ///< As in gsHttpServerSettings, of bodies.
+  /** Whether the kernel's count of received bytes is used, if it keeps one. */
+  bool UsesKernelCount = true;
 };
 
 /** A call whose body the other end has not taken completely. */
@@ -144,7 +155,8 @@
 
   /** Starts a call; the number names it. */
   std::uint64_t Start(gsCall call);
-  /** Ends a call without further callbacks; its connection is closed. */
+  /** Ends a call without further callbacks, also from within one of them. Its
+   * connection carries no other call, whatever has come in by then. */
   void Cancel(std::uint64_t call);
   /** Goes on with a call whose OnData returned false. */
   void Unpause(std::uint64_t call);
@@ -182,17 +194,32 @@
 
 private:
   struct Active;
-  /** An open connection, idle or not. */
+  /**
+   * An open connection, idle or not. It is closed after a call unless
+   * ReleaseIfClean has released it for another one, and carries no call once
+   * more has been received on it than the answers that Consumed counts.
+   */
   struct Connection
   {
     std::uint64_t Number = 0;
     std::uint64_t Carried = 0; ///< Calls that were sent on it.
+    std::uint64_t Opener = 0;  ///< The call that it was opened for.
+    /** Bytes of whole answers, each of which was the answer to its call. */
+    std::uint64_t Consumed = 0;
+    /** Hashes of the identities that were sent on it, no two the same; at most
+     * MaxIdentities, then it carries no other call. */
+    std::vector<std::uint64_t> Identities;
+    std::string Addresses; ///< Key in SocketsByAddresses; may be empty.
   };
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                             void* active);
+  static std::size_t OnHeaderLine(char* data, std::size_t size,
+                                  std::size_t count, void* active);
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                               void* active);
+  static int OnRaw(CURL* easy, curl_infotype type, char* data,
+                   std::size_t size, void* active);
   static int OnPrerequest(void* active, char* remote, char* local, int rport,
                           int lport);
   static int OnConnecting(void* active, curl_socket_t socket,
@@ -205,6 +232,15 @@
   void Act(curl_socket_t socket, int events);
   void Reap();
   void Finish(CURL* easy, CURLcode code);
+  void StartAnew(Active& active);
+  void OnHead(Active& active);
+  void ReleaseIfClean(Active& active);
+  bool MayCarry(Active const& active) const;
+  void CountSent(Active const& active, Connection& connection);
+  bool HasReceivedOnly(curl_socket_t socket, std::uint64_t bytes) const;
+  Connection* FindConnection(curl_socket_t socket);
+  curl_socket_t OpenedFor(Active const& active) const;
+  curl_socket_t FindSocket(Active const& active, std::string addresses);
   CURL* TakeHandle();
   void SetUp(CURL* easy, Active& active);
 
@@ -214,6 +250,8 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Active>> Calls;
   std::map<curl_socket_t, std::unique_ptr<gsIoWatch>> Sockets;
   std::unordered_map<curl_socket_t, Connection> Kept; ///< By socket.
+  /** Sockets of connections that have carried a call, by both addresses. */
+  std::unordered_map<std::string, curl_socket_t> SocketsByAddresses;
   std::vector<CURL*> Spare; ///< Handles to be used again, reset.
   std::uint64_t Next = 1;
   std::uint64_t Connections = 0; ///< Opened so far.
