Io: Reads the head of an answer as one head, or refuses it

Callers got a 200 with the body, the id and the signature of a 500, whole, and the other way round, when an upstream began a stale answer, stopped inside its head, and the request's own answer followed on the connection.

Cause: the client took what the library splits into lines. The library accepts nearly any line; the client took a line that begins with "HTTP/" for a new head, kept the status of the first one, and the last id.

gsAnswerHead is the grammar of a head, as pure code, for all calls: to upstreams, hosts and the platform. A head that contains a status line anywhere behind its begin is no head: whatever the place of the cut, the whole second status line stands in a line. Values may name the protocol ("Via: HTTP/1.1 a"); what is refused is a version, blanks and three digits that end there. A status line that is itself damaged is told by the second id or signature; the adapter names these fields, which no call knows otherwise. Further: one status line an answer, names that are tokens, no folding, no control characters, one way of ending lines (LF alone is one, RFC 9112, 2.2; a single LF among CRLF makes two fields of a value), one length, chunks alone and not in HTTP/1.0 (6.1, 6.3), no change of protocol. Trailers are checked likewise.

What fails ends the transfer, closes the connection, and is a failure of the upstream and no crash. The line of the attempt names the rule and the line of the head; gradescale_malformed_answers_total counts them.

A trailer without a colon counted as a crash.

--- a/Source/Daemon/gsAdapter.h
+++ b/Source/Daemon/gsAdapter.h
@@ -186,6 +186,9 @@
     MakeAttemptHeaders;
   std::function<gsResponseHead(unsigned status, gsHeaders const& headers)>
     ParseResponseHead;
+  /** Names, in lower case, of fields that a response must not repeat. They
+   * refer to constants. */
+  std::vector<std::string_view> SingleResponseFields;
   /** Headers of a request that is forwarded to another host, which parses it
    * with ParseRequest. */
   std::function<gsHeaders(gsCallerRequest const& request,
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -112,6 +112,9 @@
       "Answers that belong to another request, by whether the connection had "
       "carried requests before and whether another host sent it; routed "
       "mode." },
+    { "gradescale_malformed_answers_total", gsMetricKind::Counter,
+      "Answers that are no HTTP, by the rule that they break and whether "
+      "another host sent them; routed mode." },
     { "gradescale_paused_streams", gsMetricKind::Gauge,
       "Answers not read on, since their callers do not read; routed mode." },
     { "gradescale_memory_refusals_total", gsMetricKind::Counter,
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -118,6 +118,14 @@
   return gsLabels({ { "class", request.Route->Name }, { "result", result } });
 }
 
+/** Word on the rule that a malformed answer breaks. */
+char const* RuleName(gsAttemptResult const& result)
+{
+  return result.HeadFault == gsHeadFault::None
+           ? "unreadable"
+           : gsHeadFaultName(result.HeadFault);
+}
+
 void LogAttempt(gsRoutedRequest& request, gsAttempt const& attempt,
                 gsAttemptResult const& result, bool willRetry)
 {
@@ -141,6 +149,9 @@
   if (!attempt.ForeignId.empty()) {
     line.With("foreign_id", attempt.ForeignId);
   }
+  if (result.IsMalformed) {
+    line.With("malformed", RuleName(result));
+  }
   if (attempt.EventSplitter.BufferedBytes() > 0) {
     line.With("bytes_of_event",
               std::uint64_t(attempt.EventSplitter.BufferedBytes()));
@@ -1007,6 +1018,13 @@
       gsLabels({ { "part", gsAnswerPartName(result.Excess->Part) },
                  { "cause", gsExcessCauseName(*result.Excess) } }));
   }
+  if (result.IsMalformed) {
+    this->Metrics.Increment(
+      "gradescale_malformed_answers_total",
+      gsLabels(
+        { { "rule", RuleName(result) },
+          { "forwarded", attempt->ForwardedTo.empty() ? "no" : "yes" } }));
+  }
   if (!attempt->ForeignId.empty()) {
     this->Metrics.Increment(
       "gradescale_foreign_answers_total",
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -64,6 +64,10 @@
   /** Set if this host has ended the answer at a limit. That is a failure of
    * the upstream, and no evidence of a crash. */
   std::optional<gsAnswerExcess> Excess;
+  /** What was received is no HTTP; a failure of the upstream as well. */
+  bool IsMalformed = false;
+  /** The rule that the head of a malformed answer breaks, if it is known. */
+  gsHeadFault HeadFault = gsHeadFault::None;
 };
 
 /** One transmission of a request to one upstream. */
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -351,6 +351,7 @@
   call.UserTimeout = this->Settings.UserTimeout;
   call.Reuse = true;
   call.BareHeaders = true;
+  call.SingleFields = this->Adapter.SingleResponseFields;
   std::weak_ptr<gsRoutedRequest> weak = request;
   call.OnHeaders = [this, weak, attempt](unsigned status,
                                          gsHeaders const& headers) {
@@ -935,7 +936,11 @@
     result.IsUpstreamLost =
       !wasClosedBefore && !end.Stalled && !end.Excess && !end.Malformed;
     result.Excess = end.Excess;
-    result.Detail = "The upstream's answer broke off: " + end.Error;
+    result.IsMalformed = end.Malformed;
+    result.HeadFault = end.HeadFault;
+    result.Detail = (end.Malformed ? "The upstream's answer is malformed: "
+                                   : "The upstream's answer broke off: ") +
+                    end.Error;
   } else if (attempt.AnswerHead.NotExecuted) {
     result.Outcome = gsAttemptOutcome::NotExecuted;
     result.Detail = "The upstream turned the request away with status " +
--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -2,7 +2,7 @@
 #include "gsHttpClient.h"
 
 #include <algorithm>
-#include <cctype>
+#include <array>
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
@@ -16,16 +16,6 @@
 /** Returned by a callback of the library in place of the number of bytes. */
 constexpr std::size_t EndTransfer = 0;
 
-std::string_view Trim(std::string_view text)
-{
-  constexpr char const* blanks = " \t\r\n";
-  std::size_t first = text.find_first_not_of(blanks);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 /**
  * The library reuses what has rested for less than a second more than it is
  * told. A connection that rests for as long as its other end allows may close
@@ -37,6 +27,15 @@
   return std::max<long>(static_cast<long>(whole) - 1, 0);
 }
 
+/** Whether the library could not read what it received. That of a trailer
+ * that is no field is its code of a bad argument. */
+bool IsUnreadable(CURLcode code, bool hasHead)
+{
+  return code == CURLE_UNSUPPORTED_PROTOCOL ||
+         code == CURLE_WEIRD_SERVER_REPLY ||
+         (hasHead && code == CURLE_BAD_FUNCTION_ARGUMENT);
+}
+
 int ToEvents(int what)
 {
   switch (what) {
@@ -61,7 +60,9 @@
   gsCall Call;
   CURL* Easy = nullptr;
   curl_slist* HeaderList = nullptr;
-  gsHeaders Headers;
+  gsAnswerHead Head;
+  /** What the library says on its failure; empty if nothing. */
+  std::array<char, CURL_ERROR_SIZE> LibraryText{};
   /** Of all header lines so far; see gsMaxHeaderBytes. */
   std::uint64_t HeaderBytes = 0;
   std::uint64_t BodyBytes = 0; ///< Handed over.
@@ -173,6 +174,7 @@
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnPrerequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &active);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &active);
+  curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, active.LibraryText.data());
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnConnecting);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &active);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnClosing);
@@ -371,35 +373,19 @@
     self->Excess = { part, self->HeaderBytes, gsMaxHeaderBytes, false };
     return EndTransfer;
   }
-  if (self->HasHead()) {
-    return line.size();
-  }
-  if (line.substr(0, 5) == "HTTP/") {
-    self->Headers.clear();
-    return line.size();
+  gsAnswerHead& head = self->Head;
+  if (gsReadHeadLine(head, line, self->Call.SingleFields) !=
+      gsHeadFault::None) {
+    return EndTransfer;
   }
-  std::size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    std::string name(line.substr(0, colon));
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return std::tolower(c); });
-    self->Headers.emplace_back(std::move(name),
-                               std::string(Trim(line.substr(colon + 1))));
+  if (!head.IsComplete || self->HasHead()) {
     return line.size();
   }
-  if (Trim(line).empty()) {
-    long status = 0;
-    curl_easy_getinfo(self->Easy, CURLINFO_RESPONSE_CODE, &status);
-    self->Status = static_cast<unsigned>(status);
-    constexpr unsigned firstFinal = 200;
-    if (self->Status < firstFinal) {
-      return line.size();
-    }
-    self->StatedEnd =
-      gsStatedBodyEnd(self->Call.Method, self->Status, self->Headers);
-    if (!self->Cancelled && self->Call.OnHeaders) {
-      self->Call.OnHeaders(self->Status, self->Headers);
-    }
+  self->Status = head.Status;
+  self->StatedEnd =
+    gsStatedBodyEnd(self->Call.Method, head.Status, head.Headers);
+  if (!self->Cancelled && self->Call.OnHeaders) {
+    self->Call.OnHeaders(head.Status, head.Headers);
   }
   return line.size();
 }
@@ -529,12 +515,17 @@
   end.Status = active->Status;
   end.Sent = active->Sent;
   end.Excess = active->Excess;
-  end.Malformed = active->Sent && (code == CURLE_UNSUPPORTED_PROTOCOL ||
-                                   code == CURLE_WEIRD_SERVER_REPLY);
+  end.HeadFault = active->Head.Fault;
+  end.Malformed = active->Sent && (end.HeadFault != gsHeadFault::None ||
+                                   IsUnreadable(code, active->HasHead()));
   end.Stopped = active->Sent && code == CURLE_ABORTED_BY_CALLBACK;
   end.Refused = !active->Sent && !active->Stopped;
   if (end.Excess) {
     end.Error = gsDescribeExcess(*end.Excess);
+  } else if (end.HeadFault != gsHeadFault::None) {
+    end.Error = gsDescribeHeadFault(active->Head);
+  } else if (end.Malformed && active->LibraryText.front() != '\0') {
+    end.Error = std::string(active->LibraryText.data()) + ".";
   } else if (code != CURLE_OK) {
     end.Error = std::string(curl_easy_strerror(code)) + ".";
   } else {
--- a/Source/Io/gsHttpClient.h
+++ b/Source/Io/gsHttpClient.h
@@ -8,7 +8,9 @@
  * see by the answer's own marks that it belongs to the call.
  *
  * All header lines of an answer together have a limit, also those of interim
- * answers and of trailers, which are dropped.
+ * answers and of trailers, which are dropped. The library splits lines and
+ * accepts nearly all of them: an answer whose head is not one sound head (see
+ * gsAnswerHead.h) ends its call and closes its connection.
  */
 #pragma once
 
@@ -24,6 +26,7 @@
 
 #include <curl/curl.h>
 
+#include "gsAnswerHead.h"
 #include "gsHeldBytes.h"
 #include "gsHttpMessage.h"
 #include "gsHttpServer.h"
@@ -52,6 +55,9 @@
   bool Stalled = false;
   /** It ended because what was received is no HTTP. */
   bool Malformed = false;
+  /** The rule that its head or its trailers break; None also if the library
+   * could not read it. */
+  gsHeadFault HeadFault = gsHeadFault::None;
   /** Set if it was ended because the answer exceeds a limit. */
   std::optional<gsAnswerExcess> Excess;
   std::string Error; ///< One sentence; empty when whole.
@@ -96,6 +102,9 @@
   gsTime MaxIdle = gsSeconds(118);
   /** Greatest age of a kept connection that is used; zero for any. */
   gsTime MaxAge{};
+  /** Names, in lower case, of fields that an answer must not repeat, beside
+   * those that frame it. What they refer to must outlive the call. */
+  std::vector<std::string_view> SingleFields;
   /** Sends no header of the library's own beside those that frame it. */
   bool BareHeaders = false;
   /** Longest time without the peer's acknowledgement; zero for none. */
--- a/Tests/Route/gsForwardingHost.cxx
+++ b/Tests/Route/gsForwardingHost.cxx
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-gsForwardingHost::gsForwardingHost(gsRouteBench& bench)
+gsForwardingHost::gsForwardingHost(gsRouteBench& bench, std::string peer)
   : Bench(bench)
   , Client(bench.Loop)
 {
@@ -22,8 +22,9 @@
   gsIndexRoutes(table);
   this->Gateway->SetRoutes(
     std::make_shared<gsRouteTable const>(std::move(table)));
-  std::string const peer =
-    "127.0.0.1:" + std::to_string(this->PeerServer->Port());
+  if (peer.empty()) {
+    peer = "127.0.0.1:" + std::to_string(this->PeerServer->Port());
+  }
   this->Gateway->Forwarder().Enable({ "token", "cluster" }, [peer] {
     return std::vector<gsForwardPeer>{ { "peer", "north", peer, 1 } };
   });
--- a/Tests/Route/gsForwardingHost.h
+++ b/Tests/Route/gsForwardingHost.h
@@ -2,12 +2,13 @@
 /**
  * \file
  * A host of the routed mode that reaches no upstream, and forwards requests to
- * the host of a gsRouteBench.
+ * the host of a gsRouteBench, or to what listens at another address.
  */
 #pragma once
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "gsRouteBench.h"
 
@@ -15,7 +16,7 @@
 {
 public:
   /** The bench must outlive this object. */
-  explicit gsForwardingHost(gsRouteBench& bench);
+  explicit gsForwardingHost(gsRouteBench& bench, std::string peer = {});
 
   std::uint16_t Port() const { return this->Server->Port(); }
 
--- a/Tests/Route/gsRawCaller.h
+++ b/Tests/Route/gsRawCaller.h
@@ -45,6 +45,8 @@
   gsRawCaller& operator=(gsRawCaller const&) = delete;
 
   gsRawAnswer Answer() const { return gsParseRawAnswer(this->Bytes); }
+  /** All bytes that have come. */
+  std::string const& Received() const { return this->Bytes; }
   End Ended() const { return this->EndSeen; }
   /** Whether nothing more can come of the answer. */
   bool Done() const;
--- a/Tests/Route/gsRouteBench.cxx
+++ b/Tests/Route/gsRouteBench.cxx
@@ -101,11 +101,17 @@
 }
 
 gsCallerViewPtr gsRouteBench::Send(gsCallerSends const& sends)
+{
+  return this->SendTo(this->Server->Port(), sends);
+}
+
+gsCallerViewPtr gsRouteBench::SendTo(std::uint16_t port,
+                                     gsCallerSends const& sends)
 {
   auto view = std::make_shared<gsCallerView>();
   gsCall call;
   call.Method = sends.Method;
-  call.Url = "http://127.0.0.1:" + std::to_string(this->Server->Port());
+  call.Url = "http://127.0.0.1:" + std::to_string(port);
   call.Target = sends.Target;
   call.Body = sends.Body;
   call.Reuse = sends.Keep;
--- a/Tests/Route/gsRouteBench.h
+++ b/Tests/Route/gsRouteBench.h
@@ -67,6 +67,8 @@
   void List(std::vector<std::string> const& leaving = {});
 
   gsCallerViewPtr Send(gsCallerSends const& sends);
+  /** Sends to another host of the test, at a port of this machine. */
+  gsCallerViewPtr SendTo(std::uint16_t port, gsCallerSends const& sends);
   gsCallerViewPtr SendAndWait(gsCallerSends const& sends);
   void Leave(gsCallerViewPtr const& view) { this->Callers.Cancel(view->Call); }
 
