Routing: Ends a stream before the head of another answer in it

Callers of a stream got the head and the events of another answer among their own, when the upstream stopped somewhere in the body and a stale answer followed on the connection.

Cause: what the framing covers is data, whatever it is. A chunk that was begun, its size ("1f4", then "HTTP/1.1 200 Word" for a chunk extension), or a length take in another answer's bytes, and its head ends with an empty line, as an event does.

The head of any answer has lines that no event has: the fields that an answer must not repeat, its id and its signature. The splitter ends the stream before an event with such a field; the attempt fails and is resumed where it may be. Data that names them ("data: x-id: 1") is passed on.

Left: bodies that are no streams. Only the ids that a connection has carried could tell.

--- a/Source/Daemon/gsEventSplitter.cxx
+++ b/Source/Daemon/gsEventSplitter.cxx
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include <strings.h>
+
 #include "gsHeldBytes.h"
 
 namespace {
@@ -12,15 +14,27 @@
 constexpr std::string_view IdField = "id:";
 constexpr std::string_view LineEnds = "\r\n";
 
+/** Removes and returns the first line of a text, without its end. */
+std::string_view TakeLine(std::string_view& text)
+{
+  std::size_t end = std::min(text.find_first_of(LineEnds), text.size());
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  return line;
+}
+
+/** Whether a line is a field of a name in lower case. */
+bool IsFieldOf(std::string_view line, std::string_view name)
+{
+  return line.size() > name.size() && line[name.size()] == ':' &&
+         strncasecmp(line.data(), name.data(), name.size()) == 0;
+}
+
 /** The id of an event; empty if it has none or the id is not a number. */
 std::optional<std::uint64_t> ParseEventId(std::string_view event)
 {
-  std::size_t start = 0;
-  while (start < event.size()) {
-    std::size_t end =
-      std::min(event.find_first_of("\r\n", start), event.size());
-    std::string_view line = event.substr(start, end - start);
-    start = end + 1;
+  while (!event.empty()) {
+    std::string_view line = TakeLine(event);
     if (line.substr(0, IdField.size()) != IdField) {
       continue;
     }
@@ -63,8 +77,24 @@
 
 } // namespace
 
+bool gsEventSplitter::IsOfOtherAnswer(std::string_view event) const
+{
+  while (!event.empty() && !this->StopFields.empty()) {
+    std::string_view line = TakeLine(event);
+    for (std::string_view name : this->StopFields) {
+      if (IsFieldOf(line, name)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 std::string gsEventSplitter::Append(std::string_view bytes)
 {
+  if (this->Stopped) {
+    return {};
+  }
   std::string_view text = bytes;
   if (!this->Buffer.empty()) {
     gsAppendCompactly(this->Buffer, bytes);
@@ -76,6 +106,10 @@
   std::size_t end = this->FindNextEnd(text, from);
   while (end != 0) {
     std::string_view event = text.substr(begin, end - begin);
+    this->Stopped = this->IsOfOtherAnswer(event);
+    if (this->Stopped) {
+      break;
+    }
     std::optional<std::uint64_t> id = ParseEventId(event);
     bool isSkipped = this->Skip && id && *id <= *this->Skip;
     if (!isSkipped) {
--- a/Source/Daemon/gsEventSplitter.h
+++ b/Source/Daemon/gsEventSplitter.h
@@ -11,10 +11,26 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 class gsEventSplitter
 {
 public:
+  /**
+   * Ends the stream before the first event with a field of one of these names,
+   * which are in lower case and refer to constants. Such an event contains the
+   * head of another answer: an answer may stop anywhere in its body, and
+   * another one follow on the same connection within what the framing of the
+   * first one covers.
+   */
+  void StopAtFields(std::vector<std::string_view> names)
+  {
+    this->StopFields = std::move(names);
+  }
+  /** Whether the stream has been ended so; later bytes are dropped. */
+  bool HasStopped() const { return this->Stopped; }
+
   /** Drops events with ids up to this one, which the caller has already
    * received. */
   void SkipThrough(std::uint64_t id) { this->Skip = id; }
@@ -42,6 +58,7 @@
   std::size_t HeldBytes() const { return this->Buffer.capacity(); }
 
 private:
+  bool IsOfOtherAnswer(std::string_view event) const;
   std::size_t FindNextEnd(std::string_view text, std::size_t from);
 
   std::string Buffer; ///< Bytes from the start of the first incomplete event.
@@ -55,4 +72,6 @@
   std::uint64_t Count = 0;   ///< Events returned.
   std::uint64_t Dropped = 0; ///< Events dropped, each id above the last one's.
   std::optional<std::uint64_t> LastDropped; ///< Highest id of those.
+  std::vector<std::string_view> StopFields;
+  bool Stopped = false; ///< No event is returned any more.
 };
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -352,6 +352,7 @@
   call.Reuse = true;
   call.BareHeaders = true;
   call.SingleFields = this->Adapter.SingleResponseFields;
+  attempt->EventSplitter.StopAtFields(this->Adapter.SingleResponseFields);
   std::weak_ptr<gsRoutedRequest> weak = request;
   call.OnHeaders = [this, weak, attempt](unsigned status,
                                          gsHeaders const& headers) {
@@ -703,6 +704,11 @@
     this->Events.OnEvents(request, std::move(events));
   }
   this->OnHeldChanged(request, held);
+  if (attempt.CallId != 0 && attempt.EventSplitter.HasStopped()) {
+    this->AbortAttempt(request, held,
+                       "The stream contains the head of another answer.");
+    return;
+  }
   std::uint64_t partial = attempt.EventSplitter.BufferedBytes();
   if (attempt.CallId != 0 && partial > this->Settings.MaxEventBytes) {
     this->EndAnswer(
--- a/Tests/Route/gsTestAnswerHeads.cxx
+++ b/Tests/Route/gsTestAnswerHeads.cxx
@@ -352,8 +352,8 @@
   }
 }
 
-// The same of a trailer, in which another answer may begin: its fault is that
-// of the upstream, and was counted as a crash.
+// Guards against a damaged trailer, in which another answer may begin, that
+// counts as a crash of its upstream.
 TEST(AnswerHeads, ADamagedTrailerIsAFailureAndNoCrash)
 {
   for (std::string const trailer :
@@ -555,6 +555,102 @@
 
 namespace {
 
+/** The events of a stream, which are more than another answer. */
+std::string ManyEvents()
+{
+  std::string events;
+  constexpr std::uint64_t last = 15;
+  for (std::uint64_t id = 1; id <= last; ++id) {
+    events += gsEvent(id, "own event");
+  }
+  return events;
+}
+
+/** An answer with these events: in chunks, one of which may hold another
+ * answer, or with their length. */
+std::string LongAnswer(gsScriptedRequest const& request, bool isInChunks)
+{
+  std::string const body = ManyEvents();
+  std::size_t const first = gsEvent(1, "own event").size();
+  if (!isInChunks) {
+    return gsWholeAnswer(request, body, 200,
+                         "Content-Type: text/event-stream\r\n");
+  }
+  return gsStreamHead(request) + gsChunk(body.substr(0, first)) +
+         gsChunk(body.substr(first)) + "0\r\nX-Sum: 1234\r\n\r\n";
+}
+
+struct MixCase
+{
+  std::string Route;
+  bool IsOwnInChunks = true;
+  Form StaleForm = Form::Plain;
+};
+
+/** Whether a cut is worth playing: each one outside the body's data, and some
+ * within a stream's. The data of other bodies may be anything: if it goes on
+ * with other bytes, nothing tells it but a framing that fits. */
+bool IsPlayed(MixCase const& each, std::string const& own, std::size_t cut)
+{
+  constexpr std::size_t step = 3;
+  bool isInData = own.find("id: 2\n") < cut && cut < own.rfind("\n\n");
+  return !isInData || (each.Route == "stream" && cut % step == 0);
+}
+
+/** Plays an own answer that is cut behind its head, with a stale one behind it
+ * on the same connection. */
+void CheckCutsBeforeAStaleAnswer(MixCase const& each)
+{
+  SCOPED_TRACE(each.Route + (each.IsOwnInChunks ? ", chunks" : ", length") +
+               " before form " +
+               std::to_string(static_cast<int>(each.StaleForm)));
+  gsScriptedRequest request;
+  request.Headers["gradescale-attempt-id"] = "id-1";
+  std::string const body = ManyEvents();
+  std::string const own = LongAnswer(request, each.IsOwnInChunks);
+  std::string const stale = Stale(each.StaleForm, request, 200);
+  std::vector<std::size_t> mixed;
+  for (std::size_t cut = HeadBytes(own); cut < own.size(); ++cut) {
+    if (!IsPlayed(each, own, cut)) {
+      continue;
+    }
+    gsRouteBench bench;
+    bench.Add("u1",
+              [&](Connection const& to, gsScriptedRequest const& /*request*/) {
+                to->Write(own.substr(0, cut) + stale);
+                Later(bench.Loop, [to] { to->Close(); });
+              });
+    gsCallerViewPtr view = bench.SendAndWait(On(each.Route, "id-1"));
+    bool isOwnPart = body.compare(0, view->Body.size(), view->Body) == 0;
+    bool isShort = view->Body.size() < body.size() && LooksWhole(*view);
+    if (!IsHostsFailure(*view) && (!isOwnPart || isShort)) {
+      mixed.push_back(cut);
+    }
+  }
+  EXPECT_EQ(mixed, std::vector<std::size_t>()) << mixed.size();
+}
+
+} // namespace
+
+// Guards against bytes of another answer in the body of the own one, when that
+// stops in the size of a chunk or in its trailers.
+TEST(AnswerHeads, ACutChunkAndAStaleAnswerAreNotReadAsOne)
+{
+  CheckCutsBeforeAStaleAnswer({ "plain", true, Form::Plain });
+  CheckCutsBeforeAStaleAnswer({ "plain", true, Form::Chunks });
+}
+
+// Guards against events of another answer in the own stream, wherever that
+// stops.
+TEST(AnswerHeads, ACutStreamAndAStaleAnswerAreNotReadAsOne)
+{
+  CheckCutsBeforeAStaleAnswer({ "stream", true, Form::Plain });
+  CheckCutsBeforeAStaleAnswer({ "stream", true, Form::Chunks });
+  CheckCutsBeforeAStaleAnswer({ "stream", false, Form::Plain });
+}
+
+namespace {
+
 /** A caller's host whose only peer is scripted: it forwards all requests
  * there. */
 class ScriptedPeer
--- a/Tests/Unit/gsTestEventSplitter.cxx
+++ b/Tests/Unit/gsTestEventSplitter.cxx
@@ -143,3 +143,41 @@
   }
   EXPECT_EQ(splitter.EventCount(), 100U);
 }
+
+// Guards against the head and the events of another answer in a stream that
+// stopped somewhere in its body.
+TEST(EventSplitter, StopsBeforeTheHeadOfAnotherAnswer)
+{
+  std::string const own = "id: 1\ndata: a\n\n";
+  std::string const part = "id: 2\ndata: b\n\n";
+  std::string const other =
+    "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 17\r\n\r\n"
+    "id: 2\ndata: other\n\n";
+  for (std::size_t cut = 0; cut < part.size(); ++cut) {
+    for (std::size_t size : { 1U, 7U, 1000U }) {
+      gsEventSplitter splitter;
+      splitter.StopAtFields({ "x-id" });
+      std::string text = own;
+      text += part.substr(0, cut) + other;
+      std::string events;
+      for (std::size_t at = 0; at < text.size(); at += size) {
+        events += splitter.Append(text.substr(at, size));
+      }
+      EXPECT_EQ(events, own) << cut;
+      EXPECT_TRUE(splitter.HasStopped());
+      EXPECT_TRUE(splitter.IsInsideEvent());
+      EXPECT_EQ(splitter.LastId(), 1U);
+    }
+  }
+}
+
+// A field of such a name is no field when it is data.
+TEST(EventSplitter, DataMayNameAnyField)
+{
+  gsEventSplitter splitter;
+  splitter.StopAtFields({ "x-id" });
+  std::string const events =
+    "data: x-id: a\n\nx-ids: 3\ndata: b\n\nx-id\ndata: c\n\n";
+  EXPECT_EQ(splitter.Append(events), events);
+  EXPECT_FALSE(splitter.HasStopped());
+}
