--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -352,6 +352,8 @@
   call.UserTimeout = this->Settings.UserTimeout;
   call.Reuse = true;
   call.BareHeaders = true;
+  call.SingleFields = this->Adapter.SingleResponseFields;
+  attempt->EventSplitter.StopAtFields(this->Adapter.SingleResponseFields);
   std::weak_ptr<gsRoutedRequest> weak = request;
   call.OnHeaders = [this, weak, attempt](unsigned status,
                                          gsHeaders const& headers) {
@@ -703,6 +705,11 @@
     this->Events.OnEvents(request, std::move(events));
   }
   this->OnHeldChanged(request, held);
+  if (attempt.CallId != 0 && attempt.EventSplitter.HasStopped()) {
+    this->AbortAttempt(request, held,
+                       "The stream contains the head of another answer.");
+    return;
+  }
   std::uint64_t partial = attempt.EventSplitter.BufferedBytes();
   if (attempt.CallId != 0 && partial > this->Settings.MaxEventBytes) {
     this->EndAnswer(
@@ -936,7 +943,11 @@
     result.IsUpstreamLost =
       !wasClosedBefore && !end.Stalled && !end.Excess && !end.Malformed;
     result.Excess = end.Excess;
-    result.Detail = "The upstream's answer broke off: " + end.Error;
+    result.IsMalformed = end.Malformed;
+    result.HeadFault = end.HeadFault;
+    result.Detail = (end.Malformed ? "The upstream's answer is malformed: "
+                                   : "The upstream's answer broke off: ") +
+                    end.Error;
   } else if (attempt.AnswerHead.NotExecuted) {
     result.Outcome = gsAttemptOutcome::NotExecuted;
     result.Detail = "The upstream turned the request away with status " +
