--- a/Tests/Route/gsRawCaller.cxx
+++ b/Tests/Route/gsRawCaller.cxx
@@ -89,6 +89,41 @@
   return answer;
 }
 
+std::vector<gsRawAnswer> gsParseRawAnswers(std::string_view bytes)
+{
+  std::vector<gsRawAnswer> answers;
+  for (;;) {
+    gsRawAnswer answer = gsParseRawAnswer(bytes);
+    if (answer.Status == 0) {
+      return answers;
+    }
+    std::size_t end = bytes.find(HeadEnd);
+    while (bytes.substr(0, end).find(" 1") == bytes.find(' ')) {
+      bytes.remove_prefix(end + HeadEnd.size()); // An interim answer.
+      end = bytes.find(HeadEnd);
+    }
+    bytes.remove_prefix(end + HeadEnd.size());
+    bool hasNoBody = answer.Status == 204 || answer.Status == 304;
+    std::size_t size = bytes.size();
+    if (answer.HasChunks) {
+      size = std::min(size, bytes.find("0\r\n\r\n") + 5);
+    } else if (answer.HasLength && !hasNoBody) {
+      size = std::min<std::size_t>(
+        size, std::stoul(answer.Headers["content-length"]));
+    } else if (hasNoBody) {
+      size = 0;
+    }
+    if (!answer.HasChunks) {
+      answer.Body = bytes.substr(0, size);
+      answer.StatesItsEnd =
+        hasNoBody || (answer.HasLength && answer.Headers["content-length"] ==
+                                            std::to_string(size));
+    }
+    bytes.remove_prefix(size);
+    answers.push_back(std::move(answer));
+  }
+}
+
 gsRawCaller::gsRawCaller(gsLoop& loop, std::uint16_t port,
                          std::string_view request)
   : Descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
@@ -111,6 +146,11 @@
   close(this->Descriptor);
 }
 
+void gsRawCaller::Send(std::string_view bytes) const
+{
+  send(this->Descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
 void gsRawCaller::CloseSending()
 {
   shutdown(this->Descriptor, SHUT_WR);
--- a/Tests/Route/gsRawCaller.h
+++ b/Tests/Route/gsRawCaller.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gsLoop.h"
 
@@ -29,6 +30,10 @@
 /** Parses the final answer; interim ones before it are skipped. */
 gsRawAnswer gsParseRawAnswer(std::string_view bytes);
 
+/** Parses all final answers of a connection to requests that are not HEAD.
+ * Bytes that follow an answer that states no end belong to it. */
+std::vector<gsRawAnswer> gsParseRawAnswers(std::string_view bytes);
+
 class gsRawCaller
 {
 public:
@@ -45,12 +50,21 @@
   gsRawCaller& operator=(gsRawCaller const&) = delete;
 
   gsRawAnswer Answer() const { return gsParseRawAnswer(this->Bytes); }
+  /** All final answers that have begun, in order. */
+  std::vector<gsRawAnswer> Answers() const
+  {
+    return gsParseRawAnswers(this->Bytes);
+  }
+  /** All bytes that have come. */
+  std::string const& Received() const { return this->Bytes; }
   End Ended() const { return this->EndSeen; }
   /** Whether nothing more can come of the answer. */
   bool Done() const;
   /** Whether a caller may take the answer for a complete one. */
   bool LooksComplete() const;
 
+  /** Sends more on the connection. */
+  void Send(std::string_view bytes) const;
   /** Says that it sends no more; what arrives is still read. */
   void CloseSending();
 
