Server: Refuses heads that can be read in two ways

A caller's request could carry another one: the library takes the first of two lengths, chunks beside a length, the first of two codings and chunks in HTTP/1.0; a name with a blank before its colon is another name, so that the length is not seen; and a bare CR stays in a value that is sent on. By the other reading, the bytes behind the request are its body, and were run as a request that nobody sent (RFC 9112, 6.1, 6.3, 5.1, 11.2).

Such heads get 400 and their connection is closed, so that nothing behind them is read. The check is a function over the header lines; the library's own checks (unreadable lengths and chunk sizes, lines without a colon) stay.

Folded lines and bare LF after a chunk size are left as the library reads them: it joins the former, as the standard allows, and accepts the latter; it hands neither over.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -18,6 +18,7 @@
 #include <unistd.h>
 
 #include "gsLog.h"
+#include "gsRequestHead.h"
 
 namespace {
 
@@ -61,6 +62,20 @@
   return info != nullptr ? info->header_size : 0;
 }
 
+gsHeaderViews HeadersOf(MHD_Connection* connection)
+{
+  gsHeaderViews headers;
+  auto add = [](void* list, MHD_ValueKind /*kind*/, char const* name,
+                std::size_t nameSize, char const* value,
+                std::size_t valueSize) {
+    static_cast<gsHeaderViews*>(list)->emplace_back(
+      std::string_view(name, nameSize), std::string_view(value, valueSize));
+    return MHD_YES;
+  };
+  MHD_get_connection_values_n(connection, MHD_HEADER_KIND, +add, &headers);
+  return headers;
+}
+
 /** Memory of a connection that its request takes at most. */
 std::size_t RequestPoolBytes(MHD_Connection* connection)
 {
@@ -950,6 +965,26 @@
   return MHD_queue_response(connection, exchange.Status, exchange.Response);
 }
 
+/** Answers a request whose head is malformed. Nothing that follows it on its
+ * connection is read as a request. \return As OnRequest; empty if the head is
+ * accepted. */
+std::optional<int> gsHttpServer::RejectMalformed(MHD_Connection* connection,
+                                                 gsHttpExchange& exchange,
+                                                 char const* version)
+{
+  if (!exchange.HasWholeTarget(version)) {
+    return this->RejectHead(connection, exchange, MHD_HTTP_BAD_REQUEST,
+                            "bad_target", "its path holds a null byte.");
+  }
+  std::optional<std::string_view> fault =
+    gsFindHeadFault(HeadersOf(connection), exchange.ReadsChunks);
+  if (!fault) {
+    return std::nullopt;
+  }
+  return this->RejectHead(connection, exchange, MHD_HTTP_BAD_REQUEST,
+                          "bad_head", *fault);
+}
+
 /** Reads a connection to its end, beside and after the library's own use, if
  * there are not too many already. */
 void gsHttpServer::Linger(int descriptor)
@@ -1045,11 +1080,9 @@
                               MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
                               "head_too_large", "its head is over the limit.");
     }
-    if (!exchange->HasWholeTarget(version)) {
-      return this->RejectHead(connection, *exchange, MHD_HTTP_BAD_REQUEST,
-                              "bad_target", "its path holds a null byte.");
-    }
-    return this->OnHead(connection, *exchange);
+    std::optional<int> rejected =
+      this->RejectMalformed(connection, *exchange, version);
+    return rejected ? *rejected : this->OnHead(connection, *exchange);
   }
   if (*size > 0) {
     this->Links[connection].BodyAt = gsLoop::Now();
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -303,6 +303,9 @@
   void* OnFirstLine(MHD_Connection* connection, char const* target);
   int OnHead(MHD_Connection* connection, gsHttpExchange& exchange);
   void OnBodyPart(gsHttpExchange& exchange, std::string_view bytes);
+  std::optional<int> RejectMalformed(MHD_Connection* connection,
+                                     gsHttpExchange& exchange,
+                                     char const* version);
   int RefuseEarly(MHD_Connection* connection, gsHttpExchange& exchange);
   int RejectHead(MHD_Connection* connection, gsHttpExchange& exchange,
                  unsigned status, std::string_view code,
--- a/Tests/Route/gsTestDesynchronisation.cxx
+++ b/Tests/Route/gsTestDesynchronisation.cxx
@@ -166,6 +166,93 @@
   }
 }
 
+namespace {
+
+/** A request whose framing has two readings; by one of them the request
+ * "evil" is inside its body or behind it. */
+struct Ambiguous
+{
+  char const* Name;
+  std::string Framing; ///< Header lines.
+  std::string Rest;    ///< After the head.
+  std::string Version = "HTTP/1.1";
+};
+
+std::vector<Ambiguous> AmbiguousRequests()
+{
+  std::string const inner = Request("evil", "/plain/x");
+  std::string const size = std::to_string(inner.size());
+  std::string const chunked = "0\r\n\r\n" + inner;
+  std::string const all = std::to_string(chunked.size());
+  std::string const te = "Transfer-Encoding: chunked\r\n";
+  std::string const hex = [&inner] {
+    std::string chunk = gsChunk(inner);
+    return chunk.substr(0, chunk.find('\r'));
+  }();
+  return {
+    { "length beside chunks", "Content-Length: " + all + "\r\n" + te,
+      chunked },
+    { "chunks beside length", te + "Content-Length: " + all + "\r\n",
+      chunked },
+    { "two lengths", "Content-Length: 0\r\nContent-Length: " + size + "\r\n",
+      inner },
+    { "two lengths, the other way",
+      "Content-Length: " + size + "\r\nContent-Length: 0\r\n", inner },
+    { "a list of lengths", "Content-Length: 0, " + size + "\r\n", inner },
+    { "a length with a sign", "Content-Length: +" + size + "\r\n", inner },
+    { "a length in hex", "Content-Length: 0x" + size + "\r\n", inner },
+    { "a length with a word", "Content-Length: 0 bytes\r\n", inner },
+    { "an empty length", "Content-Length: \r\n", inner },
+    { "a blank before the colon", "Content-Length : " + size + "\r\n", inner },
+    { "a blank before the colon of chunks", "Transfer-Encoding : chunked\r\n",
+      chunked },
+    { "a tab before the colon", "Content-Length\t: " + size + "\r\n", inner },
+    { "an unknown coding", "Transfer-Encoding: xchunked\r\n", chunked },
+    { "identity", "Transfer-Encoding: identity\r\n", inner },
+    { "chunks that are not last", "Transfer-Encoding: chunked, identity\r\n",
+      chunked },
+    { "a coding before chunks", "Transfer-Encoding: gzip, chunked\r\n",
+      chunked },
+    { "two codings", te + "Transfer-Encoding: identity\r\n", chunked },
+    { "two codings, the other way", "Transfer-Encoding: identity\r\n" + te,
+      chunked },
+    { "chunks in HTTP/1.0", "Connection: keep-alive\r\n" + te, chunked,
+      "HTTP/1.0" },
+    { "a line without a colon", "Content-Length\r\n", inner },
+    { "a name with a blank", "X A: b\r\nContent-Length: 0\r\n", inner },
+    { "a bare CR in a value", "X-A: b\rContent-Length: " + size + "\r\n",
+      inner },
+    { "a chunk size with a sign", te, "+0\r\n\r\n" + inner },
+    { "a chunk size in hex", te, "0x0\r\n\r\n" + inner },
+    { "a chunk size beyond 64 bits", te,
+      "10000000000000000" + hex + "\r\n" + inner + "\r\n0\r\n\r\n" },
+    { "a chunk that is longer than its size", te,
+      "1\r\nxy\r\n0\r\n\r\n" + inner },
+  };
+}
+
+} // namespace
+
+// Guards against a request that is smuggled inside another one: where a head
+// has two readings, whoever wrote it meant the other one (RFC 9112, 6.3).
+TEST(Desynchronisation, ARequestWhoseFramingHasTwoReadingsCarriesNoOther)
+{
+  for (Ambiguous const& each : AmbiguousRequests()) {
+    SCOPED_TRACE(each.Name);
+    gsRouteBench bench;
+    bench.Add("u1", AnswerOwn);
+    gsRawCaller caller(
+      bench.Loop, bench.Server->Port(),
+      Request("one", "/plain/x", each.Framing, "POST", each.Version) +
+        each.Rest);
+    bench.RunFor(0.05);
+    for (std::string const& id : Ran(bench)) {
+      EXPECT_EQ(id, "one");
+    }
+    EXPECT_LE(caller.Answers().size(), 1U);
+  }
+}
+
 // Guards against an empty body in chunks, 204 or a body where none may be, so
 // that the caller's next answer is read amid them.
 TEST(Desynchronisation, AnAnswerWithoutABodyIsFollowedByTheNextOne)
