Server: Sends no last chunk in answer to HEAD

A caller that sent HEAD to a streaming route got a last chunk (0 CRLF CRLF) behind the head, in 2 of 2 streaming routes: five bytes that are no answer, and at which its next answer on the connection is to begin. The library leaves out the body of a stream in answer to HEAD, but not its end.

Such an answer is sent as one without a body. The test failed before: the next head was preceded by the chunk.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -284,6 +284,12 @@
 void gsHttpExchange::BeginStream(unsigned status, gsHeaders const& headers,
                                  gsBodyEnd end)
 {
+  if (this->Method == MHD_HTTP_METHOD_HEAD) {
+    // Of a stream, the library would send the last chunk, which the caller
+    // takes for the begin of its next answer.
+    this->Respond(status, headers, {});
+    return;
+  }
   if (this->Response != nullptr || this->Connection == nullptr) {
     return;
   }
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -98,7 +98,8 @@
    * Begins an answer of unknown length.
    *
    * \param end What states its end: Chunks, or Close for one whose end nobody
-   *   can vouch for. Of callers that read no chunks it is Close.
+   *   can vouch for. Of callers that read no chunks it is Close. An answer
+   *   to HEAD has no body, and is whole at once.
    */
   void BeginStream(unsigned status, gsHeaders const& headers,
                    gsBodyEnd end = gsBodyEnd::Chunks);
--- a/Tests/Route/gsTestDesynchronisation.cxx
+++ b/Tests/Route/gsTestDesynchronisation.cxx
@@ -281,6 +281,34 @@
   }
 }
 
+// Guards against a body behind the head of an answer to HEAD.
+TEST(Desynchronisation, AnAnswerToHeadHasNoBody)
+{
+  for (char const* route : { "plain", "safe", "stream", "resume" }) {
+    SCOPED_TRACE(route);
+    gsRouteBench bench;
+    bench.Add(
+      "u1", [](Connection const& to, gsScriptedRequest const& request) {
+        std::string answer = gsWholeAnswer(request, "own");
+        bool isHead = request.Method == "HEAD";
+        to->Write(isHead ? answer.substr(0, answer.size() - 3) : answer);
+      });
+    std::string target = "/" + std::string(route) + "/x";
+    gsRawCaller caller(bench.Loop, bench.Server->Port(),
+                       Request("one", target, "", "HEAD"));
+    bench.RunFor(0.05);
+    caller.Send(Request("two", "/plain/x"));
+    bench.RunFor(0.05);
+    // The head of the first answer is followed by that of the second one.
+    std::string bytes(caller.Received());
+    std::size_t end = bytes.find("\r\n\r\n");
+    ASSERT_NE(end, std::string::npos);
+    EXPECT_EQ(bytes.substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(bytes.substr(end + 4, 12), "HTTP/1.1 200");
+    EXPECT_EQ(bytes.substr(bytes.size() - 3), "own");
+  }
+}
+
 namespace {
 
 /** A host that reaches no upstream and forwards to scripted hosts. */
