Requests: Sends on what identifies a request, whatever Connection lists

A caller that named the request's id, its model, usage or prefix, or Host in Connection had the upstream run a request without them: as one without an id (the answer then belongs to no request: 502 for a request that ran), or of another host. Connection may list hop-by-hop fields only (RFC 9110, 7.6.1); listing others is a known way to change a request on its way.

Fields that concern the upstream stay.

--- a/Tests/Route/gsTestDesynchronisation.cxx
+++ b/Tests/Route/gsTestDesynchronisation.cxx
@@ -309,6 +309,30 @@
   }
 }
 
+// Guards against a request that reaches its upstream without what identifies
+// it, because its caller named that in Connection.
+TEST(Desynchronisation, ConnectionNamesNoHeaderThatTheRequestNeeds)
+{
+  gsRouteBench bench;
+  gsScriptedUpstream& upstream = bench.Add("u1", AnswerOwn);
+  gsRawCaller caller(
+    bench.Loop, bench.Server->Port(),
+    Request("one", "/plain/x",
+            "Connection: host, gradescale-model, x-hop\r\nX-Hop: a\r\n"
+            "Connection: gradescale-token-usage, gradescale-prompt-prefix\r\n"
+            "Gradescale-Model: m\r\nGradescale-Token-Usage: 1,2\r\n"
+            "Gradescale-Prompt-Prefix: 1:1\r\n",
+            "GET"));
+  bench.RunUntil([&] { return caller.Done(); }, 1);
+  ASSERT_EQ(upstream.Requests.size(), 1U);
+  gsScriptedRequest const& sent = upstream.Requests.front();
+  EXPECT_EQ(sent.Header("x-hop"), "");
+  EXPECT_EQ(sent.Header("host"), "127.0.0.1");
+  EXPECT_EQ(sent.Header("gradescale-model"), "m");
+  EXPECT_EQ(sent.Header("gradescale-token-usage"), "1,2");
+  EXPECT_EQ(sent.Header("gradescale-prompt-prefix"), "1:1");
+}
+
 namespace {
 
 /** A host that reaches no upstream and forwards to scripted hosts. */
