--- a/Tests/Route/gsTestDesynchronisation.cxx
+++ b/Tests/Route/gsTestDesynchronisation.cxx
@@ -309,6 +309,40 @@
   }
 }
 
+// Guards against a request whose answers are taken for those of another one,
+// because its id is not the one that its upstream was sent.
+TEST(Desynchronisation, ARequestIsSentWithTheIdThatItsAnswerIsComparedWith)
+{
+  struct Case
+  {
+    char const* Name;
+    std::string Lines;
+    bool IsServed;
+  };
+  std::string const id = "Gradescale-Attempt-Id: ";
+  for (Case const& each :
+       { Case{ "a blank after it", id + "one \r\n", true },
+         Case{ "a tab after it", id + "one\t\r\n", true },
+         Case{ "blanks before it", id + "  one\r\n", true },
+         Case{ "named in Connection",
+               "Connection: gradescale-attempt-id\r\n" + id + "one\r\n",
+               true },
+         Case{ "two ids", id + "one\r\n" + id + "two\r\n", false },
+         Case{ "twice the same", id + "one\r\n" + id + "one\r\n", false } }) {
+    SCOPED_TRACE(each.Name);
+    gsRouteBench bench;
+    bench.Add("u1", AnswerOwn);
+    gsRawCaller caller(bench.Loop, bench.Server->Port(),
+                       "GET /plain/x HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                       "Authorization: Token key-one\r\n" +
+                         each.Lines + "\r\n");
+    bench.RunUntil([&] { return caller.Done(); }, 1);
+    EXPECT_EQ(caller.Answer().Status, each.IsServed ? 200U : BadRequest);
+    EXPECT_EQ(Ran(bench), each.IsServed ? std::vector<std::string>{ "one" }
+                                        : std::vector<std::string>());
+  }
+}
+
 // Guards against a request that reaches its upstream without what identifies
 // it, because its caller named that in Connection.
 TEST(Desynchronisation, ConnectionNamesNoHeaderThatTheRequestNeeds)
