Requests: Names a forwarded request in every refusal

A host that is forwarded a request, and has no configuration yet, catches up after a standstill or finds the body too large, refuses before it has read the request's id. Its refusal named no request, so that the host that had forwarded it took it for the answer to another one: 502, may have run, no further attempt, where nothing had run.

The request is parsed first, and the checks keep their order.

--- a/Source/Daemon/gsRequestIntake.cxx
+++ b/Source/Daemon/gsRequestIntake.cxx
@@ -60,6 +60,11 @@
                                gsRoutedRequest& request)
 {
   gsHttpExchange& exchange = *request.Exchange;
+  gsResult<gsCallerRequest> caller = adapter.ParseRequest(exchange);
+  if (caller) {
+    // A refusal names the request, too.
+    request.Caller = std::move(caller.value());
+  }
   if (state.RouteTable == nullptr) {
     return MakeError("not_ready", "This host has no configuration yet.",
                      "accept");
@@ -72,12 +77,10 @@
     return MakeError("body_too_large", "The body is over the limit.",
                      "accept");
   }
-  request.ArrivedAt = exchange.Since;
-  gsResult<gsCallerRequest> caller = adapter.ParseRequest(exchange);
   if (!caller) {
     return caller.error();
   }
-  request.Caller = std::move(caller.value());
+  request.ArrivedAt = exchange.Since;
   if (!IsPassable(request.Caller.Target)) {
     return MakeError(
       "bad_target", "The path or query holds a space or a control.", "accept");
--- a/Tests/Route/gsTestDesynchronisation.cxx
+++ b/Tests/Route/gsTestDesynchronisation.cxx
@@ -431,6 +431,20 @@
   }
 }
 
+// Guards against a request that ends as one that may have run, where the host
+// that it was forwarded to has refused it without its id.
+TEST(Desynchronisation, AHostWithoutAConfigurationRefusesByTheRequestsId)
+{
+  gsRouteBench bench;
+  bench.Add("u1", AnswerOwn);
+  gsForwardingHost host(bench);
+  bench.Gateway->SetRoutes(nullptr);
+  gsRawCaller caller(bench.Loop, host.Port(), Request("one", "/plain/x"));
+  bench.RunUntil([&] { return caller.Done(); });
+  EXPECT_EQ(caller.Answer().Status, 503U);
+  EXPECT_EQ(Ran(bench), std::vector<std::string>());
+}
+
 // Guards against the late answer of a silent upstream behind that of the one
 // that was asked beside it, and on connections that are used again.
 TEST(Desynchronisation, TheLateAnswerOfAHedgedAttemptReachesNobody)
