Tables: Numbers transfers across restarts of a host

A payload's segments are told by the host that sends them, a number that begins at 1 in each process, and the size. A segment that a process had sent when it ended, and that is read after the first one of its successor, continued the successor's payload where both were of one size: a table of two states. It was acknowledged, so that the sender went on behind it, too.

Numbers begin at the host's incarnation, which is later for a later process. The test failed before: the former segment was taken. It has not been seen between running hosts.

--- a/Source/Coord/gsBulkTransfer.cxx
+++ b/Source/Coord/gsBulkTransfer.cxx
@@ -25,6 +25,11 @@
 
 } // namespace
 
+void gsBulkNumberFrom(gsBulkSender& sender, std::uint64_t incarnation)
+{
+  sender.NextId = std::max(sender.NextId, incarnation);
+}
+
 bool gsBulkEnqueue(gsBulkSender& sender, gsBulkRequest request)
 {
   auto same = std::find_if(sender.Waiting.begin(), sender.Waiting.end(),
--- a/Source/Coord/gsBulkTransfer.h
+++ b/Source/Coord/gsBulkTransfer.h
@@ -58,7 +58,7 @@
 struct gsBulkSegment
 {
   std::string_view Receiver;
-  std::uint64_t Transfer = 0; ///< Unique among the sender's transfers.
+  std::uint64_t Transfer = 0; ///< Unique among the host's transfers.
   std::size_t Offset = 0;
   std::size_t Size = 0;   ///< Of the whole payload.
   std::string_view Bytes; ///< Valid until the sender is next changed.
@@ -84,6 +84,10 @@
   std::uint64_t NextId = 1;
 };
 
+/** Numbers transfers from an incarnation of the host on, which rises faster
+ * than transfers are started: no number is that of an earlier process. */
+void gsBulkNumberFrom(gsBulkSender& sender, std::uint64_t incarnation);
+
 /** Queues a request. \return False if too many wait. */
 bool gsBulkEnqueue(gsBulkSender& sender, gsBulkRequest request);
 
--- a/Source/Daemon/gsTableExchange.cxx
+++ b/Source/Daemon/gsTableExchange.cxx
@@ -128,6 +128,12 @@
 {
 }
 
+void gsTableExchange::Start(gsHallCluster& cluster)
+{
+  this->Cluster = &cluster;
+  gsBulkNumberFrom(this->Outgoing, cluster.Members().Self.Incarnation);
+}
+
 /** Encodes an update in a format that the receiver can parse. */
 gradescale::TableNews gsTableExchange::Encode(gsTableReceiver const& receiver,
                                               std::string const& table,
--- a/Source/Daemon/gsTableExchange.h
+++ b/Source/Daemon/gsTableExchange.h
@@ -57,7 +57,7 @@
   gsTableExchange(gsAdapter const& adapter, gsTableExchangeEvents events);
   /** Has to be called before all other methods; the cluster has to outlive
    * this object. */
-  void Start(gsHallCluster& cluster) { this->Cluster = &cluster; }
+  void Start(gsHallCluster& cluster);
 
   /** Records the versions of large rows of the table of routes. */
   void RecordRoutes(gsTableReplica::Rows const& rows)
--- a/Tests/Route/gsTestDesynchronisation.cxx
+++ b/Tests/Route/gsTestDesynchronisation.cxx
@@ -12,6 +12,7 @@
 
 #include <gtest/gtest.h>
 
+#include "gsBulkTransfer.h"
 #include "gsForwardingHost.h"
 #include "gsRawCaller.h"
 #include "gsRouteBench.h"
@@ -739,6 +740,44 @@
   }
 }
 
+// Guards against a table that is joined from the segments of two processes of
+// one host, whose transfers have the same number and size.
+TEST(Desynchronisation, SegmentsOfAFormerProcessContinueNoTransfer)
+{
+  gsBulkReceiver receiver;
+  auto begin = [](std::uint64_t incarnation, char fill) {
+    gsBulkSender sender;
+    gsBulkNumberFrom(sender, incarnation);
+    constexpr std::size_t size = 40000;
+    gsBulkRequest request;
+    request.Receiver = "b";
+    gsBulkStart(sender, request,
+                std::make_shared<std::string const>(size, fill));
+    return sender;
+  };
+  constexpr gsTime now = gsSeconds(100);
+  gsBulkSender former = begin(1'000'000, 'o');
+  gsBulkSender current = begin(2'000'000, 'n');
+  auto next = [&](gsBulkSender& sender, bool acknowledge) {
+    std::vector<gsBulkSegment> segments = gsBulkSegments(sender, now);
+    gsBulkReceipt receipt = gsBulkReceive(receiver, "a", segments.at(0), now);
+    if (acknowledge && receipt.Acknowledge) {
+      gsBulkAcknowledge(sender, "b", segments[0].Transfer,
+                        *receipt.Acknowledge);
+    }
+    return receipt;
+  };
+  next(former, true);
+  // The former process has sent its second segment when it ends.
+  std::vector<gsBulkSegment> crossing = gsBulkSegments(former, now);
+  next(current, true);
+  EXPECT_FALSE(gsBulkReceive(receiver, "a", crossing.at(0), now).Acknowledge);
+  next(current, true);
+  gsBulkReceipt last = next(current, true);
+  ASSERT_TRUE(last.Payload);
+  EXPECT_EQ(last.Payload->find('o'), std::string::npos);
+}
+
 // Guards against other bytes in the place of a body's rest, where an upstream
 // answers before it has read all of the body and reads on later.
 TEST(Desynchronisation, TheRestOfABodyIsFollowedByNothingElse)
