Tests: A call that is started while a paused answer goes on

Unpause hands over what waited of an answer from within the library, which then takes no further calls; Start takes that into account for the library's other callbacks only. Such a call never begins and its end is never told: a request whose answer exceeds a limit just then, and that may go on elsewhere, waits until its time is over.

--- a/Tests/Route/gsTestDesynchronisation.cxx
+++ b/Tests/Route/gsTestDesynchronisation.cxx
@@ -823,3 +823,37 @@
     }
   }
 }
+
+// Guards against a call that never begins, and never ends, because it is
+// started while what waited of a paused answer is handed over.
+TEST(Desynchronisation, ACallMayStartWhileAPausedAnswerGoesOn)
+{
+  gsRouteBench bench;
+  gsScriptedUpstream& upstream = bench.Add("u1", AnswerOwn);
+  bool isPaused = true;
+  bool hasEnded = false;
+  std::uint64_t first = 0;
+  auto make = [&](std::string const& id) {
+    gsCall call;
+    call.Url = "http://" + upstream.Address() + "/x";
+    call.Headers = { { "Gradescale-Attempt-Id", id } };
+    call.Reuse = true;
+    return call;
+  };
+  gsCall second = make("second");
+  second.OnEnd = [&](gsCallEnd const& end) { hasEnded = end.IsWhole(); };
+  gsCall call = make("first");
+  call.OnData = [&](std::string_view) {
+    if (isPaused) {
+      return false;
+    }
+    bench.Upstreams.Cancel(first);
+    bench.Upstreams.Start(second);
+    return true;
+  };
+  first = bench.Upstreams.Start(call);
+  ASSERT_TRUE(bench.RunUntil([&] { return bench.Upstreams.Paused() == 1; }));
+  isPaused = false;
+  bench.Upstreams.Unpause(first);
+  EXPECT_TRUE(bench.RunUntil([&] { return hasEnded; }, 1));
+}
