Tests: Requests of any size, and the own server, keep connections

Further answers that must not cost a connection: to requests whose body is sent in several parts, of this project's own server (plain, streams, HEAD, 204, a refusal), and many at once. The other changes are for the linter.

--- a/Tests/Route/gsTestDesynchronisation.cxx
+++ b/Tests/Route/gsTestDesynchronisation.cxx
@@ -301,7 +301,7 @@
     caller.Send(Request("two", "/plain/x"));
     bench.RunFor(0.05);
     // The head of the first answer is followed by that of the second one.
-    std::string bytes(caller.Received());
+    std::string const& bytes = caller.Received();
     std::size_t end = bytes.find("\r\n\r\n");
     ASSERT_NE(end, std::string::npos);
     EXPECT_EQ(bytes.substr(0, 12), "HTTP/1.1 200");
@@ -321,15 +321,15 @@
     bool IsServed;
   };
   std::string const id = "Gradescale-Attempt-Id: ";
+  std::string const one = id + "one\r\n";
   for (Case const& each :
        { Case{ "a blank after it", id + "one \r\n", true },
          Case{ "a tab after it", id + "one\t\r\n", true },
          Case{ "blanks before it", id + "  one\r\n", true },
          Case{ "named in Connection",
-               "Connection: gradescale-attempt-id\r\n" + id + "one\r\n",
-               true },
-         Case{ "two ids", id + "one\r\n" + id + "two\r\n", false },
-         Case{ "twice the same", id + "one\r\n" + id + "one\r\n", false } }) {
+               "Connection: gradescale-attempt-id\r\n" + one, true },
+         Case{ "two ids", one + "Gradescale-Attempt-Id: two\r\n", false },
+         Case{ "twice the same", one + one, false } }) {
     SCOPED_TRACE(each.Name);
     gsRouteBench bench;
     bench.Add("u1", AnswerOwn);
@@ -484,7 +484,10 @@
     std::string const id = "next-" + std::to_string(i);
     caller.Send(Request(id, "/plain/x"));
     bench.RunUntil([&] { return caller.Answers().size() > 1U + i; });
-    EXPECT_EQ(Summary(caller).at(1U + i), "200 " + id + " " + id);
+    std::string expected = "200 " + id;
+    expected += ' ';
+    expected += id;
+    EXPECT_EQ(Summary(caller).at(1U + i), expected);
   }
   EXPECT_EQ(caller.Answers().size(), 7U);
 }
--- a/Tests/Route/gsTestSoundAnswers.cxx
+++ b/Tests/Route/gsTestSoundAnswers.cxx
@@ -241,3 +241,88 @@
               1U);
   }
 }
+
+// Guards against new connections after requests whose body is sent in several
+// parts.
+TEST(SoundAnswers, ARequestOfAnySizeKeepsItsConnection)
+{
+  for (std::size_t size : { 0U, 1U, 16000U, 70000U, 300000U, 1000000U }) {
+    SCOPED_TRACE(size);
+    gsRouteBench bench;
+    gsScriptedUpstream& upstream = bench.Add(
+      "u1", [](Connection const& to, gsScriptedRequest const& request) {
+        to->Write(gsWholeAnswer(request, "own"));
+      });
+    for (std::string const id : { "one", "two", "three" }) {
+      gsCallerSends sends;
+      sends.Id = id;
+      sends.Body = std::string(size, 'b');
+      EXPECT_EQ(bench.SendAndWait(sends)->Body, "own");
+      EXPECT_EQ(upstream.Requests.back().Body.size(), size);
+    }
+    EXPECT_EQ(bench.Upstreams.Opened(), 1U);
+  }
+}
+
+// Guards against new connections between hosts, whose answers are those of
+// this project's own server.
+TEST(SoundAnswers, AnAnswerOfTheOwnServerKeepsItsConnection)
+{
+  gsRouteBench bench;
+  bench.Add("u1", [](Connection const& to, gsScriptedRequest const& request) {
+    bool isStream = request.Target.find("/plain/") != 0;
+    unsigned status = request.Header("x-status").empty() ? 200 : 204;
+    to->Write(isStream
+                ? gsStreamHead(request) + gsChunk(gsEvent(1, "a")) +
+                    gsChunk(gsEvent(2, std::string(30000, 'b'))) + gsChunk("")
+                : gsWholeAnswer(request, status == 204 ? "" : "own", status));
+  });
+  int count = 0;
+  auto send = [&](std::string const& method, std::string const& target,
+                  gsHeaders const& more, unsigned status) {
+    gsCallerSends sends;
+    sends.Method = method;
+    sends.Body = method == "POST" ? "hello" : "";
+    sends.Target = target;
+    sends.More = more;
+    sends.Id = "id-" + std::to_string(++count);
+    sends.Keep = true;
+    EXPECT_EQ(bench.SendAndWait(sends)->Status, status) << method << target;
+  };
+  for (int round = 0; round < 2; ++round) {
+    send("POST", "/plain/x", {}, 200);
+    send("POST", "/stream/x", {}, 200);
+    send("GET", "/resume/x", {}, 200);
+    send("HEAD", "/plain/x", {}, 200);
+    send("POST", "/nowhere/x", {}, 404);
+    send("POST", "/plain/x", { { "X-Status", "204" } }, 204);
+  }
+  EXPECT_EQ(bench.Callers.Opened(), 1U);
+}
+
+// Guards against connections that are closed though they are clean, where many
+// are in use at once.
+TEST(SoundAnswers, ConnectionsThatWereUsedAtOnceAreUsedAgain)
+{
+  gsRouteBench bench;
+  bench.Add("u1", [&](Connection const& to, gsScriptedRequest const& request) {
+    WriteLater(bench, to, gsWholeAnswer(request, "own"), 5);
+  });
+  constexpr int atOnce = 20;
+  int served = 0;
+  for (int round = 0; round < 5; ++round) {
+    std::vector<gsCallerViewPtr> views;
+    for (int i = 0; i < atOnce; ++i) {
+      gsCallerSends sends;
+      sends.Target = "/patient/x";
+      sends.Id = std::to_string(round) + '-' + std::to_string(i);
+      views.push_back(bench.Send(sends));
+    }
+    for (gsCallerViewPtr const& view : views) {
+      bench.RunUntil([&] { return view->Done; });
+      served += view->Status == 200 ? 1 : 0;
+    }
+  }
+  EXPECT_GT(served, 0);
+  EXPECT_LE(bench.Upstreams.Opened(), static_cast<std::uint64_t>(atOnce));
+}
