--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -98,7 +98,8 @@
    * Begins an answer of unknown length.
    *
    * \param end What states its end: Chunks, or Close for one whose end nobody
-   *   can vouch for. Of callers that read no chunks it is Close.
+   *   can vouch for. Of callers that read no chunks it is Close. An answer
+   *   to HEAD has no body, and is whole at once.
    */
   void BeginStream(unsigned status, gsHeaders const& headers,
                    gsBodyEnd end = gsBodyEnd::Chunks);
@@ -303,6 +304,9 @@
   void* OnFirstLine(MHD_Connection* connection, char const* target);
   int OnHead(MHD_Connection* connection, gsHttpExchange& exchange);
   void OnBodyPart(gsHttpExchange& exchange, std::string_view bytes);
+  std::optional<int> RejectMalformed(MHD_Connection* connection,
+                                     gsHttpExchange& exchange,
+                                     char const* version);
   int RefuseEarly(MHD_Connection* connection, gsHttpExchange& exchange);
   int RejectHead(MHD_Connection* connection, gsHttpExchange& exchange,
                  unsigned status, std::string_view code,
