Streams: Log what the version of a resumed stream is taken from

Callers that come back with a stream are answered at its version or are refused. The line stream_resumed named the version only, so that it could not be told whether it was recorded, told by another host or inferred, nor why it was not known. It names that now (source), and gsInferStreamVersion says why a version follows or does not follow. What is decided is the same.

--- a/Source/Core/gsSoftwareVersion.cxx
+++ b/Source/Core/gsSoftwareVersion.cxx
@@ -79,24 +79,51 @@
   version.LastListedAt = now;
 }
 
-std::uint32_t gsInferStreamVersion(gsFleet const& fleet,
-                                   std::string_view service, gsTime now)
+char const* gsVersionInferenceName(gsVersionInference inference)
+{
+  switch (inference) {
+    case gsVersionInference::Listed:
+      return "listed";
+    case gsVersionInference::FirstStart:
+      return "first_start";
+    case gsVersionInference::SeveralVersions:
+      return "several_versions";
+    case gsVersionInference::ListTooYoung:
+      return "list_too_young";
+    case gsVersionInference::NoUpstream:
+      return "no_upstream";
+  }
+  return "no_upstream";
+}
+
+gsInferredVersion gsInferStreamVersion(gsFleet const& fleet,
+                                       std::string_view service, gsTime now)
 {
   auto found = fleet.VersionHistories.find(std::string(service));
   if (found == fleet.VersionHistories.end()) {
-    return 0;
+    return {};
   }
   gsVersionHistory const& history = found->second;
-  bool isLongEnough =
-    fleet.Settings.IsFirstStart ||
-    now - history.FirstListedAt > fleet.Settings.MaxStreamTime;
-  std::uint32_t listed = 0;
+  gsInferredVersion inferred;
+  std::size_t possible = 0;
   for (auto const& [version, entry] : history.Versions) {
-    bool isOther = entry.Count == 0 && !IsOver(fleet, entry, now);
-    if (isOther || CountListed(history) != 1) {
-      return 0;
-    }
-    listed = entry.Count > 0 ? version : listed;
+    possible += IsOver(fleet, entry, now) ? 0 : 1;
+    inferred.Version = entry.Count > 0 ? version : inferred.Version;
+  }
+  bool isOld = now - history.FirstListedAt > fleet.Settings.MaxStreamTime;
+  if (possible > 1) {
+    inferred.Cause = gsVersionInference::SeveralVersions;
+  } else if (inferred.Version == 0) {
+    inferred.Cause = gsVersionInference::NoUpstream;
+  } else if (isOld) {
+    inferred.Cause = gsVersionInference::Listed;
+    return inferred;
+  } else if (fleet.Settings.IsFirstStart) {
+    inferred.Cause = gsVersionInference::FirstStart;
+    return inferred;
+  } else {
+    inferred.Cause = gsVersionInference::ListTooYoung;
   }
-  return isLongEnough ? listed : 0;
+  inferred.Version = 0;
+  return inferred;
 }
--- a/Source/Core/gsSoftwareVersion.h
+++ b/Source/Core/gsSoftwareVersion.h
@@ -55,11 +55,31 @@
 void gsRemoveListedVersion(gsFleet& fleet, gsListedUpstream const& listed,
                            gsTime now);
 
+/** Why the version of a service's streams follows from the upstreams listed,
+ * or does not follow. */
+enum class gsVersionInference : std::uint8_t
+{
+  Listed,          ///< The only one for longer than any stream lasts.
+  FirstStart,      ///< The only one since the first start of all hosts.
+  SeveralVersions, ///< Streams of several versions may not be over yet.
+  ListTooYoung,    ///< Streams from before the list are not over yet.
+  NoUpstream       ///< None is listed whose version is known.
+};
+
+char const* gsVersionInferenceName(gsVersionInference inference);
+
+/** What follows on the version of a service's streams. */
+struct gsInferredVersion
+{
+  std::uint32_t Version = 0; ///< Zero if it does not follow.
+  gsVersionInference Cause = gsVersionInference::NoUpstream;
+};
+
 /**
  * The version of all streams of a service that are not over yet, as far as it
  * follows from the upstreams listed: the only one of the service for longer
- * than any stream lasts, or since the first start of all hosts. Zero if it
- * does not follow. The list has to be up to date.
+ * than any stream lasts, or since the first start of all hosts. The list has
+ * to be up to date.
  */
-std::uint32_t gsInferStreamVersion(gsFleet const& fleet,
-                                   std::string_view service, gsTime now);
+gsInferredVersion gsInferStreamVersion(gsFleet const& fleet,
+                                       std::string_view service, gsTime now);
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -371,22 +371,24 @@
 {
   gsTime begin = gsLoop::Now();
   if (this->Streams == nullptr) {
-    this->PlaceAtVersion(request, 0, gsTime{});
+    this->PlaceAtVersion(request, { 0, "no_records" }, gsTime{});
     return;
   }
   std::weak_ptr<gsRoutedRequest> weak = request;
   this->Streams->LookUp(
-    request->Stream, request->Service, [this, weak, begin](auto version) {
+    request->Stream, request->Service, [this, weak, begin](auto const& found) {
       RequestPtr locked = weak.lock();
       if (locked != nullptr && !locked->HasEnded) {
-        this->PlaceAtVersion(locked, version, gsLoop::Now() - begin);
+        this->PlaceAtVersion(locked, found, gsLoop::Now() - begin);
       }
     });
 }
 
 void gsRouteGateway::PlaceAtVersion(RequestPtr const& request,
-                                    std::uint32_t version, gsTime lookUpTime)
+                                    gsFoundVersion const& found,
+                                    gsTime lookUpTime)
 {
+  std::uint32_t version = found.Version;
   request->RequiredVersion = version;
   // The route's shares may have been drawn differently when it began.
   for (gsRouteShare const& share : request->Route->Shares) {
@@ -399,6 +401,7 @@
     .With("first", request->Caller.ResumedAttempt)
     .With("after_event", *request->LastEventId)
     .With("version", std::uint64_t(version))
+    .With("source", found.Source)
     .With("found_ms", lookUpTime);
   this->Place(request);
 }
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -30,6 +30,7 @@
 #include "gsUpstreamCaller.h"
 
 class gsStreamSharing;
+struct gsFoundVersion;
 
 struct gsRouteGatewaySettings
 {
@@ -200,7 +201,7 @@
   void ScheduleWaitTimer(gsTime now);
   bool PassesQuarantine(RequestPtr const& request);
   void ResumeStream(RequestPtr const& request);
-  void PlaceAtVersion(RequestPtr const& request, std::uint32_t version,
+  void PlaceAtVersion(RequestPtr const& request, gsFoundVersion const& found,
                       gsTime lookUpTime);
   void RecordVersion(RequestPtr const& request, std::uint32_t version);
   bool MayRelay(RequestPtr const& request, gsAttempt const& attempt);
--- a/Source/Daemon/gsStreamSharing.cxx
+++ b/Source/Daemon/gsStreamSharing.cxx
@@ -95,17 +95,32 @@
   return {};
 }
 
-/** The version of a service's streams without a record: zero if there are
- * several, and empty if this host cannot tell. */
-std::optional<std::uint32_t> gsStreamSharing::Infer(std::string_view service,
-                                                    gsTime now) const
+gsStreamSharing::Inference gsStreamSharing::Infer(std::string_view service,
+                                                  gsTime now) const
 {
   if (!this->IsListCurrent || !this->IsListCurrent()) {
-    return std::nullopt;
+    return { std::nullopt, "list_not_current" };
+  }
+  gsInferredVersion inferred = gsInferStreamVersion(this->Fleet, service, now);
+  Inference inference{ std::nullopt, gsVersionInferenceName(inferred.Cause) };
+  if (inferred.Version != 0 || gsHasVersions(this->Fleet, service)) {
+    inference.Version = inferred.Version;
+  }
+  return inference;
+}
+
+/** What the result of a look-up is taken from, or why it is unknown. */
+std::string_view gsStreamSharing::SourceOf(gsStreamLookupResult const& result,
+                                           Inference const& own)
+{
+  if (!result.IsInferred) {
+    return result.Version != 0 ? "peer_record" : "records_differ";
+  }
+  if (result.Version != 0) {
+    return own.Version ? own.Cause : "peer_inference";
   }
-  std::uint32_t version = gsInferStreamVersion(this->Fleet, service, now);
-  bool isUnknown = version == 0 && !gsHasVersions(this->Fleet, service);
-  return isUnknown ? std::nullopt : std::optional(version);
+  bool differs = own.Version.value_or(0) != 0;
+  return differs ? "inferences_differ" : own.Cause;
 }
 
 void gsStreamSharing::Send(gsStreamMessages const& messages)
@@ -121,7 +136,7 @@
                               std::uint32_t version, OnCopied copied)
 {
   gsTime now = gsLoop::Now();
-  if (this->Infer(service, now) == version) {
+  if (this->Infer(service, now).Version == version) {
     return false;
   }
   gsStreamMessages copies =
@@ -140,14 +155,15 @@
   gsTime now = gsLoop::Now();
   if (std::optional<std::uint32_t> known =
         gsStreamFind(this->Directory, stream, now)) {
-    found(*known);
+    found({ *known, *known != 0 ? "record" : "records_differ" });
     return;
   }
-  this->Lookups.emplace(stream, std::move(found));
+  Inference own = this->Infer(service, now);
+  this->Lookups.emplace(stream, PendingLookup{ own, std::move(found) });
   std::uint32_t hash = ServiceHash(service);
   std::vector<gsStreamLookupResult> results;
   this->Send(gsStreamLookUp(this->Directory, this->Peers(now), stream, hash,
-                            this->Infer(service, now), now, results));
+                            own.Version, now, results));
   this->Deliver(results);
 }
 
@@ -155,13 +171,13 @@
 {
   for (gsStreamLookupResult const& result : results) {
     auto [first, last] = this->Lookups.equal_range(result.Stream);
-    std::vector<OnFound> waiting;
+    std::vector<PendingLookup> waiting;
     for (auto lookup = first; lookup != last; ++lookup) {
       waiting.push_back(std::move(lookup->second));
     }
     this->Lookups.erase(first, last);
-    for (OnFound const& found : waiting) {
-      found(result.Version);
+    for (PendingLookup const& lookup : waiting) {
+      lookup.Found({ result.Version, SourceOf(result, lookup.Own) });
     }
   }
 }
@@ -187,7 +203,7 @@
     }
     std::optional<std::uint32_t> inferred;
     if (message->Kind == gsStreamMessageKind::Query) {
-      inferred = this->Infer(this->ServiceOf(message->Service), now);
+      inferred = this->Infer(this->ServiceOf(message->Service), now).Version;
     }
     this->Send(gsStreamReceive(this->Directory, peers, *message,
                                inferred.value_or(0), now, results));
--- a/Source/Daemon/gsStreamSharing.h
+++ b/Source/Daemon/gsStreamSharing.h
@@ -20,11 +20,19 @@
 #include "gsMetrics.h"
 #include "gsStreamDirectory.h"
 
+/** The result of looking up at which version a stream began. */
+struct gsFoundVersion
+{
+  std::uint32_t Version = 0; ///< Zero if it is unknown.
+  /** What the version is taken from, or why it is unknown; for the log. */
+  std::string_view Source;
+};
+
 class gsStreamSharing
 {
 public:
   using OnCopied = std::function<void()>;
-  using OnFound = std::function<void(std::uint32_t version)>;
+  using OnFound = std::function<void(gsFoundVersion const& found)>;
 
   /** The fleet must outlive this object. */
   gsStreamSharing(gsFleet& fleet, std::uint64_t incarnation);
@@ -48,8 +56,8 @@
   /** No longer calls back when a copy has arrived. */
   void StopAwaiting(gsStreamId stream) { this->Copies.erase(stream); }
 
-  /** Looks up at which version a stream began; zero if it cannot be found.
-   * The callback may be called before the function returns. */
+  /** Looks up at which version a stream began. The callback may be called
+   * before the function returns. */
   void LookUp(gsStreamId stream, std::string const& service, OnFound found);
 
   /** Processes the messages in a frame from another host. */
@@ -68,9 +76,25 @@
     OnCopied Copied;
   };
 
+  /** What this host infers on a service's streams without a record. */
+  struct Inference
+  {
+    /** Zero if there are several, and empty if this host cannot tell. */
+    std::optional<std::uint32_t> Version;
+    std::string_view Cause;
+  };
+
+  /** A look-up that is under way. */
+  struct PendingLookup
+  {
+    Inference Own;
+    OnFound Found;
+  };
+
+  static std::string_view SourceOf(gsStreamLookupResult const& result,
+                                   Inference const& own);
   gsStreamPeers Peers(gsTime now) const;
-  std::optional<std::uint32_t> Infer(std::string_view service,
-                                     gsTime now) const;
+  Inference Infer(std::string_view service, gsTime now) const;
   std::string_view ServiceOf(std::uint32_t hash) const;
   void Send(gsStreamMessages const& messages);
   void Deliver(std::vector<gsStreamLookupResult> const& results);
@@ -83,5 +107,5 @@
   /** Hosts of earlier releases, which keep no records. */
   std::set<std::string, std::less<>> EarlierHosts;
   std::map<gsStreamId, AwaitedCopy> Copies;
-  std::multimap<gsStreamId, OnFound> Lookups; ///< That are under way.
+  std::multimap<gsStreamId, PendingLookup> Lookups;
 };
--- a/Tests/Unit/gsTestSoftwareVersion.cxx
+++ b/Tests/Unit/gsTestSoftwareVersion.cxx
@@ -26,7 +26,7 @@
 
 std::uint32_t Infer(gsFleet const& fleet, gsTime now)
 {
-  return gsInferStreamVersion(fleet, Listed("x", 0).Service, now);
+  return gsInferStreamVersion(fleet, Listed("x", 0).Service, now).Version;
 }
 
 } // namespace
