Streams: A host that knows of several versions voids what others infer

Without a record, the version of a stream is what hosts infer from the upstreams listed. A host that has just started may see the new version only, where others have seen the old one leave. Their replies said no version, as those of a host that cannot tell, and the inference of the one that knows less was taken: the caller's stream went on at the new version.

A reply now says that nothing can be inferred, in its revision, which earlier releases pass over in replies. A host also counts versions that have left lately, no longer only those that are listed.

StreamDirectory.AHostThatKnowsOfSeveralVersionsVoidsWhatOthersInfer fails with the directory before: version 4 is found in place of none.

--- a/Source/Coord/gsStreamDirectory.cxx
+++ b/Source/Coord/gsStreamDirectory.cxx
@@ -86,30 +86,39 @@
   return entry.IsAmbiguous ? 0 : entry.Record.Version;
 }
 
+/** The version of a stream, as far as this host and others know it. */
+struct Outcome
+{
+  std::uint32_t Version = 0;
+  bool IsInferred = false;
+  bool IsVoid = false; ///< Nothing can be inferred, whatever others infer.
+};
+
 gsStreamMessage MakeReply(std::string const& host, gsStreamId stream,
-                          std::uint32_t version, bool isInferred)
+                          Outcome const& outcome)
 {
   gsStreamMessage reply =
     MakeMessage(host, gsStreamMessageKind::Reply, stream);
-  reply.Record.Version = version;
-  reply.Flag = isInferred;
+  reply.Record.Version = outcome.Version;
+  reply.Record.Revision = outcome.IsVoid ? gsStreamMessage::VoidRevision : 0;
+  reply.Flag = outcome.IsInferred;
   return reply;
 }
 
 /** Ends a look-up: tells the hosts that asked, and this host if it did. */
 void Conclude(gsStreamDirectory& directory, gsStreamId stream,
-              std::uint32_t version, bool isInferred,
-              gsStreamMessages& messages, Results& results)
+              Outcome const& outcome, gsStreamMessages& messages,
+              Results& results)
 {
   auto lookup = directory.Lookups.find(stream);
   if (lookup == directory.Lookups.end()) {
     return;
   }
   for (std::string const& asker : lookup->second.Askers) {
-    messages.push_back(MakeReply(asker, stream, version, isInferred));
+    messages.push_back(MakeReply(asker, stream, outcome));
   }
   if (lookup->second.IsOwn) {
-    results.push_back({ stream, version, isInferred });
+    results.push_back({ stream, outcome.Version, outcome.IsInferred });
   }
   directory.Lookups.erase(lookup);
 }
@@ -119,18 +128,32 @@
                         gsStreamMessages& messages, Results& results)
 {
   gsStreamLookup const& lookup = directory.Lookups.at(stream);
-  std::uint32_t version = lookup.IsInferenceVoid ? 0 : lookup.Inferred;
-  Conclude(directory, stream, version, true, messages, results);
+  Outcome outcome;
+  outcome.IsInferred = true;
+  outcome.IsVoid = lookup.IsInferenceVoid;
+  outcome.Version = outcome.IsVoid ? 0 : lookup.Inferred;
+  Conclude(directory, stream, outcome, messages, results);
 }
 
-/** Adds what a host without a record infers. Hosts that disagree have seen
- * different upstreams, so that neither is right for certain. */
-void AddInference(gsStreamLookup& lookup, std::uint32_t version)
+/** Adds what a host without a record infers: empty if it cannot tell. Hosts
+ * that disagree have seen different upstreams, so that neither is right for
+ * certain. */
+void AddInference(gsStreamLookup& lookup, std::optional<std::uint32_t> version)
 {
-  bool disagrees =
-    version != 0 && lookup.Inferred != 0 && lookup.Inferred != version;
-  lookup.IsInferenceVoid = lookup.IsInferenceVoid || disagrees;
-  lookup.Inferred = version != 0 ? version : lookup.Inferred;
+  if (version) {
+    bool disagrees = lookup.Inferred != 0 && lookup.Inferred != *version;
+    lookup.IsInferenceVoid =
+      lookup.IsInferenceVoid || disagrees || *version == 0;
+    lookup.Inferred = *version != 0 ? *version : lookup.Inferred;
+  }
+}
+
+/** What the sender of a reply without a record infers. */
+std::optional<std::uint32_t> InferenceOf(gsStreamMessage const& reply)
+{
+  bool isKnown = reply.Record.Version != 0 ||
+                 reply.Record.Revision == gsStreamMessage::VoidRevision;
+  return isKnown ? std::optional(reply.Record.Version) : std::nullopt;
 }
 
 gsStreamMessages MakeQueries(gsStreamId stream, gsStreamLookup const& lookup,
@@ -166,21 +189,25 @@
     }
   }
   // A look-up may have begun before the copy arrived.
-  Conclude(directory, message.Stream,
-           VersionOf(directory.Streams.at(message.Stream)), false, messages,
-           results);
+  Outcome outcome;
+  outcome.Version = VersionOf(directory.Streams.at(message.Stream));
+  Conclude(directory, message.Stream, outcome, messages, results);
 }
 
 void ReceiveQuery(gsStreamDirectory& directory, gsStreamPeers const& peers,
-                  gsStreamMessage const& message, std::uint32_t inferred,
-                  gsTime now, gsStreamMessages& messages)
+                  gsStreamMessage const& message,
+                  std::optional<std::uint32_t> inferred, gsTime now,
+                  gsStreamMessages& messages)
 {
   std::optional<std::uint32_t> known =
     gsStreamFind(directory, message.Stream, now);
   bool isPassedOn = message.Flag && !peers.OtherHalls.empty();
   if (known || !isPassedOn) {
-    messages.push_back(MakeReply(message.Host, message.Stream,
-                                 known.value_or(inferred), !known));
+    Outcome outcome;
+    outcome.Version = known.value_or(inferred.value_or(0));
+    outcome.IsInferred = !known;
+    outcome.IsVoid = !known && inferred == 0U;
+    messages.push_back(MakeReply(message.Host, message.Stream, outcome));
     return;
   }
   auto [found, isNew] = directory.Lookups.try_emplace(message.Stream);
@@ -204,12 +231,13 @@
     return;
   }
   if (!message.Flag) {
-    Conclude(directory, message.Stream, message.Record.Version, false,
-             messages, results);
+    Outcome outcome;
+    outcome.Version = message.Record.Version;
+    Conclude(directory, message.Stream, outcome, messages, results);
     return;
   }
   gsStreamLookup& lookup = found->second;
-  AddInference(lookup, message.Record.Version);
+  AddInference(lookup, InferenceOf(message));
   auto& awaited = lookup.Awaited;
   awaited.erase(std::remove(awaited.begin(), awaited.end(), message.Host),
                 awaited.end());
@@ -264,8 +292,7 @@
   gsStreamLookup& lookup = found->second;
   lookup.IsOwn = true;
   lookup.Deadline = now + directory.Settings.LookupTimeout;
-  lookup.IsInferenceVoid = lookup.IsInferenceVoid || inferred == 0U;
-  AddInference(lookup, inferred.value_or(0));
+  AddInference(lookup, inferred);
   if (!isNew) {
     return {};
   }
@@ -284,7 +311,8 @@
 gsStreamMessages gsStreamReceive(gsStreamDirectory& directory,
                                  gsStreamPeers const& peers,
                                  gsStreamMessage const& message,
-                                 std::uint32_t inferred, gsTime now,
+                                 std::optional<std::uint32_t> inferred,
+                                 gsTime now,
                                  std::vector<gsStreamLookupResult>& results)
 {
   gsStreamMessages messages;
--- a/Source/Coord/gsStreamDirectory.h
+++ b/Source/Coord/gsStreamDirectory.h
@@ -58,10 +58,14 @@
 /** A message between hosts. */
 struct gsStreamMessage
 {
+  static constexpr std::uint32_t VoidRevision = 1;
+
   std::string Host; ///< Receiver of a message to send, else its sender.
   gsStreamMessageKind Kind = gsStreamMessageKind::Query;
   gsStreamId Stream = 0;
-  gsStreamRecord Record; ///< Of records, acks and replies.
+  /** Of records, acks and replies. The revision of a reply without a record is
+   * VoidRevision if nothing can be inferred, whatever others infer. */
+  gsStreamRecord Record;
   /** Of queries: hash of the service, by which a version can be inferred. */
   std::uint32_t Service = 0;
   /** Of records and queries: the receiver passes it on to other halls. Of
@@ -166,13 +170,15 @@
  * Processes a message of another host.
  *
  * \param inferred Of a query: the version of its service's streams that this
- *   host infers without a record; zero if it cannot.
+ *   host infers without a record; zero if it knows that nothing can be
+ *   inferred, and empty if it cannot tell.
  * \return The messages to be sent.
  */
 gsStreamMessages gsStreamReceive(gsStreamDirectory& directory,
                                  gsStreamPeers const& peers,
                                  gsStreamMessage const& message,
-                                 std::uint32_t inferred, gsTime now,
+                                 std::optional<std::uint32_t> inferred,
+                                 gsTime now,
                                  std::vector<gsStreamLookupResult>& results);
 
 /** Ends look-ups that have waited for long enough, and evicts records. To be
--- a/Source/Daemon/gsStreamSharing.cxx
+++ b/Source/Daemon/gsStreamSharing.cxx
@@ -103,7 +103,8 @@
   }
   gsInferredVersion inferred = gsInferStreamVersion(this->Fleet, service, now);
   Inference inference{ std::nullopt, gsVersionInferenceName(inferred.Cause) };
-  if (inferred.Version != 0 || gsHasVersions(this->Fleet, service)) {
+  if (inferred.Version != 0 ||
+      inferred.Cause == gsVersionInference::SeveralVersions) {
     inference.Version = inferred.Version;
   }
   return inference;
@@ -206,7 +207,7 @@
       inferred = this->Infer(this->ServiceOf(message->Service), now).Version;
     }
     this->Send(gsStreamReceive(this->Directory, peers, *message,
-                               inferred.value_or(0), now, results));
+                               inferred, now, results));
     if (message->Kind == gsStreamMessageKind::Ack) {
       this->ReceiveAck(*message);
     }
--- a/Tests/Unit/gsTestStreamDirectory.cxx
+++ b/Tests/Unit/gsTestStreamDirectory.cxx
@@ -505,6 +505,55 @@
   EXPECT_EQ(results[0].Version, 0U);
 }
 
+// Guards against a stream that goes on at another version: a host that has
+// just started sees one version only, another one has seen the one that left.
+TEST(StreamDirectory, AHostThatKnowsOfSeveralVersionsVoidsWhatOthersInfer)
+{
+  gsStreamDirectory asker;
+  gsStreamDirectory witness;
+  gsStreamDirectory newcomer;
+  gsStreamPeers peers;
+  peers.Coordinators = { "witness", "newcomer" };
+  std::vector<gsStreamLookupResult> results;
+  gsStreamMessages queries =
+    gsStreamLookUp(asker, peers, 7, 0, std::nullopt, gsSeconds(1), results);
+  ASSERT_EQ(queries.size(), 2U);
+  for (gsStreamMessage query : queries) {
+    bool isWitness = query.Host == "witness";
+    std::string const host = std::exchange(query.Host, "asker");
+    gsStreamMessages replies =
+      gsStreamReceive(isWitness ? witness : newcomer, {}, query,
+                      isWitness ? 0U : 4U, gsSeconds(1), results);
+    ASSERT_EQ(replies.size(), 1U);
+    replies[0].Host = host;
+    gsStreamReceive(asker, peers, replies[0], 0U, gsSeconds(1), results);
+  }
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].Version, 0U);
+}
+
+TEST(StreamDirectory, AHostThatCannotTellLeavesItToOthers)
+{
+  gsStreamDirectory asker;
+  gsStreamDirectory other;
+  gsStreamPeers peers;
+  peers.Coordinators = { "a", "b" };
+  std::vector<gsStreamLookupResult> results;
+  gsStreamMessages queries =
+    gsStreamLookUp(asker, peers, 7, 0, std::nullopt, gsSeconds(1), results);
+  for (gsStreamMessage query : queries) {
+    bool knows = query.Host == "b";
+    std::string const host = std::exchange(query.Host, "asker");
+    gsStreamMessages replies = gsStreamReceive(
+      other, {}, query, knows ? std::optional(4U) : std::nullopt, gsSeconds(1),
+      results);
+    replies[0].Host = host;
+    gsStreamReceive(asker, peers, replies[0], 0U, gsSeconds(1), results);
+  }
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].Version, 4U);
+}
+
 TEST(StreamDirectory, RecordsAreEvictedAfterTheirTimeAndAboveTheLimit)
 {
   gsStreamDirectory directory;
