Streams: Takes the time that streams last from the routes' timeouts

Nothing is inferred on the versions of a service until streams of before the list, and of a version that has left, are over. That was a fixed 30 s, but a route's timeout_ms is what bounds a stream, and it is the operator's: streams of a version whose upstreams had left could come back after the 30 s and went on at the other one. Records were kept for a fixed 60 s.

The time is twice the longest timeout of the routes whose streams may be resumed and 5 s, at least 30 s as before: an attempt may begin just before its version is gone, and its caller comes back for no longer than the timeout again. It does not fall while a host runs. Records last as long.

RouteTable.StreamsLastAsLongAsTheTimeoutsOfTheirRoutes fails with 30 s for a timeout of 90 s.

--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -291,8 +291,8 @@
    * gsLoadSettings::MaxHostReportAge. */
   gsTime OthersLoadLifetime = gsMilliseconds(7500);
   std::size_t MaxParts = 2000; ///< Maximum cached parts per upstream.
-  /** Longest time from a stream's begin until its caller no longer resumes it.
-   */
+  /** Longest time from when an upstream begins a stream until its caller no
+   * longer resumes it; see gsLongestStreamTime. */
   gsTime MaxStreamTime = gsSeconds(30);
   /** All hosts of the system have started for the first time, so that there
    * are no streams of before. */
--- a/Source/Core/gsRouteTable.cxx
+++ b/Source/Core/gsRouteTable.cxx
@@ -219,3 +219,17 @@
   }
   return route.Shares.back().Service;
 }
+
+gsTime gsLongestStreamTime(gsRouteTable const& table)
+{
+  // Hosts and upstreams learn of a changed list within this.
+  constexpr gsTime margin = gsSeconds(5);
+  constexpr gsTime least = gsSeconds(30);
+  gsTime longest = least;
+  for (gsRoute const& route : table.Routes) {
+    if (route.Resumable) {
+      longest = std::max(longest, 2 * route.Timeout + margin);
+    }
+  }
+  return longest;
+}
--- a/Source/Core/gsRouteTable.h
+++ b/Source/Core/gsRouteTable.h
@@ -145,6 +145,13 @@
  * Must be called after each change of the rows. */
 void gsIndexRoutes(gsRouteTable& table);
 
+/**
+ * Longest time from when an upstream begins a stream until its caller no
+ * longer resumes it: its route's timeout ends the attempt, and the caller
+ * comes back for no longer than that again.
+ */
+gsTime gsLongestStreamTime(gsRouteTable const& table);
+
 /**
  * Finds the route of the host with the longest prefix of the path.
  * \param host May contain a port and upper-case letters.
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -365,6 +365,9 @@
   auto table = std::make_shared<gsRouteTable const>(std::move(read.value()));
   this->RouteTable = table;
   this->Gateway->SetRoutes(table);
+  // Streams that began under a longer timeout last that long.
+  gsTime& longest = this->Fleet.Settings.MaxStreamTime;
+  longest = std::max(longest, gsLongestStreamTime(*table));
   if (gsAddServices(this->UpstreamFeed.List(), *table)) {
     this->UpstreamFeed.ApplyAllRows(gsLoop::Now());
   }
--- a/Source/Daemon/gsStreamSharing.cxx
+++ b/Source/Daemon/gsStreamSharing.cxx
@@ -237,6 +237,9 @@
   if (this->Cluster == nullptr) {
     return;
   }
+  // Records last as long as streams of a version that has gone.
+  this->Directory.Settings.Retention = std::max(
+    this->Directory.Settings.Retention, this->Fleet.Settings.MaxStreamTime);
   std::vector<gsStreamLookupResult> results;
   this->Send(gsStreamTick(this->Directory, now, results));
   this->Deliver(results);
--- a/Tests/Unit/gsTestRouteTable.cxx
+++ b/Tests/Unit/gsTestRouteTable.cxx
@@ -169,3 +169,17 @@
   EXPECT_EQ(gsCountHigherPriorities(table, "model", table.Routes[1]), 0U);
   EXPECT_EQ(gsCountHigherPriorities(table, "plain", table.Routes[1]), 1U);
 }
+
+// Guards against streams of routes with long timeouts that are taken for over
+// after half a minute, so that they go on at another software version.
+TEST(RouteTable, StreamsLastAsLongAsTheTimeoutsOfTheirRoutes)
+{
+  gsRouteTable table;
+  table.Routes = { MakeRoute("chat", "one.example", "/") };
+  gsRoute& route = table.Routes[0];
+  route.Timeout = gsSeconds(90);
+  EXPECT_EQ(gsLongestStreamTime(table), gsSeconds(30));
+  route.Resumable = true;
+  // The attempt that an upstream began last, and its caller's next tries.
+  EXPECT_GE(gsLongestStreamTime(table), 2 * route.Timeout);
+}
