Streams: What all hosts forget is kept in the platform's store

Both have one cause: hosts forget what was listed before they started. The setting first_start stood in for that: a host that was killed and started again with the same file inferred the only version listed at once, also where the old one had just left with its streams. Without the setting nothing was inferred until the host had run for 30 s.

The platform's store has a row now that names the versions that are listed and those that were, until when, by its clock. A host that starts reads it, and infers a version at once if that is the only one by the row and the list. The row is written when a version appears or goes, by the host that watches the list for its hall, under a condition; it is made only by a host that knows all versions of which streams can be. Where it cannot be read, nothing is inferred from it. For a second, streams are not sent to a version whose name may not be stored yet, if another one is available.

The same rows name the services of a route.

The stand-in store gives the time.

--- a/Source/Core/gsFleet.cxx
+++ b/Source/Core/gsFleet.cxx
@@ -171,6 +171,22 @@
   AddToIndexes(fleet, index);
 }
 
+/** Records the version of an upstream that was listed with another one, or not
+ * at all (null). */
+void UpdateListedVersion(gsFleet& fleet, gsListedUpstream const* before,
+                         gsListedUpstream const& listed, gsTime now)
+{
+  bool isSame = before != nullptr && before->Service == listed.Service &&
+                before->SoftwareVersion == listed.SoftwareVersion;
+  if (isSame) {
+    return;
+  }
+  if (before != nullptr) {
+    gsRemoveListedVersion(fleet, *before, now);
+  }
+  gsAddListedVersion(fleet, listed, now);
+}
+
 } // namespace
 
 void gsFleetUpsert(gsFleet& fleet, gsListedUpstream const& listed, gsTime now)
@@ -180,10 +196,8 @@
   std::size_t index = isNew ? fleet.Rows.size() : found->second;
   bool isUpdate =
     !isNew && fleet.Rows[index].Listed.StartedAt == listed.StartedAt;
-  if (!isNew) {
-    gsRemoveListedVersion(fleet, fleet.Rows[index].Listed, now);
-  }
-  gsAddListedVersion(fleet, listed, now);
+  UpdateListedVersion(fleet, isNew ? nullptr : &fleet.Rows[index].Listed,
+                      listed, now);
   if (isUpdate) {
     UpdateListing(fleet, index, listed);
   } else {
--- a/Source/Core/gsFleet.h
+++ b/Source/Core/gsFleet.h
@@ -294,8 +294,8 @@
   /** Longest time from when an upstream begins a stream until its caller no
    * longer resumes it; see gsLongestStreamTime. */
   gsTime MaxStreamTime = gsSeconds(30);
-  /** All hosts of the system have started for the first time, so that there
-   * are no streams of before. */
+  /** All hosts of the system start for the first time by their settings, which
+   * may be out of date if this host has started again. */
   bool IsFirstStart = false;
   /** Retention of announcements of upstreams without a row. A platform that
    * is unavailable for minutes loses rows and lists them again later. */
@@ -361,6 +361,8 @@
   gsPrefixDirectory Prefixes; ///< Engines are identified by gsFleetRow::Hash.
   std::unordered_map<std::string, gsVersionHistory>
     VersionHistories; ///< By service.
+  /** How often a version of a service was first listed or no longer. */
+  std::uint64_t VersionChanges = 0;
   /** Admission by service; empty unless the feature is active. */
   std::unordered_map<std::string, gsOverload> Overload;
 };
--- a/Source/Core/gsSoftwareVersion.cxx
+++ b/Source/Core/gsSoftwareVersion.cxx
@@ -9,13 +9,6 @@
 
 namespace {
 
-/** Whether no stream can be of a version any more. */
-bool IsOver(gsFleet const& fleet, gsListedVersion const& version, gsTime now)
-{
-  return version.Count == 0 &&
-         now - version.LastListedAt > fleet.Settings.MaxStreamTime;
-}
-
 /** Number of versions that are listed now. */
 std::size_t CountListed(gsVersionHistory const& history)
 {
@@ -26,6 +19,13 @@
 
 } // namespace
 
+bool gsIsVersionOver(gsFleet const& fleet, gsListedVersion const& version,
+                     gsTime now)
+{
+  return version.Count == 0 &&
+         now - version.LastListedAt > fleet.Settings.MaxStreamTime;
+}
+
 std::uint32_t gsSoftwareVersionHash(std::string_view service,
                                     std::string_view version)
 {
@@ -58,15 +58,19 @@
 void gsAddListedVersion(gsFleet& fleet, gsListedUpstream const& listed,
                         gsTime now)
 {
-  auto [found, isNew] = fleet.VersionHistories.try_emplace(listed.Service);
-  gsVersionHistory& history = found->second;
-  history.FirstListedAt = isNew ? now : history.FirstListedAt;
+  gsVersionHistory& history = fleet.VersionHistories[listed.Service];
+  if (history.FirstListedAt.count() == 0) {
+    history.FirstListedAt = now;
+  }
   gsListedVersion& version = history.Versions[listed.SoftwareVersion];
+  fleet.VersionChanges += version.Count == 0 ? 1 : 0;
   ++version.Count;
   version.LastListedAt = now;
+  version.WasListed = true;
   for (auto each = history.Versions.begin(); each != history.Versions.end();) {
-    each = IsOver(fleet, each->second, now) ? history.Versions.erase(each)
-                                            : std::next(each);
+    each = gsIsVersionOver(fleet, each->second, now)
+             ? history.Versions.erase(each)
+             : std::next(each);
   }
 }
 
@@ -77,6 +81,7 @@
     fleet.VersionHistories[listed.Service].Versions[listed.SoftwareVersion];
   version.Count -= std::min<std::size_t>(version.Count, 1);
   version.LastListedAt = now;
+  fleet.VersionChanges += version.Count == 0 ? 1 : 0;
 }
 
 char const* gsVersionInferenceName(gsVersionInference inference)
@@ -84,6 +89,8 @@
   switch (inference) {
     case gsVersionInference::Listed:
       return "listed";
+    case gsVersionInference::Stored:
+      return "stored";
     case gsVersionInference::FirstStart:
       return "first_start";
     case gsVersionInference::SeveralVersions:
@@ -107,23 +114,20 @@
   gsInferredVersion inferred;
   std::size_t possible = 0;
   for (auto const& [version, entry] : history.Versions) {
-    possible += IsOver(fleet, entry, now) ? 0 : 1;
-    inferred.Version = entry.Count > 0 ? version : inferred.Version;
+    possible += gsIsVersionOver(fleet, entry, now) ? 0 : 1;
+    inferred.OnlySeen = entry.Count > 0 ? version : inferred.OnlySeen;
   }
-  bool isOld = now - history.FirstListedAt > fleet.Settings.MaxStreamTime;
+  bool isOld = history.FirstListedAt.count() != 0 &&
+               now - history.FirstListedAt > fleet.Settings.MaxStreamTime;
   if (possible > 1) {
+    inferred.OnlySeen = 0;
     inferred.Cause = gsVersionInference::SeveralVersions;
-  } else if (inferred.Version == 0) {
-    inferred.Cause = gsVersionInference::NoUpstream;
-  } else if (isOld) {
-    inferred.Cause = gsVersionInference::Listed;
-    return inferred;
-  } else if (fleet.Settings.IsFirstStart) {
-    inferred.Cause = gsVersionInference::FirstStart;
-    return inferred;
-  } else {
-    inferred.Cause = gsVersionInference::ListTooYoung;
+  } else if (inferred.OnlySeen != 0) {
+    inferred.Cause = isOld ? gsVersionInference::Listed : history.Before;
   }
-  inferred.Version = 0;
+  bool follows = inferred.Cause == gsVersionInference::Listed ||
+                 inferred.Cause == gsVersionInference::Stored ||
+                 inferred.Cause == gsVersionInference::FirstStart;
+  inferred.Version = follows ? inferred.OnlySeen : 0;
   return inferred;
 }
--- a/Source/Daemon/gsAdapter.h
+++ b/Source/Daemon/gsAdapter.h
@@ -83,6 +83,8 @@
   std::vector<gsTableRow> Rows;
   std::uint64_t Version = 0; ///< All changes up to it are included.
   bool HasMore = false;      ///< The read continues after the last row.
+  /** Of the platform's steady clock, in milliseconds; empty if not given. */
+  std::optional<std::int64_t> ClockMillis;
 };
 
 /** Why a read or a watch of a table returned no rows. */
@@ -170,6 +172,7 @@
   std::string LeaseKey;   ///< Key of the lease in that table.
   std::string Usage;      ///< Table of usage counts that are being reported.
   std::string Quarantine; ///< Table of quarantined requests.
+  std::string Versions;   ///< Table of software versions listed recently.
 };
 
 /** All operations that the routed mode needs from a platform. */
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -15,6 +15,7 @@
 #include "gsPlacementCost.h"
 #include "gsRendezvous.h"
 #include "gsRequestIntake.h"
+#include "gsRouteServices.h"
 #include "gsSoftwareVersion.h"
 #include "gsStreamSharing.h"
 
@@ -375,13 +376,14 @@
     return;
   }
   std::weak_ptr<gsRoutedRequest> weak = request;
-  this->Streams->LookUp(
-    request->Stream, request->Service, [this, weak, begin](auto const& found) {
-      RequestPtr locked = weak.lock();
-      if (locked != nullptr && !locked->HasEnded) {
-        this->PlaceAtVersion(locked, found, gsLoop::Now() - begin);
-      }
-    });
+  this->Streams->LookUp(request->Stream, gsRouteHistoryName(*request->Route),
+                        [this, weak, begin](auto const& found) {
+                          RequestPtr locked = weak.lock();
+                          if (locked != nullptr && !locked->HasEnded) {
+                            this->PlaceAtVersion(locked, found,
+                                                 gsLoop::Now() - begin);
+                          }
+                        });
 }
 
 void gsRouteGateway::PlaceAtVersion(RequestPtr const& request,
@@ -418,7 +420,8 @@
   request->RecordedVersion = version;
   std::weak_ptr<gsRoutedRequest> weak = request;
   bool isCopied = this->Streams->Publish(
-    request->Stream, request->Service, version, [this, weak] {
+    request->Stream, gsRouteHistoryName(*request->Route), version,
+    [this, weak] {
       if (RequestPtr locked = weak.lock()) {
         this->OnRecordCopied(locked);
       }
@@ -851,11 +854,32 @@
     ask.OwnHallOnly = false;
     placement = gsPlaceRequest(this->Fleet, ask, now, this->Random);
   }
+  this->AvoidNewVersion(request, ask, placement);
   this->RequestEarly(request, ask, placement);
   gsLogPlacement(this->Fleet, request, ask, placement, now);
   return placement;
 }
 
+/** Places a stream that its caller may resume at an upstream of another
+ * version, if one is available, while the version of the chosen one may not be
+ * stored yet. */
+void gsRouteGateway::AvoidNewVersion(gsRoutedRequest const& request,
+                                     gsPlacementRequest const& ask,
+                                     gsPlacement& placement)
+{
+  bool isBound = !request.Route->Resumable || request.RequiredVersion;
+  if (isBound || !this->OlderVersion || placement.Row == nullptr) {
+    return;
+  }
+  gsPlacementRequest other = ask;
+  other.RequiredVersion = this->OlderVersion(placement.Row->Listed);
+  if (other.RequiredVersion) {
+    gsPlacement older =
+      gsPlaceRequest(this->Fleet, other, gsLoop::Now(), this->Random);
+    placement = older.Row != nullptr ? older : placement;
+  }
+}
+
 /**
  * Requests a token of an upstream that was skipped because none is available,
  * and places the request again if there is one now. A slot is requested only
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -132,6 +132,14 @@
   /** Sets where the software versions of streams are recorded and looked up.
    * Without it, no stream of a caller is resumed. */
   void SetStreamSharing(gsStreamSharing& streams) { this->Streams = &streams; }
+  /** Sets what returns the version to which a stream is sent in place of an
+   * upstream's, empty for that of the upstream. */
+  void SetOlderVersion(std::function<std::optional<std::uint32_t>(
+                         gsListedUpstream const& upstream)>
+                         older)
+  {
+    this->OlderVersion = std::move(older);
+  }
   /** Sets the callback for attempts that return a token of shared slots. */
   void SetSlotReturnCallback(std::function<void()> callback)
   {
@@ -193,6 +201,8 @@
                           std::vector<RequestPtr> const& excluded) const;
   bool LacksSlot(std::uint32_t upstream) const;
   void RequestOtherSlots(gsRoutedRequest& request, gsTime now);
+  void AvoidNewVersion(gsRoutedRequest const& request,
+                       gsPlacementRequest const& ask, gsPlacement& placement);
   void RequestEarly(gsRoutedRequest const& request,
                     gsPlacementRequest const& ask, gsPlacement& placement);
   gsTime TokenWait(std::uint32_t upstream, std::size_t ahead,
@@ -262,6 +272,8 @@
   std::function<void()> SlotReturnCallback;
   TokenSource RequestTokens;
   gsStreamSharing* Streams = nullptr; ///< Null if there is none.
+  std::function<std::optional<std::uint32_t>(gsListedUpstream const&)>
+    OlderVersion; ///< May be empty.
   /** Requests that wait for a token, by priority, then by deadline. */
   std::vector<RequestPtr> TokenQueue;
   std::uint64_t NextSequence = 1;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -100,6 +100,7 @@
   , PrefixSharing(this->Fleet)
   , RateLimiter(loop, this->Fleet)
   , StreamSharing(this->Fleet, this->Incarnation)
+  , VersionKeeper(this->Client, this->Adapter, this->Settings, this->Fleet)
   , TickTimer(loop, [this] { this->Tick(); })
   , LoadTimer(loop, [this] { this->SendLoadReports(); })
   , StopTimer(loop, [this] { this->Stop(); })
@@ -130,6 +131,9 @@
   });
   this->RateLimiter.ConnectGateway(*this->Gateway);
   this->Gateway->SetStreamSharing(this->StreamSharing);
+  this->Gateway->SetOlderVersion([this](gsListedUpstream const& upstream) {
+    return this->VersionKeeper.OlderVersion(upstream);
+  });
   this->RateLimiter.SetSlotSharing(this->Settings.Features.SlotSharing);
   if (!this->Settings.Duties.Address.empty()) {
     this->Duties = std::make_unique<gsDuties>(this->Client, this->Adapter,
@@ -193,6 +197,7 @@
   this->StreamSharing.Start(*this->Cluster, [this] {
     return this->Tables->IsCurrentSince(gsLoop::Now() - MaxTableAge);
   });
+  this->VersionKeeper.Start(*this->Cluster, *this->Tables, gsLoop::Now());
   this->CrashGossip->Start(*this->Cluster);
   this->Gateway->CrashDetection().SetProber(
     [this](gsFingerprint const& part) { return this->IsProber(part); });
@@ -368,6 +373,7 @@
   // Streams that began under a longer timeout last that long.
   gsTime& longest = this->Fleet.Settings.MaxStreamTime;
   longest = std::max(longest, gsLongestStreamTime(*table));
+  this->VersionKeeper.SetRoutes(*table, gsLoop::Now());
   if (gsAddServices(this->UpstreamFeed.List(), *table)) {
     this->UpstreamFeed.ApplyAllRows(gsLoop::Now());
   }
@@ -397,6 +403,8 @@
 {
   this->UpstreamFeed.ApplyRows(this->Tables->TakeChangedKeys(),
                                this->Tables->UpstreamsTable(), gsLoop::Now());
+  // A new version is stored before streams of it can be lost.
+  this->VersionKeeper.Tick(gsLoop::Now());
   this->Gateway->EndAttemptsAtRestartedUpstreams();
   this->Gateway->RetryWaiting();
 }
@@ -550,6 +558,7 @@
   this->CrashGossip->Tick(now);
   this->RateLimiter.Tick(now);
   this->StreamSharing.Tick(now);
+  this->VersionKeeper.Tick(now);
   this->PrefixSharing.Tick(now);
   this->QuarantineStore->Tick(now);
   if (this->Duties) {
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -32,6 +32,7 @@
 #include "gsStreamSharing.h"
 #include "gsTableSync.h"
 #include "gsUpstreamFeed.h"
+#include "gsVersionKeeper.h"
 
 class gsRouteNode
 {
@@ -94,6 +95,7 @@
   gsPrefixSharing PrefixSharing;
   gsRateLimiter RateLimiter;
   gsStreamSharing StreamSharing;
+  gsVersionKeeper VersionKeeper;
   std::unique_ptr<gsTableSync> Tables;
   std::unique_ptr<gsHallCluster> Cluster;
   std::unique_ptr<gsRouteGateway> Gateway;
--- a/Source/Daemon/gsStreamSharing.cxx
+++ b/Source/Daemon/gsStreamSharing.cxx
@@ -5,16 +5,10 @@
 #include <utility>
 
 #include "gsLoop.h"
-#include "gsRendezvous.h"
-#include "gsSoftwareVersion.h"
+#include "gsRouteServices.h"
 
 namespace {
 
-std::uint32_t ServiceHash(std::string_view service)
-{
-  return static_cast<std::uint32_t>(gsHashText(service));
-}
-
 void ToWire(gsStreamMessage const& message, gradescale::StreamVersion& wire)
 {
   wire.set_kind(static_cast<std::uint32_t>(message.Kind));
@@ -84,25 +78,28 @@
   return peers;
 }
 
-/** The service with a hash; empty if it has no upstreams. */
-std::string_view gsStreamSharing::ServiceOf(std::uint32_t hash) const
+/** The name with a hash under which a route's services or, for hosts of
+ * earlier releases, a service's versions are kept; empty if there is none. */
+std::string_view gsStreamSharing::NameOf(std::uint32_t hash) const
 {
-  for (auto const& [service, rows] : this->Fleet.ByService) {
-    if (ServiceHash(service) == hash) {
-      return service;
+  for (auto const& [name, history] : this->Fleet.VersionHistories) {
+    if (gsServiceHash(name) == hash) {
+      return name;
     }
   }
   return {};
 }
 
-gsStreamSharing::Inference gsStreamSharing::Infer(std::string_view service,
+gsStreamSharing::Inference gsStreamSharing::Infer(std::string_view route,
                                                   gsTime now) const
 {
   if (!this->IsListCurrent || !this->IsListCurrent()) {
-    return { std::nullopt, "list_not_current" };
+    return { std::nullopt, 0, "list_not_current" };
   }
-  gsInferredVersion inferred = gsInferStreamVersion(this->Fleet, service, now);
-  Inference inference{ std::nullopt, gsVersionInferenceName(inferred.Cause) };
+  gsInferredVersion inferred = gsInferRouteVersion(this->Fleet, route, now);
+  Inference inference;
+  inference.Cause = gsVersionInferenceName(inferred.Cause);
+  inference.OnlySeen = inferred.OnlySeen;
   if (inferred.Version != 0 ||
       inferred.Cause == gsVersionInference::SeveralVersions) {
     inference.Version = inferred.Version;
@@ -133,11 +130,13 @@
   }
 }
 
-bool gsStreamSharing::Publish(gsStreamId stream, std::string const& service,
+bool gsStreamSharing::Publish(gsStreamId stream, std::string const& route,
                               std::uint32_t version, OnCopied copied)
 {
   gsTime now = gsLoop::Now();
-  if (this->Infer(service, now).Version == version) {
+  Inference own = this->Infer(route, now);
+  bool isFirst = this->Fleet.Settings.IsFirstStart && own.OnlySeen == version;
+  if (own.Version == version || isFirst) {
     return false;
   }
   gsStreamMessages copies =
@@ -150,7 +149,7 @@
   return true;
 }
 
-void gsStreamSharing::LookUp(gsStreamId stream, std::string const& service,
+void gsStreamSharing::LookUp(gsStreamId stream, std::string const& route,
                              OnFound found)
 {
   gsTime now = gsLoop::Now();
@@ -159,9 +158,9 @@
     found({ *known, *known != 0 ? "record" : "records_differ" });
     return;
   }
-  Inference own = this->Infer(service, now);
+  Inference own = this->Infer(route, now);
   this->Lookups.emplace(stream, PendingLookup{ own, std::move(found) });
-  std::uint32_t hash = ServiceHash(service);
+  std::uint32_t hash = gsServiceHash(route);
   std::vector<gsStreamLookupResult> results;
   this->Send(gsStreamLookUp(this->Directory, this->Peers(now), stream, hash,
                             own.Version, now, results));
@@ -204,10 +203,10 @@
     }
     std::optional<std::uint32_t> inferred;
     if (message->Kind == gsStreamMessageKind::Query) {
-      inferred = this->Infer(this->ServiceOf(message->Service), now).Version;
+      inferred = this->Infer(this->NameOf(message->Service), now).Version;
     }
-    this->Send(gsStreamReceive(this->Directory, peers, *message,
-                               inferred, now, results));
+    this->Send(gsStreamReceive(this->Directory, peers, *message, inferred, now,
+                               results));
     if (message->Kind == gsStreamMessageKind::Ack) {
       this->ReceiveAck(*message);
     }
--- a/Source/Daemon/gsStreamSharing.h
+++ b/Source/Daemon/gsStreamSharing.h
@@ -45,20 +45,22 @@
   void Start(gsHallCluster& cluster, std::function<bool()> isCurrent);
 
   /**
-   * Records at which version a stream of a service is sent to an upstream,
-   * unless other hosts can infer it.
+   * Records at which version a stream is sent to an upstream, unless other
+   * hosts can infer it; at the first start of all hosts, those that read the
+   * stored rows can.
    *
+   * \param route From gsRouteHistoryName.
    * \param copied Called once another host has a copy of the record.
    * \return Whether a copy was sent; copied is not called otherwise.
    */
-  bool Publish(gsStreamId stream, std::string const& service,
+  bool Publish(gsStreamId stream, std::string const& route,
                std::uint32_t version, OnCopied copied);
   /** No longer calls back when a copy has arrived. */
   void StopAwaiting(gsStreamId stream) { this->Copies.erase(stream); }
 
-  /** Looks up at which version a stream began. The callback may be called
-   * before the function returns. */
-  void LookUp(gsStreamId stream, std::string const& service, OnFound found);
+  /** Looks up at which version a stream of a route began. The callback may be
+   * called before the function returns. */
+  void LookUp(gsStreamId stream, std::string const& route, OnFound found);
 
   /** Processes the messages in a frame from another host. */
   void OnReceive(std::string const& host, gradescale::Frame const& frame);
@@ -76,11 +78,13 @@
     OnCopied Copied;
   };
 
-  /** What this host infers on a service's streams without a record. */
+  /** What this host infers on a route's streams without a record. */
   struct Inference
   {
     /** Zero if there are several, and empty if this host cannot tell. */
     std::optional<std::uint32_t> Version;
+    /** The only version that this host has seen; zero if there are several. */
+    std::uint32_t OnlySeen = 0;
     std::string_view Cause;
   };
 
@@ -94,8 +98,8 @@
   static std::string_view SourceOf(gsStreamLookupResult const& result,
                                    Inference const& own);
   gsStreamPeers Peers(gsTime now) const;
-  Inference Infer(std::string_view service, gsTime now) const;
-  std::string_view ServiceOf(std::uint32_t hash) const;
+  Inference Infer(std::string_view route, gsTime now) const;
+  std::string_view NameOf(std::uint32_t hash) const;
   void Send(gsStreamMessages const& messages);
   void Deliver(std::vector<gsStreamLookupResult> const& results);
   void ReceiveAck(gsStreamMessage const& message);
--- a/Source/Daemon/gsTableSync.h
+++ b/Source/Daemon/gsTableSync.h
@@ -85,6 +85,9 @@
    * as those of another host of the hall, at the given time or later. */
   bool IsCurrentSince(gsTime time) const;
 
+  /** Whether this host watches the platform's tables. */
+  bool IsWatching() const { return this->Duty.State != gsWatchState::Covered; }
+
   /** The replica of the table of routes. */
   gsTableWatch const& RoutesTable() const { return *this->Routes; }
   /** The replica of the table of upstreams. */
@@ -137,7 +140,6 @@
   gsTableWatch* WatchOf(std::string_view table);
   gsTablePull& PullOf(std::string_view table);
   RepairState& RepairStateOf(std::string_view table);
-  bool IsWatching() const { return this->Duty.State != gsWatchState::Covered; }
   void ReceiveRowFormat(std::string const& host,
                         gradescale::Frame const& frame);
   void ReceiveVersions(std::string const& host,
--- /dev/null
+++ b/Source/Daemon/gsVersionKeeper.h
@@ -0,0 +1,68 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Keeps a table of the platform that names the recent software versions of
+ * each service and the recent services of each route, and reads it when the
+ * host starts. What is read and written is decided by gsStoredVersions.
+ */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "gsAdapter.h"
+#include "gsHallCluster.h"
+#include "gsHttpClient.h"
+#include "gsSettings.h"
+#include "gsStoredVersions.h"
+#include "gsTableSync.h"
+
+class gsVersionKeeper
+{
+public:
+  /** All referenced objects have to outlive this one. */
+  gsVersionKeeper(gsHttpClient& client, gsAdapter const& adapter,
+                  gsSettings const& settings, gsFleet& fleet);
+  ~gsVersionKeeper();
+  gsVersionKeeper(gsVersionKeeper const&) = delete;
+  gsVersionKeeper& operator=(gsVersionKeeper const&) = delete;
+
+  /** Enables reads and writes. The cluster and the tables have to outlive this
+   * object. */
+  void Start(gsHallCluster& cluster, gsTableSync const& tables, gsTime now);
+  /** Applies which routes and services have streams that callers resume. */
+  void SetRoutes(gsRouteTable const& table, gsTime now);
+  /** A version to send a stream to in place of an upstream's; see
+   * gsOlderVersion. */
+  std::optional<std::uint32_t> OlderVersion(
+    gsListedUpstream const& upstream) const;
+  /** Starts a call if one is due; to be called several times per second. */
+  void Tick(gsTime now);
+
+private:
+  gsVersionStoreDuty Duty(gsTime now) const;
+  void StartCall(gsCall call, std::function<void(gsAnswer const&)> done);
+  void Read(std::string const& fromKey);
+  void OnReadCompleted(gsAnswer const& answer, gsTime askedAt);
+  void ApplyRows(gsStoreClock const& clock);
+  void Write(gsVersionStoreCall const& call);
+  void OnWriteCompleted(gsRowWriteResult const& result,
+                        gsVersionStoreCall const& call);
+
+  gsHttpClient& Client;
+  gsAdapter const& Adapter;
+  gsSettings const& Settings;
+  gsFleet& Fleet;
+  gsVersionStore Store;
+  /** Rows of the pages received so far of the current read, by key: version
+   * and value. */
+  std::map<std::string, std::pair<std::uint64_t, std::string>> ReadRows;
+  gsHallCluster* Cluster = nullptr;    ///< Set by Start.
+  gsTableSync const* Tables = nullptr; ///< Set by Start.
+  std::uint64_t PendingCall = 0; ///< Pending call; zero if there is none.
+  gsTime StartedAt{};
+};
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -202,6 +202,9 @@
     // Earlier releases refuse settings that they do not know.
     settings["peers"]["forward_listen"] = this->ForwardAddress[host];
   }
+  if (this->Plan.FirstStart) {
+    settings["routing"]["first_start"] = true;
+  }
   if (!this->Plan.SlotSharing.empty()) {
     settings["slot_sharing"] = { { "mode", this->Plan.SlotSharing } };
   }
@@ -556,11 +559,26 @@
 }
 
 void gsRoutedSystem::ChangeSettings(std::string const& host, int retryBurst)
+{
+  this->EditSettings(host, [retryBurst](gsJson& settings) {
+    settings["retry"] = { { "burst", retryBurst } };
+  });
+}
+
+void gsRoutedSystem::SetFirstStart(std::string const& host, bool firstStart)
+{
+  this->EditSettings(host, [firstStart](gsJson& settings) {
+    settings["routing"]["first_start"] = firstStart;
+  });
+}
+
+void gsRoutedSystem::EditSettings(std::string const& host,
+                                  std::function<void(gsJson&)> const& edit)
 {
   std::string file = this->SettingsFile(host);
   std::ifstream old(file);
   gsJson settings = gsJson::parse(old);
-  settings["retry"] = { { "burst", retryBurst } };
+  edit(settings);
   std::string next = file + ".next";
   std::ofstream(next) << settings.dump(2);
   std::filesystem::rename(next, file);
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -50,6 +50,8 @@
   std::string Program;
   /** Hosts report usage, in windows of a second. */
   bool Duties = false;
+  /** Hosts start with the settings of the first start of all. */
+  bool FirstStart = false;
   /** Hosts can be suspended. */
   bool Suspendable = false;
   /** Seeds of every host in addition to the system's own hosts. */
@@ -181,6 +183,9 @@
   /** Coordinators of a host's hall as that host knows them, in order. */
   std::vector<std::string> Coordinators(std::string const& host);
 
+  /** Writes a host's settings file anew, for its next start. */
+  void SetFirstStart(std::string const& host, bool firstStart);
+
   /** Sends a signal to a process that this object has started. */
   void Signal(std::string const& process, int signal);
   /**
@@ -243,6 +248,8 @@
   std::string VersionOf(std::string const& runner) const;
   void AddProcesses();
   std::string SettingsFile(std::string const& host) const;
+  void EditSettings(std::string const& host,
+                    std::function<void(gsJson&)> const& edit);
   std::string SuspendedFile(std::string const& host) const;
   void WriteSuspended(std::string const& host);
   std::string HallOf(int number) const;
--- a/Tests/Soak/gsTestSoftwareVersions.cxx
+++ b/Tests/Soak/gsTestSoftwareVersions.cxx
@@ -313,3 +313,193 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SoftwareVersionsSoak, testing::Values(1, 2));
+
+namespace {
+
+/** What the runners' rows are like when all hosts are killed. */
+enum class RowsAtKill
+{
+  OneVersion,  ///< There has been one version only.
+  TwoVersions, ///< Both are listed.
+  OldGone      ///< The rows of the old version have just gone.
+};
+
+/** All hosts are killed at once and start again, and callers take their
+ * streams up. */
+class AllHostsKilled
+{
+public:
+  AllHostsKilled(std::uint64_t seed, RowsAtKill rows, bool keepsFirstStart)
+    : Random(seed)
+    , Rows(rows)
+    , System(MakePlan(rows))
+  {
+    // Rows of versions are made once hosts know which of them watch the list.
+    this->System.RunFor(2.5);
+    this->Begin();
+    this->KillAll(keepsFirstStart);
+    this->TakeUp();
+  }
+
+  /** Expects that no stream holds events of two versions, or lacks or repeats
+   * one. \return How many came to their end. */
+  int CheckStreams() const
+  {
+    int whole = 0;
+    for (StreamOfTries const& stream : this->Streams) {
+      EXPECT_LE(VersionsIn(stream.Body).size(), 1U) << stream.Body;
+      std::size_t last = EventCount(stream.Body);
+      EXPECT_TRUE(last == 0 ||
+                  stream.Body.rfind("id: " + std::to_string(last) + "\n") !=
+                    std::string::npos)
+        << stream.Body;
+      whole += last == EventsOfStream ? 1 : 0;
+    }
+    return whole;
+  }
+
+  int StreamCount() const { return static_cast<int>(this->Streams.size()); }
+
+private:
+  static constexpr int EventsOfStream = 100;
+
+  static gsRoutedPlan MakePlan(RowsAtKill rows)
+  {
+    gsRoutedPlan plan;
+    plan.Hosts = 6;
+    plan.Halls = 3;
+    plan.Runners = 6;
+    plan.Events = EventsOfStream;
+    plan.GapMs = 20;
+    plan.FirstStart = true;
+    plan.Versions = { "v1" };
+    if (rows != RowsAtKill::OneVersion) {
+      plan.Versions.emplace_back("v2");
+    }
+    return plan;
+  }
+
+  std::string const& PickHost()
+  {
+    std::vector<std::string> const& hosts = this->System.Hosts();
+    return hosts[std::uniform_int_distribution<std::size_t>(
+      0, hosts.size() - 1)(this->Random)];
+  }
+
+  void Begin()
+  {
+    constexpr int streams = 24;
+    for (int i = 0; i < streams; ++i) {
+      StreamOfTries stream;
+      stream.Try = this->System.Send(this->PickHost(), "resume");
+      stream.FirstId = stream.Try->Id;
+      this->Streams.push_back(stream);
+    }
+    EXPECT_TRUE(this->System.RunUntil([this] {
+      return std::all_of(this->Streams.begin(), this->Streams.end(),
+                         [](StreamOfTries const& stream) {
+                           return EventCount(stream.Try->Body) > 0;
+                         });
+    }));
+  }
+
+  void KillAll(bool keepsFirstStart)
+  {
+    if (this->Rows == RowsAtKill::OldGone) {
+      for (char const* runner : { "runner0", "runner2", "runner4" }) {
+        this->System.Unlist(runner);
+      }
+      this->System.RunFor(
+        std::uniform_real_distribution<double>(0, 0.5)(this->Random));
+    }
+    for (std::string const& host : this->System.Hosts()) {
+      this->System.Signal(host, SIGKILL);
+    }
+    this->System.RunUntil([this] {
+      return std::all_of(
+        this->Streams.begin(), this->Streams.end(),
+        [](StreamOfTries const& stream) { return stream.Try->Done; });
+    });
+    for (std::string const& host : this->System.Hosts()) {
+      this->System.SetFirstStart(host, keepsFirstStart);
+      this->System.Restart(host);
+    }
+    for (std::string const& host : this->System.Hosts()) {
+      this->System.WaitReady(host);
+    }
+  }
+
+  /** Callers come back at any host, and after a refusal again. */
+  void TakeUp()
+  {
+    constexpr int mostTries = 6;
+    bool isUnderWay = true;
+    while (isUnderWay) {
+      isUnderWay = false;
+      for (StreamOfTries& stream : this->Streams) {
+        isUnderWay = this->GoOn(stream, mostTries) || isUnderWay;
+      }
+      this->System.RunFor(0.3);
+    }
+  }
+
+  /** Adds what came of a try that is over, and begins the next one. \return
+   * Whether one is under way. */
+  bool GoOn(StreamOfTries& stream, int mostTries)
+  {
+    if (stream.Try == nullptr || !stream.Try->Done) {
+      return stream.Try != nullptr;
+    }
+    gsRoutedReply broken = *stream.Try;
+    std::size_t events = broken.Body.rfind("\n\n");
+    bool hasEvents = broken.Status == 200 && events != std::string::npos;
+    stream.Body += hasEvents ? broken.Body.substr(0, events + 2) : "";
+    stream.Try = nullptr;
+    if (broken.Good() || stream.Tries++ > mostTries) {
+      return false;
+    }
+    broken.Id = stream.FirstId;
+    broken.Body = stream.Body;
+    stream.Try = this->System.Resume(this->PickHost(), broken);
+    return true;
+  }
+
+  std::mt19937_64 Random;
+  RowsAtKill Rows;
+  std::vector<StreamOfTries> Streams;
+  gsRoutedSystem System;
+};
+
+class AllHostsKilledSoak : public testing::TestWithParam<std::uint64_t>
+{};
+
+} // namespace
+
+// Guards against text joined from two versions: the old one has just left when
+// all hosts are killed, and hosts start again with the same settings.
+TEST_P(AllHostsKilledSoak, NoStreamIsMixedWhereTheOldVersionHasJustLeft)
+{
+  for (bool keepsFirstStart : { true, false }) {
+    AllHostsKilled system(this->GetParam(), RowsAtKill::OldGone,
+                          keepsFirstStart);
+    system.CheckStreams();
+  }
+}
+
+// The same where both versions are in service.
+TEST_P(AllHostsKilledSoak, NoStreamIsMixedBetweenTwoVersionsInService)
+{
+  AllHostsKilled system(this->GetParam(), RowsAtKill::TwoVersions,
+                        this->GetParam() % 2 == 0);
+  system.CheckStreams();
+}
+
+// Guards against refusing the streams of a service that has one version.
+TEST_P(AllHostsKilledSoak, StreamsOfTheOnlyVersionGoOn)
+{
+  AllHostsKilled system(this->GetParam(), RowsAtKill::OneVersion,
+                        this->GetParam() % 2 == 0);
+  EXPECT_EQ(system.CheckStreams(), system.StreamCount());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, AllHostsKilledSoak, testing::Values(1));
--- a/Tests/StandIns/gsStandInStore.cxx
+++ b/Tests/StandIns/gsStandInStore.cxx
@@ -12,6 +12,7 @@
  * ordered, who held the duty last, and what broke a rule.
  */
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -52,6 +53,12 @@
   return text;
 }
 
+/** The store's steady clock. */
+std::int64_t NowMillis()
+{
+  return std::chrono::duration_cast<gsMilliseconds>(gsLoop::Now()).count();
+}
+
 /** The platform's calls on duties, and what they may not do. */
 class DutyCalls
 {
@@ -262,7 +269,8 @@
                                                        this->Version,
                                                        true };
     }
-    gsAnswerJson(exchange, { { "ver", this->Version }, { "now_ms", 1 } });
+    gsAnswerJson(exchange,
+                 { { "ver", this->Version }, { "now_ms", NowMillis() } });
     this->Notify();
   }
 
@@ -274,7 +282,7 @@
           this->Above(std::string(exchange.Query("table")), 0, false) },
         { "more", false },
         { "ver", this->Version },
-        { "now_ms", 1 } });
+        { "now_ms", NowMillis() } });
   }
 
   void Watch(Exchange const& exchange)
@@ -303,9 +311,9 @@
         waiting.push_back(std::move(waiter));
         continue;
       }
-      gsAnswerJson(
-        *waiter.Call,
-        { { "records", rows }, { "ver", this->Version }, { "now_ms", 1 } });
+      gsAnswerJson(*waiter.Call, { { "records", rows },
+                                   { "ver", this->Version },
+                                   { "now_ms", NowMillis() } });
     }
     this->Waiters = std::move(waiting);
   }
@@ -320,7 +328,7 @@
       }
       gsAnswerJson(*waiter.Call, { { "records", gsJson::array() },
                                    { "ver", this->Version },
-                                   { "now_ms", 1 } });
+                                   { "now_ms", NowMillis() } });
     }
     this->Waiters = std::move(waiting);
   }
