--- a/Tests/Route/gsTestPlatformAdapter.cxx
+++ b/Tests/Route/gsTestPlatformAdapter.cxx
@@ -161,6 +161,7 @@
              "more":true,"ver":9,"now_ms":1})"));
   ASSERT_TRUE(read.Page.has_value());
   EXPECT_EQ(read.Page->Version, 9U);
+  EXPECT_EQ(read.Page->ClockMillis, 1);
   EXPECT_TRUE(read.Page->HasMore);
   ASSERT_EQ(read.Page->Rows.size(), 2U);
   EXPECT_EQ(read.Page->Rows[0].Value, "hi");
