--- a/Tests/Soak/gsTestSoftwareVersions.cxx
+++ b/Tests/Soak/gsTestSoftwareVersions.cxx
@@ -167,6 +167,34 @@
   EXPECT_EQ(this->System.Runs().size(), before);
 }
 
+// Guards against a stream of a version that was listed for a moment before all
+// hosts were killed, so that nothing that outlives them names it.
+TEST_F(SoftwareVersions, StreamsAreNotSentToAVersionThatWasJustListed)
+{
+  std::vector<std::string> const second{ "runner1", "runner3", "runner5" };
+  for (std::string const& runner : second) {
+    this->System.Unlist(runner);
+  }
+  this->System.RunFor(2.0);
+  for (std::string const& runner : second) {
+    this->System.List(runner, false);
+  }
+  this->System.RunFor(0.3); // Hosts know of it.
+  std::vector<gsRoutedReplyPtr> replies =
+    this->BeginStreams(this->System.Hosts(), 24);
+  for (gsRoutedReplyPtr const& reply : replies) {
+    EXPECT_EQ(VersionsIn(reply->Body), std::set<std::string>{ "v1" });
+  }
+  // Later they are.
+  this->System.RunFor(1.5);
+  std::size_t ofSecond = 0;
+  for (gsRoutedReplyPtr const& reply :
+       this->BeginStreams(this->System.Hosts(), 24)) {
+    ofSecond += VersionsIn(reply->Body).count("v2");
+  }
+  EXPECT_GT(ofSecond, 0U);
+}
+
 namespace {
 
 /** A stream over the tries of its caller. */
