--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -15,6 +15,7 @@
 #include "gsPlacementCost.h"
 #include "gsRendezvous.h"
 #include "gsRequestIntake.h"
+#include "gsRouteServices.h"
 #include "gsSoftwareVersion.h"
 #include "gsStreamSharing.h"
 
@@ -382,22 +383,25 @@
 {
   gsTime begin = gsLoop::Now();
   if (this->Streams == nullptr) {
-    this->PlaceAtVersion(request, 0, gsTime{});
+    this->PlaceAtVersion(request, { 0, "no_records" }, gsTime{});
     return;
   }
   std::weak_ptr<gsRoutedRequest> weak = request;
-  this->Streams->LookUp(
-    request->Stream, request->Service, [this, weak, begin](auto version) {
-      RequestPtr locked = weak.lock();
-      if (locked != nullptr && !locked->HasEnded) {
-        this->PlaceAtVersion(locked, version, gsLoop::Now() - begin);
-      }
-    });
+  this->Streams->LookUp(request->Stream, gsRouteHistoryName(*request->Route),
+                        [this, weak, begin](auto const& found) {
+                          RequestPtr locked = weak.lock();
+                          if (locked != nullptr && !locked->HasEnded) {
+                            this->PlaceAtVersion(locked, found,
+                                                 gsLoop::Now() - begin);
+                          }
+                        });
 }
 
 void gsRouteGateway::PlaceAtVersion(RequestPtr const& request,
-                                    std::uint32_t version, gsTime lookUpTime)
+                                    gsFoundVersion const& found,
+                                    gsTime lookUpTime)
 {
+  std::uint32_t version = found.Version;
   request->RequiredVersion = version;
   // The route's shares may have been drawn differently when it began.
   for (gsRouteShare const& share : request->Route->Shares) {
@@ -410,6 +414,7 @@
     .With("first", request->Caller.ResumedAttempt)
     .With("after_event", *request->LastEventId)
     .With("version", std::uint64_t(version))
+    .With("source", found.Source)
     .With("found_ms", lookUpTime);
   this->Place(request);
 }
@@ -426,7 +431,8 @@
   request->RecordedVersion = version;
   std::weak_ptr<gsRoutedRequest> weak = request;
   bool isCopied = this->Streams->Publish(
-    request->Stream, request->Service, version, [this, weak] {
+    request->Stream, gsRouteHistoryName(*request->Route), version,
+    [this, weak] {
       if (RequestPtr locked = weak.lock()) {
         this->OnRecordCopied(locked);
       }
@@ -859,11 +865,32 @@
     ask.OwnHallOnly = false;
     placement = gsPlaceRequest(this->Fleet, ask, now, this->Random);
   }
+  this->AvoidNewVersion(request, ask, placement);
   this->RequestEarly(request, ask, placement);
   gsLogPlacement(this->Fleet, request, ask, placement, now);
   return placement;
 }
 
+/** Places a stream that its caller may resume at an upstream of another
+ * version, if one is available, while the version of the chosen one may not be
+ * stored yet. */
+void gsRouteGateway::AvoidNewVersion(gsRoutedRequest const& request,
+                                     gsPlacementRequest const& ask,
+                                     gsPlacement& placement)
+{
+  bool isBound = !request.Route->Resumable || request.RequiredVersion;
+  if (isBound || !this->OlderVersion || placement.Row == nullptr) {
+    return;
+  }
+  gsPlacementRequest other = ask;
+  other.RequiredVersion = this->OlderVersion(placement.Row->Listed);
+  if (other.RequiredVersion) {
+    gsPlacement older =
+      gsPlaceRequest(this->Fleet, other, gsLoop::Now(), this->Random);
+    placement = older.Row != nullptr ? older : placement;
+  }
+}
+
 /**
  * Requests a token of an upstream that was skipped because none is available,
  * and places the request again if there is one now. A slot is requested only
--- a/Source/Daemon/gsStreamSharing.cxx
+++ b/Source/Daemon/gsStreamSharing.cxx
@@ -5,16 +5,10 @@
 #include <utility>
 
 #include "gsLoop.h"
-#include "gsRendezvous.h"
-#include "gsSoftwareVersion.h"
+#include "gsRouteServices.h"
 
 namespace {
 
-std::uint32_t ServiceHash(std::string_view service)
-{
-  return static_cast<std::uint32_t>(gsHashText(service));
-}
-
 void ToWire(gsStreamMessage const& message, gradescale::StreamVersion& wire)
 {
   wire.set_kind(static_cast<std::uint32_t>(message.Kind));
@@ -84,28 +78,47 @@
   return peers;
 }
 
-/** The service with a hash; empty if it has no upstreams. */
-std::string_view gsStreamSharing::ServiceOf(std::uint32_t hash) const
+/** The name with a hash under which a route's services or, for hosts of
+ * earlier releases, a service's versions are kept; empty if there is none. */
+std::string_view gsStreamSharing::NameOf(std::uint32_t hash) const
 {
-  for (auto const& [service, rows] : this->Fleet.ByService) {
-    if (ServiceHash(service) == hash) {
-      return service;
+  for (auto const& [name, history] : this->Fleet.VersionHistories) {
+    if (gsServiceHash(name) == hash) {
+      return name;
     }
   }
   return {};
 }
 
-/** The version of a service's streams without a record: zero if there are
- * several, and empty if this host cannot tell. */
-std::optional<std::uint32_t> gsStreamSharing::Infer(std::string_view service,
-                                                    gsTime now) const
+gsStreamSharing::Inference gsStreamSharing::Infer(std::string_view route,
+                                                  gsTime now) const
 {
   if (!this->IsListCurrent || !this->IsListCurrent()) {
-    return std::nullopt;
+    return { std::nullopt, 0, "list_not_current" };
+  }
+  gsInferredVersion inferred = gsInferRouteVersion(this->Fleet, route, now);
+  Inference inference;
+  inference.Cause = gsVersionInferenceName(inferred.Cause);
+  inference.OnlySeen = inferred.OnlySeen;
+  if (inferred.Version != 0 ||
+      inferred.Cause == gsVersionInference::SeveralVersions) {
+    inference.Version = inferred.Version;
+  }
+  return inference;
+}
+
+/** What the result of a look-up is taken from, or why it is unknown. */
+std::string_view gsStreamSharing::SourceOf(gsStreamLookupResult const& result,
+                                           Inference const& own)
+{
+  if (!result.IsInferred) {
+    return result.Version != 0 ? "peer_record" : "records_differ";
+  }
+  if (result.Version != 0) {
+    return own.Version ? own.Cause : "peer_inference";
   }
-  std::uint32_t version = gsInferStreamVersion(this->Fleet, service, now);
-  bool isUnknown = version == 0 && !gsHasVersions(this->Fleet, service);
-  return isUnknown ? std::nullopt : std::optional(version);
+  bool differs = own.Version.value_or(0) != 0;
+  return differs ? "inferences_differ" : own.Cause;
 }
 
 void gsStreamSharing::Send(gsStreamMessages const& messages)
@@ -117,11 +130,13 @@
   }
 }
 
-bool gsStreamSharing::Publish(gsStreamId stream, std::string const& service,
+bool gsStreamSharing::Publish(gsStreamId stream, std::string const& route,
                               std::uint32_t version, OnCopied copied)
 {
   gsTime now = gsLoop::Now();
-  if (this->Infer(service, now) == version) {
+  Inference own = this->Infer(route, now);
+  bool isFirst = this->Fleet.Settings.IsFirstStart && own.OnlySeen == version;
+  if (own.Version == version || isFirst) {
     return false;
   }
   gsStreamMessages copies =
@@ -134,20 +149,21 @@
   return true;
 }
 
-void gsStreamSharing::LookUp(gsStreamId stream, std::string const& service,
+void gsStreamSharing::LookUp(gsStreamId stream, std::string const& route,
                              OnFound found)
 {
   gsTime now = gsLoop::Now();
   if (std::optional<std::uint32_t> known =
         gsStreamFind(this->Directory, stream, now)) {
-    found(*known);
+    found({ *known, *known != 0 ? "record" : "records_differ" });
     return;
   }
-  this->Lookups.emplace(stream, std::move(found));
-  std::uint32_t hash = ServiceHash(service);
+  Inference own = this->Infer(route, now);
+  this->Lookups.emplace(stream, PendingLookup{ own, std::move(found) });
+  std::uint32_t hash = gsServiceHash(route);
   std::vector<gsStreamLookupResult> results;
   this->Send(gsStreamLookUp(this->Directory, this->Peers(now), stream, hash,
-                            this->Infer(service, now), now, results));
+                            own.Version, now, results));
   this->Deliver(results);
 }
 
@@ -155,13 +171,13 @@
 {
   for (gsStreamLookupResult const& result : results) {
     auto [first, last] = this->Lookups.equal_range(result.Stream);
-    std::vector<OnFound> waiting;
+    std::vector<PendingLookup> waiting;
     for (auto lookup = first; lookup != last; ++lookup) {
       waiting.push_back(std::move(lookup->second));
     }
     this->Lookups.erase(first, last);
-    for (OnFound const& found : waiting) {
-      found(result.Version);
+    for (PendingLookup const& lookup : waiting) {
+      lookup.Found({ result.Version, SourceOf(result, lookup.Own) });
     }
   }
 }
@@ -187,10 +203,10 @@
     }
     std::optional<std::uint32_t> inferred;
     if (message->Kind == gsStreamMessageKind::Query) {
-      inferred = this->Infer(this->ServiceOf(message->Service), now);
+      inferred = this->Infer(this->NameOf(message->Service), now).Version;
     }
-    this->Send(gsStreamReceive(this->Directory, peers, *message,
-                               inferred.value_or(0), now, results));
+    this->Send(gsStreamReceive(this->Directory, peers, *message, inferred, now,
+                               results));
     if (message->Kind == gsStreamMessageKind::Ack) {
       this->ReceiveAck(*message);
     }
@@ -220,6 +236,9 @@
   if (this->Cluster == nullptr) {
     return;
   }
+  // Records last as long as streams of a version that has gone.
+  this->Directory.Settings.Retention = std::max(
+    this->Directory.Settings.Retention, this->Fleet.Settings.MaxStreamTime);
   std::vector<gsStreamLookupResult> results;
   this->Send(gsStreamTick(this->Directory, now, results));
   this->Deliver(results);
