Tests: Runners that fail, and that answer twice, in the soak

A caller got a success where the run had answered a failure. No soak could have shown it: all runs of the stand-in runner succeeded, with bodies that differ by the request's id alone, and nothing ever came in the place of another answer.

- gsStandInRunner has a share of its runs answer 500, signs each run by itself, and tells status, signature and body of each run in its output.
- gsStandInProxy has servers stutter: it follows the answers of a connection and sends a copy of one, whole or cut in its head or body, behind it, while the connection rests, with the next request or in one piece with the next answer, or begins a head twice.
The proxy is where raw bytes can be written between a real host and a real runner; the runner's HTTP library writes nothing behind an answer.
The moment that matters is the begin of the next request: what comes while a connection rests is dropped with it.
- The check compares each signed answer with the run that signed it: request, status and body, of failures too, and the id that the answer names.

Seen: 200 for a run that answered 500 and the other way round, signatures that no run gave (two heads read as one), an answer to another request, and, once each, a request that may run once that ran twice and a 503 for one that ran; these two are not traced.

--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -302,7 +303,9 @@
                        : answer.Whole     ? gsBodyEnd::Length
                                           : gsBodyEnd::Unknown;
       reply->Status = answer.Status;
-      reply->Signed = !answer.Header("gradescale-response-signature").empty();
+      reply->Signature = answer.Header("gradescale-response-signature");
+      reply->Signed = !reply->Signature.empty();
+      reply->AnsweredId = answer.Header("gradescale-attempt-id");
       reply->RetryAfter = answer.Header("retry-after");
       reply->Body = answer.Body;
       reply->FirstByteAt = answer.FirstByteAt;
@@ -370,7 +373,11 @@
     for (auto const& [name, value] : headers) {
       if (name == "gradescale-response-signature") {
         reply->Signed = true;
-        reply->Runner = value;
+        reply->Signature = value;
+        reply->Runner = value.substr(0, value.find('.'));
+      }
+      if (name == "gradescale-attempt-id") {
+        reply->AnsweredId = value;
       }
       reply->SaysLeaving = reply->SaysLeaving || name == "server-leaving";
       if (name == "server-limit") {
@@ -672,6 +679,21 @@
   }
 }
 
+gsRoutedRun gsRoutedSystem::ParseRun(std::string const& line)
+{
+  std::istringstream words(line);
+  std::string word;
+  std::int64_t micros = 0;
+  gsRoutedRun run;
+  words >> word >> run.Request >> micros;
+  run.At = gsTime(micros);
+  run.Ran = word == "run";
+  run.Full = word == "full";
+  words >> run.Status >> run.Signature >> std::ws;
+  std::getline(words, run.Body);
+  return run;
+}
+
 std::vector<gsRoutedRun> gsRoutedSystem::AllArrivals() const
 {
   std::vector<gsRoutedRun> runs;
@@ -679,15 +701,12 @@
     int start = 0;
     for (std::string const& file : this->Processes.LogsOf(runner)) {
       std::ifstream log(file);
-      std::string word;
-      gsRoutedRun run;
-      run.Runner.append(runner).append("-").append(std::to_string(start++));
-      std::int64_t micros = 0;
-      while (log >> word >> run.Request >> micros) {
-        run.At = gsTime(micros);
-        run.Ran = word == "run";
-        run.Full = word == "full";
-        runs.push_back(run);
+      std::string const id = runner + "-" + std::to_string(start++);
+      std::string line;
+      while (std::getline(log, line)) {
+        gsRoutedRun run = ParseRun(line);
+        run.Runner = id;
+        runs.push_back(std::move(run));
       }
     }
   }
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -62,8 +62,11 @@
   std::string Request;
   std::string Runner; ///< Id of the incarnation.
   gsTime At{};
-  bool Ran = true;   ///< False if the runner turned it away.
-  bool Full = false; ///< Turned away at capacity, not for a rest.
+  bool Ran = true;         ///< False if the runner turned it away.
+  bool Full = false;       ///< Turned away at capacity, not for a rest.
+  unsigned Status = 0;     ///< That it answered with; zero if unknown.
+  std::string Signature{}; ///< Of the run; empty if unknown.
+  std::string Body{};      ///< Of the whole answer; empty for a stream.
 };
 
 /** A request of a caller, and all that the caller saw of its answer. */
@@ -80,6 +83,8 @@
   gsBodyEnd BodyEnd = gsBodyEnd::Unknown;
   unsigned Status = 0;
   bool Signed = false;
+  std::string Signature;    ///< Of the run that answered; empty if none.
+  std::string AnsweredId;   ///< Of the request, by the answer's head.
   std::string Runner;       ///< Id of the one that answered; empty if none.
   bool SaysLeaving = false; ///< Its answer says that it leaves.
   std::string RateLimit;    ///< Named by the answer; empty for none.
@@ -236,6 +241,8 @@
   std::string Expected(gsRoutedReply const& reply) const;
 
 private:
+  /** A line of a runner's output. */
+  static gsRoutedRun ParseRun(std::string const& line);
   gsRoutedReplyPtr NewReply(std::string const& host, std::string const& route,
                             std::string const& key);
   void SendBody(gsRoutedReplyPtr const& reply, std::string const& method,
--- a/Tests/Soak/gsSoak.cxx
+++ b/Tests/Soak/gsSoak.cxx
@@ -277,6 +277,13 @@
       case gsSoakAction::AnswerUnending:
         this->SpoilAnswers(this->RunnerName(step.Target), "unending");
         break;
+      case gsSoakAction::FailRuns:
+        this->FailRuns(this->RunnerName(step.Target), step.Rate, step.For);
+        break;
+      case gsSoakAction::StutterAnswers:
+        this->StutterAnswers(this->RunnerName(step.Target), step.Rate,
+                             step.For);
+        break;
     }
   }
 
@@ -450,6 +457,46 @@
     });
   }
 
+  /** May overlap other faults of a runner. The runs of a restarted one do not
+   * fail. */
+  void FailRuns(std::string const& runner, double share, gsTime span)
+  {
+    std::string const claim = "runs of " + runner;
+    if (!this->System.Running(runner) || !this->Claim(claim)) {
+      return;
+    }
+    this->System.Control(runner,
+                         { { "fail", share }, { "seed", this->Plan.Seed } });
+    this->After(span, [this, runner, claim] {
+      if (this->System.Running(runner)) {
+        this->System.Control(runner, { { "fail", 0 } });
+      }
+      this->Busy.erase(claim);
+    });
+  }
+
+  /** May overlap other faults of a runner. */
+  void StutterAnswers(std::string const& runner, double share, gsTime span)
+  {
+    std::string const claim = "stutter of " + runner;
+    if (!this->Claim(claim)) {
+      return;
+    }
+    std::vector<std::string> const links = this->System.LinksTo(runner);
+    std::size_t trouble = this->Trouble(gsSoakScope::Upstreams, {});
+    std::size_t number = this->Record.Stutters.size();
+    this->Record.Stutters.push_back({ runner, gsLoop::Now(), Unknown });
+    this->System.Links(
+      links,
+      { { "stutter", { { "share", share }, { "seed", this->Plan.Seed } } } });
+    this->After(span, [this, links, claim, trouble, number] {
+      this->System.Links(links, { { "stutter", { { "share", 0 } } } });
+      this->Record.Stutters[number].Until = gsLoop::Now();
+      this->EndTrouble(trouble, gsSeconds(1));
+      this->Busy.erase(claim);
+    });
+  }
+
   /** Has some of the runner's next answers spoilt, by a command to it. */
   void SpoilAnswers(std::string const& runner, char const* command)
   {
--- a/Tests/Soak/gsSoakCheck.cxx
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -48,6 +48,11 @@
          std::end(promises);
 }
 
+bool IsSuccess(unsigned status)
+{
+  return status / 100 == 2;
+}
+
 bool MayRepeat(gsRoutedReply const& reply)
 {
   return reply.Route == "safe" || reply.Route == "resume";
@@ -112,6 +117,9 @@
   {
     for (gsRoutedRun const& run : record.Runs) {
       this->RunsOf[run.Request].push_back(&run);
+      if (!run.Signature.empty()) {
+        this->SignedBy[run.Signature] = &run;
+      }
     }
     for (gsRoutedReplyPtr const& reply : record.Replies) {
       this->ReplyOf[reply->Id] = reply.get();
@@ -122,6 +130,7 @@
   {
     for (gsRoutedReplyPtr const& reply : this->Record.Replies) {
       this->CheckBody(*reply);
+      this->CheckSource(*reply);
       this->CheckRuns(*reply);
       this->CheckAnswered(*reply);
       this->CheckRefusal(*reply);
@@ -175,6 +184,53 @@
     }
   }
 
+  /** An answer that a run has signed is that run's answer to this request. A
+   * success may go on with the events of a further run. */
+  void CheckSource(gsRoutedReply const& reply)
+  {
+    if (!reply.AnsweredId.empty() && reply.AnsweredId != reply.Id) {
+      this->Add("MIXED", reply.Id,
+                "Its answer names " + reply.AnsweredId + ".");
+    }
+    if (IsSuccess(reply.Status) && reply.Status != Ok) {
+      this->Add("MIXED", reply.Id,
+                "No run answers with " + std::to_string(reply.Status) + ".");
+    }
+    if (reply.Signature.empty()) {
+      return;
+    }
+    auto signer = this->SignedBy.find(reply.Signature);
+    if (signer == this->SignedBy.end()) {
+      this->Add("MIXED", reply.Id,
+                "No run has signed with " + reply.Signature + ".");
+      return;
+    }
+    gsRoutedRun const& run = *signer->second;
+    if (run.Request != reply.Id) {
+      this->Add("MIXED", reply.Id, "It is the answer to " + run.Request + ".");
+    }
+    if (run.Status != reply.Status) {
+      this->Add("MIXED", reply.Id,
+                "Its run answered with " + std::to_string(run.Status) +
+                  ", it came as " + std::to_string(reply.Status) + ".");
+    }
+    this->CheckFailure(reply, run);
+  }
+
+  void CheckFailure(gsRoutedReply const& reply, gsRoutedRun const& run)
+  {
+    if (IsSuccess(reply.Status)) {
+      return; // CheckBody compares it.
+    }
+    bool isWhole = reply.Whole && !reply.Left;
+    bool isOwn =
+      isWhole ? reply.Body == run.Body : run.Body.rfind(reply.Body, 0) == 0;
+    if (!isOwn) {
+      this->Add("MIXED", reply.Id,
+                "The failure is not the one of its run: " + reply.Body);
+    }
+  }
+
   void CheckRuns(gsRoutedReply const& reply)
   {
     std::size_t runs = this->CountRuns(reply);
@@ -232,7 +288,16 @@
   {
     return reply.Whole || (this->Record.HasUnframedAnswers &&
                            reply.BodyEnd == gsBodyEnd::Close &&
-                           reply.Body == this->Record.Expected(reply));
+                           reply.Body == this->WholeBody(reply));
+  }
+
+  /** The body of a whole answer with this status and signature. */
+  std::string WholeBody(gsRoutedReply const& reply) const
+  {
+    auto signer = this->SignedBy.find(reply.Signature);
+    bool isFailure =
+      !IsSuccess(reply.Status) && signer != this->SignedBy.end();
+    return isFailure ? signer->second->Body : this->Record.Expected(reply);
   }
 
   /** When the host could begin to see a request. One whose first piece is
@@ -405,19 +470,21 @@
   }
 
   /** Whether the answer to a request may not have reached its host before it
-   * binds it: no answer came through, or the links to runners were harmed and
+   * binds it: no answer came through or another one came in its place, or the
+   * links to runners were harmed and
    * the caller left, so that the host closed the connection on which the
    * answer would have come. */
   bool WasUnheard(gsRoutedRun const& asked) const
   {
-    std::vector<gsSoakSilence> const& silences = this->Record.Silences;
+    auto concernsIt = [&asked](gsSoakSilence const& silence) {
+      return asked.Runner.rfind(silence.Runner + "-", 0) == 0 &&
+             silence.From <= asked.At && asked.At < silence.Until;
+    };
+    auto isAnyOf = [&concernsIt](std::vector<gsSoakSilence> const& times) {
+      return std::any_of(times.begin(), times.end(), concernsIt);
+    };
     bool isSilent =
-      std::any_of(silences.begin(), silences.end(),
-                  [&asked](gsSoakSilence const& silence) {
-                    return asked.Runner.rfind(silence.Runner + "-", 0) == 0 &&
-                           silence.From <= asked.At &&
-                           asked.At < silence.Until;
-                  });
+      isAnyOf(this->Record.Silences) || isAnyOf(this->Record.Stutters);
     gsRoutedReply const& reply = *this->ReplyOf.at(asked.Request);
     bool hasLeft = reply.Left && reply.Ended < asked.At + RestBegins &&
                    Troubled(this->Record, { gsSoakScope::Upstreams },
@@ -504,6 +571,7 @@
 
   gsSoakRecord const& Record;
   std::map<std::string, std::vector<gsRoutedRun const*>> RunsOf;
+  std::map<std::string, gsRoutedRun const*> SignedBy;
   std::map<std::string, gsRoutedReply const*> ReplyOf;
   std::vector<gsSoakBreach> Breaches;
 };
--- a/Tests/Soak/gsSoakCheck.h
+++ b/Tests/Soak/gsSoakCheck.h
@@ -75,6 +75,9 @@
   std::vector<gsSoakNotice> Revoked;  ///< Keys.
   std::vector<gsSoakLimit> Limits;
   std::vector<gsSoakSilence> Silences;
+  /** Times in which a surplus answer of a runner may have come in the place of
+   * another one, which its host then has not read. */
+  std::vector<gsSoakSilence> Stutters;
   /** Keys that every configuration of the run has held. */
   std::vector<std::string> LastingKeys;
   /** What the caller of a whole answer should have got. */
--- a/Tests/Soak/gsSoakPlan.cxx
+++ b/Tests/Soak/gsSoakPlan.cxx
@@ -76,7 +76,7 @@
 
 char const* gsSoakActionWord(gsSoakAction action)
 {
-  constexpr std::array<char const*, Kinds.size() + 8> words{
+  constexpr std::array<char const*, Kinds.size() + 10> words{
     "stop_host",         "kill_host",
     "freeze_host",       "kill_all_hosts",
     "kill_runner",       "drain_runner",
@@ -90,7 +90,8 @@
     "say_leaving",       "ask_for_rest",
     "name_limit",        "replace_host",
     "cut_upstreams",     "large_configuration",
-    "answer_unframed",   "answer_unending"
+    "answer_unframed",   "answer_unending",
+    "fail_runs",         "stutter_answers"
   };
   return words.at(static_cast<std::size_t>(action));
 }
@@ -222,6 +223,34 @@
     [](gsSoakStep const& a, gsSoakStep const& b) { return a.At < b.At; });
 }
 
+void gsAddStutter(gsSoakPlan& plan)
+{
+  constexpr std::uint64_t salt = 0x589965cc75374cc3;
+  std::mt19937_64 random(plan.Seed ^ salt);
+  std::uniform_real_distribution<double> pause(0.1, 0.6);
+  std::uniform_real_distribution<double> duration(2.0, 8.0);
+  std::uniform_real_distribution<double> failing(0.05, 0.5);
+  std::uniform_real_distribution<double> stuttering(0.2, 0.9);
+  std::uniform_int_distribution<int> runner(0, plan.Runners - 1);
+  std::bernoulli_distribution fails(0.5);
+  for (gsTime at = FirstStep; at < plan.Length - Calm;
+       at += gsFromSeconds(pause(random))) {
+    gsSoakStep step;
+    step.At = at;
+    bool isFailing = fails(random);
+    step.Action =
+      isFailing ? gsSoakAction::FailRuns : gsSoakAction::StutterAnswers;
+    step.Target = runner(random);
+    step.For =
+      std::min(plan.Length - Calm - at, gsFromSeconds(duration(random)));
+    step.Rate = isFailing ? failing(random) : stuttering(random);
+    plan.Steps.push_back(step);
+  }
+  std::stable_sort(
+    plan.Steps.begin(), plan.Steps.end(),
+    [](gsSoakStep const& a, gsSoakStep const& b) { return a.At < b.At; });
+}
+
 void gsLeaveWordsOut(gsSoakPlan& plan)
 {
   auto isWord = [](gsSoakStep const& step) {
--- a/Tests/Soak/gsSoakPlan.h
+++ b/Tests/Soak/gsSoakPlan.h
@@ -43,7 +43,9 @@
   /** The configuration has many routes and changes often, on slow links. */
   LargeConfiguration,
   AnswerUnframed, ///< A runner's answers state no end for a while.
-  AnswerUnending  ///< Some of the runner's next answers have no end.
+  AnswerUnending, ///< Some of the runner's next answers have no end.
+  FailRuns,       ///< A share of a runner's runs answers 500 for a while.
+  StutterAnswers  ///< A runner answers a share of requests twice for a while.
 };
 
 char const* gsSoakActionWord(gsSoakAction action);
@@ -52,9 +54,10 @@
 {
   gsTime At{}; ///< From the beginning of traffic.
   gsSoakAction Action = gsSoakAction::KillHost;
-  int Target = 0;  ///< Number of the host or runner.
-  gsTime For{};    ///< Zero for what has no duration.
-  double Rate = 0; ///< Rate limit in requests per second.
+  int Target = 0; ///< Number of the host or runner.
+  gsTime For{};   ///< Zero for what has no duration.
+  /** Rate limit in requests per second, or the share of runs or answers. */
+  double Rate = 0;
 };
 
 /** Rest that a runner asks for; the longer one of two values of a header. */
@@ -98,6 +101,11 @@
  * other steps are unchanged. */
 void gsAddUnendingAnswers(gsSoakPlan& plan);
 
+/** Adds steps in which runs fail by themselves, and steps in which runners
+ * answer twice, the second time late, whole or in part; other steps are
+ * unchanged. */
+void gsAddStutter(gsSoakPlan& plan);
+
 /** Takes out what runners say of themselves in their answers. */
 void gsLeaveWordsOut(gsSoakPlan& plan);
 
--- a/Tests/Soak/gsSoakTool.cxx
+++ b/Tests/Soak/gsSoakTool.cxx
@@ -27,6 +27,7 @@
   bool cuts = false;
   bool unframed = false;
   bool unending = false;
+  bool stutter = false;
   app.add_option("--seed", seed, "First seed; without it a fresh one.");
   app.add_option("--seconds", seconds, "Length of each run.")
     ->check(CLI::Range(8.0, 3600.0));
@@ -49,6 +50,8 @@
                "Runners' answers state no end for a while.");
   app.add_flag("--unending", unending,
                "Some of the runners' answers have no end.");
+  app.add_flag("--stutter", stutter,
+               "Some runs fail, and runners answer some requests twice.");
   app.add_flag("--quiet", quiet, "Verdicts only.");
   CLI11_PARSE(app, argc, argv);
   if (seed == 0) {
@@ -74,6 +77,9 @@
       if (unending) {
         gsAddUnendingAnswers(plan);
       }
+      if (stutter) {
+        gsAddStutter(plan);
+      }
       if (otherOnly) {
         plan.OtherProgram = other;
       } else if (!other.empty()) {
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -101,6 +101,51 @@
   EXPECT_EQ(this->Broken(), "MIXED ");
 }
 
+// Guards the soak's check against answers that no run of the request gave.
+TEST_F(SoakCheck, AnAnswerIsThatOfTheRunThatSignedIt)
+{
+  constexpr unsigned failed = 500;
+  gsRoutedRun& run = this->Record.Runs.front();
+  run.Status = 200;
+  run.Signature = "runner0-0.1";
+  run.Body = "answer to q1";
+  this->Reply->Signature = run.Signature;
+  this->Reply->AnsweredId = "q1";
+  EXPECT_EQ(this->Broken(), "");
+  run.Status = failed;
+  EXPECT_EQ(this->Broken(), "MIXED "); // A success of a run that failed.
+  this->Reply->Status = failed;
+  this->Reply->Body = run.Body = "failure of runner0-0.1";
+  EXPECT_EQ(this->Broken(), "");
+  this->Reply->Body = "failure of run";
+  EXPECT_EQ(this->Broken(), "MIXED "); // It looks whole.
+  this->Reply->Left = true;
+  EXPECT_EQ(this->Broken(), "");
+  this->Reply->Body = "answer";
+  EXPECT_EQ(this->Broken(), "MIXED ");
+  this->Reply->Body = run.Body;
+  run.Status = 200;
+  EXPECT_EQ(this->Broken(), "MIXED "); // A failure of a run that served it.
+  run.Status = failed;
+  this->Reply->AnsweredId = "q2";
+  EXPECT_EQ(this->Broken(), "MIXED ");
+  this->Reply->AnsweredId = "q1";
+  run.Signature = "runner0-0.2";
+  EXPECT_EQ(this->Broken(), "MIXED "); // Nobody's signature.
+}
+
+TEST_F(SoakCheck, AnAnswerToAnotherRequestIsCaughtByItsSignature)
+{
+  gsRoutedReplyPtr other = this->Add("q2", "safe");
+  this->Ran("q2");
+  gsRoutedRun& run = this->Record.Runs.back();
+  run.Status = 200;
+  run.Signature = other->Signature = "runner0-0.2";
+  EXPECT_EQ(this->Broken(), "");
+  this->Reply->Signature = run.Signature;
+  EXPECT_EQ(this->Broken(), "MIXED ");
+}
+
 TEST_F(SoakCheck, AStreamWithoutAPieceIsCaught)
 {
   this->Reply->Route = "stream";
@@ -220,6 +265,26 @@
   EXPECT_EQ(this->Broken(), "BUDGET ");
 }
 
+// Seen with seed 1 of three hosts, two runners and stutter: the answer to the
+// request before came in the place of the one that asked for rest.
+TEST_F(SoakCheck, ARestWhoseAnswerWasNotReadForASurplusOneDoesNotBind)
+{
+  this->Record.Rest = gsSeconds(2);
+  this->Record.Arrivals = { { "q1", "runner0-0", Start, false } };
+  for (int i = 0; i < 3; ++i) {
+    this->Record.Arrivals.push_back(
+      { "q1", "runner0-0", Start + gsMilliseconds(600 + i), true });
+  }
+  this->Record.Stutters.push_back(
+    { "runner0", Start - gsSeconds(1), Start + gsSeconds(1) });
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Stutters[0].Until = Start;
+  EXPECT_EQ(this->Broken(), "BUDGET ");
+  this->Record.Stutters[0] = { "runner1", Start - gsSeconds(1),
+                               Start + gsSeconds(1) };
+  EXPECT_EQ(this->Broken(), "BUDGET ");
+}
+
 TEST_F(SoakCheck, ARunThatNobodyAskedForIsCaught)
 {
   this->Ran("q7");
@@ -512,3 +577,23 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, UnendingSoak, testing::Values(1, 2));
+
+/** Soak with runs that fail by themselves, and with runners that answer twice,
+ * the second time late, whole or in part. */
+class StutterSoak : public testing::TestWithParam<std::uint64_t>
+{};
+
+// Guards against a success where the run had answered a failure, the other way
+// round, and against upstreams that serve nothing after one late answer.
+TEST_P(StutterSoak, BreaksNoPromise)
+{
+  gsSoakPlan plan = gsMakeSoakPlan(this->GetParam(), gsSeconds(16), 4, 3);
+  gsAddStutter(plan);
+  std::ostringstream story;
+  gsSoakResult result = gsRunSoak(plan, story);
+  std::ostringstream verdict;
+  gsPrintSoak(plan, result, verdict);
+  EXPECT_TRUE(result.Breaches.empty()) << verdict.str() << story.str();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, StutterSoak, testing::Values(1));
--- a/Tests/StandIns/gsStandInProxy.cxx
+++ b/Tests/StandIns/gsStandInProxy.cxx
@@ -14,7 +14,7 @@
  * accepts nothing and leaves what is open; hole keeps connections and
  * carries nothing; mute carries nothing back from the target; break_after
  * closes the next connection that has carried so many bytes towards the
- * target.
+ * target. "stutter" has targets answer twice, as gsStutterDraw::Apply says.
  *
  * A link may name the machines at its ends. All links of a machine share its
  * bandwidth, each way by itself, as one queue in the order of arrival. A
@@ -40,6 +40,7 @@
 #include <unistd.h>
 
 #include "gsStandIn.h"
+#include "gsStutter.h"
 
 namespace {
 
@@ -117,6 +118,7 @@
   std::unique_ptr<gsIoWatch> Watches[2];
   Direction Ways[2]; ///< 0: towards the target.
   std::unique_ptr<gsTimer> Timer;
+  gsStutter Stutter;
   std::size_t Carried = 0; ///< Bytes towards the target.
   bool Dead = false;
 
@@ -127,6 +129,8 @@
   void Update();
   void OnReady(int side, int events);
   void ReadFrom(int side);
+  /** Has bytes go from a side to the other one. */
+  void Carry(int side, std::string bytes);
   void WriteTo(int side);
   void Kill();
 };
@@ -140,6 +144,7 @@
   std::string Mode = "pass";
   gsTime Delay{};
   std::size_t BreakAfter = 0;
+  gsStutterDraw Stutter;
   int Listener = -1;
   std::unique_ptr<gsIoWatch> Watch;
   std::list<std::unique_ptr<Connection>> Connections;
@@ -158,6 +163,10 @@
 Connection::Connection(gsLoop& loop, Link& owner, int caller, int target)
   : Loop(loop)
   , Owner(owner)
+  , Stutter(loop, owner.Stutter, [this](std::string bytes) {
+    this->Carry(1, std::move(bytes));
+    this->Update();
+  })
 {
   this->Sockets[0] = caller;
   this->Sockets[1] = target;
@@ -222,11 +231,19 @@
   chunk.resize(static_cast<std::size_t>(count));
   if (side == 0) {
     this->Carried += chunk.size();
+    this->Stutter.OnRequestBytes();
+  } else {
+    this->Stutter.OnAnswerBytes(chunk);
   }
+  this->Carry(side, std::move(chunk));
+}
+
+void Connection::Carry(int side, std::string bytes)
+{
   Direction& way = this->Ways[side];
-  way.Held += chunk.size();
-  way.Chunks.emplace_back(this->Owner.ArrivalOf(chunk.size(), side),
-                          std::move(chunk));
+  way.Held += bytes.size();
+  way.Chunks.emplace_back(this->Owner.ArrivalOf(bytes.size(), side),
+                          std::move(bytes));
 }
 
 void Connection::WriteTo(int side)
@@ -390,6 +407,9 @@
   this->Delay =
     gsMilliseconds(control.value("delay_ms", this->Delay.count() / 1000));
   this->BreakAfter = control.value("break_after", this->BreakAfter);
+  if (control.contains("stutter")) {
+    this->Stutter.Apply(control["stutter"], this->Name);
+  }
   for (auto& connection : this->Connections) {
     if (this->Mode == "cut" || this->Mode == "refuse") {
       connection->Kill();
--- a/Tests/StandIns/gsStandInRunner.cxx
+++ b/Tests/StandIns/gsStandInRunner.cxx
@@ -2,8 +2,10 @@
 /**
  * \file
  * Stand-in for one of the users' runners, as far as the routed mode meets it.
- * Each request that it runs is one line "run ID MICROSECONDS" on standard
- * output, by the monotonic clock, written before anything else is done.
+ * Each request that it runs is one line "run ID MICROSECONDS STATUS SIGNATURE
+ * BODY" on standard output, by the monotonic clock, written before anything
+ * else is done. The signature is that of the run, and the body that of the
+ * whole answer, without that of a stream.
  * /stream/ and /resume/ answer with events "ID:NUMBER" from 1, or from after
  * Last-Event-Id, to --events; all other paths with one text. With --version,
  * each event also holds a line "version: TEXT". A request that it
@@ -19,14 +21,16 @@
  * for rest of that value;
  * {"limit": "VALUE"}: all later answers name that rate limit, or none if the
  * value is empty; {"brittle": N}: all later answers say so, and the process
- * ends when it has turned away more than N requests at capacity in a second. A
- * request whose body is "crash" ends the process
+ * ends when it has turned away more than N requests at capacity in a second;
+ * {"fail": SHARE, "seed": N}: that share of later runs answers 500. A request
+ * whose body is "crash" ends the process
  * --crash-ms after it began.
  */
 #include <cstdlib>
 #include <deque>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 
@@ -51,6 +55,8 @@
   int CrashMs = 30;
 };
 
+constexpr unsigned Ok = 200;
+
 class Runner;
 
 /** One request that runs. */
@@ -59,6 +65,8 @@
   Runner& Owner;
   Exchange Call;
   std::string Id;
+  std::string Signature;
+  unsigned Status;
   int Next = 1;
   bool Cut = false;
   /** Value of Next at which the part without an end begins; empty for none. */
@@ -67,6 +75,10 @@
   gsTimer Timer;
 
   Run(Runner& owner, Exchange call, std::string id);
+  bool IsStream() const;
+  /** Of an answer that is no stream. */
+  std::string Body() const;
+  gsHeaders SignedHead() const;
   void Begin();
   void Step();
   void BreakOff(std::string const& part);
@@ -115,8 +127,10 @@
       exchange->Respond(503, refusal, "");
       return;
     }
-    Tell("run", id);
     auto run = std::make_shared<Run>(*this, exchange, id);
+    Tell("run", id,
+         ' ' + std::to_string(run->Status) + ' ' + run->Signature + ' ' +
+           run->Body());
     this->Running.insert(run);
     exchange->OnGone = [run] { run->End(); };
     if (exchange->Body == "crash") {
@@ -143,11 +157,17 @@
     return head;
   }
 
-  gsHeaders SignedHead(std::string const& id) const
+  std::string NextSignature()
   {
-    gsHeaders head = this->Head(id);
-    head.emplace_back("Gradescale-Response-Signature", this->Chosen.Id);
-    return head;
+    return this->Chosen.Id + '.' + std::to_string(++this->Signatures);
+  }
+
+  unsigned DrawStatus()
+  {
+    constexpr unsigned failed = 500;
+    bool fails =
+      this->Fail > 0 && std::bernoulli_distribution(this->Fail)(this->Random);
+    return fails ? failed : Ok;
   }
 
   gsLoop& Loop;
@@ -164,6 +184,9 @@
   gsTime RestUntil{};
 
 private:
+  double Fail = 0; ///< Share of runs.
+  std::mt19937_64 Random;
+  std::uint64_t Signatures = 0;
   gsTimer Crash;
   std::deque<gsTime> RejectedAt; ///< Within the last second.
 
@@ -186,6 +209,11 @@
       this->MaxRejections = body["brittle"].get<std::size_t>();
       this->RejectedAt.clear();
     }
+    if (body.contains("fail")) {
+      this->Fail = body["fail"].get<double>();
+      this->Random.seed(body.value("seed", std::uint64_t{ 0 }) ^
+                        std::hash<std::string>()(this->Chosen.Id));
+    }
     this->Cuts = body.value("cut", this->Cuts);
     this->Unending = body.value("unending", this->Unending);
     this->Unframed = body.value("unframed", this->Unframed);
@@ -198,9 +226,10 @@
     }
   }
 
-  static void Tell(char const* word, std::string const& id)
+  static void Tell(char const* word, std::string const& id,
+                   std::string const& more = {})
   {
-    std::cout << word << ' ' << id << ' ' << gsLoop::Now().count()
+    std::cout << word << ' ' << id << ' ' << gsLoop::Now().count() << more
               << std::endl;
   }
 };
@@ -209,10 +238,34 @@
   : Owner(owner)
   , Call(std::move(call))
   , Id(std::move(id))
+  , Signature(owner.NextSignature())
+  , Status(owner.DrawStatus())
   , Timer(owner.Loop, [this] { this->Step(); })
 {
 }
 
+bool Run::IsStream() const
+{
+  return this->Status == Ok && (this->Call->Path.rfind("/stream/", 0) == 0 ||
+                                this->Call->Path.rfind("/resume/", 0) == 0);
+}
+
+std::string Run::Body() const
+{
+  if (this->IsStream()) {
+    return {};
+  }
+  return this->Status == Ok ? "answer to " + this->Id
+                            : "failure of " + this->Signature;
+}
+
+gsHeaders Run::SignedHead() const
+{
+  gsHeaders head = this->Owner.Head(this->Id);
+  head.emplace_back("Gradescale-Response-Signature", this->Signature);
+  return head;
+}
+
 void Run::Begin()
 {
   if (this->Owner.Cuts > 0) {
@@ -220,17 +273,16 @@
     this->Cut = true;
   }
   this->Unframed = this->Owner.Unframed;
-  bool events = this->Call->Path.rfind("/stream/", 0) == 0 ||
-                this->Call->Path.rfind("/resume/", 0) == 0;
-  bool isUnending = !this->Cut && this->Owner.Unending > 0;
+  bool isUnending =
+    !this->Cut && this->Status == Ok && this->Owner.Unending > 0;
   if (isUnending) {
     int half = this->Owner.Chosen.Events / 2;
     this->EndlessFrom = this->Owner.Unending % 2 == 0 ? 1 : half;
     --this->Owner.Unending;
   }
-  if (!events) {
+  if (!this->IsStream()) {
     if (isUnending) {
-      this->Call->BeginStream(200, this->Owner.SignedHead(this->Id));
+      this->Call->BeginStream(Ok, this->SignedHead());
       this->EndlessFrom = -1;
     }
     this->Next = -1;
@@ -241,7 +293,7 @@
   if (!last.empty()) {
     this->Next = std::stoi(last) + 1;
   }
-  gsHeaders head = this->Owner.SignedHead(this->Id);
+  gsHeaders head = this->SignedHead();
   head.emplace_back("Content-Type", "text/event-stream");
   this->Call->BeginStream(
     200, head, this->Unframed ? gsBodyEnd::Close : gsBodyEnd::Chunks);
@@ -276,18 +328,18 @@
     return;
   }
   if (this->Next < 0) {
-    std::string const answer = "answer to " + this->Id;
+    std::string const answer = this->Body();
     if (this->Unframed) {
-      this->Call->BeginStream(200, this->Owner.SignedHead(this->Id),
+      this->Call->BeginStream(this->Status, this->SignedHead(),
                               gsBodyEnd::Close);
       this->Call->Write(answer);
       this->Call->End();
     } else if (this->Cut) {
-      this->Call->BeginStream(200, this->Owner.SignedHead(this->Id));
-      this->Call->Write("answer");
+      this->Call->BeginStream(this->Status, this->SignedHead());
+      this->Call->Write(answer.substr(0, 6));
       this->Call->Abort();
     } else {
-      this->Call->Respond(200, this->Owner.SignedHead(this->Id), answer);
+      this->Call->Respond(this->Status, this->SignedHead(), answer);
     }
     this->End();
     return;
