Routing: Repeats a request whose connection carried another answer

A request that may be repeated got 502 when an answer to another request came in the place of its own and no other upstream was left, although the upstream is sound and the request had attempts and budget left.

Such an attempt may have run and has no answer. It is repeated as one that was answered with a failure: at another upstream if there is one, else at the same, on a new connection, since the client sends an id once on a connection. The same holds for an answer whose head is malformed. What may run once still ends with 502: it may have run, so no promise is made.

ARepeatableRequestMeetsItsOnlyUpstreamAgain failed before: 502 after one attempt. ARequestThatMayNotBeRepeatedFailsWithoutAPromise passed before and guards the other side.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -522,9 +522,12 @@
   }
   gsPlacement placement = this->Choose(*request, false);
   bool hasAnswer = request->Attempt != nullptr && request->Attempt->IsAnswered;
-  if (placement.Row == nullptr && hasAnswer) {
+  bool mayUseTried = hasAnswer || (request->Attempt != nullptr &&
+                                   request->Attempt->IsDesynchronised);
+  if (placement.Row == nullptr && mayUseTried) {
     // No other upstream is available. One that has answered with an error of
-    // its own may succeed the next time.
+    // its own, or whose connection carried another answer, may succeed the
+    // next time.
     placement = this->Choose(*request, true);
   }
   gsTime now = gsLoop::Now();
--- a/Source/Daemon/gsRoutedRequest.h
+++ b/Source/Daemon/gsRoutedRequest.h
@@ -79,6 +79,9 @@
   /** Id in the head of an answer that belongs to another request; "none" if it
    * names none. Empty if there was no such answer. */
   std::string ForeignId;
+  /** Whether its connection carried something else than its answer. The
+   * request may have run, and the upstream may be sound. */
+  bool IsDesynchronised = false;
   /** Host that the request was forwarded to, in place of an upstream; empty
    * for none. */
   std::string ForwardedTo;
--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -60,6 +60,12 @@
   return std::clamp(fast * factor, MinTokenMillis, MaxTokenMillis);
 }
 
+/** Whether the head of an answer names the request of the attempt. */
+bool IsOwnAnswer(gsRoutedRequest const& request, gsAttempt const& attempt)
+{
+  return attempt.AnswerHead.RequestId == request.Caller.AttemptId;
+}
+
 /** Logs a change that an upstream announces: that it is shutting down, or that
  * it accepts no requests for a given time. */
 void LogAnnouncement(gsRoutedRequest const& request, gsAttempt const& attempt)
@@ -562,7 +568,7 @@
     return false;
   }
   // The answer may be to another request that was sent before this attempt.
-  bool isOwn = attempt.AnswerHead.RequestId == request.Caller.AttemptId;
+  bool isOwn = IsOwnAnswer(request, attempt);
   std::uint32_t hash = gsIncarnationHash(attempt.Upstream);
   if (!gsApplyObservedRateLimit(limits, hash, value,
                                 isOwn ? attempt.SentAt : gsTime{}, now)) {
@@ -599,9 +605,10 @@
     attempt.AnswerHead.NotExecuted = true;
     return;
   }
-  if (attempt.AnswerHead.RequestId != request->Caller.AttemptId) {
+  if (!IsOwnAnswer(*request, attempt)) {
     std::string const& id = attempt.AnswerHead.RequestId;
     attempt.ForeignId = id.empty() ? "none" : id;
+    attempt.IsDesynchronised = true;
     this->AbortAttempt(request, held,
                        "The upstream answered another request.");
     return;
@@ -943,6 +950,7 @@
     result.IsUpstreamLost =
       !wasClosedBefore && !end.Stalled && !end.Excess && !end.Malformed;
     result.Excess = end.Excess;
+    attempt.IsDesynchronised = end.Malformed;
     result.IsMalformed = end.Malformed;
     result.HeadFault = end.HeadFault;
     result.Detail = (end.Malformed ? "The upstream's answer is malformed: "
--- a/Tests/Route/gsTestForeignAnswers.cxx
+++ b/Tests/Route/gsTestForeignAnswers.cxx
@@ -169,3 +169,35 @@
   EXPECT_EQ(view->Status, 200U);
   EXPECT_EQ(view->Body, "second run");
 }
+
+// Guards against a request that is given up for an answer of another one,
+// although it may be repeated and its only upstream is sound.
+TEST(ForeignAnswers, ARepeatableRequestMeetsItsOnlyUpstreamAgain)
+{
+  gsRouteBench bench;
+  int count = 0;
+  bench.Add("u1", [&](Connection const& to, gsScriptedRequest const& request) {
+    to->Write(++count == 1 ? Stale(request, 200)
+                           : gsWholeAnswer(request, "own"));
+  });
+  gsCallerViewPtr view = bench.SendAndWait(On("safe", "id-1"));
+  EXPECT_EQ(view->Status, 200U);
+  EXPECT_EQ(view->Body, "own");
+  EXPECT_EQ(count, 2);
+}
+
+// Guards against a promise that a request has not run, or a second run of one
+// that must not be repeated, after an answer of another request.
+TEST(ForeignAnswers, ARequestThatMayNotBeRepeatedFailsWithoutAPromise)
+{
+  for (unsigned status : { 200U, Failed, 503U, 429U, 421U }) {
+    gsRouteBench bench;
+    bench.Add("u1",
+              [&](Connection const& to, gsScriptedRequest const& request) {
+                to->Write(Stale(request, status));
+              });
+    gsCallerViewPtr view = bench.SendAndWait(On("plain", "id-1"));
+    EXPECT_EQ(view->Status, 502U) << status;
+    EXPECT_EQ(bench.Arrivals(), 1U) << status;
+  }
+}
