Routing: Keeps no rest that an answer to another request asked for

Callers were refused for the seconds that a late answer asked for: its Retry-After was taken as of now, although it was written for an earlier request at an unknown time. It also counted as the answer of the first request that an upstream gets after such a rest.

Of what an answer to another request announces, only what does not depend on its time is applied: that the upstream is shutting down, and a limit, which is ordered by time already.

TheRestThatAnEarlierAnswerAskedForIsNotKept failed before: the next request was not served by the only upstream.

--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -496,11 +496,17 @@
  * many seconds later. An upstream that received requests during its
  * retry-after time rejected urgent ones that other upstreams would have
  * accepted.
+ *
+ * An answer to another request was written at an unknown time before: of what
+ * it announces, only shutting down still holds, and a limit unless a later
+ * answer has stated one.
  */
 void gsUpstreamCaller::ApplyHead(gsRoutedRequest const& request,
                                  gsAttempt& attempt, gsTime now)
 {
-  gsUpstreamAnnouncement const& announcement = attempt.AnswerHead.Announcement;
+  bool isOwn = IsOwnAnswer(request, attempt);
+  gsUpstreamAnnouncement& announcement = attempt.AnswerHead.Announcement;
+  announcement.RetryAfter = isOwn ? announcement.RetryAfter : gsTime{};
   gsFleetRow* row = gsFleetFind(this->Fleet, attempt.Upstream);
   bool wasLeaving = row != nullptr && gsIsLeaving(*row);
   if (gsApplyAnnouncement(this->Fleet, attempt.Upstream, announcement, now)) {
@@ -511,7 +517,7 @@
   }
   this->ApplyRateLimit(request, attempt, now);
   this->ApplyRejectionLimit(request, attempt, now);
-  if (row != nullptr && std::exchange(attempt.IsResumption, false)) {
+  if (row != nullptr && isOwn && std::exchange(attempt.IsResumption, false)) {
     bool accepted =
       !attempt.AnswerHead.NotExecuted && announcement.RetryAfter.count() == 0;
     gsEndSlowStartAttempt(row->Announced, accepted, row->Listed.Slots);
--- a/Tests/Route/gsTestForeignAnswers.cxx
+++ b/Tests/Route/gsTestForeignAnswers.cxx
@@ -201,3 +201,25 @@
     EXPECT_EQ(bench.Arrivals(), 1U) << status;
   }
 }
+
+// Guards against an upstream that is left alone for a rest that it asked of an
+// earlier request.
+TEST(ForeignAnswers, TheRestThatAnEarlierAnswerAskedForIsNotKept)
+{
+  gsRouteBench bench;
+  int count = 0;
+  bench.Add("u1", [&](Connection const& to, gsScriptedRequest request) {
+    if (++count == 1) {
+      request.Headers["gradescale-attempt-id"] = "earlier";
+      to->Write(gsWholeAnswer(request, "full", 503,
+                              "Gradescale-Not-Executed: 1\r\n"
+                              "Retry-After: 5\r\n"));
+      return;
+    }
+    to->Write(gsWholeAnswer(request, "own"));
+  });
+  bench.SendAndWait(On("plain", "id-1"));
+  gsCallerViewPtr next = bench.SendAndWait(On("plain", "id-2"));
+  EXPECT_EQ(next->Status, 200U);
+  EXPECT_EQ(next->Body, "own");
+}
