Forwarding: Takes a refusal without an id only from a host that closes

A caller could get 503 (not run) for a forwarded request that the other host had read: a 408 or 431 without an id was taken for that host's word that it had not read the request, also where it was a former request's.

A host that refuses so closes the connection and says it. Only then nothing that was sent behind can have been read. Without it the answer belongs to no known request: it may have run, 502.

--- a/Source/Daemon/gsUpstreamCaller.cxx
+++ b/Source/Daemon/gsUpstreamCaller.cxx
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <strings.h>
+
 #include "gsArrangement.h"
 #include "gsEngineSpeed.h"
 #include "gsHttpStatus.h"
@@ -66,6 +68,14 @@
   return attempt.AnswerHead.RequestId == request.Caller.AttemptId;
 }
 
+/** Whether an answer says that its sender reads no further request. */
+bool ClosesConnection(gsHeaders const& headers)
+{
+  constexpr char const* closes = "close";
+  return strcasecmp(std::string(gsFindHeader(headers, "connection")).c_str(),
+                    closes) == 0;
+}
+
 /** Logs a change that an upstream announces: that it is shutting down, or that
  * it accepts no requests for a given time. */
 void LogAnnouncement(gsRoutedRequest const& request, gsAttempt const& attempt)
@@ -605,6 +615,7 @@
   if (attempt.ForwardedTo.empty()) {
     this->ApplyHead(*request, attempt, now);
   } else if (attempt.AnswerHead.RequestId.empty() &&
+             ClosesConnection(headers) &&
              (status == gsStatusRequestTimeout ||
               status == gsStatusHeadTooLarge)) {
     // The other host has closed the connection without reading the request.
