HttpClient: Starts calls from within a paused answer that goes on

A request whose answer went on after a pause and was then given up for another attempt never got an answer before its deadline: the next call neither began nor ended.

The library takes no call from within its callbacks. Start puts the call off while the client acts for the library; Unpause, which hands over what waited from within the library as well, did not say so.

--- a/Source/Io/gsHttpClient.cxx
+++ b/Source/Io/gsHttpClient.cxx
@@ -5,6 +5,7 @@
 #include <array>
 #include <cerrno>
 #include <cstddef>
+#include <utility>
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
@@ -309,7 +310,10 @@
 {
   auto found = this->Calls.find(call);
   if (found != this->Calls.end()) {
+    // The library hands over what waited from within this call.
+    bool wasActing = std::exchange(this->Acting, true);
     curl_easy_pause(found->second->Easy, CURLPAUSE_CONT);
+    this->Acting = wasActing;
   }
 }
 
