StandIns: A refusing link is not shut twice

The soak saw hosts that were served nothing after all faults were over. A link that refuses connections shut its listening socket again at each further control, as those of a stutter are; the second shutdown stays on the socket, and once it listens again all connections that it accepts have an end of their requests at once. The other end then broke them off within a millisecond.

--- a/Tests/StandIns/gsStandInProxy.cxx
+++ b/Tests/StandIns/gsStandInProxy.cxx
@@ -146,6 +146,7 @@
   std::size_t BreakAfter = 0;
   gsStutterDraw Stutter;
   int Listener = -1;
+  bool Listens = true;
   std::unique_ptr<gsIoWatch> Watch;
   std::list<std::unique_ptr<Connection>> Connections;
 
@@ -389,9 +390,14 @@
     std::make_unique<Connection>(this->Loop, *this, caller, target));
 }
 
-/** Starts or stops to listen; the socket stays bound to its port. */
+/** Starts or stops to listen; the socket stays bound to its port. One that is
+ * shut twice hands its shutdown on to the connections that it accepts. */
 void Link::Listen(bool on)
 {
+  if (on == this->Listens) {
+    return;
+  }
+  this->Listens = on;
   if (on) {
     listen(this->Listener, SOMAXCONN);
   } else {
