Soak: Times a refusal from when its cause came through a muted link

Trace of q265: placed at 00:56:03.984 at runner0, whose links to its host were muted for 4.068 s. The runner's output has "away" at 03.985: it turned the request away for its rest. Its 503 came through at 07.264, with the end of the silence, and the refusal left in the same millisecond.

The check allowed for a rejection as full that arrived late, not for one whose answer was held up. It now takes the end of a recorded silence of that runner as the time at which the host could know; without a silence, of another runner, and from its end on it is as strict as before (SoakCheck.ARefusalIsTimedFrom- ARejectionThatCameThrough).

--- a/Tests/Soak/gsSoakCheck.cxx
+++ b/Tests/Soak/gsSoakCheck.cxx
@@ -16,6 +16,8 @@
 /** The callers' deadline, and what a final answer may be late. */
 constexpr gsTime AnswerBound = gsMilliseconds(8000 + 1500);
 /** A refusal is answered at once: all runners tried, and some time. */
+/** The end of a silence is noted after the links have been told of it. */
+constexpr gsTime NoticeDelay = gsMilliseconds(100);
 constexpr gsTime RefusalBound = gsMilliseconds(2500);
 
 /** A host sends nothing to a runner so long after it has passed on an answer
@@ -325,9 +327,23 @@
                     isOnOpenConnection || this->CountRuns(reply) > 0);
   }
 
-  /** When a request could be refused: its sending, or when a runner that was
-   * harmed meanwhile turned it away as full. Until then its host cannot tell
-   * whether it runs. */
+  /** Until when no answer of a runner came through that it gave at a time;
+   * that time if answers did. */
+  gsTime HeardAt(gsRoutedRun const& given) const
+  {
+    gsTime heard = given.At;
+    for (gsSoakSilence const& silence : this->Record.Silences) {
+      bool isOfRunner = given.Runner.rfind(silence.Runner + "-", 0) == 0;
+      bool isHeldUp =
+        isOfRunner && silence.From <= given.At && given.At < silence.Until;
+      heard = isHeldUp ? std::max(heard, silence.Until) : heard;
+    }
+    return heard;
+  }
+
+  /** When a request could be refused: its sending, when a runner that was
+   * harmed meanwhile turned it away as full, or when a rejection came through.
+   * Until then its host cannot tell whether it runs. */
   gsTime RefusableSince(gsRoutedReply const& reply) const
   {
     gsTime since = reply.Sent;
@@ -337,6 +353,12 @@
                   Troubled(this->Record, { gsSoakScope::Upstreams },
                            reply.Host, reply.Sent, arrival.At);
       since = held ? std::max(since, arrival.At) : since;
+      bool isRejected = arrival.Request == reply.Id && !arrival.Ran;
+      gsTime heard = this->HeardAt(arrival);
+      bool isHeldUp = isRejected && heard != arrival.At &&
+                      arrival.At >= reply.Sent &&
+                      heard <= reply.Ended + NoticeDelay;
+      since = isHeldUp ? std::max(since, heard) : since;
     }
     return since;
   }
--- a/Tests/Soak/gsTestSoak.cxx
+++ b/Tests/Soak/gsTestSoak.cxx
@@ -426,6 +426,25 @@
   EXPECT_EQ(this->Broken(), "REFUSED ");
 }
 
+// Guards the soak's check against a refusal whose cause a muted link held up.
+TEST_F(SoakCheck, ARefusalIsTimedFromARejectionThatCameThrough)
+{
+  this->Record.Runs.clear();
+  this->Reply->Status = 503;
+  this->Reply->RetryAfter = "0.3";
+  this->Reply->Ended = Start + gsSeconds(4);
+  this->Record.Arrivals = { { "q1", "runner0-0", Start, false } };
+  EXPECT_EQ(this->Broken(), "REFUSED ");
+  this->Record.Silences.push_back(
+    { "runner0", Start - gsSeconds(1), Start + gsSeconds(3) });
+  EXPECT_EQ(this->Broken(), "");
+  this->Record.Silences[0].Until = Start + gsSeconds(1);
+  EXPECT_EQ(this->Broken(), "REFUSED "); // Held back after that.
+  this->Record.Silences[0] = { "runner1", Start - gsSeconds(1),
+                               Start + gsSeconds(3) };
+  EXPECT_EQ(this->Broken(), "REFUSED "); // Of another runner.
+}
+
 TEST_F(SoakCheck, ARequestTurnedAwayAsFullAsksForNoRest)
 {
   this->Record.Rest = gsSeconds(2);
