--- a/Tests/Route/gsTestForeignAnswers.cxx
+++ b/Tests/Route/gsTestForeignAnswers.cxx
@@ -103,16 +103,17 @@
     for (unsigned status : { 200U, 204U, Failed }) {
       gsRouteBench bench;
       int count = 0;
-      bench.Add("u1", [&](Connection const& to, gsScriptedRequest request) {
-        if (++count == 1) {
-          gsScriptedRequest earlier = request;
-          earlier.Headers["gradescale-attempt-id"] = "earlier";
-          to->Write(gsWholeAnswer(earlier, std::string(size, 'x'), status));
-          WriteLater(bench, to, gsWholeAnswer(request, "own", Failed));
-          return;
-        }
-        to->Write(gsWholeAnswer(request, "own"));
-      });
+      bench.Add(
+        "u1", [&](Connection const& to, gsScriptedRequest const& request) {
+          if (++count == 1) {
+            gsScriptedRequest earlier = request;
+            earlier.Headers["gradescale-attempt-id"] = "earlier";
+            to->Write(gsWholeAnswer(earlier, std::string(size, 'x'), status));
+            WriteLater(bench, to, gsWholeAnswer(request, "own", Failed));
+            return;
+          }
+          to->Write(gsWholeAnswer(request, "own"));
+        });
       bench.SendAndWait(On("plain", "first"));
       int served = 0;
       for (int i = 0; i < 20; ++i) {
