--- a/Tests/Unit/gsTestStreamDirectory.cxx
+++ b/Tests/Unit/gsTestStreamDirectory.cxx
@@ -14,6 +14,7 @@
 #include <gtest/gtest.h>
 
 #include "gsStreamDirectory.h"
+#include "gsWireCodec.h"
 
 namespace {
 
@@ -570,3 +571,21 @@
   EXPECT_EQ(directory.Streams.size(), 1U);
   EXPECT_EQ(gsStreamFind(directory, 20, end), 3U);
 }
+
+// Guards the form between hosts: a reply that is recorded of the release
+// before voids nothing, and one that voids differs in its revision alone.
+TEST(StreamDirectory, RepliesAreReadAsRecordedOfBothReleases)
+{
+  std::string const begin("\x08\x04\x11\x07\0\0\0\0\0\0\0", 11);
+  std::string const flag = "\x38\x01";
+  gradescale::StreamVersion wire;
+  ASSERT_TRUE(wire.ParseFromString(begin + flag));
+  EXPECT_EQ(wire.kind(),
+            static_cast<std::uint32_t>(gsStreamMessageKind::Reply));
+  EXPECT_EQ(wire.stream(), 7U);
+  EXPECT_EQ(wire.version(), 0U);
+  EXPECT_EQ(wire.revision(), 0U);
+  EXPECT_TRUE(wire.flag());
+  wire.set_revision(gsStreamMessage::VoidRevision);
+  EXPECT_EQ(wire.SerializeAsString(), begin + "\x28\x01" + flag);
+}
