StandIns: A pattern that matches no link is an error

A pattern took a * at its end only. "peer:*>host5" matched nothing and cut nothing, without a word, so that a test of a cut could pass without one. Each * now stands for any characters, and a pattern without a link is answered 404, which gsRoutedSystem::Links throws as an exception.

--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -562,7 +562,14 @@
 {
   gsJson all = body;
   all["links"] = patterns;
-  this->Control("proxy", all);
+  std::string answer;
+  unsigned status = this->Fetch(
+    "POST", "http://" + this->Processes.At("proxy").Address + "/control", all,
+    &answer);
+  constexpr unsigned notFound = 404;
+  if (status == notFound) {
+    throw std::runtime_error("The proxy has no such link: " + answer);
+  }
 }
 
 void gsRoutedSystem::ChangeSettings(std::string const& host, int retryBurst)
@@ -639,7 +646,9 @@
       return this->Fetch("POST", "http://" + entry.Address + "/control",
                          { { "cut", 0 } }) == 200;
     });
-    this->List(process, false);
+    if (this->Plan.UnlistedVersions.count(this->VersionOf(process)) == 0) {
+      this->List(process, false);
+    }
   }
 }
 
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -34,6 +34,8 @@
   /** Software versions of the runners, in turn; each event holds that of its
    * runner. Empty for one version, which events do not hold. */
   std::vector<std::string> Versions;
+  /** Runners of these are not listed before List is called for them. */
+  std::set<std::string> UnlistedVersions;
   /** Mode of slot sharing; empty for the default. */
   std::string SlotSharing;
   /** Hosts call runners without the proxy, where there are too many bytes for
@@ -151,7 +153,8 @@
   void Evacuate(int hall, bool evacuated);
   /** A call to a stand-in's control. */
   void Control(std::string const& process, gsJson const& body);
-  /** Faults on links; see gsStandInProxy. */
+  /** Faults on links; see gsStandInProxy. Throws an exception if a pattern
+   * matches no link. */
   void Links(std::vector<std::string> const& patterns, gsJson const& body);
 
   /** Bounds what hosts send to each other and get from the store, and the
@@ -227,6 +230,13 @@
    */
   std::string ConfigurationTrace();
   std::vector<std::string> const& Runners() const { return this->RunnerNames; }
+  /** Software version of a runner. */
+  std::string VersionOf(std::string const& runner) const;
+  /** Hall of a host or runner. */
+  std::string const& HallOf(std::string const& process) const
+  {
+    return this->Processes.At(process).Hall;
+  }
   /** Id of a runner's present incarnation. */
   std::string const& IdOf(std::string const& runner) const
   {
@@ -252,7 +262,6 @@
                             std::string const& key);
   void SendBody(gsRoutedReplyPtr const& reply, std::string const& method,
                 std::string const& body, gsHeaders const& more = {});
-  std::string VersionOf(std::string const& runner) const;
   void AddProcesses();
   std::string SettingsFile(std::string const& host) const;
   void EditSettings(std::string const& host,
--- a/Tests/StandIns/gsStandInProxy.cxx
+++ b/Tests/StandIns/gsStandInProxy.cxx
@@ -3,7 +3,7 @@
  * \file
  * TCP proxy that injects faults. It carries any number of links, each from a
  * port of its own to a target. POST /control takes
- *   {"links": ["NAME" or "PREFIX*", ...],
+ *   {"links": ["PATTERN", ...],
  *    "mode": "pass" | "cut" | "refuse" | "closed" | "hole" | "mute",
  *    "delay_ms": N,
  *    "break_after": N}
@@ -16,6 +16,9 @@
  * closes the next connection that has carried so many bytes towards the
  * target. "stutter" has targets answer twice, as gsStutterDraw::Apply says.
  *
+ * In a pattern, each * stands for any characters. A pattern that matches no
+ * link is answered 404, and nothing is changed.
+ *
  * A link may name the machines at its ends. All links of a machine share its
  * bandwidth, each way by itself, as one queue in the order of arrival. A
  * connection whose bytes wait is not read beyond a bound, so that its sender
@@ -30,6 +33,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <CLI/CLI.hpp>
@@ -431,13 +435,39 @@
     [](std::unique_ptr<Connection> const& one) { return one->Dead; }));
 }
 
-bool Matches(std::string const& pattern, std::string const& name)
+bool Matches(std::string_view pattern, std::string_view name)
 {
-  if (!pattern.empty() && pattern.back() == '*') {
-    return name.compare(0, pattern.size() - 1, pattern, 0,
-                        pattern.size() - 1) == 0;
+  std::size_t star = pattern.find('*');
+  if (star == std::string_view::npos) {
+    return pattern == name;
+  }
+  std::string_view const rest = pattern.substr(star + 1);
+  if (name.substr(0, star) != pattern.substr(0, star)) {
+    return false;
+  }
+  for (std::size_t at = star; at <= name.size(); ++at) {
+    if (Matches(rest, name.substr(at))) {
+      return true;
+    }
   }
-  return pattern == name;
+  return false;
+}
+
+/** The first pattern that matches no link; empty if each matches one. */
+std::string FirstUnmatched(gsJson const& patterns,
+                           std::list<Link> const& links)
+{
+  for (gsJson const& pattern : patterns) {
+    std::string const text = pattern.get<std::string>();
+    bool matches =
+      std::any_of(links.begin(), links.end(), [&text](Link const& link) {
+        return Matches(text, link.Name);
+      });
+    if (!matches) {
+      return text;
+    }
+  }
+  return {};
 }
 
 } // namespace
@@ -475,6 +505,12 @@
     gsJson const patterns = body.is_object() && body.contains("links")
                               ? body["links"]
                               : gsJson::array();
+    std::string const unmatched = FirstUnmatched(patterns, links);
+    if (!unmatched.empty()) {
+      constexpr unsigned notFound = 404;
+      gsAnswerJson(*exchange, { { "unmatched", unmatched } }, notFound);
+      return;
+    }
     for (gsJson const& pattern : patterns) {
       for (Link& link : links) {
         if (Matches(pattern.get<std::string>(), link.Name)) {
