StreamSharing: Logs how old the list is and who has not replied

The lines of streams that callers take up again could not tell a look-up that nobody answered from hosts that confirm each other's lists, nor either from a record. They name the hosts that were asked and did not reply, and the time since the platform last confirmed the lists, to this host or to one of its hall that watches them. A counter tells the take-ups by source.

--- a/Source/Coord/gsStreamDirectory.cxx
+++ b/Source/Coord/gsStreamDirectory.cxx
@@ -118,7 +118,8 @@
     messages.push_back(MakeReply(asker, stream, outcome));
   }
   if (lookup->second.IsOwn) {
-    results.push_back({ stream, outcome.Version, outcome.IsInferred });
+    results.push_back({ stream, outcome.Version, outcome.IsInferred,
+                        lookup->second.Awaited.size() });
   }
   directory.Lookups.erase(lookup);
 }
--- a/Source/Coord/gsStreamDirectory.h
+++ b/Source/Coord/gsStreamDirectory.h
@@ -116,6 +116,7 @@
   gsStreamId Stream = 0;
   std::uint32_t Version = 0; ///< Zero if it could not be found.
   bool IsInferred = false;
+  std::size_t Unanswered = 0; ///< Hosts that were asked and did not reply.
 };
 
 struct gsStreamDirectory
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -383,7 +383,7 @@
 {
   gsTime begin = gsLoop::Now();
   if (this->Streams == nullptr) {
-    this->PlaceAtVersion(request, { 0, "no_records" }, gsTime{});
+    this->PlaceAtVersion(request, { 0, "no_records", 0 }, gsTime{});
     return;
   }
   std::weak_ptr<gsRoutedRequest> weak = request;
@@ -409,16 +409,33 @@
       request->Service = share.Service;
     }
   }
-  gsLogLine("stream_resumed")
-    .With("request", request->Caller.AttemptId)
-    .With("first", request->Caller.ResumedAttempt)
-    .With("after_event", *request->LastEventId)
-    .With("version", std::uint64_t(version))
-    .With("source", found.Source)
-    .With("found_ms", lookUpTime);
+  this->LogResumption(*request, found, lookUpTime);
   this->Place(request);
 }
 
+void gsRouteGateway::LogResumption(gsRoutedRequest const& request,
+                                   gsFoundVersion const& found,
+                                   gsTime lookUpTime)
+{
+  gsLogLine line("stream_resumed");
+  line.With("request", request.Caller.AttemptId)
+    .With("first", request.Caller.ResumedAttempt)
+    .With("after_event", *request.LastEventId)
+    .With("version", std::uint64_t(found.Version))
+    .With("source", found.Source)
+    .With("found_ms", lookUpTime)
+    .With("unanswered", std::uint64_t(found.Unanswered));
+  if (this->Streams != nullptr) {
+    if (std::optional<gsTime> age = this->Streams->ListAge()) {
+      line.With("list_age_ms", *age);
+    }
+  }
+  this->Metrics.Increment(
+    "gradescale_streams_resumed_total",
+    gsLabels({ { "source", found.Source },
+               { "found", found.Version != 0 ? "yes" : "no" } }));
+}
+
 /** Records at which version a stream is sent to an upstream, if its caller may
  * resume it. */
 void gsRouteGateway::RecordVersion(RequestPtr const& request,
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -213,6 +213,8 @@
   void ResumeStream(RequestPtr const& request);
   void PlaceAtVersion(RequestPtr const& request, gsFoundVersion const& found,
                       gsTime lookUpTime);
+  void LogResumption(gsRoutedRequest const& request,
+                     gsFoundVersion const& found, gsTime lookUpTime);
   void RecordVersion(RequestPtr const& request, std::uint32_t version);
   bool MayRelay(RequestPtr const& request, gsAttempt const& attempt);
   void OnRecordCopied(RequestPtr const& request);
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -194,9 +194,12 @@
   this->DrainGossip.Start(*this->Cluster);
   this->PrefixSharing.Start(*this->Cluster);
   this->RateLimiter.Start(*this->Cluster);
-  this->StreamSharing.Start(*this->Cluster, [this] {
-    return this->Tables->IsCurrentSince(gsLoop::Now() - MaxTableAge);
-  });
+  this->StreamSharing.Start(
+    *this->Cluster,
+    [this] {
+      return this->Tables->IsCurrentSince(gsLoop::Now() - MaxTableAge);
+    },
+    [this] { return this->Tables->Age(); });
   this->VersionKeeper.Start(*this->Cluster, *this->Tables, gsLoop::Now());
   this->CrashGossip->Start(*this->Cluster);
   this->Gateway->CrashDetection().SetProber(
--- a/Source/Daemon/gsStreamSharing.cxx
+++ b/Source/Daemon/gsStreamSharing.cxx
@@ -48,10 +48,12 @@
 }
 
 void gsStreamSharing::Start(gsHallCluster& cluster,
-                            std::function<bool()> isCurrent)
+                            std::function<bool()> isCurrent,
+                            std::function<std::optional<gsTime>()> listAge)
 {
   this->Cluster = &cluster;
   this->IsListCurrent = std::move(isCurrent);
+  this->AgeOfList = std::move(listAge);
 }
 
 /** The hosts that keep records and to which this host has links. */
@@ -155,7 +157,7 @@
   gsTime now = gsLoop::Now();
   if (std::optional<std::uint32_t> known =
         gsStreamFind(this->Directory, stream, now)) {
-    found({ *known, *known != 0 ? "record" : "records_differ" });
+    found({ *known, *known != 0 ? "record" : "records_differ", 0 });
     return;
   }
   Inference own = this->Infer(route, now);
@@ -177,7 +179,8 @@
     }
     this->Lookups.erase(first, last);
     for (PendingLookup const& lookup : waiting) {
-      lookup.Found({ result.Version, SourceOf(result, lookup.Own) });
+      lookup.Found(
+        { result.Version, SourceOf(result, lookup.Own), result.Unanswered });
     }
   }
 }
--- a/Source/Daemon/gsStreamSharing.h
+++ b/Source/Daemon/gsStreamSharing.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -26,6 +27,7 @@
   std::uint32_t Version = 0; ///< Zero if it is unknown.
   /** What the version is taken from, or why it is unknown; for the log. */
   std::string_view Source;
+  std::size_t Unanswered = 0; ///< Hosts that were asked and did not reply.
 };
 
 class gsStreamSharing
@@ -41,8 +43,16 @@
    * The cluster must outlive this object.
    *
    * \param isCurrent Whether the list of upstreams is up to date.
+   * \param listAge Age of the list; see gsTableSync::Age.
    */
-  void Start(gsHallCluster& cluster, std::function<bool()> isCurrent);
+  void Start(gsHallCluster& cluster, std::function<bool()> isCurrent,
+             std::function<std::optional<gsTime>()> listAge);
+
+  /** Age of the list of upstreams; empty if it is not known. */
+  std::optional<gsTime> ListAge() const
+  {
+    return this->AgeOfList ? this->AgeOfList() : std::nullopt;
+  }
 
   /**
    * Records at which version a stream is sent to an upstream, unless other
@@ -106,8 +116,9 @@
 
   gsFleet& Fleet;
   gsStreamDirectory Directory;
-  gsHallCluster* Cluster = nullptr;    ///< Set by Start.
-  std::function<bool()> IsListCurrent; ///< Set by Start.
+  gsHallCluster* Cluster = nullptr;                 ///< Set by Start.
+  std::function<bool()> IsListCurrent;              ///< Set by Start.
+  std::function<std::optional<gsTime>()> AgeOfList; ///< Set by Start.
   /** Hosts of earlier releases, which keep no records. */
   std::set<std::string, std::less<>> EarlierHosts;
   std::map<gsStreamId, AwaitedCopy> Copies;
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -211,6 +211,15 @@
   return platform >= time || this->LastEqualAt >= time + QueuedFrameTime;
 }
 
+std::optional<gsTime> gsTableSync::Age() const
+{
+  gsTime answered = std::min(this->Routes->LastResponseTime(),
+                             this->Upstreams->LastResponseTime());
+  gsTime confirmed = std::max(answered, gsWatchedTablesCurrentAt(this->Duty));
+  return confirmed.count() == 0 ? std::nullopt
+                                : std::optional(gsLoop::Now() - confirmed);
+}
+
 gsTableWatch* gsTableSync::WatchOf(std::string_view table)
 {
   if (table == this->Adapter.Tables.Routes) {
--- a/Source/Daemon/gsTableSync.h
+++ b/Source/Daemon/gsTableSync.h
@@ -85,6 +85,12 @@
    * as those of another host of the hall, at the given time or later. */
   bool IsCurrentSince(gsTime time) const;
 
+  /**
+   * Time since the platform last confirmed both replicas, to this host or to a
+   * watching host of the hall that has reported since; empty if it never did.
+   */
+  std::optional<gsTime> Age() const;
+
   /** Whether this host watches the platform's tables. */
   bool IsWatching() const { return this->Duty.State != gsWatchState::Covered; }
 
