--- a/Source/Coord/gsStreamDirectory.cxx
+++ b/Source/Coord/gsStreamDirectory.cxx
@@ -124,18 +124,38 @@
   directory.Lookups.erase(lookup);
 }
 
-/** Ends a look-up without a record by what the replies have inferred. */
+/** Ends a look-up without a record by what was inferred. What this host goes
+ * by has to be confirmed; other hosts that asked confirm it themselves. */
 void ConcludeUnrecorded(gsStreamDirectory& directory, gsStreamId stream,
                         gsStreamMessages& messages, Results& results)
 {
-  gsStreamLookup const& lookup = directory.Lookups.at(stream);
+  gsStreamLookup& lookup = directory.Lookups.at(stream);
   Outcome outcome;
   outcome.IsInferred = true;
   outcome.IsVoid = lookup.IsInferenceVoid;
   outcome.Version = outcome.IsVoid ? 0 : lookup.Inferred;
+  if (lookup.IsOwn) {
+    bool isConfirmed = lookup.OwnInference == gsInferenceState::Confirmed;
+    results.push_back({ stream, isConfirmed ? outcome.Version : 0, true,
+                        lookup.Awaited.size() });
+    lookup.IsOwn = false;
+  }
   Conclude(directory, stream, outcome, messages, results);
 }
 
+/** Whether a look-up without a record has nothing left to wait for. */
+bool IsOver(gsStreamDirectory const& directory, gsStreamLookup const& lookup,
+            gsTime now)
+{
+  if (now >= lookup.BeganAt + directory.Settings.ConfirmTimeout) {
+    return true;
+  }
+  bool isConfirming = !lookup.IsInferenceVoid &&
+                      (lookup.OwnInference == gsInferenceState::Unconfirmed ||
+                       lookup.OwnInference == gsInferenceState::Requested);
+  return !isConfirming && (lookup.Awaited.empty() || now >= lookup.Deadline);
+}
+
 /** Adds what a host without a record infers: empty if it cannot tell. Hosts
  * that disagree have seen different upstreams, so that neither is right for
  * certain. */
@@ -218,14 +238,25 @@
   if (isNew) {
     lookup.Awaited = peers.OtherHalls;
     lookup.Service = message.Service;
+    lookup.BeganAt = now;
     lookup.Deadline = now + directory.Settings.RelayTimeout;
     gsStreamMessages queries = MakeQueries(message.Stream, lookup, false);
     messages.insert(messages.end(), queries.begin(), queries.end());
   }
 }
 
+/** Stores a note and ends the look-up that it answers. */
+void ReceiveNote(gsStreamDirectory& directory, gsStreamMessage const& message,
+                 gsTime now, gsStreamMessages& messages, Results& results)
+{
+  Store(directory, message.Stream, message.Record, now);
+  Outcome outcome;
+  outcome.Version = VersionOf(directory.Streams.at(message.Stream));
+  Conclude(directory, message.Stream, outcome, messages, results);
+}
+
 void ReceiveReply(gsStreamDirectory& directory, gsStreamMessage const& message,
-                  gsStreamMessages& messages, Results& results)
+                  gsTime now, gsStreamMessages& messages, Results& results)
 {
   auto found = directory.Lookups.find(message.Stream);
   if (found == directory.Lookups.end()) {
@@ -242,7 +273,7 @@
   auto& awaited = lookup.Awaited;
   awaited.erase(std::remove(awaited.begin(), awaited.end(), message.Host),
                 awaited.end());
-  if (awaited.empty()) {
+  if (IsOver(directory, lookup, now)) {
     ConcludeUnrecorded(directory, message.Stream, messages, results);
   }
 }
@@ -273,6 +304,33 @@
   return messages;
 }
 
+std::optional<gsStreamMessage> gsStreamNote(gsStreamDirectory& directory,
+                                            gsStreamPeers const& peers,
+                                            gsStreamId stream,
+                                            std::uint32_t version, gsTime now)
+{
+  Store(directory, stream,
+        { version, directory.Settings.Origin, directory.NextRevision++ }, now);
+  std::vector<std::string> const holder =
+    Holders(peers.Coordinators, stream, 1);
+  if (holder.empty()) {
+    return std::nullopt;
+  }
+  gsStreamMessage note =
+    MakeMessage(holder.front(), gsStreamMessageKind::Note, stream);
+  note.Record.Version = version;
+  return note;
+}
+
+void gsStreamWithdraw(gsStreamDirectory& directory, gsStreamId stream)
+{
+  auto found = directory.Streams.find(stream);
+  if (found != directory.Streams.end() &&
+      found->second.Record.Origin == directory.Settings.Origin) {
+    directory.Streams.erase(found);
+  }
+}
+
 std::optional<std::uint32_t> gsStreamFind(gsStreamDirectory const& directory,
                                           gsStreamId stream, gsTime now)
 {
@@ -291,9 +349,15 @@
 {
   auto [found, isNew] = directory.Lookups.try_emplace(stream);
   gsStreamLookup& lookup = found->second;
-  lookup.IsOwn = true;
-  lookup.Deadline = now + directory.Settings.LookupTimeout;
   AddInference(lookup, inferred);
+  if (!lookup.IsOwn) {
+    lookup.IsOwn = true;
+    lookup.OwnInference = inferred.value_or(0) != 0
+                            ? gsInferenceState::Unconfirmed
+                            : gsInferenceState::None;
+    lookup.BeganAt = now;
+    lookup.Deadline = now + directory.Settings.LookupTimeout;
+  }
   if (!isNew) {
     return {};
   }
@@ -303,7 +367,46 @@
                         peers.OtherHalls.end());
   gsStreamMessages messages =
     MakeQueries(stream, lookup, peers.OtherHalls.empty());
-  if (lookup.Awaited.empty()) {
+  if (IsOver(directory, lookup, now)) {
+    ConcludeUnrecorded(directory, stream, messages, results);
+  }
+  return messages;
+}
+
+std::vector<gsStreamId> gsStreamTakeUnconfirmed(gsStreamDirectory& directory,
+                                                gsTime now)
+{
+  std::vector<gsStreamId> due;
+  for (auto& [stream, lookup] : directory.Lookups) {
+    bool isDue = lookup.OwnInference == gsInferenceState::Unconfirmed &&
+                 !lookup.IsInferenceVoid &&
+                 (lookup.Awaited.empty() ||
+                  now >= lookup.BeganAt + directory.Settings.ConfirmDelay);
+    if (isDue) {
+      lookup.OwnInference = gsInferenceState::Requested;
+      due.push_back(stream);
+    }
+  }
+  return due;
+}
+
+gsStreamMessages gsStreamConfirm(gsStreamDirectory& directory,
+                                 gsStreamId stream,
+                                 std::optional<std::uint32_t> inferred,
+                                 gsTime now,
+                                 std::vector<gsStreamLookupResult>& results)
+{
+  gsStreamMessages messages;
+  auto found = directory.Lookups.find(stream);
+  if (found == directory.Lookups.end() ||
+      found->second.OwnInference != gsInferenceState::Requested) {
+    return messages;
+  }
+  gsStreamLookup& lookup = found->second;
+  AddInference(lookup, inferred);
+  lookup.OwnInference = inferred.value_or(0) != 0 ? gsInferenceState::Confirmed
+                                                  : gsInferenceState::None;
+  if (IsOver(directory, lookup, now)) {
     ConcludeUnrecorded(directory, stream, messages, results);
   }
   return messages;
@@ -325,7 +428,10 @@
       ReceiveQuery(directory, peers, message, inferred, now, messages);
       break;
     case gsStreamMessageKind::Reply:
-      ReceiveReply(directory, message, messages, results);
+      ReceiveReply(directory, message, now, messages, results);
+      break;
+    case gsStreamMessageKind::Note:
+      ReceiveNote(directory, message, now, messages, results);
       break;
     case gsStreamMessageKind::Ack:
       break;
@@ -338,7 +444,7 @@
 {
   std::vector<gsStreamId> expired;
   for (auto const& [stream, lookup] : directory.Lookups) {
-    if (lookup.Awaited.empty() || now >= lookup.Deadline) {
+    if (IsOver(directory, lookup, now)) {
       expired.push_back(stream);
     }
   }
--- a/Source/Coord/gsStreamDirectory.h
+++ b/Source/Coord/gsStreamDirectory.h
@@ -13,6 +13,16 @@
  * of the other halls. Records are evicted some time after the last host that
  * served the stream has renewed them.
  *
+ * Without a record, a host may infer the version from the upstreams listed.
+ * Its list may be out of date, and hosts that know better may be silent, so
+ * that an inference counts only once it has been confirmed by reading the
+ * platform's tables after the look-up began; see gsReadBarrier. What other
+ * hosts infer can void an inference, and never stands for one.
+ *
+ * While the version can be inferred, a note takes the place of the copies: one
+ * coordinator of the hall keeps it, so that streams go on while the tables
+ * cannot be read. Notes are not acknowledged and may be sent late.
+ *
  * A version is a hash, and zero if it is unknown. Records of one stream by
  * several hosts must agree: if they do not, the stream's version is unknown
  * from then on. A record of the same host replaces an earlier one, as it may
@@ -52,7 +62,8 @@
   Record = 1, ///< A copy of a record.
   Ack = 2,    ///< The copy is stored.
   Query = 3,  ///< Asks for the version of a stream.
-  Reply = 4   ///< Its version, or what the sender infers without a record.
+  Reply = 4,  ///< Its version, or what the sender infers without a record.
+  Note = 5    ///< A record that is neither acknowledged nor passed on.
 };
 
 /** A message between hosts. */
@@ -94,6 +105,19 @@
   /** Limit of a look-up on behalf of another host; shorter, so that the reply
    * arrives in time. */
   gsTime RelayTimeout = gsMilliseconds(200);
+  /** Time for replies before an inference is confirmed meanwhile. */
+  gsTime ConfirmDelay = gsMilliseconds(50);
+  /** Limit of a look-up whose inference is being confirmed. */
+  gsTime ConfirmTimeout = gsMilliseconds(800);
+};
+
+/** State of what this host infers for a look-up. */
+enum class gsInferenceState : std::uint8_t
+{
+  None,        ///< It infers nothing, or is not asked to.
+  Unconfirmed, ///< The tables have to be read.
+  Requested,   ///< They are being read.
+  Confirmed
 };
 
 /** A look-up that waits for replies. */
@@ -107,7 +131,9 @@
    * if they disagree. */
   std::uint32_t Inferred = 0;
   bool IsInferenceVoid = false;
-  gsTime Deadline{};
+  gsInferenceState OwnInference = gsInferenceState::None;
+  gsTime BeganAt{};
+  gsTime Deadline{}; ///< Of replies.
 };
 
 /** The result of a look-up that this host has begun. */
@@ -147,6 +173,17 @@
                                  gsStreamPeers const& peers, gsStreamId stream,
                                  std::uint32_t version, gsTime now);
 
+/** Records the version at which this host sends a stream whose version can be
+ * inferred. \return The note to be sent; empty if no host can hold one. */
+std::optional<gsStreamMessage> gsStreamNote(gsStreamDirectory& directory,
+                                            gsStreamPeers const& peers,
+                                            gsStreamId stream,
+                                            std::uint32_t version, gsTime now);
+
+/** Drops this host's own record of a stream, as another host may send it to an
+ * upstream of another version. */
+void gsStreamWithdraw(gsStreamDirectory& directory, gsStreamId stream);
+
 /** The recorded version of a stream; zero if hosts disagree on it, and empty
  * if there is no record. */
 std::optional<std::uint32_t> gsStreamFind(gsStreamDirectory const& directory,
@@ -156,8 +193,9 @@
  * Looks a stream up that has no record here. The result is appended to the
  * results of this call or of a later one.
  *
- * \param inferred The version that this host infers without a record; zero if
- *   it knows that nothing can be inferred, and empty if it cannot tell.
+ * \param inferred The version that this host infers without a record, which
+ *   has to be confirmed; zero if it knows that nothing can be inferred, and
+ *   empty if it cannot tell.
  * \return The queries to be sent.
  */
 gsStreamMessages gsStreamLookUp(gsStreamDirectory& directory,
@@ -182,6 +220,25 @@
                                  gsTime now,
                                  std::vector<gsStreamLookupResult>& results);
 
+/** Returns the look-ups whose inference has to be confirmed now, each once. To
+ * be called after messages were processed, and about ten times a second. */
+std::vector<gsStreamId> gsStreamTakeUnconfirmed(gsStreamDirectory& directory,
+                                                gsTime now);
+
+/**
+ * Applies that the tables were read after gsStreamTakeUnconfirmed had returned
+ * a look-up, or that they could not be read.
+ *
+ * \param inferred What this host infers now; empty if it cannot tell, as after
+ *   a read that failed.
+ * \return The messages to be sent.
+ */
+gsStreamMessages gsStreamConfirm(gsStreamDirectory& directory,
+                                 gsStreamId stream,
+                                 std::optional<std::uint32_t> inferred,
+                                 gsTime now,
+                                 std::vector<gsStreamLookupResult>& results);
+
 /** Ends look-ups that have waited for long enough, and evicts records. To be
  * called about ten times a second. \return The messages to be sent. */
 gsStreamMessages gsStreamTick(gsStreamDirectory& directory, gsTime now,
--- a/Source/Core/gsStoredVersions.cxx
+++ b/Source/Core/gsStoredVersions.cxx
@@ -279,6 +279,22 @@
   }
 }
 
+void gsMergeVersionRows(
+  gsVersionStore& store, gsFleet& fleet,
+  std::map<std::string, std::pair<std::uint64_t, std::string>> const& rows,
+  gsStoreClock const& clock)
+{
+  for (std::string const& name : store.Names) {
+    auto found = rows.find(name);
+    auto known = store.Rows.find(name);
+    bool isOlder = found != rows.end() && known != store.Rows.end() &&
+                   found->second.first < known->second.Revision;
+    if (found != rows.end() && !isOlder) {
+      ApplyRow(store, fleet, name, found->second, clock);
+    }
+  }
+}
+
 void gsApplyVersionWrite(gsVersionStore& store, gsVersionStoreCall const& call,
                          std::uint64_t revision)
 {
--- a/Source/Core/gsStoredVersions.h
+++ b/Source/Core/gsStoredVersions.h
@@ -127,6 +127,13 @@
   std::map<std::string, std::pair<std::uint64_t, std::string>> const& rows,
   gsStoreClock const& clock);
 
+/** Applies rows that were read beside the calls of gsNextVersionStoreCall.
+ * Ones that are older than what is known are ignored. */
+void gsMergeVersionRows(
+  gsVersionStore& store, gsFleet& fleet,
+  std::map<std::string, std::pair<std::uint64_t, std::string>> const& rows,
+  gsStoreClock const& clock);
+
 /** Applies that a write has been made. */
 void gsApplyVersionWrite(gsVersionStore& store, gsVersionStoreCall const& call,
                          std::uint64_t revision);
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -188,6 +188,9 @@
       "Requests refused because upstreams crashed under them." },
     { "gradescale_stream_records", gsMetricKind::Gauge,
       "Streams whose software version this host has recorded; routed mode." },
+    { "gradescale_table_confirmations_total", gsMetricKind::Counter,
+      "Rounds of reads by which the platform's tables were confirmed; routed "
+      "mode." },
     { "gradescale_streams_resumed_total", gsMetricKind::Counter,
       "Streams that callers took up again, by what their software version is "
       "taken from or why it is unknown; routed mode." },
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -27,9 +27,6 @@
  */
 constexpr gsTime CatchUpTimeout = gsMilliseconds(1500);
 constexpr gsTime StopCheckInterval = gsMilliseconds(50);
-/** Age of the tables up to which the list of upstreams counts as up to date.
- */
-constexpr gsTime MaxTableAge = gsSeconds(2);
 constexpr gsTime SettingsCheckInterval = gsSeconds(1);
 /**
  * Added to the configured idle timeout of callers, so that connections are
@@ -99,6 +96,7 @@
   , DrainGossip(this->Fleet)
   , PrefixSharing(this->Fleet)
   , RateLimiter(loop, this->Fleet)
+  , TableBarrier(loop)
   , StreamSharing(this->Fleet, this->Incarnation)
   , VersionKeeper(this->Client, this->Adapter, this->Settings, this->Fleet)
   , TickTimer(loop, [this] { this->Tick(); })
@@ -194,12 +192,7 @@
   this->DrainGossip.Start(*this->Cluster);
   this->PrefixSharing.Start(*this->Cluster);
   this->RateLimiter.Start(*this->Cluster);
-  this->StreamSharing.Start(
-    *this->Cluster,
-    [this] {
-      return this->Tables->IsCurrentSince(gsLoop::Now() - MaxTableAge);
-    },
-    [this] { return this->Tables->Age(); });
+  this->StartStreamSharing();
   this->VersionKeeper.Start(*this->Cluster, *this->Tables, gsLoop::Now());
   this->CrashGossip->Start(*this->Cluster);
   this->Gateway->CrashDetection().SetProber(
@@ -275,6 +268,28 @@
   return true;
 }
 
+/** Starts the exchange of the versions of streams, which infers them from the
+ * tables of upstreams, routes and stored versions. */
+void gsRouteNode::StartStreamSharing()
+{
+  this->TableBarrier.AddTable([this](gsTime limit, gsReadCallback done) {
+    this->Tables->ConfirmUpstreams(limit, std::move(done));
+  });
+  this->TableBarrier.AddTable([this](gsTime limit, gsReadCallback done) {
+    this->Tables->ConfirmRoutes(limit, std::move(done));
+  });
+  this->TableBarrier.AddTable([this](gsTime limit, gsReadCallback done) {
+    this->VersionKeeper.Confirm(limit, std::move(done));
+  });
+  gsStreamTables tables;
+  tables.Age = [this] { return this->Tables->Age(); };
+  tables.MaxAge = this->Tables->MaxAge();
+  tables.Confirm = [this](gsReadCallback done) {
+    this->TableBarrier.Request(std::move(done));
+  };
+  this->StreamSharing.Start(*this->Cluster, std::move(tables));
+}
+
 /** Accepts requests that other hosts forward, and forwards requests to them.
  */
 gsResult<bool> gsRouteNode::StartForwarding(gsHttpServerSettings settings)
@@ -518,6 +533,7 @@
   this->RateLimiter.WriteGauges(this->Metrics, now);
   this->PrefixSharing.WriteGauges(this->Metrics);
   this->StreamSharing.WriteGauges(this->Metrics);
+  this->TableBarrier.WriteGauges(this->Metrics);
   this->MemoryGuard->WriteGauges(this->Metrics);
   this->Gateway->AdmissionControl().WriteGauges(now);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
@@ -620,7 +636,7 @@
   if (this->StallEndedAt.count() == 0) {
     return;
   }
-  bool caughtUp = this->Tables->IsCurrentSince(this->StallEndedAt);
+  bool caughtUp = this->Tables->HasCaughtUpSince(this->StallEndedAt);
   gsTime elapsed = now - this->StallEndedAt;
   if (!caughtUp && elapsed < CatchUpTimeout) {
     return;
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -30,6 +30,7 @@
 #include "gsRouteGateway.h"
 #include "gsSettings.h"
 #include "gsStreamSharing.h"
+#include "gsTableBarrier.h"
 #include "gsTableSync.h"
 #include "gsUpstreamFeed.h"
 #include "gsVersionKeeper.h"
@@ -58,6 +59,7 @@
 
 private:
   bool CloseCallers();
+  void StartStreamSharing();
   gsResult<bool> StartForwarding(gsHttpServerSettings settings);
   std::vector<gsForwardPeer> ForwardPeers() const;
   gsResult<bool> StartServers();
@@ -94,6 +96,7 @@
   gsDrainGossip DrainGossip;
   gsPrefixSharing PrefixSharing;
   gsRateLimiter RateLimiter;
+  gsTableBarrier TableBarrier;
   gsStreamSharing StreamSharing;
   gsVersionKeeper VersionKeeper;
   std::unique_ptr<gsTableSync> Tables;
--- a/Source/Daemon/gsStreamSharing.cxx
+++ b/Source/Daemon/gsStreamSharing.cxx
@@ -25,7 +25,7 @@
                                         gradescale::StreamVersion const& wire)
 {
   auto first = static_cast<std::uint32_t>(gsStreamMessageKind::Record);
-  auto last = static_cast<std::uint32_t>(gsStreamMessageKind::Reply);
+  auto last = static_cast<std::uint32_t>(gsStreamMessageKind::Note);
   if (wire.kind() < first || wire.kind() > last) {
     return std::nullopt;
   }
@@ -39,6 +39,31 @@
   return message;
 }
 
+/** Why a version is unknown: the tables could not be read. */
+constexpr std::string_view ListNotCurrent = "list_not_current";
+
+/** Interval at which notes are sent, several in one frame. */
+constexpr gsTime NoteInterval = gsMilliseconds(400);
+
+/** Adds a note to a frame. The version is left out if it is that of the note
+ * before. */
+void AddNote(gsStreamMessage const& note, std::uint32_t& lastVersion,
+             gradescale::Frame& frame)
+{
+  auto const& messages = frame.stream_versions();
+  bool follows = !messages.empty() &&
+                 messages.rbegin()->kind() ==
+                   static_cast<std::uint32_t>(gsStreamMessageKind::Note);
+  bool isRepeated = follows && lastVersion == note.Record.Version;
+  gradescale::StreamVersion& wire = *frame.add_stream_versions();
+  wire.set_kind(static_cast<std::uint32_t>(note.Kind));
+  wire.set_stream(note.Stream);
+  if (!isRepeated) {
+    wire.set_version(note.Record.Version);
+  }
+  lastVersion = note.Record.Version;
+}
+
 } // namespace
 
 gsStreamSharing::gsStreamSharing(gsFleet& fleet, std::uint64_t incarnation)
@@ -47,13 +72,10 @@
   this->Directory.Settings.Origin = incarnation;
 }
 
-void gsStreamSharing::Start(gsHallCluster& cluster,
-                            std::function<bool()> isCurrent,
-                            std::function<std::optional<gsTime>()> listAge)
+void gsStreamSharing::Start(gsHallCluster& cluster, gsStreamTables tables)
 {
   this->Cluster = &cluster;
-  this->IsListCurrent = std::move(isCurrent);
-  this->AgeOfList = std::move(listAge);
+  this->Tables = std::move(tables);
 }
 
 /** The hosts that keep records and to which this host has links. */
@@ -92,12 +114,16 @@
   return {};
 }
 
+bool gsStreamSharing::IsListCurrent() const
+{
+  std::optional<gsTime> age = this->ListAge();
+  return age && *age <= this->Tables.MaxAge;
+}
+
+/** What follows from the replicas as they are. */
 gsStreamSharing::Inference gsStreamSharing::Infer(std::string_view route,
                                                   gsTime now) const
 {
-  if (!this->IsListCurrent || !this->IsListCurrent()) {
-    return { std::nullopt, 0, "list_not_current" };
-  }
   gsInferredVersion inferred = gsInferRouteVersion(this->Fleet, route, now);
   Inference inference;
   inference.Cause = gsVersionInferenceName(inferred.Cause);
@@ -109,18 +135,30 @@
   return inference;
 }
 
+/** The same, unless they are out of date. That several versions are in service
+ * follows from old ones as well. */
+gsStreamSharing::Inference gsStreamSharing::InferIfCurrent(
+  std::string_view route, gsTime now) const
+{
+  Inference inference = this->Infer(route, now);
+  bool hasSeveral = inference.Version == 0U;
+  return hasSeveral || this->IsListCurrent()
+           ? inference
+           : Inference{ std::nullopt, 0, ListNotCurrent };
+}
+
 /** What the result of a look-up is taken from, or why it is unknown. */
 std::string_view gsStreamSharing::SourceOf(gsStreamLookupResult const& result,
-                                           Inference const& own)
+                                           PendingLookup const& lookup)
 {
   if (!result.IsInferred) {
     return result.Version != 0 ? "peer_record" : "records_differ";
   }
-  if (result.Version != 0) {
-    return own.Version ? own.Cause : "peer_inference";
+  bool infers = lookup.Own.Version.value_or(0) != 0;
+  if (result.Version != 0 || !infers) {
+    return lookup.Own.Cause;
   }
-  bool differs = own.Version.value_or(0) != 0;
-  return differs ? "inferences_differ" : own.Cause;
+  return lookup.IsConfirmed ? "inferences_differ" : ListNotCurrent;
 }
 
 void gsStreamSharing::Send(gsStreamMessages const& messages)
@@ -136,9 +174,14 @@
                               std::uint32_t version, OnCopied copied)
 {
   gsTime now = gsLoop::Now();
-  Inference own = this->Infer(route, now);
+  Inference own = this->InferIfCurrent(route, now);
   bool isFirst = this->Fleet.Settings.IsFirstStart && own.OnlySeen == version;
   if (own.Version == version || isFirst) {
+    std::optional<gsStreamMessage> note =
+      gsStreamNote(this->Directory, this->Peers(now), stream, version, now);
+    if (note) {
+      this->Notes.push_back(std::move(*note));
+    }
     return false;
   }
   gsStreamMessages copies =
@@ -161,12 +204,69 @@
     return;
   }
   Inference own = this->Infer(route, now);
-  this->Lookups.emplace(stream, PendingLookup{ own, std::move(found) });
+  this->Lookups.emplace(stream,
+                        PendingLookup{ route, own, false, std::move(found) });
   std::uint32_t hash = gsServiceHash(route);
   std::vector<gsStreamLookupResult> results;
   this->Send(gsStreamLookUp(this->Directory, this->Peers(now), stream, hash,
                             own.Version, now, results));
   this->Deliver(results);
+  this->ConfirmInferences(now);
+}
+
+/** Reads the tables for look-ups that go by what this host infers. */
+void gsStreamSharing::ConfirmInferences(gsTime now)
+{
+  for (gsStreamId stream : gsStreamTakeUnconfirmed(this->Directory, now)) {
+    if (!this->Tables.Confirm) {
+      this->OnConfirmed(stream, false);
+      continue;
+    }
+    this->Tables.Confirm(
+      [this, stream](bool passed) { this->OnConfirmed(stream, passed); });
+  }
+}
+
+void gsStreamSharing::OnConfirmed(gsStreamId stream, bool passed)
+{
+  gsTime now = gsLoop::Now();
+  std::optional<std::uint32_t> inferred;
+  auto [first, last] = this->Lookups.equal_range(stream);
+  for (auto lookup = first; lookup != last; ++lookup) {
+    PendingLookup& pending = lookup->second;
+    pending.Own = passed ? this->Infer(pending.Route, now)
+                         : Inference{ std::nullopt, 0, ListNotCurrent };
+    pending.IsConfirmed = passed;
+    inferred = pending.Own.Version;
+  }
+  std::vector<gsStreamLookupResult> results;
+  this->Send(gsStreamConfirm(this->Directory, stream, inferred, now, results));
+  this->Deliver(results);
+}
+
+void gsStreamSharing::Withdraw(gsStreamId stream)
+{
+  gsStreamWithdraw(this->Directory, stream);
+  this->Notes.erase(std::remove_if(this->Notes.begin(), this->Notes.end(),
+                                   [stream](gsStreamMessage const& note) {
+                                     return note.Stream == stream;
+                                   }),
+                    this->Notes.end());
+}
+
+/** Sends the notes that are due, those for one host in one frame. */
+void gsStreamSharing::SendNotes(gsTime now)
+{
+  if (this->Notes.empty() || now - this->NotesSentAt < NoteInterval) {
+    return;
+  }
+  this->NotesSentAt = now;
+  std::map<std::string, std::uint32_t> lastVersions; // By host.
+  for (gsStreamMessage const& note : std::exchange(this->Notes, {})) {
+    if (gradescale::Frame* frame = this->Cluster->ToHost(note.Host)) {
+      AddNote(note, lastVersions[note.Host], *frame);
+    }
+  }
 }
 
 void gsStreamSharing::Deliver(std::vector<gsStreamLookupResult> const& results)
@@ -180,7 +280,7 @@
     this->Lookups.erase(first, last);
     for (PendingLookup const& lookup : waiting) {
       lookup.Found(
-        { result.Version, SourceOf(result, lookup.Own), result.Unanswered });
+        { result.Version, SourceOf(result, lookup), result.Unanswered });
     }
   }
 }
@@ -199,14 +299,20 @@
   gsTime now = gsLoop::Now();
   gsStreamPeers const peers = this->Peers(now);
   std::vector<gsStreamLookupResult> results;
+  std::uint32_t noteVersion = 0;
   for (gradescale::StreamVersion const& wire : frame.stream_versions()) {
     std::optional<gsStreamMessage> message = FromWire(host, wire);
     if (!message) {
       continue;
     }
+    if (message->Kind == gsStreamMessageKind::Note) {
+      noteVersion = wire.version() != 0 ? wire.version() : noteVersion;
+      message->Record = { noteVersion, frame.incarnation(), 0 };
+    }
     std::optional<std::uint32_t> inferred;
     if (message->Kind == gsStreamMessageKind::Query) {
-      inferred = this->Infer(this->NameOf(message->Service), now).Version;
+      inferred =
+        this->InferIfCurrent(this->NameOf(message->Service), now).Version;
     }
     this->Send(gsStreamReceive(this->Directory, peers, *message, inferred, now,
                                results));
@@ -215,6 +321,7 @@
     }
   }
   this->Deliver(results);
+  this->ConfirmInferences(now);
 }
 
 /** Calls back once the latest record of a stream has been copied. */
@@ -245,6 +352,8 @@
   std::vector<gsStreamLookupResult> results;
   this->Send(gsStreamTick(this->Directory, now, results));
   this->Deliver(results);
+  this->ConfirmInferences(now);
+  this->SendNotes(now);
 }
 
 void gsStreamSharing::WriteGauges(gsMetrics& metrics) const
--- a/Source/Daemon/gsStreamSharing.h
+++ b/Source/Daemon/gsStreamSharing.h
@@ -2,8 +2,9 @@
 /**
  * \file
  * Exchanges with other hosts at which software version streams began that
- * their callers may resume. gsStreamDirectory decides what is sent; hosts of
- * earlier releases, which say nothing of it in their frames, are sent nothing.
+ * their callers may resume, and reads the platform's tables where that has to
+ * be inferred. gsStreamDirectory decides what is sent; hosts of earlier
+ * releases, which say nothing of it in their frames, are sent nothing.
  */
 #pragma once
 
@@ -30,6 +31,16 @@
   std::size_t Unanswered = 0; ///< Hosts that were asked and did not reply.
 };
 
+/** What is known of the replicas of the platform's tables. */
+struct gsStreamTables
+{
+  /** See gsTableSync::Age. */
+  std::function<std::optional<gsTime>()> Age;
+  gsTime MaxAge{}; ///< Up to it, they count as up to date.
+  /** Reads what they lack; see gsTableBarrier::Request. */
+  std::function<void(std::function<void(bool)>)> Confirm;
+};
+
 class gsStreamSharing
 {
 public:
@@ -42,22 +53,20 @@
   /**
    * The cluster must outlive this object.
    *
-   * \param isCurrent Whether the list of upstreams is up to date.
-   * \param listAge Age of the list; see gsTableSync::Age.
+   * \param tables The replicas that versions are inferred from.
    */
-  void Start(gsHallCluster& cluster, std::function<bool()> isCurrent,
-             std::function<std::optional<gsTime>()> listAge);
+  void Start(gsHallCluster& cluster, gsStreamTables tables);
 
   /** Age of the list of upstreams; empty if it is not known. */
   std::optional<gsTime> ListAge() const
   {
-    return this->AgeOfList ? this->AgeOfList() : std::nullopt;
+    return this->Tables.Age ? this->Tables.Age() : std::nullopt;
   }
 
   /**
-   * Records at which version a stream is sent to an upstream, unless other
-   * hosts can infer it; at the first start of all hosts, those that read the
-   * stored rows can.
+   * Records at which version a stream is sent to an upstream. If other hosts
+   * can infer it, one of them is sent a note later; at the first start of all
+   * hosts, those that read the stored rows can.
    *
    * \param route From gsRouteHistoryName.
    * \param copied Called once another host has a copy of the record.
@@ -65,6 +74,8 @@
    */
   bool Publish(gsStreamId stream, std::string const& route,
                std::uint32_t version, OnCopied copied);
+  /** Drops the record of a stream that another host sends to an upstream. */
+  void Withdraw(gsStreamId stream);
   /** No longer calls back when a copy has arrived. */
   void StopAwaiting(gsStreamId stream) { this->Copies.erase(stream); }
 
@@ -101,14 +112,21 @@
   /** A look-up that is under way. */
   struct PendingLookup
   {
+    std::string Route;
     Inference Own;
+    bool IsConfirmed = false; ///< Own follows from tables read meanwhile.
     OnFound Found;
   };
 
   static std::string_view SourceOf(gsStreamLookupResult const& result,
-                                   Inference const& own);
+                                   PendingLookup const& lookup);
   gsStreamPeers Peers(gsTime now) const;
+  bool IsListCurrent() const;
   Inference Infer(std::string_view route, gsTime now) const;
+  Inference InferIfCurrent(std::string_view route, gsTime now) const;
+  void ConfirmInferences(gsTime now);
+  void OnConfirmed(gsStreamId stream, bool passed);
+  void SendNotes(gsTime now);
   std::string_view NameOf(std::uint32_t hash) const;
   void Send(gsStreamMessages const& messages);
   void Deliver(std::vector<gsStreamLookupResult> const& results);
@@ -116,9 +134,10 @@
 
   gsFleet& Fleet;
   gsStreamDirectory Directory;
-  gsHallCluster* Cluster = nullptr;                 ///< Set by Start.
-  std::function<bool()> IsListCurrent;              ///< Set by Start.
-  std::function<std::optional<gsTime>()> AgeOfList; ///< Set by Start.
+  gsHallCluster* Cluster = nullptr; ///< Set by Start.
+  gsStreamTables Tables;            ///< Set by Start.
+  gsStreamMessages Notes;           ///< To be sent.
+  gsTime NotesSentAt{};
   /** Hosts of earlier releases, which keep no records. */
   std::set<std::string, std::less<>> EarlierHosts;
   std::map<gsStreamId, AwaitedCopy> Copies;
--- a/Source/Daemon/gsTableSync.cxx
+++ b/Source/Daemon/gsTableSync.cxx
@@ -193,8 +193,9 @@
 {
   this->Duty.Reports.clear();
   if (this->Upstreams->IsLarge() || this->Routes->IsLarge()) {
-    // Reading a large table is costly, and the headers of coordinators show
-    // within half a second which changes were missed.
+    // Reading a large table is costly; only the changes are read.
+    this->Routes->Restart();
+    this->Upstreams->Restart();
     return;
   }
   for (gsTableWatch* watch : { this->Routes.get(), this->Upstreams.get() }) {
@@ -204,22 +205,34 @@
   this->Duty.State = gsWatchState::Uncovered;
 }
 
-bool gsTableSync::IsCurrentSince(gsTime time) const
+/** When the platform last confirmed both tables to this host; zero if it never
+ * did. */
+gsTime gsTableSync::LastAnswerAt() const
 {
-  gsTime platform = std::min(this->Routes->LastResponseTime(),
-                             this->Upstreams->LastResponseTime());
-  return platform >= time || this->LastEqualAt >= time + QueuedFrameTime;
+  return std::min(this->Routes->LastResponseTime(),
+                  this->Upstreams->LastResponseTime());
+}
+
+bool gsTableSync::HasCaughtUpSince(gsTime stallEnd) const
+{
+  bool isConfirmedByPeer =
+    this->ConfirmedByPeerAt >= stallEnd + QueuedFrameTime &&
+    this->PeerCurrentAt >= stallEnd - this->Duty.Settings.MaxTablesAge;
+  return this->LastAnswerAt() >= stallEnd || isConfirmedByPeer;
 }
 
 std::optional<gsTime> gsTableSync::Age() const
 {
-  gsTime answered = std::min(this->Routes->LastResponseTime(),
-                             this->Upstreams->LastResponseTime());
-  gsTime confirmed = std::max(answered, gsWatchedTablesCurrentAt(this->Duty));
+  gsTime confirmed = std::max(this->LastAnswerAt(), this->PeerCurrentAt);
   return confirmed.count() == 0 ? std::nullopt
                                 : std::optional(gsLoop::Now() - confirmed);
 }
 
+gsTime gsTableSync::MaxAge() const
+{
+  return this->Duty.Settings.MaxTablesAge + HeartbeatInterval;
+}
+
 gsTableWatch* gsTableSync::WatchOf(std::string_view table)
 {
   if (table == this->Adapter.Tables.Routes) {
@@ -478,8 +491,7 @@
  * report is more recent. */
 std::uint32_t gsTableSync::TablesAge() const
 {
-  gsTime answered = std::min(this->Routes->LastResponseTime(),
-                             this->Upstreams->LastResponseTime());
+  gsTime answered = this->LastAnswerAt();
   if (this->Duty.State == gsWatchState::Covered || answered.count() == 0 ||
       answered < gsWatchedTablesCurrentAt(this->Duty)) {
     return 0;
@@ -550,8 +562,12 @@
                   header->Upstreams.Version > upstreamsVersion;
   bool sameHall =
     gsHallOf(this->Cluster->Members(), host) == this->Settings.Hall;
-  if (!isBehind && sameHall) {
-    this->LastEqualAt = now;
+  // What a host has from another one may be older than that one's tables.
+  bool watches = frame.tables_age_ms() > 0;
+  if (!isBehind && sameHall && watches) {
+    this->ConfirmedByPeerAt = now;
+    this->PeerCurrentAt = std::max(
+      this->PeerCurrentAt, now - gsMilliseconds(frame.tables_age_ms()));
   }
 }
 
--- a/Source/Daemon/gsTableSync.h
+++ b/Source/Daemon/gsTableSync.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "gsAdapter.h"
@@ -81,15 +82,28 @@
   /** To be called after the process was suspended, as the replicas may be out
    * of date. */
   void OnStalled();
-  /** Whether the replicas were found to be as new as the platform's tables, or
-   * as those of another host of the hall, at the given time or later. */
-  bool IsCurrentSince(gsTime time) const;
+  /** Whether the platform, or a watching host of the hall with current tables,
+   * has confirmed the replicas since the end of a stall. */
+  bool HasCaughtUpSince(gsTime stallEnd) const;
 
   /**
-   * Time since the platform last confirmed both replicas, to this host or to a
-   * watching host of the hall that has reported since; empty if it never did.
+   * Time since the platform last confirmed both replicas: to this host, or to
+   * a watching host of the hall that has since reported the same tables. Empty
+   * if it never did.
    */
   std::optional<gsTime> Age() const;
+  /** Limit of Age while a host of the hall can watch the platform. */
+  gsTime MaxAge() const;
+
+  /** See gsTableWatch::Confirm. */
+  void ConfirmRoutes(gsTime timeLimit, std::function<void(bool)> done)
+  {
+    this->Routes->Confirm(timeLimit, std::move(done));
+  }
+  void ConfirmUpstreams(gsTime timeLimit, std::function<void(bool)> done)
+  {
+    this->Upstreams->Confirm(timeLimit, std::move(done));
+  }
 
   /** Whether this host watches the platform's tables. */
   bool IsWatching() const { return this->Duty.State != gsWatchState::Covered; }
@@ -150,6 +164,7 @@
                         gradescale::Frame const& frame);
   void ReceiveVersions(std::string const& host,
                        gradescale::Frame const& frame);
+  gsTime LastAnswerAt() const;
   void ReceiveUpdates(std::string const& host, gradescale::Frame const& frame);
   void ApplyUpdate(std::string const& host, gradescale::TableNews const& wire);
   void AnswerQueries(std::string const& host, gradescale::Frame const& frame);
@@ -197,8 +212,10 @@
   bool HasStarted = false;
   /** When this host, as a watcher, last sent a heartbeat to its hall. */
   gsTime LastHeartbeatAt{};
-  /** When this host last received a header from a host of its hall that has no
-   * changes which this host lacks. */
-  gsTime LastEqualAt{};
+  /** When this host last received a header from a watching host of its hall
+   * that has no changes which this host lacks. */
+  gsTime ConfirmedByPeerAt{};
+  /** When the platform had confirmed that host's tables. */
+  gsTime PeerCurrentAt{};
   std::unordered_map<std::string, PeerState> Peers; ///< By host.
 };
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -35,8 +35,10 @@
 
 gsTableWatch::~gsTableWatch()
 {
-  if (this->PendingCall != 0) {
-    this->Client.Cancel(this->PendingCall);
+  for (std::uint64_t call : { this->PendingCall, this->ConfirmCall }) {
+    if (call != 0) {
+      this->Client.Cancel(call);
+    }
   }
 }
 
@@ -79,6 +81,57 @@
   }
 }
 
+void gsTableWatch::Confirm(gsTime timeLimit, std::function<void(bool)> done)
+{
+  if (this->ConfirmCall != 0) {
+    this->Client.Cancel(std::exchange(this->ConfirmCall, 0));
+  }
+  if (!this->IsInitialized()) {
+    done(false);
+    return;
+  }
+  std::uint64_t after = this->Replica.ReceivedVersion;
+  gsCall call = this->Adapter.MakeWatchCall(
+    this->Settings.PlatformAddress, this->Settings.TableName, after, gsTime{});
+  ++this->CallsMade;
+  call.ConnectTimeout = std::min(ConnectTimeout, timeLimit);
+  call.TotalTimeout = timeLimit;
+  call.Reuse = true;
+  this->ConfirmCall =
+    gsFetch(this->Client, std::move(call),
+            [this, after, done = std::move(done)](gsAnswer const& answer) {
+              this->ConfirmCall = 0;
+              done(this->ApplyConfirmation(answer, after));
+            });
+}
+
+/** \return Whether the answer has brought the replica up to date. */
+bool gsTableWatch::ApplyConfirmation(gsAnswer const& answer,
+                                     std::uint64_t after)
+{
+  gsTableReadResult result = this->Adapter.ParseTableResponse(answer);
+  if (result.Error == gsTableReadError::HistoryExpired) {
+    this->Refresh("history_gone");
+  }
+  bool isOld = result.Page && result.Page->Version < after;
+  if (!result.Page || isOld) {
+    return false;
+  }
+  this->ApplyPage(*result.Page);
+  return !result.Page->HasMore;
+}
+
+void gsTableWatch::Restart()
+{
+  if (this->PendingCall != 0) {
+    this->Client.Cancel(std::exchange(this->PendingCall, 0));
+    this->StallTimer.Stop();
+    this->StopTimers();
+    this->StartWatch();
+  }
+  this->Confirm(ProgressTimeout, [](bool /*succeeded*/) {});
+}
+
 /** Makes the next call after one that failed. */
 void gsTableWatch::RetryCall()
 {
@@ -242,13 +295,7 @@
     this->ScheduleRetry(result, "watch");
     return;
   }
-  this->RecordResponse();
-  bool changed = gsTableReplicaApplyPage(
-    this->Replica, result.Page->Rows, result.Page->Version,
-    this->IsInReturnGracePeriod(), gsLoop::Now());
-  if (changed) {
-    this->OnChange();
-  }
+  this->ApplyPage(*result.Page);
   if (result.Page->Rows.empty()) {
     this->StartWatch();
   } else {
@@ -256,6 +303,18 @@
   }
 }
 
+/** Applies changes since the replica's version. */
+void gsTableWatch::ApplyPage(gsTablePage const& page)
+{
+  this->RecordResponse();
+  bool changed =
+    gsTableReplicaApplyPage(this->Replica, page.Rows, page.Version,
+                            this->IsInReturnGracePeriod(), gsLoop::Now());
+  if (changed) {
+    this->OnChange();
+  }
+}
+
 void gsTableWatch::RecordResponse()
 {
   gsTime now = gsLoop::Now();
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -85,6 +85,18 @@
    * pending. */
   void ReadOnce();
 
+  /**
+   * Reads the changes that the replica lacks, beside a pending call. Calls
+   * back with whether the replica is at least as new as the table was when
+   * this was called. A call that is still under way is cancelled without
+   * calling back.
+   */
+  void Confirm(gsTime timeLimit, std::function<void(bool)> done);
+
+  /** Drops what the pending call may have received before the process was
+   * suspended, and reads the changes since. */
+  void Restart();
+
   /** Cancels the pending call and reads the whole table immediately. The cause
    * is logged. */
   void Refresh(char const* cause);
@@ -159,6 +171,8 @@
   void StartWatch();
   void StopTimers();
   void OnWatchCompleted(gsAnswer const& answer);
+  bool ApplyConfirmation(gsAnswer const& answer, std::uint64_t after);
+  void ApplyPage(gsTablePage const& page);
   using CallHandler = void (gsTableWatch::*)(gsAnswer const&);
   void StartCall(gsCall call, gsTime responseTimeout, CallHandler done);
   void OnCallStalled();
@@ -184,6 +198,7 @@
   gsTime SnapshotAt{}; ///< When the last full read completed; zero if never.
   std::uint64_t PendingCall = 0; ///< Pending call; zero if there is none.
   CallHandler PendingHandler = nullptr; ///< Of the pending call.
+  std::uint64_t ConfirmCall = 0; ///< Call of Confirm; zero if there is none.
   std::uint64_t CallsMade = 0;
   gsTime LastResponseAt{}; ///< When the platform last answered; zero if never.
   gsTime LastCurrentAt{};  ///< Last time at which the replica was current.
--- a/Source/Daemon/gsVersionKeeper.cxx
+++ b/Source/Daemon/gsVersionKeeper.cxx
@@ -1,6 +1,7 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsVersionKeeper.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -30,8 +31,10 @@
 
 gsVersionKeeper::~gsVersionKeeper()
 {
-  if (this->PendingCall != 0) {
-    this->Client.Cancel(this->PendingCall);
+  for (std::uint64_t call : { this->PendingCall, this->Confirming.Call }) {
+    if (call != 0) {
+      this->Client.Cancel(call);
+    }
   }
 }
 
@@ -157,6 +160,56 @@
   }
 }
 
+void gsVersionKeeper::Confirm(gsTime timeLimit, std::function<void(bool)> done)
+{
+  if (this->Confirming.Call != 0) {
+    this->Client.Cancel(this->Confirming.Call);
+  }
+  gsTime now = gsLoop::Now();
+  this->Confirming = { 0, now, now + timeLimit, {}, std::move(done) };
+  this->ReadConfirmation({});
+}
+
+/** Reads a page of the rows. */
+void gsVersionKeeper::ReadConfirmation(std::string const& fromKey)
+{
+  gsCall call = this->Adapter.MakeReadCall(
+    this->Settings.Platform.Address, this->Adapter.Tables.Versions, fromKey);
+  call.TotalTimeout = std::max(this->Confirming.Deadline - gsLoop::Now(),
+                               gsTime(gsMilliseconds(1)));
+  call.ConnectTimeout = std::min(ConnectTimeout, call.TotalTimeout);
+  call.Reuse = true;
+  this->Confirming.Call =
+    gsFetch(this->Client, std::move(call), [this](gsAnswer const& answer) {
+      this->Confirming.Call = 0;
+      bool succeeded = this->ApplyConfirmation(answer);
+      if (this->Confirming.Call == 0) {
+        std::exchange(this->Confirming.Done, nullptr)(succeeded);
+      }
+    });
+}
+
+/** Applies a page, and reads the next one if there is one. \return Whether all
+ * rows are known. */
+bool gsVersionKeeper::ApplyConfirmation(gsAnswer const& answer)
+{
+  gsTableReadResult result = this->Adapter.ParseTableResponse(answer);
+  if (!result.Page || !result.Page->ClockMillis) {
+    return false;
+  }
+  for (gsTableRow const& row : result.Page->Rows) {
+    this->Confirming.Rows[row.Key] = { row.Version, row.Value };
+  }
+  if (result.Page->HasMore && !result.Page->Rows.empty()) {
+    this->ReadConfirmation(result.Page->Rows.back().Key + '\0');
+    return false;
+  }
+  gsMergeVersionRows(
+    this->Store, this->Fleet, this->Confirming.Rows,
+    { *result.Page->ClockMillis, this->Confirming.AskedAt, gsLoop::Now() });
+  return true;
+}
+
 void gsVersionKeeper::Write(gsVersionStoreCall const& call)
 {
   gsRowWrite write;
--- a/Source/Daemon/gsVersionKeeper.h
+++ b/Source/Daemon/gsVersionKeeper.h
@@ -42,9 +42,31 @@
     gsListedUpstream const& upstream) const;
   /** Starts a call if one is due; to be called several times per second. */
   void Tick(gsTime now);
+  /**
+   * Reads the rows, beside a pending call. Calls back with whether this host
+   * knows what they said when this was called, or later. A read that is still
+   * under way is cancelled without calling back.
+   */
+  void Confirm(gsTime timeLimit, std::function<void(bool)> done);
 
 private:
+  /** Rows by key: version and value. */
+  using VersionRows =
+    std::map<std::string, std::pair<std::uint64_t, std::string>>;
+
+  /** A read of all rows beside the calls of Store. */
+  struct Confirmation
+  {
+    std::uint64_t Call = 0; ///< Pending call; zero if there is none.
+    gsTime AskedAt{};
+    gsTime Deadline{};
+    VersionRows Rows; ///< Of the pages received so far.
+    std::function<void(bool)> Done;
+  };
+
   gsVersionStoreDuty Duty(gsTime now) const;
+  void ReadConfirmation(std::string const& fromKey);
+  bool ApplyConfirmation(gsAnswer const& answer);
   void StartCall(gsCall call, std::function<void(gsAnswer const&)> done);
   void Read(std::string const& fromKey);
   void OnReadCompleted(gsAnswer const& answer, gsTime askedAt);
@@ -58,9 +80,8 @@
   gsSettings const& Settings;
   gsFleet& Fleet;
   gsVersionStore Store;
-  /** Rows of the pages received so far of the current read, by key: version
-   * and value. */
-  std::map<std::string, std::pair<std::uint64_t, std::string>> ReadRows;
+  VersionRows ReadRows; ///< Of the pages received so far of the current read.
+  Confirmation Confirming;
   gsHallCluster* Cluster = nullptr;    ///< Set by Start.
   gsTableSync const* Tables = nullptr; ///< Set by Start.
   std::uint64_t PendingCall = 0; ///< Pending call; zero if there is none.
--- a/Tests/Unit/gsTestStreamDirectory.cxx
+++ b/Tests/Unit/gsTestStreamDirectory.cxx
@@ -533,7 +533,9 @@
   EXPECT_EQ(results[0].Version, 0U);
 }
 
-TEST(StreamDirectory, AHostThatCannotTellLeavesItToOthers)
+// Guards against a stream that goes on at another version: what other hosts
+// infer may be out of date.
+TEST(StreamDirectory, WhatOtherHostsInferProvesNothing)
 {
   gsStreamDirectory asker;
   gsStreamDirectory other;
@@ -552,7 +554,169 @@
     gsStreamReceive(asker, peers, replies[0], 0U, gsSeconds(1), results);
   }
   ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].Version, 0U);
+}
+
+namespace {
+
+gsStreamMessage MakeReply(std::string const& host, std::uint32_t inferred)
+{
+  gsStreamMessage reply;
+  reply.Host = host;
+  reply.Kind = gsStreamMessageKind::Reply;
+  reply.Stream = 7;
+  reply.Record.Version = inferred;
+  reply.Flag = true;
+  return reply;
+}
+
+} // namespace
+
+// Guards against a stream that goes on at another version at a host that is
+// out of step, and that nobody answers.
+TEST(StreamDirectory, AnInferenceCountsOnlyOnceTheTablesWereRead)
+{
+  gsStreamPeers peers;
+  peers.Coordinators = { "a" };
+  for (bool reads : { true, false }) {
+    gsStreamDirectory directory;
+    gsTime now = gsSeconds(1);
+    std::vector<gsStreamLookupResult> results;
+    gsStreamLookUp(directory, peers, 7, 0, 3, now, results);
+    EXPECT_TRUE(gsStreamTakeUnconfirmed(directory, now).empty());
+    now += directory.Settings.ConfirmDelay;
+    EXPECT_EQ(gsStreamTakeUnconfirmed(directory, now).size(), 1U);
+    EXPECT_TRUE(gsStreamTakeUnconfirmed(directory, now).empty());
+    now = gsSeconds(1) + directory.Settings.LookupTimeout;
+    gsStreamTick(directory, now, results);
+    EXPECT_TRUE(results.empty());
+    if (reads) {
+      gsStreamConfirm(directory, 7, 3, now, results);
+    } else {
+      gsStreamTick(directory, gsSeconds(1) + directory.Settings.ConfirmTimeout,
+                   results);
+    }
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0].Version, reads ? 3U : 0U);
+    EXPECT_EQ(results[0].Unanswered, 1U);
+  }
+}
+
+TEST(StreamDirectory, AHostWithoutOthersConfirmsItsInferenceAtOnce)
+{
+  gsStreamDirectory directory;
+  std::vector<gsStreamLookupResult> results;
+  gsStreamLookUp(directory, {}, 7, 0, 3, gsSeconds(1), results);
+  EXPECT_TRUE(results.empty());
+  ASSERT_EQ(gsStreamTakeUnconfirmed(directory, gsSeconds(1)).size(), 1U);
+  gsStreamConfirm(directory, 7, 3, gsSeconds(1), results);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].Version, 3U);
+}
+
+// Guards against taking a version for the only one that the tables no longer
+// say is, or that a host which has seen another one contradicts.
+TEST(StreamDirectory, ReadsAndRepliesVoidAnInference)
+{
+  gsStreamPeers peers;
+  peers.Coordinators = { "a" };
+  for (std::optional<std::uint32_t> read :
+       { std::optional<std::uint32_t>(), std::optional<std::uint32_t>(0),
+         std::optional<std::uint32_t>(4) }) {
+    gsStreamDirectory directory;
+    std::vector<gsStreamLookupResult> results;
+    gsStreamLookUp(directory, peers, 7, 0, 3, gsSeconds(1), results);
+    gsStreamReceive(directory, peers, MakeReply("a", 3), 0, gsSeconds(1),
+                    results);
+    ASSERT_EQ(gsStreamTakeUnconfirmed(directory, gsSeconds(1)).size(), 1U);
+    gsStreamConfirm(directory, 7, read, gsSeconds(1), results);
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0].Version, 0U);
+  }
+  gsStreamDirectory directory;
+  std::vector<gsStreamLookupResult> results;
+  gsStreamLookUp(directory, peers, 7, 0, 3, gsSeconds(1), results);
+  gsStreamReceive(directory, peers, MakeReply("a", 4), 0, gsSeconds(1),
+                  results);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].Version, 0U);
+}
+
+// A record is proof, whatever is inferred meanwhile.
+TEST(StreamDirectory, ARecordThatArrivesEndsALookUpThatIsBeingConfirmed)
+{
+  gsStreamDirectory directory;
+  std::vector<gsStreamLookupResult> results;
+  gsStreamLookUp(directory, {}, 7, 0, 3, gsSeconds(1), results);
+  ASSERT_EQ(gsStreamTakeUnconfirmed(directory, gsSeconds(1)).size(), 1U);
+  gsStreamMessage copy;
+  copy.Host = "a";
+  copy.Kind = gsStreamMessageKind::Record;
+  copy.Stream = 7;
+  copy.Record = { 4, 9, 1 };
+  gsStreamReceive(directory, {}, copy, 0, gsSeconds(1), results);
+  ASSERT_EQ(results.size(), 1U);
   EXPECT_EQ(results[0].Version, 4U);
+  EXPECT_FALSE(results[0].IsInferred);
+  gsStreamConfirm(directory, 7, 3, gsSeconds(1), results);
+  EXPECT_EQ(results.size(), 1U);
+}
+
+TEST(StreamDirectory, ANoteIsKeptByOneCoordinatorAndByItsHost)
+{
+  gsStreamDirectory host;
+  host.Settings.Origin = 1;
+  gsStreamPeers peers;
+  peers.Coordinators = { "a", "b", "c" };
+  peers.OtherHalls = { "x" };
+  std::optional<gsStreamMessage> note =
+    gsStreamNote(host, peers, 7, 3, gsSeconds(1));
+  ASSERT_TRUE(note.has_value());
+  EXPECT_EQ(gsStreamFind(host, 7, gsSeconds(1)), 3U);
+  gsStreamDirectory coordinator;
+  note->Record.Origin = 1;
+  std::vector<gsStreamLookupResult> results;
+  EXPECT_TRUE(
+    gsStreamReceive(coordinator, {}, *note, 0, gsSeconds(1), results).empty());
+  EXPECT_EQ(gsStreamFind(coordinator, 7, gsSeconds(1)), 3U);
+  EXPECT_FALSE(gsStreamNote(host, {}, 8, 3, gsSeconds(1)).has_value());
+}
+
+// Guards against a note that is sent late: it does not replace the record of
+// the version that the stream began at in the end.
+TEST(StreamDirectory, ALateNoteDoesNotReplaceARecord)
+{
+  gsStreamDirectory coordinator;
+  gsStreamMessage message;
+  message.Host = "sender";
+  message.Kind = gsStreamMessageKind::Record;
+  message.Stream = 7;
+  message.Record = { 4, 9, 2 };
+  std::vector<gsStreamLookupResult> results;
+  gsStreamReceive(coordinator, {}, message, 0, gsSeconds(1), results);
+  message.Kind = gsStreamMessageKind::Note;
+  message.Record = { 3, 9, 0 };
+  gsStreamReceive(coordinator, {}, message, 0, gsSeconds(1), results);
+  EXPECT_EQ(gsStreamFind(coordinator, 7, gsSeconds(1)), 4U);
+}
+
+// Guards against a record of a version that the stream was sent to in vain
+// before another host began it.
+TEST(StreamDirectory, AHostWithdrawsItsOwnRecordOnly)
+{
+  gsStreamDirectory directory;
+  directory.Settings.Origin = 1;
+  gsStreamPublish(directory, {}, 7, 3, gsSeconds(1));
+  gsStreamWithdraw(directory, 7);
+  EXPECT_FALSE(gsStreamFind(directory, 7, gsSeconds(1)).has_value());
+  gsStreamMessage copy;
+  copy.Kind = gsStreamMessageKind::Record;
+  copy.Stream = 7;
+  copy.Record = { 4, 2, 1 };
+  std::vector<gsStreamLookupResult> results;
+  gsStreamReceive(directory, {}, copy, 0, gsSeconds(1), results);
+  gsStreamWithdraw(directory, 7);
+  EXPECT_EQ(gsStreamFind(directory, 7, gsSeconds(1)), 4U);
 }
 
 TEST(StreamDirectory, RecordsAreEvictedAfterTheirTimeAndAboveTheLimit)
@@ -589,3 +753,22 @@
   wire.set_revision(gsStreamMessage::VoidRevision);
   EXPECT_EQ(wire.SerializeAsString(), begin + "\x28\x01" + flag);
 }
+
+// The same of notes: one that follows another of the same version leaves the
+// version out, and hosts of earlier releases pass over the kind.
+TEST(StreamDirectory, NotesAreReadAsRecorded)
+{
+  std::string const first("\x08\x05\x11\x07\0\0\0\0\0\0\0\x1d\x03\0\0\0", 16);
+  std::string const next("\x08\x05\x11\x08\0\0\0\0\0\0\0", 11);
+  gradescale::StreamVersion wire;
+  ASSERT_TRUE(wire.ParseFromString(first));
+  EXPECT_EQ(wire.kind(),
+            static_cast<std::uint32_t>(gsStreamMessageKind::Note));
+  EXPECT_EQ(wire.stream(), 7U);
+  EXPECT_EQ(wire.version(), 3U);
+  EXPECT_EQ(wire.SerializeAsString(), first);
+  ASSERT_TRUE(wire.ParseFromString(next));
+  EXPECT_EQ(wire.stream(), 8U);
+  EXPECT_EQ(wire.version(), 0U);
+  EXPECT_EQ(wire.SerializeAsString(), next);
+}
