Routing: Drops the record of a stream that another host begins

Callers saw streams that had begun at v2 go on at v1 at the host that they had sent them to first.

Cause: a host records the version of the upstream that it chooses before the attempt is made. If no connection came up, and the request was forwarded to another host, the record stayed. The other host began the stream at a version of its own and recorded that; the first one went by its own record, and only a copy of the other's, which goes to some hosts, made the version ambiguous.

The host drops its own record when it forwards a request that has not begun; one of a stream that is taken up is kept.

--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -458,6 +458,17 @@
     isCopied ? gsLoop::Now() + MaxCopyWait : gsTime{};
 }
 
+/** Drops the record of a stream that another host now sends to an upstream,
+ * maybe one of another version, and records it itself. */
+void gsRouteGateway::WithdrawRecord(gsRoutedRequest& request)
+{
+  bool isOwnRecord = request.RecordedVersion && !request.RequiredVersion;
+  if (isOwnRecord && this->Streams != nullptr) {
+    request.RecordedVersion.reset();
+    this->Streams->Withdraw(request.Stream);
+  }
+}
+
 /** Whether the first event of a stream may be passed on: if this host failed
  * afterwards, another one would know the version at which to resume it. */
 bool gsRouteGateway::MayRelay(RequestPtr const& request,
@@ -552,6 +563,7 @@
       this->RequestForwarder.ShouldForward(*request, placement, now) &&
       this->RequestForwarder.TryForward(
         request, gsPlacementCauseName(placement.Cause), now)) {
+    this->WithdrawRecord(*request);
     return;
   }
   if (placement.Row != nullptr) {
--- a/Source/Daemon/gsRouteGateway.h
+++ b/Source/Daemon/gsRouteGateway.h
@@ -216,6 +216,7 @@
   void LogResumption(gsRoutedRequest const& request,
                      gsFoundVersion const& found, gsTime lookUpTime);
   void RecordVersion(RequestPtr const& request, std::uint32_t version);
+  void WithdrawRecord(gsRoutedRequest& request);
   bool MayRelay(RequestPtr const& request, gsAttempt const& attempt);
   void OnRecordCopied(RequestPtr const& request);
   void RefuseSuspect(RequestPtr const& request, gsSuspicionLevel suspicion);
