Tests: Odd rows among those of the runners (red)

Rows that another writer may leave: nested 24,000 deep, numbers and ports out of range, values that are no base64, bytes that are no text, and rows in the format between hosts; against the parser, and on real processes.

On this code all hosts end by themselves in OddRows.HostsServeAndFollowTheTableBesideThem: a value of padding only, such as "====", has more padding than decoded bytes, and the exception of the resize is not one that the parser catches. Six tests of the parser fail: a record that cannot be read makes its page unreadable, times overflow, a birth in the far future shadows the rows after it, and what is out of range in the format between hosts is taken.

--- a/Source/Daemon/gsAdapter.h
+++ b/Source/Daemon/gsAdapter.h
@@ -81,8 +81,9 @@
 struct gsTablePage
 {
   std::vector<gsTableRow> Rows;
-  std::uint64_t Version = 0; ///< All changes up to it are included.
-  bool HasMore = false;      ///< The read continues after the last row.
+  std::uint64_t Version = 0;      ///< All changes up to it are included.
+  bool HasMore = false;           ///< The read continues after the last row.
+  std::size_t UnreadableRows = 0; ///< Records that were passed over.
   /** Of the platform's steady clock, in milliseconds; empty if not given. */
   std::optional<std::int64_t> ClockMillis;
 };
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -537,6 +537,13 @@
     { { "table", "servers" }, { "key", this->RunnerIds.at(runner) } });
 }
 
+void gsRoutedSystem::ListOdd(std::string const& key, std::string const& base64)
+{
+  this->Fetch(
+    "POST", "http://" + this->Processes.At("store").Address + "/put",
+    { { "table", "servers" }, { "key", key }, { "base64", base64 } });
+}
+
 void gsRoutedSystem::Evacuate(int hall, bool evacuated)
 {
   gsJson body{ { "table", "op" },
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -149,6 +149,8 @@
   /** Writes a runner's row. */
   void List(std::string const& runner, bool leaving);
   void Unlist(std::string const& runner);
+  /** Writes a row of the upstreams' table as another writer would. */
+  void ListOdd(std::string const& key, std::string const& base64);
   /** Asks for nothing new to be sent to a hall, or takes that back. */
   void Evacuate(int hall, bool evacuated);
   /** A call to a stand-in's control. */
--- a/Tests/StandIns/gsStandInStore.cxx
+++ b/Tests/StandIns/gsStandInStore.cxx
@@ -5,8 +5,9 @@
  * it: reading a table, watching it and writing rows on a condition; and for
  * the platform's calls on duties, whose checks it makes: fencing tokens, one
  * count a window, one holder at a time. Its own calls are POST /put
- * {"table", "key", "value": JSON}, POST /remove {"table", "key"}, both
- * answered with the row's version, and POST /control
+ * {"table", "key", "value": JSON} or, with any bytes, {"table", "key",
+ * "base64": TEXT}, POST /remove {"table", "key"}, all answered with the row's
+ * version, and POST /control
  * {"mode": "pass" | "silent" | "busy" | "forget"}; forget drops the history
  * once, so that every watch gets 410. GET /duties tells what was reported and
  * ordered, who held the duty last, and what broke a rule.
@@ -235,7 +236,9 @@
     Row& row = this->Tables[body["table"]][body["key"]];
     row.Version = ++this->Version;
     row.Gone = remove;
-    row.Value = remove ? std::string() : Encode(body["value"].dump());
+    row.Value = body.contains("base64") ? body["base64"].get<std::string>()
+                : remove                ? std::string()
+                                        : Encode(body["value"].dump());
     gsAnswerJson(exchange, { { "ver", this->Version } });
     this->Notify();
   }
