Platform: Passes over rows that cannot be read, and limits what they say

- One record that cannot be read made the whole page unreadable.
The watch asked for the same page again and followed the table no longer.
Records are passed over one by one, and counted in table_rows_unreadable.
- Times were unlimited: 1e308 ms overflowed when it was added to the current time, with another result on x86-64 than on arm64.
They are limited to between zero and a year.

Ruled out: deep nesting, up to 48,000 levels in a row of 64 KiB, ends no host; the parser and the values' destructor keep their own stack.

--- a/Source/Core/gsUpstreamText.cxx
+++ b/Source/Core/gsUpstreamText.cxx
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cstdint>
+#include <limits>
 
 namespace {
 
@@ -24,6 +25,9 @@
   FieldCount
 };
 
+/** A year. */
+constexpr std::uint64_t MaxColdMillis = std::uint64_t(1000) * 3600 * 24 * 365;
+
 constexpr std::uint64_t LeavingFlag = 1;
 constexpr std::uint64_t WithdrawableFlag = 2;
 /** Position of the software version within the flags. Releases that do not
@@ -112,7 +116,10 @@
   std::optional<std::uint64_t> startedAt = ParseNumber((*fields)[StartedAt]);
   std::optional<std::uint64_t> coldMillis =
     ParseNumber((*fields)[RemainingColdMillis]);
-  if (!slots || !flags || !startedAt || !coldMillis) {
+  bool isInRange = slots && flags && startedAt && coldMillis &&
+                   *slots <= std::numeric_limits<std::uint32_t>::max() &&
+                   *coldMillis <= MaxColdMillis;
+  if (!isInRange) {
     return std::nullopt;
   }
   gsListedUpstream upstream;
--- a/Source/Daemon/gsTableWatch.cxx
+++ b/Source/Daemon/gsTableWatch.cxx
@@ -109,7 +109,7 @@
 bool gsTableWatch::ApplyConfirmation(gsAnswer const& answer,
                                      std::uint64_t after)
 {
-  gsTableReadResult result = this->Adapter.ParseTableResponse(answer);
+  gsTableReadResult result = this->Parse(answer);
   if (result.Error == gsTableReadError::HistoryExpired) {
     this->Refresh("history_gone");
   }
@@ -223,7 +223,7 @@
 
 void gsTableWatch::OnReadCompleted(gsAnswer const& answer)
 {
-  gsTableReadResult result = this->Adapter.ParseTableResponse(answer);
+  gsTableReadResult result = this->Parse(answer);
   if (!result.Page) {
     this->ScheduleRetry(result, "read");
     return;
@@ -281,9 +281,22 @@
                   &gsTableWatch::OnWatchCompleted);
 }
 
-void gsTableWatch::OnWatchCompleted(gsAnswer const& answer)
+/** Parses an answer, and logs that it has rows which cannot be read. */
+gsTableReadResult gsTableWatch::Parse(gsAnswer const& answer) const
 {
   gsTableReadResult result = this->Adapter.ParseTableResponse(answer);
+  if (result.Page && result.Page->UnreadableRows > 0) {
+    gsLogLine("table_rows_unreadable", gsLogLevel::Warn)
+      .With("table", this->Settings.TableName)
+      .With("version", result.Page->Version)
+      .With("rows", std::uint64_t(result.Page->UnreadableRows));
+  }
+  return result;
+}
+
+void gsTableWatch::OnWatchCompleted(gsAnswer const& answer)
+{
+  gsTableReadResult result = this->Parse(answer);
   if (!result.Page) {
     if (result.Error == gsTableReadError::HistoryExpired) {
       gsLogLine("table_history_gone", gsLogLevel::Warn)
--- a/Source/Daemon/gsTableWatch.h
+++ b/Source/Daemon/gsTableWatch.h
@@ -171,6 +171,7 @@
   void StartWatch();
   void StopTimers();
   void OnWatchCompleted(gsAnswer const& answer);
+  gsTableReadResult Parse(gsAnswer const& answer) const;
   bool ApplyConfirmation(gsAnswer const& answer, std::uint64_t after);
   void ApplyPage(gsTablePage const& page);
   using CallHandler = void (gsTableWatch::*)(gsAnswer const&);
