Tests: Versions that come and go while hosts are cut off or stand still

A seeded soak of six hosts and six runners of two versions: versions are listed and go, runners and hosts are killed, hosts and halls are cut off from others, from the store or from both, one way too, for 0.2 to 5 s, and hosts stand still for 0.2 to 3 s, all in series and overlapping, while callers take their streams up anywhere.

--- a/Tests/Soak/gsTestOutOfStep.cxx
+++ b/Tests/Soak/gsTestOutOfStep.cxx
@@ -8,9 +8,14 @@
  */
 #include <algorithm>
 #include <csignal>
-#include <ostream>
+#include <cstdint>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -378,3 +383,331 @@
   EXPECT_GT(rests.size(), 0U);
   CheckRests(rests, "v1");
 }
+
+namespace {
+
+/** A stream over the tries of its caller. */
+struct StreamOfTries
+{
+  std::string FirstId;  ///< Of the try that brought the first event.
+  std::string Body;     ///< The whole events of all tries.
+  gsRoutedReplyPtr Try; ///< The one under way; null once it is over.
+  int Tries = 1;
+};
+
+/** Callers that take their streams up again anywhere, while versions come and
+ * go, runners and hosts are killed, and hosts are cut off or stand still. */
+class VersionsAndCuts
+{
+public:
+  VersionsAndCuts(gsRoutedSystem& system, std::uint64_t seed)
+    : System(system)
+    , Random(seed)
+  {
+    for (std::string const& runner : system.Runners()) {
+      if (system.VersionOf(runner) == "v1") {
+        this->Listed.insert(runner);
+      }
+    }
+  }
+
+  void Run(gsTime length)
+  {
+    gsTime const end = gsLoop::Now() + length;
+    gsTime nextFault = gsLoop::Now();
+    while (gsLoop::Now() < end) {
+      if (gsLoop::Now() >= nextFault) {
+        nextFault = gsLoop::Now() + this->DrawTime(0.2, 1.2);
+        this->Fail();
+      }
+      this->Mend(gsLoop::Now());
+      this->Begin();
+      this->GoOn();
+      this->System.RunFor(0.05);
+    }
+    this->Mend(gsTime::max());
+    this->System.RunUntil([this] {
+      this->GoOn();
+      return std::all_of(
+        this->Streams.begin(), this->Streams.end(),
+        [](StreamOfTries const& stream) { return stream.Try == nullptr; });
+    });
+  }
+
+  std::vector<StreamOfTries> Streams;
+
+private:
+  /** What ends a fault, and when. */
+  struct Repair
+  {
+    gsTime At{};
+    std::function<void()> Do;
+  };
+
+  std::size_t Pick(std::size_t count)
+  {
+    return std::uniform_int_distribution<std::size_t>(0,
+                                                      count - 1)(this->Random);
+  }
+
+  gsTime DrawTime(double from, double to)
+  {
+    return gsFromSeconds(
+      std::uniform_real_distribution<double>(from, to)(this->Random));
+  }
+
+  std::string const& PickOf(std::vector<std::string> const& names)
+  {
+    return names[this->Pick(names.size())];
+  }
+
+  void Begin()
+  {
+    StreamOfTries stream;
+    stream.Try =
+      this->System.Send(this->PickOf(this->System.Hosts()), "resume");
+    stream.FirstId = stream.Try->Id;
+    this->Streams.push_back(stream);
+  }
+
+  void Fail()
+  {
+    switch (this->Pick(5)) {
+      case 0:
+        this->ChangeList();
+        break;
+      case 1:
+        this->ChangeVersion();
+        break;
+      case 2:
+        this->Kill();
+        break;
+      case 3:
+        this->Cut();
+        break;
+      default:
+        this->Freeze();
+        break;
+    }
+  }
+
+  /** Lists a runner, or removes it from the list; one at least is left. */
+  void ChangeList()
+  {
+    std::string const& runner = this->PickOf(this->System.Runners());
+    if (this->Listed.count(runner) == 0) {
+      this->Listed.insert(runner);
+      this->System.List(runner, false);
+    } else if (this->Listed.size() > 1) {
+      this->Listed.erase(runner);
+      this->System.Unlist(runner);
+    }
+  }
+
+  /** Lists the runners of one version only; the others end. */
+  void ChangeVersion()
+  {
+    char const* version = this->Pick(2) == 0 ? "v1" : "v2";
+    for (std::string const& runner : this->System.Runners()) {
+      if (this->System.VersionOf(runner) == version) {
+        this->Listed.insert(runner);
+        this->System.List(runner, false);
+      }
+    }
+    for (std::string const& runner : this->System.Runners()) {
+      if (this->System.VersionOf(runner) != version &&
+          this->Listed.erase(runner) != 0) {
+        this->System.Unlist(runner);
+        this->KillProcess(runner, 0.3);
+      }
+    }
+  }
+
+  void KillProcess(std::string const& process, double seconds)
+  {
+    if (!this->Down.insert(process).second) {
+      return;
+    }
+    this->System.Signal(process, SIGKILL);
+    this->Repairs.push_back(
+      { gsLoop::Now() + gsFromSeconds(seconds), [this, process] {
+         this->Down.erase(process);
+         this->System.Restart(process);
+         bool isRunner = process.rfind("runner", 0) == 0;
+         bool isListed = this->Listed.count(process) != 0;
+         if (isRunner && isListed) {
+           this->System.List(process, false);
+         } else if (isRunner) {
+           this->System.Unlist(process);
+         }
+       } });
+  }
+
+  void Kill()
+  {
+    bool isRunner = this->Pick(2) == 0;
+    this->KillProcess(
+      this->PickOf(isRunner ? this->System.Runners() : this->System.Hosts()),
+      0.5);
+  }
+
+  /** Cuts a host or a hall off from the others, from the store or from both,
+   * for 0.2 to 5 s. */
+  void Cut()
+  {
+    std::set<std::string> cut{ this->PickOf(this->System.Hosts()) };
+    if (this->Pick(2) == 0) {
+      for (std::string const& host : this->System.Hosts()) {
+        if (this->System.HallOf(host) == this->System.HallOf(*cut.begin())) {
+          cut.insert(host);
+        }
+      }
+    }
+    std::size_t const from = this->Pick(3);
+    bool const isOneWay = this->Pick(4) == 0;
+    std::vector<std::string> links;
+    for (std::string const& host : cut) {
+      if (from != 0) {
+        links.push_back("store:" + host);
+      }
+      for (std::string const& other : this->System.Hosts()) {
+        if (from != 1 && cut.count(other) == 0) {
+          links.push_back("peer:" + host + ">" + other);
+          if (!isOneWay) {
+            links.push_back("peer:" + other + ">" + host);
+          }
+        }
+      }
+    }
+    this->System.Links(links, { { "mode", "hole" } });
+    this->Repairs.push_back(
+      { gsLoop::Now() + this->DrawTime(0.2, 5.0), [this, links] {
+         this->System.Links(links, { { "mode", "pass" } });
+       } });
+  }
+
+  /** Has a host stand still for 0.2 to 3 s. */
+  void Freeze()
+  {
+    std::string const host = this->PickOf(this->System.Hosts());
+    if (!this->Down.insert(host).second) {
+      return;
+    }
+    this->System.Signal(host, SIGSTOP);
+    this->Repairs.push_back(
+      { gsLoop::Now() + this->DrawTime(0.2, 3.0), [this, host] {
+         this->Down.erase(host);
+         this->System.Signal(host, SIGCONT);
+       } });
+  }
+
+  void Mend(gsTime now)
+  {
+    std::vector<Repair> left;
+    for (Repair& repair : std::exchange(this->Repairs, {})) {
+      if (repair.At <= now) {
+        repair.Do();
+      } else {
+        left.push_back(std::move(repair));
+      }
+    }
+    this->Repairs.insert(this->Repairs.end(), left.begin(), left.end());
+  }
+
+  /** Adds what came of tries that are over, and begins the next ones. */
+  void GoOn()
+  {
+    constexpr int mostTries = 4;
+    for (StreamOfTries& stream : this->Streams) {
+      if (stream.Try == nullptr || !stream.Try->Done) {
+        continue;
+      }
+      gsRoutedReply broken = *stream.Try;
+      std::size_t events = broken.Body.rfind("\n\n");
+      bool hasEvents = broken.Status == 200 && events != std::string::npos;
+      stream.Body += hasEvents ? broken.Body.substr(0, events + 2) : "";
+      bool goesOn =
+        !broken.Good() && !stream.Body.empty() && stream.Tries++ < mostTries;
+      stream.Try = nullptr;
+      if (goesOn) {
+        broken.Id = stream.FirstId;
+        broken.Body = stream.Body;
+        stream.Try =
+          this->System.Resume(this->PickOf(this->System.Hosts()), broken);
+      }
+    }
+  }
+
+  gsRoutedSystem& System;
+  std::mt19937_64 Random;
+  std::set<std::string> Listed; ///< Runners that are listed.
+  std::set<std::string> Down;   ///< Killed, or standing still.
+  std::vector<Repair> Repairs;
+};
+
+class OutOfStepSoak : public testing::TestWithParam<std::uint64_t>
+{
+protected:
+  static gsRoutedPlan MakePlan()
+  {
+    gsRoutedPlan plan;
+    plan.Hosts = 6;
+    plan.Halls = 3;
+    plan.Runners = 6;
+    plan.Events = 60;
+    plan.GapMs = 20;
+    plan.FirstStart = true;
+    plan.Versions = { "v1", "v2" };
+    plan.UnlistedVersions = { "v2" };
+    return plan;
+  }
+};
+
+/** Seeds of OutOfStepSoak: 1 and 2, or FIRST-LAST of the environment. */
+std::vector<std::uint64_t> SoakSeeds()
+{
+  std::uint64_t first = 1;
+  std::uint64_t last = 2;
+  if (char const* range = std::getenv("GRADESCALE_SOAK_SEEDS")) {
+    std::string const text = range;
+    std::size_t const dash = text.find('-');
+    first = std::stoull(text);
+    last =
+      dash == std::string::npos ? first : std::stoull(text.substr(dash + 1));
+  }
+  std::vector<std::uint64_t> seeds;
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    seeds.push_back(seed);
+  }
+  return seeds;
+}
+
+} // namespace
+
+// Guards against streams of two versions, whatever is cut off, stands still or
+// is killed while versions come and go (ORDER).
+TEST_P(OutOfStepSoak, NoStreamIsJoinedWhileVersionsComeAndGo)
+{
+  gsRoutedSystem system(MakePlan());
+  system.RunFor(2.5);
+  VersionsAndCuts callers(system, this->GetParam());
+  callers.Run(gsSeconds(12));
+  std::size_t takenUp = 0;
+  std::size_t whole = 0;
+  for (StreamOfTries const& stream : callers.Streams) {
+    EXPECT_FALSE(Holds(stream.Body, "v1") && Holds(stream.Body, "v2"))
+      << stream.FirstId << '\n'
+      << stream.Body;
+    std::size_t const last = EventCount(stream.Body);
+    EXPECT_TRUE(last == 0 || stream.Body.rfind("id: " + std::to_string(last) +
+                                               "\n") != std::string::npos)
+      << stream.Body;
+    takenUp += stream.Tries > 1 ? 1 : 0;
+    whole += stream.Tries > 1 && last == 60 ? 1 : 0;
+  }
+  std::cout << "seed " << this->GetParam() << ": " << takenUp
+            << " taken up, of which " << whole << " whole\n";
+  EXPECT_GT(takenUp, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, OutOfStepSoak, testing::ValuesIn(SoakSeeds()));
