--- a/Tests/Soak/gsTestOutOfStep.cxx
+++ b/Tests/Soak/gsTestOutOfStep.cxx
@@ -414,16 +414,11 @@
   void Run(gsTime length)
   {
     gsTime const end = gsLoop::Now() + length;
-    gsTime nextFault = gsLoop::Now();
+    this->RunFor(this->DrawTime(0.5, 1.5));
+    this->FailDuringRelease();
     while (gsLoop::Now() < end) {
-      if (gsLoop::Now() >= nextFault) {
-        nextFault = gsLoop::Now() + this->DrawTime(0.2, 1.2);
-        this->Fail();
-      }
-      this->Mend(gsLoop::Now());
-      this->Begin();
-      this->GoOn();
-      this->System.RunFor(0.05);
+      this->RunFor(this->DrawTime(0.2, 1.2));
+      this->Fail();
     }
     this->Mend(gsTime::max());
     this->System.RunUntil([this] {
@@ -477,7 +472,8 @@
         this->ChangeList();
         break;
       case 1:
-        this->ChangeVersion();
+        this->ChangeVersion(this->Pick(2) == 0 ? "v1" : "v2",
+                            this->Pick(2) == 0);
         break;
       case 2:
         this->Kill();
@@ -504,10 +500,37 @@
     }
   }
 
-  /** Lists the runners of one version only; the others end. */
-  void ChangeVersion()
+  /** Cuts hosts off, or has one stand still, while the second version takes
+   * the place of the first one, and kills its runners. Later, hosts know of
+   * several versions and infer none for as long as streams last. */
+  void FailDuringRelease()
+  {
+    for (std::size_t i = 0; i <= this->Pick(2); ++i) {
+      this->Pick(4) == 0 ? this->Freeze() : this->Cut();
+    }
+    this->RunFor(this->DrawTime(0.0, 0.5));
+    this->ChangeVersion("v2", false);
+    this->RunFor(this->DrawTime(0.3, 2.0));
+    for (std::string const& runner : this->System.Runners()) {
+      if (this->System.VersionOf(runner) == "v2") {
+        this->KillProcess(runner, 1.0);
+      }
+    }
+  }
+
+  void RunFor(gsTime length)
+  {
+    for (gsTime end = gsLoop::Now() + length; gsLoop::Now() < end;) {
+      this->Mend(gsLoop::Now());
+      this->Begin();
+      this->GoOn();
+      this->System.RunFor(0.05);
+    }
+  }
+
+  /** Lists the runners of one version only; the others end, if asked for. */
+  void ChangeVersion(std::string const& version, bool ends)
   {
-    char const* version = this->Pick(2) == 0 ? "v1" : "v2";
     for (std::string const& runner : this->System.Runners()) {
       if (this->System.VersionOf(runner) == version) {
         this->Listed.insert(runner);
@@ -518,7 +541,9 @@
       if (this->System.VersionOf(runner) != version &&
           this->Listed.erase(runner) != 0) {
         this->System.Unlist(runner);
-        this->KillProcess(runner, 0.3);
+        if (ends) {
+          this->KillProcess(runner, 0.3);
+        }
       }
     }
   }
@@ -663,11 +688,11 @@
   }
 };
 
-/** Seeds of OutOfStepSoak: 1 and 2, or FIRST-LAST of the environment. */
+/** Seeds of OutOfStepSoak: 11 and 12, or FIRST-LAST of the environment. */
 std::vector<std::uint64_t> SoakSeeds()
 {
-  std::uint64_t first = 1;
-  std::uint64_t last = 2;
+  std::uint64_t first = 11;
+  std::uint64_t last = 12;
   if (char const* range = std::getenv("GRADESCALE_SOAK_SEEDS")) {
     std::string const text = range;
     std::size_t const dash = text.find('-');
