StreamDirectory: Withdraws the copies of a record with it

Callers saw streams that had begun at v2 go on at v1 at a host of the hall of the one that had forwarded them.

Cause: the host drops its own record when it forwards the request, but not the copies at the coordinators. One that had the copy of the withdrawn record, and none of that of the host which began the stream, went by it.

A record without a version withdraws an earlier one of the same origin where that was copied to, on the same links, so that it arrives after it.

--- a/Source/Coord/gsStreamDirectory.cxx
+++ b/Source/Coord/gsStreamDirectory.cxx
@@ -191,11 +191,52 @@
   return messages;
 }
 
+/** Drops the copy that a record without a version withdraws. \return Whether
+ * there was one. */
+bool DropWithdrawn(gsStreamDirectory& directory,
+                   gsStreamMessage const& message)
+{
+  auto found = directory.Streams.find(message.Stream);
+  bool isWithdrawn = message.Record.Version == 0 &&
+                     found != directory.Streams.end() &&
+                     !found->second.IsAmbiguous &&
+                     found->second.Record.Origin == message.Record.Origin &&
+                     found->second.Record.Revision <= message.Record.Revision;
+  if (isWithdrawn) {
+    directory.Streams.erase(found);
+  }
+  return isWithdrawn;
+}
+
+/** The messages that copy a record to other hosts. */
+gsStreamMessages MakeCopies(gsStreamPeers const& peers, gsStreamId stream,
+                            gsStreamRecord const& record)
+{
+  gsStreamMessages messages;
+  std::vector<std::string> holders =
+    Holders(peers.Coordinators, stream, HallCopies);
+  std::vector<std::string> const others =
+    Holders(peers.OtherHalls, stream, OtherHallCopies);
+  bool isPassedOn = others.empty();
+  holders.insert(holders.end(), others.begin(), others.end());
+  for (std::string const& host : holders) {
+    gsStreamMessage copy =
+      MakeMessage(host, gsStreamMessageKind::Record, stream);
+    copy.Record = record;
+    copy.Flag = std::exchange(isPassedOn, false);
+    messages.push_back(std::move(copy));
+  }
+  return messages;
+}
+
 void ReceiveRecord(gsStreamDirectory& directory, gsStreamPeers const& peers,
                    gsStreamMessage const& message, gsTime now,
                    gsStreamMessages& messages, Results& results)
 {
-  Store(directory, message.Stream, message.Record, now);
+  bool isDropped = DropWithdrawn(directory, message);
+  if (!isDropped) {
+    Store(directory, message.Stream, message.Record, now);
+  }
   gsStreamMessage ack =
     MakeMessage(message.Host, gsStreamMessageKind::Ack, message.Stream);
   ack.Record = message.Record;
@@ -209,6 +250,9 @@
       messages.push_back(std::move(copy));
     }
   }
+  if (isDropped) {
+    return;
+  }
   // A look-up may have begun before the copy arrived.
   Outcome outcome;
   outcome.Version = VersionOf(directory.Streams.at(message.Stream));
@@ -287,21 +331,7 @@
   gsStreamRecord record{ version, directory.Settings.Origin,
                          directory.NextRevision++ };
   Store(directory, stream, record, now);
-  gsStreamMessages messages;
-  std::vector<std::string> hall =
-    Holders(peers.Coordinators, stream, HallCopies);
-  std::vector<std::string> others =
-    Holders(peers.OtherHalls, stream, OtherHallCopies);
-  bool isPassedOn = others.empty();
-  hall.insert(hall.end(), others.begin(), others.end());
-  for (std::string const& host : hall) {
-    gsStreamMessage copy =
-      MakeMessage(host, gsStreamMessageKind::Record, stream);
-    copy.Record = record;
-    copy.Flag = std::exchange(isPassedOn, false);
-    messages.push_back(std::move(copy));
-  }
-  return messages;
+  return MakeCopies(peers, stream, record);
 }
 
 std::optional<gsStreamMessage> gsStreamNote(gsStreamDirectory& directory,
@@ -322,13 +352,19 @@
   return note;
 }
 
-void gsStreamWithdraw(gsStreamDirectory& directory, gsStreamId stream)
+gsStreamMessages gsStreamWithdraw(gsStreamDirectory& directory,
+                                  gsStreamPeers const& peers,
+                                  gsStreamId stream)
 {
   auto found = directory.Streams.find(stream);
-  if (found != directory.Streams.end() &&
-      found->second.Record.Origin == directory.Settings.Origin) {
-    directory.Streams.erase(found);
+  bool isOwn = found != directory.Streams.end() &&
+               found->second.Record.Origin == directory.Settings.Origin;
+  if (!isOwn) {
+    return {};
   }
+  directory.Streams.erase(found);
+  return MakeCopies(
+    peers, stream, { 0, directory.Settings.Origin, directory.NextRevision++ });
 }
 
 std::optional<std::uint32_t> gsStreamFind(gsStreamDirectory const& directory,
--- a/Source/Coord/gsStreamDirectory.h
+++ b/Source/Coord/gsStreamDirectory.h
@@ -74,8 +74,9 @@
   std::string Host; ///< Receiver of a message to send, else its sender.
   gsStreamMessageKind Kind = gsStreamMessageKind::Query;
   gsStreamId Stream = 0;
-  /** Of records, acks and replies. The revision of a reply without a record is
-   * VoidRevision if nothing can be inferred, whatever others infer. */
+  /** Of records, acks and replies. A record without a version withdraws an
+   * earlier one of the same origin. The revision of a reply without a record
+   * is VoidRevision if nothing can be inferred, whatever others infer. */
   gsStreamRecord Record;
   /** Of queries: hash of the service, by which a version can be inferred. */
   std::uint32_t Service = 0;
@@ -181,8 +182,11 @@
                                             std::uint32_t version, gsTime now);
 
 /** Drops this host's own record of a stream, as another host may send it to an
- * upstream of another version. */
-void gsStreamWithdraw(gsStreamDirectory& directory, gsStreamId stream);
+ * upstream of another version. \return The messages to be sent, by which other
+ * hosts drop their copies. */
+gsStreamMessages gsStreamWithdraw(gsStreamDirectory& directory,
+                                  gsStreamPeers const& peers,
+                                  gsStreamId stream);
 
 /** The recorded version of a stream; zero if hosts disagree on it, and empty
  * if there is no record. */
--- a/Source/Daemon/gsStreamSharing.cxx
+++ b/Source/Daemon/gsStreamSharing.cxx
@@ -246,7 +246,9 @@
 
 void gsStreamSharing::Withdraw(gsStreamId stream)
 {
-  gsStreamWithdraw(this->Directory, stream);
+  this->Send(
+    gsStreamWithdraw(this->Directory, this->Peers(gsLoop::Now()), stream));
+  this->Copies.erase(stream);
   this->Notes.erase(std::remove_if(this->Notes.begin(), this->Notes.end(),
                                    [stream](gsStreamMessage const& note) {
                                      return note.Stream == stream;
--- a/Tests/Soak/gsTestOutOfStep.cxx
+++ b/Tests/Soak/gsTestOutOfStep.cxx
@@ -332,13 +332,13 @@
 
 namespace {
 
-/** Hosts of one hall each, and runners of two versions that all of them know.
- * Each host has links of its own to the runners. */
-gsRoutedPlan MakeForwardingPlan()
+/** Hosts and runners of two versions that all of them know. Each host has
+ * links of its own to the runners. */
+gsRoutedPlan MakeForwardingPlan(int halls)
 {
   gsRoutedPlan plan;
   plan.Hosts = 6;
-  plan.Halls = 6;
+  plan.Halls = halls;
   plan.Runners = 6;
   plan.Events = EventsOfStream;
   plan.GapMs = 20;
@@ -347,13 +347,10 @@
   return plan;
 }
 
-} // namespace
-
-// Guards against a stream that its host sent to a version in vain before it
-// forwarded the request to another host, which began it at another version.
-TEST(OutOfStep, AForwardedStreamIsNotJoinedAtTheHostThatForwardedIt)
+/** Has a host that reaches no runner forward streams to others, and takes
+ * those of the second version up at a host, once its runners have ended. */
+void TakeUpForwarded(gsRoutedSystem& system, std::string const& host)
 {
-  gsRoutedSystem system(MakeForwardingPlan());
   system.RunFor(1.5);
   system.Links({ "up:host0>*" }, { { "mode", "refuse" } });
   std::vector<gsRoutedReplyPtr> streams;
@@ -376,7 +373,7 @@
   EXPECT_TRUE(system.RunUntil([&] { return AllDone(streams); }));
   for (gsRoutedReplyPtr const& stream : streams) {
     if (Holds(stream->Body, "v2") && !stream->Good()) {
-      rests.push_back(system.Resume("host0", *stream));
+      rests.push_back(system.Resume(host, *stream));
     }
   }
   EXPECT_TRUE(system.RunUntil([&] { return AllDone(rests); }));
@@ -384,6 +381,23 @@
   CheckRests(rests, "v1");
 }
 
+} // namespace
+
+// Guards against a stream that its host sent to a version in vain before it
+// forwarded the request to another host, which began it at another version.
+TEST(OutOfStep, AForwardedStreamIsNotJoinedAtTheHostThatForwardedIt)
+{
+  gsRoutedSystem system(MakeForwardingPlan(6));
+  TakeUpForwarded(system, "host0");
+}
+
+// The same at a host of its hall, which has a copy of the record.
+TEST(OutOfStep, AForwardedStreamIsNotJoinedAtAHostWithACopy)
+{
+  gsRoutedSystem system(MakeForwardingPlan(3));
+  TakeUpForwarded(system, "host3");
+}
+
 namespace {
 
 /** A stream over the tries of its caller. */
--- a/Tests/Unit/gsTestStreamDirectory.cxx
+++ b/Tests/Unit/gsTestStreamDirectory.cxx
@@ -707,7 +707,7 @@
   gsStreamDirectory directory;
   directory.Settings.Origin = 1;
   gsStreamPublish(directory, {}, 7, 3, gsSeconds(1));
-  gsStreamWithdraw(directory, 7);
+  gsStreamWithdraw(directory, {}, 7);
   EXPECT_FALSE(gsStreamFind(directory, 7, gsSeconds(1)).has_value());
   gsStreamMessage copy;
   copy.Kind = gsStreamMessageKind::Record;
@@ -715,7 +715,7 @@
   copy.Record = { 4, 2, 1 };
   std::vector<gsStreamLookupResult> results;
   gsStreamReceive(directory, {}, copy, 0, gsSeconds(1), results);
-  gsStreamWithdraw(directory, 7);
+  gsStreamWithdraw(directory, {}, 7);
   EXPECT_EQ(gsStreamFind(directory, 7, gsSeconds(1)), 4U);
 }
 
@@ -736,6 +736,31 @@
   EXPECT_EQ(gsStreamFind(directory, 20, end), 3U);
 }
 
+// The same of the copies. One that another host has recorded as well stays.
+TEST(StreamDirectory, AWithdrawnRecordIsDroppedWithItsCopies)
+{
+  gsStreamDirectory host;
+  host.Settings.Origin = 1;
+  gsStreamPeers peers;
+  peers.Coordinators = { "a" };
+  std::vector<gsStreamLookupResult> results;
+  gsStreamDirectory holder;
+  gsStreamPeers passedOnTo;
+  passedOnTo.OtherHalls = { "x" };
+  gsStreamReceive(holder, passedOnTo,
+                  gsStreamPublish(host, peers, 7, 3, gsSeconds(1)).at(0), 0,
+                  gsSeconds(1), results);
+  EXPECT_EQ(gsStreamFind(holder, 7, gsSeconds(1)), 3U);
+  gsStreamMessages withdrawn = gsStreamWithdraw(host, peers, 7);
+  ASSERT_EQ(withdrawn.size(), 1U);
+  gsStreamMessages answers = gsStreamReceive(holder, passedOnTo, withdrawn[0],
+                                             0, gsSeconds(1), results);
+  EXPECT_EQ(Find(answers, "x").Kind, gsStreamMessageKind::Record);
+  EXPECT_FALSE(gsStreamFind(holder, 7, gsSeconds(1)).has_value());
+  EXPECT_TRUE(gsStreamWithdraw(host, peers, 7).empty());
+  EXPECT_TRUE(results.empty());
+}
+
 // Guards the form between hosts: a reply that is recorded of the release
 // before voids nothing, and one that voids differs in its revision alone.
 TEST(StreamDirectory, RepliesAreReadAsRecordedOfBothReleases)
