--- a/Tests/Soak/gsTestOutOfStep.cxx
+++ b/Tests/Soak/gsTestOutOfStep.cxx
@@ -37,6 +37,13 @@
   return count;
 }
 
+/** Name of the link over which a host connects to another one. */
+std::string PeerLink(std::string const& from, std::string const& to)
+{
+  std::string link = "peer:";
+  return link.append(from).append(">").append(to);
+}
+
 bool Holds(std::string const& body, std::string const& version)
 {
   return body.find("version: " + version + "\n") != std::string::npos;
@@ -78,9 +85,8 @@
       }
       for (std::string const& other : this->System.Hosts()) {
         if (from != CutFrom::Store && this->OutOfStep.count(other) == 0) {
-          this->System.Links(
-            { "peer:" + host + ">" + other, "peer:" + other + ">" + host },
-            { { "mode", mode } });
+          this->System.Links({ PeerLink(host, other), PeerLink(other, host) },
+                             { { "mode", mode } });
         }
       }
     }
@@ -114,6 +120,7 @@
     std::vector<gsRoutedReplyPtr> begun;
     for (int round = 0; round < 40 && begun.size() < StreamCount; ++round) {
       std::vector<gsRoutedReplyPtr> replies;
+      replies.reserve(hosts.size());
       for (std::string const& host : hosts) {
         replies.push_back(this->System.Send(host, "resume"));
       }
@@ -611,9 +618,9 @@
       }
       for (std::string const& other : this->System.Hosts()) {
         if (from != 1 && cut.count(other) == 0) {
-          links.push_back("peer:" + host + ">" + other);
+          links.push_back(PeerLink(host, other));
           if (!isOneWay) {
-            links.push_back("peer:" + other + ">" + host);
+            links.push_back(PeerLink(other, host));
           }
         }
       }
--- a/Tests/StandIns/gsStandInProxy.cxx
+++ b/Tests/StandIns/gsStandInProxy.cxx
@@ -458,7 +458,7 @@
                            std::list<Link> const& links)
 {
   for (gsJson const& pattern : patterns) {
-    std::string const text = pattern.get<std::string>();
+    auto text = pattern.get<std::string>();
     bool matches =
       std::any_of(links.begin(), links.end(), [&text](Link const& link) {
         return Matches(text, link.Name);
