Routing: Records a stream's version at its first event

Callers saw a stream that had begun at v1 go on at v2 at a coordinator that held a copy of a record.

Cause: the record was made and copied with the request, ahead of what it names. A host that a request was forwarded to recorded v2, the upstream rejected the request with 421, the host refused it, and its record remained with the copies; a third host then began the stream at v1. Withdrawing the record at the host that forwards does not reach this one, nor any other that ends a request without an event.

The record is made when the first event arrives, which then waits for one copy to be acknowledged, as it did before where the copy was late.

--- a/Source/Coord/gsStreamDirectory.h
+++ b/Source/Coord/gsStreamDirectory.h
@@ -5,13 +5,14 @@
  * resume, so that it is resumed at that version only, on whichever host its
  * caller comes back.
  *
- * The host that sends a stream to an upstream records the upstream's version
- * and copies the record: to the coordinators of its hall, and to two
- * coordinators of other halls. The copies are sent with the request, so that
- * they are acknowledged while the upstream reads the prompt. A host that has
- * no record of a stream asks the coordinators of its hall, and these ask those
- * of the other halls. Records are evicted some time after the last host that
- * served the stream has renewed them.
+ * The host to which an upstream sends a stream's first event records the
+ * upstream's version and copies the record: to the coordinators of its hall,
+ * and to two coordinators of other halls. It passes the event on once a copy
+ * is acknowledged. No record is made before, as it would remain if the
+ * upstream rejects the request. A host that has no record of a stream asks the
+ * coordinators of its hall, and these ask those of the other halls. Records
+ * are evicted some time after the last host that served the stream has renewed
+ * them.
  *
  * Without a record, a host may infer the version from the upstreams listed.
  * Its list may be out of date, and hosts that know better may be silent, so
--- a/Source/Daemon/gsRouteGateway.cxx
+++ b/Source/Daemon/gsRouteGateway.cxx
@@ -42,8 +42,8 @@
 constexpr gsTime DeadlineGrace = gsMilliseconds(100);
 /**
  * Limit of the wait of a stream's first event for a copy of the record of its
- * software version. The record is sent with the request, so that it is copied
- * long before, unless the hosts that hold copies have failed.
+ * software version, which is sent when the event arrives. A record that was
+ * sent with the request might name an upstream that then rejects it.
  */
 constexpr gsTime MaxCopyWait = gsMilliseconds(30);
 /** Upstreams whose shared slots are requested for one waiting request. */
@@ -593,7 +593,10 @@
                                   gsPlacement const& placement)
 {
   request->TriedUpstreams.push_back(gsIncarnationOf(placement.Row->Listed));
-  this->RecordVersion(request, placement.Row->Listed.SoftwareVersion);
+  if (request->RequiredVersion) {
+    // A stream that goes on is known to be of this version.
+    this->RecordVersion(request, placement.Row->Listed.SoftwareVersion);
+  }
   this->UpstreamCaller.Start(request, placement);
 }
 
