--- a/Tests/Processes/gsTestProcesses.cxx
+++ b/Tests/Processes/gsTestProcesses.cxx
@@ -1,19 +1,48 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsTestProcesses.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 #include <arpa/inet.h>
 #include <boost/process/args.hpp>
 #include <boost/process/io.hpp>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+namespace {
+
+/** Lowers the number of descriptors of the processes that are started while it
+ * exists. */
+class DescriptorLimit
+{
+public:
+  explicit DescriptorLimit(std::size_t count)
+  {
+    getrlimit(RLIMIT_NOFILE, &this->Before);
+    if (count > 0) {
+      rlimit lowered = this->Before;
+      lowered.rlim_cur = std::min<rlim_t>(lowered.rlim_cur, count);
+      setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+  }
+  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &this->Before); }
+  DescriptorLimit(DescriptorLimit const&) = delete;
+  DescriptorLimit& operator=(DescriptorLimit const&) = delete;
+
+private:
+  rlimit Before{};
+};
+
+} // namespace
+
 std::string gsTestProgram(std::string const& name)
 {
   std::string build = GRADESCALE_BUILD_DIR;
@@ -130,6 +159,7 @@
   std::string log = this->LogOf(name, process.Starts++);
   std::vector<std::string> arguments(process.Arguments.begin() + 1,
                                      process.Arguments.end());
+  DescriptorLimit limit(process.MaxDescriptors);
   process.Child =
     bp::child(process.Arguments[0], bp::args(arguments),
               (bp::std_out & bp::std_err) > log, bp::std_in < bp::null);
@@ -145,3 +175,12 @@
   std::error_code ignored;
   return this->Table.at(name).Child.running(ignored);
 }
+
+std::size_t gsTestProcesses::OpenDescriptors(std::string const& name) const
+{
+  std::error_code ignored;
+  std::filesystem::directory_iterator open(
+    "/proc/" + std::to_string(this->Table.at(name).Child.id()) + "/fd",
+    ignored);
+  return static_cast<std::size_t>(std::distance(begin(open), end(open)));
+}
--- a/Tests/Processes/gsTestProcesses.h
+++ b/Tests/Processes/gsTestProcesses.h
@@ -25,6 +25,8 @@
   std::string Operators; ///< Of hosts only.
   std::string Hall;      ///< Empty for what belongs to none.
   int Starts = 0;        ///< Each start has a log of its own.
+  /** Descriptors that it may open; zero for as many as this process. */
+  std::size_t MaxDescriptors = 0;
 };
 
 class gsTestProcesses
@@ -73,6 +75,8 @@
   void Launch(std::string const& name);
   void Signal(std::string const& name, int signal);
   bool Running(std::string const& name);
+  /** Descriptors that a process has open. */
+  std::size_t OpenDescriptors(std::string const& name) const;
 
   std::string const& Folder() const { return this->Directory; }
   /** Logs of all starts of a process so far, oldest first. */
--- a/Tests/Soak/gsRoutedSystem.cxx
+++ b/Tests/Soak/gsRoutedSystem.cxx
@@ -84,6 +84,7 @@
     host.Address = this->Processes.NewAddress();
     host.Operators = this->Processes.NewAddress();
     host.Hall = this->HallOf(i);
+    host.MaxDescriptors = this->Plan.MaxDescriptors;
     this->PeerAddress[name] = this->Processes.NewAddress();
     this->ForwardAddress[name] = this->Processes.NewAddress();
     this->HostNames.push_back(name);
--- a/Tests/Soak/gsRoutedSystem.h
+++ b/Tests/Soak/gsRoutedSystem.h
@@ -46,6 +46,8 @@
   bool LinkPerHost = false;
   gsJson Memory = gsJson::object(); ///< Settings section of all hosts.
   int IdleTimeoutMs = 15000;        ///< Limit of the configuration.
+  /** Descriptors that each host may open; zero for as many as the test. */
+  std::size_t MaxDescriptors = 0;
   /** Callers send on kept connections, until the process is gone. */
   bool KeepConnections = false;
   /** Daemon that hosts start with; empty for the one of this build. */
@@ -118,6 +120,8 @@
   gsRoutedSystem(gsRoutedSystem const&) = delete;
   gsRoutedSystem& operator=(gsRoutedSystem const&) = delete;
 
+  /** For connections of the test's own. */
+  gsLoop& EventLoop() { return this->Loop; }
   bool RunUntil(std::function<bool()> const& holds, double seconds = 20);
   void RunFor(double seconds);
 
@@ -185,10 +189,23 @@
   gsJson Memory(std::string const& host);
   /** The peak of a host's resident memory since it started. */
   std::uint64_t PeakMemoryKib(std::string const& host);
+  std::size_t OpenDescriptors(std::string const& host) const
+  {
+    return this->Processes.OpenDescriptors(host);
+  }
   std::string const& AddressOf(std::string const& host) const
   {
     return this->Processes.At(host).Address;
   }
+  std::string const& OperatorsAddressOf(std::string const& host) const
+  {
+    return this->Processes.At(host).Operators;
+  }
+  /** Where a host accepts requests that other hosts forward. */
+  std::string const& ForwardAddressOf(std::string const& host) const
+  {
+    return this->ForwardAddress.at(host);
+  }
 
   /** Coordinators of a host's hall as that host knows them, in order. */
   std::vector<std::string> Coordinators(std::string const& host);
