HttpServer: Gathers bodies of unknown size in blocks

300 clients that sent 1 MB each in chunks, and not the last one, took a host of 120 MiB to 159,904 KiB of resident memory (limit 122,880), although the budget counted no more than its limit and refused 267 of them.

Cause: fragmentation. Each body was moved to a block of twice the size again and again, beside 299 others, so that freed blocks of all sizes lay between those in use; what was held was also up to twice what was counted. Growing by a quarter and counting capacities was tried alone and left 145,964 KiB. The C library added to it, as it raises the size from which blocks are mapped (and so given back) whenever a mapped one is freed.

A body whose size is not announced is now gathered in blocks of 4 KiB, which any other body can use again, and joined once it has come in whole; blocks are freed as they are copied. What is held is counted. The size from which the heap maps blocks is fixed.

--- a/Source/Daemon/gradescaled.cxx
+++ b/Source/Daemon/gradescaled.cxx
@@ -15,6 +15,7 @@
 #include "gsLog.h"
 #include "gsLoop.h"
 #include "gsNode.h"
+#include "gsProcessMemory.h"
 #include "gsRouteNode.h"
 #include "gsSettings.h"
 
@@ -84,6 +85,7 @@
     return ExitUsage;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  gsConfigureHeap();
   curl_global_init(CURL_GLOBAL_DEFAULT);
   return Run(std::move(settings.value()), path);
 }
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -344,6 +344,12 @@
   this->Resume();
 }
 
+void gsHttpExchange::CountBody()
+{
+  std::uint64_t whole = this->Body.empty() ? 0 : this->Body.capacity();
+  this->HeldBody.Set(whole + this->Parts.HeldBytes());
+}
+
 /** Counts the memory of the buffer while it holds anything. */
 void gsHttpExchange::CountBuffer()
 {
@@ -1037,14 +1043,14 @@
   if (exchange.TooLarge || exchange.BodyRefused) {
     return;
   }
-  std::size_t size = exchange.Body.size() + bytes.size();
+  std::size_t come = exchange.Body.size() + exchange.Parts.Size();
+  std::size_t size = come + bytes.size();
   std::uint64_t expected = exchange.HeldExpected.Value();
   exchange.TooLarge = size > this->Settings.MaxBody;
   if (!exchange.TooLarge && this->Gate.Accepts && bytes.size() > expected) {
     // Its size was not announced, or its reservation has lapsed.
     std::uint64_t announced = AnnouncedSize(exchange).value_or(0);
-    std::uint64_t rest =
-      announced - std::min<std::uint64_t>(announced, exchange.Body.size());
+    std::uint64_t rest = announced - std::min<std::uint64_t>(announced, come);
     bool isReserved = rest >= bytes.size();
     exchange.BodyRefused =
       !this->Gate.Accepts(exchange, isReserved ? rest : size);
@@ -1052,16 +1058,17 @@
   }
   if (exchange.TooLarge || exchange.BodyRefused) {
     exchange.Body = {};
+    exchange.Parts.Clear();
     exchange.HeldExpected.Set(0);
-  } else {
-    if (expected > 0) {
-      exchange.Body.reserve(exchange.Body.size() + expected);
-    }
+  } else if (expected > 0 && exchange.Parts.Size() == 0) {
+    exchange.Body.reserve(exchange.Body.size() + expected);
     exchange.Body.append(bytes);
     exchange.HeldExpected.Set(expected -
                               std::min<std::uint64_t>(expected, bytes.size()));
+  } else {
+    exchange.Parts.Append(bytes);
   }
-  exchange.HeldBody.Set(exchange.Body.size());
+  exchange.CountBody();
 }
 
 int gsHttpServer::OnRequest(MHD_Connection* connection, char const* url,
@@ -1102,6 +1109,8 @@
     }
     exchange->At = gsHttpExchange::Phase::Handling;
     exchange->Peer = PeerOf(connection);
+    exchange->Parts.MoveTo(exchange->Body);
+    exchange->CountBody();
     exchange->HeldExpected.Set(0);
     exchange->WatchCaller();
     std::shared_ptr<gsHttpExchange> keep = exchange;
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "gsBlockBuffer.h"
 #include "gsHeldBytes.h"
 #include "gsHttpMessage.h"
 #include "gsLoop.h"
@@ -149,6 +150,7 @@
   int Descriptor() const;
   void SetResetsOnClose(bool resets);
   void ResetConnection();
+  void CountBody();
   void CountBuffer();
   std::uint64_t WaitingBytes() const;
   bool HasWholeTarget(char const* version) const;
@@ -168,6 +170,8 @@
   bool ResetsOnClose = false;
   bool Suspended = false;
   bool Queued = false;
+  /** Of a body whose size was not announced, until it has come in whole. */
+  gsBlockBuffer Parts;
   std::string Buffer;
   std::size_t Read = 0;
   std::unique_ptr<gsIoWatch> Watch;
