MemoryGuard: Bounds what all HTTP listeners hold together

300 clients that sent 1 MB each to the listener for requests of other hosts took a host of 120 MiB to 345,576 KiB (limit 122,880); to the operators' listener, to 340,288 KiB. The budget counted 0 bytes of it.

Cause: the guard knew one server, that of the callers. The others had neither gate nor count, and the operators' one kept bodies of 1 MiB although no request there has one in the routed mode.

Bodies of operators' requests are limited to 64 KiB.

--- a/Source/Daemon/gsMemoryGuard.cxx
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -48,20 +48,15 @@
   { "fetched", &gsMemoryUse::Fetched },
 };
 
-gsMemoryUse Sum(gsHeldTotals const& callers, gsHeldTotals const& client,
-                gsHeldTotals const& upstreams)
+void Add(gsMemoryUse& use, gsHeldTotals const& held)
 {
-  gsMemoryUse use;
-  for (gsHeldTotals const* held : { &callers, &client, &upstreams }) {
-    use.Bodies += held->Bodies;
-    use.Expected += held->Expected;
-    use.Answers += held->Answers;
-    use.Events += held->Events;
-    use.Partial += held->Partial;
-    use.Uploads += held->Uploads;
-    use.Fetched += held->Fetched;
-  }
-  return use;
+  use.Bodies += held.Bodies;
+  use.Expected += held.Expected;
+  use.Answers += held.Answers;
+  use.Events += held.Events;
+  use.Partial += held.Partial;
+  use.Uploads += held.Uploads;
+  use.Fetched += held.Fetched;
 }
 
 } // namespace
@@ -79,11 +74,12 @@
 }
 
 gsMemoryGuard::gsMemoryGuard(gsLoop& loop, gsMemoryGuardSettings settings,
-                             gsHttpServer& callers, gsHttpClient& client,
-                             gsUpstreamCaller& upstreams, std::uint64_t seed)
+                             std::vector<gsHttpServer*> servers,
+                             gsHttpClient& client, gsUpstreamCaller& upstreams,
+                             std::uint64_t seed)
   : Loop(loop)
   , Settings(settings)
-  , Callers(callers)
+  , Servers(std::move(servers))
   , Client(client)
   , Upstreams(upstreams)
   , Random(seed)
@@ -97,7 +93,9 @@
     return this->AcceptsBody(exchange, bytes);
   };
   gate.Refuse = [this](gsHttpExchange& exchange) { this->Refuse(exchange); };
-  this->Callers.SetBodyGate(std::move(gate));
+  for (gsHttpServer* server : this->Servers) {
+    server->SetBodyGate(gate);
+  }
   this->Upstreams.SetStreamLimit([this] { return this->StreamLimit(); });
   this->Upstreams.SetGrowthCallback([this] { this->OnAnswerGrown(); });
   this->SweepTimer.Every(this->Settings.SweepInterval);
@@ -106,15 +104,22 @@
 gsMemoryGuard::~gsMemoryGuard()
 {
   *this->Alive = false;
-  this->Callers.SetBodyGate({});
+  for (gsHttpServer* server : this->Servers) {
+    server->SetBodyGate({});
+  }
   this->Upstreams.SetStreamLimit(nullptr);
   this->Upstreams.SetGrowthCallback(nullptr);
 }
 
 gsMemoryUse gsMemoryGuard::Use() const
 {
-  return Sum(this->Callers.Held(), this->Client.Held(),
-             this->Upstreams.Held());
+  gsMemoryUse use;
+  Add(use, this->Client.Held());
+  Add(use, this->Upstreams.Held());
+  for (gsHttpServer const* server : this->Servers) {
+    Add(use, server->Held());
+  }
+  return use;
 }
 
 void gsMemoryGuard::RecordUse()
@@ -204,11 +209,15 @@
   if (stoodStill) {
     // What the other ends took meanwhile, and how much they were offered, is
     // not known, so that their idle times begin again.
-    this->Callers.RestartIdleTimes(now);
+    for (gsHttpServer* server : this->Servers) {
+      server->RestartIdleTimes(now);
+    }
     this->Client.RestartIdleTimes(now);
     return;
   }
-  this->Callers.ForgetExpected(this->Settings.Budget.StalledTimeout, now);
+  for (gsHttpServer* server : this->Servers) {
+    server->ForgetExpected(this->Settings.Budget.StalledTimeout, now);
+  }
   this->SweepAnswers();
   this->SweepCallers(now);
   this->SweepUploads(now);
@@ -265,17 +274,19 @@
 
 void gsMemoryGuard::SweepCallers(gsTime now)
 {
-  std::vector<gsWaitingCaller> waiting = this->Callers.WaitingCallers(now);
+  std::vector<gsWaitingCaller> waiting;
   std::vector<gsMemoryReader> readers;
-  readers.reserve(waiting.size());
-  for (gsWaitingCaller const& caller : waiting) {
-    readers.push_back({ caller.Bytes, caller.TakenAt });
+  for (gsHttpServer* server : this->Servers) {
+    for (gsWaitingCaller& caller : server->WaitingCallers(now)) {
+      readers.push_back({ caller.Bytes, caller.TakenAt });
+      waiting.push_back(std::move(caller));
+    }
   }
   gsMemoryUse use = this->Use();
   std::set<gsHttpExchange const*> logged;
   for (gsMemoryEnding const& ending :
        gsSelectStalled(this->Settings.Budget, use, readers,
-                       this->Callers.ReceiveTimeout(), now)) {
+                       this->Servers.front()->ReceiveTimeout(), now)) {
     gsWaitingCaller const& caller = waiting[ending.Index];
     gsHttpExchange const* exchange = caller.Exchange.get();
     logged.insert(exchange);
--- a/Source/Daemon/gsMemoryGuard.h
+++ b/Source/Daemon/gsMemoryGuard.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -37,9 +38,9 @@
 {
 public:
   /** Takes effect if the mode is not off. The loop and the other objects must
-   * outlive this one. */
+   * outlive this one. There is at least one server. */
   gsMemoryGuard(gsLoop& loop, gsMemoryGuardSettings settings,
-                gsHttpServer& callers, gsHttpClient& client,
+                std::vector<gsHttpServer*> servers, gsHttpClient& client,
                 gsUpstreamCaller& upstreams, std::uint64_t seed);
   ~gsMemoryGuard();
   gsMemoryGuard(gsMemoryGuard const&) = delete;
@@ -76,7 +77,9 @@
 
   gsLoop& Loop;
   gsMemoryGuardSettings Settings;
-  gsHttpServer& Callers;
+  /** All HTTP listeners of the host, whose callers share its memory. The first
+   * one is that of the callers. */
+  std::vector<gsHttpServer*> Servers;
   gsHttpClient& Client;
   gsUpstreamCaller& Upstreams;
   gsRandom Random;
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -34,6 +34,8 @@
  */
 constexpr gsTime IdleMargin = gsSeconds(2);
 constexpr std::size_t BytesPerKib = 1024;
+/** Operators' requests have no large bodies in the routed mode. */
+constexpr std::size_t OperatorBodyBytes = 64 * BytesPerKib;
 /** Headers that a host adds to a request that it forwards. */
 constexpr std::size_t ForwardedHeadBytes = 4 * BytesPerKib;
 /**
@@ -231,8 +233,8 @@
   callers.MaxConnectionsPerIp =
     static_cast<std::uint32_t>(from.MaxConnectionsPerIp);
   callers.ReceiveTimeout = from.ReceiveTimeout;
-  gsFeatureMode memory = this->Settings.Features.Memory;
-  gsMemoryGuard::LimitBuffers(memory, callers, this->Client);
+  gsMemoryGuard::LimitBuffers(this->Settings.Features.Memory, callers,
+                              this->Client);
   auto server = gsHttpServer::Start(
     this->Loop, callers,
     [this](std::shared_ptr<gsHttpExchange> const& exchange) {
@@ -243,19 +245,13 @@
     return server.error();
   }
   this->CallerServer = std::move(server.value());
-  gsMemoryGuardSettings guard;
-  guard.Mode = memory;
-  guard.Budget = this->Settings.Memory;
-  guard.MinRetryAfter = this->Settings.Routing.RetryAfter;
-  this->MemoryGuard = std::make_unique<gsMemoryGuard>(
-    this->Loop, guard, *this->CallerServer, this->Client,
-    this->Gateway->Upstreams(), this->Incarnation);
   gsResult<bool> forwarding = this->StartForwarding(callers);
   if (!forwarding) {
     return forwarding.error();
   }
-  gsHttpServerSettings operators;
+  gsHttpServerSettings operators = callers;
   operators.Address = this->Settings.Operators.Listen;
+  operators.MaxBody = OperatorBodyBytes;
   server = gsHttpServer::Start(
     this->Loop, operators,
     [this](std::shared_ptr<gsHttpExchange> const& exchange) {
@@ -265,9 +261,27 @@
     return server.error();
   }
   this->OperatorServer = std::move(server.value());
+  this->StartMemoryGuard();
   return true;
 }
 
+/** Bounds what all listeners hold together. */
+void gsRouteNode::StartMemoryGuard()
+{
+  std::vector<gsHttpServer*> servers{ this->CallerServer.get(),
+                                      this->OperatorServer.get() };
+  if (this->ForwardServer) {
+    servers.push_back(this->ForwardServer.get());
+  }
+  gsMemoryGuardSettings guard;
+  guard.Mode = this->Settings.Features.Memory;
+  guard.Budget = this->Settings.Memory;
+  guard.MinRetryAfter = this->Settings.Routing.RetryAfter;
+  this->MemoryGuard = std::make_unique<gsMemoryGuard>(
+    this->Loop, guard, std::move(servers), this->Client,
+    this->Gateway->Upstreams(), this->Incarnation);
+}
+
 /** Starts the exchange of the versions of streams, which infers them from the
  * tables of upstreams, routes and stored versions. */
 void gsRouteNode::StartStreamSharing()
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -63,6 +63,7 @@
   gsResult<bool> StartForwarding(gsHttpServerSettings settings);
   std::vector<gsForwardPeer> ForwardPeers() const;
   gsResult<bool> StartServers();
+  void StartMemoryGuard();
   gsHallClusterEvents ClusterEvents();
   void OnRoutes();
   void ApplyEvacuatedHalls();
--- a/Tests/Route/gsTestMemoryGuard.cxx
+++ b/Tests/Route/gsTestMemoryGuard.cxx
@@ -142,8 +142,8 @@
     settings.SweepInterval = gsMilliseconds(50);
     this->Budget = settings.Budget;
     this->Memory = std::make_unique<gsMemoryGuard>(
-      this->Bench.Loop, settings, *this->Bench.Server, this->Bench.Upstreams,
-      this->Bench.Gateway->Upstreams(), 1);
+      this->Bench.Loop, settings, std::vector{ this->Bench.Server.get() },
+      this->Bench.Upstreams, this->Bench.Gateway->Upstreams(), 1);
     this->Bench.Server->Limit(8 * MiB, idleTimeout);
   }
 
--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -184,8 +184,8 @@
     settings.Budget.TotalBytes = MachineBytes;
     settings.Budget.BuffersShare = BuffersShare;
     this->Memory = std::make_unique<gsMemoryGuard>(
-      this->Bench.Loop, settings, *this->Bench.Server, this->Bench.Upstreams,
-      this->Bench.Gateway->Upstreams(), 1);
+      this->Bench.Loop, settings, std::vector{ this->Bench.Server.get() },
+      this->Bench.Upstreams, this->Bench.Gateway->Upstreams(), 1);
   }
 
   /** Sends to a connection as fast as it takes bytes. */
@@ -635,8 +635,8 @@
   settings.Budget.BuffersShare = BuffersShare;
   this->Memory.reset();
   this->Memory = std::make_unique<gsMemoryGuard>(
-    this->Bench.Loop, settings, *this->Bench.Server, this->Bench.Upstreams,
-    this->Bench.Gateway->Upstreams(), 1);
+    this->Bench.Loop, settings, std::vector{ this->Bench.Server.get() },
+    this->Bench.Upstreams, this->Bench.Gateway->Upstreams(), 1);
   std::string const body(6 * MiB, 'a');
   this->Bench.Add(
     "u1", [&body](Connection const& to, gsScriptedRequest const& request) {
