HttpServer: Accepts again after a shortage, and frees connections

600 clients that connect and send nothing, at a host of 400 descriptors: no request was answered beside them, and none in 30 s after they had left, although 27 descriptors were open and the host called itself ready.

Causes, one after the other: - The library takes its listener out of its event set when accepting fails or its limit of connections is reached, and puts it back at its next run. The server ran it on events and time-outs only, and once all is quiet there are none. It now runs once a second as well. - Limits of connections were 4,096 a listener whatever the process had, so that callers took the descriptors of upstreams, hosts and the platform. The limits are now worked out from descriptors and memory (gsConnectionShedding): all listeners at their limits leave an eighth of the descriptors, and callers no more than the memory holds. - A crowd kept its connections until the idle timeout. From seven eighths of a limit on, connections are closed whose callers did not come on, unfinished requests first, with a 503 that says that nothing has run. Connections on which a whole request is handled are never closed.

ClientCrowds.SilentConnectionsAboveTheDescriptors failed before and passes.

--- a/Source/Core/gsMemoryBudget.cxx
+++ b/Source/Core/gsMemoryBudget.cxx
@@ -15,6 +15,10 @@
 constexpr double StreamShare = 0.5;
 /** Part of what is left below StreamShare that one stream may use. */
 constexpr std::uint64_t StreamDivisor = 64;
+/** Share of the machine's memory that is used on purpose. */
+constexpr double UsableShare = 0.9;
+/** Memory of a process that serves nobody. */
+constexpr std::uint64_t ProcessBytes = 32U << 20U;
 /** Part of StalledTimeout within which a reader counts as steady. */
 constexpr int SteadyDivisor = 3;
 
@@ -44,6 +48,13 @@
                                     static_cast<double>(settings.TotalBytes));
 }
 
+std::uint64_t gsConnectionMemory(gsMemorySettings const& settings)
+{
+  auto usable = static_cast<std::uint64_t>(
+    UsableShare * static_cast<double>(settings.TotalBytes));
+  return usable - std::min(usable, ProcessBytes);
+}
+
 bool gsAcceptsBody(gsMemorySettings const& settings, gsMemoryUse const& use,
                    std::uint64_t bytes)
 {
--- a/Source/Core/gsMemoryBudget.h
+++ b/Source/Core/gsMemoryBudget.h
@@ -80,6 +80,10 @@
 /** Bytes that may be held for callers and upstreams. */
 std::uint64_t gsMemoryLimit(gsMemorySettings const& settings);
 
+/** Bytes for the fixed part of connections: what is left of the machine's
+ * memory beside the process itself while nothing else is held. */
+std::uint64_t gsConnectionMemory(gsMemorySettings const& settings);
+
 /** Bodies up to this size are accepted regardless of the budget. */
 constexpr std::uint64_t gsSmallBodyBytes = 16U << 10U;
 /** Largest number of bytes of a stream that wait for its caller. */
--- a/Source/Daemon/gradescaled.cxx
+++ b/Source/Daemon/gradescaled.cxx
@@ -15,7 +15,7 @@
 #include "gsLog.h"
 #include "gsLoop.h"
 #include "gsNode.h"
-#include "gsProcessMemory.h"
+#include "gsProcess.h"
 #include "gsRouteNode.h"
 #include "gsSettings.h"
 
--- /dev/null
+++ b/Source/Daemon/gsConnectionGuard.cxx
@@ -0,0 +1,105 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+#include "gsConnectionGuard.h"
+
+#include <cstdio>
+#include <utility>
+
+#include "gsHttpStatus.h"
+#include "gsLog.h"
+
+namespace {
+
+/** Time without a sweep after which the process is assumed to have stood
+ * still, so that nothing is known of its callers' pauses. */
+constexpr gsTime StandstillTime = gsMilliseconds(600);
+constexpr double MaxRetryAfterFactor = 1.5;
+
+std::string RefusalBody()
+{
+  return R"({"error":{"code":"connections","message":"The request was not )"
+         R"(run: it did not come in whole while this host was short of )"
+         R"(connections; come back later.","step":"read"}})";
+}
+
+} // namespace
+
+gsConnectionGuard::gsConnectionGuard(std::vector<gsHttpServer*> servers,
+                                     gsTime minRetryAfter, std::uint64_t seed)
+  : Servers(std::move(servers))
+  , MinRetryAfter(minRetryAfter)
+  , Random(seed)
+{
+}
+
+void gsConnectionGuard::Sweep(gsTime now)
+{
+  bool stoodStill =
+    this->SweptAt.count() != 0 && now - this->SweptAt > StandstillTime;
+  this->SweptAt = now;
+  for (gsHttpServer* server : this->Servers) {
+    if (stoodStill) {
+      server->RestartIdleTimes(now);
+      continue;
+    }
+    gsConnectionShortage shortage = gsFindConnectionShortage(
+      server->OpenConnections(), server->MaxConnections());
+    if (!shortage.IsNone()) {
+      this->Shed(*server, shortage, now);
+    }
+  }
+}
+
+/** Closes connections of a server and logs how many. */
+void gsConnectionGuard::Shed(gsHttpServer& server,
+                             gsConnectionShortage const& shortage, gsTime now)
+{
+  std::vector<gsPendingCaller> callers = server.PendingCallers();
+  std::vector<gsWaitingConnection> connections;
+  connections.reserve(callers.size());
+  for (gsPendingCaller const& caller : callers) {
+    connections.push_back({ caller.IsResting ? gsConnectionPhase::Resting
+                                             : gsConnectionPhase::Unfinished,
+                            caller.ProgressAt });
+  }
+  std::uniform_real_distribution<double> draw(1, MaxRetryAfterFactor);
+  std::string const refusal =
+    gsFormatAnswer(gsStatusUnavailable,
+                   { { "Content-Type", "application/json" },
+                     gsRetryAfterHeader(draw(this->Random) *
+                                        gsToSeconds(this->MinRetryAfter)) },
+                   RefusalBody());
+  std::uint64_t unfinished = 0;
+  std::uint64_t resting = 0;
+  for (std::size_t index : gsSelectConnections(shortage, connections, now)) {
+    gsPendingCaller const& caller = callers[index];
+    if (server.ClosePending(caller, refusal)) {
+      ++(caller.IsResting ? resting : unfinished);
+    }
+  }
+  this->ClosedUnfinished += unfinished;
+  this->ClosedResting += resting;
+  if (unfinished + resting > 0) {
+    gsLogLine("connections_shed", gsLogLevel::Warn)
+      .With("listener", server.Address())
+      .With("unfinished", unfinished)
+      .With("resting", resting)
+      .With("open", std::uint64_t(server.OpenConnections()))
+      .With("limit", std::uint64_t(server.MaxConnections()))
+      .With("severe", shortage.IsSevere);
+  }
+}
+
+void gsConnectionGuard::WriteGauges(gsMetrics& metrics) const
+{
+  std::size_t open = 0;
+  for (gsHttpServer const* server : this->Servers) {
+    open += server->OpenConnections();
+  }
+  metrics.Set("gradescale_connections", {}, static_cast<double>(open));
+  metrics.Set("gradescale_connections_shed_total",
+              gsLabels({ { "phase", "unfinished" } }),
+              static_cast<double>(this->ClosedUnfinished));
+  metrics.Set("gradescale_connections_shed_total",
+              gsLabels({ { "phase", "resting" } }),
+              static_cast<double>(this->ClosedResting));
+}
--- /dev/null
+++ b/Source/Daemon/gsConnectionGuard.h
@@ -0,0 +1,37 @@
+/* Distributed under the BSD 3-Clause License. See LICENSE for details. */
+/**
+ * \file
+ * Closes connections of callers that do not come on while a listener has few
+ * left for new ones (gsConnectionShedding).
+ */
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "gsConnectionShedding.h"
+#include "gsHttpServer.h"
+#include "gsMetrics.h"
+
+class gsConnectionGuard
+{
+public:
+  /** The servers must outlive this object. */
+  gsConnectionGuard(std::vector<gsHttpServer*> servers, gsTime minRetryAfter,
+                    std::uint64_t seed);
+
+  /** To be called several times a second. */
+  void Sweep(gsTime now);
+  void WriteGauges(gsMetrics& metrics) const;
+
+private:
+  void Shed(gsHttpServer& server, gsConnectionShortage const& shortage,
+            gsTime now);
+
+  std::vector<gsHttpServer*> Servers;
+  gsTime MinRetryAfter;
+  gsRandom Random;
+  gsTime SweptAt{};
+  std::uint64_t ClosedUnfinished = 0;
+  std::uint64_t ClosedResting = 0;
+};
--- a/Source/Daemon/gsMemoryGuard.cxx
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -2,7 +2,6 @@
 #include "gsMemoryGuard.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 #include <vector>
 
@@ -159,10 +158,8 @@
 void gsMemoryGuard::Refuse(gsHttpExchange& exchange)
 {
   std::uniform_real_distribution<double> draw(1, MaxRetryAfterFactor);
-  char retryAfter[32];
-  std::snprintf(retryAfter, sizeof(retryAfter), "%.3f",
-                draw(this->Random) *
-                  gsToSeconds(this->Settings.MinRetryAfter));
+  double retryAfter =
+    draw(this->Random) * gsToSeconds(this->Settings.MinRetryAfter);
   nlohmann::json body{
     { "error",
       { { "code", "memory" },
@@ -173,7 +170,7 @@
   };
   exchange.Respond(
     gsStatusUnavailable,
-    { { "Content-Type", "application/json" }, { "Retry-After", retryAfter } },
+    { { "Content-Type", "application/json" }, gsRetryAfterHeader(retryAfter) },
     body.dump());
 }
 
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -122,6 +122,11 @@
     { "gradescale_memory_ended_total", gsMetricKind::Counter,
       "Callers and upstreams ended that took nothing, by cause; routed "
       "mode." },
+    { "gradescale_connections", gsMetricKind::Gauge,
+      "Connections at all HTTP listeners; routed mode." },
+    { "gradescale_connections_shed_total", gsMetricKind::Counter,
+      "Connections closed for lack of memory or of connections, by what they "
+      "waited for; routed mode." },
     { "gradescale_open_requests", gsMetricKind::Gauge,
       "Requests that this host holds." },
     { "gradescale_queue", gsMetricKind::Gauge,
--- a/Source/Daemon/gsNode.cxx
+++ b/Source/Daemon/gsNode.cxx
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <chrono>
 
+#include "gsConnectionShedding.h"
 #include "gsDocumentJson.h"
 #include "gsLog.h"
+#include "gsProcess.h"
 #include "gsRendezvous.h"
 #include "gsSecret.h"
 #include "gsWireCodec.h"
@@ -245,10 +247,15 @@
   callers.Address = this->Settings.Callers.Listen;
   callers.MaxBody = this->Settings.Callers.MaxBodyKib * BytesPerKib;
   callers.MaxHeader = this->Settings.Callers.MaxHeaderKib * BytesPerKib;
-  callers.MaxConnections =
-    static_cast<std::uint32_t>(this->Settings.Callers.MaxConnections);
+  auto const& limits = this->Settings.Callers;
+  callers.MaxConnections = static_cast<std::uint32_t>(
+    limits.MaxConnections > 0
+      ? limits.MaxConnections
+      : gsLimitConnections({ gsMaxDescriptors() }).Callers);
   callers.MaxConnectionsPerIp =
-    static_cast<std::uint32_t>(this->Settings.Callers.MaxConnectionsPerIp);
+    limits.MaxConnectionsPerIp > 0
+      ? static_cast<std::uint32_t>(limits.MaxConnectionsPerIp)
+      : callers.MaxConnections;
   callers.ReceiveTimeout = this->Settings.Callers.ReceiveTimeout;
   auto serve = [this](std::shared_ptr<gsHttpExchange> const& exchange) {
     if (exchange->Path == "/metrics") {
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -10,6 +10,7 @@
 #include "gsHallStatus.h"
 #include "gsHttpStatus.h"
 #include "gsLog.h"
+#include "gsProcess.h"
 #include "gsRendezvous.h"
 #include "gsSpeedStatus.h"
 
@@ -34,6 +35,9 @@
  */
 constexpr gsTime IdleMargin = gsSeconds(2);
 constexpr std::size_t BytesPerKib = 1024;
+/** Part of a listener's connections that may be read on after an answer. */
+constexpr std::size_t LingeringDivisor = 16;
+constexpr std::size_t MinLingering = 8;
 /** Operators' requests have no large bodies in the routed mode. */
 constexpr std::size_t OperatorBodyBytes = 64 * BytesPerKib;
 /** Headers that a host adds to a request that it forwards. */
@@ -60,6 +64,30 @@
          static_cast<std::uint64_t>(status.st_ino);
 }
 
+gsConnectionResources ConnectionResources(gsSettings const& settings,
+                                          std::uint64_t bytesPerConnection)
+{
+  gsConnectionResources resources;
+  resources.Descriptors = gsMaxDescriptors();
+  if (settings.Descriptors > 0) {
+    resources.Descriptors =
+      std::min<std::size_t>(resources.Descriptors, settings.Descriptors);
+  }
+  if (settings.Features.Memory == gsFeatureMode::On) {
+    resources.Bytes = gsConnectionMemory(settings.Memory);
+  }
+  resources.BytesPerConnection = bytesPerConnection;
+  return resources;
+}
+
+void LimitConnections(gsHttpServerSettings& server, std::size_t limit)
+{
+  server.MaxConnections = static_cast<std::uint32_t>(limit);
+  server.MaxConnectionsPerIp = server.MaxConnections;
+  server.MaxLingering = std::min(
+    server.MaxLingering, std::max(limit / LingeringDivisor, MinLingering));
+}
+
 gsRouteGatewaySettings GatewaySettings(gsSettings const& settings)
 {
   gsRouteGatewaySettings gatewaySettings;
@@ -229,10 +257,15 @@
   callers.Address = from.Listen;
   callers.MaxBody = from.MaxBodyKib * BytesPerKib;
   callers.MaxHeader = from.MaxHeaderKib * BytesPerKib;
-  callers.MaxConnections = static_cast<std::uint32_t>(from.MaxConnections);
-  callers.MaxConnectionsPerIp =
-    static_cast<std::uint32_t>(from.MaxConnectionsPerIp);
   callers.ReceiveTimeout = from.ReceiveTimeout;
+  gsConnectionLimits limits = gsLimitConnections(ConnectionResources(
+    this->Settings, gsHttpServer::ConnectionBytes(callers)));
+  LimitConnections(callers, from.MaxConnections > 0 ? from.MaxConnections
+                                                    : limits.Callers);
+  if (from.MaxConnectionsPerIp > 0) {
+    callers.MaxConnectionsPerIp =
+      static_cast<std::uint32_t>(from.MaxConnectionsPerIp);
+  }
   gsMemoryGuard::LimitBuffers(this->Settings.Features.Memory, callers,
                               this->Client);
   auto server = gsHttpServer::Start(
@@ -245,13 +278,16 @@
     return server.error();
   }
   this->CallerServer = std::move(server.value());
-  gsResult<bool> forwarding = this->StartForwarding(callers);
+  gsHttpServerSettings forwarders = callers;
+  LimitConnections(forwarders, limits.Forwarding);
+  gsResult<bool> forwarding = this->StartForwarding(std::move(forwarders));
   if (!forwarding) {
     return forwarding.error();
   }
   gsHttpServerSettings operators = callers;
   operators.Address = this->Settings.Operators.Listen;
   operators.MaxBody = OperatorBodyBytes;
+  LimitConnections(operators, limits.Operators);
   server = gsHttpServer::Start(
     this->Loop, operators,
     [this](std::shared_ptr<gsHttpExchange> const& exchange) {
@@ -261,18 +297,20 @@
     return server.error();
   }
   this->OperatorServer = std::move(server.value());
-  this->StartMemoryGuard();
+  this->StartGuards();
   return true;
 }
 
-/** Bounds what all listeners hold together. */
-void gsRouteNode::StartMemoryGuard()
+/** Bounds what all listeners hold together, and frees connections. */
+void gsRouteNode::StartGuards()
 {
   std::vector<gsHttpServer*> servers{ this->CallerServer.get(),
                                       this->OperatorServer.get() };
   if (this->ForwardServer) {
     servers.push_back(this->ForwardServer.get());
   }
+  this->ConnectionGuard = std::make_unique<gsConnectionGuard>(
+    servers, this->Settings.Routing.RetryAfter, this->Incarnation);
   gsMemoryGuardSettings guard;
   guard.Mode = this->Settings.Features.Memory;
   guard.Budget = this->Settings.Memory;
@@ -549,6 +587,7 @@
   this->StreamSharing.WriteGauges(this->Metrics);
   this->TableBarrier.WriteGauges(this->Metrics);
   this->MemoryGuard->WriteGauges(this->Metrics);
+  this->ConnectionGuard->WriteGauges(this->Metrics);
   this->Gateway->AdmissionControl().WriteGauges(now);
   gsWriteUpstreamGauges(this->Metrics, this->Fleet, now);
   gsWriteSpeedGauges(this->Metrics, this->Fleet,
@@ -585,6 +624,7 @@
 {
   gsTime now = gsLoop::Now();
   this->CheckForStall(now);
+  this->ConnectionGuard->Sweep(now);
   this->Cluster->Tick();
   this->Tables->Tick(now);
   this->ResumeIfCaughtUp(now);
--- a/Source/Daemon/gsRouteNode.h
+++ b/Source/Daemon/gsRouteNode.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "gsAdapter.h"
+#include "gsConnectionGuard.h"
 #include "gsCrashGossip.h"
 #include "gsDrainGossip.h"
 #include "gsDuties.h"
@@ -63,7 +64,7 @@
   gsResult<bool> StartForwarding(gsHttpServerSettings settings);
   std::vector<gsForwardPeer> ForwardPeers() const;
   gsResult<bool> StartServers();
-  void StartMemoryGuard();
+  void StartGuards();
   gsHallClusterEvents ClusterEvents();
   void OnRoutes();
   void ApplyEvacuatedHalls();
@@ -110,7 +111,9 @@
   /** Accepts requests that other hosts forward; null if not configured. */
   std::unique_ptr<gsHttpServer> ForwardServer;
   std::unique_ptr<gsHttpServer> OperatorServer;
-  std::unique_ptr<gsMemoryGuard> MemoryGuard; ///< Made by StartServers.
+  // Made by StartServers.
+  std::unique_ptr<gsMemoryGuard> MemoryGuard;
+  std::unique_ptr<gsConnectionGuard> ConnectionGuard;
   gsTimer TickTimer;
   gsTimer LoadTimer;
   gsTimer StopTimer;
--- a/Source/Daemon/gsSettings.cxx
+++ b/Source/Daemon/gsSettings.cxx
@@ -259,6 +259,8 @@
   settings.Host = fields.String("host");
   settings.Hall = fields.String("hall");
   settings.Cores = fields.Number("cores", { 0.001, 1024 }, settings.Cores);
+  settings.Descriptors =
+    fields.Unsigned("descriptors", { 64, 1U << 30U }, settings.Descriptors);
   std::vector<std::string> levels{ "debug", "info", "warn", "error" };
   settings.LogLevel = levels[fields.Choice("log_level", levels, 1)];
   fields.Object("callers",
--- a/Source/Daemon/gsSettings.h
+++ b/Source/Daemon/gsSettings.h
@@ -29,6 +29,8 @@
   /** Processor cores that this host may use, possibly less than one. The
    * hosts of a hall with the most cores coordinate it. */
   double Cores = 1;
+  /** Descriptors that the process may use; zero for as many as it may open. */
+  std::uint64_t Descriptors = 0;
   std::string LogLevel = "info";
 
   struct
@@ -38,8 +40,9 @@
     std::uint64_t MaxHeaderKib = 16;
     std::uint64_t MaxAnswerKib = 8192;
     std::uint64_t MaxEventKib = 1024; ///< Of one event of a stream.
-    std::uint64_t MaxConnections = 4096;
-    std::uint64_t MaxConnectionsPerIp = 4096;
+    /** Zero for as many as gsLimitConnections allows. */
+    std::uint64_t MaxConnections = 0;
+    std::uint64_t MaxConnectionsPerIp = 0; ///< Zero for MaxConnections.
     gsTime ReceiveTimeout = gsSeconds(30);
   } Callers;
 
--- a/Source/Io/gsHttpMessage.cxx
+++ b/Source/Io/gsHttpMessage.cxx
@@ -1,6 +1,8 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 #include "gsHttpMessage.h"
 
+#include <cstdio>
+
 #include <strings.h>
 
 char const* gsBodyEndName(gsBodyEnd end)
@@ -84,3 +86,10 @@
   }
   return {};
 }
+
+std::pair<std::string, std::string> gsRetryAfterHeader(double seconds)
+{
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", seconds);
+  return { "Retry-After", text };
+}
--- a/Source/Io/gsHttpMessage.h
+++ b/Source/Io/gsHttpMessage.h
@@ -59,3 +59,6 @@
  * whose headers are in lower case. */
 gsBodyEnd gsStatedBodyEnd(std::string_view method, unsigned status,
                           gsHeaders const& headers);
+
+/** The header that tells a caller when to come back. */
+std::pair<std::string, std::string> gsRetryAfterHeader(double seconds);
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -33,9 +33,11 @@
 constexpr gsTime SweepPeriod = gsSeconds(1);
 /** Time for which a connection is read on after an early answer. */
 constexpr gsTime LingerTime = gsSeconds(2);
-/** Further connections are closed with their answer. */
-constexpr std::size_t MaxLingering = 256;
 constexpr std::size_t LingerBlock = 1U << 20U;
+/** Bytes of a body by which a caller comes on. */
+constexpr std::size_t MinProgress = 256;
+/** Memory of a connection beside the library's, roughly. */
+constexpr std::size_t LinkBytes = 4U << 10U;
 /** Time without a request after which requests are unlikely to be under way.
  */
 constexpr gsTime QuietTime = gsMilliseconds(200);
@@ -97,9 +99,8 @@
     std::string const body =
       R"({"error":{"code":"incomplete_request","message":"The request was )"
       R"(not run: it did not come in whole in time.","step":"read"}})";
-    return "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-           "Content-Type: application/json\r\nContent-Length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body;
+    return gsFormatAnswer(MHD_HTTP_REQUEST_TIMEOUT,
+                          { { "Content-Type", "application/json" } }, body);
   }();
   return answer;
 }
@@ -172,6 +173,19 @@
   return std::make_pair(std::move(host), port);
 }
 
+std::string gsFormatAnswer(unsigned status, gsHeaders const& headers,
+                           std::string_view body)
+{
+  std::string text = "HTTP/1.1 " + std::to_string(status) + ' ';
+  text.append(MHD_get_reason_phrase_for(status));
+  text.append("\r\nConnection: close\r\n");
+  for (auto const& [name, value] : headers) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+  text.append("Content-Length: ").append(std::to_string(body.size()));
+  return text.append("\r\n\r\n").append(body);
+}
+
 gsHttpExchange::gsHttpExchange(gsHttpServer& server,
                                MHD_Connection* connection, char const* target)
   : Target(target)
@@ -578,6 +592,7 @@
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
       Link& link = that->Links[connection];
       link.Since = gsLoop::Now();
+      link.ProgressAt = link.Since;
       link.Descriptor = info->connect_fd;
       int size = that->Settings.SendBuffer;
       if (size > 0) {
@@ -795,20 +810,27 @@
     bool late = now - link.Since > this->Settings.ReceiveTimeout;
     // This process may have stood still while the rest came in.
     if (comes && late && !HasUnread(link.Descriptor)) {
-      this->CloseUnfinished(link);
+      this->CloseUnfinished(link, IncompleteAnswer());
+    }
+    bool isIgnored = link.ShutAt.count() != 0 && link.Open == nullptr &&
+                     now - link.ShutAt > LingerTime;
+    if (isIgnored && !HasUnread(link.Descriptor)) {
+      shutdown(link.Descriptor, SHUT_RDWR);
     }
   }
+  // The library leaves some of its work to its next run: to close connections,
+  // and to accept again after it was out of descriptors or connections.
+  this->RunSoon();
 }
 
 /** Closes a connection on which no whole request has come in. A caller that
- * has sent a part of one is told that it has not run. */
-void gsHttpServer::CloseUnfinished(Link& link)
+ * has sent a part of one gets the answer, which tells that it has not run. */
+void gsHttpServer::CloseUnfinished(Link& link, std::string_view answer)
 {
   bool hasPart =
     link.Open != nullptr || BytesCome(link.Descriptor) != link.Settled;
   bool isAnswered = link.Open != nullptr && link.Open->Queued;
   if (hasPart && !isAnswered && !link.Shut) {
-    std::string const& answer = IncompleteAnswer();
     send(link.Descriptor, answer.data(), answer.size(),
          MSG_DONTWAIT | MSG_NOSIGNAL);
     this->Linger(link.Descriptor);
@@ -817,6 +839,42 @@
   shutdown(link.Descriptor, SHUT_RDWR);
 }
 
+std::uint64_t gsHttpServer::ConnectionBytes(
+  gsHttpServerSettings const& settings)
+{
+  return PoolBytes(settings) + LinkBytes;
+}
+
+std::vector<gsPendingCaller> gsHttpServer::PendingCallers() const
+{
+  std::vector<gsPendingCaller> callers;
+  for (auto const& [connection, link] : this->Links) {
+    bool comes = link.Open == nullptr ||
+                 link.Open->At == gsHttpExchange::Phase::New ||
+                 link.Open->At == gsHttpExchange::Phase::Receiving;
+    bool isAnswered = link.Open != nullptr && link.Open->Queued;
+    if (comes && !isAnswered && !link.Shut) {
+      bool isResting = link.Open == nullptr && link.Settled > 0;
+      callers.push_back({ connection, isResting, link.ProgressAt });
+    }
+  }
+  return callers;
+}
+
+bool gsHttpServer::ClosePending(gsPendingCaller const& caller,
+                                std::string_view answer)
+{
+  Link& link = this->Links.at(caller.Connection);
+  if (HasUnread(link.Descriptor)) {
+    return false;
+  }
+  if (caller.IsResting) {
+    return CloseIfIdle(link);
+  }
+  this->CloseUnfinished(link, answer);
+  return true;
+}
+
 std::vector<gsWaitingCaller> gsHttpServer::WaitingCallers(gsTime now)
 {
   std::vector<gsWaitingCaller> waiting;
@@ -846,6 +904,7 @@
 {
   for (auto& [connection, link] : this->Links) {
     link.BodyAt = now;
+    link.ProgressAt = now;
     if (link.Open != nullptr && link.Open->TakenAt.count() != 0) {
       link.Open->TakenAt = now;
     }
@@ -903,6 +962,8 @@
   Link& link = this->Links[connection];
   link.Open = held->get();
   link.Since = (*held)->Since;
+  link.ProgressAt = link.Since;
+  link.ProgressBytes = 0;
   this->LastRequestAt = link.Since;
   ++this->Exchanges;
   return held;
@@ -942,7 +1003,7 @@
   bool skips = exchange.Method == MHD_HTTP_METHOD_POST ||
                exchange.Method == MHD_HTTP_METHOD_PUT;
   Link& link = this->Links[connection];
-  if (!skips || this->LingeringLinks.size() >= MaxLingering) {
+  if (!skips || this->LingeringLinks.size() >= this->Settings.MaxLingering) {
     return MHD_YES; // Its body is dropped as it comes, and then answered.
   }
   this->Gate.Refuse(exchange);
@@ -1001,7 +1062,7 @@
  * there are not too many already. */
 void gsHttpServer::Linger(int descriptor)
 {
-  bool hasRoom = this->LingeringLinks.size() < MaxLingering;
+  bool hasRoom = this->LingeringLinks.size() < this->Settings.MaxLingering;
   int copy = hasRoom ? fcntl(descriptor, F_DUPFD_CLOEXEC, 0) : -1;
   if (copy < 0) {
     return;
@@ -1098,7 +1159,13 @@
     return rejected ? *rejected : this->OnHead(connection, *exchange);
   }
   if (*size > 0) {
-    this->Links[connection].BodyAt = gsLoop::Now();
+    Link& link = this->Links[connection];
+    link.BodyAt = gsLoop::Now();
+    link.ProgressBytes += *size;
+    if (link.ProgressBytes >= MinProgress) {
+      link.ProgressAt = link.BodyAt;
+      link.ProgressBytes = 0;
+    }
     this->OnBodyPart(*exchange, { data, *size });
     *size = 0;
     return MHD_YES;
@@ -1150,6 +1217,7 @@
   if (link != this->Links.end()) {
     link->second.Open = nullptr;
     link->second.Since = gsLoop::Now();
+    link->second.ProgressAt = link->second.Since;
     this->LastRequestAt = link->second.Since;
     link->second.Settled = BytesRead(link->second.Descriptor);
     if (this->Closing) {
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -35,6 +35,9 @@
   std::size_t MaxHeader = 16U << 10U;
   std::uint32_t MaxConnections = 4096;
   std::uint32_t MaxConnectionsPerIp = 4096;
+  /** Connections that are read on after an early answer, beside those that
+   * MaxConnections counts. */
+  std::size_t MaxLingering = 256;
   /** A request must have come in whole within this time. A caller may rest
    * for so long, between requests and while it reads. */
   gsTime ReceiveTimeout = gsSeconds(30);
@@ -199,6 +202,20 @@
   gsTime TakenAt{}; ///< When it last took something, or the wait began.
 };
 
+/** A connection on which no whole request is being handled. */
+struct gsPendingCaller
+{
+  MHD_Connection* Connection = nullptr;
+  /** Whether its last request was answered; otherwise a request has come in
+   * part, or nothing since it was opened. */
+  bool IsResting = false;
+  gsTime ProgressAt{}; ///< When it was opened, or its caller last came on.
+};
+
+/** An answer as it is sent on a connection that is closed after it. */
+std::string gsFormatAnswer(unsigned status, gsHeaders const& headers,
+                           std::string_view body);
+
 /** Decides on the bodies of requests before they are read. */
 struct gsHttpBodyGate
 {
@@ -246,6 +263,19 @@
   std::size_t OpenExchanges() const { return this->Exchanges; }
   /** Connections whose callers have sent what has not been read yet. */
   std::size_t Unread() const;
+  std::string const& Address() const { return this->Settings.Address; }
+  std::size_t OpenConnections() const { return this->Links.size(); }
+  std::size_t MaxConnections() const { return this->Settings.MaxConnections; }
+  /** Largest memory of a connection without the bytes that are held for it. */
+  static std::uint64_t ConnectionBytes(gsHttpServerSettings const& settings);
+  /** Connections that may be closed, unless they were already. */
+  std::vector<gsPendingCaller> PendingCallers() const;
+  /**
+   * Closes one of them, after the answer if a part of a request has come; one
+   * that rests first tells its caller. \return False if bytes have come that
+   * were not read yet.
+   */
+  bool ClosePending(gsPendingCaller const& caller, std::string_view answer);
   /** Has bodies decided on; without a gate all are accepted. */
   void SetBodyGate(gsHttpBodyGate gate) { this->Gate = std::move(gate); }
   /** Bytes held for callers. */
@@ -288,6 +318,10 @@
     bool CloseWhenIdle = false;
     /** When bytes of a body last came. */
     gsTime BodyAt{};
+    /** When it was opened, its request began, or MinProgress bytes of a body
+     * had come since. */
+    gsTime ProgressAt{};
+    std::size_t ProgressBytes = 0; ///< Of a body, since ProgressAt.
     /** The request on it, from its first line to the end of its answer. */
     gsHttpExchange* Open = nullptr;
     /** Bytes of the requests that have been answered; what has come beyond
@@ -300,7 +334,7 @@
   void RunSoon();
   void Run();
   void CutSlow();
-  void CloseUnfinished(Link& link);
+  void CloseUnfinished(Link& link, std::string_view answer);
   void AcceptWaiting();
   static bool CloseIfIdle(Link& link);
   void ScheduleClose();
--- a/Source/Io/gsProcessMemory.cxx
+++ b/Source/Io/gsProcess.cxx
@@ -1,10 +1,13 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
-#include "gsProcessMemory.h"
+#include "gsProcess.h"
 
+#include <algorithm>
 #include <cstdio>
+#include <limits>
 
 #include <fcntl.h>
 #include <malloc.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace {
@@ -40,3 +43,13 @@
 {
   malloc_trim(0);
 }
+
+std::size_t gsMaxDescriptors()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  return std::min<rlim_t>(limit.rlim_cur,
+                          std::numeric_limits<std::size_t>::max());
+}
--- a/Source/Io/gsProcessMemory.h
+++ b/Source/Io/gsProcess.h
@@ -1,11 +1,12 @@
 /* Distributed under the BSD 3-Clause License. See LICENSE for details. */
 /**
  * \file
- * Memory of this process as the operating system counts it, and the settings
- * of the heap that keep it close to what is in use.
+ * Memory and descriptors of this process as the operating system counts them,
+ * and the settings of the heap that keep its memory close to what is in use.
  */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 /**
@@ -20,3 +21,6 @@
 
 /** Returns free pages of the heap to the operating system. */
 void gsReleaseFreeHeap();
+
+/** Descriptors that this process may open. */
+std::size_t gsMaxDescriptors();
