MemoryGuard: Keeps the process within its machine, not only the budget

3,800 clients that sent 16 KB each, in chunks of 4 KiB or of one byte or by length, took a host of 120 MiB to 161,216 to 167,804 KiB (limit 122,880) and none was refused; 2,000 streams that nobody reads took it to 150,428 KiB.

Cause: what is held was bounded in part only. Bodies of up to 16 KiB were accepted whatever the budget said; the fixed part of connections and of requests (the library's pool, the upstream's connection) was counted nowhere; and nothing compared the counts with the memory of the process.

Free heap is returned first, so that the figure is what is in use.
- Above three quarters of the machine, callers that do not come on are ended, unfinished requests first, then streams pause earlier and readers that take nothing are ended as over the budget.
Above 0.85, large bodies are refused, above 0.95 all requests.
- Small bodies are bounded by the budget, too, by themselves: answers that others do not read keep nobody out.
- Whole requests are bounded by what the budget leaves of the machine, since each grows after it was accepted.
- A body in chunks that is refused is told so at once, not after its end, which may never come.
Refusals are logged at most each 50 ms.

The machine of the MemoryGuard tests is larger than the process of the tests, with the same budget.

--- a/Source/Core/gsConnectionShedding.cxx
+++ b/Source/Core/gsConnectionShedding.cxx
@@ -54,6 +54,14 @@
   return shortage;
 }
 
+gsConnectionShortage gsFindConnectionShortage(gsMemoryShortage const& memory,
+                                              std::uint64_t bytesPerConnection)
+{
+  std::size_t count =
+    (memory.Bytes + bytesPerConnection - 1) / bytesPerConnection;
+  return { count, memory.IsSevere ? count : 0, memory.IsSevere };
+}
+
 std::vector<std::size_t> gsSelectConnections(
   gsConnectionShortage const& shortage,
   std::vector<gsWaitingConnection> const& connections, gsTime now)
--- a/Source/Core/gsConnectionShedding.h
+++ b/Source/Core/gsConnectionShedding.h
@@ -2,8 +2,8 @@
 /**
  * \file
  * Limits of the connections of a host's listeners, and the selection of those
- * that are closed while it is short of connections. A connection on which a
- * whole request is being handled is never selected.
+ * that are closed while it is short of connections or memory. A connection on
+ * which a whole request is being handled is never selected.
  */
 #pragma once
 
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "gsMemoryBudget.h"
 #include "gsTypes.h"
 
 /** What a host has for its connections. */
@@ -72,6 +73,10 @@
 gsConnectionShortage gsFindConnectionShortage(std::size_t open,
                                               std::size_t limit);
 
+/** Connections that are to be closed for their memory. */
+gsConnectionShortage gsFindConnectionShortage(
+  gsMemoryShortage const& memory, std::uint64_t bytesPerConnection);
+
 /**
  * Selects the connections to be closed: those whose callers did not come on
  * for a second, or 0.2 s in a severe shortage. Unfinished requests are first,
--- a/Source/Core/gsMemoryBudget.cxx
+++ b/Source/Core/gsMemoryBudget.cxx
@@ -17,8 +17,18 @@
 constexpr std::uint64_t StreamDivisor = 64;
 /** Share of the machine's memory that is used on purpose. */
 constexpr double UsableShare = 0.9;
+/** Shares of it above which callers that do not come on are ended, and large
+ * and small bodies are refused. */
+constexpr double ShortageShare = 0.75;
+constexpr double LargeBodyShare = 0.85;
+constexpr double SmallBodyShare = 0.95;
 /** Memory of a process that serves nobody. */
 constexpr std::uint64_t ProcessBytes = 32U << 20U;
+/** Memory of a request that is handled, its connection and that to the
+ * upstream, beside the bytes that are counted. */
+constexpr std::uint64_t RequestBytes = 64U << 10U;
+/** Requests that are handled at once whatever the budget leaves. */
+constexpr std::size_t MinRequests = 64;
 /** Part of StalledTimeout within which a reader counts as steady. */
 constexpr int SteadyDivisor = 3;
 
@@ -28,6 +38,12 @@
     share * static_cast<double>(gsMemoryLimit(settings)));
 }
 
+std::uint64_t ShareOfMachine(gsMemorySettings const& settings, double share)
+{
+  return static_cast<std::uint64_t>(share *
+                                    static_cast<double>(settings.TotalBytes));
+}
+
 /** Rank of an answer among those to be ended; the lowest first. */
 std::tuple<bool, bool, std::uint64_t> EndingOrder(
   gsIncomingAnswer const& answer)
@@ -50,27 +66,50 @@
 
 std::uint64_t gsConnectionMemory(gsMemorySettings const& settings)
 {
-  auto usable = static_cast<std::uint64_t>(
-    UsableShare * static_cast<double>(settings.TotalBytes));
+  std::uint64_t usable = ShareOfMachine(settings, UsableShare);
   return usable - std::min(usable, ProcessBytes);
 }
 
 bool gsAcceptsBody(gsMemorySettings const& settings, gsMemoryUse const& use,
                    std::uint64_t bytes)
 {
-  if (bytes <= gsSmallBodyBytes) {
-    return true;
+  bool isSmall = bytes <= gsSmallBodyBytes;
+  std::uint64_t resident = use.Resident + 2 * bytes;
+  if (resident >
+      ShareOfMachine(settings, isSmall ? SmallBodyShare : LargeBodyShare)) {
+    return false;
+  }
+  if (isSmall) {
+    return use.Bodies + use.Uploads + bytes <= gsMemoryLimit(settings);
   }
   std::uint64_t committed = use.Total() + 2 * use.Expected;
   return committed <= ShareOfLimit(settings, BodyShare) &&
          committed + 2 * bytes <= gsMemoryLimit(settings);
 }
 
+bool gsAcceptsRequest(gsMemorySettings const& settings, gsMemoryUse const& use)
+{
+  std::uint64_t most = ShareOfMachine(settings, SmallBodyShare);
+  std::uint64_t requests = (use.Requests + 1) * RequestBytes;
+  bool fits = ProcessBytes + gsMemoryLimit(settings) + requests <= most;
+  return use.Resident <= most && (fits || use.Requests < MinRequests);
+}
+
+gsMemoryShortage gsFindMemoryShortage(gsMemorySettings const& settings,
+                                      std::uint64_t resident)
+{
+  std::uint64_t most = ShareOfMachine(settings, ShortageShare);
+  return { resident - std::min(resident, most),
+           resident > ShareOfMachine(settings, LargeBodyShare) };
+}
+
 std::uint64_t gsStreamLimit(gsMemorySettings const& settings,
                             gsMemoryUse const& use)
 {
   std::uint64_t limit = ShareOfLimit(settings, StreamShare);
-  std::uint64_t left = limit - std::min(limit, use.Total());
+  std::uint64_t machine = ShareOfMachine(settings, ShortageShare);
+  std::uint64_t left = std::min(limit - std::min(limit, use.Total()),
+                                machine - std::min(machine, use.Resident));
   return std::min(left / StreamDivisor, gsMaxStreamBytes);
 }
 
@@ -112,19 +151,25 @@
   std::uint64_t limit = gsMemoryLimit(settings);
   std::uint64_t bodyLimit = ShareOfLimit(settings, BodyShare);
   std::uint64_t held = use.Total();
+  gsMemoryShortage shortage = gsFindMemoryShortage(settings, use.Resident);
   std::vector<gsMemoryEnding> endings;
   for (std::size_t index : order) {
     gsTime waited = now - readers[index].TakenAt;
     bool isIdle = waited >= idleTimeout;
+    bool isScarce = held > bodyLimit || shortage.Bytes > 0;
+    bool isExceeded =
+      held > limit || (shortage.Bytes > 0 && shortage.IsSevere);
     bool isInTheWay =
-      (held > bodyLimit && waited >= settings.StalledTimeout) ||
-      (held > limit && waited >= settings.StalledTimeout / SteadyDivisor);
+      (isScarce && waited >= settings.StalledTimeout) ||
+      (isExceeded && waited >= settings.StalledTimeout / SteadyDivisor);
     if (!isIdle && !isInTheWay) {
       break; // Those that follow have waited less.
     }
     endings.push_back(
       { index, isIdle ? gsMemoryCause::Stalled : gsMemoryCause::OverBudget });
     held -= std::min(held, readers[index].Bytes);
+    shortage.Bytes -=
+      std::min(shortage.Bytes, readers[index].Bytes + RequestBytes);
   }
   return endings;
 }
--- a/Source/Core/gsMemoryBudget.h
+++ b/Source/Core/gsMemoryBudget.h
@@ -36,6 +36,10 @@
   std::uint64_t Partial = 0; ///< Incomplete events, which no caller awaits.
   std::uint64_t Uploads = 0; ///< Copies of bodies for upstreams.
   std::uint64_t Fetched = 0; ///< Answers for this host itself.
+  /** Memory of the whole process, what is counted here and what is not; zero
+   * if it is not known. */
+  std::uint64_t Resident = 0;
+  std::size_t Requests = 0; ///< Whole ones that are not answered yet.
 
   /** All that is held; Expected is not. */
   std::uint64_t Total() const
@@ -84,7 +88,7 @@
  * memory beside the process itself while nothing else is held. */
 std::uint64_t gsConnectionMemory(gsMemorySettings const& settings);
 
-/** Bodies up to this size are accepted regardless of the budget. */
+/** Bodies up to this size are small. */
 constexpr std::uint64_t gsSmallBodyBytes = 16U << 10U;
 /** Largest number of bytes of a stream that wait for its caller. */
 constexpr std::uint64_t gsMaxStreamBytes = 256U << 10U;
@@ -93,16 +97,37 @@
  * Whether a new body is accepted. A large one is refused above 0.8 of the
  * budget, and if it would exceed the budget together with the bodies that are
  * being received. Each body counts twice until it is received, because it is
- * copied for the upstream.
+ * copied for the upstream. A small one is refused only if bodies and their
+ * copies alone exceed the budget. The process must stay within 0.85 of the
+ * machine with a large one, and within 0.95 with a small one.
  */
 bool gsAcceptsBody(gsMemorySettings const& settings, gsMemoryUse const& use,
                    std::uint64_t bytes);
 
+/**
+ * Whether one more request is handled: the fixed parts of all of them, the
+ * connections to their upstreams included, have to fit into what the budget
+ * leaves of the machine. They grow after that decision only.
+ */
+bool gsAcceptsRequest(gsMemorySettings const& settings,
+                      gsMemoryUse const& use);
+
+/** Memory that the process has to release. */
+struct gsMemoryShortage
+{
+  std::uint64_t Bytes = 0;
+  bool IsSevere = false; ///< Large bodies are refused for it.
+};
+
+/** What the process uses above three quarters of the machine. */
+gsMemoryShortage gsFindMemoryShortage(gsMemorySettings const& settings,
+                                      std::uint64_t resident);
+
 /**
  * Bytes that may wait for the caller of a stream before reading from the
- * upstream pauses: a 64th of what is left below half of the budget, at most
- * gsMaxStreamBytes. At zero a stream still moves on whenever its caller
- * has taken everything.
+ * upstream pauses: a 64th of what is left below half of the budget, or below
+ * three quarters of the machine if that is less, at most gsMaxStreamBytes. At
+ * zero a stream still moves on whenever its caller has taken everything.
  */
 std::uint64_t gsStreamLimit(gsMemorySettings const& settings,
                             gsMemoryUse const& use);
@@ -127,10 +152,10 @@
  * Selects the readers to be ended, those that took nothing for the longest
  * time first:
  * - those that took nothing for idleTimeout;
- * - where large bodies are refused: those that took nothing for
- *   StalledTimeout, until such bodies are accepted again;
- * - over the budget: those that took nothing for a third of StalledTimeout,
- *   until the rest is within the budget.
+ * - where large bodies are refused, or the process has to release memory:
+ *   those that took nothing for StalledTimeout, until neither is so;
+ * - over the budget, or where that is severe: those that took nothing for a
+ *   third of StalledTimeout, until the rest is within the budget.
  */
 std::vector<gsMemoryEnding> gsSelectStalled(
   gsMemorySettings const& settings, gsMemoryUse const& use,
--- a/Source/Daemon/gsConnectionGuard.cxx
+++ b/Source/Daemon/gsConnectionGuard.cxx
@@ -16,9 +16,9 @@
 
 std::string RefusalBody()
 {
-  return R"({"error":{"code":"connections","message":"The request was not )"
+  return R"({"error":{"code":"overloaded","message":"The request was not )"
          R"(run: it did not come in whole while this host was short of )"
-         R"(connections; come back later.","step":"read"}})";
+         R"(memory or connections; come back later.","step":"read"}})";
 }
 
 } // namespace
@@ -31,35 +31,46 @@
 {
 }
 
-void gsConnectionGuard::Sweep(gsTime now)
+void gsConnectionGuard::Sweep(gsMemoryShortage const& memory, gsTime now)
 {
   bool stoodStill =
     this->SweptAt.count() != 0 && now - this->SweptAt > StandstillTime;
   this->SweptAt = now;
-  for (gsHttpServer* server : this->Servers) {
-    if (stoodStill) {
+  if (stoodStill) {
+    for (gsHttpServer* server : this->Servers) {
       server->RestartIdleTimes(now);
-      continue;
-    }
-    gsConnectionShortage shortage = gsFindConnectionShortage(
-      server->OpenConnections(), server->MaxConnections());
-    if (!shortage.IsNone()) {
-      this->Shed(*server, shortage, now);
     }
+    return;
+  }
+  for (gsHttpServer* server : this->Servers) {
+    this->Shed({ server }, "connections",
+               gsFindConnectionShortage(server->OpenConnections(),
+                                        server->MaxConnections()),
+               now);
   }
+  this->Shed(
+    this->Servers, "memory",
+    gsFindConnectionShortage(memory, this->Servers.front()->ConnectionBytes()),
+    now);
 }
 
-/** Closes connections of a server and logs how many. */
-void gsConnectionGuard::Shed(gsHttpServer& server,
+/** Closes connections of some servers and logs how many. */
+void gsConnectionGuard::Shed(std::vector<gsHttpServer*> const& servers,
+                             char const* cause,
                              gsConnectionShortage const& shortage, gsTime now)
 {
-  std::vector<gsPendingCaller> callers = server.PendingCallers();
+  if (shortage.IsNone()) {
+    return;
+  }
+  std::vector<std::pair<gsHttpServer*, gsPendingCaller>> callers;
   std::vector<gsWaitingConnection> connections;
-  connections.reserve(callers.size());
-  for (gsPendingCaller const& caller : callers) {
-    connections.push_back({ caller.IsResting ? gsConnectionPhase::Resting
-                                             : gsConnectionPhase::Unfinished,
-                            caller.ProgressAt });
+  for (gsHttpServer* server : servers) {
+    for (gsPendingCaller const& caller : server->PendingCallers()) {
+      callers.emplace_back(server, caller);
+      connections.push_back({ caller.IsResting ? gsConnectionPhase::Resting
+                                               : gsConnectionPhase::Unfinished,
+                              caller.ProgressAt });
+    }
   }
   std::uniform_real_distribution<double> draw(1, MaxRetryAfterFactor);
   std::string const refusal =
@@ -71,8 +82,8 @@
   std::uint64_t unfinished = 0;
   std::uint64_t resting = 0;
   for (std::size_t index : gsSelectConnections(shortage, connections, now)) {
-    gsPendingCaller const& caller = callers[index];
-    if (server.ClosePending(caller, refusal)) {
+    auto const& [server, caller] = callers[index];
+    if (server->ClosePending(caller, refusal)) {
       ++(caller.IsResting ? resting : unfinished);
     }
   }
@@ -80,11 +91,11 @@
   this->ClosedResting += resting;
   if (unfinished + resting > 0) {
     gsLogLine("connections_shed", gsLogLevel::Warn)
-      .With("listener", server.Address())
+      .With("cause", cause)
+      .With("listener", servers.size() == 1 ? servers[0]->Address() : "all")
       .With("unfinished", unfinished)
       .With("resting", resting)
-      .With("open", std::uint64_t(server.OpenConnections()))
-      .With("limit", std::uint64_t(server.MaxConnections()))
+      .With("pending", std::uint64_t(callers.size()))
       .With("severe", shortage.IsSevere);
   }
 }
--- a/Source/Daemon/gsConnectionGuard.h
+++ b/Source/Daemon/gsConnectionGuard.h
@@ -2,7 +2,7 @@
 /**
  * \file
  * Closes connections of callers that do not come on while a listener has few
- * left for new ones (gsConnectionShedding).
+ * left for new ones, or the process is short of memory (gsConnectionShedding).
  */
 #pragma once
 
@@ -11,6 +11,7 @@
 
 #include "gsConnectionShedding.h"
 #include "gsHttpServer.h"
+#include "gsMemoryBudget.h"
 #include "gsMetrics.h"
 
 class gsConnectionGuard
@@ -20,13 +21,17 @@
   gsConnectionGuard(std::vector<gsHttpServer*> servers, gsTime minRetryAfter,
                     std::uint64_t seed);
 
-  /** To be called several times a second. */
-  void Sweep(gsTime now);
+  /**
+   * To be called several times a second.
+   *
+   * \param memory Memory that has to be released, too.
+   */
+  void Sweep(gsMemoryShortage const& memory, gsTime now);
   void WriteGauges(gsMetrics& metrics) const;
 
 private:
-  void Shed(gsHttpServer& server, gsConnectionShortage const& shortage,
-            gsTime now);
+  void Shed(std::vector<gsHttpServer*> const& servers, char const* cause,
+            gsConnectionShortage const& shortage, gsTime now);
 
   std::vector<gsHttpServer*> Servers;
   gsTime MinRetryAfter;
--- a/Source/Daemon/gsMemoryGuard.cxx
+++ b/Source/Daemon/gsMemoryGuard.cxx
@@ -7,6 +7,7 @@
 
 #include "gsHttpStatus.h"
 #include "gsLog.h"
+#include "gsProcess.h"
 
 namespace {
 
@@ -31,6 +32,11 @@
 /** Number of sweep intervals without a sweep after which the process is
  * assumed to have stood still. */
 constexpr int StandstillIntervals = 4;
+/** Minimum interval between measurements of the process' memory, which are
+ * system calls, and between returns of free heap, which walk all of it. */
+constexpr gsTime MinMeasureInterval = gsMilliseconds(5);
+constexpr gsTime MinReleaseInterval = gsMilliseconds(200);
+constexpr gsTime MinRefusalLogInterval = gsMilliseconds(50);
 constexpr double MaxRetryAfterFactor = 1.5;
 
 /** A kind of held bytes, by its name in status and metrics. */
@@ -91,6 +97,9 @@
   gate.Accepts = [this](gsHttpExchange& exchange, std::uint64_t bytes) {
     return this->AcceptsBody(exchange, bytes);
   };
+  gate.Begins = [this](gsHttpExchange& exchange) {
+    return this->AcceptsRequest(exchange);
+  };
   gate.Refuse = [this](gsHttpExchange& exchange) { this->Refuse(exchange); };
   for (gsHttpServer* server : this->Servers) {
     server->SetBodyGate(gate);
@@ -117,10 +126,56 @@
   Add(use, this->Upstreams.Held());
   for (gsHttpServer const* server : this->Servers) {
     Add(use, server->Held());
+    use.Requests += server->HandledExchanges();
+  }
+  if (this->Resident > 0) {
+    std::uint64_t held = use.Total();
+    use.Resident = this->Resident + held - std::min(held, this->HeldAtMeasure);
   }
   return use;
 }
 
+gsMemoryShortage gsMemoryGuard::Shortage() const
+{
+  if (!this->IsOn()) {
+    return {};
+  }
+  return gsFindMemoryShortage(this->Settings.Budget, this->Resident);
+}
+
+/** Measures the memory of the process. Where it is short, free heap is
+ * returned first, since it would count as used. */
+void gsMemoryGuard::Measure(gsTime now)
+{
+  this->Resident = gsResidentBytes();
+  bool isShort =
+    gsFindMemoryShortage(this->Settings.Budget, this->Resident).Bytes > 0;
+  if (isShort && this->IsOn() &&
+      now - this->ReleasedAt >= MinReleaseInterval) {
+    this->ReleasedAt = now;
+    gsReleaseFreeHeap();
+    this->Resident = gsResidentBytes();
+  }
+  this->PeakResident = std::max(this->PeakResident, this->Resident);
+  this->MeasuredAt = now;
+  this->HeldAtMeasure = this->Use().Total();
+}
+
+/** Measures anew if the process may be short of memory by now. Connections
+ * grow with what they read, which is not counted. */
+void gsMemoryGuard::MeasureIfGrown()
+{
+  std::uint64_t most = this->Use().Resident;
+  for (gsHttpServer const* server : this->Servers) {
+    most += server->OpenConnections() * server->ConnectionBytes();
+  }
+  gsTime now = gsLoop::Now();
+  if (gsFindMemoryShortage(this->Settings.Budget, most).Bytes > 0 &&
+      now - this->MeasuredAt >= MinMeasureInterval) {
+    this->Measure(now);
+  }
+}
+
 void gsMemoryGuard::RecordUse()
 {
   gsMemoryUse use = this->Use();
@@ -133,16 +188,44 @@
 
 bool gsMemoryGuard::AcceptsBody(gsHttpExchange& exchange, std::uint64_t bytes)
 {
+  this->MeasureIfGrown();
   gsMemoryUse use = this->Use();
   this->RecordUse();
-  if (gsAcceptsBody(this->Settings.Budget, use, bytes)) {
-    return true;
-  }
+  return gsAcceptsBody(this->Settings.Budget, use, bytes) ||
+         this->CountRefusal(exchange, bytes, use);
+}
+
+bool gsMemoryGuard::AcceptsRequest(gsHttpExchange& exchange)
+{
+  this->MeasureIfGrown();
+  gsMemoryUse use = this->Use();
+  return gsAcceptsRequest(this->Settings.Budget, use) ||
+         this->CountRefusal(exchange, exchange.Body.size(), use);
+}
+
+/** \return Whether the request is accepted all the same, in a dry run. */
+bool gsMemoryGuard::CountRefusal(gsHttpExchange& exchange, std::uint64_t bytes,
+                                 gsMemoryUse const& use)
+{
   // A dry run asks again for each part of a body.
   if (std::exchange(exchange.IsRefusalCounted, true)) {
     return !this->IsOn();
   }
   ++this->Refusals;
+  this->LogRefusal(exchange, bytes, use);
+  return !this->IsOn();
+}
+
+void gsMemoryGuard::LogRefusal(gsHttpExchange const& exchange,
+                               std::uint64_t bytes, gsMemoryUse const& use)
+{
+  gsTime now = gsLoop::Now();
+  if (this->RefusalLoggedAt.count() != 0 &&
+      now - this->RefusalLoggedAt < MinRefusalLogInterval) {
+    ++this->RefusalsNotLogged;
+    return;
+  }
+  this->RefusalLoggedAt = now;
   gsLogLine("memory_refused")
     .With("caller", exchange.Peer)
     .With("path", exchange.Path)
@@ -150,8 +233,9 @@
     .With("held_bytes", use.Total())
     .With("expected_bytes", use.Expected)
     .With("limit_bytes", gsMemoryLimit(this->Settings.Budget))
+    .With("resident_bytes", use.Resident)
+    .With("not_logged", std::exchange(this->RefusalsNotLogged, 0))
     .With("dry_run", !this->IsOn());
-  return !this->IsOn();
 }
 
 /** Answers a request whose body was refused; it has not run. */
@@ -164,7 +248,7 @@
     { "error",
       { { "code", "memory" },
         { "message",
-          "The request was not run: this host has no memory for its body; "
+          "The request was not run: this host has no memory for it; "
           "come back later." },
         { "step", "accept" } } }
   };
@@ -202,6 +286,7 @@
     this->SweptAt.count() != 0 &&
     now - this->SweptAt > StandstillIntervals * this->Settings.SweepInterval;
   this->SweptAt = now;
+  this->Measure(now);
   this->RecordUse();
   if (stoodStill) {
     // What the other ends took meanwhile, and how much they were offered, is
@@ -357,6 +442,9 @@
            { "limit_bytes", gsMemoryLimit(this->Settings.Budget) },
            { "held_bytes", use.Total() },
            { "peak_bytes", this->PeakBytes },
+           { "total_bytes", this->Settings.Budget.TotalBytes },
+           { "resident_bytes", use.Resident },
+           { "peak_resident_bytes", this->PeakResident },
            { "bodies", use.Bodies },
            { "expected", use.Expected },
            { "answers", use.Answers },
@@ -391,6 +479,8 @@
   }
   metrics.Set("gradescale_memory_limit_bytes", {},
               static_cast<double>(gsMemoryLimit(this->Settings.Budget)));
+  metrics.Set("gradescale_memory_resident_bytes", {},
+              static_cast<double>(use.Resident));
   metrics.Set("gradescale_memory_peak_bytes", {},
               static_cast<double>(this->PeakBytes));
   metrics.Set("gradescale_paused_streams", {},
--- a/Source/Daemon/gsMemoryGuard.h
+++ b/Source/Daemon/gsMemoryGuard.h
@@ -52,6 +52,8 @@
                            gsHttpClient& client);
 
   gsMemoryUse Use() const;
+  /** Memory that has to be released by ending callers that do not come on. */
+  gsMemoryShortage Shortage() const;
   nlohmann::json Status() const;
   void WriteGauges(gsMetrics& metrics) const;
 
@@ -66,9 +68,16 @@
 
   bool IsOn() const { return this->Settings.Mode == gsFeatureMode::On; }
   bool AcceptsBody(gsHttpExchange& exchange, std::uint64_t bytes);
+  bool AcceptsRequest(gsHttpExchange& exchange);
+  bool CountRefusal(gsHttpExchange& exchange, std::uint64_t bytes,
+                    gsMemoryUse const& use);
   void Refuse(gsHttpExchange& exchange);
   std::uint64_t StreamLimit();
   void RecordUse();
+  void Measure(gsTime now);
+  void MeasureIfGrown();
+  void LogRefusal(gsHttpExchange const& exchange, std::uint64_t bytes,
+                  gsMemoryUse const& use);
   void OnAnswerGrown();
   void Sweep();
   void SweepAnswers();
@@ -86,9 +95,16 @@
   gsTimer SweepTimer;
   bool IsSweepScheduled = false;
   gsTime SweptAt{};
+  std::uint64_t Resident = 0; ///< Of the process, when last measured.
+  std::uint64_t PeakResident = 0;
+  std::uint64_t HeldAtMeasure = 0; ///< Total of all kinds at that time.
+  gsTime MeasuredAt{};
+  gsTime ReleasedAt{}; ///< When free heap was last returned.
   std::uint64_t PeakBytes = 0;
   gsMemoryUse Peaks; ///< Of each kind, at different times.
   std::uint64_t Refusals = 0;
+  gsTime RefusalLoggedAt{};
+  std::uint64_t RefusalsNotLogged = 0; ///< Since the last line.
   std::map<Ended, std::uint64_t> EndedCounts;
   /** Callers and calls that a dry run has logged, until they take something or
    * are gone. */
--- a/Source/Daemon/gsMetrics.cxx
+++ b/Source/Daemon/gsMetrics.cxx
@@ -101,6 +101,9 @@
       "Bytes held for callers and upstreams, by kind; routed mode." },
     { "gradescale_memory_limit_bytes", gsMetricKind::Gauge,
       "Bytes that may be held for callers and upstreams; routed mode." },
+    { "gradescale_memory_resident_bytes", gsMetricKind::Gauge,
+      "Resident memory of the process, with what no other gauge counts; "
+      "routed mode." },
     { "gradescale_memory_peak_bytes", gsMetricKind::Gauge,
       "Most bytes held since the start; routed mode." },
     { "gradescale_memory_peak_kind_bytes", gsMetricKind::Gauge,
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -287,6 +287,7 @@
   gsHttpServerSettings operators = callers;
   operators.Address = this->Settings.Operators.Listen;
   operators.MaxBody = OperatorBodyBytes;
+  operators.HandlesAll = true;
   LimitConnections(operators, limits.Operators);
   server = gsHttpServer::Start(
     this->Loop, operators,
@@ -624,7 +625,7 @@
 {
   gsTime now = gsLoop::Now();
   this->CheckForStall(now);
-  this->ConnectionGuard->Sweep(now);
+  this->ConnectionGuard->Sweep(this->MemoryGuard->Shortage(), now);
   this->Cluster->Tick();
   this->Tables->Tick(now);
   this->ResumeIfCaughtUp(now);
--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -289,6 +289,12 @@
     return;
   }
   this->At = Phase::Ended;
+  if (this->BypassesLibrary) {
+    std::string const text = gsFormatAnswer(status, headers, body);
+    send(this->Descriptor(), text.data(), text.size(),
+         MSG_DONTWAIT | MSG_NOSIGNAL);
+    return;
+  }
   this->HeldAnswer.Set(body.size());
   this->SetResponse(status, headers,
                     MHD_create_response_from_buffer(body.size(), body.data(),
@@ -1016,6 +1022,25 @@
   return MHD_queue_response(connection, exchange.Status, exchange.Response);
 }
 
+/**
+ * Answers a request whose body was refused while it came, and closes its
+ * connection. The library takes answers only before and after a body, and
+ * some bodies have no end. \return As OnRequest.
+ */
+int gsHttpServer::RefuseMidway(MHD_Connection* connection,
+                               gsHttpExchange& exchange)
+{
+  Link& link = this->Links[connection];
+  if (this->LingeringLinks.size() >= this->Settings.MaxLingering) {
+    return MHD_YES; // Its body is dropped as it comes, and then answered.
+  }
+  exchange.BypassesLibrary = true;
+  this->Gate.Refuse(exchange);
+  link.Shut = true;
+  this->Linger(link.Descriptor);
+  return MHD_NO;
+}
+
 /** Answers a request whose head is not accepted, and which has not run.
  * \return As OnRequest. */
 int gsHttpServer::RejectHead(MHD_Connection* connection,
@@ -1166,9 +1191,12 @@
       link.ProgressAt = link.BodyAt;
       link.ProgressBytes = 0;
     }
+    bool wasRefused = exchange->BodyRefused;
     this->OnBodyPart(*exchange, { data, *size });
     *size = 0;
-    return MHD_YES;
+    return exchange->BodyRefused && !wasRefused
+             ? this->RefuseMidway(connection, *exchange)
+             : MHD_YES;
   }
   if (exchange->At == gsHttpExchange::Phase::Receiving) {
     if (this->Links[connection].Shut) {
@@ -1181,9 +1209,14 @@
     exchange->HeldExpected.Set(0);
     exchange->WatchCaller();
     std::shared_ptr<gsHttpExchange> keep = exchange;
-    if (exchange->BodyRefused) {
+    bool begins = !exchange->BodyRefused &&
+                  (this->Settings.HandlesAll || !this->Gate.Begins ||
+                   this->Gate.Begins(*keep));
+    if (!begins) {
       this->Gate.Refuse(*keep);
     } else {
+      exchange->IsHandled = true;
+      ++this->Handled;
       this->Handle(keep);
     }
   }
@@ -1213,6 +1246,7 @@
   std::shared_ptr<gsHttpExchange> exchange = std::move(*held);
   delete held;
   --this->Exchanges;
+  this->Handled -= exchange->IsHandled ? 1 : 0;
   auto link = this->Links.find(exchange->Connection);
   if (link != this->Links.end()) {
     link->second.Open = nullptr;
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -38,6 +38,8 @@
   /** Connections that are read on after an early answer, beside those that
    * MaxConnections counts. */
   std::size_t MaxLingering = 256;
+  /** Whether whole requests are handled without asking the gate. */
+  bool HandlesAll = false;
   /** A request must have come in whole within this time. A caller may rest
    * for so long, between requests and while it reads. */
   gsTime ReceiveTimeout = gsSeconds(30);
@@ -173,6 +175,9 @@
   bool ResetsOnClose = false;
   bool Suspended = false;
   bool Queued = false;
+  bool IsHandled = false; ///< Whether it was passed to the handler.
+  /** Whether an answer is written to the connection itself. */
+  bool BypassesLibrary = false;
   /** Of a body whose size was not announced, until it has come in whole. */
   gsBlockBuffer Parts;
   std::string Buffer;
@@ -216,7 +221,8 @@
 std::string gsFormatAnswer(unsigned status, gsHeaders const& headers,
                            std::string_view body);
 
-/** Decides on the bodies of requests before they are read. */
+/** Decides on bodies before they are read, and on requests before they are
+ * handled. */
 struct gsHttpBodyGate
 {
   /**
@@ -225,7 +231,9 @@
    * size was not announced, or the reservation has lapsed.
    */
   std::function<bool(gsHttpExchange& exchange, std::uint64_t bytes)> Accepts;
-  /** Answers a request whose body was refused. */
+  /** Whether a request that has come in whole is handled; empty if all are. */
+  std::function<bool(gsHttpExchange& exchange)> Begins;
+  /** Answers a request that was refused. */
   std::function<void(gsHttpExchange& exchange)> Refuse;
 };
 
@@ -261,6 +269,8 @@
   bool IsQuiet() const;
   /** Requests that have not been answered whole yet. */
   std::size_t OpenExchanges() const { return this->Exchanges; }
+  /** Those of them that have come in whole and were not refused. */
+  std::size_t HandledExchanges() const { return this->Handled; }
   /** Connections whose callers have sent what has not been read yet. */
   std::size_t Unread() const;
   std::string const& Address() const { return this->Settings.Address; }
@@ -268,6 +278,10 @@
   std::size_t MaxConnections() const { return this->Settings.MaxConnections; }
   /** Largest memory of a connection without the bytes that are held for it. */
   static std::uint64_t ConnectionBytes(gsHttpServerSettings const& settings);
+  std::uint64_t ConnectionBytes() const
+  {
+    return ConnectionBytes(this->Settings);
+  }
   /** Connections that may be closed, unless they were already. */
   std::vector<gsPendingCaller> PendingCallers() const;
   /**
@@ -346,6 +360,7 @@
                                      gsHttpExchange& exchange,
                                      char const* version);
   int RefuseEarly(MHD_Connection* connection, gsHttpExchange& exchange);
+  int RefuseMidway(MHD_Connection* connection, gsHttpExchange& exchange);
   int RejectHead(MHD_Connection* connection, gsHttpExchange& exchange,
                  unsigned status, std::string_view code,
                  std::string_view reason);
@@ -386,6 +401,7 @@
   bool CloseScheduled = false;
   gsTime LastRequestAt{}; ///< When a request last began or ended.
   std::size_t Exchanges = 0;
+  std::size_t Handled = 0; ///< Those of them that were passed to the handler.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/Tests/Route/gsTestMemoryGuard.cxx
+++ b/Tests/Route/gsTestMemoryGuard.cxx
@@ -26,6 +26,8 @@
 
 constexpr std::uint64_t KiB = 1U << 10U;
 constexpr std::uint64_t MiB = 1U << 20U;
+/** More than this process uses, whose memory is measured. */
+constexpr std::uint64_t MachineBytes = 1024 * MiB;
 constexpr gsTime Stalled = gsMilliseconds(600);
 /** Of the connection of a caller that does not read. */
 constexpr int SmallBuffer = 8 << 10;
@@ -136,8 +138,9 @@
   {
     gsMemoryGuardSettings settings;
     settings.Mode = mode;
-    settings.Budget.TotalBytes = 4 * budget;
-    settings.Budget.BuffersShare = 0.25;
+    settings.Budget.TotalBytes = MachineBytes;
+    settings.Budget.BuffersShare =
+      static_cast<double>(budget) / static_cast<double>(MachineBytes);
     settings.Budget.StalledTimeout = Stalled;
     settings.SweepInterval = gsMilliseconds(50);
     this->Budget = settings.Budget;
--- a/Tests/Soak/gsClientCrowd.cxx
+++ b/Tests/Soak/gsClientCrowd.cxx
@@ -28,13 +28,17 @@
   setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-int Connect(std::string const& address)
+int Connect(std::string const& address, gsCrowdReading reading)
 {
   int descriptor =
     socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     throw std::runtime_error("no descriptor for a client");
   }
+  if (reading == gsCrowdReading::Nothing) {
+    int size = 4096;
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+  }
   std::size_t colon = address.rfind(':');
   sockaddr_in to{};
   to.sin_family = AF_INET;
@@ -74,15 +78,17 @@
 }
 
 gsClientCrowd::gsClientCrowd(gsLoop& loop, std::string const& address,
-                             std::size_t clients, std::string bytes)
+                             std::size_t clients, std::string bytes,
+                             gsCrowdReading reading)
   : Bytes(std::move(bytes))
+  , Reading(reading)
 {
   AllowDescriptors();
   this->Clients.reserve(clients);
   for (std::size_t i = 0; i < clients; ++i) {
     auto client = std::make_unique<Client>();
     Client* raw = client.get();
-    client->Descriptor = Connect(address);
+    client->Descriptor = Connect(address, reading);
     client->Watch =
       std::make_unique<gsIoWatch>(loop, client->Descriptor, EV_READ | EV_WRITE,
                                   [this, raw](int) { this->OnEvent(*raw); });
@@ -121,6 +127,10 @@
 
 void gsClientCrowd::OnEvent(Client& client)
 {
+  if (this->Reading == gsCrowdReading::Nothing) {
+    this->SendMore(client);
+    return;
+  }
   char buffer[4096];
   ssize_t count = recv(client.Descriptor, buffer, sizeof(buffer), 0);
   bool waits = count < 0 &&
@@ -145,5 +155,6 @@
     }
   }
   bool isSent = client.Sent == this->Bytes.size();
-  client.Watch->Events(isSent ? EV_READ : EV_READ | EV_WRITE);
+  int reads = this->Reading == gsCrowdReading::All ? EV_READ : 0;
+  client.Watch->Events(isSent ? reads : reads | EV_WRITE);
 }
--- a/Tests/Soak/gsClientCrowd.h
+++ b/Tests/Soak/gsClientCrowd.h
@@ -26,12 +26,19 @@
 std::string gsUnfinishedRequest(std::string const& path,
                                 gsCrowdBody const& body);
 
+enum class gsCrowdReading
+{
+  All,
+  Nothing ///< Answers fill the smallest buffers that the kernel has.
+};
+
 class gsClientCrowd
 {
 public:
   /** Connects so many clients to IP:port. The bytes may be empty. */
   gsClientCrowd(gsLoop& loop, std::string const& address, std::size_t clients,
-                std::string bytes);
+                std::string bytes,
+                gsCrowdReading reading = gsCrowdReading::All);
   ~gsClientCrowd();
   gsClientCrowd(gsClientCrowd const&) = delete;
   gsClientCrowd& operator=(gsClientCrowd const&) = delete;
@@ -58,6 +65,7 @@
   void SendMore(Client& client);
 
   std::string const Bytes;
+  gsCrowdReading const Reading;
   std::vector<std::unique_ptr<Client>> Clients;
   std::uint64_t SentBytes = 0;
 };
--- a/Tests/Soak/gsTestClientCrowds.cxx
+++ b/Tests/Soak/gsTestClientCrowds.cxx
@@ -55,11 +55,12 @@
     this->DescriptorsBefore = this->System->OpenDescriptors("host0");
   }
 
-  std::unique_ptr<gsClientCrowd> Come(std::string const& address,
-                                      std::size_t clients, std::string bytes)
+  std::unique_ptr<gsClientCrowd> Come(
+    std::string const& address, std::size_t clients, std::string bytes,
+    gsCrowdReading reading = gsCrowdReading::All)
   {
     return std::make_unique<gsClientCrowd>(this->System->EventLoop(), address,
-                                           clients, std::move(bytes));
+                                           clients, std::move(bytes), reading);
   }
 
   /** Runs until a crowd has sent what it can. */
@@ -258,6 +259,23 @@
                     head + "5;x=" + std::string(100 * KiB, 'y'));
 }
 
+// Guards against streams that nobody reads, whose fixed part no budget counts.
+TEST_F(ClientCrowds, StreamsThatNobodyReads)
+{
+  gsRoutedPlan plan = Plan(0);
+  plan.Runners = 1;
+  plan.Events = 40;
+  plan.GapMs = 50;
+  plan.PadBytes = 4 << 10;
+  plan.Slots = 4000;
+  this->Start(plan);
+  auto crowd = this->Come(this->System->AddressOf("host0"), 2000,
+                          gsUnfinishedRequest("/stream/x", { 1, 1, 0 }),
+                          gsCrowdReading::Nothing);
+  this->RunUntilSent(*crowd);
+  this->ExpectSound(*crowd);
+}
+
 // Guards against limits that a request within those of the configuration
 // meets while nobody presses.
 TEST_F(ClientCrowds, LargestRequestIsServedInCalm)
--- a/Tests/Soak/gsTestSlowReaders.cxx
+++ b/Tests/Soak/gsTestSlowReaders.cxx
@@ -2,7 +2,7 @@
 /**
  * \file
  * Thousands of callers that do not read their streams beside some that do, at
- * one host with the memory of a small machine, on real processes.
+ * one host with a budget of a small machine, on real processes.
  */
 #include <algorithm>
 #include <csignal>
@@ -25,6 +25,11 @@
 constexpr std::size_t SilentCallers = 2000;
 constexpr std::size_t Readers = 50;
 constexpr std::uint64_t KibPerMib = 1024;
+/** Of the machine, which has memory for all these streams at once. */
+constexpr std::uint64_t MachineMib = 260;
+/** Leaves as much for bytes that wait as a machine of 120 MiB has by default.
+ */
+constexpr double BudgetShare = 0.35 * 120 / MachineMib;
 /** Part of the resident memory that each open stream takes beside its bytes:
  * the buffers of fixed size of both HTTP libraries. */
 constexpr std::uint64_t KibPerStream = 64;
@@ -156,7 +161,9 @@
   plan.Slots = 4000;
   plan.IdleTimeoutMs = 8000;
   plan.DirectRunners = true;
-  plan.Memory = { { "mode", "on" }, { "total_mb", 120 } };
+  plan.Memory = { { "mode", "on" },
+                  { "total_mb", MachineMib },
+                  { "buffers_share", BudgetShare } };
   gsRoutedSystem system(plan);
   std::uint64_t before = system.PeakMemoryKib("host0");
   ReadingCallers readers(system);
@@ -207,6 +214,7 @@
   EXPECT_EQ(readers.Lost(), 0U);
   EXPECT_GT(readers.Count(), 2 * Readers);
   EXPECT_LE(memory["peak_bytes"].get<std::uint64_t>(), limit);
+  EXPECT_LE(peak, MachineMib * KibPerMib);
   EXPECT_LE(peak - before,
             limit / KibPerMib + KibPerStream * (SilentCallers + Readers));
   EXPECT_EQ(memory["ended_stalled"].get<std::size_t>() +
--- a/Tests/Unit/gsTestConnectionShedding.cxx
+++ b/Tests/Unit/gsTestConnectionShedding.cxx
@@ -141,6 +141,21 @@
   EXPECT_EQ(gsFindConnectionShortage(1000, 1000).Resting, 125U);
 }
 
+// Guards against resting connections that are closed for memory which the
+// unfinished requests would free.
+TEST(ConnectionShedding, ConnectionsAreClosedForTheMemoryThatIsMissing)
+{
+  EXPECT_TRUE(gsFindConnectionShortage(gsMemoryShortage{}, 36 * KiB).IsNone());
+  gsConnectionShortage some =
+    gsFindConnectionShortage(gsMemoryShortage{ 100 * KiB, false }, 36 * KiB);
+  EXPECT_EQ(some.Unfinished, 3U);
+  EXPECT_EQ(some.Resting, 0U);
+  gsConnectionShortage severe =
+    gsFindConnectionShortage(gsMemoryShortage{ 100 * KiB, true }, 36 * KiB);
+  EXPECT_EQ(severe.Unfinished, 3U);
+  EXPECT_EQ(severe.Resting, 3U);
+}
+
 // Guards against a crowd that keeps ordinary callers out for good, of any
 // size and however often it comes back.
 TEST(ConnectionShedding, OrdinaryCallersGetThroughACrowd)
--- a/Tests/Unit/gsTestMemoryBudget.cxx
+++ b/Tests/Unit/gsTestMemoryBudget.cxx
@@ -400,3 +400,92 @@
               buffer.size() + buffer.size() / 4 + none.capacity());
   }
 }
+
+// Guards against many small bodies that exceed every budget, and against small
+// ones that are refused since answers use it.
+TEST(MemoryBudget, SmallBodiesAreBoundedByThemselves)
+{
+  gsMemorySettings settings;
+  std::uint64_t limit = gsMemoryLimit(settings);
+  gsMemoryUse use;
+  use.Answers = 2 * limit;
+  EXPECT_TRUE(gsAcceptsBody(settings, use, gsSmallBodyBytes));
+  std::size_t accepted = 0;
+  while (accepted < 10'000 && gsAcceptsBody(settings, use, gsSmallBodyBytes)) {
+    use.Bodies += gsSmallBodyBytes;
+    ++accepted;
+  }
+  EXPECT_EQ(accepted, limit / gsSmallBodyBytes);
+}
+
+// Guards against bodies for which the machine has no memory, whatever is
+// counted.
+TEST(MemoryBudget, BodiesAreRefusedWhereTheProcessNearsTheMachine)
+{
+  gsMemorySettings settings;
+  gsMemoryUse use;
+  EXPECT_TRUE(gsAcceptsBody(settings, use, 4 * MiB)) << "it is not known";
+  use.Resident = settings.TotalBytes * 7 / 10;
+  EXPECT_TRUE(gsAcceptsBody(settings, use, 4 * MiB));
+  use.Resident = settings.TotalBytes * 9 / 10;
+  EXPECT_FALSE(gsAcceptsBody(settings, use, gsSmallBodyBytes + 1));
+  EXPECT_TRUE(gsAcceptsBody(settings, use, gsSmallBodyBytes));
+  use.Resident = settings.TotalBytes * 96 / 100;
+  EXPECT_FALSE(gsAcceptsBody(settings, use, 1));
+}
+
+// Guards against callers that are ended although there is memory.
+TEST(MemoryBudget, ShortageBeginsAtThreeQuartersOfTheMachine)
+{
+  gsMemorySettings settings;
+  EXPECT_EQ(gsFindMemoryShortage(settings, 0).Bytes, 0U);
+  EXPECT_EQ(gsFindMemoryShortage(settings, 90 * MiB).Bytes, 0U);
+  EXPECT_EQ(gsFindMemoryShortage(settings, 91 * MiB).Bytes, MiB);
+  EXPECT_FALSE(gsFindMemoryShortage(settings, 100 * MiB).IsSevere);
+  EXPECT_TRUE(gsFindMemoryShortage(settings, 103 * MiB).IsSevere);
+}
+
+// Guards against requests whose fixed parts exceed the machine together, and
+// against budgets that leave no room for any.
+TEST(MemoryBudget, RequestsAreBoundedByWhatTheBudgetLeaves)
+{
+  for (std::uint64_t mib : { 120, 160, 260 }) {
+    for (double share : { 0.05, 0.35, 0.8 }) {
+      gsMemorySettings settings;
+      settings.TotalBytes = mib * MiB;
+      settings.BuffersShare = share;
+      gsMemoryUse use;
+      while (use.Requests < 100'000 && gsAcceptsRequest(settings, use)) {
+        ++use.Requests;
+      }
+      EXPECT_GE(use.Requests, 64U);
+      EXPECT_TRUE(use.Requests == 64 ||
+                  use.Requests * (64U << 10U) + gsMemoryLimit(settings) <
+                    settings.TotalBytes)
+        << mib << ' ' << share << ' ' << use.Requests;
+      use.Requests = 0;
+      use.Resident = settings.TotalBytes * 96 / 100;
+      EXPECT_FALSE(gsAcceptsRequest(settings, use));
+    }
+  }
+}
+
+// Guards against readers that keep memory which the process has to release.
+TEST(MemoryBudget, ReadersAreEndedWhereTheProcessNearsTheMachine)
+{
+  gsMemorySettings settings;
+  gsMemoryUse use;
+  gsTime now = Start + 2 * settings.StalledTimeout;
+  std::vector<gsMemoryReader> readers(100, { 1000, Start });
+  readers.push_back({ 1000, now });
+  EXPECT_TRUE(
+    gsSelectStalled(settings, use, readers, IdleTimeout, now).empty());
+  use.Resident = settings.TotalBytes * 3 / 4 + MiB;
+  std::size_t ended =
+    gsSelectStalled(settings, use, readers, IdleTimeout, now).size();
+  EXPECT_GT(ended, 0U);
+  EXPECT_LT(ended, 100U) << "more than that takes";
+  use.Resident = settings.TotalBytes;
+  EXPECT_EQ(gsSelectStalled(settings, use, readers, IdleTimeout, now).size(),
+            100U);
+}
