HttpServer: Closes connections that the library cannot read on

One client that sends 100 KB of digits as the size of a chunk, or of a chunk's extension, took a core of the host, also after it had left; 40 such connections were open 30 s after their clients had gone (68 descriptors, bound 43).

Cause: the library's buffer is full of a line that it needs as a whole. It reads no more, so that it never sees the end of the connection, and asks to be run again at once, without an end.

After 32 runs in a row in which the library did nothing but ask for another, it is run each 10 ms, and connections that have unread bytes of a body and were not read on for 100 ms get 400 and are closed. The pace also bounds what a buffer costs that is full to the last byte.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -38,6 +38,11 @@
 constexpr std::size_t MinProgress = 256;
 /** Memory of a connection beside the library's, roughly. */
 constexpr std::size_t LinkBytes = 4U << 10U;
+/** Runs of the library in a row that do nothing and ask for another one. */
+constexpr std::size_t MaxIdleRuns = 32;
+/** Interval of such runs from then on. */
+constexpr gsTime IdleRunInterval = gsMilliseconds(10);
+constexpr gsTime StuckCheckInterval = gsMilliseconds(100);
 /** Time without a request after which requests are unlikely to be under way.
  */
 constexpr gsTime QuietTime = gsMilliseconds(200);
@@ -105,6 +110,16 @@
   return answer;
 }
 
+/** Answers a request whose body the library cannot read. */
+std::string const& UnreadableAnswer()
+{
+  static std::string const answer = gsFormatAnswer(
+    MHD_HTTP_BAD_REQUEST, { { "Content-Type", "application/json" } },
+    R"({"error":{"code":"bad_body","message":"The request was not run: a )"
+    R"(line between parts of its body is too long.","step":"read"}})");
+  return answer;
+}
+
 ssize_t ReadStream(void* context, std::uint64_t /*position*/, char* buffer,
                    std::size_t size);
 
@@ -467,6 +482,7 @@
 
 std::ptrdiff_t gsHttpExchange::StreamInto(char* buffer, std::size_t size)
 {
+  ++this->Server->Activity;
   std::size_t ready = this->Buffer.size() - this->Read;
   if (ready > 0) {
     std::size_t count = std::min({ ready, size, MaxStreamPart });
@@ -593,6 +609,7 @@
   auto connected = [](void* self, MHD_Connection* connection,
                       void** /*context*/, MHD_ConnectionNotificationCode how) {
     auto* that = static_cast<gsHttpServer*>(self);
+    ++that->Activity;
     if (how == MHD_CONNECTION_NOTIFY_STARTED) {
       auto const* info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -793,14 +810,49 @@
 void gsHttpServer::Run()
 {
   this->Scheduled = false;
+  std::uint64_t before = this->Activity;
   MHD_run(this->Daemon);
+  this->IdleRuns = this->Activity == before ? this->IdleRuns + 1 : 0;
   MHD_UNSIGNED_LONG_LONG timeout = 0;
   if (MHD_get_timeout(this->Daemon, &timeout) != MHD_YES) {
     this->Timer->Stop();
-  } else if (timeout == 0) {
+  } else if (timeout > 0) {
+    this->Timer->Once(gsMilliseconds(timeout));
+  } else if (this->IdleRuns < MaxIdleRuns) {
     this->RunSoon();
   } else {
-    this->Timer->Once(gsMilliseconds(timeout));
+    this->CloseStuck(gsLoop::Now());
+    this->Timer->Once(IdleRunInterval);
+  }
+}
+
+/**
+ * Closes connections that the library does not read although bytes have come.
+ * Its buffer is full of something that has to be there as a whole, such as the
+ * line with the size of a chunk, and it asks to be run again without an end.
+ */
+void gsHttpServer::CloseStuck(gsTime now)
+{
+  if (now - this->StuckCheckedAt < StuckCheckInterval) {
+    return;
+  }
+  this->StuckCheckedAt = now;
+  for (auto& [connection, link] : this->Links) {
+    bool receives = link.Open != nullptr && !link.Shut &&
+                    link.Open->At == gsHttpExchange::Phase::Receiving;
+    if (!receives || !HasUnread(link.Descriptor)) {
+      link.StuckAt = 0;
+      continue;
+    }
+    std::uint64_t read = BytesRead(link.Descriptor);
+    if (std::exchange(link.StuckAt, read) != read) {
+      continue;
+    }
+    gsLogLine("request_unreadable", gsLogLevel::Warn)
+      .With("caller", PeerOf(connection))
+      .With("path", link.Open->Path)
+      .With("read_bytes", read - link.Settled);
+    this->CloseUnfinished(link, UnreadableAnswer());
   }
 }
 
@@ -962,6 +1014,7 @@
 /** Begins an exchange; its address becomes the request's context. */
 void* gsHttpServer::OnFirstLine(MHD_Connection* connection, char const* target)
 {
+  ++this->Activity;
   auto* held = new std::shared_ptr<gsHttpExchange>(
     std::make_shared<gsHttpExchange>(*this, connection, target));
   (*held)->Since = gsLoop::Now();
@@ -1162,6 +1215,7 @@
                             char const* data, std::size_t* size,
                             void** context)
 {
+  ++this->Activity;
   auto& exchange = *static_cast<std::shared_ptr<gsHttpExchange>*>(*context);
   if (exchange->At == gsHttpExchange::Phase::New) {
     exchange->At = gsHttpExchange::Phase::Receiving;
@@ -1238,6 +1292,7 @@
 
 void gsHttpServer::OnCompleted(void** context)
 {
+  ++this->Activity;
   if (*context == nullptr) {
     return;
   }
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -341,12 +341,16 @@
     /** Bytes of the requests that have been answered; what has come beyond
      * them belongs to one whose first line is not there as a whole. */
     std::uint64_t Settled = 0;
+    /** Bytes that the library had read when more had come and CloseStuck
+     * looked; zero if none had. */
+    std::uint64_t StuckAt = 0;
   };
 
   gsHttpServer(gsLoop& loop, gsHttpServerSettings settings, Handler handler);
   gsResult<int> Listen();
   void RunSoon();
   void Run();
+  void CloseStuck(gsTime now);
   void CutSlow();
   void CloseUnfinished(Link& link, std::string_view answer);
   void AcceptWaiting();
@@ -396,6 +400,9 @@
     gsTime Until{};
   };
   std::map<int, Lingering> LingeringLinks;
+  std::uint64_t Activity = 0; ///< Calls of the library into this object.
+  std::size_t IdleRuns = 0;   ///< Runs in a row without such a call.
+  gsTime StuckCheckedAt{};
   bool Scheduled = false;
   bool Closing = false;
   bool CloseScheduled = false;
