PeerNet: Accepts links itself, and only as many as there are descriptors for

600 clients that connect to the listener for links between hosts and send nothing, at a host of 400 descriptors: all 400 were open, no ordinary request was answered in 30 s, and after the crowd had left no host could link to this one any more.

Causes: gRPC limits neither connections nor the time until they say something (two minutes), and its listener ends for good when accepting fails.

Connections are now accepted by gsPeerAcceptor and handed over to gRPC. It waits at its limit, an eighth of the descriptors, or without descriptors, and goes on when others are closed. Connections that begin no link are closed after 5 s, and ones without a link after 10 s; hosts keep one stream open a link. Callers have half of the descriptors in place of five eighths, so that an eighth still remains with all listeners at their limits.

--- a/Source/Core/gsConnectionShedding.cxx
+++ b/Source/Core/gsConnectionShedding.cxx
@@ -7,11 +7,12 @@
 
 constexpr std::size_t MaxCallers = 4096;
 constexpr std::size_t MaxOperators = 256;
+constexpr std::size_t MaxPeers = 2048;
 constexpr std::size_t MinConnections = 16;
-/** Part of the descriptors for callers, as a fraction. */
-constexpr std::size_t CallersNumerator = 5;
-constexpr std::size_t CallersDenominator = 8;
-/** Part of the callers' limit that other listeners have. */
+/** Parts of the descriptors. */
+constexpr std::size_t CallersDivisor = 2;
+constexpr std::size_t PeersDivisor = 8;
+/** Parts of the callers' limit that other listeners have. */
 constexpr std::size_t ForwardingDivisor = 4;
 constexpr std::size_t OperatorsDivisor = 16;
 /** Part of a limit that is kept free for new callers. */
@@ -26,16 +27,21 @@
 
 gsConnectionLimits gsLimitConnections(gsConnectionResources const& resources)
 {
-  std::size_t callers = std::min(
-    MaxCallers, resources.Descriptors / CallersDenominator * CallersNumerator);
+  std::size_t callers =
+    std::min(MaxCallers, resources.Descriptors / CallersDivisor);
   if (resources.Bytes > 0) {
     callers = std::min<std::size_t>(callers, resources.Bytes /
                                                resources.BytesPerConnection);
   }
   callers = std::max(callers, MinConnections);
-  return { callers, std::max(MinConnections, callers / ForwardingDivisor),
-           std::clamp(callers / OperatorsDivisor, MinConnections,
-                      MaxOperators) };
+  gsConnectionLimits limits;
+  limits.Callers = callers;
+  limits.Forwarding = std::max(MinConnections, callers / ForwardingDivisor);
+  limits.Operators =
+    std::clamp(callers / OperatorsDivisor, MinConnections, MaxOperators);
+  limits.Peers =
+    std::clamp(resources.Descriptors / PeersDivisor, MinConnections, MaxPeers);
+  return limits;
 }
 
 gsConnectionShortage gsFindConnectionShortage(std::size_t open,
--- a/Source/Core/gsConnectionShedding.h
+++ b/Source/Core/gsConnectionShedding.h
@@ -30,6 +30,7 @@
   std::size_t Callers = 0;
   std::size_t Forwarding = 0; ///< Of hosts that forward requests.
   std::size_t Operators = 0;
+  std::size_t Peers = 0; ///< Of hosts, for links.
 };
 
 /**
--- a/Source/Daemon/gsHallCluster.cxx
+++ b/Source/Daemon/gsHallCluster.cxx
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <cmath>
 
+#include "gsConnectionShedding.h"
 #include "gsLog.h"
+#include "gsProcess.h"
 #include "gsWireCodec.h"
 
 namespace {
@@ -80,7 +82,9 @@
   gsResult<std::unique_ptr<gsPeerNet>> net = gsPeerNet::Start(
     this->Loop,
     { this->Settings.Peers.Listen, this->Settings.Peers.Token,
-      this->Settings.Peers.Cluster, this->Settings.Peers.Routes },
+      this->Settings.Peers.Cluster, this->Settings.Peers.Routes,
+      gsLimitConnections({ gsMaxDescriptors(this->Settings.Descriptors) })
+        .Peers },
     std::move(events));
   if (!net) {
     return net.error();
--- a/Source/Daemon/gsNode.cxx
+++ b/Source/Daemon/gsNode.cxx
@@ -251,7 +251,8 @@
   callers.MaxConnections = static_cast<std::uint32_t>(
     limits.MaxConnections > 0
       ? limits.MaxConnections
-      : gsLimitConnections({ gsMaxDescriptors() }).Callers);
+      : gsLimitConnections({ gsMaxDescriptors(this->Settings.Descriptors) })
+          .Callers);
   callers.MaxConnectionsPerIp =
     limits.MaxConnectionsPerIp > 0
       ? static_cast<std::uint32_t>(limits.MaxConnectionsPerIp)
--- a/Source/Daemon/gsRouteNode.cxx
+++ b/Source/Daemon/gsRouteNode.cxx
@@ -68,11 +68,7 @@
                                           std::uint64_t bytesPerConnection)
 {
   gsConnectionResources resources;
-  resources.Descriptors = gsMaxDescriptors();
-  if (settings.Descriptors > 0) {
-    resources.Descriptors =
-      std::min<std::size_t>(resources.Descriptors, settings.Descriptors);
-  }
+  resources.Descriptors = gsMaxDescriptors(settings.Descriptors);
   if (settings.Features.Memory == gsFeatureMode::On) {
     resources.Bytes = gsConnectionMemory(settings.Memory);
   }
--- a/Source/Io/gsPeerNet.cxx
+++ b/Source/Io/gsPeerNet.cxx
@@ -11,6 +11,7 @@
 #include <openssl/crypto.h>
 
 #include "Generated/gsPeer.grpc.pb.h"
+#include "gsPeerAcceptor.h"
 #include "gsRendezvous.h"
 
 namespace {
@@ -24,6 +25,10 @@
 constexpr int ReconnectMs = 1000;
 constexpr int ReconnectMaxMs = 1000;
 constexpr int MaxFrameBytes = 64 << 20;
+/** Time that a host has to begin a link after it has connected. */
+constexpr int HandshakeTimeoutMs = 5000;
+/** A connection without a link is closed after it. */
+constexpr int IdleConnectionMs = 10'000;
 
 bool SameToken(std::string const& expected, grpc::string_ref const& given)
 {
@@ -219,7 +224,10 @@
   gsLoop& Loop;
   gsPeerNetSettings Settings;
   gsPeerNetEvents Events;
+  std::unique_ptr<grpc::experimental::ExternalConnectionAcceptor> Connections;
   std::unique_ptr<grpc::Server> Server;
+  /** Hands connections to Connections; ended before the server. */
+  std::unique_ptr<gsPeerAcceptor> Acceptor;
   std::atomic<std::uint64_t> Next{ 1 };
   std::atomic<std::uint64_t> Received{ 0 };
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
@@ -355,6 +363,7 @@
 gsPeerNet::~gsPeerNet()
 {
   *this->State->Alive = false;
+  this->State->Acceptor.reset();
   for (auto& [number, link] : this->State->Links) {
     std::lock_guard<std::mutex> lock(link->Mutex);
     link->CloseLocked();
@@ -375,16 +384,33 @@
   std::string const& listen = impl->Settings.Listen;
   if (!listen.empty()) {
     grpc::ServerBuilder builder;
-    int port = 0;
-    builder.AddListeningPort(listen, grpc::InsecureServerCredentials(), &port);
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    // The library's own listener stops for good without descriptors.
+    impl->Connections = builder.experimental().AddExternalConnectionAcceptor(
+      grpc::ServerBuilder::experimental_type::ExternalConnectionType::FROM_FD,
+      grpc::InsecureServerCredentials());
+    builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS,
+                               HandshakeTimeoutMs);
+    builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS,
+                               IdleConnectionMs);
     builder.SetMaxReceiveMessageSize(MaxFrameBytes);
     builder.RegisterService(impl.get());
     impl->Server = builder.BuildAndStart();
-    if (impl->Server == nullptr || port == 0) {
-      return gsError{ "listen_failed", "Could not listen on " + listen + ".",
+    if (impl->Server == nullptr) {
+      return gsError{ "listen_failed", "Could not serve " + listen + ".",
                       "listen", listen };
     }
+    gsResult<std::unique_ptr<gsPeerAcceptor>> acceptor = gsPeerAcceptor::Start(
+      loop, listen, impl->Settings.MaxConnections,
+      [connections = impl->Connections.get()](int descriptor) {
+        grpc::experimental::ExternalConnectionAcceptor::NewConnectionParameters
+          parameters;
+        parameters.fd = descriptor;
+        connections->HandleNewConnection(&parameters);
+      });
+    if (!acceptor) {
+      return acceptor.error();
+    }
+    impl->Acceptor = std::move(acceptor.value());
   }
   Impl* raw = impl.get();
   loop.BeforeWait([raw, alive = raw->Alive] {
--- a/Source/Io/gsPeerNet.h
+++ b/Source/Io/gsPeerNet.h
@@ -32,6 +32,8 @@
   std::string Cluster;
   /** Address to dial in place of the one that a peer announces. */
   std::map<std::string, std::string> Routes;
+  /** Connections that are accepted at once; further ones wait. */
+  std::size_t MaxConnections = 512;
 };
 
 /** Calls from the network into the daemon, all on the loop's thread. */
--- a/Source/Io/gsProcess.cxx
+++ b/Source/Io/gsProcess.cxx
@@ -44,12 +44,15 @@
   malloc_trim(0);
 }
 
-std::size_t gsMaxDescriptors()
+std::size_t gsMaxDescriptors(std::size_t configured)
 {
+  std::size_t count = std::numeric_limits<std::size_t>::max();
+  if (configured > 0) {
+    count = configured;
+  }
   rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
-    return std::numeric_limits<std::size_t>::max();
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    count = std::min<rlim_t>(count, limit.rlim_cur);
   }
-  return std::min<rlim_t>(limit.rlim_cur,
-                          std::numeric_limits<std::size_t>::max());
+  return count;
 }
--- a/Source/Io/gsProcess.h
+++ b/Source/Io/gsProcess.h
@@ -22,5 +22,9 @@
 /** Returns free pages of the heap to the operating system. */
 void gsReleaseFreeHeap();
 
-/** Descriptors that this process may open. */
-std::size_t gsMaxDescriptors();
+/**
+ * Descriptors that this process may open.
+ *
+ * \param configured A lower number, or zero for none.
+ */
+std::size_t gsMaxDescriptors(std::size_t configured);
--- a/Tests/Soak/gsClientCrowd.cxx
+++ b/Tests/Soak/gsClientCrowd.cxx
@@ -133,6 +133,7 @@
   }
   char buffer[4096];
   ssize_t count = recv(client.Descriptor, buffer, sizeof(buffer), 0);
+  this->ReceivedBytes += count > 0 ? static_cast<std::uint64_t>(count) : 0;
   bool waits = count < 0 &&
                (errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOTCONN);
   if (count == 0 || (count < 0 && !waits)) {
--- a/Tests/Soak/gsClientCrowd.h
+++ b/Tests/Soak/gsClientCrowd.h
@@ -49,6 +49,8 @@
   std::size_t Open() const;
   /** Bytes that all clients have sent. */
   std::uint64_t Sent() const { return this->SentBytes; }
+  /** Bytes that all clients have received. */
+  std::uint64_t Received() const { return this->ReceivedBytes; }
   /** Ends all connections. */
   void Leave();
 
@@ -68,4 +70,5 @@
   gsCrowdReading const Reading;
   std::vector<std::unique_ptr<Client>> Clients;
   std::uint64_t SentBytes = 0;
+  std::uint64_t ReceivedBytes = 0;
 };
--- a/Tests/Soak/gsTestClientCrowds.cxx
+++ b/Tests/Soak/gsTestClientCrowds.cxx
@@ -241,6 +241,21 @@
   this->ExpectSound(*peers, descriptors);
 }
 
+// Guards against a listener for other hosts that takes the descriptors of all
+// others, or accepts no more once there were none.
+TEST_F(ClientCrowds, SilentConnectionsAtThePeersListenerAboveTheDescriptors)
+{
+  constexpr std::size_t descriptors = 400;
+  this->Start(Plan(descriptors));
+  auto crowd = this->Come(this->System->PeerAddressOf("host0"), 600, "");
+  this->System->RunFor(3);
+  this->ExpectSound(*crowd, descriptors);
+  auto peer = this->Come(this->System->PeerAddressOf("host0"), 1,
+                         "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+  EXPECT_TRUE(this->System->RunUntil([&] { return peer->Received() > 0; }))
+    << "the listener for other hosts is gone";
+}
+
 // Guards against connections that are never closed since their buffer is full
 // of a chunk's size.
 TEST_F(ClientCrowds, ChunkSizesWithoutAnEnd)
--- a/Tests/Unit/gsTestConnectionShedding.cxx
+++ b/Tests/Unit/gsTestConnectionShedding.cxx
@@ -86,7 +86,8 @@
 {
   for (std::size_t descriptors : { 256, 400, 4100, 8192, 20000 }) {
     gsConnectionLimits limits = gsLimitConnections({ descriptors });
-    std::size_t all = limits.Callers + limits.Forwarding + limits.Operators;
+    std::size_t all =
+      limits.Callers + limits.Forwarding + limits.Operators + limits.Peers;
     EXPECT_LE(all, descriptors - descriptors / 8) << descriptors;
     EXPECT_LE(limits.Callers, 4096U);
     EXPECT_GE(limits.Operators, 16U);
