HttpClient: Takes no answer with a status above 599

Callers got answers of an upstream with status 600 or 999 as they were: signed, with that status, on all kinds of routes, directly and through another host.

Cause: the status line was read with a lower bound only. HTTP has no such statuses (RFC 9110, 15), and each caller reads them in its own way. Such a head is now malformed, as one of status 099 was already: the attempt is a failure of the upstream, repeated where that is allowed.

The report that led here is of status 000 in other systems. It was not reproduced: 000 and 099 on plain, safe, stream and resumable routes, in each form of answer, behind an interim answer, behind a stale one and through a forwarding host, never reached a caller. The test holds these as a guard.

AnswerHeads.AnAnswerOfAnInvalidStatusIsAFailure failed before for 600 and 999 in all these forms but the one behind a stale answer, and passes.

--- a/Source/Io/gsAnswerHead.cxx
+++ b/Source/Io/gsAnswerHead.cxx
@@ -15,6 +15,7 @@
 constexpr std::size_t StatusDigits = 3;
 constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned FirstStatus = 100;
+constexpr unsigned LastStatus = 599;
 constexpr unsigned FirstFinalStatus = 200;
 
 bool IsDigit(char c)
@@ -213,7 +214,7 @@
   auto parsed = std::from_chars(line.data() + codeAt, end, status);
   bool isNumber = parsed.ec == std::errc() && parsed.ptr == end;
   bool isAlone = line.size() == codeEnd || line[codeEnd] == ' ';
-  if (!isNumber || !isAlone || status < FirstStatus ||
+  if (!isNumber || !isAlone || status < FirstStatus || status > LastStatus ||
       !IsText(line.substr(codeEnd))) {
     return gsHeadFault::StatusLine;
   }
--- a/Tests/Route/gsTestAnswerHeads.cxx
+++ b/Tests/Route/gsTestAnswerHeads.cxx
@@ -352,6 +352,60 @@
   }
 }
 
+namespace {
+
+/** An answer with a status line of this code. */
+std::string WithStatus(std::string const& code, Form form,
+                       gsScriptedRequest const& request)
+{
+  std::string answer = Written(form, request, 200, OwnBody);
+  return answer.replace(answer.find(" 200 ") + 1, code.size(), code);
+}
+
+/** Whether a caller gets nothing of answers with this code. */
+void CheckStatus(std::string const& code, Form form, bool isStaleBefore,
+                 bool isForwarded)
+{
+  for (char const* route : { "plain", "safe", "stream", "resume" }) {
+    SCOPED_TRACE(code + ", form " + std::to_string(static_cast<int>(form)) +
+                 ", " + route + (isStaleBefore ? ", behind a stale one" : "") +
+                 (isForwarded ? ", forwarded" : ""));
+    gsRouteBench bench;
+    for (char const* id : { "u1", "u2" }) {
+      bench.Add(
+        id, [&](Connection const& to, gsScriptedRequest const& request) {
+          to->Write((isStaleBefore ? Stale(Form::Plain, request, 200) : "") +
+                    WithStatus(code, form, request));
+        });
+    }
+    std::unique_ptr<gsForwardingHost> entry;
+    if (isForwarded) {
+      entry = std::make_unique<gsForwardingHost>(bench);
+    }
+    gsCallerViewPtr view = bench.SendTo(
+      entry ? entry->Port() : bench.Server->Port(), On(route, "id-1"));
+    EXPECT_TRUE(bench.RunUntil([view] { return view->Done; }));
+    EXPECT_TRUE(IsHostsFailure(*view)) << view->Status << ' ' << view->Body;
+    EXPECT_LT(view->Status, 600U);
+  }
+}
+
+} // namespace
+
+// Guards against an answer of a status that HTTP does not have (RFC 9110, 15),
+// which a caller would get as the answer to its request.
+TEST(AnswerHeads, AnAnswerOfAnInvalidStatusIsAFailure)
+{
+  for (char const* code : { "000", "099", "600", "999" }) {
+    for (Form form : AllForms) {
+      CheckStatus(code, form, false, false);
+    }
+    CheckStatus(code, Form::Plain, true, false);
+    CheckStatus(code, Form::Plain, false, true);
+    CheckStatus(code, Form::AfterInterim, false, true);
+  }
+}
+
 // Guards against a damaged trailer, in which another answer may begin, that
 // counts as a crash of its upstream.
 TEST(AnswerHeads, ADamagedTrailerIsAFailureAndNoCrash)
--- a/Tests/Unit/gsTestAnswerHead.cxx
+++ b/Tests/Unit/gsTestAnswerHead.cxx
@@ -173,13 +173,28 @@
 
 TEST(AnswerHead, AStatusLineOfAnotherFormIsRefused)
 {
-  for (std::string const line :
-       { "", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 20", "HTTP/1.1 2000 OK",
-         "HTTP/1.1 20O OK", "HTTP/1.1 200OK", "HTTP/1.1  200 OK",
-         "HTTP/1.1 -20 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 099 OK",
-         "HTTP/1.1\t200 OK", "http/1.1 200 OK", "HTTP/1.2 200 OK",
-         "HTTP/2 200", "HTTP/1.10 200 OK", "ICY 200 OK", "X: a",
-         "HTTP/1.1 200 a\x01" }) {
+  for (std::string const line : { "",
+                                  "HTTP/1.1",
+                                  "HTTP/1.1 ",
+                                  "HTTP/1.1 20",
+                                  "HTTP/1.1 2000 OK",
+                                  "HTTP/1.1 20O OK",
+                                  "HTTP/1.1 200OK",
+                                  "HTTP/1.1  200 OK",
+                                  "HTTP/1.1 -20 OK",
+                                  "HTTP/1.1 +20 OK",
+                                  "HTTP/1.1 099 OK",
+                                  "HTTP/1.1 000 OK",
+                                  "HTTP/1.1 600 OK",
+                                  "HTTP/1.1 999 OK",
+                                  "HTTP/1.1\t200 OK",
+                                  "http/1.1 200 OK",
+                                  "HTTP/1.2 200 OK",
+                                  "HTTP/2 200",
+                                  "HTTP/1.10 200 OK",
+                                  "ICY 200 OK",
+                                  "X: a",
+                                  "HTTP/1.1 200 a\x01" }) {
     EXPECT_EQ(FaultOf(line + "\r\n\r\n"), gsHeadFault::StatusLine) << line;
   }
 }
