Tests: Crowds that come and go, and a planned stop beside one

Guards, which pass: six crowds of 1,500 clients within four seconds leave neither memory nor descriptors behind, and SIGTERM ends the host while 1,500 unfinished requests are open.

--- a/Tests/Soak/gsTestClientCrowds.cxx
+++ b/Tests/Soak/gsTestClientCrowds.cxx
@@ -6,7 +6,7 @@
  * on real processes. The host has to live, stay within its memory, give its
  * descriptors back, and answer an ordinary request.
  */
-#include <algorithm>
+#include <csignal>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -77,16 +77,21 @@
   void ExpectServed()
   {
     gsRoutedReplyPtr reply;
+    std::size_t sent = 0;
     bool served = this->System->RunUntil(
       [&] {
         if (reply != nullptr && !reply->Done) {
           return false;
         }
         bool good = reply != nullptr && reply->Good();
-        reply = good ? reply : this->System->Send("host0", "plain");
+        if (!good) {
+          reply = this->System->Send("host0", "plain");
+          ++sent;
+        }
         return good;
       },
       30);
+    std::cout << "requests_until_served: " << sent << '\n';
     EXPECT_TRUE(served) << "no ordinary request was answered";
   }
 
@@ -291,6 +296,33 @@
   this->ExpectSound(*crowd);
 }
 
+// Guards against memory and descriptors of those that have left.
+TEST_F(ClientCrowds, CrowdsThatComeAndGo)
+{
+  this->Start();
+  for (int round = 0; round < 6; ++round) {
+    auto crowd = this->Come(this->System->AddressOf("host0"), 1500,
+                            UnfinishedBody(16000 + 8000 * round, 1 + round));
+    this->System->RunFor(0.7);
+  }
+  auto last = this->Come(this->System->AddressOf("host0"), 1500,
+                         UnfinishedBody(16000, 4 * KiB));
+  this->RunUntilSent(*last);
+  this->ExpectSound(*last);
+}
+
+// Guards against a planned stop that does not come to its end beside a crowd.
+TEST_F(ClientCrowds, HostEndsWhileACrowdStands)
+{
+  this->Start();
+  auto crowd = this->Come(this->System->AddressOf("host0"), 1500,
+                          UnfinishedBody(16000, 4 * KiB));
+  this->RunUntilSent(*crowd);
+  this->System->Signal("host0", SIGTERM);
+  EXPECT_TRUE(this->System->RunUntil(
+    [this] { return !this->System->Running("host0"); }, 30));
+}
+
 // Guards against limits that a request within those of the configuration
 // meets while nobody presses.
 TEST_F(ClientCrowds, LargestRequestIsServedInCalm)
