HttpServer: Takes small parts of a body without asking for each

400 bodies of 200 KB in chunks of one byte held the loop of a host for up to 3,270 ms at a time (its own `stalled` lines): it accepted nobody meanwhile, took itself for a suspended process afterwards, and an ordinary caller was refused 16 times before it was answered.

Cause: each byte was a part of its own, for which the server looked up the connection, read the clock, asked the gate and counted all that is held.

The gate now accepts a body in steps of 256 bytes; parts within a step are only added. What is held is counted by blocks of 4 KiB in any case.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -1022,7 +1022,6 @@
   link.Open = held->get();
   link.Since = (*held)->Since;
   link.ProgressAt = link.Since;
-  link.ProgressBytes = 0;
   this->LastRequestAt = link.Since;
   ++this->Exchanges;
   return held;
@@ -1176,12 +1175,36 @@
   }
 }
 
-/** Takes in a part of a body, or drops it if the body is not accepted. */
-void gsHttpServer::OnBodyPart(gsHttpExchange& exchange, std::string_view bytes)
+/** Handles a part of a body. Parts may be single bytes, so that most of them
+ * are only added to what has come. \return As OnRequest. */
+int gsHttpServer::OnBodyPart(MHD_Connection* connection,
+                             gsHttpExchange& exchange, std::string_view bytes)
 {
   if (exchange.TooLarge || exchange.BodyRefused) {
-    return;
+    return MHD_YES;
+  }
+  if (exchange.Parts.Size() + bytes.size() <= exchange.GrantedParts) {
+    exchange.Parts.Append(bytes);
+    return MHD_YES;
+  }
+  Link& link = this->Links[connection];
+  link.BodyAt = gsLoop::Now();
+  std::size_t before = exchange.Body.size() + exchange.Parts.Size();
+  this->TakeBodyPart(exchange, bytes);
+  if (exchange.BodyRefused) {
+    return this->RefuseMidway(connection, exchange);
   }
+  std::size_t come = exchange.Body.size() + exchange.Parts.Size();
+  if (come / MinProgress != before / MinProgress) {
+    link.ProgressAt = link.BodyAt;
+  }
+  return MHD_YES;
+}
+
+/** Takes in a part of a body, or drops it if the body is not accepted. */
+void gsHttpServer::TakeBodyPart(gsHttpExchange& exchange,
+                                std::string_view bytes)
+{
   std::size_t come = exchange.Body.size() + exchange.Parts.Size();
   std::size_t size = come + bytes.size();
   std::uint64_t expected = exchange.HeldExpected.Value();
@@ -1198,6 +1221,7 @@
   if (exchange.TooLarge || exchange.BodyRefused) {
     exchange.Body = {};
     exchange.Parts.Clear();
+    exchange.GrantedParts = 0;
     exchange.HeldExpected.Set(0);
   } else if (expected > 0 && exchange.Parts.Size() == 0) {
     exchange.Body.reserve(exchange.Body.size() + expected);
@@ -1206,6 +1230,10 @@
                               std::min<std::uint64_t>(expected, bytes.size()));
   } else {
     exchange.Parts.Append(bytes);
+    std::size_t most = this->Settings.MaxBody -
+                       std::min(this->Settings.MaxBody, exchange.Body.size());
+    exchange.GrantedParts =
+      std::min((exchange.Parts.Size() / MinProgress + 1) * MinProgress, most);
   }
   exchange.CountBody();
 }
@@ -1238,19 +1266,9 @@
     return rejected ? *rejected : this->OnHead(connection, *exchange);
   }
   if (*size > 0) {
-    Link& link = this->Links[connection];
-    link.BodyAt = gsLoop::Now();
-    link.ProgressBytes += *size;
-    if (link.ProgressBytes >= MinProgress) {
-      link.ProgressAt = link.BodyAt;
-      link.ProgressBytes = 0;
-    }
-    bool wasRefused = exchange->BodyRefused;
-    this->OnBodyPart(*exchange, { data, *size });
+    std::string_view part(data, *size);
     *size = 0;
-    return exchange->BodyRefused && !wasRefused
-             ? this->RefuseMidway(connection, *exchange)
-             : MHD_YES;
+    return this->OnBodyPart(connection, *exchange, part);
   }
   if (exchange->At == gsHttpExchange::Phase::Receiving) {
     if (this->Links[connection].Shut) {
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -180,6 +180,7 @@
   bool BypassesLibrary = false;
   /** Of a body whose size was not announced, until it has come in whole. */
   gsBlockBuffer Parts;
+  std::size_t GrantedParts = 0; ///< Size up to which Parts may grow unasked.
   std::string Buffer;
   std::size_t Read = 0;
   std::unique_ptr<gsIoWatch> Watch;
@@ -332,10 +333,9 @@
     bool CloseWhenIdle = false;
     /** When bytes of a body last came. */
     gsTime BodyAt{};
-    /** When it was opened, its request began, or MinProgress bytes of a body
-     * had come since. */
+    /** When it was opened, its request began, or its body last passed a
+     * multiple of MinProgress bytes. */
     gsTime ProgressAt{};
-    std::size_t ProgressBytes = 0; ///< Of a body, since ProgressAt.
     /** The request on it, from its first line to the end of its answer. */
     gsHttpExchange* Open = nullptr;
     /** Bytes of the requests that have been answered; what has come beyond
@@ -359,7 +359,9 @@
   void CloseAnswered();
   void* OnFirstLine(MHD_Connection* connection, char const* target);
   int OnHead(MHD_Connection* connection, gsHttpExchange& exchange);
-  void OnBodyPart(gsHttpExchange& exchange, std::string_view bytes);
+  int OnBodyPart(MHD_Connection* connection, gsHttpExchange& exchange,
+                 std::string_view bytes);
+  void TakeBodyPart(gsHttpExchange& exchange, std::string_view bytes);
   std::optional<int> RejectMalformed(MHD_Connection* connection,
                                      gsHttpExchange& exchange,
                                      char const* version);
