HttpServer: Looks for stuck connections by what they read

A head of more than 32 KiB got no answer in the time of the test, in place of 431 (Desynchronisation.TheRestOfARefusedBodyIsNoRequest failed).

Cause, of the repair of connections that the library cannot read on: the library reads a head in steps of a KiB, one a run, which were taken for runs that do nothing, so that it was run each 10 ms after 32 of them.

Connections are now looked at after 8 runs in a row that ask for another one, at most each 20 ms, whether the runs do something or not, so that a busy host finds them as well. The pace begins after 4,096 runs without any call.

--- a/Source/Io/gsHttpServer.cxx
+++ b/Source/Io/gsHttpServer.cxx
@@ -38,11 +38,15 @@
 constexpr std::size_t MinProgress = 256;
 /** Memory of a connection beside the library's, roughly. */
 constexpr std::size_t LinkBytes = 4U << 10U;
-/** Runs of the library in a row that do nothing and ask for another one. */
-constexpr std::size_t MaxIdleRuns = 32;
+/** Runs of the library in a row that do nothing and ask for another one. It
+ * reads a head in steps of a KiB, one a run. */
+constexpr std::size_t MaxIdleRuns = 4096;
 /** Interval of such runs from then on. */
 constexpr gsTime IdleRunInterval = gsMilliseconds(10);
-constexpr gsTime StuckCheckInterval = gsMilliseconds(100);
+/** Runs in a row that ask for another one, idle or not, after which there may
+ * be connections that are stuck. */
+constexpr std::size_t RunsBetweenChecks = 8;
+constexpr gsTime StuckCheckInterval = gsMilliseconds(20);
 /** Time without a request after which requests are unlikely to be under way.
  */
 constexpr gsTime QuietTime = gsMilliseconds(200);
@@ -812,16 +816,22 @@
   this->Scheduled = false;
   std::uint64_t before = this->Activity;
   MHD_run(this->Daemon);
-  this->IdleRuns = this->Activity == before ? this->IdleRuns + 1 : 0;
+  bool isIdle = this->Activity == before;
   MHD_UNSIGNED_LONG_LONG timeout = 0;
-  if (MHD_get_timeout(this->Daemon, &timeout) != MHD_YES) {
+  bool hasTimeout = MHD_get_timeout(this->Daemon, &timeout) == MHD_YES;
+  bool runsAgain = hasTimeout && timeout == 0;
+  this->RunsInARow = runsAgain ? this->RunsInARow + 1 : 0;
+  this->IdleRuns = isIdle && runsAgain ? this->IdleRuns + 1 : 0;
+  if (this->RunsInARow >= RunsBetweenChecks) {
+    this->CloseStuck(gsLoop::Now());
+  }
+  if (!hasTimeout) {
     this->Timer->Stop();
-  } else if (timeout > 0) {
+  } else if (!runsAgain) {
     this->Timer->Once(gsMilliseconds(timeout));
   } else if (this->IdleRuns < MaxIdleRuns) {
     this->RunSoon();
   } else {
-    this->CloseStuck(gsLoop::Now());
     this->Timer->Once(IdleRunInterval);
   }
 }
@@ -836,6 +846,7 @@
   if (now - this->StuckCheckedAt < StuckCheckInterval) {
     return;
   }
+  this->RunsInARow = 0;
   this->StuckCheckedAt = now;
   for (auto& [connection, link] : this->Links) {
     bool receives = link.Open != nullptr && !link.Shut &&
--- a/Source/Io/gsHttpServer.h
+++ b/Source/Io/gsHttpServer.h
@@ -403,7 +403,10 @@
   };
   std::map<int, Lingering> LingeringLinks;
   std::uint64_t Activity = 0; ///< Calls of the library into this object.
-  std::size_t IdleRuns = 0;   ///< Runs in a row without such a call.
+  /** Runs in a row each of which asks for the next, since CloseStuck looked
+   * for the last time. */
+  std::size_t RunsInARow = 0;
+  std::size_t IdleRuns = 0; ///< In a row, without a call into this object.
   gsTime StuckCheckedAt{};
   bool Scheduled = false;
   bool Closing = false;
