Tests: A machine for both ends of unending answers, with the same budget

UnendingCase.ManyAtOnceStayWithinTheBudget/safe_body_in_chunks failed in 3 of 7 runs: its sound requests were refused. The resident memory that the guard measures is that of the test's process, which is both ends of all connections and may use more than the 64 MiB of the host that the test is about.

--- a/Tests/Route/gsTestUnendingAnswers.cxx
+++ b/Tests/Route/gsTestUnendingAnswers.cxx
@@ -31,6 +31,10 @@
 /** Memory of the machine that the host is configured for. */
 constexpr std::size_t MachineBytes = 64 * MiB;
 constexpr double BuffersShare = 0.25;
+/** Memory of a machine for this process, which is both ends of all connections
+ * and is measured as a whole. */
+constexpr std::size_t TestMachineBytes = 4096 * MiB;
+
 constexpr std::size_t EventLimit = 1 * MiB;  ///< callers.max_event_kib
 constexpr std::size_t AnswerLimit = 8 * MiB; ///< callers.max_answer_kib
 constexpr std::size_t FetchLimit = 16 * MiB; ///< gsMaxFetchedBytes
@@ -42,6 +46,16 @@
 /** Well below the timeout of the bench's routes. */
 constexpr gsTime SoonEnough = gsMilliseconds(2000);
 
+/** The budget of a machine, on a machine for this process. */
+gsMemorySettings BudgetOf(std::size_t machineBytes)
+{
+  gsMemorySettings budget;
+  budget.TotalBytes = TestMachineBytes;
+  budget.BuffersShare = BuffersShare * static_cast<double>(machineBytes) /
+                        static_cast<double>(TestMachineBytes);
+  return budget;
+}
+
 std::size_t HeapBytes()
 {
   struct mallinfo2 info = mallinfo2();
@@ -181,8 +195,7 @@
   {
     gsMemoryGuardSettings settings;
     settings.Mode = gsFeatureMode::On;
-    settings.Budget.TotalBytes = MachineBytes;
-    settings.Budget.BuffersShare = BuffersShare;
+    settings.Budget = BudgetOf(MachineBytes);
     this->Memory = std::make_unique<gsMemoryGuard>(
       this->Bench.Loop, settings, std::vector{ this->Bench.Server.get() },
       this->Bench.Upstreams, this->Bench.Gateway->Upstreams(), 1);
@@ -631,8 +644,7 @@
 {
   gsMemoryGuardSettings settings;
   settings.Mode = gsFeatureMode::On;
-  settings.Budget.TotalBytes = 2 * MiB;
-  settings.Budget.BuffersShare = BuffersShare;
+  settings.Budget = BudgetOf(2 * MiB);
   this->Memory.reset();
   this->Memory = std::make_unique<gsMemoryGuard>(
     this->Bench.Loop, settings, std::vector{ this->Bench.Server.get() },
