--- a/Source/Io/gsProcess.cxx
+++ b/Source/Io/gsProcess.cxx
@@ -32,7 +32,7 @@
   close(descriptor);
   unsigned long long total = 0;
   unsigned long long resident = 0;
-  // NOLINTNEXTLINE(cert-err34-c): the kernel's own format.
+  // The text is that of the kernel.
   bool good =
     count > 0 && std::sscanf(text, "%llu %llu", &total, &resident) == 2;
   return good ? resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE))
