--- a/Tests/Soak/gsTestClientCrowds.cxx
+++ b/Tests/Soak/gsTestClientCrowds.cxx
@@ -296,6 +296,21 @@
   this->ExpectSound(*crowd);
 }
 
+// Guards against requests that are handled one after the other for callers
+// that take none of their answers, and against what they leave behind.
+TEST_F(ClientCrowds, PipelinedRequestsWhoseAnswersNobodyReads)
+{
+  this->Start();
+  std::string bytes;
+  for (int i = 0; i < 200; ++i) {
+    bytes += gsUnfinishedRequest("/plain/x", { 0, 0, 0 });
+  }
+  auto crowd = this->Come(this->System->AddressOf("host0"), 300, bytes,
+                          gsCrowdReading::Nothing);
+  this->RunUntilSent(*crowd);
+  this->ExpectSound(*crowd);
+}
+
 // Guards against memory and descriptors of those that have left.
 TEST_F(ClientCrowds, CrowdsThatComeAndGo)
 {
@@ -339,3 +354,44 @@
     EXPECT_EQ(client->Sending(), 0U);
   }
 }
+
+// The same for chunks of one byte, the largest head, and a connection that
+// rests for four fifths of the idle timeout before its request.
+TEST_F(ClientCrowds, ChunksOfOneByteAreServedInCalm)
+{
+  this->Start();
+  std::size_t runs = this->System->AllRuns().size();
+  auto client =
+    this->Come(this->System->AddressOf("host0"), 1,
+               gsUnfinishedRequest("/plain/x", { 4096 * KiB, 1, 0 }));
+  EXPECT_TRUE(this->System->RunUntil(
+    [&] { return this->System->AllRuns().size() > runs; }));
+}
+
+TEST_F(ClientCrowds, LargestHeadIsServedInCalm)
+{
+  constexpr std::size_t limit = 16 * KiB;
+  this->Start();
+  std::string request = gsUnfinishedRequest("/plain/x", { 1, 1, 0 });
+  std::size_t head = request.find("\r\n\r\n");
+  std::string const name = "\r\nX: ";
+  std::size_t fill = limit - head - std::string("\r\n\r\n").size();
+  request.insert(head, name + std::string(fill - name.size(), 'x'));
+  std::size_t runs = this->System->AllRuns().size();
+  auto client = this->Come(this->System->AddressOf("host0"), 1, request);
+  EXPECT_TRUE(this->System->RunUntil(
+    [&] { return this->System->AllRuns().size() > runs; }));
+}
+
+TEST_F(ClientCrowds, RestingConnectionIsServedInCalm)
+{
+  gsRoutedPlan plan = Plan();
+  plan.KeepConnections = true;
+  this->Start(plan);
+  auto resting = this->Come(this->System->AddressOf("host0"), 1,
+                            gsUnfinishedRequest("/plain/x", { 1, 1, 0 }));
+  EXPECT_TRUE(this->System->RunUntil([&] { return resting->Received() > 0; }));
+  this->System->RunFor(IdleTimeoutMs * 0.8 / 1000);
+  EXPECT_EQ(resting->Open(), 1U) << "closed while it rested";
+  EXPECT_TRUE(this->System->SendAndWait("host0", "plain")->Good());
+}
